--- /dev/null
+++ b/internal/base/bbrcode/code.go
@@ -0,0 +1,188 @@
+package bbrcode
+
+import (
+	"net/http"
+	"slices"
+	"time"
+)
+
+// Code is a numbered result. Numbers are never reused.
+type Code uint16
+
+// Codes of callers' requests that ran.
+const (
+	Ran            Code = 1000
+	Replayed       Code = 1001
+	AnswerTooLarge Code = 1002
+	AnswerNotKept  Code = 1003
+)
+
+// Codes of callers' requests that did not run.
+const (
+	QueueFull         Code = 2001
+	QuotaExceeded     Code = 2002
+	DeadlineTooShort  Code = 2003
+	NeverFits         Code = 2004
+	UnknownQueue      Code = 2005
+	BodyTooLarge      Code = 2006
+	BadRequest        Code = 2007
+	NoUpstream        Code = 2008
+	ShuttingDown      Code = 2009
+	NotReady          Code = 2010
+	Fenced            Code = 2011
+	TimedOutInQueue   Code = 2012
+	ConnectFailed     Code = 2013
+	Cancelled         Code = 2014
+	ClaimUnavailable  Code = 2015
+	KeyBusy           Code = 2016
+	KeyReused         Code = 2017
+	PeerUnreachable   Code = 2018
+	BodyIncomplete    Code = 2019
+	TooManyKeys       Code = 2020
+	TooManyInProgress Code = 2021
+)
+
+// Codes of callers' requests of which it is not known whether they ran.
+const (
+	UpstreamSilent    Code = 3001
+	UpstreamBroke     Code = 3002
+	AnswerTruncated   Code = 3003
+	AnswerMismatched  Code = 3004
+	StreamAborted     Code = 3005
+	HolderGone        Code = 3006
+	HolderUnreachable Code = 3007
+	PeerLost          Code = 3008
+	CallerLeft        Code = 3009
+)
+
+// Codes of operators' commands.
+const (
+	Done                Code = 4000
+	Syntax              Code = 4001
+	UnknownInstance     Code = 4002
+	UnknownName         Code = 4003
+	Conflict            Code = 4004
+	StoredNotInForce    Code = 4005
+	BudgetExhausted     Code = 4006
+	WrongState          Code = 4007
+	Unauthorized        Code = 4008
+	PlatformUnavailable Code = 4009
+	WriteUnknown        Code = 4010
+	InvalidConfig       Code = 4011
+	Frozen              Code = 4012
+	ZoneUnreachable     Code = 4013
+	DryRun              Code = 4014
+)
+
+// Codes of settings.
+const (
+	SettingsSyntax  Code = 5001
+	SettingsUnknown Code = 5002
+	SettingsInvalid Code = 5003
+	SettingsMissing Code = 5004
+)
+
+// Info describes a code.
+type Info struct {
+	Code    Code
+	Name    string
+	Outcome Outcome
+	// Status is the HTTP status of an answer with this code.
+	Status int
+	// RetryAfter is zero where coming back does not help.
+	RetryAfter time.Duration
+	Text       string
+}
+
+const (
+	soon  = time.Second
+	later = 5 * time.Second
+)
+
+var table = map[Code]Info{
+	Ran:      {Name: "ran", Outcome: OutcomeRan, Status: http.StatusOK, Text: "The upstream's whole answer follows."},
+	Replayed: {Name: "replayed", Outcome: OutcomeRan, Status: http.StatusOK, Text: "The request ran before; the kept answer follows."},
+
+	AnswerTooLarge: {Name: "answerTooLarge", Outcome: OutcomeRan, Status: 502, Text: "The request ran; its answer is too large to pass between entries."},
+	AnswerNotKept:  {Name: "answerNotKept", Outcome: OutcomeRan, Status: 410, Text: "The request ran before; its answer is no longer kept."},
+
+	QueueFull:         {Name: "queueFull", Status: 503, RetryAfter: soon, Text: "The queue is at its bound."},
+	QuotaExceeded:     {Name: "quotaExceeded", Status: 429, RetryAfter: soon, Text: "The team has used its quota."},
+	DeadlineTooShort:  {Name: "deadlineTooShort", Status: 503, RetryAfter: soon, Text: "The work cannot start before the caller's deadline."},
+	NeverFits:         {Name: "neverFits", Status: 422, Text: "The work is larger than any instance of the pool."},
+	UnknownQueue:      {Name: "unknownQueue", Status: 404, Text: "No queue has this name."},
+	BodyTooLarge:      {Name: "bodyTooLarge", Status: 413, Text: "The request body is above the bound."},
+	BadRequest:        {Name: "badRequest", Status: 400, Text: "A header of the request cannot be read."},
+	NoUpstream:        {Name: "noUpstream", Status: 503, RetryAfter: later, Text: "No instance of the pool can take work now."},
+	ShuttingDown:      {Name: "shuttingDown", Status: 503, RetryAfter: soon, Text: "This entry is stopping; another one will answer."},
+	NotReady:          {Name: "notReady", Status: 503, RetryAfter: soon, Text: "This entry has no view or configuration yet."},
+	Fenced:            {Name: "fenced", Status: 503, RetryAfter: later, Text: "This entry cannot confirm its registration and may not send."},
+	TimedOutInQueue:   {Name: "timedOutInQueue", Status: 503, RetryAfter: soon, Text: "The deadline passed while the request was queued."},
+	ConnectFailed:     {Name: "connectFailed", Status: 502, RetryAfter: soon, Text: "No connection to an upstream could be made; nothing was sent."},
+	Cancelled:         {Name: "cancelled", Status: 499, Text: "The caller left while the request was queued."},
+	ClaimUnavailable:  {Name: "claimUnavailable", Status: 503, RetryAfter: later, Text: "The idempotency key cannot be claimed in the platform now; a ticket needs no claim."},
+	KeyBusy:           {Name: "keyBusy", Status: 409, RetryAfter: soon, Text: "A request with this key is in progress; this one was not run."},
+	KeyReused:         {Name: "keyReused", Status: 422, Text: "The key belongs to a different request."},
+	PeerUnreachable:   {Name: "peerUnreachable", Status: 503, RetryAfter: soon, Text: "No entry that could place the request was reached."},
+	BodyIncomplete:    {Name: "bodyIncomplete", Status: 400, Text: "The request body ended early."},
+	TooManyKeys:       {Name: "tooManyKeys", Status: 503, RetryAfter: later, Text: "This entry keeps as many idempotency keys as it may."},
+	TooManyInProgress: {Name: "tooManyInProgress", Status: 503, RetryAfter: soon, Text: "This entry holds as many requests as it may."},
+
+	UpstreamSilent:    {Name: "upstreamSilent", Status: 504, Text: "The upstream did not answer before the deadline."},
+	UpstreamBroke:     {Name: "upstreamBroke", Status: 502, Text: "The connection broke after the request was sent."},
+	AnswerTruncated:   {Name: "answerTruncated", Status: 502, Text: "The upstream's answer ended early and was discarded."},
+	AnswerMismatched:  {Name: "answerMismatched", Status: 502, Text: "The answer belonged to another request and was discarded."},
+	StreamAborted:     {Name: "streamAborted", Status: 502, Text: "A streamed answer broke; the caller's connection was aborted."},
+	HolderGone:        {Name: "holderGone", Status: 409, Text: "The entry that held this key is gone; the request will not run again."},
+	HolderUnreachable: {Name: "holderUnreachable", Status: 503, RetryAfter: later, Text: "The entry that holds this key cannot be reached; this attempt did not run, an earlier one may have."},
+	PeerLost:          {Name: "peerLost", Status: 502, Text: "The entry that placed the request stopped answering."},
+	CallerLeft:        {Name: "callerLeft", Status: 499, Text: "The caller left while the request ran."},
+
+	Done:                {Name: "done", Status: 200, Text: "The command is in force."},
+	Syntax:              {Name: "syntax", Status: 400, Text: "The command cannot be read."},
+	UnknownInstance:     {Name: "unknownInstance", Status: 404, Text: "No instance has this name."},
+	UnknownName:         {Name: "unknownName", Status: 404, Text: "No pool, queue, service, team, wave or entry has this name."},
+	Conflict:            {Name: "conflict", Status: 409, RetryAfter: soon, Text: "Another operator changed the same thing first."},
+	StoredNotInForce:    {Name: "storedNotInForce", Status: 202, RetryAfter: soon, Text: "The change is stored, and not yet in force everywhere."},
+	BudgetExhausted:     {Name: "budgetExhausted", Status: 409, RetryAfter: later, Text: "The service's availability budget has no room."},
+	WrongState:          {Name: "wrongState", Status: 409, Text: "The command does not apply in the present state."},
+	Unauthorized:        {Name: "unauthorized", Status: 401, Text: "The operators' token is missing or wrong."},
+	PlatformUnavailable: {Name: "platformUnavailable", Status: 503, RetryAfter: later, Text: "The platform's service does not answer; nothing was changed."},
+	WriteUnknown:        {Name: "writeUnknown", Status: 503, RetryAfter: later, Text: "The platform's answer was lost; repeat with the same operation."},
+	InvalidConfig:       {Name: "invalidConfig", Status: 422, Text: "The configuration would not be valid."},
+	Frozen:              {Name: "frozen", Status: 409, RetryAfter: later, Text: "An entry has not acknowledged the restriction and is not known to be gone."},
+	ZoneUnreachable:     {Name: "zoneUnreachable", Status: 503, RetryAfter: later, Text: "No entry of the instance's availability zone was reached."},
+	DryRun:              {Name: "dryRun", Status: 200, Text: "The command would be taken; nothing was changed."},
+
+	SettingsSyntax:  {Name: "settingsSyntax", Status: 400, Text: "The settings are not valid YAML."},
+	SettingsUnknown: {Name: "settingsUnknown", Status: 400, Text: "The settings have an unknown or doubled field."},
+	SettingsInvalid: {Name: "settingsInvalid", Status: 400, Text: "A field is outside its allowed range."},
+	SettingsMissing: {Name: "settingsMissing", Status: 400, Text: "A required field is missing."},
+}
+
+// Info returns the description of the code. An unlisted code is described as
+// an unknown outcome with status 500.
+func (c Code) Info() Info {
+	info, ok := table[c]
+	if !ok {
+		return Info{Code: c, Name: "unlisted", Status: http.StatusInternalServerError}
+	}
+	info.Code = c
+	if c >= 2000 && c < 3000 {
+		info.Outcome = OutcomeNotRun
+	}
+	return info
+}
+
+// String returns the code's name.
+func (c Code) String() string { return c.Info().Name }
+
+// All returns every code in ascending order.
+func All() []Info {
+	infos := make([]Info, 0, len(table))
+	for code := range table {
+		infos = append(infos, code.Info())
+	}
+	slices.SortFunc(infos, func(a, b Info) int { return int(a.Code) - int(b.Code) })
+	return infos
+}
--- /dev/null
+++ b/internal/base/bbrmetric/set.go
@@ -0,0 +1,60 @@
+package bbrmetric
+
+import (
+	"strconv"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/bluebellridge/bluebellridge/internal/base/bbrcode"
+)
+
+// Set is the metrics of one process.
+type Set struct {
+	Registry *prometheus.Registry
+
+	answers  *prometheus.CounterVec
+	refusals *prometheus.CounterVec
+	retries  *prometheus.CounterVec
+	events   *prometheus.CounterVec
+}
+
+// New returns a set with its own registry.
+func New() *Set {
+	s := &Set{Registry: prometheus.NewRegistry()}
+	s.answers = s.vector("bbr_answers_total", "Final answers to callers by outcome.", "outcome")
+	s.refusals = s.vector("bbr_refusals_total", "Refused requests and commands by result code.", "code", "name")
+	s.retries = s.vector("bbr_retries_total", "Further attempts by the failure that led to them.", "reason")
+	s.events = s.vector("bbr_events_total", "Changes of state by kind.", "event")
+	return s
+}
+
+func (s *Set) vector(name, help string, labels ...string) *prometheus.CounterVec {
+	vector := prometheus.NewCounterVec(prometheus.CounterOpts{Name: name, Help: help}, labels)
+	s.Registry.MustRegister(vector)
+	return vector
+}
+
+// Answer counts a final answer, and a refusal where the code is one.
+func (s *Set) Answer(code bbrcode.Code) {
+	info := code.Info()
+	s.answers.WithLabelValues(info.Outcome.String()).Inc()
+	if info.Outcome != bbrcode.OutcomeRan {
+		s.Refuse(code)
+	}
+}
+
+// Refuse counts a refusal by its code.
+func (s *Set) Refuse(code bbrcode.Code) {
+	s.refusals.WithLabelValues(strconv.Itoa(int(code)), code.String()).Inc()
+}
+
+// Retry counts a further attempt.
+func (s *Set) Retry(reason string) { s.retries.WithLabelValues(reason).Inc() }
+
+// Event counts a change of state.
+func (s *Set) Event(event string) { s.events.WithLabelValues(event).Inc() }
+
+// Gauge registers a gauge that is read at each scrape.
+func (s *Set) Gauge(name, help string, read func() float64) {
+	s.Registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, read))
+}
--- /dev/null
+++ b/internal/config/bbrrevision/change.go
@@ -0,0 +1,115 @@
+package bbrrevision
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/bluebellridge/bluebellridge/internal/base/bbrcode"
+)
+
+// Change is one operator's change of one field. Get returns the field's
+// present value as text, and Set writes the new one.
+type Change struct {
+	Place string
+	Get   func(c *Config) (string, error)
+	Set   func(c *Config) error
+}
+
+// Budget returns the change of a service's availability budget.
+func Budget(service string, budget int) Change {
+	return Change{
+		Place: "services." + service + ".budget",
+		Get: func(c *Config) (string, error) {
+			s, ok := c.Services[service]
+			if !ok {
+				return "", unknown("service", service)
+			}
+			return strconv.Itoa(s.Budget), nil
+		},
+		Set: func(c *Config) error {
+			s := c.Services[service]
+			s.Budget = budget
+			c.Services[service] = s
+			return Join(c.Validate())
+		},
+	}
+}
+
+// Quota returns the change of a team's quota.
+func Quota(team string, quota int) Change {
+	return Change{
+		Place: "teams." + team + ".quota",
+		Get: func(c *Config) (string, error) {
+			t, ok := c.Teams[team]
+			if !ok {
+				return "", unknown("team", team)
+			}
+			return strconv.Itoa(t.Quota), nil
+		},
+		Set: func(c *Config) error {
+			c.Teams[team] = Team{Quota: quota}
+			return Join(c.Validate())
+		},
+	}
+}
+
+// Bound returns the change of a queue's bound.
+func Bound(queue string, bound int) Change {
+	return queueChange(queue, "bound",
+		func(q Queue) string { return strconv.Itoa(q.Bound) },
+		func(q *Queue) { q.Bound = bound })
+}
+
+// Timeout returns the change of a queue's timeout.
+func Timeout(queue string, timeout time.Duration) Change {
+	return queueChange(queue, "timeout",
+		func(q Queue) string { return q.Timeout.String() },
+		func(q *Queue) { q.Timeout = timeout })
+}
+
+// Assign returns the change of the pool that serves a queue.
+func Assign(queue, pool string) Change {
+	return queueChange(queue, "pool",
+		func(q Queue) string { return q.Pool },
+		func(q *Queue) { q.Pool = pool })
+}
+
+func queueChange(queue, field string, get func(Queue) string, set func(*Queue)) Change {
+	return Change{
+		Place: "queues." + queue + "." + field,
+		Get: func(c *Config) (string, error) {
+			q, ok := c.Queues[queue]
+			if !ok {
+				return "", unknown("queue", queue)
+			}
+			return get(q), nil
+		},
+		Set: func(c *Config) error {
+			q := c.Queues[queue]
+			set(&q)
+			c.Queues[queue] = q
+			return Join(c.Validate())
+		},
+	}
+}
+
+func unknown(kind, name string) error {
+	return bbrcode.Errorf(bbrcode.UnknownName, name, "no %s has this name", kind)
+}
+
+// Apply makes the change in a configuration that an operator saw with the
+// field at seen. It refuses where somebody else has changed the field since.
+func (ch Change) Apply(c *Config, seen, operation string) error {
+	present, err := ch.Get(c)
+	if err != nil {
+		return err
+	}
+	if present != seen {
+		return bbrcode.Errorf(bbrcode.Conflict, ch.Place, "was %s when you asked and is %s now", seen, present)
+	}
+	if err := ch.Set(c); err != nil {
+		return err
+	}
+	c.Record(operation)
+	return nil
+}
--- /dev/null
+++ b/internal/config/bbrrevision/validate.go
@@ -0,0 +1,77 @@
+package bbrrevision
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+
+	"github.com/bluebellridge/bluebellridge/internal/base/bbrcode"
+)
+
+// Allowed ranges of the configuration.
+const (
+	maxBound       = 100_000
+	maxAnswerBytes = 16 << 20
+)
+
+// checker collects every fault of a configuration.
+type checker struct {
+	faults []*bbrcode.Error
+}
+
+func (c *checker) require(ok bool, place, format string, args ...any) {
+	if !ok {
+		c.faults = append(c.faults, bbrcode.Errorf(bbrcode.InvalidConfig, place, format, args...))
+	}
+}
+
+// Validate returns every fault of the configuration, in a fixed order.
+func (c *Config) Validate() []*bbrcode.Error {
+	var check checker
+	check.require(c.Tenant != "", "tenant", "must not be empty")
+	_, spare := c.Pools[c.SparePool]
+	check.require(c.SparePool == "" || spare, "sparePool", "no pool is named %q", c.SparePool)
+	check.require(c.Weights.Move >= 0, "weights.move", "must not be negative")
+	check.require(c.Weights.Buffer >= 0 && c.Weights.Buffer <= 1, "weights.buffer", "must be from 0 to 1")
+	check.require(c.ActivePerZone >= 0, "activePerZone", "must not be negative")
+	for _, name := range slices.Sorted(maps.Keys(c.Services)) {
+		check.require(c.Services[name].Budget >= 0, "services."+name+".budget", "must not be negative")
+	}
+	for _, name := range slices.Sorted(maps.Keys(c.Pools)) {
+		check.require(c.Pools[name].UrgentReserve >= 0, "pools."+name+".urgentReserve", "must not be negative")
+	}
+	for _, name := range slices.Sorted(maps.Keys(c.Teams)) {
+		check.require(c.Teams[name].Quota >= 0, "teams."+name+".quota", "must not be negative")
+	}
+	for _, name := range slices.Sorted(maps.Keys(c.Queues)) {
+		c.checkQueue(&check, name)
+	}
+	return check.faults
+}
+
+func (c *Config) checkQueue(check *checker, name string) {
+	queue := c.Queues[name]
+	place := "queues." + name + "."
+	_, service := c.Services[queue.Service]
+	_, pool := c.Pools[queue.Pool]
+	check.require(service, place+"service", "no service is named %q", queue.Service)
+	check.require(pool, place+"pool", "no pool is named %q", queue.Pool)
+	check.require(queue.Bound > 0 && queue.Bound <= maxBound, place+"bound", "must be from 1 to %d", maxBound)
+	check.require(queue.Timeout > 0, place+"timeout", "must be above 0")
+	check.require(queue.AnswerBytes > 0 && queue.AnswerBytes <= maxAnswerBytes, place+"answerBytes", "must be from 1 to %d", maxAnswerBytes)
+	allowed := []string{"", "always", "never"}
+	check.require(slices.Contains(allowed, queue.Idempotent), place+"idempotent", "must be %q or %q", "always", "never")
+}
+
+// Join returns one error for all faults, or nil.
+func Join(faults []*bbrcode.Error) error {
+	if len(faults) == 0 {
+		return nil
+	}
+	lines := make([]string, len(faults))
+	for i, fault := range faults {
+		lines[i] = fmt.Sprintf("%s: %s", fault.Place, fault.Detail)
+	}
+	return bbrcode.Errorf(bbrcode.InvalidConfig, faults[0].Place, "%s", strings.Join(lines, "; "))
+}
--- /dev/null
+++ b/internal/config/bbrsettings/parse.go
@@ -0,0 +1,88 @@
+package bbrsettings
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/bluebellridge/bluebellridge/internal/base/bbrcode"
+	"github.com/bluebellridge/bluebellridge/internal/config/bbryaml"
+)
+
+// Allowed ranges of the settings.
+const (
+	leastFence     = 3 * time.Second
+	longestTime    = time.Hour
+	leastToken     = 16
+	mostInProgress = 100_000
+	mostBodyBytes  = 16 << 20
+	mostKeys       = 1_000_000
+)
+
+// checker collects faults with their places.
+type checker struct {
+	places bbryaml.Places
+	faults []*bbrcode.Error
+}
+
+// Parse reads settings and returns every fault.
+func Parse(data []byte) (Settings, []*bbrcode.Error) {
+	settings := Default()
+	places, faults := bbryaml.Decode(data, &settings)
+	check := &checker{places: places, faults: faults}
+	check.identity(settings)
+	check.limits(settings.Limits)
+	check.timing(settings)
+	return settings, check.faults
+}
+
+func (c *checker) require(ok bool, code bbrcode.Code, path, text string, args ...any) {
+	if !ok {
+		c.faults = append(c.faults, bbrcode.Errorf(code, c.places.Of(path), text, args...))
+	}
+}
+
+func (c *checker) address(address netip.AddrPort, path string) {
+	c.require(address.IsValid() && address.Port() != 0, bbrcode.SettingsMissing, path, "must be an IP address and port, such as 10.0.0.1:7001")
+}
+
+func (c *checker) identity(s Settings) {
+	c.require(s.Entry != "", bbrcode.SettingsMissing, "entry", "must name the entry")
+	c.require(s.Zone != "", bbrcode.SettingsMissing, "zone", "must name the availability zone")
+	c.address(s.Listen.Callers, "listen.callers")
+	c.address(s.Listen.Operators, "listen.operators")
+	c.address(s.Listen.Peers, "listen.peers")
+	c.address(s.Platform.Address, "platform.address")
+	c.require(!s.Listen.Peers.Addr().IsUnspecified(), bbrcode.SettingsInvalid, "listen.peers", "must be an address that the other entries can reach")
+	c.require(len(s.Operators.Token) >= leastToken, bbrcode.SettingsMissing, "operators.token", "must have at least %d characters", leastToken)
+	bothOrNone := (s.Listen.TLS.Certificate == "") == (s.Listen.TLS.Key == "")
+	c.require(bothOrNone, bbrcode.SettingsInvalid, "listen.tls", "certificate and key go together")
+}
+
+func (c *checker) limits(l Limits) {
+	c.size(int64(l.HeaderBytes), 1<<10, 1<<20, "limits.headerBytes")
+	c.size(l.BodyBytes, 1, mostBodyBytes, "limits.bodyBytes")
+	c.size(l.InProgress, 1, mostInProgress, "limits.inProgress")
+	c.size(int64(l.Keys), 1, mostKeys, "limits.keys")
+	c.size(l.KeptAnswerBytes, 0, 1<<30, "limits.keptAnswerBytes")
+}
+
+func (c *checker) size(value, least, most int64, path string) {
+	c.require(value >= least && value <= most, bbrcode.SettingsInvalid, path, "%d is not from %d to %d", value, least, most)
+}
+
+func (c *checker) timing(s Settings) {
+	c.duration(s.Platform.Timeout, time.Millisecond, "platform.timeout")
+	c.duration(s.Timing.Dial, time.Millisecond, "timing.dial")
+	c.duration(s.Timing.Fence, leastFence, "timing.fence")
+	c.duration(s.Timing.SuspectAfter, time.Second, "timing.suspectAfter")
+	c.duration(s.Timing.ReadHeader, time.Second, "timing.readHeader")
+	c.duration(s.Timing.ReadBody, time.Second, "timing.readBody")
+	c.duration(s.Timing.Write, time.Second, "timing.write")
+	c.duration(s.Timing.Idle, time.Second, "timing.idle")
+	c.duration(s.Shutdown.BalancerLag, 0, "shutdown.balancerLag")
+	c.duration(s.Shutdown.Grace, time.Second, "shutdown.grace")
+}
+
+func (c *checker) duration(value, least time.Duration, path string) {
+	c.require(value >= least && value <= longestTime, bbrcode.SettingsInvalid, path, "%s is not from %s to %s", value, least, longestTime)
+}
--- /dev/null
+++ b/internal/config/bbrsettings/settings.go
@@ -0,0 +1,107 @@
+package bbrsettings
+
+import (
+	"net/netip"
+	"time"
+)
+
+// Settings are the settings of one entry process.
+type Settings struct {
+	Entry     string    `yaml:"entry"`
+	Zone      string    `yaml:"zone"`
+	Listen    Listen    `yaml:"listen"`
+	Platform  Platform  `yaml:"platform"`
+	Operators Operators `yaml:"operators"`
+	// Peers are entries to ask when the platform is away at the start.
+	Peers    []netip.AddrPort `yaml:"peers"`
+	Limits   Limits           `yaml:"limits"`
+	Timing   Timing           `yaml:"timing"`
+	Shutdown Shutdown         `yaml:"shutdown"`
+}
+
+// Listen is where the process listens. The addresses are also what others are
+// told.
+type Listen struct {
+	Callers   netip.AddrPort `yaml:"callers"`
+	Operators netip.AddrPort `yaml:"operators"`
+	Peers     netip.AddrPort `yaml:"peers"`
+	TLS       TLS            `yaml:"tls"`
+}
+
+// TLS names the key files for callers and operators; empty means plain HTTP.
+type TLS struct {
+	Certificate string `yaml:"certificate"`
+	Key         string `yaml:"key"`
+}
+
+// Platform is where the platform's service is.
+type Platform struct {
+	Address netip.AddrPort `yaml:"address"`
+	// Timeout bounds each call.
+	Timeout time.Duration `yaml:"timeout"`
+}
+
+// Operators guards the operators' API.
+type Operators struct {
+	Token string `yaml:"token"`
+}
+
+// Limits bound what the process holds.
+type Limits struct {
+	HeaderBytes int   `yaml:"headerBytes"`
+	BodyBytes   int64 `yaml:"bodyBytes"`
+	// InProgress bounds the requests that are held at once.
+	InProgress int64 `yaml:"inProgress"`
+	// Keys and KeptAnswerBytes bound the idempotency keys and their answers.
+	Keys            int   `yaml:"keys"`
+	KeptAnswerBytes int64 `yaml:"keptAnswerBytes"`
+}
+
+// Timing is the process's clock settings.
+type Timing struct {
+	// Dial bounds the making of a connection.
+	Dial time.Duration `yaml:"dial"`
+	// Fence is how long a confirmation of the registration lasts.
+	Fence time.Duration `yaml:"fence"`
+	// SuspectAfter is how long another entry may be silent.
+	SuspectAfter time.Duration `yaml:"suspectAfter"`
+	// ReadHeader and ReadBody bound the reading of a request, Write the
+	// writing of its answer, and Idle an idle connection of a caller.
+	ReadHeader time.Duration `yaml:"readHeader"`
+	ReadBody   time.Duration `yaml:"readBody"`
+	Write      time.Duration `yaml:"write"`
+	Idle       time.Duration `yaml:"idle"`
+}
+
+// Shutdown is how the process stops.
+type Shutdown struct {
+	// BalancerLag is how long the balancer may still send after the process
+	// says that it is not ready.
+	BalancerLag time.Duration `yaml:"balancerLag"`
+	// Grace is how long requests in flight are waited for.
+	Grace time.Duration `yaml:"grace"`
+}
+
+// Default returns the settings that a file need not give.
+func Default() Settings {
+	return Settings{
+		Platform: Platform{Timeout: 2 * time.Second},
+		Limits: Limits{
+			HeaderBytes:     32 << 10,
+			BodyBytes:       1 << 20,
+			InProgress:      2000,
+			Keys:            20_000,
+			KeptAnswerBytes: 8 << 20,
+		},
+		Timing: Timing{
+			Dial:         time.Second,
+			Fence:        6 * time.Second,
+			SuspectAfter: 3 * time.Second,
+			ReadHeader:   10 * time.Second,
+			ReadBody:     30 * time.Second,
+			Write:        time.Minute,
+			Idle:         time.Minute,
+		},
+		Shutdown: Shutdown{BalancerLag: 2 * time.Second, Grace: time.Minute},
+	}
+}
--- /dev/null
+++ b/internal/daemon/bbrcommand/command.go
@@ -0,0 +1,121 @@
+package bbrcommand
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alecthomas/kong"
+
+	"github.com/bluebellridge/bluebellridge/internal/config/bbrsettings"
+	"github.com/bluebellridge/bluebellridge/internal/daemon/bbrkernel"
+	"github.com/bluebellridge/bluebellridge/internal/operator/bbrapi"
+
+	// The plug-ins register themselves.
+	_ "github.com/bluebellridge/bluebellridge/internal/daemon/bbrcore"
+	_ "github.com/bluebellridge/bluebellridge/internal/fleet/bbrduty"
+	_ "github.com/bluebellridge/bluebellridge/internal/fleet/bbrmember"
+	_ "github.com/bluebellridge/bluebellridge/internal/peer/bbrlink"
+	_ "github.com/bluebellridge/bluebellridge/internal/request/bbrgateway"
+)
+
+// Exit statuses.
+const (
+	exitDone   = 0
+	exitFailed = 1
+	exitUsage  = 2
+)
+
+type arguments struct {
+	Run    runCommand    `cmd:"" help:"Run an entry."`
+	Check  checkCommand  `cmd:"" help:"Check a settings file and print every fault."`
+	Config configCommand `cmd:"" name:"check-config" help:"Check a file with the shared configuration and print every fault."`
+}
+
+type runCommand struct {
+	File string `arg:"" type:"existingfile" help:"Settings of the entry."`
+}
+
+type checkCommand struct {
+	File string `arg:"" type:"existingfile" help:"Settings of an entry."`
+}
+
+type configCommand struct {
+	File string `arg:"" type:"existingfile" help:"Shared configuration."`
+}
+
+// output is where commands print, bound by kong.
+type output struct {
+	out, errors io.Writer
+}
+
+// Main runs the command line and returns the exit status.
+func Main(args []string, out, errors io.Writer) (status int) {
+	var a arguments
+	exited := -1
+	parser, err := kong.New(&a, kong.Name("bluebellridged"), kong.Writers(out, errors),
+		kong.Description("Entry daemon of bluebellridge."), kong.Exit(func(code int) { exited = code }))
+	if err != nil {
+		panic(err)
+	}
+	command, err := parser.Parse(args)
+	if exited >= 0 {
+		return exited
+	}
+	if err != nil {
+		fmt.Fprintln(errors, err)
+		return exitUsage
+	}
+	if err := command.Run(output{out: out, errors: errors}); err != nil {
+		fmt.Fprintln(errors, err)
+		return exitFailed
+	}
+	return exitDone
+}
+
+// load reads and checks settings; the error lists every fault.
+func load(file string) (bbrsettings.Settings, error) {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return bbrsettings.Settings{}, err
+	}
+	settings, faults := bbrsettings.Parse(data)
+	return settings, list(file, faults)
+}
+
+// Run implements the command.
+func (c *runCommand) Run() error {
+	settings, err := load(c.File)
+	if err != nil {
+		return err
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	return bbrkernel.Run(ctx, settings)
+}
+
+// Run implements the command.
+func (c *checkCommand) Run(o output) error {
+	if _, err := load(c.File); err != nil {
+		return err
+	}
+	fmt.Fprintln(o.out, c.File+": good")
+	return nil
+}
+
+// Run implements the command.
+func (c *configCommand) Run(o output) error {
+	data, err := os.ReadFile(c.File)
+	if err != nil {
+		return err
+	}
+	_, faults := bbrapi.ParseConfig(data)
+	if err := list(c.File, faults); err != nil {
+		return err
+	}
+	fmt.Fprintln(o.out, c.File+": good")
+	return nil
+}
--- /dev/null
+++ b/internal/daemon/bbrcommand/doc.go
@@ -0,0 +1,2 @@
+// Package bbrcommand is the command line of the entry daemon.
+package bbrcommand
--- /dev/null
+++ b/internal/daemon/bbrcommand/faults.go
@@ -0,0 +1,21 @@
+package bbrcommand
+
+import (
+	"strings"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/bluebellridge/bluebellridge/internal/base/bbrcode"
+)
+
+// list returns one error that names every fault, or nil.
+func list(file string, faults []*bbrcode.Error) error {
+	if len(faults) == 0 {
+		return nil
+	}
+	lines := make([]string, len(faults))
+	for i, fault := range faults {
+		lines[i] = file + ": " + fault.Error()
+	}
+	return errors.New(strings.Join(lines, "\n"))
+}
--- /dev/null
+++ b/internal/daemon/bbrcore/plugin.go
@@ -0,0 +1,68 @@
+package bbrcore
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/google/uuid"
+	"go.uber.org/fx"
+
+	"github.com/bluebellridge/bluebellridge/internal/base/bbrmetric"
+	"github.com/bluebellridge/bluebellridge/internal/config/bbrsettings"
+	"github.com/bluebellridge/bluebellridge/internal/daemon/bbrentry"
+	"github.com/bluebellridge/bluebellridge/internal/daemon/bbrkernel"
+	"github.com/bluebellridge/bluebellridge/internal/fleet/bbrwithdrawal"
+	"github.com/bluebellridge/bluebellridge/internal/peer/bbrlink"
+	"github.com/bluebellridge/bluebellridge/internal/platform/bbrlist"
+	"github.com/bluebellridge/bluebellridge/internal/platform/bbrstore"
+)
+
+func init() {
+	bbrkernel.Register(bbrkernel.Plugin{
+		Name:  "core",
+		Stage: bbrkernel.StageCore,
+		Option: fx.Provide(
+			bbrmetric.New,
+			newState,
+			newAdapter,
+			(*bbrstore.Adapter).Store,
+			bbrlist.FromAdapter,
+			newClient,
+			func() *bbrlink.Directory { return &bbrlink.Directory{} },
+			func(state *bbrentry.State, store *bbrstore.Store) *bbrwithdrawal.Withdrawer {
+				return &bbrwithdrawal.Withdrawer{State: state, Store: store}
+			},
+		),
+	})
+}
+
+func newState(settings bbrsettings.Settings, metrics *bbrmetric.Set) *bbrentry.State {
+	state := bbrentry.New(bbrentry.Identity{
+		Name:        settings.Entry,
+		Zone:        settings.Zone,
+		Incarnation: uuid.NewString(),
+		Peer:        settings.Listen.Peers,
+		Operators:   settings.Listen.Operators,
+	}, settings.Timing.Fence, time.Now())
+	registerGauges(state, metrics)
+	return state
+}
+
+// platformConnections bounds the kept connections to the platform: two watches
+// and some calls.
+const platformConnections = 8
+
+func newAdapter(settings bbrsettings.Settings) *bbrstore.Adapter {
+	return &bbrstore.Adapter{
+		Address:  settings.Platform.Address,
+		ClientID: settings.Entry,
+		Timeout:  settings.Platform.Timeout,
+		Client:   http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: platformConnections}},
+	}
+}
+
+func newClient(settings bbrsettings.Settings, lifecycle fx.Lifecycle) *bbrlink.Client {
+	client := bbrlink.NewClient(settings.Timing.Dial)
+	lifecycle.Append(fx.StopHook(client.Close))
+	return client
+}
--- /dev/null
+++ b/internal/daemon/bbrkernel/kernel.go
@@ -0,0 +1,91 @@
+package bbrkernel
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/fx"
+	"k8s.io/klog/v2"
+
+	"github.com/bluebellridge/bluebellridge/internal/config/bbrsettings"
+)
+
+// Stage orders the plug-ins.
+type Stage int
+
+// Stages in the order of starting. The peers' address is bound before the
+// entry registers, and callers come last.
+const (
+	StageCore Stage = iota
+	StagePeer
+	StageMember
+	StageDuty
+	StageOperator
+	StageCaller
+)
+
+// Plugin is one part of the daemon.
+type Plugin struct {
+	Name   string
+	Stage  Stage
+	Option fx.Option
+}
+
+var plugins []Plugin
+
+// Register adds a plug-in. It is called from the init function of its package.
+func Register(plugin Plugin) { plugins = append(plugins, plugin) }
+
+// Names returns the registered plug-ins in the order of starting.
+func Names() []string {
+	var names []string
+	for _, plugin := range sorted() {
+		names = append(names, plugin.Name)
+	}
+	return names
+}
+
+func sorted() []Plugin {
+	list := slices.Clone(plugins)
+	slices.SortStableFunc(list, func(a, b Plugin) int { return int(a.Stage) - int(b.Stage) })
+	return list
+}
+
+const (
+	startTimeout = 15 * time.Second
+	// stopMargin is what stopping takes besides the balancer's lag and the
+	// grace for requests in flight.
+	stopMargin = 15 * time.Second
+)
+
+// Run starts the plug-ins, waits until ctx ends, and stops them.
+func Run(ctx context.Context, settings bbrsettings.Settings) error {
+	options := []fx.Option{
+		fx.NopLogger,
+		fx.Supply(settings),
+		fx.StartTimeout(startTimeout),
+		fx.StopTimeout(settings.Shutdown.BalancerLag + settings.Shutdown.Grace + stopMargin),
+	}
+	for _, plugin := range sorted() {
+		options = append(options, fx.Module(plugin.Name, plugin.Option))
+	}
+	app := fx.New(options...)
+	if err := app.Err(); err != nil {
+		return errors.Wrap(err, "assembling")
+	}
+	starting, cancel := context.WithTimeout(ctx, app.StartTimeout())
+	defer cancel()
+	if err := app.Start(starting); err != nil {
+		return errors.Wrap(err, "starting")
+	}
+	klog.InfoS("Started", "entry", settings.Entry, "zone", settings.Zone)
+	<-ctx.Done()
+	klog.InfoS("Stopping", "entry", settings.Entry)
+	stopping, cancelStop := context.WithTimeout(context.WithoutCancel(ctx), app.StopTimeout())
+	defer cancelStop()
+	err := app.Stop(stopping)
+	klog.InfoS("Stopped", "entry", settings.Entry)
+	return errors.Wrap(err, "stopping")
+}
--- /dev/null
+++ b/internal/fleet/bbrduty/collect.go
@@ -0,0 +1,95 @@
+package bbrduty
+
+import (
+	"context"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/bluebellridge/bluebellridge/internal/daemon/bbrentry"
+	"github.com/bluebellridge/bluebellridge/internal/fleet/bbrview"
+	"github.com/bluebellridge/bluebellridge/internal/peer/bbrlink"
+	"github.com/bluebellridge/bluebellridge/internal/peer/bbrpeerproto"
+)
+
+// Collector asks the registered entries for acknowledgements.
+type Collector struct {
+	State  *bbrentry.State
+	Client *bbrlink.Client
+	// Timeout bounds one question.
+	Timeout time.Duration
+	// SuspectAfter is how long an entry may be silent before it is marked.
+	SuspectAfter time.Duration
+
+	mu     sync.Mutex
+	silent map[netip.AddrPort]time.Time
+}
+
+// Collect asks every entry of the view.
+func (c *Collector) Collect(ctx context.Context, snapshot *bbrentry.Snapshot) bbrview.Acks {
+	acks := bbrview.Acks{Version: snapshot.Version, Entries: make(map[netip.AddrPort]bbrview.Ack)}
+	var mu sync.Mutex
+	var round sync.WaitGroup
+	for peer := range snapshot.View.Entries {
+		round.Go(func() {
+			ack, ok := c.ask(ctx, peer)
+			c.note(peer, ok, time.Now())
+			if !ok {
+				return
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			acks.Entries[peer] = ack
+		})
+	}
+	round.Wait()
+	return acks
+}
+
+func (c *Collector) ask(ctx context.Context, peer netip.AddrPort) (bbrview.Ack, bool) {
+	if peer == c.State.Identity.Peer {
+		return c.State.Acknowledge(), true
+	}
+	ctx, cancel := context.WithTimeout(ctx, c.Timeout)
+	defer cancel()
+	answer, err := c.Client.Peer(ctx, peer).Acknowledge(ctx, &bbrpeerproto.AcknowledgeRequest{})
+	if err != nil {
+		return bbrview.Ack{}, false
+	}
+	return bbrlink.DecodeAck(answer), true
+}
+
+func (c *Collector) note(peer netip.AddrPort, answered bool, now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.silent == nil {
+		c.silent = make(map[netip.AddrPort]time.Time)
+	}
+	_, silent := c.silent[peer]
+	switch {
+	case answered:
+		delete(c.silent, peer)
+	case !silent:
+		c.silent[peer] = now
+	}
+}
+
+// Silent returns a new mark for each registered entry that has been silent for
+// long and has none.
+func (c *Collector) Silent(view *bbrview.View, now time.Time) map[netip.AddrPort]string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	marks := make(map[netip.AddrPort]string)
+	for peer, since := range c.silent {
+		entry, ok := view.Entries[peer]
+		switch {
+		case !ok:
+			delete(c.silent, peer)
+		case !entry.Suspected() && now.Sub(since) >= c.SuspectAfter:
+			marks[peer] = uuid.NewString()
+		}
+	}
+	return marks
+}
--- /dev/null
+++ b/internal/fleet/bbrduty/duty.go
@@ -0,0 +1,235 @@
+package bbrduty
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"k8s.io/klog/v2"
+
+	"github.com/bluebellridge/bluebellridge/internal/base/bbrmetric"
+	"github.com/bluebellridge/bluebellridge/internal/daemon/bbrentry"
+	"github.com/bluebellridge/bluebellridge/internal/fleet/bbrmember"
+	"github.com/bluebellridge/bluebellridge/internal/fleet/bbrview"
+	"github.com/bluebellridge/bluebellridge/internal/fleet/bbrwithdrawal"
+	"github.com/bluebellridge/bluebellridge/internal/platform/bbrlist"
+	"github.com/bluebellridge/bluebellridge/internal/platform/bbrstore"
+)
+
+const (
+	tick      = 300 * time.Millisecond
+	leaseTTL  = 5 * time.Second
+	seekEvery = time.Second
+	// listEvery and probeEvery are how often the platform's list is read and
+	// the instances are probed; settleEvery, how often the ledger and the
+	// waves are brought in line.
+	listEvery   = time.Second
+	probeEvery  = 2 * time.Second
+	settleEvery = time.Second
+	renewEvery  = leaseTTL / 3
+)
+
+// Duty is one entry's part in the maintenance duty of its zone.
+type Duty struct {
+	State      *bbrentry.State
+	Store      *bbrstore.Store
+	List       *bbrlist.List
+	Collector  *Collector
+	Prober     *Prober
+	Patience   *Patience
+	Withdrawer *bbrwithdrawal.Withdrawer
+	Metrics    *bbrmetric.Set
+
+	holding atomic.Bool
+	lease   bbrstore.LeaseID
+	// last holds when each periodic work was begun.
+	last map[string]time.Time
+	wg   sync.WaitGroup
+}
+
+// Holding reports whether this entry holds the duty.
+func (d *Duty) Holding() bool { return d.holding.Load() }
+
+// Start takes part in the duty until ctx ends.
+func (d *Duty) Start(ctx context.Context) {
+	d.last = make(map[string]time.Time)
+	d.wg.Go(func() { d.run(ctx) })
+}
+
+// Wait returns when the duty has been given back.
+func (d *Duty) Wait() { d.wg.Wait() }
+
+func (d *Duty) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		if !d.hold(ctx) {
+			pause(ctx, seekEvery/2+rand.N(seekEvery))
+			continue
+		}
+		d.work(ctx)
+		pause(ctx, tick)
+	}
+	d.giveBack()
+}
+
+func pause(ctx context.Context, length time.Duration) {
+	timer := time.NewTimer(length)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+// due reports whether the periodic work should be done now.
+func (d *Duty) due(work string, every time.Duration, now time.Time) bool {
+	if now.Sub(d.last[work]) < every {
+		return false
+	}
+	d.last[work] = now
+	return true
+}
+
+// hold takes or renews the duty.
+func (d *Duty) hold(ctx context.Context) bool {
+	if listed, suspected := d.State.Registered(); !listed || suspected {
+		return false
+	}
+	if d.lease != "" {
+		return d.renew(ctx)
+	}
+	key := bbrwithdrawal.DutyPrefix + d.State.Identity.Zone
+	if _, err := d.Store.Get(ctx, key, 0); !errors.Is(err, bbrstore.ErrNotFound) {
+		return false
+	}
+	lease, err := d.Store.Grant(ctx, leaseTTL)
+	if err != nil {
+		return false
+	}
+	holder, _ := json.Marshal(d.State.Identity.Name)
+	if _, err := d.Store.Swap(ctx, key, 0, holder, lease); err != nil {
+		_ = d.Store.Revoke(ctx, lease)
+		return false
+	}
+	d.lease = lease
+	d.become(true)
+	return true
+}
+
+func (d *Duty) renew(ctx context.Context) bool {
+	if !d.due("renew", renewEvery, time.Now()) {
+		return true
+	}
+	err := d.Store.Renew(ctx, d.lease)
+	if errors.Is(err, bbrstore.ErrNotFound) {
+		d.lease = ""
+		d.become(false)
+		return false
+	}
+	return err == nil
+}
+
+func (d *Duty) become(holding bool) {
+	d.holding.Store(holding)
+	if holding {
+		d.Metrics.Event("dutyTaken")
+		klog.InfoS("Holding the maintenance duty", "zone", d.State.Identity.Zone)
+		return
+	}
+	d.Metrics.Event("dutyLost")
+	klog.InfoS("Lost the maintenance duty", "zone", d.State.Identity.Zone)
+}
+
+func (d *Duty) giveBack() {
+	if d.lease == "" {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	_ = d.Store.Revoke(ctx, d.lease)
+	d.lease = ""
+	d.become(false)
+}
+
+// work does one round.
+func (d *Duty) work(ctx context.Context) {
+	snapshot := d.State.Snapshot()
+	if d.due("probe", probeEvery, time.Now()) {
+		d.Prober.Probe(ctx, &snapshot.View)
+	}
+	observation := d.observe(ctx, snapshot)
+	next, changed := Step(snapshot.View, observation, time.Now())
+	if changed && !d.commit(ctx, snapshot, next) {
+		return
+	}
+	d.reboot(ctx)
+	if d.due("settle", settleEvery, time.Now()) {
+		if err := d.Withdrawer.Settle(ctx, time.Now()); err != nil {
+			d.Metrics.Event("settleFailed")
+		}
+		d.advanceWaves(ctx)
+	}
+}
+
+func (d *Duty) observe(ctx context.Context, snapshot *bbrentry.Snapshot) Observation {
+	acks := d.Collector.Collect(ctx, snapshot)
+	now := time.Now()
+	self := d.State.Identity.Peer
+	observation := Observation{
+		Self:       self,
+		Acks:       acks,
+		Unreached:  d.Prober.Unreached(),
+		Silent:     d.Collector.Silent(&snapshot.View, now),
+		FencesOver: d.Patience.Over(&snapshot.View, self, acks, now),
+	}
+	if d.due("list", listEvery, now) {
+		rows, err := d.List.Instances(ctx, d.State.Identity.Zone)
+		observation.Rows = rows
+		observation.Listed = err == nil
+	}
+	return observation
+}
+
+// commit writes the next view if nobody wrote another one since snapshot.
+func (d *Duty) commit(ctx context.Context, snapshot *bbrentry.Snapshot, next bbrview.View) bool {
+	version, err := bbrmember.Document(d.Store, d.State.Identity.Zone).Save(ctx, next, snapshot.Version, "")
+	if err != nil {
+		d.Metrics.Event("viewConflict")
+		return false
+	}
+	d.report(&snapshot.View, &next)
+	d.State.OfferView(next, version, time.Now())
+	return true
+}
+
+// report logs the changes of instances' states.
+func (d *Duty) report(before, after *bbrview.View) {
+	for id, instance := range after.Instances {
+		if previous := before.Instances[id]; previous.State != instance.State {
+			klog.InfoS("Instance changed state", "instance", id, "from", previous.State, "to", instance.State,
+				"pool", instance.Pool, "reason", instance.Reason)
+		}
+	}
+	for peer, entry := range before.Entries {
+		if _, ok := after.Entries[peer]; !ok {
+			d.Metrics.Event("entryRemoved")
+			klog.InfoS("Entry removed from the zone", "entry", entry.Name)
+		}
+	}
+}
+
+// reboot asks for every recorded reboot; the platform performs each once.
+func (d *Duty) reboot(ctx context.Context) {
+	snapshot := d.State.Snapshot()
+	for id, instance := range snapshot.View.Instances {
+		if instance.State != bbrview.Rebooting || !d.due("reboot/"+instance.Operation, listEvery, time.Now()) {
+			continue
+		}
+		if err := d.List.Reboot(ctx, id, instance.Operation); err != nil {
+			d.Metrics.Event("rebootCallFailed")
+		}
+	}
+}
--- /dev/null
+++ b/internal/fleet/bbrduty/patience.go
@@ -0,0 +1,38 @@
+package bbrduty
+
+import (
+	"maps"
+	"net/netip"
+	"time"
+
+	"github.com/bluebellridge/bluebellridge/internal/fleet/bbrview"
+)
+
+// Patience waits until the fences of marked entries have run out. It counts on
+// the duty holder's own clock, from the first moment at which this process saw
+// the marks acknowledged by everybody else; a new holder counts anew.
+type Patience struct {
+	// Wait is longer than any fence lasts, by more than clocks differ in rate.
+	Wait time.Duration
+
+	marks map[netip.AddrPort]string
+	since time.Time
+}
+
+// Over reports whether the present marks have stood acknowledged for Wait.
+func (p *Patience) Over(view *bbrview.View, self netip.AddrPort, acks bbrview.Acks, now time.Time) bool {
+	marks := make(map[netip.AddrPort]string)
+	for _, peer := range view.Suspects() {
+		marks[peer] = view.Entries[peer].Suspicion
+	}
+	if len(marks) == 0 || !view.MayRemoveSuspects(self, acks) {
+		p.marks = nil
+		return false
+	}
+	if !maps.Equal(marks, p.marks) {
+		p.marks = marks
+		p.since = now
+		return false
+	}
+	return now.Sub(p.since) >= p.Wait
+}
--- /dev/null
+++ b/internal/fleet/bbrduty/waves.go
@@ -0,0 +1,77 @@
+package bbrduty
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"k8s.io/klog/v2"
+
+	"github.com/bluebellridge/bluebellridge/internal/base/bbrcode"
+	"github.com/bluebellridge/bluebellridge/internal/fleet/bbrview"
+	"github.com/bluebellridge/bluebellridge/internal/fleet/bbrwave"
+	"github.com/bluebellridge/bluebellridge/internal/platform/bbrstore"
+)
+
+// WaveDocument returns a wave as a document of the platform.
+func WaveDocument(store *bbrstore.Store, key string) bbrstore.Document[bbrwave.Wave] {
+	return bbrstore.Document[bbrwave.Wave]{Store: store, Key: key, Applied: bbrwave.Applied}
+}
+
+// advanceWaves does the zone's part of every wave.
+func (d *Duty) advanceWaves(ctx context.Context) {
+	keys, err := d.Store.Keys(ctx, bbrwave.KeyPrefix)
+	if err != nil {
+		return
+	}
+	for _, key := range keys {
+		d.advanceWave(ctx, WaveDocument(d.Store, key))
+	}
+}
+
+func (d *Duty) advanceWave(ctx context.Context, document bbrstore.Document[bbrwave.Wave]) {
+	wave, version, err := document.Load(ctx)
+	if err != nil {
+		return
+	}
+	now := time.Now()
+	before := wave.Status
+	changed := wave.Observe(&d.State.Snapshot().View, now)
+	next := wave.Next(d.State.Identity.Zone)
+	for _, id := range next {
+		wave.Start(id, now)
+	}
+	if !changed && len(next) == 0 {
+		return
+	}
+	// The starts are recorded before the instances are withdrawn.
+	if _, err := document.Save(ctx, wave, version, ""); err != nil {
+		return
+	}
+	if wave.Status != before {
+		klog.InfoS("Wave changed state", "wave", wave.Name, "from", before, "to", wave.Status, "reason", wave.Reason)
+	}
+	for _, id := range next {
+		d.withdrawFor(ctx, document, &wave, id)
+	}
+}
+
+// withdrawFor withdraws an instance for a wave, or puts it back in line if that is refused.
+func (d *Duty) withdrawFor(ctx context.Context, document bbrstore.Document[bbrwave.Wave], wave *bbrwave.Wave, id string) {
+	err := d.Withdrawer.Withdraw(ctx, bbrview.Withdrawal{
+		Instance:  id,
+		Plan:      bbrview.Reboot,
+		Operation: wave.OperationFor(id),
+		Reason:    "wave " + wave.Name,
+	})
+	refused := new(bbrcode.Error)
+	if !errors.As(err, &refused) {
+		// Taken, or not known; the next rounds see what the view shows.
+		return
+	}
+	d.Metrics.Refuse(refused.Code)
+	_, _, _ = document.Update(ctx, "", func(w *bbrwave.Wave) error {
+		w.PutBack(id, time.Now())
+		return nil
+	})
+}
--- /dev/null
+++ b/internal/fleet/bbrmember/follow.go
@@ -0,0 +1,121 @@
+package bbrmember
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"k8s.io/klog/v2"
+
+	"github.com/bluebellridge/bluebellridge/internal/base/bbrmetric"
+	"github.com/bluebellridge/bluebellridge/internal/config/bbrrevision"
+	"github.com/bluebellridge/bluebellridge/internal/daemon/bbrentry"
+	"github.com/bluebellridge/bluebellridge/internal/fleet/bbrview"
+	"github.com/bluebellridge/bluebellridge/internal/platform/bbrstore"
+)
+
+const (
+	// viewWait bounds a watch of the view. It is below the fence's timeout,
+	// because a watch confirms the registration as of its beginning.
+	viewWait   = 2 * time.Second
+	configWait = 20 * time.Second
+	// firstPause and longestPause bound the pause after a failed call. Pauses
+	// are drawn at random, so that entries come back one by one after an
+	// outage of the platform.
+	firstPause   = 200 * time.Millisecond
+	longestPause = 3 * time.Second
+)
+
+// Follower keeps one document of the platform known.
+type Follower struct {
+	Store *bbrstore.Store
+	Key   string
+	// Wait bounds one watch.
+	Wait    time.Duration
+	Metrics *bbrmetric.Set
+	// Known returns the version that is known already.
+	Known func() uint64
+	// Accept takes a new value, read by a call that began at asked.
+	Accept func(value bbrstore.Value, asked time.Time)
+	// Unchanged is called when a watch that began at asked found nothing new.
+	Unchanged func(ctx context.Context, known uint64, asked time.Time)
+}
+
+// run watches until ctx ends.
+func (f *Follower) run(ctx context.Context) {
+	reachable := true
+	pause := firstPause
+	for ctx.Err() == nil {
+		known := f.Known()
+		asked := time.Now()
+		value, err := f.Store.Watch(ctx, f.Key, known, f.Wait)
+		switch {
+		case err == nil:
+			f.Accept(value, asked)
+		case errors.Is(err, bbrstore.ErrUnchanged):
+			f.Unchanged(ctx, known, asked)
+		case ctx.Err() != nil:
+			return
+		default:
+			f.report(&reachable, false, err)
+			sleep(ctx, pause/2+rand.N(pause))
+			pause = min(2*pause, longestPause)
+			continue
+		}
+		f.report(&reachable, true, nil)
+		pause = firstPause
+	}
+}
+
+// report logs when the platform goes away and when it is back.
+func (f *Follower) report(present *bool, reachable bool, err error) {
+	if *present == reachable {
+		return
+	}
+	*present = reachable
+	if reachable {
+		f.Metrics.Event("platformReachable")
+		klog.InfoS("Platform is reachable again", "key", f.Key)
+		return
+	}
+	f.Metrics.Event("platformUnreachable")
+	klog.InfoS("Platform is unreachable", "key", f.Key, "err", err)
+}
+
+func sleep(ctx context.Context, pause time.Duration) {
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+// acceptView returns the Accept of a zone's view.
+func acceptView(state *bbrentry.State) func(bbrstore.Value, time.Time) {
+	return func(value bbrstore.Value, asked time.Time) {
+		var view bbrview.View
+		if err := json.Unmarshal(value.Data, &view); err != nil {
+			klog.ErrorS(err, "View cannot be read", "version", value.Version)
+			return
+		}
+		state.OfferView(view, value.Version, time.Now())
+		state.ConfirmedByPlatform(value.Version, asked)
+	}
+}
+
+// acceptConfig returns the Accept of the configuration.
+func acceptConfig(state *bbrentry.State) func(bbrstore.Value, time.Time) {
+	return func(value bbrstore.Value, _ time.Time) {
+		revision := &bbrrevision.Revision{Number: value.Version}
+		if err := json.Unmarshal(value.Data, &revision.Config); err != nil {
+			klog.ErrorS(err, "Configuration cannot be read", "revision", value.Version)
+			return
+		}
+		if state.OfferRevision(revision, time.Now()) {
+			klog.InfoS("Configuration is in force", "revision", revision.Number)
+		}
+	}
+}
--- /dev/null
+++ b/internal/fleet/bbrmember/member.go
@@ -0,0 +1,134 @@
+package bbrmember
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"k8s.io/klog/v2"
+
+	"github.com/bluebellridge/bluebellridge/internal/base/bbrmetric"
+	"github.com/bluebellridge/bluebellridge/internal/config/bbrrevision"
+	"github.com/bluebellridge/bluebellridge/internal/daemon/bbrentry"
+	"github.com/bluebellridge/bluebellridge/internal/fleet/bbrview"
+	"github.com/bluebellridge/bluebellridge/internal/peer/bbrlink"
+	"github.com/bluebellridge/bluebellridge/internal/platform/bbrstore"
+)
+
+// registerEvery is how often an entry that is not registered tries again.
+const registerEvery = 500 * time.Millisecond
+
+// Member keeps the entry a member of its zone.
+type Member struct {
+	State     *bbrentry.State
+	Store     *bbrstore.Store
+	Client    *bbrlink.Client
+	Directory *bbrlink.Directory
+	Metrics   *bbrmetric.Set
+	// Seeds are entries to ask while the platform is away and none is known.
+	Seeds []netip.AddrPort
+
+	mu      sync.Mutex
+	leaving bool
+	wg      sync.WaitGroup
+}
+
+// Document returns the zone's view as a document of the platform.
+func Document(store *bbrstore.Store, zone string) bbrstore.Document[bbrview.View] {
+	return bbrstore.Document[bbrview.View]{Store: store, Key: bbrview.KeyPrefix + zone, Applied: bbrview.Applied}
+}
+
+// Start begins to follow, register and confirm until ctx ends.
+func (m *Member) Start(ctx context.Context) {
+	view := &Follower{
+		Store: m.Store, Key: bbrview.KeyPrefix + m.State.Identity.Zone, Wait: viewWait, Metrics: m.Metrics,
+		Known:  func() uint64 { return m.State.Snapshot().Version },
+		Accept: acceptView(m.State),
+		Unchanged: func(_ context.Context, known uint64, asked time.Time) {
+			m.State.ConfirmedByPlatform(known, asked)
+		},
+	}
+	config := &Follower{
+		Store: m.Store, Key: bbrrevision.Key, Wait: configWait, Metrics: m.Metrics,
+		Known:     func() uint64 { return m.State.Revision().Number },
+		Accept:    acceptConfig(m.State),
+		Unchanged: func(context.Context, uint64, time.Time) {},
+	}
+	m.wg.Go(func() { view.run(ctx) })
+	m.wg.Go(func() { config.run(ctx) })
+	m.wg.Go(func() { m.runRegistration(ctx) })
+	m.wg.Go(func() { m.runConfirmation(ctx) })
+	m.wg.Go(func() { m.runNeighbours(ctx) })
+}
+
+// Wait returns when everything that Start began has ended.
+func (m *Member) Wait() { m.wg.Wait() }
+
+// runRegistration registers the entry whenever the view does not list it.
+func (m *Member) runRegistration(ctx context.Context) {
+	for ctx.Err() == nil {
+		m.registerIfNeeded(ctx)
+		sleep(ctx, registerEvery/2+rand.N(registerEvery))
+	}
+}
+
+func (m *Member) registerIfNeeded(ctx context.Context) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	listed, suspected := m.State.Registered()
+	if listed && !suspected && !m.State.ConfigConfirmed() {
+		m.confirmConfig(ctx)
+	}
+	if m.leaving || (listed && !suspected) {
+		return
+	}
+	if listed && m.State.Acknowledge().Overhang > 0 {
+		// A suspected entry registers anew only with nothing in flight.
+		return
+	}
+	identity := m.State.Identity
+	entry := bbrview.Entry{Name: identity.Name, Incarnation: identity.Incarnation, Operators: identity.Operators}
+	m.State.BeginRegistration()
+	view, version, err := Document(m.Store, identity.Zone).Update(ctx, "", func(v *bbrview.View) error {
+		v.Zone = identity.Zone
+		v.Register(identity.Peer, entry)
+		return nil
+	})
+	if err != nil {
+		return
+	}
+	m.Metrics.Event("registered")
+	klog.InfoS("Registered in the zone", "zone", identity.Zone, "version", version, "entries", len(view.Entries))
+	m.State.FinishRegistration(time.Now())
+	m.State.OfferView(view, version, time.Now())
+	m.confirmConfig(ctx)
+}
+
+// confirmConfig reads the configuration after the registration.
+func (m *Member) confirmConfig(ctx context.Context) {
+	asked := time.Now()
+	value, err := m.Store.Get(ctx, bbrrevision.Key, m.State.Revision().Number)
+	if err == nil {
+		acceptConfig(m.State)(value, asked)
+	}
+	if err == nil || errors.Is(err, bbrstore.ErrUnchanged) {
+		m.State.ConfirmConfig(asked)
+	}
+}
+
+// Leave removes the entry from the view. The caller has made sure that nothing
+// is in flight and nothing will be sent.
+func (m *Member) Leave(ctx context.Context) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.leaving = true
+	identity := m.State.Identity
+	_, _, err := Document(m.Store, identity.Zone).Update(ctx, "", func(v *bbrview.View) error {
+		v.Unregister(identity.Peer, identity.Incarnation)
+		return nil
+	})
+	return err
+}
--- /dev/null
+++ b/internal/fleet/bbrpermit/ledger.go
@@ -0,0 +1,188 @@
+package bbrpermit
+
+import (
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/bluebellridge/bluebellridge/internal/base/bbrcode"
+	"github.com/bluebellridge/bluebellridge/internal/config/bbrrevision"
+)
+
+// Key is where the platform keeps the ledger.
+const Key = "permits"
+
+// Ledger is the document of all permits and losses.
+type Ledger struct {
+	// ConfigRevision is the newest configuration that the ledger was written
+	// under. A permit is never given under an older one.
+	ConfigRevision uint64 `json:"configRevision"`
+	// Permits are the planned withdrawals by instance.
+	Permits map[string]Permit `json:"permits"`
+	// Zones are the reports of the zones' maintenance duties.
+	Zones map[string]Report `json:"zones"`
+}
+
+// Permit allows one instance to be out of service.
+type Permit struct {
+	Instance  string    `json:"instance"`
+	Zone      string    `json:"zone"`
+	Pool      string    `json:"pool"`
+	Operation string    `json:"operation"`
+	Since     time.Time `json:"since"`
+}
+
+// Report is what a zone's maintenance duty last wrote about its instances.
+type Report struct {
+	// Members counts the instances of each pool.
+	Members map[string]int `json:"members"`
+	// Out maps each instance that is out of service, for whatever reason, to
+	// its pool. Those without a permit are unplanned losses.
+	Out map[string]string `json:"out"`
+}
+
+// Applied reports whether the operation holds a permit. Once the permit has
+// been given back, the operation has to acquire it anew.
+func Applied(l *Ledger, operation string) bool {
+	for _, permit := range l.Permits {
+		if permit.Operation == operation {
+			return true
+		}
+	}
+	return false
+}
+
+// Rules are what a permit is judged by.
+type Rules struct {
+	Revision *bbrrevision.Revision
+	// Dark lists the zones whose maintenance duty nobody holds. Their losses
+	// cannot be known, so all of their instances count as lost.
+	Dark []string
+}
+
+// Unavailable returns how many instances of the service are or may be out of
+// service, without counting the instance named except.
+func (l *Ledger) Unavailable(rules Rules, service, except string) int {
+	count := 0
+	for zone, report := range l.Zones {
+		if slices.Contains(rules.Dark, zone) {
+			count += membersOf(rules, report, service)
+			continue
+		}
+		for instance, pool := range report.Out {
+			if instance != except && serves(rules, pool, service) {
+				count++
+			}
+		}
+	}
+	for instance, permit := range l.Permits {
+		_, reported := l.Zones[permit.Zone].Out[instance]
+		dark := slices.Contains(rules.Dark, permit.Zone)
+		if instance != except && !reported && !dark && serves(rules, permit.Pool, service) {
+			count++
+		}
+	}
+	return count
+}
+
+func membersOf(rules Rules, report Report, service string) int {
+	count := 0
+	for pool, members := range report.Members {
+		if serves(rules, pool, service) {
+			count += members
+		}
+	}
+	return count
+}
+
+func serves(rules Rules, pool, service string) bool {
+	return slices.Contains(rules.Revision.Config.ServicesOf(pool), service)
+}
+
+// Acquire gives a permit, unless a budget has no room or the ledger was
+// written under a newer configuration than the caller's.
+func (l *Ledger) Acquire(rules Rules, permit Permit) error {
+	if rules.Revision.Number < l.ConfigRevision {
+		return bbrcode.Errorf(bbrcode.Conflict, Key, "revision %d is older than the ledger's %d", rules.Revision.Number, l.ConfigRevision)
+	}
+	if held, ok := l.Permits[permit.Instance]; ok {
+		return alreadyHeld(held, permit)
+	}
+	for _, service := range rules.Revision.Config.ServicesOf(permit.Pool) {
+		budget := rules.Revision.Config.Services[service].Budget
+		out := l.Unavailable(rules, service, permit.Instance)
+		if out+1 > budget {
+			return bbrcode.Errorf(bbrcode.BudgetExhausted, permit.Instance,
+				"service %s allows %d instances out of service and has %d: %s", service, budget, out, l.holders(rules, service))
+		}
+	}
+	if l.Permits == nil {
+		l.Permits = make(map[string]Permit)
+	}
+	l.ConfigRevision = rules.Revision.Number
+	l.Permits[permit.Instance] = permit
+	return nil
+}
+
+func alreadyHeld(held, wanted Permit) error {
+	if held.Operation == wanted.Operation {
+		return nil
+	}
+	return bbrcode.Errorf(bbrcode.WrongState, wanted.Instance, "operation %s holds a permit since %s",
+		held.Operation, held.Since.Format(time.RFC3339))
+}
+
+// holders describes what uses the service's budget.
+func (l *Ledger) holders(rules Rules, service string) string {
+	var names []string
+	for _, instance := range slices.Sorted(maps.Keys(l.Permits)) {
+		if serves(rules, l.Permits[instance].Pool, service) {
+			names = append(names, instance+" (planned)")
+		}
+	}
+	for _, zone := range slices.Sorted(maps.Keys(l.Zones)) {
+		if slices.Contains(rules.Dark, zone) {
+			names = append(names, "zone "+zone+" (no word from it)")
+			continue
+		}
+		for _, instance := range slices.Sorted(maps.Keys(l.Zones[zone].Out)) {
+			_, planned := l.Permits[instance]
+			if !planned && serves(rules, l.Zones[zone].Out[instance], service) {
+				names = append(names, instance+" (lost)")
+			}
+		}
+	}
+	return strings.Join(names, ", ")
+}
+
+// Release ends the instance's permit if the operation holds it.
+func (l *Ledger) Release(instance, operation string) bool {
+	if l.Permits[instance].Operation != operation {
+		return false
+	}
+	delete(l.Permits, instance)
+	return true
+}
+
+// Submit stores a zone's report and reports whether anything changed.
+func (l *Ledger) Submit(zone string, report Report) bool {
+	present, ok := l.Zones[zone]
+	if ok && maps.Equal(present.Members, report.Members) && maps.Equal(present.Out, report.Out) {
+		return false
+	}
+	if l.Zones == nil {
+		l.Zones = make(map[string]Report)
+	}
+	l.Zones[zone] = report
+	return true
+}
+
+// Raise makes every later permit be judged by the revision or a newer one.
+func (l *Ledger) Raise(revision uint64) bool {
+	if l.ConfigRevision >= revision {
+		return false
+	}
+	l.ConfigRevision = revision
+	return true
+}
--- /dev/null
+++ b/internal/fleet/bbrview/ack.go
@@ -0,0 +1,67 @@
+package bbrview
+
+import "net/netip"
+
+// Ack is one entry's acknowledgement of a view.
+type Ack struct {
+	Incarnation string
+	// Version is the newest view that the entry obeys.
+	Version uint64
+	// Busy counts the entry's requests in flight on instances that it may not
+	// use any more.
+	Busy map[string]int
+	// Overhang is the number of requests in flight above the entry's share of
+	// instances that it may use.
+	Overhang int
+}
+
+// Acks are acknowledgements that were collected for one version of a view.
+type Acks struct {
+	// Version is the version of the view that the collector read, and that
+	// its next swap expects.
+	Version uint64
+	Entries map[netip.AddrPort]Ack
+}
+
+// current reports whether the registered incarnation obeys the collector's
+// version.
+func (a Acks) current(v *View, peer netip.AddrPort) bool {
+	ack, ok := a.Entries[peer]
+	return ok && ack.Version >= a.Version && ack.Incarnation == v.Entries[peer].Incarnation
+}
+
+// Quiet reports whether every registered entry has acknowledged the view with
+// nothing in flight on the instance.
+func (a Acks) Quiet(v *View, instance string) bool {
+	for peer := range v.Entries {
+		if !a.current(v, peer) || a.Entries[peer].Busy[instance] > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// Missing returns the registered entries that have not acknowledged the view.
+func (a Acks) Missing(v *View) []string {
+	var names []string
+	for peer, entry := range v.Entries {
+		if !a.current(v, peer) {
+			names = append(names, entry.Name)
+		}
+	}
+	return names
+}
+
+// settledFor reports whether every other entry works within the share that is
+// left when the newcomer has its own.
+func (a Acks) settledFor(v *View, newcomer netip.AddrPort) bool {
+	for peer, entry := range v.Entries {
+		if peer == newcomer || !entry.Active {
+			continue
+		}
+		if !a.current(v, peer) || a.Entries[peer].Overhang > 0 {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/fleet/bbrview/entry.go
@@ -0,0 +1,127 @@
+package bbrview
+
+import (
+	"net/netip"
+
+	"github.com/bluebellridge/bluebellridge/internal/base/bbrcode"
+)
+
+// Register lists an entry under its peer address.
+//
+// A process that has bound the address proves that the one that was listed
+// there is dead, so the record is replaced and the share is inherited. A first
+// entry is active at once; any other becomes active by Activate.
+func (v *View) Register(peer netip.AddrPort, entry Entry) {
+	if v.Entries == nil {
+		v.Entries = make(map[netip.AddrPort]Entry)
+	}
+	previous, replaced := v.Entries[peer]
+	entry.Active = len(v.Entries) == 0 || (replaced && previous.Active)
+	entry.Suspicion = ""
+	v.Entries[peer] = entry
+}
+
+// Unregister removes an entry that has nothing in flight and will send
+// nothing more. Another incarnation is left alone.
+func (v *View) Unregister(peer netip.AddrPort, incarnation string) {
+	if v.Entries[peer].Incarnation == incarnation {
+		delete(v.Entries, peer)
+	}
+}
+
+// Activate gives the listed but inactive entries their share. The version that
+// acks were collected at must be the one that the swap expects.
+func (v *View) Activate(acks Acks) bool {
+	changed := false
+	for peer, entry := range v.Entries {
+		if entry.Active || !acks.settledFor(v, peer) {
+			continue
+		}
+		entry.Active = true
+		v.Entries[peer] = entry
+		changed = true
+	}
+	return changed
+}
+
+// Suspect marks an entry that does not answer. It returns false where the entry
+// is unknown or marked already.
+func (v *View) Suspect(peer netip.AddrPort, suspicion string) bool {
+	entry, ok := v.Entries[peer]
+	if !ok || entry.Suspected() {
+		return false
+	}
+	entry.Suspicion = suspicion
+	v.Entries[peer] = entry
+	return true
+}
+
+// Suspects returns the marked entries.
+func (v *View) Suspects() []netip.AddrPort {
+	var peers []netip.AddrPort
+	for peer, entry := range v.Entries {
+		if entry.Suspected() {
+			peers = append(peers, peer)
+		}
+	}
+	return peers
+}
+
+// MayRemoveSuspects reports whether the marked entries can be removed after
+// their fences have run out: every active entry that is not marked has
+// acknowledged the marks, so nobody outside confirms the marked ones, and they
+// are too few to confirm each other.
+func (v *View) MayRemoveSuspects(self netip.AddrPort, acks Acks) bool {
+	own := v.Entries[self]
+	if !own.Active || own.Suspected() {
+		return false
+	}
+	active, suspected := 0, 0
+	for peer, entry := range v.Entries {
+		switch {
+		case entry.Suspected() && entry.Active:
+			active++
+			suspected++
+		case entry.Suspected():
+		case entry.Active:
+			active++
+			if !acks.current(v, peer) {
+				return false
+			}
+		}
+	}
+	return suspected <= active/2
+}
+
+// RemoveSuspects removes the marked entries. The caller has waited until their
+// fences have run out since MayRemoveSuspects was first true.
+func (v *View) RemoveSuspects() {
+	for _, peer := range v.Suspects() {
+		delete(v.Entries, peer)
+	}
+}
+
+// DeclareGone removes an entry on an operator's word.
+func (v *View) DeclareGone(name string) error {
+	for peer, entry := range v.Entries {
+		if entry.Name == name {
+			delete(v.Entries, peer)
+			return nil
+		}
+	}
+	return bbrcode.Errorf(bbrcode.UnknownName, name, "no entry of zone %s has this name", v.Zone)
+}
+
+// Quorum returns how many entries, the sender among them, have to confirm a
+// sender of this view that cannot read the platform. One entry alone confirms
+// itself: nobody else can be active without its acknowledgement.
+func (v *View) Quorum() int {
+	return len(v.Entries)/2 + 1
+}
+
+// Confirms reports whether self may confirm the peer's registration to it.
+func (v *View) Confirms(self, peer netip.AddrPort, incarnation string) bool {
+	own, other := v.Entries[self], v.Entries[peer]
+	return own.Active && !own.Suspected() &&
+		other.Incarnation == incarnation && incarnation != "" && !other.Suspected()
+}
--- /dev/null
+++ b/internal/fleet/bbrview/instance.go
@@ -0,0 +1,187 @@
+package bbrview
+
+import (
+	"time"
+
+	"github.com/bluebellridge/bluebellridge/internal/base/bbrcode"
+	"github.com/bluebellridge/bluebellridge/internal/platform/bbrlist"
+)
+
+// Withdrawal asks that an instance leaves service.
+type Withdrawal struct {
+	Instance  string
+	Plan      Plan
+	Target    string
+	Operation string
+	Reason    string
+}
+
+// Withdraw begins to drain an instance. It is a restriction: senders obey it
+// on sight.
+func (v *View) Withdraw(w Withdrawal, now time.Time) error {
+	instance, err := v.find(w.Instance)
+	if err != nil {
+		return err
+	}
+	if Applied(v, voided(w.Operation)) {
+		return bbrcode.Errorf(bbrcode.Conflict, w.Instance, "operation %s came too late and was voided", w.Operation)
+	}
+	if instance.State != Serving {
+		return bbrcode.Errorf(bbrcode.WrongState, w.Instance, "the instance is %s since %s (%s), not serving",
+			instance.State, instance.Since.Format(time.RFC3339), instance.Reason)
+	}
+	instance.State = Draining
+	instance.Plan = w.Plan
+	instance.Target = w.Target
+	instance.Operation = w.Operation
+	instance.Reason = w.Reason
+	instance.Since = now
+	v.Instances[w.Instance] = instance
+	v.Record(w.Operation)
+	return nil
+}
+
+// Void makes a withdrawal that has not been written yet be refused, whenever
+// its writer comes.
+func (v *View) Void(operation string) {
+	if !Applied(v, operation) && !Applied(v, voided(operation)) {
+		v.Record(voided(operation))
+	}
+}
+
+func voided(operation string) string { return "void/" + operation }
+
+// Resume returns a held instance to service. An instance that a move or reboot
+// has taken cannot be resumed; it returns by itself.
+func (v *View) Resume(id, operation string, now time.Time) error {
+	instance, err := v.find(id)
+	if err != nil {
+		return err
+	}
+	held := instance.Plan == Hold && (instance.State == Draining || instance.State == Drained)
+	if !held {
+		return bbrcode.Errorf(bbrcode.WrongState, id, "the instance is %s with plan %q; only a drained one can be resumed",
+			instance.State, instance.Plan)
+	}
+	v.serve(instance, instance.Pool, now)
+	v.Record(operation)
+	return nil
+}
+
+// Lose marks an instance as lost without plan.
+func (v *View) Lose(id, reason string, now time.Time) bool {
+	instance, ok := v.Instances[id]
+	if !ok || instance.State != Serving {
+		return false
+	}
+	instance.State = Lost
+	instance.Reason = reason
+	instance.Since = now
+	v.Instances[id] = instance
+	return true
+}
+
+// Forget removes a lost instance that the platform no longer has.
+func (v *View) Forget(id string, acks Acks) bool {
+	if v.Instances[id].State != Lost || !acks.Quiet(v, id) {
+		return false
+	}
+	delete(v.Instances, id)
+	return true
+}
+
+// Return brings a lost instance back. Nothing may be in flight on what the
+// senders knew under this ID, since the address may have changed.
+func (v *View) Return(row bbrlist.Instance, acks Acks, now time.Time) bool {
+	instance := v.Instances[row.ID]
+	if instance.State != Lost || !acks.Quiet(v, row.ID) {
+		return false
+	}
+	instance.Address = row.Address
+	v.serve(instance, instance.Pool, now)
+	return true
+}
+
+// Adopt lists an instance that the platform shows for the first time.
+func (v *View) Adopt(row bbrlist.Instance, now time.Time) bool {
+	if _, ok := v.Instances[row.ID]; ok {
+		return false
+	}
+	if v.Instances == nil {
+		v.Instances = make(map[string]Instance)
+	}
+	v.Instances[row.ID] = Instance{
+		ID:          row.ID,
+		Rack:        row.Rack,
+		Address:     row.Address,
+		Slots:       row.Slots,
+		Connections: row.Connections,
+		MemoryBytes: row.MemoryBytes,
+		Pool:        row.Pool,
+		State:       Serving,
+		Reason:      "adopted",
+		Since:       now,
+	}
+	return true
+}
+
+// CommitDrained marks a draining instance as drained once every sender has
+// acknowledged with nothing in flight on it.
+func (v *View) CommitDrained(id string, acks Acks, now time.Time) bool {
+	instance := v.Instances[id]
+	if instance.State != Draining || !acks.Quiet(v, id) {
+		return false
+	}
+	instance.State = Drained
+	instance.Since = now
+	v.Instances[id] = instance
+	return true
+}
+
+// BeginReboot records a reboot before it is asked for.
+func (v *View) BeginReboot(id string, now time.Time) bool {
+	instance := v.Instances[id]
+	if instance.State != Drained || instance.Plan == Hold {
+		return false
+	}
+	instance.State = Rebooting
+	instance.Since = now
+	v.Instances[id] = instance
+	return true
+}
+
+// FinishReboot returns an instance whose recorded reboot the platform has
+// completed, to its target pool where it moves.
+func (v *View) FinishReboot(row bbrlist.Instance, now time.Time) bool {
+	instance := v.Instances[row.ID]
+	done := row.State == bbrlist.Live && row.LastReboot == instance.Operation
+	if instance.State != Rebooting || !done {
+		return false
+	}
+	instance.Address = row.Address
+	pool := instance.Pool
+	if instance.Plan == Move {
+		pool = instance.Target
+	}
+	v.serve(instance, pool, now)
+	return true
+}
+
+func (v *View) serve(instance Instance, pool string, now time.Time) {
+	instance.Pool = pool
+	instance.State = Serving
+	instance.Plan = ""
+	instance.Target = ""
+	instance.Operation = ""
+	instance.Reason = ""
+	instance.Since = now
+	v.Instances[instance.ID] = instance
+}
+
+func (v *View) find(id string) (Instance, error) {
+	instance, ok := v.Instances[id]
+	if !ok {
+		return Instance{}, bbrcode.Errorf(bbrcode.UnknownInstance, id, "zone %s has no such instance", v.Zone)
+	}
+	return instance, nil
+}
--- /dev/null
+++ b/internal/fleet/bbrwave/wave.go
@@ -0,0 +1,248 @@
+package bbrwave
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/bluebellridge/bluebellridge/internal/base/bbrcode"
+	"github.com/bluebellridge/bluebellridge/internal/fleet/bbrview"
+)
+
+// KeyPrefix is where the platform keeps the waves, one document each.
+const KeyPrefix = "waves/"
+
+// Status is the state of a wave.
+type Status string
+
+// States of a wave.
+const (
+	Running Status = "running"
+	Halted  Status = "halted"
+	Done    Status = "done"
+)
+
+// Phase is how far a wave is with one instance.
+type Phase string
+
+// Phases of an instance in a wave.
+const (
+	Pending  Phase = "pending"
+	Started  Phase = "started"
+	Finished Phase = "finished"
+	Failed   Phase = "failed"
+)
+
+const (
+	// haltAfter is how many failures halt a wave: one is chance, two are a
+	// pattern.
+	haltAfter = 2
+	// maxWidth bounds the instances that a wave has out in one zone.
+	maxWidth = 8
+	// patience is how long an instance may take before it counts as failed.
+	patience = 15 * time.Minute
+)
+
+// Wave is the document of one wave.
+type Wave struct {
+	Name string `json:"name"`
+	// Pool is the pool, or empty for all pools.
+	Pool      string    `json:"pool,omitempty"`
+	Operation string    `json:"operation"`
+	Status    Status    `json:"status"`
+	Reason    string    `json:"reason,omitempty"`
+	Since     time.Time `json:"since"`
+	// Forgiven is how many failures an operator has looked at and passed over.
+	Forgiven  int                 `json:"forgiven"`
+	Instances map[string]Progress `json:"instances"`
+}
+
+// Progress is how far a wave is with one instance.
+type Progress struct {
+	Zone  string    `json:"zone"`
+	Rack  string    `json:"rack"`
+	Phase Phase     `json:"phase"`
+	Since time.Time `json:"since"`
+	// Attempt counts the starts, so that each has its own operation ID.
+	Attempt int `json:"attempt"`
+}
+
+// Applied reports whether the wave was started by the operation.
+func Applied(w *Wave, operation string) bool { return w.Operation == operation }
+
+// New plans a wave over the instances of the zones' views.
+func New(name, pool, operation string, views []bbrview.View, now time.Time) (Wave, error) {
+	w := Wave{Name: name, Pool: pool, Operation: operation, Status: Running, Since: now, Instances: make(map[string]Progress)}
+	for _, view := range views {
+		for id, instance := range view.Instances {
+			if pool == "" || instance.Pool == pool {
+				w.Instances[id] = Progress{Zone: view.Zone, Rack: instance.Rack, Phase: Pending, Since: now}
+			}
+		}
+	}
+	if len(w.Instances) == 0 {
+		return w, bbrcode.Errorf(bbrcode.UnknownName, pool, "the pool has no instances")
+	}
+	return w, nil
+}
+
+// OperationFor returns the operation ID under which the wave withdraws an
+// instance.
+func (w *Wave) OperationFor(instance string) string {
+	return fmt.Sprintf("%s/%s/%d", w.Operation, instance, w.Instances[instance].Attempt)
+}
+
+// Count returns how many instances are in the phase.
+func (w *Wave) Count(phase Phase) int {
+	count := 0
+	for _, progress := range w.Instances {
+		if progress.Phase == phase {
+			count++
+		}
+	}
+	return count
+}
+
+// Observe takes note of what became of the zone's started instances, and
+// reports whether anything changed.
+func (w *Wave) Observe(view *bbrview.View, now time.Time) bool {
+	changed := false
+	for id, progress := range w.Instances {
+		if progress.Zone != view.Zone || progress.Phase != Started {
+			continue
+		}
+		if phase := w.phaseOf(view, id, progress, now); phase != Started {
+			progress.Phase = phase
+			progress.Since = now
+			w.Instances[id] = progress
+			changed = true
+		}
+	}
+	return w.conclude(now) || changed
+}
+
+func (w *Wave) phaseOf(view *bbrview.View, id string, progress Progress, now time.Time) Phase {
+	instance, listed := view.Instances[id]
+	own := instance.Operation == w.OperationFor(id)
+	switch {
+	case own && now.Sub(progress.Since) > patience:
+		return Failed
+	case own:
+		return Started
+	case !listed || instance.State == bbrview.Lost:
+		return Failed
+	case !bbrview.Applied(view, w.OperationFor(id)):
+		// The withdrawal has not been written, or its answer was lost.
+		return stillStarting(progress, now)
+	default:
+		return Finished
+	}
+}
+
+// startGrace is how long a started instance may show no withdrawal.
+const startGrace = 2 * time.Minute
+
+func stillStarting(progress Progress, now time.Time) Phase {
+	if now.Sub(progress.Since) > startGrace {
+		return Pending
+	}
+	return Started
+}
+
+// conclude ends or halts the wave where that is due.
+func (w *Wave) conclude(now time.Time) bool {
+	if w.Status != Running {
+		return false
+	}
+	failed := w.Count(Failed)
+	switch {
+	case failed-w.Forgiven >= haltAfter:
+		w.set(Halted, "failures repeat", now)
+	case w.Count(Pending)+w.Count(Started) == 0:
+		w.set(Done, "", now)
+	default:
+		return false
+	}
+	return true
+}
+
+func (w *Wave) set(status Status, reason string, now time.Time) {
+	w.Status = status
+	w.Reason = reason
+	w.Since = now
+}
+
+// Next returns the zone's instances that may be started now, best first. A
+// zone works on one rack at a time; its width doubles with what has finished.
+func (w *Wave) Next(zone string) []string {
+	if w.Status != Running {
+		return nil
+	}
+	width := min(1<<min(w.Count(Finished), 3), maxWidth)
+	started := 0
+	rack := ""
+	var pending []string
+	for _, id := range slices.SortedFunc(maps.Keys(w.Instances), w.byRack) {
+		progress := w.Instances[id]
+		if progress.Zone != zone {
+			continue
+		}
+		switch progress.Phase {
+		case Started:
+			started++
+			rack = progress.Rack
+		case Pending:
+			pending = append(pending, id)
+		}
+	}
+	if rack == "" && len(pending) > 0 {
+		rack = w.Instances[pending[0]].Rack
+	}
+	pending = slices.DeleteFunc(pending, func(id string) bool { return w.Instances[id].Rack != rack })
+	return pending[:min(len(pending), max(0, width-started))]
+}
+
+func (w *Wave) byRack(a, b string) int {
+	if c := strings.Compare(w.Instances[a].Rack, w.Instances[b].Rack); c != 0 {
+		return c
+	}
+	return strings.Compare(a, b)
+}
+
+// Start records that an instance is about to be withdrawn.
+func (w *Wave) Start(id string, now time.Time) {
+	progress := w.Instances[id]
+	progress.Phase = Started
+	progress.Since = now
+	progress.Attempt++
+	w.Instances[id] = progress
+}
+
+// PutBack records that the withdrawal of an instance was refused.
+func (w *Wave) PutBack(id string, now time.Time) {
+	progress := w.Instances[id]
+	progress.Phase = Pending
+	progress.Since = now
+	w.Instances[id] = progress
+}
+
+// Halt stops a running wave; instances that are out are brought back.
+func (w *Wave) Halt(now time.Time) error {
+	if w.Status != Running {
+		return bbrcode.Errorf(bbrcode.WrongState, w.Name, "the wave is %s since %s", w.Status, w.Since.Format(time.RFC3339))
+	}
+	w.set(Halted, "operator", now)
+	return nil
+}
+
+// Resume lets a halted wave go on, passing over the failures so far.
+func (w *Wave) Resume(now time.Time) error {
+	if w.Status != Halted {
+		return bbrcode.Errorf(bbrcode.WrongState, w.Name, "the wave is %s, not halted", w.Status)
+	}
+	w.Forgiven = w.Count(Failed)
+	w.set(Running, "", now)
+	return nil
+}
--- /dev/null
+++ b/internal/fleet/bbrwithdrawal/withdrawer.go
@@ -0,0 +1,213 @@
+package bbrwithdrawal
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/bluebellridge/bluebellridge/internal/base/bbrcode"
+	"github.com/bluebellridge/bluebellridge/internal/config/bbrrevision"
+	"github.com/bluebellridge/bluebellridge/internal/daemon/bbrentry"
+	"github.com/bluebellridge/bluebellridge/internal/fleet/bbrmember"
+	"github.com/bluebellridge/bluebellridge/internal/fleet/bbrpermit"
+	"github.com/bluebellridge/bluebellridge/internal/fleet/bbrview"
+	"github.com/bluebellridge/bluebellridge/internal/platform/bbrstore"
+)
+
+// DutyPrefix is where the platform keeps the holders of maintenance duties.
+const DutyPrefix = "duties/"
+
+const (
+	// permitLife is how long after taking a permit the restriction may still
+	// be written. It is shorter than unusedAfter by more than clocks differ.
+	permitLife = 10 * time.Second
+	// unusedAfter is when a permit without a restriction is taken back.
+	unusedAfter = time.Minute
+)
+
+// Withdrawer takes instances of its zone out of service.
+type Withdrawer struct {
+	State *bbrentry.State
+	Store *bbrstore.Store
+}
+
+// Ledger returns the ledger as a document of the platform.
+func Ledger(store *bbrstore.Store) bbrstore.Document[bbrpermit.Ledger] {
+	return bbrstore.Document[bbrpermit.Ledger]{Store: store, Key: bbrpermit.Key, Applied: bbrpermit.Applied}
+}
+
+// Rules returns what permits are judged by now.
+func (w *Withdrawer) Rules(ctx context.Context, ledger *bbrpermit.Ledger) (bbrpermit.Rules, error) {
+	return RulesFor(ctx, w.Store, w.State.Revision(), ledger)
+}
+
+// RulesFor returns what permits are judged by under the configuration.
+func RulesFor(ctx context.Context, store *bbrstore.Store, revision *bbrrevision.Revision, ledger *bbrpermit.Ledger) (bbrpermit.Rules, error) {
+	rules := bbrpermit.Rules{Revision: revision}
+	duties, err := store.Keys(ctx, DutyPrefix)
+	if err != nil {
+		return rules, err
+	}
+	for zone := range ledger.Zones {
+		if !slices.Contains(duties, DutyPrefix+zone) {
+			rules.Dark = append(rules.Dark, zone)
+		}
+	}
+	return rules, nil
+}
+
+// Withdraw takes a permit and begins to drain the instance. Repeating an
+// operation has no further effect.
+func (w *Withdrawer) Withdraw(ctx context.Context, wanted bbrview.Withdrawal) error {
+	taken := time.Now()
+	if err := w.acquire(ctx, wanted, taken); err != nil {
+		return err
+	}
+	document := bbrmember.Document(w.Store, w.State.Identity.Zone)
+	view, version, err := document.Update(ctx, wanted.Operation, func(v *bbrview.View) error {
+		if time.Since(taken) > permitLife {
+			return bbrcode.Errorf(bbrcode.Conflict, wanted.Instance, "the permit is too old by now; try again")
+		}
+		return v.Withdraw(wanted, time.Now())
+	})
+	if refused := new(bbrcode.Error); errors.As(err, &refused) {
+		_ = w.release(ctx, []bbrpermit.Permit{{Instance: wanted.Instance, Operation: wanted.Operation}})
+	}
+	if err == nil {
+		w.State.OfferView(view, version, time.Now())
+	}
+	return err
+}
+
+// acquire takes the permit of a withdrawal, unless the view refuses it anyway.
+func (w *Withdrawer) acquire(ctx context.Context, wanted bbrview.Withdrawal, now time.Time) error {
+	permit, err := w.permitFor(ctx, wanted, now)
+	if err != nil {
+		return err
+	}
+	_, _, err = Ledger(w.Store).Update(ctx, wanted.Operation, func(l *bbrpermit.Ledger) error {
+		rules, err := w.Rules(ctx, l)
+		if err != nil {
+			return err
+		}
+		return l.Acquire(rules, permit)
+	})
+	return err
+}
+
+// permitFor returns the permit that the withdrawal needs, or the view's
+// refusal.
+func (w *Withdrawer) permitFor(ctx context.Context, wanted bbrview.Withdrawal, now time.Time) (bbrpermit.Permit, error) {
+	zone := w.State.Identity.Zone
+	view, _, err := bbrmember.Document(w.Store, zone).Load(ctx)
+	if err != nil {
+		return bbrpermit.Permit{}, err
+	}
+	instance := view.Instances[wanted.Instance]
+	trial := view.Clone()
+	if err := trial.Withdraw(wanted, now); err != nil && instance.Operation != wanted.Operation {
+		return bbrpermit.Permit{}, err
+	}
+	return bbrpermit.Permit{
+		Instance: wanted.Instance, Zone: zone, Pool: instance.Pool, Operation: wanted.Operation, Since: now,
+	}, nil
+}
+
+// Try returns the refusal that a withdrawal would meet now, and changes
+// nothing.
+func (w *Withdrawer) Try(ctx context.Context, wanted bbrview.Withdrawal) error {
+	permit, err := w.permitFor(ctx, wanted, time.Now())
+	if err != nil {
+		return err
+	}
+	ledger, _, err := Ledger(w.Store).Load(ctx)
+	if err != nil {
+		return err
+	}
+	rules, err := w.Rules(ctx, &ledger)
+	if err != nil {
+		return err
+	}
+	return ledger.Acquire(rules, permit)
+}
+
+func (w *Withdrawer) release(ctx context.Context, permits []bbrpermit.Permit) error {
+	_, _, err := Ledger(w.Store).Update(ctx, "", func(l *bbrpermit.Ledger) error {
+		for _, permit := range permits {
+			l.Release(permit.Instance, permit.Operation)
+		}
+		return nil
+	})
+	return err
+}
+
+// Settle brings the ledger in line with the zone's view: it stores the zone's
+// report and gives back the permits of instances that serve again.
+func (w *Withdrawer) Settle(ctx context.Context, now time.Time) error {
+	zone := w.State.Identity.Zone
+	ledger, _, err := Ledger(w.Store).Load(ctx)
+	if err != nil {
+		return err
+	}
+	snapshot := w.State.Snapshot()
+	done, unused := sort(ledger, zone, &snapshot.View, now)
+	if len(unused) > 0 {
+		if err := w.void(ctx, unused); err != nil {
+			return err
+		}
+		done = append(done, unused...)
+	}
+	report := ReportOf(&snapshot.View)
+	if len(done) == 0 && !ledger.Submit(zone, report) {
+		return nil
+	}
+	_, _, err = Ledger(w.Store).Update(ctx, "", func(l *bbrpermit.Ledger) error {
+		for _, permit := range done {
+			l.Release(permit.Instance, permit.Operation)
+		}
+		l.Submit(zone, report)
+		return nil
+	})
+	return err
+}
+
+// sort returns the zone's permits that have done their work and those that
+// were never used.
+func sort(ledger bbrpermit.Ledger, zone string, view *bbrview.View, now time.Time) (done, unused []bbrpermit.Permit) {
+	for _, permit := range ledger.Permits {
+		instance, listed := view.Instances[permit.Instance]
+		switch {
+		case permit.Zone != zone || instance.Operation == permit.Operation:
+		case bbrview.Applied(view, permit.Operation) && (!listed || instance.State == bbrview.Serving):
+			done = append(done, permit)
+		case now.Sub(permit.Since) > unusedAfter:
+			unused = append(unused, permit)
+		}
+	}
+	return done, unused
+}
+
+// void makes the restrictions that unused permits were for be refused.
+func (w *Withdrawer) void(ctx context.Context, unused []bbrpermit.Permit) error {
+	_, _, err := bbrmember.Document(w.Store, w.State.Identity.Zone).Update(ctx, "", func(v *bbrview.View) error {
+		for _, permit := range unused {
+			v.Void(permit.Operation)
+		}
+		return nil
+	})
+	return err
+}
+
+// ReportOf returns what a zone reports of its view.
+func ReportOf(view *bbrview.View) bbrpermit.Report {
+	report := bbrpermit.Report{Members: make(map[string]int), Out: make(map[string]string)}
+	for id, instance := range view.Instances {
+		report.Members[instance.Pool]++
+		if instance.State != bbrview.Serving {
+			report.Out[id] = instance.Pool
+		}
+	}
+	return report
+}
--- /dev/null
+++ b/internal/operator/bbrapi/executor.go
@@ -0,0 +1,255 @@
+package bbrapi
+
+import (
+	"context"
+	"encoding/json"
+	"net/netip"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/bluebellridge/bluebellridge/internal/base/bbrcode"
+	"github.com/bluebellridge/bluebellridge/internal/base/bbrmetric"
+	"github.com/bluebellridge/bluebellridge/internal/daemon/bbrentry"
+	"github.com/bluebellridge/bluebellridge/internal/fleet/bbrmember"
+	"github.com/bluebellridge/bluebellridge/internal/fleet/bbrview"
+	"github.com/bluebellridge/bluebellridge/internal/fleet/bbrwithdrawal"
+	"github.com/bluebellridge/bluebellridge/internal/operator/bbrlanguage"
+	"github.com/bluebellridge/bluebellridge/internal/peer/bbrlink"
+	"github.com/bluebellridge/bluebellridge/internal/peer/bbrpeerproto"
+	"github.com/bluebellridge/bluebellridge/internal/platform/bbrstore"
+)
+
+// Executor runs commands at one entry.
+type Executor struct {
+	State      *bbrentry.State
+	Store      *bbrstore.Store
+	Client     *bbrlink.Client
+	Withdrawer *bbrwithdrawal.Withdrawer
+	Metrics    *bbrmetric.Set
+}
+
+// Execute runs a command line. Repeating an operation has no further effect.
+func (x *Executor) Execute(ctx context.Context, request Request) Result {
+	return x.execute(ctx, request, true)
+}
+
+// ExecuteHere runs a command for another entry; it is not passed on again.
+func (x *Executor) ExecuteHere(ctx context.Context, line, operation string, dryRun bool) []byte {
+	result := x.execute(ctx, Request{Line: line, Operation: operation, DryRun: dryRun}, false)
+	data, err := json.Marshal(result)
+	if err != nil {
+		return nil
+	}
+	return data
+}
+
+func (x *Executor) execute(ctx context.Context, request Request, passOn bool) Result {
+	if request.Operation == "" {
+		request.Operation = uuid.NewString()
+	}
+	command, err := bbrlanguage.Parse(request.Line)
+	result := Result{}
+	if err != nil {
+		result = refused(err)
+	} else {
+		result = x.dispatch(ctx, command, request, passOn)
+	}
+	result.Operation = request.Operation
+	if result.Code != bbrcode.Done && result.Code != bbrcode.DryRun {
+		x.Metrics.Refuse(result.Code)
+	}
+	return result
+}
+
+func (x *Executor) dispatch(ctx context.Context, c *bbrlanguage.Command, request Request, passOn bool) Result {
+	switch {
+	case c.Help:
+		return done(bbrlanguage.Help)
+	case c.Show != nil:
+		return x.show(ctx, c.Show)
+	case c.Why != nil:
+		return x.why(ctx, c.Why)
+	case c.Set != nil:
+		return x.set(ctx, c.Set, request)
+	case c.Assign != nil:
+		return x.assign(ctx, c.Assign, request)
+	case c.Start != nil:
+		return x.startWave(ctx, c.Start, request)
+	case c.Halt != nil:
+		return x.changeWave(ctx, c.Halt.Name, request, haltWave)
+	case c.Resume != nil && c.Resume.Wave != "":
+		return x.changeWave(ctx, c.Resume.Wave, request, resumeWave)
+	default:
+		return x.onInstance(ctx, c, request, passOn)
+	}
+}
+
+// instanceOf returns the instance that a command is about.
+func instanceOf(c *bbrlanguage.Command) string {
+	switch {
+	case c.Drain != nil:
+		return c.Drain.Instance
+	case c.Reboot != nil:
+		return c.Reboot.Instance
+	case c.Move != nil:
+		return c.Move.Instance
+	case c.Resume != nil:
+		return c.Resume.Instance
+	default:
+		return ""
+	}
+}
+
+// onInstance runs a command that changes a zone's view, in that zone.
+func (x *Executor) onInstance(ctx context.Context, c *bbrlanguage.Command, request Request, passOn bool) Result {
+	owns := func(v *bbrview.View) bool { _, ok := v.Instances[instanceOf(c)]; return ok }
+	place := instanceOf(c)
+	if c.Declare != nil {
+		place = c.Declare.Entry
+		owns = func(v *bbrview.View) bool { return named(v, place) }
+	}
+	if owns(&x.State.Snapshot().View) {
+		return x.change(ctx, c, request)
+	}
+	views, _ := x.newestViews(ctx)
+	for _, view := range views {
+		if !owns(&view) {
+			continue
+		}
+		if view.Zone == x.State.Identity.Zone {
+			return x.change(ctx, c, request)
+		}
+		if passOn {
+			return x.passOn(ctx, view.Zone, &view, request)
+		}
+	}
+	code := bbrcode.UnknownInstance
+	if c.Declare != nil {
+		code = bbrcode.UnknownName
+	}
+	return refused(bbrcode.Errorf(code, place, "no zone has it"))
+}
+
+func named(v *bbrview.View, entry string) bool {
+	for _, e := range v.Entries {
+		if e.Name == entry {
+			return true
+		}
+	}
+	return false
+}
+
+// passOn runs a command at an entry of another zone. The operation ID makes it
+// safe to ask one entry after another.
+func (x *Executor) passOn(ctx context.Context, zone string, view *bbrview.View, request Request) Result {
+	for peer := range view.Entries {
+		if result, ok := x.ask(ctx, peer, request); ok {
+			return result
+		}
+	}
+	return refused(bbrcode.Errorf(bbrcode.ZoneUnreachable, zone, "%d entries were tried; the operation may still take effect", len(view.Entries)))
+}
+
+// passOnTimeout bounds one entry's execution of a command.
+const passOnTimeout = 10 * time.Second
+
+func (x *Executor) ask(ctx context.Context, peer netip.AddrPort, request Request) (Result, bool) {
+	ctx, cancel := context.WithTimeout(ctx, passOnTimeout)
+	defer cancel()
+	answer, err := x.Client.Peer(ctx, peer).Command(ctx, &bbrpeerproto.CommandRequest{
+		Line: request.Line, Operation: request.Operation, DryRun: request.DryRun,
+	})
+	var result Result
+	if err != nil || json.Unmarshal(answer.GetResult(), &result) != nil {
+		return result, false
+	}
+	return result, true
+}
+
+// change runs a command on the view of this zone.
+func (x *Executor) change(ctx context.Context, c *bbrlanguage.Command, request Request) Result {
+	if c.Resume != nil || c.Declare != nil {
+		return x.changeView(ctx, c, request)
+	}
+	wanted := withdrawalOf(c, request.Operation)
+	if wanted.Plan == bbrview.Move {
+		if err := x.checkMove(wanted); err != nil {
+			return refused(err)
+		}
+	}
+	if request.DryRun {
+		return x.tryWithdraw(ctx, wanted)
+	}
+	if err := x.Withdrawer.Withdraw(ctx, wanted); err != nil {
+		return refused(err)
+	}
+	return done(wanted.Instance + " receives no new work and is draining")
+}
+
+func withdrawalOf(c *bbrlanguage.Command, operation string) bbrview.Withdrawal {
+	w := bbrview.Withdrawal{Instance: instanceOf(c), Operation: operation, Plan: bbrview.Hold}
+	reason := ""
+	switch {
+	case c.Drain != nil:
+		reason = c.Drain.Reason
+	case c.Reboot != nil:
+		w.Plan = bbrview.Reboot
+		reason = c.Reboot.Reason
+	case c.Move != nil:
+		w.Plan = bbrview.Move
+		w.Target = c.Move.Pool
+		reason = c.Move.Reason
+	}
+	w.Reason = "operator"
+	if reason != "" {
+		w.Reason = "operator: " + reason
+	}
+	return w
+}
+
+func (x *Executor) checkMove(w bbrview.Withdrawal) error {
+	if _, ok := x.State.Revision().Config.Pools[w.Target]; !ok {
+		return bbrcode.Errorf(bbrcode.UnknownName, w.Target, "no pool has this name")
+	}
+	if x.State.Snapshot().View.Instances[w.Instance].Pool == w.Target {
+		return bbrcode.Errorf(bbrcode.WrongState, w.Instance, "it is in pool %s already", w.Target)
+	}
+	return nil
+}
+
+// tryWithdraw says whether a withdrawal would be taken, and changes nothing.
+func (x *Executor) tryWithdraw(ctx context.Context, w bbrview.Withdrawal) Result {
+	if err := x.Withdrawer.Try(ctx, w); err != nil {
+		return refused(err)
+	}
+	return dryRun()
+}
+
+func dryRun() Result {
+	return Result{Code: bbrcode.DryRun, Name: bbrcode.DryRun.String(), Text: bbrcode.DryRun.Info().Text}
+}
+
+// changeView runs a command that needs no permit.
+func (x *Executor) changeView(ctx context.Context, c *bbrlanguage.Command, request Request) Result {
+	apply := func(v *bbrview.View) error {
+		if c.Declare != nil {
+			v.Record(request.Operation)
+			return v.DeclareGone(c.Declare.Entry)
+		}
+		return v.Resume(c.Resume.Instance, request.Operation, time.Now())
+	}
+	if request.DryRun {
+		trial := x.State.Snapshot().View.Clone()
+		if err := apply(&trial); err != nil {
+			return refused(err)
+		}
+		return dryRun()
+	}
+	view, version, err := bbrmember.Document(x.Store, x.State.Identity.Zone).Update(ctx, request.Operation, apply)
+	if err != nil {
+		return refused(err)
+	}
+	x.State.OfferView(view, version, time.Now())
+	return done("")
+}
--- /dev/null
+++ b/internal/operator/bbrapi/handler.go
@@ -0,0 +1,96 @@
+package bbrapi
+
+import (
+	"crypto/subtle"
+	"encoding/json"
+	"io"
+	"net/http"
+
+	"github.com/google/uuid"
+	"github.com/gorilla/mux"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"github.com/bluebellridge/bluebellridge/internal/base/bbrcode"
+	"github.com/bluebellridge/bluebellridge/internal/config/bbrrevision"
+	"github.com/bluebellridge/bluebellridge/internal/config/bbryaml"
+)
+
+// Paths of the operators' API.
+const (
+	CommandPath = "/v1/command"
+	ConfigPath  = "/v1/config"
+	MetricsPath = "/metrics"
+)
+
+const maxBodyBytes = 1 << 20
+
+// Handler returns the operators' API. Commands need the token; metrics do not.
+func (x *Executor) Handler(token string) http.Handler {
+	router := mux.NewRouter()
+	router.HandleFunc(CommandPath, x.guard(token, x.serveCommand)).Methods(http.MethodPost)
+	router.HandleFunc(ConfigPath, x.guard(token, x.serveConfig)).Methods(http.MethodPut)
+	router.Handle(MetricsPath, promhttp.HandlerFor(x.Metrics.Registry, promhttp.HandlerOpts{})).Methods(http.MethodGet)
+	return router
+}
+
+type serve func(r *http.Request) Result
+
+func (x *Executor) guard(token string, next serve) http.HandlerFunc {
+	expected := []byte("Bearer " + token)
+	return func(w http.ResponseWriter, r *http.Request) {
+		given := []byte(r.Header.Get("Authorization"))
+		if subtle.ConstantTimeCompare(given, expected) != 1 {
+			x.Metrics.Refuse(bbrcode.Unauthorized)
+			reply(w, refused(bbrcode.Errorf(bbrcode.Unauthorized, "Authorization", "")))
+			return
+		}
+		r.Body = http.MaxBytesReader(w, r.Body, maxBodyBytes)
+		reply(w, next(r))
+	}
+}
+
+func reply(w http.ResponseWriter, result Result) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(result.Code.Info().Status)
+	_ = json.NewEncoder(w).Encode(result)
+}
+
+func (x *Executor) serveCommand(r *http.Request) Result {
+	var request Request
+	if err := json.NewDecoder(r.Body).Decode(&request); err != nil {
+		return refused(bbrcode.Errorf(bbrcode.Syntax, "body", "%v", err))
+	}
+	return x.Execute(r.Context(), request)
+}
+
+// serveConfig replaces the configuration by a YAML document.
+func (x *Executor) serveConfig(r *http.Request) Result {
+	data, err := io.ReadAll(r.Body)
+	if err != nil {
+		return refused(bbrcode.Errorf(bbrcode.Syntax, "body", "%v", err))
+	}
+	config, faults := ParseConfig(data)
+	if len(faults) > 0 {
+		return refused(bbrrevision.Join(faults))
+	}
+	query := r.URL.Query()
+	request := Request{Operation: query.Get("operation"), DryRun: query.Get("dryRun") == "true"}
+	if request.Operation == "" {
+		request.Operation = uuid.NewString()
+	}
+	result := x.Replace(r.Context(), config, request)
+	result.Operation = request.Operation
+	return result
+}
+
+// ParseConfig reads a configuration from YAML and returns every fault with its
+// place.
+func ParseConfig(data []byte) (bbrrevision.Config, []*bbrcode.Error) {
+	var config bbrrevision.Config
+	places, faults := bbryaml.Decode(data, &config)
+	for _, fault := range config.Validate() {
+		fault.Place = places.Of(fault.Place)
+		faults = append(faults, fault)
+	}
+	return config, faults
+}
--- /dev/null
+++ b/internal/operator/bbrapi/result.go
@@ -0,0 +1,44 @@
+package bbrapi
+
+import "github.com/bluebellridge/bluebellridge/internal/base/bbrcode"
+
+// Request is a command as it comes over HTTP.
+type Request struct {
+	Line string `json:"line"`
+	// Operation makes repeating the command harmless; empty lets the entry
+	// make one.
+	Operation string `json:"operation,omitempty"`
+	DryRun    bool   `json:"dryRun,omitempty"`
+}
+
+// Result is the answer to a command.
+type Result struct {
+	Code      bbrcode.Code `json:"code"`
+	Name      string       `json:"name"`
+	Place     string       `json:"place,omitempty"`
+	Text      string       `json:"text,omitempty"`
+	Operation string       `json:"operation,omitempty"`
+	// Revision is the configuration that a change made.
+	Revision uint64     `json:"revision,omitempty"`
+	Columns  []string   `json:"columns,omitempty"`
+	Rows     [][]string `json:"rows,omitempty"`
+}
+
+// done returns the result of a command that is in force.
+func done(text string) Result {
+	return Result{Code: bbrcode.Done, Name: bbrcode.Done.String(), Text: text}
+}
+
+// refused returns the result that err stands for.
+func refused(err error) Result {
+	code := bbrcode.From(err, codeOfStore(err))
+	result := Result{Code: code, Name: code.String(), Text: err.Error()}
+	if coded := asCoded(err); coded != nil {
+		result.Place = coded.Place
+		result.Text = coded.Detail
+	}
+	if result.Text == "" {
+		result.Text = code.Info().Text
+	}
+	return result
+}
--- /dev/null
+++ b/internal/operator/bbrapi/wave.go
@@ -0,0 +1,72 @@
+package bbrapi
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/bluebellridge/bluebellridge/internal/base/bbrcode"
+	"github.com/bluebellridge/bluebellridge/internal/fleet/bbrduty"
+	"github.com/bluebellridge/bluebellridge/internal/fleet/bbrwave"
+	"github.com/bluebellridge/bluebellridge/internal/operator/bbrlanguage"
+	"github.com/bluebellridge/bluebellridge/internal/platform/bbrstore"
+)
+
+func (x *Executor) startWave(ctx context.Context, c *bbrlanguage.Start, request Request) Result {
+	views, err := x.views(ctx)
+	if err != nil {
+		return refused(err)
+	}
+	planned, err := bbrwave.New(c.Name, c.Pool, request.Operation, views, time.Now())
+	if err != nil {
+		return refused(err)
+	}
+	create := func(w *bbrwave.Wave) error {
+		if w.Status == bbrwave.Running {
+			return bbrcode.Errorf(bbrcode.WrongState, c.Name, "a wave of this name is running since %s", w.Since.Format(time.RFC3339))
+		}
+		*w = planned
+		return nil
+	}
+	document := bbrduty.WaveDocument(x.Store, bbrwave.KeyPrefix+c.Name)
+	if request.DryRun {
+		wave, _, err := document.Load(ctx)
+		if err == nil {
+			err = create(&wave)
+		}
+		if err != nil {
+			return refused(err)
+		}
+		return dryRun()
+	}
+	if _, _, err := document.Update(ctx, request.Operation, create); err != nil {
+		return refused(err)
+	}
+	return done(fmt.Sprintf("wave %s over %d instances", c.Name, len(planned.Instances)))
+}
+
+func haltWave(w *bbrwave.Wave) error   { return w.Halt(time.Now()) }
+func resumeWave(w *bbrwave.Wave) error { return w.Resume(time.Now()) }
+
+func (x *Executor) changeWave(ctx context.Context, name string, request Request, change func(w *bbrwave.Wave) error) Result {
+	document := bbrduty.WaveDocument(x.Store, bbrwave.KeyPrefix+name)
+	if _, err := x.Store.Get(ctx, document.Key, 0); errors.Is(err, bbrstore.ErrNotFound) {
+		return refused(bbrcode.Errorf(bbrcode.UnknownName, name, "no wave has this name"))
+	}
+	if request.DryRun {
+		wave, _, err := document.Load(ctx)
+		if err == nil {
+			err = change(&wave)
+		}
+		if err != nil {
+			return refused(err)
+		}
+		return dryRun()
+	}
+	if _, _, err := document.Update(ctx, "", change); err != nil {
+		return refused(err)
+	}
+	return done("")
+}
--- /dev/null
+++ b/internal/operator/bbrclient/print.go
@@ -0,0 +1,102 @@
+package bbrclient
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"strings"
+	"text/tabwriter"
+
+	"github.com/bluebellridge/bluebellridge/internal/base/bbrcode"
+	"github.com/bluebellridge/bluebellridge/internal/operator/bbrapi"
+)
+
+type printer struct {
+	out, errors io.Writer
+	json        bool
+}
+
+// print shows a result and returns the exit status that follows from it.
+func (p printer) print(result bbrapi.Result, err error) int {
+	if err != nil {
+		fmt.Fprintf(p.errors, "no answer from the entry; it is not known what was done: %v\n", err)
+		return ExitUnknown
+	}
+	switch {
+	case p.json:
+		encoder := json.NewEncoder(p.out)
+		encoder.SetIndent("", "  ")
+		_ = encoder.Encode(result)
+	case result.Code == bbrcode.Done || result.Code == bbrcode.DryRun:
+		p.table(result)
+	default:
+		p.refusal(result)
+	}
+	return status(result.Code)
+}
+
+func (p printer) table(result bbrapi.Result) {
+	if len(result.Columns) > 0 {
+		writer := tabwriter.NewWriter(p.out, 0, 0, 2, ' ', 0)
+		fmt.Fprintln(writer, strings.ToUpper(strings.Join(result.Columns, "\t")))
+		for _, row := range result.Rows {
+			fmt.Fprintln(writer, strings.Join(row, "\t"))
+		}
+		_ = writer.Flush()
+	}
+	if result.Text != "" {
+		fmt.Fprintln(p.out, result.Text)
+	}
+	if len(result.Columns) == 0 && result.Text == "" {
+		fmt.Fprintln(p.out, result.Name)
+	}
+}
+
+func (p printer) refusal(result bbrapi.Result) {
+	place := ""
+	if result.Place != "" {
+		place = " at " + result.Place
+	}
+	fmt.Fprintf(p.errors, "%d %s%s: %s\n", result.Code, result.Name, place, result.Text)
+	if result.Code == bbrcode.WriteUnknown || result.Code == bbrcode.StoredNotInForce {
+		fmt.Fprintf(p.errors, "operation %s\n", result.Operation)
+	}
+}
+
+func status(code bbrcode.Code) int {
+	switch code {
+	case bbrcode.Done, bbrcode.DryRun:
+		return ExitDone
+	case bbrcode.Syntax:
+		return ExitUsage
+	case bbrcode.StoredNotInForce:
+		return ExitPending
+	case bbrcode.WriteUnknown, bbrcode.ZoneUnreachable:
+		return ExitUnknown
+	default:
+		return ExitRefused
+	}
+}
+
+// prompt reads commands until the input ends, and returns the last status.
+func prompt(ctx context.Context, c *client, in io.Reader, p printer) int {
+	last := ExitDone
+	scanner := bufio.NewScanner(in)
+	for {
+		fmt.Fprint(p.out, "bluebellridge> ")
+		if !scanner.Scan() {
+			fmt.Fprintln(p.out)
+			return last
+		}
+		line := strings.TrimSpace(scanner.Text())
+		switch line {
+		case "":
+		case "exit", "quit":
+			return last
+		default:
+			last = p.print(c.run(ctx, line))
+		}
+	}
+}
--- /dev/null
+++ b/internal/operator/bbrlanguage/command.go
@@ -0,0 +1,139 @@
+package bbrlanguage
+
+import (
+	"fmt"
+	"strings"
+
+	"github.com/alecthomas/participle/v2"
+	"github.com/alecthomas/participle/v2/lexer"
+	"github.com/cockroachdb/errors"
+
+	"github.com/bluebellridge/bluebellridge/internal/base/bbrcode"
+)
+
+// Command is one parsed line. Exactly one field is set.
+type Command struct {
+	Show    *Show    `parser:"  'show' @@"`
+	Why     *Why     `parser:"| 'why' @@"`
+	Drain   *Target  `parser:"| 'drain' @@"`
+	Reboot  *Target  `parser:"| 'reboot' @@"`
+	Move    *Move    `parser:"| 'move' @@"`
+	Set     *Set     `parser:"| 'set' @@"`
+	Assign  *Assign  `parser:"| 'assign' @@"`
+	Start   *Start   `parser:"| 'start' 'wave' @@"`
+	Halt    *Name    `parser:"| 'halt' 'wave' @@"`
+	Resume  *Resume  `parser:"| 'resume' @@"`
+	Declare *Declare `parser:"| 'declare' @@"`
+	Help    bool     `parser:"| @'help'"`
+}
+
+// Show lists things of one kind.
+type Show struct {
+	Kind    string   `parser:"@('instances'|'entries'|'pools'|'queues'|'services'|'teams'|'waves'|'permits')"`
+	Filters []Filter `parser:"('where' @@ ('and' @@)*)?"`
+}
+
+// Filter keeps the rows whose field has a value.
+type Filter struct {
+	Field    string `parser:"@Word"`
+	Operator string `parser:"@('=' | '!=')"`
+	Value    string `parser:"@(Word|String)"`
+}
+
+// Keeps reports whether a row with this value of the field stays.
+func (f Filter) Keeps(value string) bool {
+	return (value == f.Value) == (f.Operator == "=")
+}
+
+// Why asks for the decision that holds something.
+type Why struct {
+	Kind string `parser:"@('instance'|'queue')"`
+	Name string `parser:"@Word"`
+}
+
+// Target is an instance, with an operator's reason.
+type Target struct {
+	Instance string `parser:"@Word"`
+	Reason   string `parser:"('for' @(Word|String))?"`
+}
+
+// Move brings an instance to another pool.
+type Move struct {
+	Instance string `parser:"@Word 'to'"`
+	Pool     string `parser:"@Word"`
+	Reason   string `parser:"('for' @(Word|String))?"`
+}
+
+// Set changes one field of the configuration.
+type Set struct {
+	Field string `parser:"@('budget'|'quota'|'bound'|'timeout')"`
+	Name  string `parser:"@Word"`
+	Value string `parser:"@Word"`
+}
+
+// Assign lets another pool serve a queue.
+type Assign struct {
+	Queue string `parser:"@Word 'to'"`
+	Pool  string `parser:"@Word"`
+}
+
+// Start begins a wave over a pool, or over all pools.
+type Start struct {
+	Name string `parser:"@Word"`
+	Pool string `parser:"('on' 'pool' @Word)?"`
+}
+
+// Name is the name of a wave.
+type Name struct {
+	Name string `parser:"@Word"`
+}
+
+// Resume returns a drained instance to service or lets a wave go on.
+type Resume struct {
+	Wave     string `parser:"  'wave' @Word"`
+	Instance string `parser:"| @Word"`
+}
+
+// Declare states that an entry is gone for good.
+type Declare struct {
+	Entry string `parser:"'gone' @Word"`
+}
+
+var words = lexer.MustSimple([]lexer.SimpleRule{
+	{Name: "String", Pattern: `"[^"]*"`},
+	{Name: "Word", Pattern: `[A-Za-z0-9_][A-Za-z0-9_.:/\-]*`},
+	{Name: "Operator", Pattern: `!=|=`},
+	{Name: "Space", Pattern: `\s+`},
+})
+
+var parser = participle.MustBuild[Command](
+	participle.Lexer(words),
+	participle.Elide("Space"),
+	participle.Unquote("String"),
+	participle.UseLookahead(2),
+)
+
+// maxLine bounds a command line in bytes.
+const maxLine = 1000
+
+// Parse reads one line.
+func Parse(line string) (*Command, error) {
+	if len(line) > maxLine {
+		return nil, bbrcode.Errorf(bbrcode.Syntax, fmt.Sprintf("column %d", maxLine), "a command has at most %d characters", maxLine)
+	}
+	if strings.TrimSpace(line) == "" {
+		return nil, bbrcode.Errorf(bbrcode.Syntax, "column 1", "expected a command; help lists them")
+	}
+	command, err := parser.ParseString("", line)
+	if err == nil {
+		return command, nil
+	}
+	place := "column 1"
+	text := err.Error()
+	var located participle.Error
+	if errors.As(err, &located) {
+		place = fmt.Sprintf("column %d", located.Position().Column)
+		text = located.Message()
+	}
+	return nil, bbrcode.Errorf(bbrcode.Syntax, place, "%s", text)
+}
--- /dev/null
+++ b/internal/peer/bbrlink/caller.go
@@ -0,0 +1,66 @@
+package bbrlink
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/bluebellridge/bluebellridge/internal/base/bbrcode"
+	"github.com/bluebellridge/bluebellridge/internal/peer/bbrpeerproto"
+	"github.com/bluebellridge/bluebellridge/internal/request/bbranswer"
+	"github.com/bluebellridge/bluebellridge/internal/request/bbrjob"
+	"github.com/bluebellridge/bluebellridge/internal/request/bbrticket"
+)
+
+// Forward places a request at another entry, over a connection made just now,
+// so that a refused connection proves that it did not run.
+func (c *Client) Forward(ctx context.Context, peer netip.AddrPort, job *bbrjob.Job, deadline time.Time, waiting bool) *bbranswer.Answer {
+	message := EncodeJob(job, time.Until(deadline))
+	message.MayWait = waiting
+	answer, err := c.send(ctx, peer, message, deadline)
+	switch {
+	case err == nil:
+		return answer
+	case errors.Is(err, ErrUnreached):
+		return bbranswer.Refuse(bbrcode.PeerUnreachable, peer.String(), err.Error())
+	default:
+		return bbranswer.Refuse(bbrcode.PeerLost, peer.String(), err.Error())
+	}
+}
+
+// Resolve runs a request at the holder of its key. A refused connection proves
+// that this attempt did not run; an earlier one may have.
+func (c *Client) Resolve(ctx context.Context, holder bbrticket.Holder, job *bbrjob.Job, deadline time.Time) *bbranswer.Answer {
+	message := EncodeJob(job, time.Until(deadline))
+	message.HolderIncarnation = holder.Incarnation
+	message.MayWait = true
+	answer, err := c.send(ctx, holder.Peer, message, deadline)
+	switch {
+	case err == nil:
+		return answer
+	case errors.Is(err, ErrUnreached):
+		return bbranswer.Refuse(bbrcode.HolderUnreachable, holder.Peer.String(), err.Error())
+	default:
+		return bbranswer.Refuse(bbrcode.PeerLost, holder.Peer.String(), err.Error())
+	}
+}
+
+// answerGrace is what the other entry gets to answer after the deadline, so
+// that its own final answer arrives.
+const answerGrace = 500 * time.Millisecond
+
+func (c *Client) send(ctx context.Context, peer netip.AddrPort, message *bbrpeerproto.ForwardRequest, deadline time.Time) (*bbranswer.Answer, error) {
+	ctx, cancel := context.WithDeadline(ctx, deadline.Add(answerGrace))
+	defer cancel()
+	var answer *bbranswer.Answer
+	err := c.Once(ctx, peer, func(client bbrpeerproto.DRPCPeerClient) error {
+		response, err := client.Forward(ctx, message)
+		if err == nil {
+			answer = DecodeAnswer(response)
+		}
+		return err
+	})
+	return answer, err
+}
--- /dev/null
+++ b/internal/peer/bbrlink/convert.go
@@ -0,0 +1,121 @@
+package bbrlink
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/bluebellridge/bluebellridge/internal/base/bbrcode"
+	"github.com/bluebellridge/bluebellridge/internal/fleet/bbrview"
+	"github.com/bluebellridge/bluebellridge/internal/peer/bbrpeerproto"
+	"github.com/bluebellridge/bluebellridge/internal/request/bbranswer"
+	"github.com/bluebellridge/bluebellridge/internal/request/bbrjob"
+)
+
+func encodeHeader(header http.Header) []*bbrpeerproto.HeaderField {
+	fields := make([]*bbrpeerproto.HeaderField, 0, len(header))
+	for name, values := range header {
+		fields = append(fields, &bbrpeerproto.HeaderField{Name: name, Values: values})
+	}
+	return fields
+}
+
+func decodeHeader(fields []*bbrpeerproto.HeaderField) http.Header {
+	header := make(http.Header, len(fields))
+	for _, field := range fields {
+		header[http.CanonicalHeaderKey(field.GetName())] = field.GetValues()
+	}
+	return header
+}
+
+// leastTimeout keeps a passed deadline from reading as no deadline.
+const leastTimeout = time.Millisecond
+
+// EncodeJob returns the message of a forwarded request. The deadline goes
+// along as the time that is left, since clocks differ.
+func EncodeJob(job *bbrjob.Job, left time.Duration) *bbrpeerproto.ForwardRequest {
+	return &bbrpeerproto.ForwardRequest{
+		Id:           job.ID,
+		Queue:        job.Queue,
+		Team:         job.Team,
+		Urgent:       job.Urgent,
+		Method:       job.Method,
+		Target:       job.Target,
+		Header:       encodeHeader(job.Header),
+		Body:         job.Body,
+		Key:          job.Key,
+		MemoryBytes:  job.MemoryBytes,
+		TimeoutNanos: int64(max(left, leastTimeout)),
+	}
+}
+
+// DecodeJob returns the request of a message.
+func DecodeJob(m *bbrpeerproto.ForwardRequest) *bbrjob.Job {
+	return &bbrjob.Job{
+		ID:          m.GetId(),
+		Queue:       m.GetQueue(),
+		Team:        m.GetTeam(),
+		Urgent:      m.GetUrgent(),
+		Method:      m.GetMethod(),
+		Target:      m.GetTarget(),
+		Header:      decodeHeader(m.GetHeader()),
+		Body:        m.GetBody(),
+		Key:         m.GetKey(),
+		MemoryBytes: m.GetMemoryBytes(),
+		Timeout:     time.Duration(m.GetTimeoutNanos()),
+	}
+}
+
+// EncodeAnswer returns the message of a whole answer.
+func EncodeAnswer(a *bbranswer.Answer) *bbrpeerproto.ForwardResponse {
+	return &bbrpeerproto.ForwardResponse{
+		Code:     uint32(a.Code),
+		Place:    a.Place,
+		Detail:   a.Detail,
+		Status:   int32(a.Status),
+		Header:   encodeHeader(a.Header),
+		Body:     a.Body,
+		Upstream: a.Upstream,
+	}
+}
+
+// DecodeAnswer returns the answer of a message.
+func DecodeAnswer(m *bbrpeerproto.ForwardResponse) *bbranswer.Answer {
+	return &bbranswer.Answer{
+		Code:     bbrcode.Code(m.GetCode()),
+		Place:    m.GetPlace(),
+		Detail:   m.GetDetail(),
+		Status:   int(m.GetStatus()),
+		Header:   decodeHeader(m.GetHeader()),
+		Body:     m.GetBody(),
+		Upstream: m.GetUpstream(),
+	}
+}
+
+// EncodeAck returns the message of an acknowledgement.
+func EncodeAck(ack bbrview.Ack, revision uint64) *bbrpeerproto.AcknowledgeResponse {
+	busy := make(map[string]int32, len(ack.Busy))
+	for instance, count := range ack.Busy {
+		busy[instance] = int32(count)
+	}
+	return &bbrpeerproto.AcknowledgeResponse{
+		Incarnation: ack.Incarnation,
+		ViewVersion: ack.Version,
+		Revision:    revision,
+		Busy:        busy,
+		Overhang:    int32(ack.Overhang),
+	}
+}
+
+// DecodeAck returns the acknowledgement of a message.
+func DecodeAck(m *bbrpeerproto.AcknowledgeResponse) bbrview.Ack {
+	busy := make(map[string]int, len(m.GetBusy()))
+	for instance, count := range m.GetBusy() {
+		busy[instance] = int(count)
+	}
+	return bbrview.Ack{
+		Incarnation: m.GetIncarnation(),
+		Version:     m.GetViewVersion(),
+		Busy:        busy,
+		Overhang:    int(m.GetOverhang()),
+	}
+}
--- /dev/null
+++ b/internal/peer/bbrlink/plugin.go
@@ -0,0 +1,63 @@
+package bbrlink
+
+import (
+	"context"
+	"net"
+	"sync"
+
+	"go.uber.org/fx"
+	"k8s.io/klog/v2"
+
+	"github.com/bluebellridge/bluebellridge/internal/config/bbrsettings"
+	"github.com/bluebellridge/bluebellridge/internal/daemon/bbrentry"
+	"github.com/bluebellridge/bluebellridge/internal/daemon/bbrkernel"
+)
+
+func init() {
+	bbrkernel.Register(bbrkernel.Plugin{
+		Name:  "peer",
+		Stage: bbrkernel.StagePeer,
+		Option: fx.Options(
+			fx.Provide(newServer),
+			fx.Invoke(func(lifecycle fx.Lifecycle, settings bbrsettings.Settings, server *Server) {
+				l := &listening{server: server, settings: settings}
+				lifecycle.Append(fx.StartStopHook(l.start, l.stop))
+			}),
+		),
+	})
+}
+
+// newServer returns a server without handlers for requests and commands; their
+// plug-ins fill them in before they start.
+func newServer(state *bbrentry.State) *Server { return &Server{State: state} }
+
+// listening is the server on its address.
+type listening struct {
+	server   *Server
+	settings bbrsettings.Settings
+	cancel   context.CancelFunc
+	wg       sync.WaitGroup
+}
+
+func (l *listening) start(ctx context.Context) error {
+	var config net.ListenConfig
+	listener, err := config.Listen(ctx, "tcp", l.settings.Listen.Peers.String())
+	if err != nil {
+		return err
+	}
+	running, cancel := context.WithCancel(context.Background())
+	l.cancel = cancel
+	l.wg.Go(func() { l.run(running, listener) })
+	return nil
+}
+
+func (l *listening) run(ctx context.Context, listener net.Listener) {
+	if err := l.server.Run(ctx, listener); err != nil && ctx.Err() == nil {
+		klog.ErrorS(err, "Peers cannot be served")
+	}
+}
+
+func (l *listening) stop() {
+	l.cancel()
+	l.wg.Wait()
+}
--- /dev/null
+++ b/internal/peer/bbrlink/server.go
@@ -0,0 +1,129 @@
+package bbrlink
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"storj.io/drpc/drpcmux"
+	"storj.io/drpc/drpcserver"
+
+	"github.com/bluebellridge/bluebellridge/internal/base/bbrcode"
+	"github.com/bluebellridge/bluebellridge/internal/daemon/bbrentry"
+	"github.com/bluebellridge/bluebellridge/internal/peer/bbrpeerproto"
+	"github.com/bluebellridge/bluebellridge/internal/request/bbranswer"
+	"github.com/bluebellridge/bluebellridge/internal/request/bbrjob"
+)
+
+// ServeFunc answers a forwarded request.
+type ServeFunc func(ctx context.Context, job *bbrjob.Job, held string, waiting bool, now time.Time) *bbranswer.Answer
+
+// CommandFunc runs an operator's command on this zone and returns JSON.
+type CommandFunc func(ctx context.Context, line, operation string, dryRun bool) []byte
+
+// Server answers other entries. Requests and commands are refused until their
+// handlers are set.
+type Server struct {
+	State *bbrentry.State
+
+	serve   atomic.Pointer[ServeFunc]
+	command atomic.Pointer[CommandFunc]
+}
+
+// SetServe sets the handler of forwarded requests.
+func (s *Server) SetServe(serve ServeFunc) { s.serve.Store(&serve) }
+
+// SetRunCommand sets the handler of commands.
+func (s *Server) SetRunCommand(command CommandFunc) { s.command.Store(&command) }
+
+var errStarting = errors.New("the entry is starting")
+
+// Run serves the listener until ctx ends.
+func (s *Server) Run(ctx context.Context, listener net.Listener) error {
+	router := drpcmux.New()
+	if err := bbrpeerproto.DRPCRegisterPeer(router, s); err != nil {
+		return err
+	}
+	server := drpcserver.NewWithOptions(router, drpcserver.Options{Manager: managerOptions()})
+	return server.Serve(ctx, listener)
+}
+
+// Confirm tells a peer whether this entry takes it for registered.
+func (s *Server) Confirm(_ context.Context, in *bbrpeerproto.ConfirmRequest) (*bbrpeerproto.ConfirmResponse, error) {
+	peer, err := netip.ParseAddrPort(in.GetPeer())
+	if err != nil {
+		return nil, err
+	}
+	snapshot := s.State.Snapshot()
+	return &bbrpeerproto.ConfirmResponse{
+		Confirmed:   s.confirms(snapshot, peer, in.GetIncarnation()),
+		ViewVersion: snapshot.Version,
+		Revision:    s.State.Revision().Number,
+		FreeSlots:   s.freeSlots(),
+		Zone:        s.State.Identity.Zone,
+	}, nil
+}
+
+func (s *Server) confirms(snapshot *bbrentry.Snapshot, peer netip.AddrPort, incarnation string) bool {
+	listed, suspected := s.State.Registered()
+	return listed && !suspected && snapshot.View.Confirms(s.State.Identity.Peer, peer, incarnation)
+}
+
+// freeSlots counts what this entry could take at once in each of its pools.
+func (s *Server) freeSlots() map[string]int32 {
+	free := make(map[string]int32)
+	if !s.State.MaySend(time.Now()) {
+		return free
+	}
+	for name, pool := range s.State.Table().Pools {
+		if pool.Slots() > 0 {
+			free[name] = int32(pool.Free())
+		}
+	}
+	return free
+}
+
+// Acknowledge tells which view and configuration this entry obeys.
+func (s *Server) Acknowledge(context.Context, *bbrpeerproto.AcknowledgeRequest) (*bbrpeerproto.AcknowledgeResponse, error) {
+	return EncodeAck(s.State.Acknowledge(), s.State.Revision().Number), nil
+}
+
+// Documents returns what is newer here than at the peer.
+func (s *Server) Documents(_ context.Context, in *bbrpeerproto.DocumentsRequest) (*bbrpeerproto.DocumentsResponse, error) {
+	snapshot, revision := s.State.Snapshot(), s.State.Revision()
+	out := &bbrpeerproto.DocumentsResponse{Zone: s.State.Identity.Zone}
+	var err error
+	if snapshot.Version > in.GetViewVersion() && in.GetZone() == s.State.Identity.Zone {
+		out.ViewVersion = snapshot.Version
+		out.View, err = json.Marshal(snapshot.View)
+	}
+	if err == nil && revision.Number > in.GetRevision() {
+		out.Revision = revision.Number
+		out.Config, err = json.Marshal(revision.Config)
+	}
+	return out, err
+}
+
+// Forward places a request that another entry passes on.
+func (s *Server) Forward(ctx context.Context, in *bbrpeerproto.ForwardRequest) (*bbrpeerproto.ForwardResponse, error) {
+	serve := s.serve.Load()
+	if serve == nil {
+		return EncodeAnswer(bbranswer.Refuse(bbrcode.NotReady, "", "")), nil
+	}
+	answer := (*serve)(ctx, DecodeJob(in), in.GetHolderIncarnation(), in.GetMayWait(), time.Now())
+	return EncodeAnswer(answer), nil
+}
+
+// Command runs an operator's command that was asked for in another zone.
+func (s *Server) Command(ctx context.Context, in *bbrpeerproto.CommandRequest) (*bbrpeerproto.CommandResponse, error) {
+	command := s.command.Load()
+	if command == nil {
+		return nil, errStarting
+	}
+	result := (*command)(ctx, in.GetLine(), in.GetOperation(), in.GetDryRun())
+	return &bbrpeerproto.CommandResponse{Result: result}, nil
+}
--- /dev/null
+++ b/internal/platform/bbrlist/list.go
@@ -0,0 +1,70 @@
+package bbrlist
+
+import (
+	"context"
+	"net/http"
+	"net/netip"
+	"net/url"
+
+	"github.com/bluebellridge/bluebellridge/internal/platform/bbrstore"
+)
+
+// State is the platform's word about an instance.
+type State string
+
+// States of the platform's list.
+const (
+	Live      State = "live"
+	Leaving   State = "leaving"
+	Rebooting State = "rebooting"
+)
+
+// Instance is one row of the platform's list.
+type Instance struct {
+	ID      string         `json:"id"`
+	Zone    string         `json:"zone"`
+	Rack    string         `json:"rack"`
+	Address netip.AddrPort `json:"address"`
+	// Pool is the pool that the instance was rented for; it counts only when
+	// the instance is seen for the first time.
+	Pool        string `json:"pool"`
+	Slots       int    `json:"slots"`
+	Connections int    `json:"connections"`
+	MemoryBytes int64  `json:"memoryBytes"`
+	State       State  `json:"state"`
+	// LastReboot is the operation ID of the last completed reboot.
+	LastReboot string `json:"lastReboot"`
+}
+
+// Answer is the body of a listing.
+type Answer struct {
+	Instances []Instance `json:"instances"`
+}
+
+// RebootBody asks for a reboot. The platform performs an operation once.
+type RebootBody struct {
+	Operation string `json:"operation"`
+}
+
+// List gives access to the platform's instances.
+type List struct {
+	// Instances returns the zone's rows, which may be seconds old.
+	Instances func(ctx context.Context, zone string) ([]Instance, error)
+	// Reboot starts a reboot; repeating an operation has no further effect.
+	Reboot func(ctx context.Context, instance, operation string) error
+}
+
+// FromAdapter returns a List that uses the platform's HTTP protocol.
+func FromAdapter(a *bbrstore.Adapter) *List {
+	return &List{
+		Instances: func(ctx context.Context, zone string) ([]Instance, error) {
+			var answer Answer
+			err := a.Call(ctx, http.MethodGet, "/v1/instances?zone="+url.QueryEscape(zone), nil, &answer)
+			return answer.Instances, err
+		},
+		Reboot: func(ctx context.Context, instance, operation string) error {
+			path := "/v1/instances/" + url.PathEscape(instance) + "/reboot"
+			return a.Call(ctx, http.MethodPost, path, RebootBody{Operation: operation}, nil)
+		},
+	}
+}
--- /dev/null
+++ b/internal/request/bbradmission/estimate.go
@@ -0,0 +1,29 @@
+package bbradmission
+
+import (
+	"sync/atomic"
+	"time"
+)
+
+// smoothing is the weight of the past against one observation.
+const smoothing = 15
+
+// Estimate learns a run time from observations. The zero value knows nothing
+// and answers 0, which refuses nobody.
+type Estimate struct {
+	mean atomic.Int64
+}
+
+// Observe adds a run time. Concurrent observations may replace each other;
+// each is one sample of many.
+func (e *Estimate) Observe(runTime time.Duration) {
+	mean := e.mean.Load()
+	if mean == 0 {
+		e.mean.Store(int64(runTime))
+		return
+	}
+	e.mean.Store((mean*smoothing + int64(runTime)) / (smoothing + 1))
+}
+
+// Mean returns the learned run time, or 0.
+func (e *Estimate) Mean() time.Duration { return time.Duration(e.mean.Load()) }
--- /dev/null
+++ b/internal/request/bbranswer/answer.go
@@ -0,0 +1,129 @@
+package bbranswer
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/bluebellridge/bluebellridge/internal/base/bbrcode"
+)
+
+// Headers of answers.
+const (
+	CodeHeader      = "Bbr-Code"
+	OutcomeHeader   = "Bbr-Outcome"
+	UpstreamHeader  = "Bbr-Upstream"
+	EntryHeader     = "Bbr-Entry"
+	RequestIDHeader = "Bbr-Request-Id"
+)
+
+// Answer is the final answer to one request.
+type Answer struct {
+	Code   bbrcode.Code
+	Place  string
+	Detail string
+	// Status, Header and Body are the upstream's where the request ran.
+	Status int
+	Header http.Header
+	Body   []byte
+	// Rest is what follows Body of an answer that is longer than the queue's
+	// bound, and nil otherwise. Whoever writes the answer closes it.
+	Rest     io.ReadCloser
+	Upstream string
+}
+
+// Refuse returns an answer without an upstream's content.
+func Refuse(code bbrcode.Code, place, detail string) *Answer {
+	return &Answer{Code: code, Place: place, Detail: detail}
+}
+
+// FromError returns the refusal that err stands for.
+func FromError(err error, fallback bbrcode.Code) *Answer {
+	var coded *bbrcode.Error
+	if errors.As(err, &coded) {
+		return Refuse(coded.Code, coded.Place, coded.Detail)
+	}
+	return Refuse(fallback, "", err.Error())
+}
+
+// Outcome returns what is known about the work.
+func (a *Answer) Outcome() bbrcode.Outcome { return a.Code.Info().Outcome }
+
+// problem is an RFC 9457 document.
+type problem struct {
+	Type    string       `json:"type"`
+	Title   string       `json:"title"`
+	Status  int          `json:"status"`
+	Detail  string       `json:"detail,omitempty"`
+	Code    bbrcode.Code `json:"code"`
+	Outcome string       `json:"outcome"`
+	Place   string       `json:"place,omitempty"`
+	Request string       `json:"request"`
+}
+
+// Write sends the answer. It returns an error where the caller's connection
+// must be aborted so that the caller cannot take a part for the whole.
+func (a *Answer) Write(w http.ResponseWriter, requestID string) error {
+	header := w.Header()
+	for name, values := range a.Header {
+		header[name] = values
+	}
+	info := a.Code.Info()
+	header.Set(CodeHeader, strconv.Itoa(int(a.Code)))
+	header.Set(OutcomeHeader, info.Outcome.String())
+	header.Set(RequestIDHeader, requestID)
+	if a.Upstream != "" {
+		header.Set(UpstreamHeader, a.Upstream)
+	}
+	if a.Status == 0 {
+		return a.writeProblem(w, info, requestID)
+	}
+	return a.writeContent(w)
+}
+
+func (a *Answer) writeProblem(w http.ResponseWriter, info bbrcode.Info, requestID string) error {
+	if info.RetryAfter > 0 {
+		w.Header().Set("Retry-After", strconv.Itoa(int(info.RetryAfter/time.Second)))
+	}
+	body, err := json.Marshal(problem{
+		Type:    "urn:bluebellridge:code:" + strconv.Itoa(int(a.Code)),
+		Title:   info.Text,
+		Status:  info.Status,
+		Detail:  a.Detail,
+		Code:    a.Code,
+		Outcome: info.Outcome.String(),
+		Place:   a.Place,
+		Request: requestID,
+	})
+	if err != nil {
+		return err
+	}
+	w.Header().Set("Content-Type", "application/problem+json")
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	w.WriteHeader(info.Status)
+	_, err = w.Write(body)
+	return err
+}
+
+func (a *Answer) writeContent(w http.ResponseWriter) error {
+	if a.Rest == nil {
+		w.Header().Set("Content-Length", strconv.Itoa(len(a.Body)))
+	}
+	w.WriteHeader(a.Status)
+	if _, err := w.Write(a.Body); err != nil || a.Rest == nil {
+		return err
+	}
+	_, err := io.Copy(w, a.Rest)
+	return err
+}
+
+// Close releases the upstream's connection of an answer with a Rest.
+func (a *Answer) Close() {
+	if a.Rest != nil {
+		_ = a.Rest.Close()
+	}
+}
--- /dev/null
+++ b/internal/request/bbrconnection/pool.go
@@ -0,0 +1,97 @@
+package bbrconnection
+
+import (
+	"context"
+	"net/netip"
+	"sync"
+	"time"
+)
+
+const (
+	// maxIdle bounds the idle connections to one upstream.
+	maxIdle = 8
+	// maxIdleTime is how long a connection may be idle and be used again.
+	maxIdleTime = 30 * time.Second
+)
+
+// Pool keeps idle connections by upstream. The zero value is empty.
+type Pool struct {
+	// DialTimeout bounds the making of a connection.
+	DialTimeout time.Duration
+
+	mu   sync.Mutex
+	idle map[netip.AddrPort][]*connection
+}
+
+// get returns an idle connection or makes one. A fresh one is made for
+// requests that must not be lost on a path that has gone silent.
+func (p *Pool) get(ctx context.Context, address netip.AddrPort, fresh bool, now time.Time) (*connection, error) {
+	for !fresh {
+		conn := p.pop(address)
+		if conn == nil {
+			break
+		}
+		if now.Sub(conn.idleSince) < maxIdleTime && conn.clean() {
+			conn.reused = true
+			return conn, nil
+		}
+		_ = conn.Close()
+	}
+	return dial(ctx, address, p.DialTimeout)
+}
+
+func (p *Pool) pop(address netip.AddrPort) *connection {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	list := p.idle[address]
+	if len(list) == 0 {
+		return nil
+	}
+	conn := list[len(list)-1]
+	p.idle[address] = list[:len(list)-1]
+	return conn
+}
+
+// put keeps a connection whose last answer was whole.
+func (p *Pool) put(address netip.AddrPort, conn *connection, now time.Time) {
+	conn.idleSince = now
+	_ = conn.SetDeadline(time.Time{})
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.idle[address]) >= maxIdle {
+		_ = conn.Close()
+		return
+	}
+	if p.idle == nil {
+		p.idle = make(map[netip.AddrPort][]*connection)
+	}
+	p.idle[address] = append(p.idle[address], conn)
+}
+
+// Drop closes the idle connections to an upstream. It is called when one of
+// them was found silent: the others share its path and its age.
+func (p *Pool) Drop(address netip.AddrPort) int {
+	p.mu.Lock()
+	list := p.idle[address]
+	delete(p.idle, address)
+	p.mu.Unlock()
+	for _, conn := range list {
+		_ = conn.Close()
+	}
+	return len(list)
+}
+
+// Retain closes the idle connections to all upstreams but the given ones.
+func (p *Pool) Retain(addresses map[netip.AddrPort]bool) {
+	p.mu.Lock()
+	var gone []netip.AddrPort
+	for address := range p.idle {
+		if !addresses[address] {
+			gone = append(gone, address)
+		}
+	}
+	p.mu.Unlock()
+	for _, address := range gone {
+		p.Drop(address)
+	}
+}
--- /dev/null
+++ b/internal/request/bbrgateway/gateway.go
@@ -0,0 +1,234 @@
+package bbrgateway
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"github.com/bluebellridge/bluebellridge/internal/base/bbrcode"
+	"github.com/bluebellridge/bluebellridge/internal/base/bbrmetric"
+	"github.com/bluebellridge/bluebellridge/internal/daemon/bbrentry"
+	"github.com/bluebellridge/bluebellridge/internal/request/bbradmission"
+	"github.com/bluebellridge/bluebellridge/internal/request/bbranswer"
+	"github.com/bluebellridge/bluebellridge/internal/request/bbrconnection"
+	"github.com/bluebellridge/bluebellridge/internal/request/bbrjob"
+	"github.com/bluebellridge/bluebellridge/internal/request/bbrroute"
+	"github.com/bluebellridge/bluebellridge/internal/request/bbrticket"
+)
+
+// Gateway serves requests. Its function fields reach other entries and the
+// platform.
+type Gateway struct {
+	State       *bbrentry.State
+	Metrics     *bbrmetric.Set
+	Connections *bbrconnection.Pool
+	Tickets     *bbrticket.Table
+	// MaxBodyBytes bounds a request's body, and MaxInProgress the requests
+	// that are held at once.
+	MaxBodyBytes  int64
+	MaxInProgress int64
+	// ReadTimeout bounds the reading of a request's body, WriteTimeout the
+	// writing of an answer. They are not to be 0.
+	ReadTimeout  time.Duration
+	WriteTimeout time.Duration
+
+	// PeerFor names an entry that may have room in the pool. With waiting, an
+	// entry that has slots of the pool at all is good enough.
+	PeerFor func(pool string, waiting bool) (netip.AddrPort, bool)
+	// Refused notes that a peer had no room in the pool.
+	Refused func(peer netip.AddrPort, pool string)
+	// Forward places the request at another entry. With waiting, that entry
+	// may queue it.
+	Forward func(ctx context.Context, peer netip.AddrPort, job *bbrjob.Job, deadline time.Time, waiting bool) *bbranswer.Answer
+	// Resolve runs the request at the entry that holds its key.
+	Resolve func(ctx context.Context, holder bbrticket.Holder, job *bbrjob.Job, deadline time.Time) *bbranswer.Answer
+	// Claim finds or becomes the holder of a caller's own key.
+	Claim func(ctx context.Context, queue, key string) (bbrticket.Holder, error)
+
+	inProgress atomic.Int64
+	unready    atomic.Bool
+	stopping   atomic.Bool
+	tickets    atomic.Uint64
+}
+
+// InProgress returns how many requests are held.
+func (g *Gateway) InProgress() int { return int(g.inProgress.Load()) }
+
+// Unready makes the balancer send no more requests; those that come are served
+// all the same.
+func (g *Gateway) Unready() { g.unready.Store(true) }
+
+// Stop makes the gateway refuse new requests.
+func (g *Gateway) Stop() { g.stopping.Store(true) }
+
+// Ready reports whether the gateway takes requests.
+func (g *Gateway) Ready() bool {
+	return !g.unready.Load() && !g.stopping.Load() && g.State.Ready()
+}
+
+// Source says where a request comes from.
+type Source struct {
+	// Forwarded requests came from another entry and make no further hop.
+	Forwarded bool
+	// Waiting allows a forwarded request to be queued.
+	Waiting bool
+}
+
+// enter counts a request or says why it is not taken.
+func (g *Gateway) enter() bbrcode.Code {
+	if n := g.inProgress.Add(1); n > g.MaxInProgress {
+		g.inProgress.Add(-1)
+		return bbrcode.TooManyInProgress
+	}
+	// The flag is read after the request was counted, so that a stop that
+	// sees no request in progress will not get one.
+	if g.stopping.Load() {
+		g.inProgress.Add(-1)
+		return bbrcode.ShuttingDown
+	}
+	return 0
+}
+
+func (g *Gateway) leave() { g.inProgress.Add(-1) }
+
+// Serve answers a request that came from a caller.
+func (g *Gateway) Serve(ctx context.Context, job *bbrjob.Job, now time.Time) *bbranswer.Answer {
+	queue, refusal := g.queueOf(job)
+	if refusal != nil {
+		return refusal
+	}
+	if job.Key == "" || job.Idempotent(queue.Config) {
+		return g.place(ctx, job, queue, Source{}, now)
+	}
+	return g.serveKeyed(ctx, job, queue, now)
+}
+
+func (g *Gateway) queueOf(job *bbrjob.Job) (*bbrroute.Queue, *bbranswer.Answer) {
+	if !g.State.Ready() {
+		return nil, bbranswer.Refuse(bbrcode.NotReady, "", "")
+	}
+	queue, ok := g.State.Table().Queues[job.Queue]
+	if !ok || queue.Pool == nil {
+		return nil, bbranswer.Refuse(bbrcode.UnknownQueue, job.Queue, "")
+	}
+	return queue, nil
+}
+
+// place finds a slot for the request and runs it.
+func (g *Gateway) place(ctx context.Context, job *bbrjob.Job, queue *bbrroute.Queue, source Source, now time.Time) *bbranswer.Answer {
+	if team, ok := g.State.Table().Teams[job.Team]; ok {
+		if !team.State.Enter(team.Quota) {
+			return bbranswer.Refuse(bbrcode.QuotaExceeded, job.Team, "")
+		}
+		defer team.State.Leave()
+	}
+	if largest := queue.Pool.LargestMemoryBytes; largest > 0 && job.MemoryBytes > largest {
+		return bbranswer.Refuse(bbrcode.NeverFits, bbrjob.MemoryHeader, "the pool's largest instance has less memory")
+	}
+	deadline := job.Deadline(queue.Config, now)
+	choice := bbrroute.Choice{Random: rand.Uint64(), Urgent: job.Urgent}
+	target := g.pick(queue, choice, now)
+	if target == nil && !source.Forwarded {
+		answer, lost := g.spill(ctx, job, queue, deadline)
+		if answer != nil {
+			return answer
+		}
+		if lost != nil {
+			return truthful(g.queueAndRun(ctx, job, queue, source, deadline), lost)
+		}
+	}
+	if target == nil {
+		return g.queueAndRun(ctx, job, queue, source, deadline)
+	}
+	return g.run(ctx, job, queue, target, deadline)
+}
+
+// truthful replaces a later attempt's word that nothing ran by what is known
+// of an earlier one.
+func truthful(answer, earlier *bbranswer.Answer) *bbranswer.Answer {
+	if answer.Outcome() == bbrcode.OutcomeNotRun {
+		return earlier
+	}
+	return answer
+}
+
+// queueAndRun waits for a slot and runs the request.
+func (g *Gateway) queueAndRun(ctx context.Context, job *bbrjob.Job, queue *bbrroute.Queue, source Source, deadline time.Time) *bbranswer.Answer {
+	target, refusal := g.wait(ctx, job, queue, source, deadline, time.Now())
+	if refusal != nil {
+		return refusal
+	}
+	return g.run(ctx, job, queue, target, deadline)
+}
+
+// pick takes a slot at once, unless others wait for one.
+func (g *Gateway) pick(queue *bbrroute.Queue, choice bbrroute.Choice, now time.Time) *bbrroute.Target {
+	if !choice.Urgent && queue.Pool.Line.Len() > 0 {
+		return nil
+	}
+	return queue.Pool.Pick(choice, now)
+}
+
+// spill tries one other entry that has said that it has room. The answer is
+// final if it is not nil. Otherwise the request is still to be placed, and lost
+// is what to say of the first attempt should the next one not run.
+func (g *Gateway) spill(ctx context.Context, job *bbrjob.Job, queue *bbrroute.Queue, deadline time.Time) (answer, lost *bbranswer.Answer) {
+	// An entry without slots of its own lets another one queue the request.
+	waiting := queue.Pool.Slots() == 0
+	peer, ok := g.PeerFor(queue.Pool.Name, waiting)
+	if !ok {
+		return nil, nil
+	}
+	answer = g.Forward(ctx, peer, job, deadline, waiting)
+	switch {
+	case waiting:
+		return answer, nil
+	case answer.Outcome() == bbrcode.OutcomeNotRun:
+		g.Refused(peer, queue.Pool.Name)
+		g.Metrics.Retry("spillRefused")
+		return nil, nil
+	case answer.Code == bbrcode.PeerLost && job.Idempotent(queue.Config):
+		g.Metrics.Retry("spillLost")
+		return nil, answer
+	default:
+		return answer, nil
+	}
+}
+
+// wait queues the request until it has a slot. The error answer is final.
+func (g *Gateway) wait(ctx context.Context, job *bbrjob.Job, queue *bbrroute.Queue, source Source, deadline, now time.Time) (*bbrroute.Target, *bbranswer.Answer) {
+	pool := queue.Pool
+	switch {
+	case pool.Slots() == 0:
+		return nil, bbranswer.Refuse(bbrcode.NoUpstream, pool.Name, "no instance of the pool serves in this zone")
+	case source.Forwarded && !source.Waiting:
+		return nil, bbranswer.Refuse(bbrcode.QueueFull, job.Queue, "no slot is free")
+	}
+	load := bbradmission.Load{Ahead: pool.Line.Len(), Slots: pool.Slots(), RunTime: queue.State.RunTimes.Mean(), Deadline: deadline}
+	if code := load.StartsInTime(now); code != 0 && !job.Urgent {
+		return nil, bbranswer.Refuse(code, job.Queue, "expected wait "+load.Wait().String())
+	}
+	if !queue.State.Enter(queue.Config.Bound) {
+		return nil, bbranswer.Refuse(bbrcode.QueueFull, job.Queue, "")
+	}
+	defer queue.State.Leave()
+	ticket := pool.Line.Join(job.Team, job.Urgent)
+	// A slot may have come free before the request had joined.
+	pool.Wake(now)
+	timer := time.NewTimer(time.Until(deadline))
+	defer timer.Stop()
+	code := bbrcode.Cancelled
+	select {
+	case target := <-ticket.Granted:
+		return target, nil
+	case <-timer.C:
+		code = bbrcode.TimedOutInQueue
+	case <-ctx.Done():
+	}
+	if !pool.Line.Leave(ticket) {
+		pool.Return(<-ticket.Granted)
+	}
+	return nil, bbranswer.Refuse(code, job.Queue, "")
+}
--- /dev/null
+++ b/internal/request/bbrgateway/keyed.go
@@ -0,0 +1,90 @@
+package bbrgateway
+
+import (
+	"context"
+	"time"
+
+	"github.com/bluebellridge/bluebellridge/internal/base/bbrcode"
+	"github.com/bluebellridge/bluebellridge/internal/request/bbranswer"
+	"github.com/bluebellridge/bluebellridge/internal/request/bbrjob"
+	"github.com/bluebellridge/bluebellridge/internal/request/bbrroute"
+	"github.com/bluebellridge/bluebellridge/internal/request/bbrticket"
+)
+
+// holder returns this process as the holder of keys.
+func (g *Gateway) holder() bbrticket.Holder {
+	return bbrticket.Holder{Peer: g.State.Identity.Peer, Incarnation: g.State.Identity.Incarnation}
+}
+
+// IssueTicket returns a new key that this process holds.
+func (g *Gateway) IssueTicket(now time.Time) (string, error) {
+	key := bbrticket.Ticket(g.holder(), g.tickets.Add(1))
+	return key, g.Tickets.Open(key, now)
+}
+
+// serveKeyed runs a non-idempotent request with a key at the key's holder.
+func (g *Gateway) serveKeyed(ctx context.Context, job *bbrjob.Job, queue *bbrroute.Queue, now time.Time) *bbranswer.Answer {
+	holder, err := bbrticket.ParseTicket(job.Key)
+	if err != nil {
+		holder, err = g.Claim(ctx, job.Queue, job.Key)
+	}
+	if err != nil {
+		return bbranswer.FromError(err, bbrcode.ClaimUnavailable)
+	}
+	if holder == g.holder() {
+		return g.runHeld(ctx, job, queue, Source{}, now)
+	}
+	return g.Resolve(ctx, holder, job, job.Deadline(queue.Config, now))
+}
+
+// tableKey is the name of a key in the table. Tickets are unique by
+// themselves; callers' own keys only within a queue.
+func tableKey(job *bbrjob.Job) string {
+	if _, err := bbrticket.ParseTicket(job.Key); err == nil {
+		return job.Key
+	}
+	return bbrticket.ClaimKey(job.Queue, job.Key)
+}
+
+// runHeld runs a request whose key this process holds, at most once.
+func (g *Gateway) runHeld(ctx context.Context, job *bbrjob.Job, queue *bbrroute.Queue, source Source, now time.Time) *bbranswer.Answer {
+	key := tableKey(job)
+	if answer := g.Tickets.Begin(key, bbrticket.PrintOf(job), now); answer != nil {
+		return answer
+	}
+	answer := g.place(ctx, job, queue, source, now)
+	g.Tickets.Finish(key, answer)
+	return answer
+}
+
+// ServeForwarded answers a request that another entry passed on. held is the
+// incarnation that the sender takes for the key's holder, or empty.
+func (g *Gateway) ServeForwarded(ctx context.Context, job *bbrjob.Job, held string, waiting bool, now time.Time) *bbranswer.Answer {
+	if code := g.enter(); code != 0 {
+		return bbranswer.Refuse(code, "", "")
+	}
+	defer g.leave()
+	queue, refusal := g.queueOf(job)
+	if refusal != nil {
+		return refusal
+	}
+	source := Source{Forwarded: true, Waiting: waiting}
+	if held == "" {
+		return g.whole(g.place(ctx, job, queue, source, now))
+	}
+	if held != g.State.Identity.Incarnation {
+		return bbranswer.Refuse(bbrcode.HolderGone, job.Key, "another process runs at the holder's address")
+	}
+	return g.whole(g.runHeld(ctx, job, queue, source, now))
+}
+
+// whole replaces an answer that is too long to pass between entries.
+func (g *Gateway) whole(answer *bbranswer.Answer) *bbranswer.Answer {
+	if answer.Rest == nil {
+		return answer
+	}
+	answer.Close()
+	tooLarge := bbranswer.Refuse(bbrcode.AnswerTooLarge, "", "")
+	tooLarge.Upstream = answer.Upstream
+	return tooLarge
+}
--- /dev/null
+++ b/internal/request/bbrgateway/plugin.go
@@ -0,0 +1,94 @@
+package bbrgateway
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"go.uber.org/fx"
+	"k8s.io/klog/v2"
+
+	"github.com/bluebellridge/bluebellridge/internal/base/bbrmetric"
+	"github.com/bluebellridge/bluebellridge/internal/config/bbrsettings"
+	"github.com/bluebellridge/bluebellridge/internal/daemon/bbrentry"
+	"github.com/bluebellridge/bluebellridge/internal/daemon/bbrkernel"
+	"github.com/bluebellridge/bluebellridge/internal/daemon/bbrlistener"
+	"github.com/bluebellridge/bluebellridge/internal/peer/bbrlink"
+	"github.com/bluebellridge/bluebellridge/internal/platform/bbrstore"
+	"github.com/bluebellridge/bluebellridge/internal/request/bbrconnection"
+	"github.com/bluebellridge/bluebellridge/internal/request/bbrticket"
+)
+
+func init() {
+	bbrkernel.Register(bbrkernel.Plugin{
+		Name:   "caller",
+		Stage:  bbrkernel.StageCaller,
+		Option: fx.Options(fx.Provide(newGateway), fx.Invoke(start)),
+	})
+}
+
+// issuedFor is how long an unused ticket is kept.
+const issuedFor = 10 * time.Minute
+
+func newGateway(settings bbrsettings.Settings, state *bbrentry.State, metrics *bbrmetric.Set, client *bbrlink.Client,
+	directory *bbrlink.Directory, store *bbrstore.Store) *Gateway {
+	g := &Gateway{
+		State:         state,
+		Metrics:       metrics,
+		Connections:   &bbrconnection.Pool{DialTimeout: settings.Timing.Dial},
+		Tickets:       &bbrticket.Table{MaxKeys: settings.Limits.Keys, MaxAnswerBytes: settings.Limits.KeptAnswerBytes, IssuedFor: issuedFor},
+		MaxBodyBytes:  settings.Limits.BodyBytes,
+		MaxInProgress: settings.Limits.InProgress,
+		ReadTimeout:   settings.Timing.ReadBody,
+		WriteTimeout:  settings.Timing.Write,
+		PeerFor: func(pool string, waiting bool) (netip.AddrPort, bool) {
+			return directory.Find(pool, waiting, time.Now())
+		},
+		Refused: directory.Refused,
+		Forward: client.Forward,
+		Resolve: client.Resolve,
+	}
+	claimant := &Claimant{Store: store, Tickets: g.Tickets, Holder: g.holder()}
+	g.Claim = claimant.Claim
+	metrics.Gauge("bbr_requests_in_progress", "Requests that the entry holds.", func() float64 { return float64(g.InProgress()) })
+	metrics.Gauge("bbr_keys_held", "Idempotency keys that the entry holds.", func() float64 { return float64(g.Tickets.Len()) })
+	return g
+}
+
+func start(lifecycle fx.Lifecycle, settings bbrsettings.Settings, gateway *Gateway, server *bbrlink.Server) {
+	server.SetServe(gateway.ServeForwarded)
+	listener := bbrlistener.New(settings.Listen.Callers, gateway.Handler(), settings)
+	lifecycle.Append(fx.StartStopHook(listener.Start, func(ctx context.Context) error {
+		return gateway.shutDown(ctx, settings.Shutdown, listener)
+	}))
+}
+
+const drainPoll = 20 * time.Millisecond
+
+// shutDown stops the entry without cutting off a request: the balancer is told,
+// requests are served while it may still send them, then new ones are refused
+// and those in flight are waited for.
+func (g *Gateway) shutDown(ctx context.Context, shutdown bbrsettings.Shutdown, listener *bbrlistener.Listener) error {
+	g.Unready()
+	wait(ctx, shutdown.BalancerLag)
+	g.Stop()
+	limit := time.Now().Add(shutdown.Grace)
+	for g.InProgress() > 0 && time.Now().Before(limit) && ctx.Err() == nil {
+		wait(ctx, drainPoll)
+	}
+	if left := g.InProgress(); left > 0 {
+		klog.InfoS("Requests are cut off after the grace period", "requests", left)
+	}
+	stopping, cancel := context.WithTimeout(ctx, time.Second)
+	defer cancel()
+	return listener.Stop(stopping)
+}
+
+func wait(ctx context.Context, length time.Duration) {
+	timer := time.NewTimer(length)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/internal/request/bbrgateway/rest.go
@@ -0,0 +1,22 @@
+package bbrgateway
+
+import (
+	"io"
+
+	"github.com/bluebellridge/bluebellridge/internal/request/bbrroute"
+)
+
+// slotRest gives the slot back when the rest of an answer has been read or
+// given up.
+type slotRest struct {
+	io.ReadCloser
+	pool   *bbrroute.Pool
+	target *bbrroute.Target
+}
+
+// Close implements io.Closer. It is called once.
+func (r *slotRest) Close() error {
+	err := r.ReadCloser.Close()
+	r.pool.Return(r.target)
+	return err
+}
--- /dev/null
+++ b/internal/request/bbrgateway/run.go
@@ -0,0 +1,158 @@
+package bbrgateway
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/bluebellridge/bluebellridge/internal/base/bbrcode"
+	"github.com/bluebellridge/bluebellridge/internal/request/bbranswer"
+	"github.com/bluebellridge/bluebellridge/internal/request/bbrconnection"
+	"github.com/bluebellridge/bluebellridge/internal/request/bbrjob"
+	"github.com/bluebellridge/bluebellridge/internal/request/bbrretry"
+	"github.com/bluebellridge/bluebellridge/internal/request/bbrroute"
+)
+
+const (
+	// silenceFactor times the learned run time is how long an idle connection
+	// may take to answer before its path is taken for silent.
+	silenceFactor = 8
+	// leastSilence is the shortest such time.
+	leastSilence = time.Second
+)
+
+// run performs attempts until one answers or the verdict is final. It returns
+// the slots that it was given and takes.
+func (g *Gateway) run(ctx context.Context, job *bbrjob.Job, queue *bbrroute.Queue, target *bbrroute.Target, deadline time.Time) *bbranswer.Answer {
+	pool := queue.Pool
+	idempotent := job.Idempotent(queue.Config)
+	if !idempotent {
+		// What has been sent cannot be taken back, so a caller that leaves
+		// does not end it.
+		ctx = context.WithoutCancel(ctx)
+	}
+	pool.Retries.Deposit()
+	for number := 1; ; number++ {
+		began := time.Now()
+		reply, err := g.Connections.Do(ctx, g.exchange(job, queue, target, idempotent, deadline, began))
+		now := time.Now()
+		failure, cause := classify(reply, err)
+		if errors.Is(err, bbrconnection.ErrMayNotSend) {
+			pool.Return(target)
+			return g.fenced(number, idempotent)
+		}
+		if failure == 0 {
+			target.Health.Succeed()
+			queue.State.RunTimes.Observe(now.Sub(began))
+			return g.answered(pool, target, reply)
+		}
+		if ctx.Err() != nil {
+			pool.Return(target)
+			return bbranswer.Refuse(bbrcode.CallerLeft, target.ID, "")
+		}
+		g.blame(target, failure, now)
+		verdict := bbrretry.Decide(bbrretry.Attempt{Number: number, Failure: failure, Idempotent: idempotent, Deadline: deadline}, pool.Retries, now)
+		next := g.next(pool, job, target, verdict, now)
+		if next == nil && reply != nil {
+			return g.answered(pool, target, reply)
+		}
+		pool.Return(target)
+		if next == nil {
+			answer := bbranswer.Refuse(verdict.Code, target.ID, cause)
+			answer.Upstream = target.ID
+			return answer
+		}
+		g.Metrics.Retry(failure.String())
+		closeReply(reply)
+		target = next
+	}
+}
+
+func (g *Gateway) exchange(job *bbrjob.Job, queue *bbrroute.Queue, target *bbrroute.Target, idempotent bool, deadline, now time.Time) bbrconnection.Exchange {
+	silence := max(leastSilence, silenceFactor*queue.State.RunTimes.Mean())
+	return bbrconnection.Exchange{
+		Address:        target.Address,
+		Job:            job,
+		Fresh:          !idempotent,
+		AnswerBytes:    queue.Config.AnswerBytes,
+		RequireEcho:    queue.Config.RequireEcho,
+		Deadline:       deadline,
+		ReusedDeadline: now.Add(silence),
+		MaySend:        g.State.MaySend,
+	}
+}
+
+// classify returns how the attempt failed, or 0 where its answer is good.
+func classify(reply *bbrconnection.Reply, err error) (bbrretry.Failure, string) {
+	var failed *bbrconnection.Failed
+	switch {
+	case errors.As(err, &failed):
+		return failed.Failure, failed.Cause.Error()
+	case err != nil:
+		return 0, err.Error()
+	case reply.Status >= 500:
+		return bbrretry.ServerError, ""
+	default:
+		return 0, ""
+	}
+}
+
+// blame records the failure. A silent reused connection speaks against its
+// path and not against the instance: the path's other connections are closed.
+func (g *Gateway) blame(target *bbrroute.Target, failure bbrretry.Failure, now time.Time) {
+	if failure == bbrretry.SilentReused {
+		g.Connections.Drop(target.Address)
+		g.Metrics.Event("pathDropped")
+		return
+	}
+	target.Health.Fail(now)
+}
+
+// next takes a slot for another attempt, on another instance where there is
+// one. A nil target means that the verdict is final.
+func (g *Gateway) next(pool *bbrroute.Pool, job *bbrjob.Job, failed *bbrroute.Target, verdict bbrretry.Verdict, now time.Time) *bbrroute.Target {
+	if !verdict.Retry {
+		return nil
+	}
+	return pool.Pick(bbrroute.Choice{
+		Random:        rand.Uint64(),
+		Urgent:        true,
+		AvoidInstance: failed.ID,
+		AvoidRack:     failed.Rack,
+	}, now)
+}
+
+// answered returns the upstream's answer and gives the slot back, at once or
+// when the rest of a long answer has been read.
+func (g *Gateway) answered(pool *bbrroute.Pool, target *bbrroute.Target, reply *bbrconnection.Reply) *bbranswer.Answer {
+	answer := &bbranswer.Answer{
+		Code:     bbrcode.Ran,
+		Status:   reply.Status,
+		Header:   reply.Header,
+		Body:     reply.Body,
+		Upstream: target.ID,
+	}
+	if reply.Rest == nil {
+		pool.Return(target)
+		return answer
+	}
+	answer.Rest = &slotRest{ReadCloser: reply.Rest, pool: pool, target: target}
+	return answer
+}
+
+func closeReply(reply *bbrconnection.Reply) {
+	if reply != nil && reply.Rest != nil {
+		_ = reply.Rest.Close()
+	}
+}
+
+// fenced answers a request that the entry may not send any more. An earlier
+// attempt of an idempotent request may have run.
+func (g *Gateway) fenced(number int, idempotent bool) *bbranswer.Answer {
+	if idempotent && number > 1 {
+		return bbranswer.Refuse(bbrcode.UpstreamBroke, "", "the entry lost its registration between two attempts")
+	}
+	return bbranswer.Refuse(bbrcode.Fenced, "", "")
+}
--- /dev/null
+++ b/internal/request/bbrretry/health.go
@@ -0,0 +1,50 @@
+package bbrretry
+
+import (
+	"sync/atomic"
+	"time"
+)
+
+const (
+	// ejectAfter is how many failures in a row eject an instance.
+	ejectAfter = 3
+	// firstEjection and longestEjection bound how long it gets no work.
+	firstEjection   = time.Second
+	longestEjection = 30 * time.Second
+)
+
+// Health is what an entry knows of one instance from its own attempts. The
+// zero value is healthy.
+type Health struct {
+	failures atomic.Int32
+	// ejectedUntil is in nanoseconds since the epoch; 0 means not ejected.
+	ejectedUntil atomic.Int64
+}
+
+// Succeed records a good answer.
+func (h *Health) Succeed() {
+	if h.failures.Load() == 0 {
+		return
+	}
+	h.failures.Store(0)
+	h.ejectedUntil.Store(0)
+}
+
+// Fail records a failure that the instance is blamed for. After three in a row
+// the instance is ejected, each time for twice as long.
+func (h *Health) Fail(now time.Time) {
+	count := h.failures.Add(1)
+	if count < ejectAfter {
+		return
+	}
+	doublings := min(count-ejectAfter, 5)
+	length := min(firstEjection<<doublings, longestEjection)
+	h.ejectedUntil.Store(now.Add(length).UnixNano())
+}
+
+// Ejected reports whether the instance should get no work. When the time is
+// over, one request after another tries it again.
+func (h *Health) Ejected(now time.Time) bool {
+	until := h.ejectedUntil.Load()
+	return until != 0 && now.UnixNano() < until
+}
--- /dev/null
+++ b/internal/request/bbrroute/pick.go
@@ -0,0 +1,134 @@
+package bbrroute
+
+import "time"
+
+// Choice says what a request asks of a pool.
+type Choice struct {
+	// Random decides between equals; any value is good.
+	Random uint64
+	Urgent bool
+	// AvoidInstance and AvoidRack are where an earlier attempt failed.
+	AvoidInstance string
+	AvoidRack     string
+}
+
+// Pick takes a slot of the pool's least loaded instance that suits, or returns
+// nil. Instances that keep failing are passed over, unless they are more than
+// half of the pool.
+func (p *Pool) Pick(choice Choice, now time.Time) *Target {
+	if !choice.Urgent && p.Free() <= p.reserve() {
+		return nil
+	}
+	skipEjected := p.ejected(now)*2 <= len(p.Targets)
+	for {
+		best := p.best(choice, skipEjected, now)
+		if best == nil || best.Slot.Take() {
+			return best
+		}
+	}
+}
+
+// best returns the instance with the lowest penalty that has a free slot.
+func (p *Pool) best(choice Choice, skipEjected bool, now time.Time) *Target {
+	var best *Target
+	lowest := 0
+	n := len(p.Targets)
+	if n == 0 {
+		return nil
+	}
+	start := int(choice.Random % uint64(n))
+	for i := range n {
+		target := p.Targets[(start+i)%n]
+		limit, inFlight := target.Slot.Load()
+		if inFlight >= limit || (skipEjected && target.Health.Ejected(now)) {
+			continue
+		}
+		penalty := choice.penalty(target, limit, inFlight)
+		if best == nil || penalty < lowest {
+			best, lowest = target, penalty
+		}
+	}
+	return best
+}
+
+// Penalties order the instances: load first in thousandths of the share, then
+// whole steps for places where an earlier attempt failed.
+const (
+	fullLoadPenalty     = 1_000
+	sameRackPenalty     = 10_000
+	sameInstancePenalty = 100_000
+)
+
+func (c Choice) penalty(target *Target, limit, inFlight int) int {
+	penalty := inFlight * fullLoadPenalty / limit
+	if c.AvoidRack != "" && target.Rack == c.AvoidRack {
+		penalty += sameRackPenalty
+	}
+	if c.AvoidInstance != "" && target.ID == c.AvoidInstance {
+		penalty += sameInstancePenalty
+	}
+	return penalty
+}
+
+func (p *Pool) ejected(now time.Time) int {
+	count := 0
+	for _, target := range p.Targets {
+		if target.Health.Ejected(now) {
+			count++
+		}
+	}
+	return count
+}
+
+// Free returns how many slots the entry could take in the pool.
+func (p *Pool) Free() int {
+	free := 0
+	for _, target := range p.Targets {
+		limit, inFlight := target.Slot.Load()
+		free += max(0, limit-inFlight)
+	}
+	return free
+}
+
+// Slots returns the entry's share of the pool.
+func (p *Pool) Slots() int {
+	slots := 0
+	for _, target := range p.Targets {
+		limit, _ := target.Slot.Load()
+		slots += limit
+	}
+	return slots
+}
+
+// reserve returns how many free slots are kept for urgent requests, at most
+// half of the entry's share.
+func (p *Pool) reserve() int {
+	return min(p.Config.UrgentReserve, p.Slots()/2)
+}
+
+// allows reports whether a slot that was just freed may go to a request.
+func (p *Pool) allows(urgent bool) bool {
+	return urgent || p.Free() >= p.reserve()
+}
+
+// Return gives a slot back, to the next waiting request where there is one.
+func (p *Pool) Return(target *Target) {
+	if p.Line.Len() > 0 && target.Slot.Keep() && p.Line.Hand(target, p.allows) {
+		return
+	}
+	target.Slot.Release()
+}
+
+// Wake hands free slots to waiting requests, after the table has grown.
+func (p *Pool) Wake(now time.Time) {
+	for p.Line.Len() > 0 {
+		target := p.Pick(Choice{Urgent: true}, now)
+		if target == nil {
+			return
+		}
+		if !p.Line.Hand(target, p.allows) {
+			target.Slot.Release()
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/request/bbrticket/table.go
@@ -0,0 +1,184 @@
+package bbrticket
+
+import (
+	"container/list"
+	"crypto/sha256"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/bluebellridge/bluebellridge/internal/base/bbrcode"
+	"github.com/bluebellridge/bluebellridge/internal/request/bbranswer"
+	"github.com/bluebellridge/bluebellridge/internal/request/bbrjob"
+)
+
+// Print identifies the content of a request, so that a key cannot be used for
+// another one.
+type Print [sha256.Size]byte
+
+// PrintOf returns the print of a request.
+func PrintOf(job *bbrjob.Job) Print {
+	digest := sha256.New()
+	for _, part := range []string{job.Queue, job.Method, job.Target, strconv.Itoa(len(job.Body))} {
+		digest.Write([]byte(part))
+		digest.Write([]byte{0})
+	}
+	digest.Write(job.Body)
+	return Print(digest.Sum(nil))
+}
+
+type state uint8
+
+const (
+	// ready keys may be run: they were issued or claimed, or an attempt ended
+	// without anything being sent.
+	ready state = iota
+	running
+	// finished keys never run again.
+	finished
+)
+
+type record struct {
+	key     string
+	state   state
+	print   Print
+	printed bool
+	answer  *bbranswer.Answer
+	since   time.Time
+	element *list.Element
+}
+
+// Table is the set of keys that one process holds.
+type Table struct {
+	// MaxKeys bounds the records, and MaxAnswerBytes the kept answers.
+	MaxKeys        int
+	MaxAnswerBytes int64
+	// IssuedFor is how long an unused key is kept.
+	IssuedFor time.Duration
+
+	mu          sync.Mutex
+	records     map[string]*record
+	answerBytes int64
+	// order lists the records that may be forgotten, oldest first.
+	order list.List
+}
+
+// Open makes a key runnable at this process. It is called once for a key: when
+// it is issued, or when its claim has been won. It returns TooManyKeys where
+// no record can be forgotten to make room.
+func (t *Table) Open(key string, now time.Time) error {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.records == nil {
+		t.records = make(map[string]*record)
+	}
+	if _, ok := t.records[key]; ok {
+		return nil
+	}
+	if len(t.records) >= t.MaxKeys && !t.forgetOldest(now) {
+		return bbrcode.Errorf(bbrcode.TooManyKeys, key, "%d keys are held", len(t.records))
+	}
+	r := &record{key: key, state: ready, since: now}
+	r.element = t.order.PushBack(r)
+	t.records[key] = r
+	return nil
+}
+
+// forgetOldest drops the oldest record that is finished or was not used in
+// time. The caller holds mu.
+func (t *Table) forgetOldest(now time.Time) bool {
+	for element := t.order.Front(); element != nil; element = element.Next() {
+		r := element.Value.(*record)
+		unused := r.state == ready && now.Sub(r.since) >= t.IssuedFor
+		if r.state != finished && !unused {
+			continue
+		}
+		t.dropAnswer(r)
+		t.order.Remove(element)
+		delete(t.records, r.key)
+		return true
+	}
+	return false
+}
+
+func (t *Table) dropAnswer(r *record) {
+	if r.answer == nil {
+		return
+	}
+	t.answerBytes -= int64(len(r.answer.Body))
+	r.answer = nil
+}
+
+// Begin starts the run of a key. A nil answer means that the caller, and only
+// it, may run the request and must then call Finish. Any other answer is
+// final for this attempt.
+func (t *Table) Begin(key string, print Print, now time.Time) *bbranswer.Answer {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r, ok := t.records[key]
+	if !ok {
+		return bbranswer.Refuse(bbrcode.HolderGone, key, "the key's record is gone")
+	}
+	if r.printed && r.print != print {
+		return bbranswer.Refuse(bbrcode.KeyReused, key, "queue, method, path or body differ from the first request")
+	}
+	switch r.state {
+	case running:
+		return bbranswer.Refuse(bbrcode.KeyBusy, key, "")
+	case finished:
+		return r.replay()
+	}
+	r.state = running
+	r.print = print
+	r.printed = true
+	r.since = now
+	return nil
+}
+
+func (r *record) replay() *bbranswer.Answer {
+	if r.answer == nil {
+		return bbranswer.Refuse(bbrcode.AnswerNotKept, r.key, "")
+	}
+	copied := *r.answer
+	if copied.Code == bbrcode.Ran {
+		copied.Code = bbrcode.Replayed
+	}
+	return &copied
+}
+
+// Finish ends the run of a key. A request that did not run may be begun again;
+// any other one never runs again.
+func (t *Table) Finish(key string, answer *bbranswer.Answer) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r := t.records[key]
+	if answer.Outcome() == bbrcode.OutcomeNotRun {
+		r.state = ready
+		return
+	}
+	r.state = finished
+	t.order.MoveToBack(r.element)
+	t.keep(r, answer)
+}
+
+// keep stores the answer and forgets the oldest ones above the bound. An
+// answer that is streamed cannot be kept.
+func (t *Table) keep(r *record, answer *bbranswer.Answer) {
+	size := int64(len(answer.Body))
+	if answer.Rest != nil || size > t.MaxAnswerBytes {
+		return
+	}
+	copied := *answer
+	r.answer = &copied
+	t.answerBytes += size
+	for element := t.order.Front(); element != nil && t.answerBytes > t.MaxAnswerBytes; element = element.Next() {
+		t.dropAnswer(element.Value.(*record))
+	}
+}
+
+// Len returns how many keys are held.
+func (t *Table) Len() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.records)
+}
--- /dev/null
+++ b/internal/standin/bbrplatform/keyvalue.go
@@ -0,0 +1,131 @@
+package bbrplatform
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/bluebellridge/bluebellridge/internal/platform/bbrstore"
+)
+
+type record struct {
+	data    []byte
+	version uint64
+	lease   bbrstore.LeaseID
+}
+
+type lease struct {
+	ttl  time.Duration
+	ends time.Time
+}
+
+// KeyValue is the state of the key-value service. Its zero value is empty and
+// ready for use. Every method that depends on leases takes the present time.
+type KeyValue struct {
+	mu       sync.Mutex
+	records  map[string]record
+	leases   map[bbrstore.LeaseID]lease
+	revision uint64
+	// changed is closed and replaced at each change, to wake the watches.
+	changed chan struct{}
+}
+
+// expire removes ended leases with their keys. The caller holds mu.
+func (kv *KeyValue) expire(now time.Time) {
+	if kv.records == nil {
+		kv.records = make(map[string]record)
+		kv.leases = make(map[bbrstore.LeaseID]lease)
+		kv.changed = make(chan struct{})
+	}
+	for id, l := range kv.leases {
+		if now.Before(l.ends) {
+			continue
+		}
+		kv.drop(id)
+	}
+}
+
+// drop ends a lease. The caller holds mu.
+func (kv *KeyValue) drop(id bbrstore.LeaseID) {
+	delete(kv.leases, id)
+	maps.DeleteFunc(kv.records, func(_ string, r record) bool { return r.lease == id })
+	kv.announce()
+}
+
+// announce wakes the watches. The caller holds mu.
+func (kv *KeyValue) announce() {
+	close(kv.changed)
+	kv.changed = make(chan struct{})
+}
+
+// Get returns a value, and a channel that is closed at the next change of any
+// key.
+func (kv *KeyValue) Get(now time.Time, key string) (bbrstore.Value, bool, <-chan struct{}) {
+	kv.mu.Lock()
+	defer kv.mu.Unlock()
+	kv.expire(now)
+	r, ok := kv.records[key]
+	return bbrstore.Value{Data: r.data, Version: r.version}, ok, kv.changed
+}
+
+// Swap writes a value if the key has the expected version.
+func (kv *KeyValue) Swap(now time.Time, key string, expect uint64, data []byte, id bbrstore.LeaseID) (uint64, error) {
+	kv.mu.Lock()
+	defer kv.mu.Unlock()
+	kv.expire(now)
+	if kv.records[key].version != expect {
+		return 0, bbrstore.ErrConflict
+	}
+	if _, ok := kv.leases[id]; id != "" && !ok {
+		return 0, bbrstore.ErrNotFound
+	}
+	kv.revision++
+	kv.records[key] = record{data: data, version: kv.revision, lease: id}
+	kv.announce()
+	return kv.revision, nil
+}
+
+// Keys returns the keys with the prefix, sorted.
+func (kv *KeyValue) Keys(now time.Time, prefix string) []string {
+	kv.mu.Lock()
+	defer kv.mu.Unlock()
+	kv.expire(now)
+	keys := slices.Sorted(maps.Keys(kv.records))
+	return slices.DeleteFunc(keys, func(k string) bool { return !strings.HasPrefix(k, prefix) })
+}
+
+// Grant creates a lease.
+func (kv *KeyValue) Grant(now time.Time, ttl time.Duration) bbrstore.LeaseID {
+	kv.mu.Lock()
+	defer kv.mu.Unlock()
+	kv.expire(now)
+	kv.revision++
+	id := bbrstore.LeaseID(fmt.Sprintf("lease-%d", kv.revision))
+	kv.leases[id] = lease{ttl: ttl, ends: now.Add(ttl)}
+	return id
+}
+
+// Renew prolongs a lease and reports whether it still existed.
+func (kv *KeyValue) Renew(now time.Time, id bbrstore.LeaseID) bool {
+	kv.mu.Lock()
+	defer kv.mu.Unlock()
+	kv.expire(now)
+	l, ok := kv.leases[id]
+	if !ok {
+		return false
+	}
+	l.ends = now.Add(l.ttl)
+	kv.leases[id] = l
+	return true
+}
+
+// Revoke ends a lease.
+func (kv *KeyValue) Revoke(now time.Time, id bbrstore.LeaseID) {
+	kv.mu.Lock()
+	defer kv.mu.Unlock()
+	kv.expire(now)
+	kv.drop(id)
+}
--- /dev/null
+++ b/internal/standin/bbrplatform/server.go
@@ -0,0 +1,215 @@
+package bbrplatform
+
+import (
+	"encoding/json"
+	"net/http"
+	"net/url"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/gorilla/mux"
+
+	"github.com/bluebellridge/bluebellridge/internal/platform/bbrlist"
+	"github.com/bluebellridge/bluebellridge/internal/platform/bbrstore"
+)
+
+const maxBodyBytes = 2 << 20
+
+// Server answers the platform's HTTP protocol. Its zero value is an empty
+// platform.
+type Server struct {
+	KeyValue KeyValue
+	Fleet    Fleet
+
+	switches switches
+	mu       sync.Mutex
+	calls    map[string]int
+}
+
+// Handler returns the HTTP handler of the platform and of its switches.
+func (s *Server) Handler() http.Handler {
+	router := mux.NewRouter().UseEncodedPath()
+	router.HandleFunc("/faults", s.putFaults).Methods(http.MethodPut)
+	router.HandleFunc("/calls", s.getCalls).Methods(http.MethodGet)
+	router.HandleFunc("/instances", s.putInstance).Methods(http.MethodPut)
+	router.HandleFunc("/instances/{id}", s.deleteInstance).Methods(http.MethodDelete)
+	s.serve(router, http.MethodGet, "/v1/kv/{key}", "get", s.get)
+	s.serve(router, http.MethodPut, "/v1/kv/{key}", "swap", s.swap)
+	s.serve(router, http.MethodGet, "/v1/watch/{key}", "watch", s.watch)
+	s.serve(router, http.MethodGet, "/v1/keys", "keys", s.keys)
+	s.serve(router, http.MethodPost, "/v1/leases", "grant", s.grant)
+	s.serve(router, http.MethodPut, "/v1/leases/{id}", "renew", s.renew)
+	s.serve(router, http.MethodDelete, "/v1/leases/{id}", "revoke", s.revoke)
+	s.serve(router, http.MethodGet, "/v1/instances", "list", s.list)
+	s.serve(router, http.MethodPost, "/v1/instances/{id}/reboot", "reboot", s.reboot)
+	return router
+}
+
+type call func(r *http.Request, now time.Time) (any, error)
+
+// serve counts the call, applies the faults and encodes the result.
+func (s *Server) serve(router *mux.Router, method, path, name string, c call) {
+	router.HandleFunc(path, func(w http.ResponseWriter, r *http.Request) {
+		s.count(name)
+		time.Sleep(s.switches.delay())
+		if s.switches.refuses(r.Header.Get(bbrstore.ClientHeader)) {
+			http.Error(w, "down", http.StatusServiceUnavailable)
+			return
+		}
+		r.Body = http.MaxBytesReader(w, r.Body, maxBodyBytes)
+		result, err := c(r, time.Now())
+		if method != http.MethodGet && s.switches.losesAnswer() {
+			panic(http.ErrAbortHandler)
+		}
+		reply(w, result, err)
+	}).Methods(method)
+}
+
+func (s *Server) count(name string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.calls == nil {
+		s.calls = make(map[string]int)
+	}
+	s.calls[name]++
+}
+
+func reply(w http.ResponseWriter, result any, err error) {
+	switch {
+	case err == nil:
+		w.Header().Set("Content-Type", "application/json")
+		_ = json.NewEncoder(w).Encode(result)
+	case errors.Is(err, bbrstore.ErrNotFound):
+		http.Error(w, err.Error(), http.StatusNotFound)
+	case errors.Is(err, bbrstore.ErrConflict):
+		http.Error(w, err.Error(), http.StatusConflict)
+	case errors.Is(err, bbrstore.ErrUnchanged):
+		w.WriteHeader(http.StatusNotModified)
+	default:
+		http.Error(w, err.Error(), http.StatusBadRequest)
+	}
+}
+
+// variable returns a decoded element of the path.
+func variable(r *http.Request, name string) string {
+	value, err := url.PathUnescape(mux.Vars(r)[name])
+	if err != nil {
+		return ""
+	}
+	return value
+}
+
+func known(r *http.Request) uint64 {
+	version, _ := strconv.ParseUint(r.URL.Query().Get("known"), 10, 64)
+	return version
+}
+
+func (s *Server) get(r *http.Request, now time.Time) (any, error) {
+	value, ok, _ := s.KeyValue.Get(now, variable(r, "key"))
+	if !ok {
+		return nil, bbrstore.ErrNotFound
+	}
+	if value.Version == known(r) {
+		return nil, bbrstore.ErrUnchanged
+	}
+	return bbrstore.ValueBody{Value: value.Data, Version: value.Version}, nil
+}
+
+func (s *Server) swap(r *http.Request, now time.Time) (any, error) {
+	var body bbrstore.ValueBody
+	if err := json.NewDecoder(r.Body).Decode(&body); err != nil {
+		return nil, err
+	}
+	version, err := s.KeyValue.Swap(now, variable(r, "key"), body.Version, body.Value, body.Lease)
+	return bbrstore.ValueBody{Version: version}, err
+}
+
+func (s *Server) watch(r *http.Request, now time.Time) (any, error) {
+	millis, _ := strconv.ParseInt(r.URL.Query().Get("waitMillis"), 10, 64)
+	timer := time.NewTimer(time.Duration(millis) * time.Millisecond)
+	defer timer.Stop()
+	for {
+		value, ok, changed := s.KeyValue.Get(now, variable(r, "key"))
+		if ok && value.Version != known(r) {
+			return bbrstore.ValueBody{Value: value.Data, Version: value.Version}, nil
+		}
+		select {
+		case <-changed:
+			now = time.Now()
+		case <-timer.C:
+			return nil, bbrstore.ErrUnchanged
+		case <-r.Context().Done():
+			return nil, r.Context().Err()
+		}
+	}
+}
+
+func (s *Server) keys(r *http.Request, now time.Time) (any, error) {
+	return bbrstore.KeysBody{Keys: s.KeyValue.Keys(now, r.URL.Query().Get("prefix"))}, nil
+}
+
+func (s *Server) grant(r *http.Request, now time.Time) (any, error) {
+	var body bbrstore.LeaseBody
+	if err := json.NewDecoder(r.Body).Decode(&body); err != nil {
+		return nil, err
+	}
+	body.ID = s.KeyValue.Grant(now, time.Duration(body.TTLMillis)*time.Millisecond)
+	return body, nil
+}
+
+func (s *Server) renew(r *http.Request, now time.Time) (any, error) {
+	if !s.KeyValue.Renew(now, bbrstore.LeaseID(variable(r, "id"))) {
+		return nil, bbrstore.ErrNotFound
+	}
+	return struct{}{}, nil
+}
+
+func (s *Server) revoke(r *http.Request, now time.Time) (any, error) {
+	s.KeyValue.Revoke(now, bbrstore.LeaseID(variable(r, "id")))
+	return struct{}{}, nil
+}
+
+func (s *Server) list(r *http.Request, now time.Time) (any, error) {
+	return bbrlist.Answer{Instances: s.Fleet.List(now, r.URL.Query().Get("zone"))}, nil
+}
+
+func (s *Server) reboot(r *http.Request, now time.Time) (any, error) {
+	var body bbrlist.RebootBody
+	if err := json.NewDecoder(r.Body).Decode(&body); err != nil {
+		return nil, err
+	}
+	if !s.Fleet.Reboot(now, variable(r, "id"), body.Operation) {
+		return nil, bbrstore.ErrNotFound
+	}
+	return struct{}{}, nil
+}
+
+func (s *Server) putFaults(w http.ResponseWriter, r *http.Request) {
+	var faults Faults
+	if err := json.NewDecoder(r.Body).Decode(&faults); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	s.switches.set(faults)
+}
+
+func (s *Server) getCalls(w http.ResponseWriter, _ *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	_ = json.NewEncoder(w).Encode(s.calls)
+}
+
+func (s *Server) putInstance(w http.ResponseWriter, r *http.Request) {
+	var instance bbrlist.Instance
+	if err := json.NewDecoder(r.Body).Decode(&instance); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	s.Fleet.Put(time.Now(), instance)
+}
+
+func (s *Server) deleteInstance(_ http.ResponseWriter, r *http.Request) {
+	s.Fleet.Remove(time.Now(), variable(r, "id"))
+}
--- /dev/null
+++ b/internal/standin/bbrprogram/doc.go
@@ -0,0 +1,2 @@
+// Package bbrprogram is the command line of the stand-ins.
+package bbrprogram
--- /dev/null
+++ b/internal/standin/bbrprogram/program.go
@@ -0,0 +1,178 @@
+package bbrprogram
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/alecthomas/kong"
+	"github.com/cockroachdb/errors"
+
+	"github.com/bluebellridge/bluebellridge/internal/platform/bbrlist"
+	"github.com/bluebellridge/bluebellridge/internal/standin/bbrcaller"
+	"github.com/bluebellridge/bluebellridge/internal/standin/bbrplatform"
+	"github.com/bluebellridge/bluebellridge/internal/standin/bbrrelay"
+	"github.com/bluebellridge/bluebellridge/internal/standin/bbrupstream"
+)
+
+type arguments struct {
+	Platform platformCommand `cmd:"" help:"Run a stand-in for the platform."`
+	Upstream upstreamCommand `cmd:"" help:"Run stand-ins for upstreams."`
+	Relay    relayCommand    `cmd:"" help:"Run a stand-in for the network before one address."`
+	Caller   callerCommand   `cmd:"" help:"Send a bounded load and check every answer."`
+}
+
+type platformCommand struct {
+	Listen     netip.AddrPort `help:"Address." required:""`
+	Lag        time.Duration  `help:"How far the list of instances is behind." default:"500ms"`
+	RebootTime time.Duration  `help:"How long a reboot takes." default:"1s"`
+}
+
+type upstreamCommand struct {
+	Listen []netip.AddrPort `help:"Addresses, one upstream each." required:""`
+}
+
+type relayCommand struct {
+	Listen  netip.AddrPort `help:"Address." required:""`
+	To      netip.AddrPort `help:"Where connections go." required:""`
+	Control netip.AddrPort `help:"Address of the switches." required:""`
+}
+
+type callerCommand struct {
+	Entry       []netip.AddrPort `help:"Callers' addresses of entries." required:""`
+	Queue       []string         `help:"Queues." required:""`
+	Requests    int              `help:"How many requests." default:"100"`
+	Concurrency int              `help:"How many at once." default:"8"`
+	Work        time.Duration    `help:"How long an upstream works on each." default:"5ms"`
+	Pause       time.Duration    `help:"Pause after each answer." default:"0s"`
+	Submissions float64          `help:"Share of submissions, 0 to 1." default:"0.3"`
+	Timeout     time.Duration    `help:"How long to wait for an answer." default:"30s"`
+	JSON        bool             `help:"Print all counts as JSON."`
+}
+
+type output struct{ out io.Writer }
+
+// Main runs the command line and returns the exit status.
+func Main(args []string, out, errors io.Writer) int {
+	var a arguments
+	exited := -1
+	parser, err := kong.New(&a, kong.Name("bbrstandin"), kong.Writers(out, errors), kong.Exit(func(code int) { exited = code }))
+	if err != nil {
+		panic(err)
+	}
+	command, err := parser.Parse(args)
+	if exited >= 0 {
+		return exited
+	}
+	if err == nil {
+		err = command.Run(output{out: out})
+	}
+	if err != nil {
+		fmt.Fprintln(errors, err)
+		return 1
+	}
+	return 0
+}
+
+// served is an HTTP server until the process is told to stop.
+type served struct{ server http.Server }
+
+func (s *served) run(ctx context.Context) {
+	<-ctx.Done()
+	_ = s.server.Close()
+}
+
+func serve(address netip.AddrPort, handler http.Handler) error {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	s := &served{server: http.Server{Addr: address.String(), Handler: handler, ReadHeaderTimeout: time.Minute}}
+	go s.run(ctx)
+	if err := s.server.ListenAndServe(); !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	return nil
+}
+
+// Run implements the command.
+func (c *platformCommand) Run() error {
+	server := &bbrplatform.Server{}
+	server.Fleet.Lag = c.Lag
+	server.Fleet.RebootTime = c.RebootTime
+	server.Fleet.Restart = func(instance bbrlist.Instance) {
+		r := &restart{address: instance.Address}
+		go r.run()
+	}
+	return serve(c.Listen, server.Handler())
+}
+
+// restart tells a stand-in upstream that its instance reboots.
+type restart struct{ address netip.AddrPort }
+
+func (r *restart) run() {
+	client := http.Client{Timeout: time.Second}
+	response, err := client.Post("http://"+r.address.String()+"/restart", "", nil)
+	if err == nil {
+		_ = response.Body.Close()
+	}
+}
+
+// Run implements the command.
+func (c *upstreamCommand) Run() error {
+	last := len(c.Listen) - 1
+	for _, address := range c.Listen[:last] {
+		u := &upstream{address: address}
+		go u.run()
+	}
+	return serve(c.Listen[last], (&bbrupstream.Server{Name: c.Listen[last].String()}).Handler())
+}
+
+type upstream struct{ address netip.AddrPort }
+
+func (u *upstream) run() {
+	_ = serve(u.address, (&bbrupstream.Server{Name: u.address.String()}).Handler())
+}
+
+// Run implements the command.
+func (c *relayCommand) Run() error {
+	listener, err := net.Listen("tcp", c.Listen.String())
+	if err != nil {
+		return err
+	}
+	r := &relay{relay: bbrrelay.Relay{To: c.To}, listener: listener}
+	go r.run()
+	return serve(c.Control, r.relay.Handler())
+}
+
+type relay struct {
+	relay    bbrrelay.Relay
+	listener net.Listener
+}
+
+func (r *relay) run() { r.relay.Run(r.listener) }
+
+var errBadAnswers = errors.New("some answers were partial, foreign or lost")
+
+// Run implements the command.
+func (c *callerCommand) Run(o output) error {
+	load := bbrcaller.Load{
+		Entries: c.Entry, Queues: c.Queue, Requests: c.Requests, Concurrency: c.Concurrency,
+		Work: c.Work, Pause: c.Pause, SubmissionShare: c.Submissions, Timeout: c.Timeout,
+	}
+	counts := load.Run(context.Background())
+	if c.JSON {
+		_ = json.NewEncoder(o.out).Encode(counts)
+	} else {
+		fmt.Fprintln(o.out, counts)
+	}
+	if !counts.Good() {
+		return errBadAnswers
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/standin/bbrrelay/relay.go
@@ -0,0 +1,126 @@
+package bbrrelay
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+)
+
+// Relay passes connections on to one address.
+type Relay struct {
+	To netip.AddrPort
+
+	mu    sync.Mutex
+	pairs map[*pair]bool
+	cut   bool
+}
+
+// pair is one connection and its continuation.
+type pair struct {
+	near, far net.Conn
+	// silent is closed when the pair is forgotten.
+	silent chan struct{}
+	once   sync.Once
+}
+
+// Run accepts connections until the listener is closed.
+func (r *Relay) Run(listener net.Listener) {
+	for {
+		near, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		go r.run(near)
+	}
+}
+
+func (r *Relay) run(near net.Conn) {
+	defer near.Close()
+	far, err := net.Dial("tcp", r.To.String())
+	if err != nil {
+		return
+	}
+	defer far.Close()
+	p := &pair{near: near, far: far, silent: make(chan struct{})}
+	if !r.add(p) {
+		return
+	}
+	defer r.remove(p)
+	var copies sync.WaitGroup
+	copies.Go(func() { p.pass(far, near) })
+	copies.Go(func() { p.pass(near, far) })
+	copies.Wait()
+}
+
+// add keeps the pair unless the relay is cut.
+func (r *Relay) add(p *pair) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.cut {
+		return false
+	}
+	if r.pairs == nil {
+		r.pairs = make(map[*pair]bool)
+	}
+	r.pairs[p] = true
+	return true
+}
+
+func (r *Relay) remove(p *pair) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.pairs, p)
+}
+
+// pass copies until an end closes. Once the pair is forgotten, bytes are read
+// and dropped and no end is told.
+func (p *pair) pass(to, from net.Conn) {
+	buffer := make([]byte, 32<<10)
+	for {
+		n, err := from.Read(buffer)
+		select {
+		case <-p.silent:
+			_, _ = io.Copy(io.Discard, from)
+			return
+		default:
+		}
+		if n > 0 {
+			_, _ = to.Write(buffer[:n])
+		}
+		if err != nil {
+			_ = to.Close()
+			return
+		}
+	}
+}
+
+// Forget makes the open connections go silent; new ones work.
+func (r *Relay) Forget() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for p := range r.pairs {
+		p.once.Do(func() { close(p.silent) })
+	}
+	return len(r.pairs)
+}
+
+// SetCut makes new connections fail and open ones go silent, or ends that.
+func (r *Relay) SetCut(cut bool) {
+	if cut {
+		r.Forget()
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.cut = cut
+}
+
+// Handler returns the handler of the switches.
+func (r *Relay) Handler() http.Handler {
+	router := http.NewServeMux()
+	router.HandleFunc("POST /forget", func(http.ResponseWriter, *http.Request) { r.Forget() })
+	router.HandleFunc("POST /cut", func(http.ResponseWriter, *http.Request) { r.SetCut(true) })
+	router.HandleFunc("POST /mend", func(http.ResponseWriter, *http.Request) { r.SetCut(false) })
+	return router
+}
--- /dev/null
+++ b/internal/standin/bbrupstream/server.go
@@ -0,0 +1,179 @@
+package bbrupstream
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"maps"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+)
+
+// Headers that the upstream understands.
+const (
+	RequestIDHeader      = "Bbr-Request-Id"
+	IdempotencyKeyHeader = "Idempotency-Key"
+	WorkHeader           = "Work-Millis"
+)
+
+// Faults are the switches of the stand-in.
+type Faults struct {
+	// Silent takes requests and never answers.
+	Silent bool `json:"silent"`
+	// Truncate ends answers in the middle of the body.
+	Truncate bool `json:"truncate"`
+	// Mismatch echoes another request's ID.
+	Mismatch bool `json:"mismatch"`
+	// FailAll answers every request with status 500.
+	FailAll bool `json:"failAll"`
+	// DropAfterRun runs the work and closes the connection with no answer.
+	DropAfterRun bool `json:"dropAfterRun"`
+	// WorkMillis is the time that a request takes.
+	WorkMillis int64 `json:"workMillis"`
+}
+
+// Statistics tell what the upstream did.
+type Statistics struct {
+	Runs int `json:"runs"`
+	// Running and MostRunning count requests at work now and at most.
+	Running     int `json:"running"`
+	MostRunning int `json:"mostRunning"`
+	// CutOff counts requests that a restart ended.
+	CutOff int `json:"cutOff"`
+	// RunsByKey counts the runs of each idempotency key.
+	RunsByKey map[string]int `json:"runsByKey"`
+}
+
+// Server is one upstream.
+type Server struct {
+	Name string
+
+	mu         sync.Mutex
+	faults     Faults
+	statistics Statistics
+	restarts   chan struct{}
+}
+
+// Handler returns the handler of callers' work and of the switches.
+func (s *Server) Handler() http.Handler {
+	router := http.NewServeMux()
+	router.HandleFunc("PUT /faults", s.putFaults)
+	router.HandleFunc("GET /statistics", s.getStatistics)
+	router.HandleFunc("POST /restart", s.restart)
+	router.HandleFunc("/", s.work)
+	return router
+}
+
+func (s *Server) work(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	faults, restarted := s.begin(r)
+	defer s.end()
+	select {
+	case <-time.After(workTime(r, faults)):
+	case <-restarted:
+		s.cutOff()
+		panic(http.ErrAbortHandler)
+	}
+	if faults.Silent {
+		<-r.Context().Done()
+		return
+	}
+	if faults.DropAfterRun {
+		panic(http.ErrAbortHandler)
+	}
+	s.answer(w, r, faults, body)
+}
+
+func workTime(r *http.Request, faults Faults) time.Duration {
+	millis, err := strconv.ParseInt(r.Header.Get(WorkHeader), 10, 64)
+	if err != nil {
+		millis = faults.WorkMillis
+	}
+	return time.Duration(millis) * time.Millisecond
+}
+
+func (s *Server) begin(r *http.Request) (Faults, <-chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.restarts == nil {
+		s.restarts = make(chan struct{})
+	}
+	st := &s.statistics
+	st.Runs++
+	st.Running++
+	st.MostRunning = max(st.MostRunning, st.Running)
+	if key := r.Header.Get(IdempotencyKeyHeader); key != "" {
+		if st.RunsByKey == nil {
+			st.RunsByKey = make(map[string]int)
+		}
+		st.RunsByKey[key]++
+	}
+	return s.faults, s.restarts
+}
+
+func (s *Server) end() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.statistics.Running--
+}
+
+func (s *Server) cutOff() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.statistics.CutOff++
+}
+
+func (s *Server) answer(w http.ResponseWriter, r *http.Request, faults Faults, body []byte) {
+	id := r.Header.Get(RequestIDHeader)
+	if faults.Mismatch {
+		id = "another-request"
+	}
+	w.Header().Set(RequestIDHeader, id)
+	status := http.StatusOK
+	if faults.FailAll {
+		status = http.StatusInternalServerError
+	}
+	text := fmt.Sprintf("%s %s %s by %s\n%s", r.Method, r.URL.Path, r.Header.Get(IdempotencyKeyHeader), s.Name, body)
+	w.Header().Set("Content-Length", strconv.Itoa(len(text)))
+	w.WriteHeader(status)
+	if faults.Truncate {
+		_, _ = io.WriteString(w, text[:len(text)/2])
+		_ = http.NewResponseController(w).Flush()
+		panic(http.ErrAbortHandler)
+	}
+	_, _ = io.WriteString(w, text)
+}
+
+func (s *Server) putFaults(w http.ResponseWriter, r *http.Request) {
+	var faults Faults
+	if err := json.NewDecoder(r.Body).Decode(&faults); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = faults
+}
+
+func (s *Server) getStatistics(w http.ResponseWriter, _ *http.Request) {
+	s.mu.Lock()
+	statistics := s.statistics
+	statistics.RunsByKey = maps.Clone(statistics.RunsByKey)
+	s.mu.Unlock()
+	_ = json.NewEncoder(w).Encode(statistics)
+}
+
+// restart ends every request at work, as a reboot of the instance would.
+func (s *Server) restart(_ http.ResponseWriter, _ *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.restarts != nil {
+		close(s.restarts)
+	}
+	s.restarts = make(chan struct{})
+}
