operator/bbrapi: accepted configuration proved in force at newcomers

Cause: acceptance was loop code that no property could reach; it is now bbrrevision.Acceptance, a pure decision, and the loop around it. Found by the proof: an entry that had just registered took a configuration from the successor of a registered peer, at the same address, that was not up to date itself: '1 is not greater than or equal to 2, revision of 10.0.0.3:7000' (TestAcceptedIsInForce). A peer's configuration now counts only if the peer is the listed, active process and takes requests. Ruled out: comparing incarnations when entries confirm; the proof stays green without it, since a restarted entry reads the configuration after it registers.

--- a/internal/daemon/bbrentry/state.go
+++ b/internal/daemon/bbrentry/state.go
@@ -101,6 +101,14 @@
 // registration.
 func (s *State) ConfigConfirmed() bool { return s.configConfirmed.Load() }
 
+// TrustsConfigOf reports whether a peer's configuration is as good as the
+// platform's: it takes requests, and it is the active process that the view
+// lists, not a successor at its address.
+func (s *State) TrustsConfigOf(peer netip.AddrPort, incarnation string, ready bool) bool {
+	entry := s.Snapshot().View.Entries[peer]
+	return ready && entry.Active && entry.Incarnation == incarnation && s.listed()
+}
+
 // ConfirmConfig records that the present configuration was read by a call that
 // began at asked.
 func (s *State) ConfirmConfig(asked time.Time) {
--- a/internal/fleet/bbrmember/confirm.go
+++ b/internal/fleet/bbrmember/confirm.go
@@ -72,8 +72,6 @@
 	defer cancel()
 	identity := m.State.Identity
 	asked := time.Now()
-	listed, _ := m.State.Registered()
-	trusted := listed && m.State.Snapshot().View.Entries[peer].Active
 	client := m.Client.Peer(ctx, peer)
 	answer, err := client.Confirm(ctx, &bbrpeerproto.ConfirmRequest{Peer: identity.Peer.String(), Incarnation: identity.Incarnation})
 	if err != nil {
@@ -88,7 +86,7 @@
 	if newerView || answer.GetRevision() > m.State.Revision().Number {
 		m.fetch(ctx, client)
 	}
-	if trusted && m.State.Revision().Number >= answer.GetRevision() {
+	if m.State.TrustsConfigOf(peer, answer.GetIncarnation(), answer.GetReady()) && m.State.Revision().Number >= answer.GetRevision() {
 		m.State.ConfirmConfig(asked)
 	}
 }
--- /dev/null
+++ b/internal/operator/bbrapi/acceptance_test.go
@@ -0,0 +1,284 @@
+package bbrapi
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/bluebellridge/bluebellridge/internal/config/bbrrevision"
+	"github.com/bluebellridge/bluebellridge/internal/daemon/bbrentry"
+	"github.com/bluebellridge/bluebellridge/internal/fleet/bbrmember"
+	"github.com/bluebellridge/bluebellridge/internal/fleet/bbrview"
+	"github.com/bluebellridge/bluebellridge/internal/platform/bbrstore"
+	"github.com/bluebellridge/bluebellridge/internal/standin/bbrplatform"
+)
+
+// revisions is a zone of processes that learn configurations late, from the
+// platform and from each other.
+type revisions struct {
+	now       time.Time
+	memory    *bbrplatform.Memory
+	fault     bbrplatform.Fault
+	processes map[netip.AddrPort]*bbrentry.State
+	messages  []func()
+	unique    int
+	// accepted is the newest revision that an operator has seen accepted.
+	accepted   uint64
+	acceptance bbrrevision.Acceptance
+}
+
+func newRevisions() *revisions {
+	r := &revisions{now: time.Unix(1_000_000, 0), processes: make(map[netip.AddrPort]*bbrentry.State)}
+	r.memory = &bbrplatform.Memory{KeyValue: &bbrplatform.KeyValue{}, Now: func() time.Time { return r.now }, Fault: func() bbrplatform.Fault { return r.fault }}
+	return r
+}
+
+func (r *revisions) configs() bbrstore.Document[bbrrevision.Config] {
+	return (&Executor{Store: r.memory.Store()}).document()
+}
+
+func (r *revisions) views() bbrstore.Document[bbrview.View] {
+	return bbrmember.Document(r.memory.Store(), "a")
+}
+
+func (r *revisions) id() string {
+	r.unique++
+	return fmt.Sprint("id-", r.unique)
+}
+
+func (r *revisions) start(peer netip.AddrPort) {
+	s := bbrentry.New(bbrentry.Identity{Zone: "a", Incarnation: r.id(), Peer: peer}, time.Hour, r.now)
+	r.processes[peer] = s
+}
+
+func (r *revisions) register(s *bbrentry.State) {
+	if !s.MayRegister() {
+		return
+	}
+	identity := s.Identity
+	s.BeginRegistration()
+	view, version, err := r.views().Update(context.Background(), "", func(v *bbrview.View) error {
+		v.Register(identity.Peer, bbrview.Entry{Incarnation: identity.Incarnation})
+		return nil
+	})
+	if err == nil {
+		s.FinishRegistration(r.now)
+		s.OfferView(view, version, r.now)
+	}
+}
+
+// readConfig asks the platform now and is answered later.
+func (r *revisions) readConfig(s *bbrentry.State) {
+	asked := r.now
+	config, number, err := r.configs().Load(context.Background())
+	if err != nil || number == 0 {
+		return
+	}
+	r.messages = append(r.messages, func() {
+		s.OfferRevision(&bbrrevision.Revision{Number: number, Config: config}, r.now)
+		s.ConfirmConfig(asked)
+	})
+}
+
+// relay asks another process now and is answered later.
+func (r *revisions) relay(s, from *bbrentry.State) {
+	asked := r.now
+	incarnation, ready := from.Identity.Incarnation, from.Ready()
+	revision := from.Revision()
+	snapshot := from.Snapshot()
+	r.messages = append(r.messages, func() {
+		s.OfferRevision(revision, r.now)
+		s.OfferView(snapshot.View, snapshot.Version, r.now)
+		if s.TrustsConfigOf(from.Identity.Peer, incarnation, ready) && s.Revision().Number >= revision.Number {
+			s.ConfirmConfig(asked)
+		}
+	})
+}
+
+func (r *revisions) readView(s *bbrentry.State) {
+	if view, version, err := r.views().Load(context.Background()); err == nil {
+		r.messages = append(r.messages, func() { s.OfferView(view, version, r.now) })
+	}
+}
+
+func (r *revisions) activate() {
+	_, _, _ = r.views().Update(context.Background(), "", func(v *bbrview.View) error {
+		for peer, entry := range v.Entries {
+			entry.Active = true
+			v.Entries[peer] = entry
+		}
+		return nil
+	})
+}
+
+func (r *revisions) change() {
+	_, number, err := r.configs().Update(context.Background(), r.id(), func(c *bbrrevision.Config) error {
+		c.ActivePerZone++
+		return nil
+	})
+	if err == nil {
+		r.acceptance = bbrrevision.Acceptance{Revision: number}
+	}
+}
+
+// accept reads the listing and accepts the change, or asks one missing entry.
+func (r *revisions) accept(t *rapid.T) {
+	view, _, err := r.views().Load(context.Background())
+	if err != nil || r.acceptance.Revision == 0 {
+		return
+	}
+	missing := r.acceptance.Missing(incarnations(view.Entries))
+	if len(missing) == 0 {
+		r.accepted = max(r.accepted, r.acceptance.Revision)
+		return
+	}
+	for _, peer := range missing {
+		if s := r.processes[peer]; s != nil && rapid.Bool().Draw(t, "answers") {
+			r.acceptance.Confirm(peer, s.Identity.Incarnation, s.Revision().Number)
+		}
+	}
+}
+
+// TestAcceptedIsInForce writes configurations while entries start, restart and
+// learn late. Once a change is accepted, every registered entry that takes
+// requests obeys it or a newer one.
+func TestAcceptedIsInForce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		r := newRevisions()
+		address := func(t *rapid.T) netip.AddrPort {
+			return netip.MustParseAddrPort(fmt.Sprintf("10.0.0.%d:7000", rapid.IntRange(1, 4).Draw(t, "address")))
+		}
+		process := func(t *rapid.T) *bbrentry.State {
+			s := r.processes[address(t)]
+			if s == nil {
+				t.Skip("not running")
+			}
+			return s
+		}
+		highest := make(map[string]uint64)
+		// life is what happens all the time, at its own pace.
+		life := func(t *rapid.T) {
+			s := process(t)
+			r.register(s)
+			r.readView(s)
+			r.readConfig(s)
+			r.relay(s, process(t))
+			r.now = r.now.Add(time.Millisecond)
+		}
+		deliver := func(t *rapid.T) {
+			if len(r.messages) == 0 {
+				t.Skip("none")
+			}
+			i := rapid.IntRange(0, len(r.messages)-1).Draw(t, "message")
+			r.messages[i]()
+			r.messages = append(r.messages[:i:i], r.messages[i+1:]...)
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"": func(t *rapid.T) {
+				for _, s := range r.processes {
+					listed, _ := s.Registered()
+					if listed && s.Ready() {
+						require.GreaterOrEqual(t, s.Revision().Number, r.accepted, "revision of %s", s.Identity.Peer)
+					}
+					require.GreaterOrEqual(t, s.Revision().Number, highest[s.Identity.Incarnation], "a revision reverted")
+					highest[s.Identity.Incarnation] = s.Revision().Number
+				}
+			},
+			"life":         life,
+			"lifeGoesOn":   life,
+			"deliver":      deliver,
+			"deliverMore":  deliver,
+			"deliverAgain": deliver,
+			"start":        func(t *rapid.T) { r.start(address(t)) },
+			"startMore":    func(t *rapid.T) { r.start(address(t)) },
+			"readConfig":   func(t *rapid.T) { r.readConfig(process(t)) },
+			"readMore":     func(t *rapid.T) { r.readConfig(process(t)) },
+			"loseMessages": func(*rapid.T) { r.messages = nil },
+			"register":     func(t *rapid.T) { r.register(process(t)) },
+			"activate":     func(*rapid.T) { r.activate() },
+			"change":       func(*rapid.T) { r.change() },
+			"accept":       r.accept,
+			"acceptMore":   r.accept,
+			"acceptAgain":  r.accept,
+			"outage": func(t *rapid.T) {
+				r.fault = rapid.SampledFrom([]bbrplatform.Fault{bbrplatform.NoFault, bbrplatform.CallRefused, bbrplatform.AnswerLost}).Draw(t, "fault")
+			},
+			"mend": func(*rapid.T) { r.fault = bbrplatform.NoFault },
+		})
+	})
+}
+
+// TestNewcomersObeyWhatWasAccepted is the same with two entries that are well
+// and one that starts again and again, so that its few steps meet every moment
+// of a change.
+func TestNewcomersObeyWhatWasAccepted(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		r := newRevisions()
+		peer := func(i int) netip.AddrPort { return netip.MustParseAddrPort(fmt.Sprintf("10.0.0.%d:7000", i)) }
+		newcomer := peer(3)
+		deliverAll := func() {
+			for _, m := range r.messages {
+				m()
+			}
+			r.messages = nil
+		}
+		settle := func() {
+			waiting := r.messages
+			r.messages = nil
+			for _, s := range r.processes {
+				if s.Identity.Peer == newcomer {
+					continue
+				}
+				r.now = r.now.Add(time.Millisecond)
+				r.register(s)
+				r.readView(s)
+				r.readConfig(s)
+			}
+			deliverAll()
+			r.messages = waiting
+			for range 3 {
+				view, _, _ := r.views().Load(context.Background())
+				for peer := range incarnations(view.Entries) {
+					if s := r.processes[peer]; s != nil && peer != newcomer {
+						r.acceptance.Confirm(peer, s.Identity.Incarnation, s.Revision().Number)
+					}
+				}
+				r.accept(t)
+			}
+		}
+		r.start(peer(1))
+		r.start(peer(2))
+		r.change()
+		settle()
+		r.activate()
+		r.start(newcomer)
+		steps := []func(){
+			func() { r.start(newcomer) },
+			func() { r.register(r.processes[newcomer]) },
+			func() { r.register(r.processes[newcomer]) },
+			func() { r.readConfig(r.processes[newcomer]) },
+			func() { r.readConfig(r.processes[newcomer]) },
+			func() { r.relay(r.processes[newcomer], r.processes[peer(1)]) },
+			deliverAll,
+			r.change,
+			settle,
+			settle,
+			func() { r.accept(t) },
+		}
+		for range rapid.IntRange(4, 25).Draw(t, "steps") {
+			rapid.SampledFrom(steps).Draw(t, "step")()
+			r.now = r.now.Add(time.Millisecond)
+			for _, s := range r.processes {
+				listed, _ := s.Registered()
+				if listed && s.Ready() {
+					require.GreaterOrEqual(t, s.Revision().Number, r.accepted, "revision of %s", s.Identity.Peer)
+				}
+			}
+		}
+	})
+}
--- a/internal/operator/bbrapi/config.go
+++ b/internal/operator/bbrapi/config.go
@@ -4,8 +4,10 @@
 	"context"
 	"fmt"
 	"net/netip"
+	"slices"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/bluebellridge/bluebellridge/internal/base/bbrcode"
@@ -124,23 +126,56 @@
 	if _, _, err := bbrwithdrawal.Ledger(x.Store).Update(ctx, "", raise); err != nil {
 		return notInForce("the ledger of permits")
 	}
-	confirmed := make(map[netip.AddrPort]string)
-	for {
+	acceptance := &bbrrevision.Acceptance{Revision: revision}
+	where := "the list of entries, which the platform does not give"
+	for ctx.Err() == nil {
 		entries, err := x.registered(ctx)
 		if err != nil {
-			return notInForce("the list of entries, which the platform does not give")
+			break
 		}
-		missing := x.missing(ctx, entries, confirmed, revision)
-		if len(missing) == 0 && sameEntries(confirmed, entries) {
-			if again, err := x.registered(ctx); err == nil && sameEntries(confirmed, again) {
-				return done(fmt.Sprintf("in force at %d entries", len(again)))
-			}
-		}
-		if ctx.Err() != nil {
-			return notInForce(strings.Join(missing, ", "))
+		missing := acceptance.Missing(incarnations(entries))
+		if len(missing) == 0 {
+			return done(fmt.Sprintf("in force at %d entries", len(entries)))
 		}
+		where = names(entries, missing)
+		x.askToConfirm(ctx, acceptance, missing)
 		time.Sleep(askAgain)
 	}
+	return notInForce(where)
+}
+
+func incarnations(entries map[netip.AddrPort]bbrview.Entry) map[netip.AddrPort]string {
+	listing := make(map[netip.AddrPort]string, len(entries))
+	for peer, entry := range entries {
+		listing[peer] = entry.Incarnation
+	}
+	return listing
+}
+
+func names(entries map[netip.AddrPort]bbrview.Entry, peers []netip.AddrPort) string {
+	list := make([]string, len(peers))
+	for i, peer := range peers {
+		list[i] = entries[peer].Name
+	}
+	slices.Sort(list)
+	return strings.Join(list, ", ")
+}
+
+// askToConfirm asks the missing entries at once.
+func (x *Executor) askToConfirm(ctx context.Context, acceptance *bbrrevision.Acceptance, missing []netip.AddrPort) {
+	var mu sync.Mutex
+	var round sync.WaitGroup
+	for _, peer := range missing {
+		round.Go(func() {
+			incarnation, revision, ok := x.obeys(ctx, peer)
+			mu.Lock()
+			defer mu.Unlock()
+			if ok {
+				acceptance.Confirm(peer, incarnation, revision)
+			}
+		})
+	}
+	round.Wait()
 }
 
 func notInForce(where string) Result {
@@ -179,38 +214,12 @@
 	return views, nil
 }
 
-// missing asks the entries that have not confirmed the revision yet, and
-// returns the names of those that still have not.
-func (x *Executor) missing(ctx context.Context, entries map[netip.AddrPort]bbrview.Entry, confirmed map[netip.AddrPort]string, revision uint64) []string {
-	var names []string
-	for peer, entry := range entries {
-		if confirmed[peer] == entry.Incarnation {
-			continue
-		}
-		if incarnation, ok := x.obeys(ctx, peer, revision); ok && incarnation == entry.Incarnation {
-			confirmed[peer] = incarnation
-			continue
-		}
-		names = append(names, entry.Name)
-	}
-	return names
-}
-
-func (x *Executor) obeys(ctx context.Context, peer netip.AddrPort, revision uint64) (string, bool) {
+func (x *Executor) obeys(ctx context.Context, peer netip.AddrPort) (incarnation string, revision uint64, ok bool) {
 	if peer == x.State.Identity.Peer {
-		return x.State.Identity.Incarnation, x.State.Revision().Number >= revision
+		return x.State.Identity.Incarnation, x.State.Revision().Number, true
 	}
 	ctx, cancel := context.WithTimeout(ctx, time.Second)
 	defer cancel()
 	answer, err := x.Client.Peer(ctx, peer).Acknowledge(ctx, &bbrpeerproto.AcknowledgeRequest{})
-	return answer.GetIncarnation(), err == nil && answer.GetRevision() >= revision
-}
-
-func sameEntries(confirmed map[netip.AddrPort]string, entries map[netip.AddrPort]bbrview.Entry) bool {
-	for peer, entry := range entries {
-		if confirmed[peer] != entry.Incarnation {
-			return false
-		}
-	}
-	return true
+	return answer.GetIncarnation(), answer.GetRevision(), err == nil
 }
--- a/internal/peer/bbrlink/server.go
+++ b/internal/peer/bbrlink/server.go
@@ -65,6 +65,8 @@
 		Revision:    s.State.Revision().Number,
 		FreeSlots:   s.freeSlots(),
 		Zone:        s.State.Identity.Zone,
+		Incarnation: s.State.Identity.Incarnation,
+		Ready:       s.State.Ready(),
 	}, nil
 }
 
--- a/internal/request/bbrgateway/truth_test.go
+++ b/internal/request/bbrgateway/truth_test.go
@@ -98,8 +98,10 @@
 	e := &entry{alive: true}
 	e.gateway = &Gateway{
 		State: state, Metrics: bbrmetric.New(), MaxInProgress: 100,
-		Tickets:  &bbrticket.Table{MaxKeys: 2, MaxAnswerBytes: 200, IssuedFor: time.Hour},
-		Exchange: func(_ context.Context, x bbrconnection.Exchange) (*bbrconnection.Reply, error) { return f.exchange(e, x) },
+		Tickets: &bbrticket.Table{MaxKeys: 2, MaxAnswerBytes: 200, IssuedFor: time.Hour},
+		Exchange: func(_ context.Context, x bbrconnection.Exchange) (*bbrconnection.Reply, error) {
+			return f.exchange(e, x)
+		},
 		DropPath: func(netip.AddrPort) {},
 		PeerFor: func(string, bool) (netip.AddrPort, bool) {
 			return peerAddress((i + 1) % len(f.entries)), f.chance("peer has room", 2)
