--- a/internal/base/bbrmetric/set.go
+++ b/internal/base/bbrmetric/set.go
@@ -16,6 +16,7 @@
 	refusals *prometheus.CounterVec
 	retries  *prometheus.CounterVec
 	events   *prometheus.CounterVec
+	bytes    *prometheus.CounterVec
 }
 
 // New returns a set with its own registry.
@@ -25,6 +26,7 @@
 	s.refusals = s.vector("bbr_refusals_total", "Refused requests and commands by result code.", "code", "name")
 	s.retries = s.vector("bbr_retries_total", "Further attempts by the failure that led to them.", "reason")
 	s.events = s.vector("bbr_events_total", "Changes of state by kind.", "event")
+	s.bytes = s.vector("bbr_control_bytes_total", "Bytes of control connections.", "channel", "direction")
 	return s
 }
 
@@ -58,3 +60,8 @@
 func (s *Set) Gauge(name, help string, read func() float64) {
 	s.Registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, read))
 }
+
+// ControlBytes returns the counter of a channel's bytes in one direction.
+func (s *Set) ControlBytes(channel, direction string) prometheus.Counter {
+	return s.bytes.WithLabelValues(channel, direction)
+}
--- /dev/null
+++ b/internal/base/bbrtraffic/meter.go
@@ -0,0 +1,83 @@
+package bbrtraffic
+
+import (
+	"context"
+	"net"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/bluebellridge/bluebellridge/internal/base/bbrmetric"
+)
+
+// Channel is what a control connection is for.
+type Channel string
+
+// Channels of control traffic.
+const (
+	Platform Channel = "platform"
+	Peer     Channel = "peer"
+)
+
+// Meter counts the bytes of one channel.
+type Meter struct {
+	read, written prometheus.Counter
+}
+
+// New returns the meter of a channel.
+func New(metrics *bbrmetric.Set, channel Channel) *Meter {
+	return &Meter{
+		read:    metrics.ControlBytes(string(channel), "in"),
+		written: metrics.ControlBytes(string(channel), "out"),
+	}
+}
+
+// Dial makes a TCP connection whose bytes are counted.
+func (m *Meter) Dial(ctx context.Context, network, address string) (net.Conn, error) {
+	var dialer net.Dialer
+	conn, err := dialer.DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	return m.Wrap(conn), nil
+}
+
+// Wrap counts the bytes of a connection.
+func (m *Meter) Wrap(conn net.Conn) net.Conn { return &metered{Conn: conn, meter: m} }
+
+// Listen counts the bytes of the connections that a listener accepts.
+func (m *Meter) Listen(listener net.Listener) net.Listener {
+	return &meteredListener{Listener: listener, meter: m}
+}
+
+type metered struct {
+	net.Conn
+	meter *Meter
+}
+
+// Read implements net.Conn.
+func (c *metered) Read(data []byte) (int, error) {
+	n, err := c.Conn.Read(data)
+	c.meter.read.Add(float64(n))
+	return n, err
+}
+
+// Write implements net.Conn.
+func (c *metered) Write(data []byte) (int, error) {
+	n, err := c.Conn.Write(data)
+	c.meter.written.Add(float64(n))
+	return n, err
+}
+
+type meteredListener struct {
+	net.Listener
+	meter *Meter
+}
+
+// Accept implements net.Listener.
+func (l *meteredListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return l.meter.Wrap(conn), nil
+}
--- a/internal/daemon/bbrcore/plugin.go
+++ b/internal/daemon/bbrcore/plugin.go
@@ -1,13 +1,17 @@
 package bbrcore
 
 import (
+	"context"
+	"net"
 	"net/http"
+	"net/netip"
 	"time"
 
 	"github.com/google/uuid"
 	"go.uber.org/fx"
 
 	"github.com/bluebellridge/bluebellridge/internal/base/bbrmetric"
+	"github.com/bluebellridge/bluebellridge/internal/base/bbrtraffic"
 	"github.com/bluebellridge/bluebellridge/internal/config/bbrsettings"
 	"github.com/bluebellridge/bluebellridge/internal/daemon/bbrentry"
 	"github.com/bluebellridge/bluebellridge/internal/daemon/bbrkernel"
@@ -52,17 +56,25 @@
 // and some calls.
 const platformConnections = 8
 
-func newAdapter(settings bbrsettings.Settings) *bbrstore.Adapter {
+func newAdapter(settings bbrsettings.Settings, metrics *bbrmetric.Set) *bbrstore.Adapter {
+	meter := bbrtraffic.New(metrics, bbrtraffic.Platform)
 	return &bbrstore.Adapter{
 		Address:  settings.Platform.Address,
 		ClientID: settings.Entry,
 		Timeout:  settings.Platform.Timeout,
-		Client:   http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: platformConnections}},
+		Client: http.Client{Transport: &http.Transport{
+			DialContext:         meter.Dial,
+			MaxIdleConnsPerHost: platformConnections,
+		}},
 	}
 }
 
-func newClient(settings bbrsettings.Settings, lifecycle fx.Lifecycle) *bbrlink.Client {
+func newClient(settings bbrsettings.Settings, metrics *bbrmetric.Set, lifecycle fx.Lifecycle) *bbrlink.Client {
 	client := bbrlink.NewClient(settings.Timing.Dial)
+	meter := bbrtraffic.New(metrics, bbrtraffic.Peer)
+	client.Dial = func(ctx context.Context, peer netip.AddrPort) (net.Conn, error) {
+		return meter.Dial(ctx, "tcp", peer.String())
+	}
 	lifecycle.Append(fx.StopHook(client.Close))
 	return client
 }
--- a/internal/daemon/bbrkernel/kernel.go
+++ b/internal/daemon/bbrkernel/kernel.go
@@ -60,8 +60,8 @@
 	stopMargin = 15 * time.Second
 )
 
-// Run starts the plug-ins, waits until ctx ends, and stops them.
-func Run(ctx context.Context, settings bbrsettings.Settings) error {
+// Options returns all plug-ins as one option.
+func Options(settings bbrsettings.Settings) fx.Option {
 	options := []fx.Option{
 		fx.NopLogger,
 		fx.Supply(settings),
@@ -71,7 +71,12 @@
 	for _, plugin := range sorted() {
 		options = append(options, fx.Module(plugin.Name, plugin.Option))
 	}
-	app := fx.New(options...)
+	return fx.Options(options...)
+}
+
+// Run starts the plug-ins, waits until ctx ends, and stops them.
+func Run(ctx context.Context, settings bbrsettings.Settings) error {
+	app := fx.New(Options(settings))
 	if err := app.Err(); err != nil {
 		return errors.Wrap(err, "assembling")
 	}
--- a/internal/fleet/bbrduty/duty.go
+++ b/internal/fleet/bbrduty/duty.go
@@ -26,8 +26,10 @@
 	seekEvery = time.Second
 	// listEvery and probeEvery are how often the platform's list is read and
 	// the instances are probed; settleEvery, how often the ledger and the
-	// waves are brought in line.
-	listEvery   = time.Second
+	// waves are brought in line. While an instance reboots, the list is read
+	// more often.
+	listEvery   = 5 * time.Second
+	rebootEvery = time.Second
 	probeEvery  = 2 * time.Second
 	settleEvery = time.Second
 	renewEvery  = leaseTTL / 3
@@ -187,7 +189,7 @@
 		FencesOver: d.Patience.Over(&snapshot.View, self, acks, now),
 		Released:   d.Holdover.Over(&snapshot.View, d.State.Revision().Config.LongestTimeout(), now),
 	}
-	if d.due("list", listEvery, now) {
+	if d.due("list", listInterval(&snapshot.View), now) {
 		rows, err := d.List.Instances(ctx, d.State.Identity.Zone)
 		observation.Rows = rows
 		observation.Listed = err == nil
@@ -195,6 +197,19 @@
 	return observation
 }
 
+// listInterval returns how often the platform's list is needed.
+func listInterval(view *bbrview.View) time.Duration {
+	if len(view.Instances) == 0 {
+		return rebootEvery
+	}
+	for _, instance := range view.Instances {
+		if instance.State == bbrview.Rebooting {
+			return rebootEvery
+		}
+	}
+	return listEvery
+}
+
 // commit writes the next view if nobody wrote another one since snapshot.
 func (d *Duty) commit(ctx context.Context, snapshot *bbrentry.Snapshot, next bbrview.View) bool {
 	version, err := bbrmember.Document(d.Store, d.State.Identity.Zone).Save(ctx, next, snapshot.Version, "")
@@ -227,7 +242,7 @@
 func (d *Duty) reboot(ctx context.Context) {
 	snapshot := d.State.Snapshot()
 	for id, instance := range snapshot.View.Instances {
-		if instance.State != bbrview.Rebooting || !d.due("reboot/"+instance.Operation, listEvery, time.Now()) {
+		if instance.State != bbrview.Rebooting || !d.due("reboot/"+instance.Operation, rebootEvery, time.Now()) {
 			continue
 		}
 		if err := d.List.Reboot(ctx, id, instance.Operation); err != nil {
--- a/internal/fleet/bbrmember/confirm.go
+++ b/internal/fleet/bbrmember/confirm.go
@@ -24,16 +24,17 @@
 	// other quickly after the start, when other entries start too.
 	eagerRounds = 10
 	// neighboursAsked is how many entries of each other zone are asked for
-	// their free slots in a round.
+	// their free slots, in one of neighbourRounds rounds.
 	neighboursAsked = 1
+	neighbourRounds = 3
 )
 
 // runConfirmation asks the other entries of the zone for confirmation, and
 // some of the other zones for their free slots.
 func (m *Member) runConfirmation(ctx context.Context) {
-	for ctx.Err() == nil {
+	for number := 0; ctx.Err() == nil; number++ {
 		var round sync.WaitGroup
-		for _, peer := range m.toAsk() {
+		for _, peer := range m.toAsk(number%neighbourRounds == 0) {
 			round.Go(func() { m.ask(ctx, peer) })
 		}
 		round.Wait()
@@ -43,7 +44,7 @@
 
 // toAsk returns the zone's other entries, some of each other zone, and the
 // seeds while no view is known.
-func (m *Member) toAsk() []netip.AddrPort {
+func (m *Member) toAsk(neighbours bool) []netip.AddrPort {
 	snapshot := m.State.Snapshot()
 	var peers []netip.AddrPort
 	for peer := range snapshot.View.Entries {
@@ -52,6 +53,9 @@
 		}
 	}
 	for _, neighbour := range m.State.Neighbours() {
+		if !neighbours {
+			break
+		}
 		asked := 0
 		for peer := range neighbour.View.Entries {
 			if asked == neighboursAsked {
--- a/internal/peer/bbrlink/client.go
+++ b/internal/peer/bbrlink/client.go
@@ -62,10 +62,12 @@
 }
 
 func (c *Client) rawDial(ctx context.Context, peer netip.AddrPort) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.DialTimeout)
+	defer cancel()
 	if c.Dial != nil {
 		return c.Dial(ctx, peer)
 	}
-	dialer := net.Dialer{Timeout: c.DialTimeout}
+	var dialer net.Dialer
 	return dialer.DialContext(ctx, "tcp", peer.String())
 }
 
--- a/internal/peer/bbrlink/directory.go
+++ b/internal/peer/bbrlink/directory.go
@@ -8,7 +8,7 @@
 )
 
 // freshFor is how long what a peer said of its free slots is believed.
-const freshFor = 3 * time.Second
+const freshFor = 5 * time.Second
 
 // Directory is what the other entries last said of their free slots. The zero
 // value is empty.
--- a/internal/peer/bbrlink/plugin.go
+++ b/internal/peer/bbrlink/plugin.go
@@ -8,6 +8,8 @@
 	"go.uber.org/fx"
 	"k8s.io/klog/v2"
 
+	"github.com/bluebellridge/bluebellridge/internal/base/bbrmetric"
+	"github.com/bluebellridge/bluebellridge/internal/base/bbrtraffic"
 	"github.com/bluebellridge/bluebellridge/internal/config/bbrsettings"
 	"github.com/bluebellridge/bluebellridge/internal/daemon/bbrentry"
 	"github.com/bluebellridge/bluebellridge/internal/daemon/bbrkernel"
@@ -19,8 +21,8 @@
 		Stage: bbrkernel.StagePeer,
 		Option: fx.Options(
 			fx.Provide(newServer),
-			fx.Invoke(func(lifecycle fx.Lifecycle, settings bbrsettings.Settings, server *Server) {
-				l := &listening{server: server, settings: settings}
+			fx.Invoke(func(lifecycle fx.Lifecycle, settings bbrsettings.Settings, metrics *bbrmetric.Set, server *Server) {
+				l := &listening{server: server, settings: settings, meter: bbrtraffic.New(metrics, bbrtraffic.Peer)}
 				lifecycle.Append(fx.StartStopHook(l.start, l.stop))
 			}),
 		),
@@ -35,6 +37,7 @@
 type listening struct {
 	server   *Server
 	settings bbrsettings.Settings
+	meter    *bbrtraffic.Meter
 	cancel   context.CancelFunc
 	wg       sync.WaitGroup
 }
@@ -47,7 +50,7 @@
 	}
 	running, cancel := context.WithCancel(context.Background())
 	l.cancel = cancel
-	l.wg.Go(func() { l.run(running, listener) })
+	l.wg.Go(func() { l.run(running, l.meter.Listen(listener)) })
 	return nil
 }
 
--- a/internal/request/bbrconnection/exchange.go
+++ b/internal/request/bbrconnection/exchange.go
@@ -169,8 +169,7 @@
 	}
 	a.extend(ctx)
 	if !a.belongs(response) {
-		cause := errors.Newf("answer carries request ID %q", response.Header.Get(bbrjob.RequestIDHeader))
-		return nil, &Failed{Failure: bbrretry.Mismatched, Cause: cause}
+		return nil, &Failed{Failure: bbrretry.Mismatched, Cause: errors.New("the answer carries another request's ID")}
 	}
 	if !framed(request, response) {
 		return nil, &Failed{Failure: bbrretry.Truncated, Cause: errors.New("the answer's length is not given")}
