request/bbrroute: policies measured against their baselines

Cause: no choice had a figure. Traces are seeded and drawn before the run. Failed tries: two earlier drafts of the trace let passed-on requests overtake those that waited, which the entries do not, and drew service times during the run, so that policies saw different traces; both discarded.

--- a/Makefile
+++ b/Makefile
@@ -33,3 +33,10 @@
 .PHONY: mutants
 mutants:
 	scripts/mutants.sh
+
+# Prints each policy against its baseline on seeded traces, and the cost of the
+# hot decisions. Nothing here is asserted.
+.PHONY: measure
+measure:
+	go test ./internal/... -run TestMeasure -v -count=1 | grep -E '^ +[a-z_]+\.go:'
+	go test ./internal/... -run xxx -bench . -benchmem -count=1 | grep -E '^Benchmark'
--- /dev/null
+++ b/internal/request/bbrretry/measure_test.go
@@ -0,0 +1,71 @@
+package bbrretry
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// TestMeasureExtraLoad prints the extra attempts on a pool that fails a share
+// of them, with the budget and without.
+func TestMeasureExtraLoad(t *testing.T) {
+	for _, failing := range []float64{0.1, 0.5, 1} {
+		for _, budgeted := range []bool{false, true} {
+			random := rand.New(rand.NewPCG(5, 6))
+			var budget Budget
+			const requests = 20_000
+			attempts, good := 0, 0
+			for range requests {
+				budget.Deposit()
+				for number := 1; ; number++ {
+					attempts++
+					if random.Float64() >= failing {
+						good++
+						break
+					}
+					judged := &budget
+					if !budgeted {
+						judged = &Budget{}
+					}
+					a := Attempt{Number: number, Failure: Broke, Idempotent: true, Deadline: time.Unix(2, 0)}
+					if !Decide(a, judged, time.Unix(1, 0)).Retry {
+						break
+					}
+				}
+			}
+			t.Logf("failing=%3.0f%% budget=%-5v extra load=%5.1f%% answered=%5.1f%%", 100*failing, budgeted,
+				100*float64(attempts-requests)/requests, 100*float64(good)/requests)
+		}
+	}
+}
+
+func TestBudgetBoundsRetries(t *testing.T) {
+	var budget Budget
+	granted := 0
+	const requests = 10_000
+	for range requests {
+		budget.Deposit()
+		if budget.Withdraw() {
+			granted++
+		}
+	}
+	require.LessOrEqual(t, granted, requests/10+capUnits/tokenUnits)
+}
+
+func TestHealthEjectsAndReturns(t *testing.T) {
+	now := time.Unix(100, 0)
+	var h Health
+	for range ejectAfter - 1 {
+		h.Fail(now)
+	}
+	require.False(t, h.Ejected(now))
+	h.Fail(now)
+	require.True(t, h.Ejected(now))
+	require.False(t, h.Ejected(now.Add(firstEjection)))
+	h.Fail(now.Add(firstEjection))
+	require.True(t, h.Ejected(now.Add(2*firstEjection)))
+	h.Succeed()
+	require.False(t, h.Ejected(now.Add(2*firstEjection)))
+}
--- /dev/null
+++ b/internal/request/bbrroute/measure_test.go
@@ -0,0 +1,211 @@
+package bbrroute
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/bluebellridge/bluebellridge/internal/fleet/bbrview"
+)
+
+// The measurements print; they assert nothing. make measure runs them.
+
+// event is the end of a request's run in a trace.
+type event struct {
+	at     float64
+	entry  int
+	pool   *Pool
+	target *Target
+}
+
+type events []event
+
+func (e events) Len() int           { return len(e) }
+func (e events) Less(i, j int) bool { return e[i].at < e[j].at }
+func (e events) Swap(i, j int)      { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(x any)        { *e = append(*e, x.(event)) }
+func (e *events) Pop() any          { old := *e; x := old[len(old)-1]; *e = old[:len(old)-1]; return x }
+
+// sharing is a way to share a pool's slots between the entries of a zone.
+type sharing struct {
+	name    string
+	entries int
+	spill   bool
+}
+
+// bound is how many requests may wait at one entry.
+const bound = 60
+
+// arrival is a request of a trace.
+type arrival struct {
+	at, runTime float64
+	entry       int
+}
+
+// spikeTrace draws a minute of requests to one pool: half of its slots on
+// average, five times that for 10 s, then a twentieth. A share of them, skew,
+// goes to the first entry besides its even part.
+func spikeTrace(entries, workers int, skew float64) []arrival {
+	const runTime = 0.5
+	random := rand.New(rand.NewPCG(1, 2))
+	mean := float64(workers*8) / runTime / 2
+	var trace []arrival
+	for now := 0.0; now < 60; {
+		a := arrival{at: now, runTime: random.ExpFloat64() * runTime}
+		if entry := random.IntN(entries); random.Float64() > skew {
+			a.entry = entry
+		}
+		trace = append(trace, a)
+		rate := mean
+		if now > 20 && now < 30 {
+			rate = 5 * mean
+		} else if now >= 30 {
+			rate = mean / 20
+		}
+		now += random.ExpFloat64() / rate
+	}
+	return trace
+}
+
+// outcome is what became of a trace.
+type outcome struct {
+	refused, served int
+	longest         float64
+}
+
+// run is a trace on its way through the entries of a zone.
+type run struct {
+	outcome
+	sharing sharing
+	pools   []*Pool
+	queues  [][]arrival
+	ends    events
+	now     float64
+}
+
+func newRun(s sharing, workers int) *run {
+	r := &run{sharing: s, queues: make([][]arrival, s.entries)}
+	for i := range s.entries {
+		view, revision := benchZone(s.entries, 0)
+		for w := range workers {
+			id := fmt.Sprint("w-", w)
+			view.Instances[id] = bbrview.Instance{ID: id, Pool: "p-0", Slots: 8, State: bbrview.Serving}
+		}
+		self := netip.MustParseAddrPort(fmt.Sprintf("10.0.0.%d:7000", i+1))
+		r.pools = append(r.pools, new(Registry).Build(view, 1, revision, self).Pools["p-0"])
+	}
+	return r
+}
+
+func (r *run) take(i int, a arrival) bool {
+	target := r.pools[i].Pick(Choice{Urgent: true}, time.Time{})
+	if target == nil {
+		return false
+	}
+	heap.Push(&r.ends, event{at: r.now + a.runTime, entry: i, pool: r.pools[i], target: target})
+	r.longest = max(r.longest, r.now-a.at)
+	r.served++
+	return true
+}
+
+// place starts a request at its entry, or passes it on once to another one
+// where nobody waits.
+func (r *run) place(a arrival) bool {
+	if len(r.queues[a.entry]) == 0 && r.take(a.entry, a) {
+		return true
+	}
+	for i := range r.pools {
+		if r.sharing.spill && i != a.entry && len(r.queues[i]) == 0 && r.take(i, a) {
+			return true
+		}
+	}
+	return false
+}
+
+// advance ends the runs that are over by then.
+func (r *run) advance(until float64) {
+	for len(r.ends) > 0 && r.ends[0].at <= until {
+		e := heap.Pop(&r.ends).(event)
+		r.now = e.at
+		e.pool.Return(e.target)
+		if waiting := r.queues[e.entry]; len(waiting) > 0 && r.take(e.entry, waiting[0]) {
+			r.queues[e.entry] = waiting[1:]
+		}
+	}
+}
+
+func (r *run) through(trace []arrival, bound int) outcome {
+	for _, a := range trace {
+		a.entry %= r.sharing.entries
+		r.advance(a.at)
+		r.now = a.at
+		switch {
+		case r.place(a):
+		case len(r.queues[a.entry]) < bound:
+			r.queues[a.entry] = append(r.queues[a.entry], a)
+		default:
+			r.refused++
+		}
+	}
+	r.advance(1e9)
+	return r.outcome
+}
+
+func TestMeasureSlotSharing(t *testing.T) {
+	for _, size := range []struct{ entries, workers int }{{2, 3}, {4, 8}} {
+		for _, skew := range []float64{0, 0.5} {
+			for _, s := range []sharing{
+				{name: "even split", entries: size.entries},
+				{name: "even split, passed on when full", entries: size.entries, spill: true},
+				{name: "one queue for all (ideal)", entries: 1},
+			} {
+				o := newRun(s, size.workers).through(spikeTrace(size.entries, size.workers, skew), bound*size.entries/s.entries)
+				t.Logf("entries=%d workers=%d skew=%.1f %-32s refused=%5d served=%5d longest wait=%5.2f s",
+					size.entries, size.workers, skew, s.name, o.refused, o.served, o.longest)
+			}
+		}
+	}
+}
+
+// TestMeasureFailingWorker counts what a worker draws that fails everything at
+// once, while the others take 100 ms.
+func TestMeasureFailingWorker(t *testing.T) {
+	for _, eject := range []bool{false, true} {
+		random := rand.New(rand.NewPCG(3, 4))
+		view, revision := benchZone(1, 0)
+		for w := range 4 {
+			id := fmt.Sprint("w-", w)
+			view.Instances[id] = bbrview.Instance{ID: id, Pool: "p-0", Slots: 8, State: bbrview.Serving}
+		}
+		var registry Registry
+		pool := registry.Build(view, 1, revision, benchSelf).Pools["p-0"]
+		var ends events
+		failed, total := 0, 0
+		began := time.Unix(0, 0)
+		for now := 0.0; now < 60; now += random.ExpFloat64() / 160 {
+			at := began.Add(time.Duration(now * float64(time.Second)))
+			for len(ends) > 0 && ends[0].at <= now {
+				e := heap.Pop(&ends).(event)
+				e.pool.Return(e.target)
+			}
+			target := pool.Pick(Choice{Random: random.Uint64()}, at)
+			if target == nil {
+				continue
+			}
+			total++
+			if target.ID != "w-0" {
+				heap.Push(&ends, event{at: now + 0.1, pool: pool, target: target})
+				continue
+			}
+			failed++
+			pool.Return(target)
+			if eject {
+				target.Health.Fail(at)
+			}
+		}
+		t.Logf("failing worker, ejection=%v: %d of %d requests in 60 s went to it", eject, failed, total)
+	}
+}
