--- /dev/null
+++ b/internal/daemon/bbrcommand/check_test.go
@@ -0,0 +1,68 @@
+package bbrcommand
+
+import (
+	"bytes"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/bluebellridge/bluebellridge/internal/config/bbrsettings"
+	"github.com/bluebellridge/bluebellridge/internal/operator/bbrapi"
+)
+
+func TestExamplesAreGood(t *testing.T) {
+	settings, err := filepath.Glob("../../../examples/*/entry*.yaml")
+	require.NoError(t, err)
+	require.NotEmpty(t, settings)
+	for _, file := range settings {
+		var out, errors bytes.Buffer
+		require.Equal(t, exitDone, Main([]string{"check", file}, &out, &errors), errors.String())
+	}
+	configs, err := filepath.Glob("../../../examples/*/config.yaml")
+	require.NoError(t, err)
+	require.Len(t, configs, 3)
+	for _, file := range configs {
+		var out, errors bytes.Buffer
+		require.Equal(t, exitDone, Main([]string{"check-config", file}, &out, &errors), errors.String())
+	}
+}
+
+func TestAllFaultsAtOnce(t *testing.T) {
+	_, faults := bbrsettings.Parse([]byte("entry: a\nentry: b\nzone: \"\"\nlisten:\n  callers: nowhere\n  peers: 0.0.0.0:1\n  cellars: x\nlimits: {keys: 0}\ntiming:\n  fence: 1s\nshutdown: 5\n"))
+	var lines []string
+	for _, fault := range faults {
+		lines = append(lines, fault.Error())
+	}
+	require.Equal(t, []string{
+		`5002 settingsUnknown at line 2, column 1: entry: the field is given twice`,
+		`5003 settingsInvalid at line 5, column 12: listen.callers: "nowhere" is not a netip.AddrPort`,
+		`5002 settingsUnknown at line 7, column 3: listen.cellars: unknown field; allowed are callers, operators, peers, tls`,
+		`5003 settingsInvalid at line 11, column 11: shutdown: must be a mapping of fields`,
+		`5004 settingsMissing at line 3, column 1: zone: must name the availability zone`,
+		`5004 settingsMissing at line 5, column 3: listen.callers: must be an IP address and port, such as 10.0.0.1:7001`,
+		`5004 settingsMissing at line 4, column 1: listen.operators: must be an IP address and port, such as 10.0.0.1:7001`,
+		`5004 settingsMissing at platform.address: must be an IP address and port, such as 10.0.0.1:7001`,
+		`5003 settingsInvalid at line 6, column 3: listen.peers: must be an address that the other entries can reach`,
+		`5004 settingsMissing at operators.token: must have at least 16 characters`,
+		`5003 settingsInvalid at line 8, column 10: limits.keys: 0 is not from 1 to 1000000`,
+		`5003 settingsInvalid at line 10, column 3: timing.fence: 1s is not from 3s to 1h0m0s`,
+	}, lines)
+}
+
+// FuzzSettings feeds anything to the settings and the configuration.
+func FuzzSettings(f *testing.F) {
+	for _, file := range []string{"../../../examples/demo/config.yaml", "../../../examples/calibra/entry.yaml"} {
+		data, err := os.ReadFile(file)
+		require.NoError(f, err)
+		f.Add(data)
+	}
+	f.Add([]byte("a: &x {b: *x}"))
+	f.Add([]byte("listen: [1, {]"))
+	f.Add([]byte("? {a: 1}\n: b"))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		_, _ = bbrsettings.Parse(data)
+		_, _ = bbrapi.ParseConfig(data)
+	})
+}
