base/bbroperation: one log of operations and one pause instead of copies

Cause: read as a newcomer, the log of operation IDs stood in the view and in the configuration, and the interruptible pause in three packages. Idle connections to upstreams that were gone stayed open until somebody asked for them, and the duty remembered every reboot for ever; both are bounded now. Measured: make test passes.

--- a/internal/config/bbrrevision/change.go
+++ b/internal/config/bbrrevision/change.go
@@ -110,6 +110,6 @@
 	if err := ch.Set(c); err != nil {
 		return err
 	}
-	c.Record(operation)
+	c.Operations.Record(operation)
 	return nil
 }
--- a/internal/config/bbrrevision/config.go
+++ b/internal/config/bbrrevision/config.go
@@ -4,14 +4,13 @@
 	"maps"
 	"slices"
 	"time"
+
+	"github.com/bluebellridge/bluebellridge/internal/base/bbroperation"
 )
 
 // Key is where the platform keeps the configuration.
 const Key = "config"
 
-// maxOperations is how many operation IDs a configuration remembers.
-const maxOperations = 64
-
 // Config is the shared configuration of one tenant.
 type Config struct {
 	Tenant string `json:"tenant" yaml:"tenant"`
@@ -26,7 +25,7 @@
 	// cap.
 	ActivePerZone int `json:"activePerZone" yaml:"activePerZone"`
 	// Operations are the newest applied operation IDs, oldest first.
-	Operations []string `json:"operations" yaml:"-"`
+	Operations bbroperation.Log `json:"operations" yaml:"-"`
 }
 
 // Weights are what the tenant minds most. They weigh a move against a second
@@ -89,20 +88,7 @@
 }
 
 // Applied reports whether the configuration records the operation.
-func Applied(c *Config, operation string) bool {
-	return slices.Contains(c.Operations, operation)
-}
-
-// Record remembers an operation as applied.
-func (c *Config) Record(operation string) {
-	if operation == "" {
-		return
-	}
-	c.Operations = append(c.Operations, operation)
-	if extra := len(c.Operations) - maxOperations; extra > 0 {
-		c.Operations = slices.Delete(c.Operations, 0, extra)
-	}
-}
+func Applied(c *Config, operation string) bool { return c.Operations.Has(operation) }
 
 // ServicesOf returns the services that have a queue in the pool, sorted.
 func (c *Config) ServicesOf(pool string) []string {
--- a/internal/fleet/bbrduty/duty.go
+++ b/internal/fleet/bbrduty/duty.go
@@ -12,6 +12,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/bluebellridge/bluebellridge/internal/base/bbrmetric"
+	"github.com/bluebellridge/bluebellridge/internal/base/bbrpause"
 	"github.com/bluebellridge/bluebellridge/internal/daemon/bbrentry"
 	"github.com/bluebellridge/bluebellridge/internal/fleet/bbrmember"
 	"github.com/bluebellridge/bluebellridge/internal/fleet/bbrview"
@@ -51,7 +52,9 @@
 	lease   bbrstore.LeaseID
 	// last holds when each periodic work was begun.
 	last map[string]time.Time
-	wg   sync.WaitGroup
+	// asked holds when each reboot that is under way was asked for.
+	asked map[string]time.Time
+	wg    sync.WaitGroup
 }
 
 // Holding reports whether this entry holds the duty.
@@ -69,24 +72,15 @@
 func (d *Duty) run(ctx context.Context) {
 	for ctx.Err() == nil {
 		if !d.hold(ctx) {
-			pause(ctx, seekEvery/2+rand.N(seekEvery))
+			bbrpause.For(ctx, seekEvery/2+rand.N(seekEvery))
 			continue
 		}
 		d.work(ctx)
-		pause(ctx, tick)
+		bbrpause.For(ctx, tick)
 	}
 	d.giveBack()
 }
 
-func pause(ctx context.Context, length time.Duration) {
-	timer := time.NewTimer(length)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 // due reports whether the periodic work should be done now.
 func (d *Duty) due(work string, every time.Duration, now time.Time) bool {
 	if now.Sub(d.last[work]) < every {
@@ -168,7 +162,7 @@
 	if changed && !d.commit(ctx, snapshot, next) {
 		return
 	}
-	d.reboot(ctx)
+	d.reboot(ctx, time.Now())
 	if d.due("settle", settleEvery, time.Now()) {
 		if err := d.Withdrawer.Settle(ctx, time.Now()); err != nil {
 			d.Metrics.Event("settleFailed")
@@ -239,14 +233,20 @@
 }
 
 // reboot asks for every recorded reboot; the platform performs each once.
-func (d *Duty) reboot(ctx context.Context) {
-	snapshot := d.State.Snapshot()
-	for id, instance := range snapshot.View.Instances {
-		if instance.State != bbrview.Rebooting || !d.due("reboot/"+instance.Operation, rebootEvery, time.Now()) {
+func (d *Duty) reboot(ctx context.Context, now time.Time) {
+	asked := make(map[string]time.Time)
+	for id, instance := range d.State.Snapshot().View.Instances {
+		if instance.State != bbrview.Rebooting {
+			continue
+		}
+		asked[instance.Operation] = d.asked[instance.Operation]
+		if now.Sub(asked[instance.Operation]) < rebootEvery {
 			continue
 		}
+		asked[instance.Operation] = now
 		if err := d.List.Reboot(ctx, id, instance.Operation); err != nil {
 			d.Metrics.Event("rebootCallFailed")
 		}
 	}
+	d.asked = asked
 }
--- a/internal/fleet/bbrmember/confirm.go
+++ b/internal/fleet/bbrmember/confirm.go
@@ -10,6 +10,7 @@
 
 	"k8s.io/klog/v2"
 
+	"github.com/bluebellridge/bluebellridge/internal/base/bbrpause"
 	"github.com/bluebellridge/bluebellridge/internal/config/bbrrevision"
 	"github.com/bluebellridge/bluebellridge/internal/daemon/bbrentry"
 	"github.com/bluebellridge/bluebellridge/internal/fleet/bbrview"
@@ -38,7 +39,7 @@
 			round.Go(func() { m.ask(ctx, peer) })
 		}
 		round.Wait()
-		sleep(ctx, confirmEvery*3/4+rand.N(confirmEvery/2))
+		bbrpause.For(ctx, confirmEvery*3/4+rand.N(confirmEvery/2))
 	}
 }
 
@@ -128,7 +129,7 @@
 		if round < eagerRounds {
 			every = confirmEvery
 		}
-		sleep(ctx, every/2+rand.N(every))
+		bbrpause.For(ctx, every/2+rand.N(every))
 	}
 }
 
--- a/internal/fleet/bbrmember/follow.go
+++ b/internal/fleet/bbrmember/follow.go
@@ -10,6 +10,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/bluebellridge/bluebellridge/internal/base/bbrmetric"
+	"github.com/bluebellridge/bluebellridge/internal/base/bbrpause"
 	"github.com/bluebellridge/bluebellridge/internal/config/bbrrevision"
 	"github.com/bluebellridge/bluebellridge/internal/daemon/bbrentry"
 	"github.com/bluebellridge/bluebellridge/internal/fleet/bbrview"
@@ -60,7 +61,7 @@
 			return
 		default:
 			f.report(&reachable, false, err)
-			sleep(ctx, pause/2+rand.N(pause))
+			bbrpause.For(ctx, pause/2+rand.N(pause))
 			pause = min(2*pause, longestPause)
 			continue
 		}
@@ -84,15 +85,6 @@
 	klog.InfoS("Platform is unreachable", "key", f.Key, "err", err)
 }
 
-func sleep(ctx context.Context, pause time.Duration) {
-	timer := time.NewTimer(pause)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 // confirmIfListed confirms the registration if the view, which the platform
 // held at asked or later, shows it.
 func confirmIfListed(state *bbrentry.State, view *bbrview.View, asked time.Time) {
--- a/internal/fleet/bbrmember/member.go
+++ b/internal/fleet/bbrmember/member.go
@@ -11,6 +11,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/bluebellridge/bluebellridge/internal/base/bbrmetric"
+	"github.com/bluebellridge/bluebellridge/internal/base/bbrpause"
 	"github.com/bluebellridge/bluebellridge/internal/config/bbrrevision"
 	"github.com/bluebellridge/bluebellridge/internal/daemon/bbrentry"
 	"github.com/bluebellridge/bluebellridge/internal/fleet/bbrview"
@@ -78,7 +79,7 @@
 func (m *Member) runRegistration(ctx context.Context) {
 	for ctx.Err() == nil {
 		m.registerIfNeeded(ctx)
-		sleep(ctx, registerEvery/2+rand.N(registerEvery))
+		bbrpause.For(ctx, registerEvery/2+rand.N(registerEvery))
 	}
 }
 
--- a/internal/fleet/bbrview/instance.go
+++ b/internal/fleet/bbrview/instance.go
@@ -37,7 +37,7 @@
 	instance.Reason = w.Reason
 	instance.Since = now
 	v.Instances[w.Instance] = instance
-	v.Record(w.Operation)
+	v.Operations.Record(w.Operation)
 	return nil
 }
 
@@ -45,7 +45,7 @@
 // its writer comes.
 func (v *View) Void(operation string) {
 	if !Applied(v, operation) && !Applied(v, voided(operation)) {
-		v.Record(voided(operation))
+		v.Operations.Record(voided(operation))
 	}
 }
 
@@ -64,7 +64,7 @@
 			instance.State, instance.Plan)
 	}
 	v.serve(instance, instance.Pool, now)
-	v.Record(operation)
+	v.Operations.Record(operation)
 	return nil
 }
 
--- a/internal/fleet/bbrview/view.go
+++ b/internal/fleet/bbrview/view.go
@@ -5,14 +5,13 @@
 	"net/netip"
 	"slices"
 	"time"
+
+	"github.com/bluebellridge/bluebellridge/internal/base/bbroperation"
 )
 
 // KeyPrefix is where the platform keeps the views, one document a zone.
 const KeyPrefix = "zones/"
 
-// maxOperations is how many operation IDs a view remembers.
-const maxOperations = 64
-
 // View is the document of one availability zone.
 type View struct {
 	Zone string `json:"zone"`
@@ -26,7 +25,7 @@
 	// Instances are the zone's upstreams by ID. Each has one pool.
 	Instances map[string]Instance `json:"instances"`
 	// Operations are the newest applied operation IDs, oldest first.
-	Operations []string `json:"operations"`
+	Operations bbroperation.Log `json:"operations"`
 }
 
 // Entry is a registered entry daemon.
@@ -114,17 +113,4 @@
 }
 
 // Applied reports whether the view records the operation.
-func Applied(v *View, operation string) bool {
-	return slices.Contains(v.Operations, operation)
-}
-
-// Record remembers an operation as applied.
-func (v *View) Record(operation string) {
-	if operation == "" {
-		return
-	}
-	v.Operations = append(v.Operations, operation)
-	if extra := len(v.Operations) - maxOperations; extra > 0 {
-		v.Operations = slices.Delete(v.Operations, 0, extra)
-	}
-}
+func Applied(v *View, operation string) bool { return v.Operations.Has(operation) }
--- a/internal/operator/bbrapi/config.go
+++ b/internal/operator/bbrapi/config.go
@@ -90,7 +90,7 @@
 		operations := c.Operations
 		*c = config.Clone()
 		c.Operations = operations
-		c.Record(request.Operation)
+		c.Operations.Record(request.Operation)
 		return nil
 	}, request)
 }
--- a/internal/operator/bbrapi/executor.go
+++ b/internal/operator/bbrapi/executor.go
@@ -234,7 +234,7 @@
 func (x *Executor) changeView(ctx context.Context, c *bbrlanguage.Command, request Request) Result {
 	apply := func(v *bbrview.View) error {
 		if c.Declare != nil {
-			v.Record(request.Operation)
+			v.Operations.Record(request.Operation)
 			return v.DeclareGone(c.Declare.Entry)
 		}
 		return v.Resume(c.Resume.Instance, request.Operation, time.Now())
--- a/internal/request/bbrconnection/pool.go
+++ b/internal/request/bbrconnection/pool.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 )
@@ -21,6 +22,8 @@
 
 	mu   sync.Mutex
 	idle map[netip.AddrPort][]*connection
+	// swept is when the pool was last searched for expired connections.
+	swept time.Time
 }
 
 // get returns an idle connection or makes one. A fresh one is made for
@@ -58,6 +61,7 @@
 	_ = conn.SetDeadline(time.Time{})
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.sweep(now)
 	if len(p.idle[address]) >= maxIdle {
 		_ = conn.Close()
 		return
@@ -79,3 +83,30 @@
 		_ = conn.Close()
 	}
 }
+
+// sweep closes the connections that have been idle for too long, those to
+// upstreams that are gone among them. The caller holds mu.
+func (p *Pool) sweep(now time.Time) {
+	if now.Sub(p.swept) < maxIdleTime {
+		return
+	}
+	p.swept = now
+	for address, list := range p.idle {
+		kept := slices.DeleteFunc(list, func(conn *connection) bool { return expired(conn, now) })
+		if len(kept) == 0 {
+			delete(p.idle, address)
+			continue
+		}
+		p.idle[address] = kept
+	}
+}
+
+// expired closes a connection that has been idle for too long and reports
+// whether it did.
+func expired(conn *connection, now time.Time) bool {
+	if now.Sub(conn.idleSince) < maxIdleTime {
+		return false
+	}
+	_ = conn.Close()
+	return true
+}
--- a/internal/request/bbrgateway/plugin.go
+++ b/internal/request/bbrgateway/plugin.go
@@ -9,6 +9,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/bluebellridge/bluebellridge/internal/base/bbrmetric"
+	"github.com/bluebellridge/bluebellridge/internal/base/bbrpause"
 	"github.com/bluebellridge/bluebellridge/internal/config/bbrsettings"
 	"github.com/bluebellridge/bluebellridge/internal/daemon/bbrentry"
 	"github.com/bluebellridge/bluebellridge/internal/daemon/bbrkernel"
@@ -72,11 +73,11 @@
 // and those in flight are waited for.
 func (g *Gateway) shutDown(ctx context.Context, shutdown bbrsettings.Shutdown, listener *bbrlistener.Listener) error {
 	g.Unready()
-	wait(ctx, shutdown.BalancerLag)
+	bbrpause.For(ctx, shutdown.BalancerLag)
 	g.Stop()
 	limit := time.Now().Add(shutdown.Grace)
 	for g.InProgress() > 0 && time.Now().Before(limit) && ctx.Err() == nil {
-		wait(ctx, drainPoll)
+		bbrpause.For(ctx, drainPoll)
 	}
 	if left := g.InProgress(); left > 0 {
 		klog.InfoS("Requests are cut off after the grace period", "requests", left)
@@ -85,12 +86,3 @@
 	defer cancel()
 	return listener.Stop(stopping)
 }
-
-func wait(ctx context.Context, length time.Duration) {
-	timer := time.NewTimer(length)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
