--- a/internal/fleet/bbrmember/confirm.go
+++ b/internal/fleet/bbrmember/confirm.go
@@ -24,10 +24,10 @@
 	// eagerRounds is how many rounds of learning the neighbours follow each
 	// other quickly after the start, when other entries start too.
 	eagerRounds = 10
-	// neighboursAsked is how many entries of each other zone are asked for
-	// their free slots, in one of neighbourRounds rounds.
+	// neighboursAsked is how many entries of each other zone are asked. They,
+	// and the free slots of all, are asked for in one of slotRounds rounds.
 	neighboursAsked = 1
-	neighbourRounds = 3
+	slotRounds      = 3
 )
 
 // runConfirmation asks the other entries of the zone for confirmation, and
@@ -35,8 +35,9 @@
 func (m *Member) runConfirmation(ctx context.Context) {
 	for number := 0; ctx.Err() == nil; number++ {
 		var round sync.WaitGroup
-		for _, peer := range m.toAsk(number%neighbourRounds == 0) {
-			round.Go(func() { m.ask(ctx, peer) })
+		wantSlots := number%slotRounds == 0
+		for _, peer := range m.toAsk(wantSlots) {
+			round.Go(func() { m.ask(ctx, peer, wantSlots) })
 		}
 		round.Wait()
 		bbrpause.For(ctx, confirmEvery*3/4+rand.N(confirmEvery/2))
@@ -72,13 +73,13 @@
 	return peers
 }
 
-func (m *Member) ask(ctx context.Context, peer netip.AddrPort) {
+func (m *Member) ask(ctx context.Context, peer netip.AddrPort, wantSlots bool) {
 	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
 	defer cancel()
 	identity := m.State.Identity
 	asked := time.Now()
 	client := m.Client.Peer(ctx, peer)
-	answer, err := client.Confirm(ctx, &bbrpeerproto.ConfirmRequest{Peer: identity.Peer.String(), Incarnation: identity.Incarnation})
+	answer, err := client.Confirm(ctx, &bbrpeerproto.ConfirmRequest{Peer: identity.Peer.String(), Incarnation: identity.Incarnation, WantFreeSlots: wantSlots})
 	if err != nil {
 		m.Metrics.Event("peerSilent")
 		return
@@ -86,7 +87,9 @@
 	if answer.GetConfirmed() {
 		m.State.ConfirmedByPeer(peer, asked)
 	}
-	m.Directory.Update(peer, answer.GetFreeSlots(), time.Now())
+	if wantSlots {
+		m.Directory.Update(peer, answer.GetFreeSlots(), time.Now())
+	}
 	newerView := answer.GetZone() == identity.Zone && answer.GetViewVersion() > m.State.Snapshot().Version
 	if newerView || answer.GetRevision() > m.State.Revision().Number {
 		m.fetch(ctx, client)
--- a/internal/peer/bbrlink/server.go
+++ b/internal/peer/bbrlink/server.go
@@ -59,15 +59,18 @@
 		return nil, err
 	}
 	snapshot := s.State.Snapshot()
-	return &bbrpeerproto.ConfirmResponse{
+	response := &bbrpeerproto.ConfirmResponse{
 		Confirmed:   s.confirms(snapshot, peer, in.GetIncarnation()),
 		ViewVersion: snapshot.Version,
 		Revision:    s.State.Revision().Number,
-		FreeSlots:   s.freeSlots(),
 		Zone:        s.State.Identity.Zone,
 		Incarnation: s.State.Identity.Incarnation,
 		Ready:       s.State.Ready(),
-	}, nil
+	}
+	if in.GetWantFreeSlots() {
+		response.FreeSlots = s.freeSlots()
+	}
+	return response, nil
 }
 
 func (s *Server) confirms(snapshot *bbrentry.Snapshot, peer netip.AddrPort, incarnation string) bool {
--- a/scripts/capacity.sh
+++ b/scripts/capacity.sh
@@ -62,8 +62,29 @@
     -v k=$((after[1] - before[1])) -v r=$rss -v v="$view" '
     {p += $3 - $1; q += $4 - $2; x = $3 - $1 + $4 - $2; if (x > most) most = x}
     END {printf "%6d %8d %10d %8.2f %8.1f %13.0f %10.0f %12.0f %10.1f %11d\n", z, n/z, m, 100*c/t/s/n, r/1024/n, p/s/n, q/s/n, most/s, k/s, v}'
+  if [ -n "${BAD_DAY:-}" ]; then bad_day "$work"; fi
   for pid in "${pids[@]}"; do kill -TERM "$pid" 2>/dev/null || true; done
   wait 2>/dev/null || true
   rm -rf "$work"
 }
+# bad_day takes the platform away and back, and times a change and a new entry.
+bad_day() {
+  local began last now peak=0 calls='curl -s http://127.0.0.1:19000/calls'
+  total() { $calls | grep -o '[0-9]*' | paste -sd+ | bc; }
+  began=$(date +%s%N)
+  bin/bluebellridge --entry 127.0.0.1:19201 --token $token set bound q-0 101
+  echo "change in force everywhere after $((($(date +%s%N) - began) / 1000000)) ms"
+  sed -E 's/^entry: .*/entry: new/; s/1910[0-9]"/19098"/; s/1920[0-9]"/19099"/; s/1930[0-9]"/19097"/' "$1/e1.yaml" >"$1/new.yaml"
+  began=$(date +%s%N)
+  bin/bluebellridged run "$1/new.yaml" >"$1/new.log" 2>&1 & pids+=($!)
+  until curl -fs http://127.0.0.1:19098/_ready; do sleep 0.01; done
+  echo "new entry ready after $((($(date +%s%N) - began) / 1000000)) ms"
+  curl -s -X PUT http://127.0.0.1:19000/faults -d '{"down":true}'
+  sleep 30
+  curl -s -X PUT http://127.0.0.1:19000/faults -d '{}'
+  last=$(total)
+  for _ in $(seq 10); do sleep 1; now=$(total); if [ $((now - last)) -gt $peak ]; then peak=$((now - last)); fi; last=$now; done
+  echo "platform away for 30 s: at most $peak calls a second in the 10 s after"
+}
+
 for size in $sizes; do run ${size//:/ }; done
