--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -18,13 +18,11 @@
   printf '{"Replace":{"%s":"%s"}}' "$PWD/$file" "$work/mutant.go" >"$work/overlay.json"
   go test -overlay "$work/overlay.json" "./$package" -run "^$test\$" -count=1 -rapid.seed="$seed" -rapid.checks="${CHECKS:-3000}" -rapid.nofailfile -rapid.steps="${STEPS:-40}" -rapid.shrinktime=1s -timeout 40s >"$work/log" 2>&1
   local status=$?
-  local first
-  first=$(grep -m1 -E 'Error:|Error Trace|panic:|FAIL:|wrote|cut off|slots of|\[build failed\]' "$work/log" | sed 's/^ *//')
   if [ $status -eq 0 ]; then echo "SURVIVED  $name ($test)"; survived=$((survived + 1))
   elif grep -q 'build failed' "$work/log"; then echo "BROKEN    $name: does not compile"; head -5 "$work/log"; survived=$((survived + 1))
   else
     killed=$((killed + 1))
-    echo "killed    $name ($test): $(grep -m1 -E 'wrote|cut off a request|is not less|Should be|Not equal|should|expected' "$work/log" | sed 's/^[[:space:]]*//' | cut -c1-150)${first:+}"
+    echo "killed    $name ($test): $(grep -m1 -E 'Error: |Messages: |test timed out' "$work/log" | sed 's/^[[:space:]]*//' | cut -c1-150)"
   fi
 }
 
