fleet/bbrview: heat limit of a zone is kept

An instance above the limit is adopted as held, and stays held, with code 4015, until there is room.

--- a/internal/base/bbrcode/code.go
+++ b/internal/base/bbrcode/code.go
@@ -72,6 +72,7 @@
 	Frozen              Code = 4012
 	ZoneUnreachable     Code = 4013
 	DryRun              Code = 4014
+	HeatLimit           Code = 4015
 )
 
 // Codes of settings.
@@ -154,6 +155,8 @@
 	ZoneUnreachable:     {Name: "zoneUnreachable", Status: 503, RetryAfter: later, Text: "No entry of the instance's availability zone was reached."},
 	DryRun:              {Name: "dryRun", Status: 200, Text: "The command would be taken; nothing was changed."},
 
+	HeatLimit: {Name: "heatLimit", Status: 409, RetryAfter: later, Text: "The zone has as many active instances as its heat limit allows."},
+
 	SettingsSyntax:  {Name: "settingsSyntax", Status: 400, Text: "The settings are not valid YAML."},
 	SettingsUnknown: {Name: "settingsUnknown", Status: 400, Text: "The settings have an unknown or doubled field."},
 	SettingsInvalid: {Name: "settingsInvalid", Status: 400, Text: "A field is outside its allowed range."},
--- a/internal/fleet/bbrduty/duty.go
+++ b/internal/fleet/bbrduty/duty.go
@@ -175,13 +175,15 @@
 	acks := d.Collector.Collect(ctx, snapshot)
 	now := time.Now()
 	self := d.State.Identity.Peer
+	config := &d.State.Revision().Config
 	observation := Observation{
 		Self:       self,
 		Acks:       acks,
+		HeatLimit:  config.ActivePerZone,
 		Unreached:  d.Prober.Unreached(),
 		Silent:     d.Collector.Silent(&snapshot.View, now),
 		FencesOver: d.Patience.Over(&snapshot.View, self, acks, now),
-		Released:   d.Holdover.Over(&snapshot.View, d.State.Revision().Config.LongestTimeout(), now),
+		Released:   d.Holdover.Over(&snapshot.View, config.LongestTimeout(), now),
 	}
 	if d.due("list", listInterval(&snapshot.View), now) {
 		rows, err := d.List.Instances(ctx, d.State.Identity.Zone)
--- a/internal/fleet/bbrduty/step.go
+++ b/internal/fleet/bbrduty/step.go
@@ -17,6 +17,8 @@
 	// Listed is true where Rows were read; they may be seconds old.
 	Listed bool
 	Rows   []bbrlist.Instance
+	// HeatLimit caps the active instances of the zone; 0 means no cap.
+	HeatLimit int
 	// Unreached are the instances that several probes in a row did not reach.
 	Unreached map[string]bool
 	// Silent maps entries that have not answered for long to a new unique ID
@@ -84,11 +86,11 @@
 	present, known := view.Instances[row.ID]
 	switch {
 	case !known:
-		return row.State == bbrlist.Live && view.Adopt(row, now)
+		return row.State == bbrlist.Live && view.Adopt(row, o.HeatLimit, now)
 	case present.State == bbrview.Rebooting:
 		return view.FinishReboot(row, now)
 	case present.State == bbrview.Lost:
-		return row.State == bbrlist.Live && !o.Unreached[row.ID] && view.Return(row, now)
+		return row.State == bbrlist.Live && !o.Unreached[row.ID] && view.Return(row, o.HeatLimit, now)
 	case present.State == bbrview.Serving && row.State == bbrlist.Live && row.Address != present.Address:
 		return view.Lose(row.ID, "the platform gave it another address", now)
 	case present.State == bbrview.Serving && row.State == bbrlist.Leaving:
--- a/internal/fleet/bbrduty/zone_test.go
+++ b/internal/fleet/bbrduty/zone_test.go
@@ -604,7 +604,7 @@
 			},
 			"resume": func(t *rapid.T) {
 				id := instance(t)
-				z.change(func(v *bbrview.View) error { return v.Resume(id, z.id("operation"), z.now) })
+				z.change(func(v *bbrview.View) error { return v.Resume(id, z.id("operation"), 0, z.now) })
 			},
 			"leave": func(t *rapid.T) { z.leave(process(t)) },
 			"crash": func(t *rapid.T) { z.crash(process(t)) },
--- a/internal/fleet/bbrview/instance.go
+++ b/internal/fleet/bbrview/instance.go
@@ -51,9 +51,9 @@
 
 func voided(operation string) string { return "void/" + operation }
 
-// Resume returns a held instance to service. An instance that a move or reboot
-// has taken cannot be resumed; it returns by itself.
-func (v *View) Resume(id, operation string, now time.Time) error {
+// Resume returns a held instance to service, within the heat limit. An instance
+// that a move or reboot has taken cannot be resumed; it returns by itself.
+func (v *View) Resume(id, operation string, limit int, now time.Time) error {
 	instance, err := v.find(id)
 	if err != nil {
 		return err
@@ -63,6 +63,9 @@
 		return bbrcode.Errorf(bbrcode.WrongState, id, "the instance is %s with plan %q; only a drained one can be resumed",
 			instance.State, instance.Plan)
 	}
+	if instance.State == Drained && !v.MayActivate(limit) {
+		return bbrcode.Errorf(bbrcode.HeatLimit, id, "zone %s has %d active instances of at most %d", v.Zone, v.Active(), limit)
+	}
 	v.serve(instance, instance.Pool, now)
 	v.Operations.Record(operation)
 	return nil
@@ -91,11 +94,11 @@
 	return true
 }
 
-// Return brings a lost instance back to its pool. It promises nothing new, so
-// that no acknowledgement is needed.
-func (v *View) Return(row bbrlist.Instance, now time.Time) bool {
+// Return brings a lost instance back to its pool, within the heat limit. It
+// promises nothing new, so that no acknowledgement is needed.
+func (v *View) Return(row bbrlist.Instance, limit int, now time.Time) bool {
 	instance := v.Instances[row.ID]
-	if instance.State != Lost {
+	if instance.State != Lost || !v.MayActivate(limit) {
 		return false
 	}
 	instance.Address = row.Address
@@ -103,15 +106,32 @@
 	return true
 }
 
-// Adopt lists an instance that the platform shows for the first time.
-func (v *View) Adopt(row bbrlist.Instance, now time.Time) bool {
+// Active counts the instances that draw power for work: all but those that are
+// held, lost or away.
+func (v *View) Active() int {
+	active := 0
+	for _, instance := range v.Instances {
+		if instance.State == Serving || instance.State == Draining {
+			active++
+		}
+	}
+	return active
+}
+
+// MayActivate reports whether one more instance fits the zone's heat limit; a
+// limit of 0 means none.
+func (v *View) MayActivate(limit int) bool { return limit == 0 || v.Active() < limit }
+
+// Adopt lists an instance that the platform shows for the first time. Above the
+// heat limit it is held until an operator resumes it.
+func (v *View) Adopt(row bbrlist.Instance, limit int, now time.Time) bool {
 	if _, ok := v.Instances[row.ID]; ok {
 		return false
 	}
 	if v.Instances == nil {
 		v.Instances = make(map[string]Instance)
 	}
-	v.Instances[row.ID] = Instance{
+	instance := Instance{
 		ID:          row.ID,
 		Rack:        row.Rack,
 		Address:     row.Address,
@@ -123,6 +143,12 @@
 		Reason:      "adopted",
 		Since:       now,
 	}
+	if !v.MayActivate(limit) {
+		instance.State = Drained
+		instance.Plan = Hold
+		instance.Reason = "heat limit"
+	}
+	v.Instances[row.ID] = instance
 	return true
 }
 
--- a/internal/operator/bbrapi/executor.go
+++ b/internal/operator/bbrapi/executor.go
@@ -237,7 +237,7 @@
 			v.Operations.Record(request.Operation)
 			return v.DeclareGone(c.Declare.Entry)
 		}
-		return v.Resume(c.Resume.Instance, request.Operation, time.Now())
+		return v.Resume(c.Resume.Instance, request.Operation, x.State.Revision().Config.ActivePerZone, time.Now())
 	}
 	if request.DryRun {
 		trial := x.State.Snapshot().View.Clone()
