fleet/bbrmember: a platform with older values is not asked without pause

TestFollowerIsPatient keeps it, in virtual time. Another fault found by reading: an entry whose registration was stored and whose answer was lost never took requests, since it noted its registration only from the answer; it now notes it from the first view (TestReadyAfterALostAnswer).

--- a/internal/daemon/bbrentry/state.go
+++ b/internal/daemon/bbrentry/state.go
@@ -46,7 +46,8 @@
 	// that began after the registration, from the platform or from an active
 	// entry. A change that was accepted before the registration is in it.
 	configConfirmed atomic.Bool
-	// registeredAt is how long after Started the registration was known.
+	// registeredAt is how long after Started the registration was first seen,
+	// and 0 before that.
 	registeredAt atomic.Int64
 
 	// mu orders changes; it is never held by a request.
@@ -89,12 +90,12 @@
 }
 
 // BeginRegistration makes the entry wait for a configuration that is read
-// after the registration. It is called before the registration is written.
-func (s *State) BeginRegistration() { s.configConfirmed.Store(false) }
-
-// FinishRegistration notes that the registration was written before now.
-func (s *State) FinishRegistration(now time.Time) {
-	s.registeredAt.Store(int64(now.Sub(s.Started)))
+// after the registration. It is called before the registration is written. That
+// it was written is known from the first view that lists the process, also if
+// the platform's answer was lost.
+func (s *State) BeginRegistration() {
+	s.configConfirmed.Store(false)
+	s.registeredAt.Store(0)
 }
 
 // ConfigConfirmed reports whether the configuration was read since the
@@ -141,6 +142,9 @@
 		return false
 	}
 	s.snapshot.Store(&Snapshot{View: view, Version: version})
+	if s.listed() && s.registeredAt.Load() == 0 {
+		s.registeredAt.Store(int64(now.Sub(s.Started)))
+	}
 	s.rebuild(now)
 	return true
 }
--- /dev/null
+++ b/internal/daemon/bbrentry/state_test.go
@@ -0,0 +1,31 @@
+package bbrentry
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/bluebellridge/bluebellridge/internal/config/bbrrevision"
+	"github.com/bluebellridge/bluebellridge/internal/fleet/bbrview"
+)
+
+// TestReadyAfterALostAnswer registers with an answer that never comes: the view
+// that lists the process must do.
+func TestReadyAfterALostAnswer(t *testing.T) {
+	began := time.Unix(1000, 0)
+	peer := netip.MustParseAddrPort("10.0.0.1:7000")
+	state := New(Identity{Incarnation: "x", Peer: peer}, time.Second, began)
+	state.OfferRevision(&bbrrevision.Revision{Number: 1}, began)
+	state.BeginRegistration()
+	var view bbrview.View
+	view.Register(peer, bbrview.Entry{Incarnation: "x"})
+	state.OfferView(view, 1, began.Add(2*time.Second))
+	require.False(t, state.Ready())
+	state.ConfirmConfig(began.Add(time.Second))
+	require.False(t, state.Ready(), "the configuration was read before the registration was known")
+	state.ConfirmConfig(began.Add(3 * time.Second))
+	require.True(t, state.Ready())
+	require.True(t, state.MaySend(began.Add(time.Hour)), "the only entry of a zone needs no confirmation")
+}
--- a/internal/daemon/bbrkernel/kernel.go
+++ b/internal/daemon/bbrkernel/kernel.go
@@ -38,15 +38,6 @@
 // Register adds a plug-in. It is called from the init function of its package.
 func Register(plugin Plugin) { plugins = append(plugins, plugin) }
 
-// Names returns the registered plug-ins in the order of starting.
-func Names() []string {
-	var names []string
-	for _, plugin := range sorted() {
-		names = append(names, plugin.Name)
-	}
-	return names
-}
-
 func sorted() []Plugin {
 	list := slices.Clone(plugins)
 	slices.SortStableFunc(list, func(a, b Plugin) int { return int(a.Stage) - int(b.Stage) })
--- a/internal/fleet/bbrduty/duty.go
+++ b/internal/fleet/bbrduty/duty.go
@@ -34,6 +34,9 @@
 	probeEvery  = 2 * time.Second
 	settleEvery = time.Second
 	renewEvery  = leaseTTL / 3
+	// collectEvery is how often entries are asked for acknowledgements while
+	// nothing waits for them, so that silent ones are noticed.
+	collectEvery = time.Second
 )
 
 // Duty is one entry's part in the maintenance duty of its zone.
@@ -157,10 +160,8 @@
 	if d.due("probe", probeEvery, time.Now()) {
 		d.Prober.Probe(ctx, &snapshot.View)
 	}
-	observation := d.observe(ctx, snapshot)
-	next, changed := Step(snapshot.View, observation, time.Now())
-	if changed && !d.commit(ctx, snapshot, next) {
-		return
+	if snapshot.View.Waits() || d.due("collect", collectEvery, time.Now()) {
+		d.step(ctx, snapshot)
 	}
 	d.reboot(ctx, time.Now())
 	if d.due("settle", settleEvery, time.Now()) {
@@ -171,6 +172,14 @@
 	}
 }
 
+// step commits what the present acknowledgements allow.
+func (d *Duty) step(ctx context.Context, snapshot *bbrentry.Snapshot) {
+	observation := d.observe(ctx, snapshot)
+	if next, changed := Step(snapshot.View, observation, time.Now()); changed {
+		d.commit(ctx, snapshot, next)
+	}
+}
+
 func (d *Duty) observe(ctx context.Context, snapshot *bbrentry.Snapshot) Observation {
 	acks := d.Collector.Collect(ctx, snapshot)
 	now := time.Now()
@@ -207,15 +216,14 @@
 }
 
 // commit writes the next view if nobody wrote another one since snapshot.
-func (d *Duty) commit(ctx context.Context, snapshot *bbrentry.Snapshot, next bbrview.View) bool {
+func (d *Duty) commit(ctx context.Context, snapshot *bbrentry.Snapshot, next bbrview.View) {
 	version, err := bbrmember.Document(d.Store, d.State.Identity.Zone).Save(ctx, next, snapshot.Version, "")
 	if err != nil {
 		d.Metrics.Event("viewConflict")
-		return false
+		return
 	}
 	d.report(&snapshot.View, &next)
 	d.State.OfferView(next, version, time.Now())
-	return true
 }
 
 // report logs the changes of instances' states.
--- a/internal/fleet/bbrmember/follow.go
+++ b/internal/fleet/bbrmember/follow.go
@@ -55,14 +55,20 @@
 		switch {
 		case err == nil:
 			f.Accept(value, asked)
+			if f.Known() == known {
+				// The platform holds an older value than the known one, or one
+				// that cannot be read, and would answer the next watch at once.
+				f.Metrics.Event("staleValue")
+				f.pause(ctx, &pause)
+				continue
+			}
 		case errors.Is(err, bbrstore.ErrUnchanged):
 			f.Unchanged(ctx, known, asked)
 		case ctx.Err() != nil:
 			return
 		default:
 			f.report(&reachable, false, err)
-			bbrpause.For(ctx, pause/2+rand.N(pause))
-			pause = min(2*pause, longestPause)
+			f.pause(ctx, &pause)
 			continue
 		}
 		f.report(&reachable, true, nil)
@@ -70,6 +76,12 @@
 	}
 }
 
+// pause waits for about the given time and doubles it.
+func (f *Follower) pause(ctx context.Context, length *time.Duration) {
+	bbrpause.For(ctx, *length/2+rand.N(*length))
+	*length = min(2**length, longestPause)
+}
+
 // report logs when the platform goes away and when it is back.
 func (f *Follower) report(present *bool, reachable bool, err error) {
 	if *present == reachable {
--- /dev/null
+++ b/internal/fleet/bbrmember/follow_test.go
@@ -0,0 +1,46 @@
+package bbrmember
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/stretchr/testify/require"
+
+	"github.com/bluebellridge/bluebellridge/internal/base/bbrmetric"
+	"github.com/bluebellridge/bluebellridge/internal/platform/bbrstore"
+)
+
+// callsInAMinute counts the watches of a follower that knows version 10.
+func callsInAMinute(t *testing.T, answer func() (bbrstore.Value, error)) int {
+	calls := 0
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+		defer cancel()
+		f := &Follower{
+			Store: &bbrstore.Store{Watch: func(context.Context, string, uint64, time.Duration) (bbrstore.Value, error) {
+				calls++
+				return answer()
+			}},
+			Metrics:   bbrmetric.New(),
+			Known:     func() uint64 { return 10 },
+			Accept:    func(bbrstore.Value, time.Time) {},
+			Unchanged: func(context.Context, uint64, time.Time) {},
+		}
+		f.run(ctx)
+	})
+	return calls
+}
+
+// TestFollowerIsPatient sees to it that a platform that is away, or came back
+// with older values, is not asked again without a pause: at most once for each
+// half of the longest pause, and a few times at the start.
+func TestFollowerIsPatient(t *testing.T) {
+	most := int(time.Minute/(longestPause/2)) + 10
+	stale := callsInAMinute(t, func() (bbrstore.Value, error) { return bbrstore.Value{Version: 5}, nil })
+	require.LessOrEqual(t, stale, most)
+	away := callsInAMinute(t, func() (bbrstore.Value, error) { return bbrstore.Value{}, errors.New("away") })
+	require.LessOrEqual(t, away, most)
+}
--- a/internal/fleet/bbrmember/member.go
+++ b/internal/fleet/bbrmember/member.go
@@ -106,7 +106,6 @@
 	}
 	m.Metrics.Event("registered")
 	klog.InfoS("Registered in the zone", "zone", identity.Zone, "version", version, "entries", len(view.Entries))
-	m.State.FinishRegistration(time.Now())
 	m.State.OfferView(view, version, time.Now())
 	m.confirmConfig(ctx)
 }
--- a/internal/fleet/bbrpermit/ledger.go
+++ b/internal/fleet/bbrpermit/ledger.go
@@ -167,8 +167,7 @@
 
 // Submit stores a zone's report and reports whether anything changed.
 func (l *Ledger) Submit(zone string, report Report) bool {
-	present, ok := l.Zones[zone]
-	if ok && maps.Equal(present.Members, report.Members) && maps.Equal(present.Out, report.Out) {
+	if l.Reported(zone, report) {
 		return false
 	}
 	if l.Zones == nil {
@@ -178,6 +177,12 @@
 	return true
 }
 
+// Reported reports whether the zone's report is stored already.
+func (l *Ledger) Reported(zone string, report Report) bool {
+	present, ok := l.Zones[zone]
+	return ok && maps.Equal(present.Members, report.Members) && maps.Equal(present.Out, report.Out)
+}
+
 // Raise makes every later permit be judged by the revision or a newer one.
 func (l *Ledger) Raise(revision uint64) bool {
 	if l.ConfigRevision >= revision {
--- a/internal/fleet/bbrview/ack.go
+++ b/internal/fleet/bbrview/ack.go
@@ -45,15 +45,19 @@
 	return true
 }
 
-// Missing returns the registered entries that have not acknowledged the view.
-func (a Acks) Missing(v *View) []string {
-	var names []string
-	for peer, entry := range v.Entries {
-		if !a.current(v, peer) {
-			names = append(names, entry.Name)
+// Waits reports whether anything in the view waits for acknowledgements.
+func (v *View) Waits() bool {
+	for _, entry := range v.Entries {
+		if !entry.Active || entry.Suspected() {
+			return true
+		}
+	}
+	for _, instance := range v.Instances {
+		if instance.State != Serving && instance.State != Rebooting && !(instance.State == Drained && instance.Plan == Hold) {
+			return true
 		}
 	}
-	return names
+	return len(v.Departed) > 0
 }
 
 // settledFor reports whether every other entry works within the share that is
--- a/internal/fleet/bbrwithdrawal/withdrawer.go
+++ b/internal/fleet/bbrwithdrawal/withdrawer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"slices"
 	"time"
 
@@ -31,6 +32,11 @@
 type Withdrawer struct {
 	State *bbrentry.State
 	Store *bbrstore.Store
+
+	// settled is the ledger that Settle last read, and settledVersion its
+	// version; only Settle uses them.
+	settled        bbrpermit.Ledger
+	settledVersion uint64
 }
 
 // Ledger returns the ledger as a document of the platform.
@@ -147,12 +153,11 @@
 // report and gives back the permits of instances that serve again.
 func (w *Withdrawer) Settle(ctx context.Context, now time.Time) error {
 	zone := w.State.Identity.Zone
-	ledger, _, err := Ledger(w.Store).Load(ctx)
-	if err != nil {
+	if err := w.reread(ctx); err != nil {
 		return err
 	}
 	snapshot := w.State.Snapshot()
-	done, unused := sort(ledger, zone, &snapshot.View, now)
+	done, unused := sort(w.settled, zone, &snapshot.View, now)
 	if len(unused) > 0 {
 		if err := w.void(ctx, unused); err != nil {
 			return err
@@ -160,10 +165,10 @@
 		done = append(done, unused...)
 	}
 	report := ReportOf(&snapshot.View)
-	if len(done) == 0 && !ledger.Submit(zone, report) {
+	if len(done) == 0 && w.settled.Reported(zone, report) {
 		return nil
 	}
-	_, _, err = Ledger(w.Store).Update(ctx, "", func(l *bbrpermit.Ledger) error {
+	_, _, err := Ledger(w.Store).Update(ctx, "", func(l *bbrpermit.Ledger) error {
 		for _, permit := range done {
 			l.Release(permit.Instance, permit.Operation)
 		}
@@ -173,6 +178,23 @@
 	return err
 }
 
+// reread reads the ledger if it has changed.
+func (w *Withdrawer) reread(ctx context.Context) error {
+	value, err := w.Store.Get(ctx, bbrpermit.Key, w.settledVersion)
+	if errors.Is(err, bbrstore.ErrUnchanged) || errors.Is(err, bbrstore.ErrNotFound) {
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	var ledger bbrpermit.Ledger
+	if err := json.Unmarshal(value.Data, &ledger); err != nil {
+		return err
+	}
+	w.settled, w.settledVersion = ledger, value.Version
+	return nil
+}
+
 // sort returns the zone's permits that have done their work and those that
 // were never used.
 func sort(ledger bbrpermit.Ledger, zone string, view *bbrview.View, now time.Time) (done, unused []bbrpermit.Permit) {
--- a/internal/operator/bbrapi/executor.go
+++ b/internal/operator/bbrapi/executor.go
@@ -48,13 +48,7 @@
 	if request.Operation == "" {
 		request.Operation = uuid.NewString()
 	}
-	command, err := bbrlanguage.Parse(request.Line)
-	result := Result{}
-	if err != nil {
-		result = refused(err)
-	} else {
-		result = x.dispatch(ctx, command, request, passOn)
-	}
+	result := x.parseAndRun(ctx, request, passOn)
 	result.Operation = request.Operation
 	if result.Code != bbrcode.Done && result.Code != bbrcode.DryRun {
 		x.Metrics.Refuse(result.Code)
@@ -62,6 +56,14 @@
 	return result
 }
 
+func (x *Executor) parseAndRun(ctx context.Context, request Request, passOn bool) Result {
+	command, err := bbrlanguage.Parse(request.Line)
+	if err != nil {
+		return refused(err)
+	}
+	return x.dispatch(ctx, command, request, passOn)
+}
+
 func (x *Executor) dispatch(ctx context.Context, c *bbrlanguage.Command, request Request, passOn bool) Result {
 	switch {
 	case c.Help:
--- a/internal/request/bbrticket/claim.go
+++ b/internal/request/bbrticket/claim.go
@@ -22,9 +22,6 @@
 	Operation string `json:"operation"`
 }
 
-// ClaimApplied reports whether the claim was written by the operation.
-func ClaimApplied(c *Claim, operation string) bool { return c.Operation == operation }
-
 // ClaimKey returns where the platform keeps the claim of a key.
 func ClaimKey(queue, key string) string {
 	sum := sha256.Sum256([]byte(queue + "\x00" + key))
