operator/bbrapi: one trial of a change, one acknowledgement call

Cause: read as a newcomer, the trial of a change without effect stood three times in bbrapi, and the acknowledgement call with its time-out three times in bbrapi and bbrduty; each now stands once. Nothing is loosened.

--- a/internal/fleet/bbrduty/collect.go
+++ b/internal/fleet/bbrduty/collect.go
@@ -11,7 +11,6 @@
 	"github.com/bluebellridge/bluebellridge/internal/daemon/bbrentry"
 	"github.com/bluebellridge/bluebellridge/internal/fleet/bbrview"
 	"github.com/bluebellridge/bluebellridge/internal/peer/bbrlink"
-	"github.com/bluebellridge/bluebellridge/internal/peer/bbrpeerproto"
 )
 
 // Collector asks the registered entries for acknowledgements.
@@ -52,13 +51,8 @@
 	if peer == c.State.Identity.Peer {
 		return c.State.Acknowledge(), true
 	}
-	ctx, cancel := context.WithTimeout(ctx, c.Timeout)
-	defer cancel()
-	answer, err := c.Client.Peer(ctx, peer).Acknowledge(ctx, &bbrpeerproto.AcknowledgeRequest{})
-	if err != nil {
-		return bbrview.Ack{}, false
-	}
-	return bbrlink.DecodeAck(answer), true
+	ack, _, err := c.Client.Acknowledge(ctx, peer, c.Timeout)
+	return ack, err == nil
 }
 
 func (c *Collector) note(peer netip.AddrPort, answered bool, now time.Time) {
--- a/internal/operator/bbrapi/config.go
+++ b/internal/operator/bbrapi/config.go
@@ -17,7 +17,6 @@
 	"github.com/bluebellridge/bluebellridge/internal/fleet/bbrview"
 	"github.com/bluebellridge/bluebellridge/internal/fleet/bbrwithdrawal"
 	"github.com/bluebellridge/bluebellridge/internal/operator/bbrlanguage"
-	"github.com/bluebellridge/bluebellridge/internal/peer/bbrpeerproto"
 	"github.com/bluebellridge/bluebellridge/internal/platform/bbrstore"
 )
 
@@ -25,6 +24,8 @@
 	// inForceWithin is how long a change is waited for.
 	inForceWithin = 5 * time.Second
 	askAgain      = 50 * time.Millisecond
+	// acknowledgeTimeout bounds the question to one entry.
+	acknowledgeTimeout = time.Second
 )
 
 func (x *Executor) document() bbrstore.Document[bbrrevision.Config] {
@@ -97,14 +98,7 @@
 
 func (x *Executor) updateConfig(ctx context.Context, update func(c *bbrrevision.Config) error, request Request) Result {
 	if request.DryRun {
-		config, _, err := x.document().Load(ctx)
-		if err == nil {
-			err = update(&config)
-		}
-		if err != nil {
-			return refused(err)
-		}
-		return dryRun()
+		return try(ctx, x.document(), update)
 	}
 	config, number, err := x.document().Update(ctx, request.Operation, update)
 	if err != nil {
@@ -218,8 +212,6 @@
 	if peer == x.State.Identity.Peer {
 		return x.State.Identity.Incarnation, x.State.Revision().Number, true
 	}
-	ctx, cancel := context.WithTimeout(ctx, time.Second)
-	defer cancel()
-	answer, err := x.Client.Peer(ctx, peer).Acknowledge(ctx, &bbrpeerproto.AcknowledgeRequest{})
-	return answer.GetIncarnation(), answer.GetRevision(), err == nil
+	ack, revision, err := x.Client.Acknowledge(ctx, peer, acknowledgeTimeout)
+	return ack.Incarnation, revision, err == nil
 }
--- /dev/null
+++ b/internal/operator/bbrapi/dryrun.go
@@ -0,0 +1,25 @@
+package bbrapi
+
+import (
+	"context"
+
+	"github.com/bluebellridge/bluebellridge/internal/base/bbrcode"
+	"github.com/bluebellridge/bluebellridge/internal/platform/bbrstore"
+)
+
+// try says whether a change of the stored document would be taken, and changes
+// nothing.
+func try[T any](ctx context.Context, document bbrstore.Document[T], change func(doc *T) error) Result {
+	doc, _, err := document.Load(ctx)
+	if err == nil {
+		err = change(&doc)
+	}
+	if err != nil {
+		return refused(err)
+	}
+	return dryRun()
+}
+
+func dryRun() Result {
+	return Result{Code: bbrcode.DryRun, Name: bbrcode.DryRun.String(), Text: bbrcode.DryRun.Info().Text}
+}
--- a/internal/operator/bbrapi/executor.go
+++ b/internal/operator/bbrapi/executor.go
@@ -228,10 +228,6 @@
 	return dryRun()
 }
 
-func dryRun() Result {
-	return Result{Code: bbrcode.DryRun, Name: bbrcode.DryRun.String(), Text: bbrcode.DryRun.Info().Text}
-}
-
 // changeView runs a command that needs no permit.
 func (x *Executor) changeView(ctx context.Context, c *bbrlanguage.Command, request Request) Result {
 	apply := func(v *bbrview.View) error {
--- a/internal/operator/bbrapi/wave.go
+++ b/internal/operator/bbrapi/wave.go
@@ -32,14 +32,7 @@
 	}
 	document := bbrduty.WaveDocument(x.Store, bbrwave.KeyPrefix+c.Name)
 	if request.DryRun {
-		wave, _, err := document.Load(ctx)
-		if err == nil {
-			err = create(&wave)
-		}
-		if err != nil {
-			return refused(err)
-		}
-		return dryRun()
+		return try(ctx, document, create)
 	}
 	if _, _, err := document.Update(ctx, request.Operation, create); err != nil {
 		return refused(err)
@@ -56,14 +49,7 @@
 		return refused(bbrcode.Errorf(bbrcode.UnknownName, name, "no wave has this name"))
 	}
 	if request.DryRun {
-		wave, _, err := document.Load(ctx)
-		if err == nil {
-			err = change(&wave)
-		}
-		if err != nil {
-			return refused(err)
-		}
-		return dryRun()
+		return try(ctx, document, change)
 	}
 	if _, _, err := document.Update(ctx, "", change); err != nil {
 		return refused(err)
--- a/internal/operator/bbrapi/why.go
+++ b/internal/operator/bbrapi/why.go
@@ -12,8 +12,6 @@
 	"github.com/bluebellridge/bluebellridge/internal/fleet/bbrview"
 	"github.com/bluebellridge/bluebellridge/internal/fleet/bbrwithdrawal"
 	"github.com/bluebellridge/bluebellridge/internal/operator/bbrlanguage"
-	"github.com/bluebellridge/bluebellridge/internal/peer/bbrlink"
-	"github.com/bluebellridge/bluebellridge/internal/peer/bbrpeerproto"
 	"github.com/bluebellridge/bluebellridge/internal/request/bbrroute"
 )
 
@@ -81,13 +79,8 @@
 	if peer == x.State.Identity.Peer {
 		return x.State.Acknowledge(), nil
 	}
-	ctx, cancel := context.WithTimeout(ctx, time.Second)
-	defer cancel()
-	answer, err := x.Client.Peer(ctx, peer).Acknowledge(ctx, &bbrpeerproto.AcknowledgeRequest{})
-	if err != nil {
-		return bbrview.Ack{}, err
-	}
-	return bbrlink.DecodeAck(answer), nil
+	ack, _, err := x.Client.Acknowledge(ctx, peer, acknowledgeTimeout)
+	return ack, err
 }
 
 func (x *Executor) whyQueue(name string) Result {
