--- a/internal/base/bbrcode/code.go
+++ b/internal/base/bbrcode/code.go
@@ -40,6 +40,18 @@
 	BodyIncomplete    Code = 2019
 	TooManyKeys       Code = 2020
 	TooManyInProgress Code = 2021
+	BadJob            Code = 2022
+	StoreAway         Code = 2023
+	TooLateToServe    Code = 2024
+	UnknownJob        Code = 2025
+)
+
+// Codes of jobs.
+const (
+	Accepted      Code = 6000
+	AlreadyStored Code = 6001
+	StateTold     Code = 6002
+	CancelStored  Code = 6003
 )
 
 // Codes of callers' requests of which it is not known whether they ran.
@@ -53,6 +65,7 @@
 	HolderUnreachable Code = 3007
 	PeerLost          Code = 3008
 	CallerLeft        Code = 3009
+	StoreUnsettled    Code = 3010
 )
 
 // Codes of operators' commands.
@@ -129,6 +142,18 @@
 	TooManyKeys:       {Name: "tooManyKeys", Status: 503, RetryAfter: later, Text: "This entry keeps as many idempotency keys as it may."},
 	TooManyInProgress: {Name: "tooManyInProgress", Status: 503, RetryAfter: soon, Text: "This entry holds as many requests as it may."},
 
+	BadJob:         {Name: "badJob", Status: 400, Text: "The submitted job cannot be read or is out of its bounds."},
+	StoreAway:      {Name: "storeAway", Status: 503, RetryAfter: soon, Text: "The platform's store cannot be reached; nothing was stored."},
+	TooLateToServe: {Name: "tooLateToServe", Status: 429, RetryAfter: soon, Text: "The pool's work would complete the job too late; nothing was stored."},
+	UnknownJob:     {Name: "unknownJob", Status: 410, Text: "No such job is stored."},
+
+	Accepted:      {Name: "accepted", Outcome: OutcomeUnknown, Status: 200, Text: "The job is stored and will run."},
+	AlreadyStored: {Name: "alreadyStored", Outcome: OutcomeUnknown, Status: 200, Text: "The job had been stored before."},
+	StateTold:     {Name: "stateTold", Outcome: OutcomeUnknown, Status: 200, Text: "The state follows."},
+	CancelStored:  {Name: "cancelStored", Outcome: OutcomeUnknown, Status: 200, Text: "The cancellation is stored."},
+
+	StoreUnsettled: {Name: "storeUnsettled", Status: 504, RetryAfter: soon, Text: "The store did not say whether the change was made; ask or submit again with the same ID."},
+
 	UpstreamSilent:    {Name: "upstreamSilent", Status: 504, Text: "The upstream did not answer before the deadline."},
 	UpstreamBroke:     {Name: "upstreamBroke", Status: 502, Text: "The connection broke after the request was sent."},
 	AnswerTruncated:   {Name: "answerTruncated", Status: 502, Text: "The upstream's answer ended early and was discarded."},
--- /dev/null
+++ b/internal/job/bbrorder/doc.go
@@ -0,0 +1,2 @@
+// Package bbrorder has the calls that an owner of a service makes to upstreams.
+package bbrorder
--- /dev/null
+++ b/internal/store/bbritem/follower.go
@@ -0,0 +1,111 @@
+package bbritem
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"k8s.io/klog/v2"
+
+	"github.com/bluebellridge/bluebellridge/internal/base/bbrpause"
+)
+
+const (
+	// followRetry is the pause after a failed call.
+	followRetry = 200 * time.Millisecond
+	// followGather is the pause after events, so that several come in one call.
+	followGather = 15 * time.Millisecond
+)
+
+// Follower keeps up with the items under a prefix.
+type Follower struct {
+	Store  *Store
+	Prefix string
+	// Wait is how long a watch without events lasts.
+	Wait time.Duration
+	// Reload bounds the time between two reads of everything, against watches
+	// that miss changes; 0 means that only a lost history is read anew.
+	Reload time.Duration
+	// Snapshot receives everything under the prefix: what it lacks is gone.
+	Snapshot func(items []Item, now time.Time)
+	// Change receives one event. Events older than what was seen of the key may
+	// come again after a snapshot.
+	Change func(item Item, now time.Time)
+	// Heard is told of each answered call with the time it was sent; nil for
+	// nobody.
+	Heard func(sent time.Time)
+
+	at      Revision
+	loaded  time.Time
+	failing bool
+}
+
+// Run follows until ctx ends.
+func (f *Follower) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		if err := f.round(ctx, time.Now()); err != nil {
+			f.failed(ctx, err)
+			continue
+		}
+		f.recovered()
+	}
+}
+
+func (f *Follower) round(ctx context.Context, now time.Time) error {
+	if f.at == 0 || f.Reload > 0 && now.Sub(f.loaded) > f.Reload {
+		return f.reload(ctx, now)
+	}
+	page, err := f.Store.Watch(ctx, f.Prefix, f.at, f.Wait)
+	if err != nil {
+		return err
+	}
+	f.heard(now)
+	for _, item := range page.Items {
+		f.Change(item, time.Now())
+	}
+	f.at = max(f.at, page.AsOf)
+	if len(page.Items) > 0 {
+		bbrpause.For(ctx, followGather)
+	}
+	return nil
+}
+
+func (f *Follower) reload(ctx context.Context, now time.Time) error {
+	items, asOf, err := f.Store.All(ctx, f.Prefix)
+	if err != nil {
+		return err
+	}
+	f.heard(now)
+	f.Snapshot(items, time.Now())
+	f.at, f.loaded = asOf, now
+	return nil
+}
+
+func (f *Follower) heard(sent time.Time) {
+	if f.Heard != nil {
+		f.Heard(sent)
+	}
+}
+
+func (f *Follower) failed(ctx context.Context, err error) {
+	if ctx.Err() != nil {
+		return
+	}
+	if errors.Is(err, ErrCompacted) {
+		klog.InfoS("History lost, reading anew", "prefix", f.Prefix, "after", f.at)
+		f.at = 0
+		return
+	}
+	if !f.failing {
+		klog.InfoS("Dependency lost", "dependency", "store", "prefix", f.Prefix, "at", f.at, "reason", err.Error())
+		f.failing = true
+	}
+	bbrpause.For(ctx, followRetry)
+}
+
+func (f *Follower) recovered() {
+	if f.failing {
+		klog.InfoS("Dependency regained", "dependency", "store", "prefix", f.Prefix, "at", f.at)
+		f.failing = false
+	}
+}
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -7,10 +7,24 @@
 cleanup() {
   for pid in "${pids[@]}"; do kill "$pid" 2>/dev/null || true; done
   wait 2>/dev/null || true
-  rm -rf "$work"
+  rm -rf "$work" "$claim"
 }
+# Claims a block of a thousand ports below the ephemeral range, so that two
+# demos do not meet.
+claim=
+for thousands in $(shuf -i 18-31); do
+  if mkdir "${TMPDIR:-/tmp}/bluebellridge-demo-$thousands" 2>/dev/null; then
+    claim="${TMPDIR:-/tmp}/bluebellridge-demo-$thousands"
+    (exec 3<>"/dev/tcp/127.0.0.1/${thousands}000") 2>/dev/null || break
+    rmdir "$claim"; claim=
+  fi
+done
 trap cleanup EXIT
-export BLUEBELLRIDGE_TOKEN=demo-token-of-no-secret BLUEBELLRIDGE_ENTRY=127.0.0.1:17201
+[ -n "$claim" ] || { echo "demo failed: no free block of ports"; exit 1; }
+for file in examples/demo/*.yaml; do
+  sed "s/:17\([0-9][0-9][0-9]\)/:$thousands\1/" "$file" >"$work/${file##*/}"
+done
+export BLUEBELLRIDGE_TOKEN=demo-token-of-no-secret BLUEBELLRIDGE_ENTRY=127.0.0.1:${thousands}201
 step() { printf '\n== %s\n' "$*"; }
 start() { local name=$1; shift; "$@" >"$work/$name.log" 2>&1 & pids+=($!); eval "pid_$name=$!"; }
 operator() { echo "\$ bluebellridge $*"; bin/bluebellridge "$@"; }
@@ -21,19 +35,19 @@
 state_is() { shows "$1 " "show instances where instance = $1 and state = $2"; }
 active() { local text; text=$(bin/bluebellridge "show entries where active = true") && [ "$(wc -l <<<"$text")" = "$1" ]; }
 load() { bin/bbrstandin caller --queue proofs,account "$@"; }
-all="--entry 127.0.0.1:17101,127.0.0.1:17102,127.0.0.1:17103,127.0.0.1:17104"
+all="--entry 127.0.0.1:${thousands}101,127.0.0.1:${thousands}102,127.0.0.1:${thousands}103,127.0.0.1:${thousands}104"
 
 step "Starting the platform, six upstreams and four entries in two availability zones"
-start platform bin/bbrstandin platform --listen 127.0.0.1:17000
-start upstreams bin/bbrstandin upstream --listen 127.0.0.1:17401,127.0.0.1:17402,127.0.0.1:17403,127.0.0.1:17404,127.0.0.1:17405,127.0.0.1:17406
-until_true curl -fs http://127.0.0.1:17000/calls
-put() { curl -fsS -X PUT http://127.0.0.1:17000/instances -d "{\"id\":\"$1\",\"zone\":\"$2\",\"rack\":\"$3\",\"pool\":\"$4\",\"address\":\"127.0.0.1:$5\",\"slots\":8,\"connections\":64,\"memoryBytes\":64000000000}"; }
-put i-1 a rack-1 press 17401; put i-2 a rack-2 press 17402; put i-3 a rack-1 portal 17403
-put i-4 b rack-3 press 17404; put i-5 b rack-4 press 17405; put i-6 b rack-3 portal 17406
-for entry in a1 a2 b1 b2; do start "$entry" bin/bluebellridged run "examples/demo/entry-$entry.yaml"; done
+start platform bin/bbrstandin platform --listen 127.0.0.1:${thousands}000
+start upstreams bin/bbrstandin upstream --listen 127.0.0.1:${thousands}401,127.0.0.1:${thousands}402,127.0.0.1:${thousands}403,127.0.0.1:${thousands}404,127.0.0.1:${thousands}405,127.0.0.1:${thousands}406
+until_true curl -fs http://127.0.0.1:${thousands}000/calls
+put() { curl -fsS -X PUT http://127.0.0.1:${thousands}000/instances -d "{\"id\":\"$1\",\"zone\":\"$2\",\"rack\":\"$3\",\"pool\":\"$4\",\"address\":\"127.0.0.1:$5\",\"slots\":8,\"connections\":64,\"memoryBytes\":64000000000}"; }
+put i-1 a rack-1 press ${thousands}401; put i-2 a rack-2 press ${thousands}402; put i-3 a rack-1 portal ${thousands}403
+put i-4 b rack-3 press ${thousands}404; put i-5 b rack-4 press ${thousands}405; put i-6 b rack-3 portal ${thousands}406
+for entry in a1 a2 b1 b2; do start "$entry" bin/bluebellridged run "$work/entry-$entry.yaml"; done
 until_true bin/bluebellridge show entries
-until_true bin/bluebellridge --apply examples/demo/config.yaml
-for port in 17101 17102 17103 17104; do until_true ready "$port"; done
+until_true bin/bluebellridge --apply "$work/config.yaml"
+for port in ${thousands}101 ${thousands}102 ${thousands}103 ${thousands}104; do until_true ready "$port"; done
 for instance in i-1 i-2 i-3 i-4 i-5 i-6; do until_true state_is "$instance" serving; done
 until_true active 5
 sleep 0.5
@@ -51,9 +65,9 @@
 operator drain i-1 for "fan noise"
 until_true state_is i-1 drained
 operator why instance i-1
-before=$(curl -fs http://127.0.0.1:17401/statistics | sed 's/.*"runs":\([0-9]*\).*/\1/')
+before=$(curl -fs http://127.0.0.1:${thousands}401/statistics | sed 's/.*"runs":\([0-9]*\).*/\1/')
 wait "$loading" || fail "$(cat "$work/drain.json")"
-after=$(curl -fs http://127.0.0.1:17401/statistics | sed 's/.*"runs":\([0-9]*\).*/\1/')
+after=$(curl -fs http://127.0.0.1:${thousands}401/statistics | sed 's/.*"runs":\([0-9]*\).*/\1/')
 [ "$before" = "$after" ] || fail "i-1 received new work after it was drained: $before, then $after"
 echo "i-1 ran $before requests before it was drained and none since"
 
@@ -66,7 +80,7 @@
 
 step "Changing the configuration; it is accepted once it is in force at every entry"
 operator set bound proofs 150
-for port in 17201 17202 17203 17204; do
+for port in ${thousands}201 ${thousands}202 ${thousands}203 ${thousands}204; do
   shows " 150 " --entry "127.0.0.1:$port" show queues where queue = proofs || fail "not in force at $port"
 done
 echo "in force at all four entries"
@@ -77,16 +91,16 @@
 operator show instances where zone = a
 
 step "An entry gets SIGTERM under load and cuts nothing off"
-load --entry 127.0.0.1:17102 --requests 60 --concurrency 6 --work 100ms --json >"$work/term.json" & loading=$!
+load --entry 127.0.0.1:${thousands}102 --requests 60 --concurrency 6 --work 100ms --json >"$work/term.json" & loading=$!
 sleep 0.3
 kill -TERM "$pid_a2"
 wait "$loading" || fail "$(cat "$work/term.json")"
 wait "$pid_a2" || fail "entry a2 did not stop well"
 cat "$work/term.json"
-final=$(load --entry 127.0.0.1:17101,127.0.0.1:17103,127.0.0.1:17104 --requests 200 --json) || fail "$final"
+final=$(load --entry 127.0.0.1:${thousands}101,127.0.0.1:${thousands}103,127.0.0.1:${thousands}104 --requests 200 --json) || fail "$final"
 
 step "Counts"
-sum() { cat "$work/drain.json" "$work/term.json" - <<<"$total"$'\n'"$final" | grep -o "\"$1\":[0-9]*" | cut -d: -f2 | paste -sd+ | bc; }
-cut=$(curl -fs http://127.0.0.1:17401/statistics | grep -o '"cutOff":[0-9]*' | cut -d: -f2)
+sum() { cat "$work/drain.json" "$work/term.json" - <<<"$total"$'\n'"$final" | grep -o "\"$1\":[0-9]*" | cut -d: -f2 | awk '{ total += $1 } END { print total }'; }
+cut=$(curl -fs http://127.0.0.1:${thousands}401/statistics | grep -o '"cutOff":[0-9]*' | cut -d: -f2)
 [ "$cut" = 0 ] || fail "$cut requests were cut off at an upstream"
 echo "demo: requests=$(sum Requests) ran=$(sum Ran) notRun=$(sum NotRun) unknown=$(sum Unknown) cutOff=$cut partial=$(sum Partial) foreign=$(sum Foreign)"
