--- /dev/null
+++ b/internal/base/bbrlog/writer.go
@@ -0,0 +1,109 @@
+package bbrlog
+
+import (
+	"bytes"
+	"context"
+	"flag"
+	"io"
+	"sync/atomic"
+	"time"
+
+	"k8s.io/klog/v2"
+)
+
+const (
+	// bufferedLines bounds the lines that wait for a slow output.
+	bufferedLines = 2000
+	// linesPerSecond and burstLines bound the volume under load.
+	linesPerSecond = 400
+	burstLines     = 1200
+)
+
+// Writer passes lines on from its own goroutine.
+type Writer struct {
+	out     io.Writer
+	lines   chan []byte
+	dropped atomic.Int64
+	total   atomic.Int64
+	allow   bucket
+}
+
+// New returns a writer to out. It passes nothing on until Run.
+func New(out io.Writer) *Writer {
+	return &Writer{out: out, lines: make(chan []byte, bufferedLines)}
+}
+
+// Write takes a line, or drops it. It is called by one goroutine at a time.
+func (w *Writer) Write(line []byte) (int, error) {
+	if !w.allow.take(time.Now()) {
+		w.dropped.Add(1)
+		return len(line), nil
+	}
+	select {
+	case w.lines <- bytes.Clone(line):
+		w.total.Add(1)
+	default:
+		w.dropped.Add(1)
+	}
+	return len(line), nil
+}
+
+// Dropped returns how many lines were dropped.
+func (w *Writer) Dropped() int64 { return w.dropped.Load() }
+
+// Written returns how many lines were taken.
+func (w *Writer) Written() int64 { return w.total.Load() }
+
+// Run passes lines on until ctx ends, and then those that wait.
+func (w *Writer) Run(ctx context.Context) {
+	for {
+		select {
+		case line := <-w.lines:
+			_, _ = w.out.Write(line)
+		case <-ctx.Done():
+			w.drain()
+			return
+		}
+	}
+}
+
+func (w *Writer) drain() {
+	for {
+		select {
+		case line := <-w.lines:
+			_, _ = w.out.Write(line)
+		default:
+			return
+		}
+	}
+}
+
+// Install sends klog's lines to the writer.
+func (w *Writer) Install() {
+	flags := flag.NewFlagSet("klog", flag.ContinueOnError)
+	klog.InitFlags(flags)
+	_ = flags.Set("logtostderr", "false")
+	_ = flags.Set("alsologtostderr", "false")
+	_ = flags.Set("stderrthreshold", "FATAL")
+	_ = flags.Set("one_output", "true")
+	klog.SetOutput(w)
+}
+
+// bucket is a token bucket.
+type bucket struct {
+	tokens float64
+	last   time.Time
+}
+
+func (b *bucket) take(now time.Time) bool {
+	if b.last.IsZero() {
+		b.tokens = burstLines
+	}
+	b.tokens = min(burstLines, b.tokens+now.Sub(b.last).Seconds()*linesPerSecond)
+	b.last = now
+	if b.tokens < 1 {
+		return false
+	}
+	b.tokens--
+	return true
+}
--- a/internal/base/bbrmetric/set.go
+++ b/internal/base/bbrmetric/set.go
@@ -1,7 +1,9 @@
 package bbrmetric
 
 import (
+	"net/http"
 	"strconv"
+	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 
@@ -17,6 +19,7 @@
 	retries  *prometheus.CounterVec
 	events   *prometheus.CounterVec
 	bytes    *prometheus.CounterVec
+	calls    *prometheus.HistogramVec
 }
 
 // New returns a set with its own registry.
@@ -27,9 +30,24 @@
 	s.retries = s.vector("bbr_retries_total", "Further attempts by the failure that led to them.", "reason")
 	s.events = s.vector("bbr_events_total", "Changes of state by kind.", "event")
 	s.bytes = s.vector("bbr_control_bytes_total", "Bytes of control connections.", "channel", "direction")
+	s.calls = prometheus.NewHistogramVec(prometheus.HistogramOpts{
+		Name:    "bbr_call_seconds",
+		Help:    "Time to answer a caller by method and result.",
+		Buckets: []float64{.005, .01, .02, .05, .1, .2, .5, 1, 2, 5},
+	}, []string{"method", "name"})
+	s.Registry.MustRegister(s.calls)
 	return s
 }
 
+// Call counts an answer to a caller of jobs and its time.
+func (s *Set) Call(method string, code bbrcode.Code, took time.Duration) {
+	info := code.Info()
+	s.calls.WithLabelValues(method, info.Name).Observe(took.Seconds())
+	if info.Status >= http.StatusBadRequest {
+		s.Refuse(code)
+	}
+}
+
 func (s *Set) vector(name, help string, labels ...string) *prometheus.CounterVec {
 	vector := prometheus.NewCounterVec(prometheus.CounterOpts{Name: name, Help: help}, labels)
 	s.Registry.MustRegister(vector)
--- a/internal/config/bbrsettings/parse.go
+++ b/internal/config/bbrsettings/parse.go
@@ -30,6 +30,7 @@
 	places, faults := bbryaml.Decode(data, &settings)
 	check := &checker{places: places, faults: faults}
 	check.identity(settings)
+	check.protocol(settings)
 	check.limits(settings.Limits)
 	check.timing(settings)
 	return settings, check.faults
@@ -49,21 +50,49 @@
 	c.require(s.Entry != "", bbrcode.SettingsMissing, "entry", "must name the entry")
 	c.require(s.Zone != "", bbrcode.SettingsMissing, "zone", "must name the availability zone")
 	c.address(s.Listen.Callers, "listen.callers")
-	c.address(s.Listen.Operators, "listen.operators")
-	c.address(s.Listen.Peers, "listen.peers")
 	c.address(s.Platform.Address, "platform.address")
-	c.require(!s.Listen.Peers.Addr().IsUnspecified(), bbrcode.SettingsInvalid, "listen.peers", "must be an address that the other entries can reach")
-	c.require(len(s.Operators.Token) >= leastToken, bbrcode.SettingsMissing, "operators.token", "must have at least %d characters", leastToken)
 	bothOrNone := (s.Listen.TLS.Certificate == "") == (s.Listen.TLS.Key == "")
 	c.require(bothOrNone, bbrcode.SettingsInvalid, "listen.tls", "certificate and key go together")
 }
 
+// protocol checks what only one of the protocols needs.
+func (c *checker) protocol(s Settings) {
+	switch s.Platform.Protocol {
+	case ProtocolOwn:
+		c.address(s.Listen.Operators, "listen.operators")
+		c.address(s.Listen.Peers, "listen.peers")
+		c.require(!s.Listen.Peers.Addr().IsUnspecified(), bbrcode.SettingsInvalid, "listen.peers", "must be an address that the other entries can reach")
+		c.require(len(s.Operators.Token) >= leastToken, bbrcode.SettingsMissing, "operators.token", "must have at least %d characters", leastToken)
+	case ProtocolFleet:
+		c.address(s.Listen.Readiness, "listen.readiness")
+		c.address(s.Listen.Metrics, "listen.metrics")
+		c.address(s.Platform.Machines, "platform.machines")
+		c.jobs(s.Jobs)
+	default:
+		c.require(false, bbrcode.SettingsInvalid, "platform.protocol", "must be %s or %s", ProtocolOwn, ProtocolFleet)
+	}
+}
+
+func (c *checker) jobs(j Jobs) {
+	c.duration(j.Hold, time.Second, "jobs.hold")
+	c.duration(j.GangWait, time.Millisecond, "jobs.gangWait")
+	c.duration(j.Notice, time.Millisecond, "jobs.notice")
+	c.duration(j.Harm, time.Millisecond, "jobs.harm")
+	c.duration(j.KeepEnded, time.Second, "jobs.keepEnded")
+	c.duration(j.DutyLease, 0, "jobs.dutyLease")
+	c.duration(j.Move, 0, "jobs.move")
+	c.duration(j.Upkeep, 0, "jobs.upkeep")
+	c.duration(j.Stop, 0, "jobs.stop")
+	c.require(j.FarFactor >= 1, bbrcode.SettingsInvalid, "jobs.farFactor", "must be at least 1")
+}
+
 func (c *checker) limits(l Limits) {
 	c.size(int64(l.HeaderBytes), 1<<10, 1<<20, "limits.headerBytes")
 	c.size(l.BodyBytes, 1, mostBodyBytes, "limits.bodyBytes")
 	c.size(l.InProgress, 1, mostInProgress, "limits.inProgress")
 	c.size(int64(l.Keys), 1, mostKeys, "limits.keys")
 	c.size(l.KeptAnswerBytes, 0, 1<<30, "limits.keptAnswerBytes")
+	c.size(int64(l.MemoryMB), 0, 1<<20, "limits.memoryMB")
 }
 
 func (c *checker) size(value, least, most int64, path string) {
--- a/internal/config/bbrsettings/settings.go
+++ b/internal/config/bbrsettings/settings.go
@@ -17,6 +17,44 @@
 	Limits   Limits           `yaml:"limits"`
 	Timing   Timing           `yaml:"timing"`
 	Shutdown Shutdown         `yaml:"shutdown"`
+	// Jobs is how the entry runs jobs where the platform's protocol is that of
+	// fleets.
+	Jobs Jobs `yaml:"jobs"`
+}
+
+// Protocol names what is spoken with the platform and its upstreams.
+type Protocol string
+
+// Protocols.
+const (
+	// ProtocolOwn is the project's own: callers' requests are passed on.
+	ProtocolOwn Protocol = "own"
+	// ProtocolFleet is that of the platform's fleet: callers submit jobs.
+	ProtocolFleet Protocol = "fleet"
+)
+
+// Jobs is the lengths that jobs and their upstreams go by.
+type Jobs struct {
+	// Hold is the longest lease that an upstream gives.
+	Hold time.Duration `yaml:"hold"`
+	// GangWait is how long an upstream waits for the members of a gang.
+	GangWait time.Duration `yaml:"gangWait"`
+	// Notice is how long lasting work may be away before it counts as missing.
+	Notice time.Duration `yaml:"notice"`
+	// Harm is how long serving work may be over its target.
+	Harm time.Duration `yaml:"harm"`
+	// FarFactor is how many times as long work takes far from its data.
+	FarFactor float64 `yaml:"farFactor"`
+	// KeepEnded is how long the state of an ended job can be asked for.
+	KeepEnded time.Duration `yaml:"keepEnded"`
+	// DutyLease is the least time between the orders of two holders of the fleet
+	// duty.
+	DutyLease time.Duration `yaml:"dutyLease"`
+	// Move and Upkeep are how long an instance is away for them.
+	Move   time.Duration `yaml:"move"`
+	Upkeep time.Duration `yaml:"upkeep"`
+	// Stop is how long stopping a run takes at most.
+	Stop time.Duration `yaml:"stop"`
 }
 
 // Listen is where the process listens. The addresses are also what others are
@@ -25,7 +63,11 @@
 	Callers   netip.AddrPort `yaml:"callers"`
 	Operators netip.AddrPort `yaml:"operators"`
 	Peers     netip.AddrPort `yaml:"peers"`
-	TLS       TLS            `yaml:"tls"`
+	// Readiness is where the balancer asks; it is used with the fleet protocol.
+	Readiness netip.AddrPort `yaml:"readiness"`
+	// Metrics is where metrics are read; it is used with the fleet protocol.
+	Metrics netip.AddrPort `yaml:"metrics"`
+	TLS     TLS            `yaml:"tls"`
 }
 
 // TLS names the key files for callers and operators; empty means plain HTTP.
@@ -38,7 +80,11 @@
 type Platform struct {
 	Address netip.AddrPort `yaml:"address"`
 	// Timeout bounds each call.
-	Timeout time.Duration `yaml:"timeout"`
+	Timeout  time.Duration `yaml:"timeout"`
+	Protocol Protocol      `yaml:"protocol"`
+	// Machines and Advice are services of the fleet protocol.
+	Machines netip.AddrPort `yaml:"machines"`
+	Advice   netip.AddrPort `yaml:"advice"`
 }
 
 // Operators guards the operators' API.
@@ -55,6 +101,8 @@
 	// Keys and KeptAnswerBytes bound the idempotency keys and their answers.
 	Keys            int   `yaml:"keys"`
 	KeptAnswerBytes int64 `yaml:"keptAnswerBytes"`
+	// MemoryMB is what the process may use in megabytes; 0 for no bound.
+	MemoryMB int `yaml:"memoryMB"`
 }
 
 // Timing is the process's clock settings.
@@ -85,7 +133,7 @@
 // Default returns the settings that a file need not give.
 func Default() Settings {
 	return Settings{
-		Platform: Platform{Timeout: 2 * time.Second},
+		Platform: Platform{Timeout: 2 * time.Second, Protocol: ProtocolOwn},
 		Limits: Limits{
 			HeaderBytes:     32 << 10,
 			BodyBytes:       1 << 20,
@@ -103,5 +151,17 @@
 			Idle:         time.Minute,
 		},
 		Shutdown: Shutdown{BalancerLag: 2 * time.Second, Grace: time.Minute},
+		Jobs: Jobs{
+			Hold:      6 * time.Second,
+			GangWait:  3 * time.Second,
+			Notice:    4500 * time.Millisecond,
+			Harm:      4 * time.Second,
+			FarFactor: 3,
+			KeepEnded: 2 * time.Minute,
+			DutyLease: 3 * time.Second,
+			Move:      1500 * time.Millisecond,
+			Upkeep:    2 * time.Second,
+			Stop:      time.Second,
+		},
 	}
 }
--- a/internal/daemon/bbrcommand/command.go
+++ b/internal/daemon/bbrcommand/command.go
@@ -6,16 +6,20 @@
 	"io"
 	"os"
 	"os/signal"
+	"sync"
 	"syscall"
 
 	"github.com/alecthomas/kong"
+	"k8s.io/klog/v2"
 
+	"github.com/bluebellridge/bluebellridge/internal/base/bbrlog"
 	"github.com/bluebellridge/bluebellridge/internal/config/bbrsettings"
 	"github.com/bluebellridge/bluebellridge/internal/daemon/bbrkernel"
 	"github.com/bluebellridge/bluebellridge/internal/operator/bbrapi"
 
 	// The plug-ins register themselves.
 	_ "github.com/bluebellridge/bluebellridge/internal/daemon/bbrcore"
+	_ "github.com/bluebellridge/bluebellridge/internal/daemon/bbrserve"
 	_ "github.com/bluebellridge/bluebellridge/internal/fleet/bbrduty"
 	_ "github.com/bluebellridge/bluebellridge/internal/fleet/bbrmember"
 	_ "github.com/bluebellridge/bluebellridge/internal/peer/bbrlink"
@@ -94,6 +98,18 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
+	writer := bbrlog.New(os.Stdout)
+	writer.Install()
+	writing, endWriting := context.WithCancel(context.Background())
+	var written sync.WaitGroup
+	written.Go(func() { writer.Run(writing) })
+	defer func() {
+		klog.Flush()
+		endWriting()
+		written.Wait()
+	}()
+	reload := &reloader{file: c.File, settings: settings}
+	written.Go(func() { reload.run(writing) })
 	return bbrkernel.Run(ctx, settings)
 }
 
--- /dev/null
+++ b/internal/daemon/bbrcommand/reload.go
@@ -0,0 +1,43 @@
+package bbrcommand
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"reflect"
+	"syscall"
+
+	"k8s.io/klog/v2"
+
+	"github.com/bluebellridge/bluebellridge/internal/config/bbrsettings"
+)
+
+// reloader reads the settings anew on SIGHUP. What a process was started with
+// stays in force until its next start; the line in the log says what differs.
+type reloader struct {
+	file     string
+	settings bbrsettings.Settings
+}
+
+func (r *reloader) run(ctx context.Context) {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGHUP)
+	defer signal.Stop(signals)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-signals:
+			r.read()
+		}
+	}
+}
+
+func (r *reloader) read() {
+	settings, err := load(r.file)
+	if err != nil {
+		klog.ErrorS(err, "Settings not reloaded", "file", r.file)
+		return
+	}
+	klog.InfoS("Settings read", "file", r.file, "differ", !reflect.DeepEqual(settings, r.settings))
+}
--- a/internal/daemon/bbrkernel/kernel.go
+++ b/internal/daemon/bbrkernel/kernel.go
@@ -1,6 +1,7 @@
 package bbrkernel
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"time"
@@ -28,9 +29,12 @@
 
 // Plugin is one part of the daemon.
 type Plugin struct {
-	Name   string
-	Stage  Stage
-	Option fx.Option
+	Name  string
+	Stage Stage
+	// Protocol is the platform's protocol with which the plug-in is used; empty
+	// means the project's own.
+	Protocol bbrsettings.Protocol
+	Option   fx.Option
 }
 
 var plugins []Plugin
@@ -60,6 +64,9 @@
 		fx.StopTimeout(settings.Shutdown.BalancerLag + settings.Shutdown.Grace + stopMargin),
 	}
 	for _, plugin := range sorted() {
+		if cmp.Or(plugin.Protocol, bbrsettings.ProtocolOwn) != cmp.Or(settings.Platform.Protocol, bbrsettings.ProtocolOwn) {
+			continue
+		}
 		options = append(options, fx.Module(plugin.Name, plugin.Option))
 	}
 	return fx.Options(options...)
--- /dev/null
+++ b/internal/daemon/bbrserve/owners.go
@@ -0,0 +1,86 @@
+package bbrserve
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/bluebellridge/bluebellridge/internal/fleet/bbrclaim"
+	"github.com/bluebellridge/bluebellridge/internal/job/bbrledger"
+	"github.com/bluebellridge/bluebellridge/internal/job/bbrorder"
+	"github.com/bluebellridge/bluebellridge/internal/job/bbrowner"
+	"github.com/bluebellridge/bluebellridge/platform/bbrwire"
+)
+
+// owners makes the owners of the services that this entry claims.
+type owners struct {
+	service *service
+	orders  *bbrorder.Orders
+	advise  bbrowner.AdviseFunc
+	// used has every service to which a queue was ever sent: jobs from then may
+	// be left.
+	used map[string]bool
+}
+
+func newOwners(s *service) *owners {
+	client := bbrwire.NewClient(connectionsPerUpstream)
+	return &owners{
+		service: s,
+		orders:  bbrwire.NewOrders(client),
+		advise:  bbrwire.NewAdvice(client, s.settings.Platform.Advice),
+		used:    make(map[string]bool),
+	}
+}
+
+// services returns the names that need an owner. It is called by one goroutine.
+func (o *owners) services() []string {
+	config := o.service.config.Config()
+	if config == nil {
+		return nil
+	}
+	for _, queue := range config.Queues {
+		o.used[queue.Service] = true
+	}
+	names := make([]string, 0, len(o.used))
+	for name := range o.used {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names
+}
+
+// Lengths of an owner's work.
+const (
+	// hold is how far ahead leases are set. It bridges an outage of the store
+	// together with the claim's own, and bounds how long a lost upstream's work
+	// units wait.
+	hold = 4500 * time.Millisecond
+	// startWithin bounds the time for which a start may be on its way.
+	startWithin = 1500 * time.Millisecond
+)
+
+func (o *owners) own(ctx context.Context, held bbrclaim.Held) {
+	s := o.service
+	jobs := s.settings.Jobs
+	owner := &bbrowner.Owner{
+		Held:    held,
+		Store:   s.store,
+		Orders:  o.orders,
+		Advise:  o.advise,
+		Metrics: s.metrics,
+		Timing: bbrledger.Timing{
+			Hold:        min(hold, jobs.Hold),
+			StartWithin: startWithin,
+			Handover:    bbrclaim.Belief,
+			GangWait:    jobs.GangWait,
+			Notice:      jobs.Notice,
+			Harm:        jobs.Harm,
+			FarFactor:   jobs.FarFactor,
+		},
+		Confirmed:  func(now time.Time) bool { return s.session.Confirmed(held.Lease, now) },
+		Config:     s.config.Config,
+		Registered: s.registry.Of,
+	}
+	owner.Run(ctx)
+	s.claimer.Release(held)
+}
--- /dev/null
+++ b/internal/daemon/bbrserve/plugin.go
@@ -0,0 +1,167 @@
+package bbrserve
+
+import (
+	"context"
+	"net/http"
+	"runtime/debug"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"go.uber.org/fx"
+	"k8s.io/klog/v2"
+
+	"github.com/bluebellridge/bluebellridge/internal/base/bbrmetric"
+	"github.com/bluebellridge/bluebellridge/internal/base/bbrpause"
+	"github.com/bluebellridge/bluebellridge/internal/config/bbrfollow"
+	"github.com/bluebellridge/bluebellridge/internal/config/bbrsettings"
+	"github.com/bluebellridge/bluebellridge/internal/daemon/bbrkernel"
+	"github.com/bluebellridge/bluebellridge/internal/daemon/bbrlistener"
+	"github.com/bluebellridge/bluebellridge/internal/fleet/bbrclaim"
+	"github.com/bluebellridge/bluebellridge/internal/fleet/bbrregistry"
+	"github.com/bluebellridge/bluebellridge/internal/job/bbrintake"
+	"github.com/bluebellridge/bluebellridge/internal/store/bbritem"
+	"github.com/bluebellridge/bluebellridge/platform/bbrwire"
+)
+
+func init() {
+	bbrkernel.Register(bbrkernel.Plugin{
+		Name:     "serve",
+		Stage:    bbrkernel.StageCore,
+		Protocol: bbrsettings.ProtocolFleet,
+		Option:   fx.Options(fx.Provide(bbrmetric.New, newService), fx.Invoke(start)),
+	})
+}
+
+const (
+	// connectionsPerUpstream leaves one for the renewal that waits.
+	connectionsPerUpstream = 6
+	connectionsToStore     = 24
+	// memoryShare of the bound is where the garbage collector gets busy.
+	memoryShare = 0.6
+	gcPercent   = 300
+)
+
+// service is the parts of an entry that runs jobs.
+type service struct {
+	settings bbrsettings.Settings
+	metrics  *bbrmetric.Set
+	store    *bbritem.Store
+	config   *bbrfollow.Follower
+	registry *bbrregistry.Registry
+	session  *bbrclaim.Session
+	claims   *bbrclaim.Directory
+	claimer  *bbrclaim.Claimer
+	acceptor *bbrintake.Acceptor
+	handler  *bbrintake.Handler
+	owners   *owners
+	servers  []*bbrlistener.Listener
+
+	// end ends what owns and follows, and endSession the session.
+	end, endSession context.CancelFunc
+	running, keep   sync.WaitGroup
+}
+
+func newService(settings bbrsettings.Settings, metrics *bbrmetric.Set) *service {
+	if settings.Limits.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * float64(settings.Limits.MemoryMB) * (1 << 20)))
+	}
+	debug.SetGCPercent(gcPercent)
+	store := bbrwire.NewStore(bbrwire.NewClient(connectionsToStore), settings.Platform.Address)
+	s := &service{
+		settings: settings,
+		metrics:  metrics,
+		store:    store,
+		config:   &bbrfollow.Follower{Store: store, Key: bbrwire.ConfigKey, Decode: bbrwire.Config},
+		registry: &bbrregistry.Registry{Decode: bbrwire.Registration},
+		session:  &bbrclaim.Session{Store: store, Entry: settings.Entry, Zone: settings.Zone, Incarnation: uuid.NewString()},
+		claims:   &bbrclaim.Directory{},
+		acceptor: bbrintake.NewAcceptor(store),
+	}
+	s.owners = newOwners(s)
+	s.claimer = &bbrclaim.Claimer{Session: s.session, Directory: s.claims, Services: s.owners.services, Own: s.owners.own}
+	s.handler = &bbrintake.Handler{
+		Intake: &bbrintake.Intake{
+			Acceptor:     s.acceptor,
+			Store:        store,
+			Config:       s.config.Config,
+			StoreAnswers: s.config.StoreAnswers,
+		},
+		Codec: bbrintake.Codec{
+			Submission:  bbrwire.Submission,
+			ValidID:     bbrwire.ValidID,
+			Patience:    bbrwire.Patience,
+			StateBody:   bbrwire.StateBody,
+			WaitingBody: bbrwire.WaitingBody,
+		},
+		Metrics:      metrics,
+		MaxBodyBytes: settings.Limits.BodyBytes,
+	}
+	s.servers = []*bbrlistener.Listener{
+		bbrlistener.New(settings.Listen.Callers, s.handler.Router(), settings),
+		bbrlistener.New(settings.Listen.Readiness, http.HandlerFunc(s.serveReady), settings),
+		bbrlistener.New(settings.Listen.Metrics, promhttp.HandlerFor(metrics.Registry, promhttp.HandlerOpts{}), settings),
+	}
+	return s
+}
+
+func start(lifecycle fx.Lifecycle, s *service) {
+	lifecycle.Append(fx.StartStopHook(s.start, s.stop))
+}
+
+func (s *service) serveReady(w http.ResponseWriter, _ *http.Request) {
+	if !s.handler.Ready(time.Now()) {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+// watchWait is how long a watch without events lasts; a silent connection is
+// found out soon after.
+const watchWait = time.Second
+
+func (s *service) start(ctx context.Context) error {
+	running, end := context.WithCancel(context.Background())
+	s.end = end
+	session, endSession := context.WithCancel(context.Background())
+	s.endSession = endSession
+	fleet := &bbritem.Follower{Store: s.store, Prefix: bbrclaim.FleetPrefix, Wait: watchWait, Snapshot: s.claims.Snapshot, Change: s.claims.Change}
+	upstreams := &bbritem.Follower{Store: s.store, Prefix: bbrwire.UpstreamPrefix, Wait: watchWait, Snapshot: s.registry.Snapshot, Change: s.registry.Change}
+	s.keep.Go(func() { s.session.Run(session) })
+	s.keep.Go(func() { s.acceptor.Run(session) })
+	s.keep.Go(func() { s.config.Run(session) })
+	s.running.Go(func() { fleet.Run(running) })
+	s.running.Go(func() { upstreams.Run(running) })
+	s.running.Go(func() { s.claimer.Run(running) })
+	for _, server := range s.servers {
+		if err := server.Start(ctx); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// stop hands over: the balancer is told, the services are given up, and
+// callers are served while the balancer may still send them.
+func (s *service) stop(ctx context.Context) error {
+	told := time.Now()
+	s.handler.Stop()
+	s.end()
+	s.running.Wait()
+	if err := s.session.Close(ctx); err != nil {
+		klog.InfoS("Lease not ended", "reason", err.Error())
+	}
+	klog.InfoS("Handed over", "took", time.Since(told).Round(time.Millisecond))
+	bbrpause.For(ctx, s.settings.Shutdown.BalancerLag-time.Since(told))
+	serving, cancel := context.WithTimeout(ctx, s.settings.Shutdown.Grace)
+	defer cancel()
+	var err error
+	for _, server := range s.servers {
+		if failed := server.Stop(serving); failed != nil {
+			err = failed
+		}
+	}
+	s.endSession()
+	s.keep.Wait()
+	return err
+}
--- /dev/null
+++ b/internal/fleet/bbrclaim/directory.go
@@ -0,0 +1,198 @@
+package bbrclaim
+
+import (
+	"encoding/json"
+	"hash/fnv"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/bluebellridge/bluebellridge/internal/store/bbritem"
+)
+
+// claimRecord is the value of a claim.
+type claimRecord struct {
+	Entry       string `json:"entry"`
+	Incarnation string `json:"incarnation"`
+}
+
+// Claim is a service's owner as the store tells it.
+type Claim struct {
+	Entry, Incarnation string
+	// Revision is that of the claim's creation.
+	Revision bbritem.Revision
+}
+
+// Directory is the entries and claims that the store lists.
+type Directory struct {
+	mu      sync.Mutex
+	entries map[string]entryRecord
+	claims  map[string]Claim
+	// missing has when a service was first seen without an owner.
+	missing map[string]time.Time
+	// gone has, by service, the newest claim that is known to have ended.
+	gone map[string]bbritem.Revision
+	seen map[string]bbritem.Revision
+}
+
+// Snapshot replaces everything.
+func (d *Directory) Snapshot(items []bbritem.Item, now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	before := d.claims
+	d.entries = make(map[string]entryRecord)
+	d.claims = make(map[string]Claim)
+	d.seen = make(map[string]bbritem.Revision)
+	for _, item := range items {
+		d.apply(item)
+	}
+	for service, claim := range before {
+		if d.claims[service].Revision != claim.Revision {
+			d.end(service, claim.Revision)
+		}
+	}
+}
+
+// Change applies one event.
+func (d *Directory) Change(item bbritem.Item, now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.apply(item)
+}
+
+func (d *Directory) apply(item bbritem.Item) {
+	if item.Revision <= d.seen[item.Key] {
+		return
+	}
+	d.seen[item.Key] = item.Revision
+	if name, ok := strings.CutPrefix(item.Key, entryPrefix); ok {
+		d.applyEntry(name, item)
+	}
+	if service, ok := strings.CutPrefix(item.Key, claimPrefix); ok {
+		d.applyClaim(service, item)
+	}
+}
+
+func (d *Directory) applyEntry(name string, item bbritem.Item) {
+	var record entryRecord
+	if item.Deleted || json.Unmarshal(item.Value, &record) != nil {
+		delete(d.entries, name)
+		return
+	}
+	d.entries[name] = record
+}
+
+func (d *Directory) applyClaim(service string, item bbritem.Item) {
+	var record claimRecord
+	if item.Deleted || json.Unmarshal(item.Value, &record) != nil {
+		d.end(service, item.Revision)
+		if held, ok := d.claims[service]; ok {
+			klog.InfoS("Owner gone", "service", service, "entry", held.Entry, "token", held.Revision, "revision", item.Revision)
+		}
+		delete(d.claims, service)
+		return
+	}
+	d.claims[service] = Claim{Entry: record.Entry, Incarnation: record.Incarnation, Revision: item.Created}
+}
+
+func (d *Directory) end(service string, revision bbritem.Revision) {
+	if d.gone == nil {
+		d.gone = make(map[string]bbritem.Revision)
+	}
+	d.gone[service] = max(d.gone[service], revision)
+}
+
+// Ended tells whether the claim with the token is known to have ended. A claim
+// that is merely not listed yet has not.
+func (d *Directory) Ended(service string, token bbritem.Revision) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.gone[service] >= token || d.claims[service].Revision > token
+}
+
+// Owner returns the owner of a service.
+func (d *Directory) Owner(service string) (Claim, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	claim, ok := d.claims[service]
+	return claim, ok
+}
+
+// Entries returns the names of the registered entries in order.
+func (d *Directory) Entries() []string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.names()
+}
+
+func (d *Directory) names() []string {
+	names := make([]string, 0, len(d.entries))
+	for name := range d.entries {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names
+}
+
+// Due tells whether the entry should claim the service now: those with the
+// fewest claims come first, one after the other.
+func (d *Directory) Due(service, entry string, now time.Time) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.missing == nil {
+		d.missing = make(map[string]time.Time)
+	}
+	if _, owned := d.claims[service]; owned {
+		delete(d.missing, service)
+		return false
+	}
+	since, known := d.missing[service]
+	if !known {
+		d.missing[service] = now
+		since = now
+	}
+	rank := d.rank(service, entry)
+	return now.Sub(since) >= time.Duration(rank)*claimStagger
+}
+
+// claimStagger is between the attempts of two entries to claim a service.
+const claimStagger = 250 * time.Millisecond
+
+// rank returns how many entries should claim the service before this one.
+func (d *Directory) rank(service, entry string) int {
+	held := make(map[string]int)
+	for _, claim := range d.claims {
+		held[claim.Entry]++
+	}
+	own := preference{held[entry], mix(service, entry)}
+	rank := 0
+	for name := range d.entries {
+		if name != entry && (preference{held[name], mix(service, name)}).before(own) {
+			rank++
+		}
+	}
+	return rank
+}
+
+type preference struct {
+	held int
+	hash uint64
+}
+
+func (p preference) before(other preference) bool {
+	if p.held != other.held {
+		return p.held < other.held
+	}
+	return p.hash < other.hash
+}
+
+func mix(service, entry string) uint64 {
+	hash := fnv.New64a()
+	_, _ = hash.Write([]byte(service))
+	_, _ = hash.Write([]byte{0})
+	_, _ = hash.Write([]byte(entry))
+	return hash.Sum64()
+}
--- /dev/null
+++ b/internal/fleet/bbrclaim/keys.go
@@ -0,0 +1,16 @@
+package bbrclaim
+
+// Prefixes of the store's keys.
+const (
+	// FleetPrefix is before all registrations and claims.
+	FleetPrefix = "bbr/fleet/"
+	entryPrefix = FleetPrefix + "entries/"
+	claimPrefix = FleetPrefix + "claims/"
+)
+
+// DutyName is the name under which the fleet duty is claimed; no service has
+// it.
+const DutyName = "~duty"
+
+// ClaimKey returns the key of a service's claim.
+func ClaimKey(service string) string { return claimPrefix + service }
--- /dev/null
+++ b/internal/fleet/bbrclaim/session.go
@@ -0,0 +1,182 @@
+package bbrclaim
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"k8s.io/klog/v2"
+
+	"github.com/bluebellridge/bluebellridge/internal/base/bbrpause"
+	"github.com/bluebellridge/bluebellridge/internal/store/bbritem"
+)
+
+const (
+	// leaseTTL bounds how long the services of a dead entry wait for another.
+	leaseTTL = 3 * time.Second
+	// renewEvery leaves room for lost renewals within Belief.
+	renewEvery = 600 * time.Millisecond
+	retryEvery = 200 * time.Millisecond
+	// Belief is how long after a confirmation was asked for the entry acts on it.
+	// It is shorter than the lease, and a successor waits it out where claims may
+	// have been taken away without notice.
+	Belief = 2200 * time.Millisecond
+)
+
+// entryRecord is an entry's registration.
+type entryRecord struct {
+	Entry       string `json:"entry"`
+	Zone        string `json:"zone"`
+	Incarnation string `json:"incarnation"`
+	// Lease is ended by a successor under the same name.
+	Lease bbritem.Lease `json:"lease"`
+}
+
+// Session is the entry's lease and registration.
+type Session struct {
+	Store *bbritem.Store
+	// Entry, Zone and Incarnation identify the process.
+	Entry, Zone, Incarnation string
+
+	mu        sync.Mutex
+	lease     bbritem.Lease
+	revision  bbritem.Revision
+	confirmed time.Time
+	closed    bool
+}
+
+// Lease is a confirmed lease with the registration that hangs on it.
+type Lease struct {
+	ID bbritem.Lease
+	// Registration is the revision of the entry's key.
+	Registration bbritem.Revision
+}
+
+// Lease returns the lease, while it is confirmed.
+func (s *Session) Lease(now time.Time) (Lease, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	ok := s.lease != 0 && !s.closed && now.Sub(s.confirmed) < Belief
+	return Lease{ID: s.lease, Registration: s.revision}, ok
+}
+
+// Confirmed tells whether the lease of the ID still stands for certain.
+func (s *Session) Confirmed(lease bbritem.Lease, now time.Time) bool {
+	held, ok := s.Lease(now)
+	return ok && held.ID == lease
+}
+
+// Key returns the key of the entry's registration.
+func (s *Session) Key() string { return entryPrefix + s.Entry }
+
+// Run keeps the session until ctx ends.
+func (s *Session) Run(ctx context.Context) {
+	failing := false
+	for ctx.Err() == nil {
+		now := time.Now()
+		err := s.round(ctx, now)
+		switch {
+		case err != nil && !failing && ctx.Err() == nil:
+			klog.InfoS("Dependency lost", "dependency", "store", "use", "session", "lease", s.lease, "reason", err.Error())
+			failing = true
+		case err == nil && failing:
+			klog.InfoS("Dependency regained", "dependency", "store", "use", "session", "lease", s.lease)
+			failing = false
+		}
+		if err != nil {
+			bbrpause.For(ctx, retryEvery)
+			continue
+		}
+		bbrpause.For(ctx, renewEvery)
+	}
+}
+
+func (s *Session) round(ctx context.Context, now time.Time) error {
+	if s.lease == 0 {
+		return s.open(ctx)
+	}
+	_, err := s.Store.Renew(ctx, s.lease)
+	if errors.Is(err, bbritem.ErrNotFound) {
+		klog.InfoS("Lease ended", "lease", s.lease)
+		s.set(0, 0, time.Time{})
+		return s.open(ctx)
+	}
+	if err != nil {
+		return err
+	}
+	s.mu.Lock()
+	s.confirmed = now
+	s.mu.Unlock()
+	return nil
+}
+
+// open takes a lease and registers. What an earlier process of this name left
+// behind is ended first.
+func (s *Session) open(ctx context.Context) error {
+	left, err := s.Store.Get(ctx, s.Key())
+	if err != nil && !errors.Is(err, bbritem.ErrNotFound) {
+		return err
+	}
+	if err == nil {
+		s.endLeft(ctx, left)
+		if left, err = s.Store.Get(ctx, s.Key()); err != nil && !errors.Is(err, bbritem.ErrNotFound) {
+			return err
+		}
+	}
+	asked := time.Now()
+	lease, _, err := s.Store.Grant(ctx, leaseTTL)
+	if err != nil {
+		return err
+	}
+	record, err := json.Marshal(entryRecord{Entry: s.Entry, Zone: s.Zone, Incarnation: s.Incarnation, Lease: lease})
+	if err != nil {
+		return err
+	}
+	revision, err := s.Store.Commit(ctx, bbritem.Transaction{
+		Conditions: []bbritem.Condition{{Key: s.Key(), Revision: left.Revision}},
+		Puts:       []bbritem.Put{{Key: s.Key(), Value: record, Lease: lease}},
+	})
+	if err != nil {
+		return err
+	}
+	s.set(lease, revision, asked)
+	klog.InfoS("Registered", "entry", s.Entry, "zone", s.Zone, "lease", lease, "revision", revision)
+	return nil
+}
+
+func (s *Session) endLeft(ctx context.Context, left bbritem.Item) {
+	var record entryRecord
+	if err := json.Unmarshal(left.Value, &record); err != nil {
+		klog.InfoS("Earlier registration unreadable", "key", left.Key, "reason", err.Error())
+		return
+	}
+	err := s.Store.Revoke(ctx, record.Lease)
+	klog.InfoS("Earlier lease ended", "lease", record.Lease, "incarnation", record.Incarnation, "error", errorText(err))
+}
+
+func errorText(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
+
+func (s *Session) set(lease bbritem.Lease, revision bbritem.Revision, confirmed time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lease, s.revision, s.confirmed = lease, revision, confirmed
+}
+
+// Close ends the lease, and with it all claims.
+func (s *Session) Close(ctx context.Context) error {
+	s.mu.Lock()
+	lease := s.lease
+	s.closed = true
+	s.mu.Unlock()
+	if lease == 0 {
+		return nil
+	}
+	return s.Store.Revoke(ctx, lease)
+}
--- /dev/null
+++ b/internal/fleet/bbrregistry/doc.go
@@ -0,0 +1,2 @@
+// Package bbrregistry keeps the upstreams that the store lists.
+package bbrregistry
--- /dev/null
+++ b/internal/fleet/bbrregistry/registry.go
@@ -0,0 +1,109 @@
+package bbrregistry
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/bluebellridge/bluebellridge/internal/job/bbrwork"
+	"github.com/bluebellridge/bluebellridge/internal/store/bbritem"
+)
+
+// Registry is the upstreams by the key of their registration.
+type Registry struct {
+	// Decode reads a registration.
+	Decode func(key string, value []byte) (bbrwork.Upstream, error)
+
+	mu   sync.Mutex
+	ups  map[string]bbrwork.Upstream
+	seen map[string]bbritem.Revision
+	// numbers rise, by service, with each change of its upstreams.
+	numbers map[string]int64
+}
+
+// Snapshot replaces everything.
+func (r *Registry) Snapshot(items []bbritem.Item, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	listed := make(map[string]bool, len(items))
+	for _, item := range items {
+		listed[item.Key] = true
+		r.apply(item)
+	}
+	for key := range r.ups {
+		if !listed[key] {
+			r.drop(key)
+		}
+	}
+}
+
+// Change applies one event.
+func (r *Registry) Change(item bbritem.Item, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.apply(item)
+}
+
+func (r *Registry) apply(item bbritem.Item) {
+	if r.ups == nil {
+		r.ups = make(map[string]bbrwork.Upstream)
+		r.seen = make(map[string]bbritem.Revision)
+		r.numbers = make(map[string]int64)
+	}
+	if item.Revision <= r.seen[item.Key] {
+		return
+	}
+	r.seen[item.Key] = item.Revision
+	if item.Deleted {
+		r.drop(item.Key)
+		return
+	}
+	up, err := r.Decode(item.Key, item.Value)
+	if err != nil {
+		klog.InfoS("Registration unusable", "key", item.Key, "revision", item.Revision, "reason", err.Error())
+		r.drop(item.Key)
+		return
+	}
+	before, known := r.ups[item.Key]
+	if known && same(before, up) {
+		return
+	}
+	if known && before.Service != up.Service {
+		r.numbers[before.Service]++
+	}
+	if !known {
+		klog.InfoS("Upstream registered", "upstream", up.ID, "service", up.Service, "revision", item.Revision)
+	}
+	r.ups[item.Key] = up
+	r.numbers[up.Service]++
+}
+
+func same(a, b bbrwork.Upstream) bool {
+	return a.Life == b.Life && a.Service == b.Service && a.Address == b.Address && a.Zone == b.Zone &&
+		a.Room == b.Room && a.Draining == b.Draining && a.Leaving == b.Leaving && slices.Equal(a.Labels, b.Labels)
+}
+
+func (r *Registry) drop(key string) {
+	up, known := r.ups[key]
+	if !known {
+		return
+	}
+	klog.InfoS("Upstream no longer registered", "upstream", up.ID, "service", up.Service)
+	delete(r.ups, key)
+	r.numbers[up.Service]++
+}
+
+// Of returns the upstreams of a service, and a number that changes with them.
+func (r *Registry) Of(service string) ([]bbrwork.Upstream, int64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var list []bbrwork.Upstream
+	for _, up := range r.ups {
+		if up.Service == service {
+			list = append(list, up)
+		}
+	}
+	return list, r.numbers[service]
+}
--- /dev/null
+++ b/internal/job/bbrintake/acceptor.go
@@ -0,0 +1,189 @@
+package bbrintake
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/bluebellridge/bluebellridge/internal/base/bbrcode"
+	"github.com/bluebellridge/bluebellridge/internal/job/bbrrecord"
+	"github.com/bluebellridge/bluebellridge/internal/job/bbrwork"
+	"github.com/bluebellridge/bluebellridge/internal/store/bbritem"
+)
+
+const (
+	// jobEntries is what a job takes of a transaction: two conditions and a put.
+	jobEntries = 3
+	maxBatch   = bbritem.MaxTransaction / jobEntries
+	// acceptGather is how long a job waits for others to share its transaction.
+	acceptGather = 3 * time.Millisecond
+	maxWaiting   = 500
+	// writers bounds the transactions on their way at once.
+	writers = 4
+)
+
+// submission is a job that waits for being stored.
+type submission struct {
+	job *bbrwork.Job
+	// by is when the caller leaves.
+	by     time.Time
+	result chan bbrcode.Code
+}
+
+// Acceptor stores jobs, several in a transaction.
+type Acceptor struct {
+	Store *bbritem.Store
+
+	waiting chan *submission
+	wg      sync.WaitGroup
+}
+
+// NewAcceptor returns an acceptor that accepts nothing until Run.
+func NewAcceptor(store *bbritem.Store) *Acceptor {
+	return &Acceptor{Store: store, waiting: make(chan *submission, maxWaiting)}
+}
+
+// Accept stores the job and returns the code of the answer. by is when the
+// caller leaves.
+func (a *Acceptor) Accept(job *bbrwork.Job, by time.Time) bbrcode.Code {
+	s := &submission{job: job, by: by, result: make(chan bbrcode.Code, 1)}
+	select {
+	case a.waiting <- s:
+	default:
+		return bbrcode.QueueFull
+	}
+	return <-s.result
+}
+
+// Run stores jobs until ctx ends.
+func (a *Acceptor) Run(ctx context.Context) {
+	slots := make(chan struct{}, writers)
+	for {
+		batch, ok := a.collect(ctx)
+		if !ok {
+			return
+		}
+		slots <- struct{}{}
+		w := &writer{store: a.Store, batch: batch, slots: slots}
+		a.wg.Go(func() { w.run(ctx) })
+	}
+}
+
+// collect waits for a job and gathers those that come with it.
+func (a *Acceptor) collect(ctx context.Context) ([]*submission, bool) {
+	var batch []*submission
+	select {
+	case <-ctx.Done():
+		return nil, false
+	case first := <-a.waiting:
+		batch = append(batch, first)
+	}
+	gathered := time.After(acceptGather)
+	for len(batch) < maxBatch {
+		select {
+		case next := <-a.waiting:
+			batch = append(batch, next)
+		case <-gathered:
+			return batch, true
+		}
+	}
+	return batch, true
+}
+
+// writer stores one batch.
+type writer struct {
+	store *bbritem.Store
+	batch []*submission
+	slots chan struct{}
+	// lost means that an earlier sending may have been carried out.
+	lost bool
+}
+
+func (w *writer) run(ctx context.Context) {
+	defer func() { <-w.slots }()
+	for len(w.batch) > 0 {
+		w.attempt(ctx, time.Now())
+	}
+}
+
+// attempt commits what is left of the batch and answers what is settled.
+func (w *writer) attempt(ctx context.Context, now time.Time) {
+	w.dropLate(now)
+	if len(w.batch) == 0 {
+		return
+	}
+	_, err := w.store.Commit(ctx, w.transaction())
+	var conflict *bbritem.Conflict
+	switch {
+	case err == nil:
+		w.answer(func(*submission) bbrcode.Code { return bbrcode.Accepted })
+	case errors.As(err, &conflict):
+		w.answer(func(s *submission) bbrcode.Code { return stored(conflict, s) })
+	case errors.Is(err, bbritem.ErrLost):
+		w.lost = true
+	case w.lost:
+		time.Sleep(settlePause)
+	case errors.Is(err, bbritem.ErrRefused):
+		w.answer(func(*submission) bbrcode.Code { return bbrcode.StoreAway })
+	default:
+		w.answer(func(*submission) bbrcode.Code { return bbrcode.BadJob })
+	}
+}
+
+const (
+	// settlePause is between two attempts to settle a lost answer.
+	settlePause = 60 * time.Millisecond
+	// settleMargin is left of the caller's time for the answer.
+	settleMargin = 300 * time.Millisecond
+)
+
+// dropLate answers those whose caller is about to leave. Nothing was stored if
+// no answer was lost.
+func (w *writer) dropLate(now time.Time) {
+	w.answer(func(s *submission) bbrcode.Code {
+		switch {
+		case now.Before(s.by.Add(-settleMargin)):
+			return 0
+		case w.lost:
+			return bbrcode.StoreUnsettled
+		default:
+			return bbrcode.StoreAway
+		}
+	})
+}
+
+// answer gives each submission the code that settled returns; 0 leaves it.
+func (w *writer) answer(settled func(s *submission) bbrcode.Code) {
+	var left []*submission
+	for _, s := range w.batch {
+		if code := settled(s); code != 0 {
+			s.result <- code
+			continue
+		}
+		left = append(left, s)
+	}
+	w.batch = left
+}
+
+// stored returns the code for a job that the store turned out to have already,
+// or 0.
+func stored(conflict *bbritem.Conflict, s *submission) bbrcode.Code {
+	_, active := conflict.Items[bbrrecord.JobKey(s.job.ID)]
+	_, ended := conflict.Items[bbrrecord.EndedKey(s.job.ID)]
+	if active || ended {
+		return bbrcode.AlreadyStored
+	}
+	return 0
+}
+
+func (w *writer) transaction() bbritem.Transaction {
+	var transaction bbritem.Transaction
+	for _, s := range w.batch {
+		transaction.Conditions = append(transaction.Conditions,
+			bbritem.Condition{Key: bbrrecord.JobKey(s.job.ID)}, bbritem.Condition{Key: bbrrecord.EndedKey(s.job.ID)})
+		transaction.Puts = append(transaction.Puts, bbritem.Put{Key: bbrrecord.JobKey(s.job.ID), Value: bbrrecord.Encode(s.job)})
+	}
+	return transaction
+}
--- /dev/null
+++ b/internal/job/bbrledger/doc.go
@@ -0,0 +1,5 @@
+// Package bbrledger decides for one service which work unit runs where. A
+// Ledger is the memory of the service's owner: its jobs, the upstreams, what
+// runs on them and what is stored. It does no I/O: its caller feeds it what
+// happened with the present time, and carries out the orders that it returns.
+package bbrledger
--- /dev/null
+++ b/internal/job/bbrledger/ledger.go
@@ -0,0 +1,172 @@
+package bbrledger
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/bluebellridge/bluebellridge/internal/job/bbrwork"
+)
+
+// Timing is the lengths that the ledger works with.
+type Timing struct {
+	// Hold is how far ahead an upstream's lease is set. It is at most what
+	// upstreams allow.
+	Hold time.Duration
+	// StartWithin bounds the time for which a start may be on its way.
+	StartWithin time.Duration
+	// Handover is how long an earlier owner may still believe in its claim
+	// after this one's began.
+	Handover time.Duration
+	// GangWait is how long an upstream waits for the members of a gang.
+	GangWait time.Duration
+	// Notice is how long a lasting work unit may need to be at work again.
+	Notice time.Duration
+	// Harm is how long a serving work unit may be above its target.
+	Harm time.Duration
+	// FarFactor is how many times as long work takes far from its data.
+	FarFactor float64
+}
+
+// clockError is how much slower an upstream's clock may run, with a margin for
+// rounding to milliseconds.
+const (
+	clockError  = 0.021
+	clockMargin = 30 * time.Millisecond
+)
+
+// Ledger is the memory of a service's owner. Its methods are called by one
+// goroutine at a time.
+type Ledger struct {
+	Service string
+	// Token is the fencing token of all orders.
+	Token  int64
+	Timing Timing
+
+	config    *bbrwork.Config
+	jobs      map[string]*job
+	upstreams map[string]*upstream
+	// began is when the claim began. Work that an earlier owner may have
+	// started is unlocated until every upstream is reached or settled is past.
+	began, settled time.Time
+	// fresh means that there was no earlier owner.
+	fresh bool
+	// located means that every upstream was reached under this token.
+	located bool
+	dirty   map[string]*job
+	// advice has the tickets of steps, by their name.
+	advice map[string]*advice
+	// dead has the lives that certainly ended, while the store may list them.
+	dead map[bbrwork.Life]bool
+	// entitled has the lives on which this claim may start work, since the store
+	// lists them for a successor; asked has those that should be listed.
+	entitled, asked map[bbrwork.Life]bool
+	notes           []Note
+	notesDropped    int
+}
+
+// New returns an empty ledger whose claim began now. Without an earlier owner,
+// nothing can be running yet.
+func New(service string, token int64, timing Timing, fresh bool, now time.Time) *Ledger {
+	return &Ledger{
+		Service:   service,
+		Token:     token,
+		Timing:    timing,
+		config:    bbrwork.NewConfig(0, nil, nil, bbrwork.Limits{}),
+		jobs:      make(map[string]*job),
+		upstreams: make(map[string]*upstream),
+		began:     now,
+		settled:   now.Add(timing.Handover + leaseBound(timing.Hold) + timing.StartWithin),
+		fresh:     fresh,
+		located:   fresh,
+		dirty:     make(map[string]*job),
+		advice:    make(map[string]*advice),
+		dead:      make(map[bbrwork.Life]bool),
+		entitled:  make(map[bbrwork.Life]bool),
+		asked:     make(map[bbrwork.Life]bool),
+	}
+}
+
+// leaseBound is the longest time by this process's clock that a lease of the
+// length lasts.
+func leaseBound(length time.Duration) time.Duration {
+	return length + time.Duration(clockError*float64(length)) + clockMargin
+}
+
+// SetConfig puts a configuration in force. A job whose queue is gone keeps what
+// was known of it.
+func (l *Ledger) SetConfig(config *bbrwork.Config) {
+	l.config = config
+	for _, job := range l.jobs {
+		if queue := config.Queues[job.Queue]; queue != nil {
+			job.queue = queue
+		}
+	}
+}
+
+// Settled tells whether no work of an earlier owner can be unlocated.
+func (l *Ledger) Settled(now time.Time) bool { return l.located || now.After(l.settled) }
+
+// Counts is what a ledger holds.
+type Counts struct {
+	Jobs, Upstreams, Reached, Runs int
+}
+
+// Counts returns what the ledger holds.
+func (l *Ledger) Counts() Counts {
+	counts := Counts{Jobs: len(l.jobs), Upstreams: len(l.upstreams)}
+	for _, up := range l.upstreams {
+		counts.Runs += len(up.runs)
+		if up.reached {
+			counts.Reached++
+		}
+	}
+	return counts
+}
+
+// Waiting counts, by queue, the jobs for which nothing has started.
+func (l *Ledger) Waiting(now time.Time) map[string]int {
+	waiting := make(map[string]int)
+	for _, job := range l.jobs {
+		if job.final == "" && !job.begun {
+			waiting[job.Queue]++
+		}
+	}
+	return waiting
+}
+
+// State returns the state of a job that is not stored as ended.
+func (l *Ledger) State(id string) (bbrwork.State, bool) {
+	job, ok := l.jobs[id]
+	if !ok {
+		return "", false
+	}
+	if job.begun {
+		return bbrwork.Running, true
+	}
+	return bbrwork.Pending, true
+}
+
+// sortedJobs returns the jobs by ID, so that decisions can be repeated.
+func (l *Ledger) sortedJobs() []*job {
+	list := slices.Collect(maps.Values(l.jobs))
+	slices.SortFunc(list, func(a, b *job) int {
+		if a.ID < b.ID {
+			return -1
+		}
+		return 1
+	})
+	return list
+}
+
+// sortedUpstreams returns the upstreams by ID.
+func (l *Ledger) sortedUpstreams() []*upstream {
+	list := slices.Collect(maps.Values(l.upstreams))
+	slices.SortFunc(list, func(a, b *upstream) int {
+		if a.ID < b.ID {
+			return -1
+		}
+		return 1
+	})
+	return list
+}
--- /dev/null
+++ b/internal/job/bbrledger/pace.go
@@ -0,0 +1,98 @@
+package bbrledger
+
+import (
+	"time"
+
+	"github.com/bluebellridge/bluebellridge/internal/job/bbrorder"
+)
+
+const (
+	// fullPace is the pace of a run at its start, in percent.
+	fullPace = 100
+	// nearTarget is the share of the target above which filling work slows down,
+	// and farFromTarget that below which it speeds up again.
+	nearTarget    = 0.85
+	farFromTarget = 0.6
+	// paceCut divides the pace when a tail is above its target, and paceStep is
+	// added to it when all tails are far below.
+	paceCut  = 2
+	paceStep = 15
+	// paceEvery is the least time between two paces of a run: tails are over half
+	// a second.
+	paceEvery = 600 * time.Millisecond
+	// paceLeast is the pace below which filling work only holds memory.
+	paceLeast = 5
+)
+
+// paces slows filling work beside a serving work unit that nears its target,
+// and speeds it up again where all are far below.
+func (p *planner) paces() {
+	for _, up := range p.ledger.sortedUpstreams() {
+		worst, serving := up.worstTail()
+		if !serving {
+			worst = 0
+		}
+		for _, r := range up.runs {
+			if r.unit.step.shape.Fills && r.phase == phaseRunning {
+				p.pace(r, worst)
+			}
+		}
+	}
+}
+
+// worstTail returns the highest tail as a share of its target.
+func (up *upstream) worstTail() (worst float64, serving bool) {
+	for _, r := range up.runs {
+		target := r.unit.step.shape.Target
+		if target == 0 || r.phase != phaseRunning {
+			continue
+		}
+		serving = true
+		worst = max(worst, float64(r.tail)/float64(target))
+	}
+	return worst, serving
+}
+
+func (p *planner) pace(r *run, worst float64) {
+	if p.now.Sub(r.pacedAt) < paceEvery {
+		return
+	}
+	pace := nextPace(r.pace, worst)
+	if pace == r.pace {
+		return
+	}
+	r.pace, r.pacedAt = pace, p.now
+	p.plan.Paces = append(p.plan.Paces, PaceOrder{Upstream: r.up.Upstream, Pace: bbrorder.Pace{
+		Unit: r.unit.name(), Run: r.number, Percent: pace, Token: p.ledger.Token,
+	}})
+}
+
+func nextPace(pace int, worst float64) int {
+	switch {
+	case worst > 1:
+		pace /= paceCut * 2
+	case worst > nearTarget:
+		pace /= paceCut
+	case worst < farFromTarget:
+		pace += paceStep
+	}
+	if pace < paceLeast {
+		return 0
+	}
+	return min(pace, fullPace)
+}
+
+// Paced applies the answer to a pace: one that was lost is ordered again.
+func (l *Ledger) Paced(order PaceOrder, err error, now time.Time) {
+	up := l.upstreams[order.Upstream.ID]
+	if up == nil || err == nil {
+		return
+	}
+	if r := up.runs[runKey{order.Pace.Unit, order.Pace.Run}]; r != nil {
+		r.pace, r.pacedAt = unknownPace, time.Time{}
+		l.note(now, "Pace not set", "unit", order.Pace.Unit.String(), "upstream", up.ID, "percent", order.Pace.Percent, "reason", err.Error())
+	}
+}
+
+// unknownPace makes the next round order a pace again.
+const unknownPace = fullPace - 1
--- /dev/null
+++ b/internal/job/bbrledger/plan.go
@@ -0,0 +1,271 @@
+package bbrledger
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/bluebellridge/bluebellridge/internal/job/bbrorder"
+	"github.com/bluebellridge/bluebellridge/internal/job/bbrwork"
+)
+
+// StartOrder is a start and where it goes.
+type StartOrder struct {
+	Upstream bbrwork.Upstream
+	Start    bbrorder.Start
+}
+
+// StopOrder is a stop and where it goes.
+type StopOrder struct {
+	Upstream bbrwork.Upstream
+	Stop     bbrorder.Stop
+}
+
+// PaceOrder is a pace and where it goes.
+type PaceOrder struct {
+	Upstream bbrwork.Upstream
+	Pace     bbrorder.Pace
+}
+
+// Plan is what is to be done now.
+type Plan struct {
+	Starts []StartOrder
+	Stops  []StopOrder
+	Paces  []PaceOrder
+	Asks   []AskOrder
+}
+
+// maxStarting bounds the starts on their way to one upstream.
+const maxStarting = 6
+
+// planner is the state of one round of planning.
+type planner struct {
+	ledger *Ledger
+	now    time.Time
+	// usable are the upstreams that may take work, by ID.
+	usable []*upstream
+	plan   Plan
+}
+
+// Plan decides what to do now. Starts are planned only while the claim is
+// confirmed.
+func (l *Ledger) Plan(confirmed bool, now time.Time) Plan {
+	l.Expire(now)
+	p := &planner{ledger: l, now: now}
+	p.stops()
+	if confirmed {
+		p.findUsable()
+		p.starts()
+		p.paces()
+	}
+	return p.plan
+}
+
+// findUsable collects the upstreams that may take work. Suspects are left out,
+// unless nothing else is there.
+func (p *planner) findUsable() {
+	var suspects []*upstream
+	for _, up := range p.ledger.sortedUpstreams() {
+		switch {
+		case !up.registered || up.Draining || up.reserved || !up.reached || !up.known():
+		case up.lost >= lostLimit || p.now.Before(up.fullUntil) || !p.ledger.entitle(up):
+		case up.health.suspect(p.now):
+			suspects = append(suspects, up)
+		default:
+			p.usable = append(p.usable, up)
+		}
+	}
+	if len(p.usable) == 0 {
+		p.usable = suspects
+	}
+}
+
+// entitle tells whether the store lists the life as one on which work may run,
+// and asks for it otherwise.
+func (l *Ledger) entitle(up *upstream) bool {
+	if l.entitled[up.Life] {
+		return true
+	}
+	l.asked[up.Life] = true
+	return false
+}
+
+// candidate is a step with work units to start, and its rank.
+type candidate struct {
+	step *step
+	// tier 0 is work that lasts, 1 work that can meet its objective, 2 the rest.
+	tier     int
+	priority int
+	by       time.Time
+}
+
+func (p *planner) candidates() []candidate {
+	var list []candidate
+	for _, job := range p.ledger.sortedJobs() {
+		if job.final != "" || job.cancelled || p.mayRunUnlocated(job) {
+			continue
+		}
+		for _, o := range job.occurrences {
+			if o.left == 0 {
+				continue
+			}
+			list = p.stepsOf(job, o, list)
+		}
+	}
+	slices.SortStableFunc(list, compareCandidates)
+	return list
+}
+
+func (p *planner) stepsOf(job *job, o *occurrence, list []candidate) []candidate {
+	by := job.objective(o)
+	for _, s := range o.steps {
+		if s.idle > 0 && s.left > 0 && s.open(p.now) {
+			list = append(list, p.rank(s, by))
+		}
+	}
+	return list
+}
+
+func compareCandidates(a, b candidate) int {
+	return cmp.Or(cmp.Compare(a.tier, b.tier), cmp.Compare(a.priority, b.priority), a.by.Compare(b.by))
+}
+
+func (p *planner) rank(s *step, by time.Time) candidate {
+	c := candidate{step: s, tier: 1, by: by}
+	if s.job.queue != nil {
+		c.priority = s.job.queue.Priority
+	}
+	switch {
+	case s.shape.Lasting && !s.shape.Fills:
+		c.tier = 0
+	case s.shape.Lasting:
+		c.tier = 1
+	case p.now.Add(s.remaining).After(by):
+		c.tier = 2
+	}
+	return c
+}
+
+// mayRunUnlocated tells whether an earlier owner may have started work units
+// of the job on an upstream that was not reached yet.
+func (p *planner) mayRunUnlocated(job *job) bool {
+	l := p.ledger
+	return !l.Settled(p.now) && !job.seen.After(l.began.Add(l.Timing.Handover))
+}
+
+func (p *planner) starts() {
+	for _, c := range p.candidates() {
+		if c.step.shape.Gang {
+			p.startGang(c.step)
+			continue
+		}
+		p.startStep(c.step)
+	}
+}
+
+func (p *planner) startStep(s *step) {
+	if ask, ok := p.ledger.ask(s, p.usable, p.now); ok {
+		p.plan.Asks = append(p.plan.Asks, ask)
+	}
+	if !p.anyRoom(s) {
+		return
+	}
+	for _, u := range s.units {
+		if u.done || len(u.runs) > 0 || p.now.Before(u.notBefore) {
+			continue
+		}
+		up := p.choose(u, nil)
+		if up == nil {
+			return
+		}
+		p.start(u, u.last+1, up)
+	}
+}
+
+// anyRoom is a quick look before the work units are gone through.
+func (p *planner) anyRoom(s *step) bool {
+	taken := s.shape.Taken()
+	for _, up := range p.usable {
+		if taken.Fits(up.free()) {
+			return true
+		}
+	}
+	return false
+}
+
+// choose returns the upstream for a work unit, or nil.
+func (p *planner) choose(u *unit, fits func(up *upstream) bool) *upstream {
+	var best *upstream
+	for _, up := range p.usable {
+		if !p.mayRun(u, up) || fits != nil && !fits(up) {
+			continue
+		}
+		if best == nil || p.better(u, up, best) {
+			best = up
+		}
+	}
+	return best
+}
+
+func (p *planner) mayRun(u *unit, up *upstream) bool {
+	s := u.step
+	if up.starting >= maxStarting || !s.shape.Taken().Fits(up.free()) || !up.HasLabel(s.shape.Label) {
+		return false
+	}
+	if up.leavesBefore(s.shape, p.now) {
+		return false
+	}
+	if s.shape.MaxPerUpstream > 0 && s.runsOn(up) >= s.shape.MaxPerUpstream {
+		return false
+	}
+	_, ok := p.ledger.advised(s, up, p.now)
+	return ok
+}
+
+func (up *upstream) leavesBefore(shape *bbrwork.Step, now time.Time) bool {
+	return up.Draining
+}
+
+// runsOn counts the step's runs on an upstream.
+func (s *step) runsOn(up *upstream) int {
+	count := 0
+	for _, u := range s.units {
+		for _, r := range u.runs {
+			if r.up == up {
+				count++
+			}
+		}
+	}
+	return count
+}
+
+// better tells whether up suits the work unit better than best.
+func (p *planner) better(u *unit, up, best *upstream) bool {
+	if rack := u.step.shape.DataRack; rack != "" && up.HasLabel(rack) != best.HasLabel(rack) {
+		return up.HasLabel(rack)
+	}
+	if u.avoid != "" && (up.ID == u.avoid) != (best.ID == u.avoid) {
+		return best.ID == u.avoid
+	}
+	return up.free().MilliCPU > best.free().MilliCPU
+}
+
+func (p *planner) start(u *unit, number int, up *upstream) {
+	l := p.ledger
+	ticket, _ := l.advised(u.step, up, p.now)
+	r := l.addRun(u, number, up, p.now)
+	r.until = up.clockNow(p.now) + l.Timing.StartWithin
+	if end := p.now.Add(leaseBound(l.Timing.StartWithin) + time.Duration(clockError*float64(p.now.Sub(up.clockAt)))); end.After(up.leased) {
+		up.leased = end
+	}
+	up.starting++
+	p.plan.Starts = append(p.plan.Starts, StartOrder{Upstream: up.Upstream, Start: bbrorder.Start{
+		Unit:       u.name(),
+		Run:        number,
+		Spec:       u.step.job.Spec,
+		Until:      r.until,
+		Token:      l.Token,
+		Checkpoint: u.checkpoint,
+		Ticket:     ticket,
+	}})
+}
--- /dev/null
+++ b/internal/job/bbrledger/store.go
@@ -0,0 +1,294 @@
+package bbrledger
+
+import (
+	"cmp"
+	"encoding/json"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/bluebellridge/bluebellridge/internal/job/bbrwork"
+)
+
+// Progress is what is stored of a job beside the job itself.
+type Progress struct {
+	Occurrences map[int][]StepProgress `json:"occurrences"`
+}
+
+// StepProgress is the progress of one step in one occurrence.
+type StepProgress struct {
+	// Done has a bit for each work unit.
+	Done []byte `json:"done,omitempty"`
+	// Failed has, by work unit, the numbers of the runs that failed.
+	Failed map[int][]int `json:"failed,omitempty"`
+	// Last has the highest run number known, by work unit.
+	Last        map[int]int    `json:"last,omitempty"`
+	Checkpoints map[int]string `json:"checkpoints,omitempty"`
+}
+
+// Write is one job to be stored.
+type Write struct {
+	Job *bbrwork.Job
+	// Final is empty while the job goes on; Progress is stored then.
+	Final    bbrwork.State
+	Progress []byte
+
+	job     *job
+	changed int
+}
+
+// Batch is what is to be stored, and what may be acknowledged once all of it
+// is.
+type Batch struct {
+	Writes []Write
+	// Entitle is the lives to be listed for a successor; nil for no change.
+	Entitle []bbrwork.Upstream
+	// applied has what may be acknowledged; nil where writes are left out.
+	applied map[bbrwork.Life]int64
+}
+
+// Whole tells whether the batch has all that is to be stored.
+func (b Batch) Whole() bool { return b.applied != nil }
+
+// Head returns the batch with its first n writes.
+func (b Batch) Head(n int) Batch {
+	return Batch{Writes: b.Writes[:n], Entitle: b.Entitle}
+}
+
+// Batch returns what has to be stored now, at most limit jobs.
+func (l *Ledger) Batch(limit int) Batch {
+	var batch Batch
+	ids := slices.Sorted(maps.Keys(l.dirty))
+	// Jobs that have ended go first: callers wait for them.
+	slices.SortStableFunc(ids, func(a, b string) int {
+		return cmp.Compare(len(l.dirty[b].final), len(l.dirty[a].final))
+	})
+	for _, id := range ids[:min(len(ids), limit)] {
+		j := l.dirty[id]
+		batch.Writes = append(batch.Writes, Write{Job: j.Job, Final: j.final, Progress: j.progress(), job: j, changed: j.changed})
+	}
+	if len(ids) <= limit {
+		batch.applied = make(map[bbrwork.Life]int64)
+		for _, up := range l.upstreams {
+			batch.applied[up.Life] = up.applied
+		}
+	}
+	batch.Entitle = l.entitlement()
+	return batch
+}
+
+// Urgent tells whether something waits for being stored that a caller or a
+// start waits for.
+func (l *Ledger) Urgent() bool {
+	for _, j := range l.dirty {
+		if j.final != "" {
+			return true
+		}
+	}
+	return l.entitlement() != nil
+}
+
+// Dirty tells whether anything has to be stored or acknowledged.
+func (l *Ledger) Dirty() bool { return len(l.dirty) > 0 }
+
+// entitlement returns the lives on which work may run, or nil where the stored
+// list says enough.
+func (l *Ledger) entitlement() []bbrwork.Upstream {
+	missing := false
+	for life := range l.asked {
+		missing = missing || !l.entitled[life]
+	}
+	if !missing {
+		return nil
+	}
+	var lives []bbrwork.Upstream
+	for _, up := range l.sortedUpstreams() {
+		if l.asked[up.Life] || l.entitled[up.Life] || len(up.runs) > 0 {
+			lives = append(lives, up.Upstream)
+		}
+	}
+	return lives
+}
+
+// Acknowledgeable tells whether a batch without writes would still allow ends
+// to be acknowledged.
+func (l *Ledger) Acknowledgeable() bool {
+	for _, up := range l.upstreams {
+		if up.acknowledged < up.applied {
+			return true
+		}
+	}
+	return false
+}
+
+// Stored tells the ledger that all of a batch is stored.
+func (l *Ledger) Stored(batch Batch, now time.Time) {
+	for _, write := range batch.Writes {
+		if write.job.changed == write.changed {
+			delete(l.dirty, write.job.ID)
+		}
+		if write.Final != "" {
+			write.job.stored = true
+		}
+	}
+	if batch.Entitle != nil {
+		clear(l.entitled)
+		for _, up := range batch.Entitle {
+			l.entitled[up.Life] = true
+		}
+	}
+	for life, applied := range batch.applied {
+		if up := l.upstreams[life.ID]; up != nil && up.Born == life.Born {
+			up.acknowledged = max(up.acknowledged, applied)
+		}
+	}
+	l.forget()
+}
+
+// forget drops jobs that are stored as ended and have no runs.
+func (l *Ledger) forget() {
+	for id, job := range l.jobs {
+		if job.stored && !job.busy() {
+			l.dropAdvice(job.Job)
+			delete(l.jobs, id)
+		}
+	}
+}
+
+func (j *job) busy() bool {
+	for _, o := range j.occurrences {
+		for _, s := range o.steps {
+			for _, u := range s.units {
+				if len(u.runs) > 0 {
+					return true
+				}
+			}
+		}
+	}
+	return false
+}
+
+func (j *job) progress() []byte {
+	if j.final != "" {
+		return nil
+	}
+	progress := Progress{Occurrences: make(map[int][]StepProgress)}
+	for _, o := range j.occurrences {
+		var steps []StepProgress
+		for _, s := range o.steps {
+			steps = append(steps, s.progress())
+		}
+		progress.Occurrences[o.number] = steps
+	}
+	data, err := json.Marshal(progress)
+	if err != nil {
+		panic(err) // Only maps, slices and numbers: it cannot fail.
+	}
+	return data
+}
+
+func (s *step) progress() StepProgress {
+	p := StepProgress{Failed: make(map[int][]int), Last: make(map[int]int), Checkpoints: make(map[int]string)}
+	for i, u := range s.units {
+		if u.done {
+			if p.Done == nil {
+				p.Done = make([]byte, (len(s.units)+7)/8)
+			}
+			p.Done[i/8] |= 1 << (i % 8)
+			continue
+		}
+		if u.last > 0 {
+			p.Last[i] = u.last
+		}
+		if len(u.failed) > 0 {
+			p.Failed[i] = u.failed
+		}
+		if u.checkpoint != "" {
+			p.Checkpoints[i] = u.checkpoint
+		}
+	}
+	return p
+}
+
+// Accepted adds a job with its stored progress, which may be empty. A job that
+// is known already is left as it is.
+func (l *Ledger) Accepted(in *bbrwork.Job, progress []byte, now time.Time) {
+	if l.jobs[in.ID] != nil || in.Service != l.Service {
+		return
+	}
+	j := newJob(in, l.config.Queues[in.Queue], now)
+	l.jobs[in.ID] = j
+	if len(progress) == 0 {
+		return
+	}
+	var stored Progress
+	if err := json.Unmarshal(progress, &stored); err != nil {
+		l.note(now, "Stored progress unreadable", "job", in.ID, "reason", err.Error())
+		return
+	}
+	j.restore(&stored)
+	if j.completed() && !j.Lasting() {
+		l.finishJob(j, bbrwork.Completed, "all work units are stored as done", now)
+	}
+}
+
+func (j *job) restore(stored *Progress) {
+	for number, steps := range stored.Occurrences {
+		if number >= len(j.occurrences) || len(steps) != len(j.Steps) {
+			continue
+		}
+		for i, s := range j.occurrences[number].steps {
+			s.restore(&steps[i])
+		}
+	}
+}
+
+func (s *step) restore(stored *StepProgress) {
+	for i, u := range s.units {
+		u.failed = stored.Failed[i]
+		u.last = stored.Last[i]
+		u.checkpoint = stored.Checkpoints[i]
+		if i/8 < len(stored.Done) && stored.Done[i/8]&(1<<(i%8)) != 0 {
+			u.finish()
+			s.job.begun = true
+		}
+	}
+}
+
+// Cancel ends a job on its submitter's demand.
+func (l *Ledger) Cancel(id string, now time.Time) {
+	job := l.jobs[id]
+	if job == nil || job.cancelled {
+		return
+	}
+	job.cancelled = true
+	l.finishJob(job, bbrwork.Cancelled, "cancelled by its submitter", now)
+}
+
+// runNumberGap is left between the run numbers of two owners: what an earlier
+// one started on upstreams that cannot be asked is not known.
+const runNumberGap = 16
+
+// Loaded tells the ledger that all stored jobs are known.
+func (l *Ledger) Loaded(lives []bbrwork.Upstream, now time.Time) {
+	for _, up := range lives {
+		if l.upstreams[up.ID] == nil && !l.fresh {
+			l.Upstream(up, now)
+			if known := l.upstreams[up.ID]; known != nil {
+				known.registered = false
+			}
+		}
+	}
+	if l.fresh {
+		return
+	}
+	for _, job := range l.jobs {
+		for _, o := range job.occurrences {
+			for _, s := range o.steps {
+				for _, u := range s.units {
+					u.last += runNumberGap
+				}
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/job/bbrledger/upstream.go
@@ -0,0 +1,229 @@
+package bbrledger
+
+import (
+	"time"
+
+	"github.com/bluebellridge/bluebellridge/internal/job/bbrwork"
+)
+
+// upstream is one life of an upstream as the ledger knows it.
+type upstream struct {
+	bbrwork.Upstream
+	// registered means that the store lists this life.
+	registered bool
+	// reserved means that planned work takes the instance: nothing new goes
+	// there.
+	reserved bool
+	// reached means that it has answered under this token.
+	reached bool
+	runs    map[runKey]*run
+	used    bbrwork.Resources
+	// clock is the upstream's clock as of clockAt.
+	clock   time.Duration
+	clockAt time.Time
+	// leased is when, by this process's clock, all that an order of this owner
+	// keeps running there has certainly ended.
+	leased time.Time
+	// applied is the highest end that was applied, and acknowledged the highest
+	// whose effects are stored.
+	applied, acknowledged int64
+	health                health
+	// fullUntil keeps starts away after a refusal for want of room.
+	fullUntil time.Time
+	// starting counts the starts on their way.
+	starting int
+	// lost counts the answers lost in a row, and silentAt is when the first was.
+	lost     int
+	silentAt time.Time
+	// lapsed are runs that were dropped when the lease ended; their ends no
+	// longer count.
+	lapsed map[runKey]bool
+	// strays are listed runs of jobs that are not known, with when they were first listed.
+	strays map[runKey]time.Time
+}
+
+// known tells whether the upstream's clock is known.
+func (up *upstream) known() bool { return !up.clockAt.IsZero() }
+
+// clockNow estimates the upstream's clock from below: it is not ahead of the
+// real one by more than the time that the answer was on its way.
+func (up *upstream) clockNow(now time.Time) time.Duration {
+	return up.clock + now.Sub(up.clockAt)
+}
+
+// heard notes the upstream's clock. The answer's arrival is taken for the
+// reading's time.
+func (up *upstream) heard(clock time.Duration, now time.Time) {
+	up.clock, up.clockAt = clock, now
+	up.lost = 0
+}
+
+// free returns the room that is left.
+func (up *upstream) free() bbrwork.Resources { return up.Room.Minus(up.used) }
+
+// Upstream tells the ledger of a registration. Another life under the same ID
+// ends what ran in the earlier one.
+func (l *Ledger) Upstream(in bbrwork.Upstream, now time.Time) {
+	if l.dead[in.Life] {
+		return
+	}
+	known := l.upstreams[in.ID]
+	if known != nil && known.Born != in.Born && known.Born != 0 {
+		if in.Born < known.Born {
+			return
+		}
+		l.ended(known, "reborn", now)
+		known = nil
+	}
+	if known == nil {
+		known = &upstream{runs: make(map[runKey]*run)}
+		l.upstreams[in.ID] = known
+		if !l.fresh {
+			l.located = false
+		}
+	}
+	if in.Draining && !known.Draining {
+		l.note(now, "Upstream drains", "upstream", in.ID, "runs", len(known.runs), "leaves", in.Leaving)
+	}
+	known.Upstream = in
+	known.registered = true
+	l.locate(now)
+}
+
+// Unregistered tells the ledger that the store lists the upstream no more.
+func (l *Ledger) Unregistered(id string, now time.Time) {
+	up := l.upstreams[id]
+	if up == nil {
+		return
+	}
+	up.registered = false
+	if len(up.runs) == 0 && up.reached {
+		delete(l.upstreams, id)
+	}
+	l.locate(now)
+}
+
+// Reserve keeps new work off an instance, or lets it back.
+func (l *Ledger) Reserve(id string, reserved bool) {
+	if up := l.upstreams[id]; up != nil {
+		up.reserved = reserved
+	}
+}
+
+// Gone tells the ledger that a life has certainly ended.
+func (l *Ledger) Gone(life bbrwork.Life, why string, now time.Time) {
+	if up := l.upstreams[life.ID]; up != nil && up.Born == life.Born {
+		l.ended(up, why, now)
+	}
+}
+
+// ended drops a life with all that ran in it.
+func (l *Ledger) ended(up *upstream, why string, now time.Time) {
+	l.note(now, "Upstream ended", "upstream", up.ID, "born", up.Born, "reason", why, "runs", len(up.runs))
+	for _, r := range up.runs {
+		l.dropRun(r, now)
+	}
+	delete(l.upstreams, up.ID)
+	l.dead[up.Life] = true
+	l.locate(now)
+}
+
+// locate notes whether every upstream was reached under this token.
+func (l *Ledger) locate(now time.Time) {
+	if l.located {
+		return
+	}
+	for _, up := range l.upstreams {
+		if !up.reached {
+			return
+		}
+	}
+	if len(l.upstreams) == 0 {
+		return
+	}
+	l.located = true
+	l.note(now, "All upstreams reached", "service", l.Service, "token", l.Token)
+}
+
+// Expire drops what ran on upstreams whose lease has certainly ended.
+func (l *Ledger) Expire(now time.Time) {
+	for _, up := range l.sortedUpstreams() {
+		if len(up.runs) > 0 && !up.leased.IsZero() && now.After(up.leased) {
+			l.lapse(up, now)
+		}
+	}
+}
+
+// lapse drops what ran on an upstream whose lease ended unrenewed. The upstream
+// may come back with ends from before; they no longer count, since the work
+// units may be at work elsewhere.
+func (l *Ledger) lapse(up *upstream, now time.Time) {
+	l.note(now, "Upstream's lease ended unrenewed", "upstream", up.ID, "runs", len(up.runs), "lostAnswers", up.lost)
+	if up.lapsed == nil {
+		up.lapsed = make(map[runKey]bool)
+	}
+	for key, r := range up.runs {
+		up.lapsed[key] = true
+		l.dropRun(r, now)
+	}
+	up.leased = time.Time{}
+	if !up.registered {
+		l.ended(up, "unregistered and not answering", now)
+	}
+}
+
+// HoldPlan is what a renewal of an upstream's lease should say.
+type HoldPlan struct {
+	Upstream bbrwork.Upstream
+	// Until is 0 where the clock is not known yet, or where nothing may be
+	// extended.
+	Until        time.Duration
+	Acknowledged int64
+	// Idle means that nothing runs and nothing is to be acknowledged.
+	Idle bool
+	// Running means that work is or may be running there.
+	Running bool
+}
+
+// Hold returns what to tell an upstream. confirmed tells whether the claim
+// still stands.
+func (l *Ledger) Hold(id string, confirmed bool, now time.Time) (HoldPlan, bool) {
+	up := l.upstreams[id]
+	if up == nil {
+		return HoldPlan{}, false
+	}
+	plan := HoldPlan{
+		Upstream:     up.Upstream,
+		Acknowledged: up.acknowledged,
+		Idle:         len(up.runs) == 0 && up.acknowledged == up.applied && up.reached,
+		Running:      len(up.runs) > 0,
+	}
+	if up.known() && confirmed && len(up.runs) > 0 {
+		plan.Until = up.clockNow(now) + l.Timing.Hold
+		l.extend(up, now)
+	}
+	return plan, true
+}
+
+// extend notes that an order sent now keeps what runs there alive for a hold.
+func (l *Ledger) extend(up *upstream, now time.Time) {
+	end := now.Add(leaseBound(l.Timing.Hold) + time.Duration(clockError*float64(now.Sub(up.clockAt))))
+	if end.After(up.leased) {
+		up.leased = end
+	}
+}
+
+// UpstreamIDs returns the IDs of all upstreams that are known.
+func (l *Ledger) UpstreamIDs() []string {
+	ids := make([]string, 0, len(l.upstreams))
+	for id := range l.upstreams {
+		ids = append(ids, id)
+	}
+	return ids
+}
+
+// Unacknowledged tells whether ends of the upstream are not stored yet.
+func (l *Ledger) Unacknowledged(id string) bool {
+	up := l.upstreams[id]
+	return up != nil && up.acknowledged < up.applied
+}
--- /dev/null
+++ b/internal/job/bbrowner/flusher.go
@@ -0,0 +1,225 @@
+package bbrowner
+
+import (
+	"context"
+	"encoding/json"
+	"maps"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"k8s.io/klog/v2"
+
+	"github.com/bluebellridge/bluebellridge/internal/base/bbrpause"
+	"github.com/bluebellridge/bluebellridge/internal/job/bbrledger"
+	"github.com/bluebellridge/bluebellridge/internal/job/bbrrecord"
+	"github.com/bluebellridge/bluebellridge/internal/store/bbritem"
+)
+
+const (
+	// flushGather is the least time between two transactions, so that several
+	// ends share one.
+	flushGather = 20 * time.Millisecond
+	flushRetry  = 100 * time.Millisecond
+	// tellEvery bounds the age of the counts of waiting jobs while they change.
+	tellEvery = 700 * time.Millisecond
+	// lastFlush bounds the storing after the owner's end.
+	lastFlush = time.Second
+	// Entries of a transaction besides the jobs: two conditions and the
+	// sequence, and perhaps the lives.
+	fixedEntries = 4
+	// endedEntries is what a job that has ended takes: its record, and the
+	// removal of the job, its progress and its cancellation.
+	endedEntries = 4
+	maxWrites    = bbritem.MaxTransaction - fixedEntries
+)
+
+// sequence is the owner's place among its transactions.
+type sequence struct {
+	revision bbritem.Revision
+	number   int64
+	// told are the counts of waiting jobs that were stored last.
+	told map[string]int
+	at   time.Time
+}
+
+// flusher stores what the ledger learnt. It goes on a little after the owner's
+// end, so that a successor finds what was done.
+type flusher struct {
+	owner *Owner
+}
+
+func (f *flusher) run(ctx context.Context) {
+	timer := time.NewTicker(tellEvery)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			f.last()
+			return
+		case <-f.owner.flushNow:
+		case <-timer.C:
+		}
+		if err := f.flush(ctx); err != nil {
+			bbrpause.For(ctx, flushRetry)
+			signal(f.owner.flushNow)
+			continue
+		}
+		bbrpause.For(ctx, flushGather)
+	}
+}
+
+// last stores what is left while the claim may still stand.
+func (f *flusher) last() {
+	ctx, cancel := context.WithTimeout(context.Background(), lastFlush)
+	defer cancel()
+	if f.owner.ledger == nil || !f.owner.Confirmed(time.Now()) {
+		return
+	}
+	if err := f.flush(ctx); err != nil {
+		klog.InfoS("Last storing failed", "service", f.owner.Held.Service, "reason", err.Error())
+	}
+}
+
+// flush stores all that is to be stored, in one transaction or several.
+func (f *flusher) flush(ctx context.Context) error {
+	for {
+		more, err := f.transaction(ctx, time.Now())
+		if err != nil || !more {
+			return err
+		}
+	}
+}
+
+// transaction stores one batch and tells whether there is more.
+func (f *flusher) transaction(ctx context.Context, now time.Time) (bool, error) {
+	o := f.owner
+	o.mu.Lock()
+	batch := o.ledger.Batch(maxWrites)
+	waiting := o.ledger.Waiting(now)
+	acknowledge := o.ledger.Acknowledgeable()
+	o.mu.Unlock()
+	batch, whole := fit(batch)
+	if len(batch.Writes) == 0 && batch.Entitle == nil && !f.mustTell(waiting, now) {
+		if acknowledge {
+			f.stored(batch)
+		}
+		return false, nil
+	}
+	if err := f.commit(ctx, batch, waiting, now); err != nil {
+		return false, err
+	}
+	f.stored(batch)
+	return !whole, nil
+}
+
+func (f *flusher) stored(batch bbrledger.Batch) {
+	o := f.owner
+	o.mu.Lock()
+	o.ledger.Stored(batch, time.Now())
+	o.mu.Unlock()
+	if batch.Entitle != nil {
+		o.poke()
+	}
+}
+
+// mustTell tells whether the counts of waiting jobs have to be stored for their
+// own sake.
+func (f *flusher) mustTell(waiting map[string]int, now time.Time) bool {
+	s := &f.owner.sequence
+	return now.Sub(s.at) >= tellEvery-tellEvery/10 && (!maps.Equal(waiting, s.told) || len(waiting) > 0 && now.Sub(s.at) > tellAgain) || s.number == 0
+}
+
+// tellAgain bounds the age of unchanged counts.
+const tellAgain = 1500 * time.Millisecond
+
+// fit cuts the batch to what a transaction holds.
+func fit(batch bbrledger.Batch) (bbrledger.Batch, bool) {
+	entries := fixedEntries
+	for i, write := range batch.Writes {
+		cost := 1
+		if write.Final != "" {
+			cost = endedEntries
+		}
+		if entries+cost > bbritem.MaxTransaction {
+			return batch.Head(i), false
+		}
+		entries += cost
+	}
+	return batch, batch.Whole()
+}
+
+func (f *flusher) commit(ctx context.Context, batch bbrledger.Batch, waiting map[string]int, now time.Time) error {
+	o := f.owner
+	s := &o.sequence
+	s.number++
+	key := bbrrecord.SequenceKey(o.Held.Service)
+	record := bbrrecord.Sequence{Token: int64(o.Held.Token), Number: s.number, Waiting: waiting, At: now}
+	transaction := bbritem.Transaction{
+		Conditions: []bbritem.Condition{o.Held.Condition(), {Key: key, Revision: s.revision}},
+		Puts:       []bbritem.Put{{Key: key, Value: bbrrecord.Encode(record)}},
+	}
+	if batch.Entitle != nil {
+		transaction.Puts = append(transaction.Puts, bbritem.Put{Key: bbrrecord.LivesKey(o.Held.Service), Value: bbrrecord.Encode(batch.Entitle)})
+	}
+	for _, write := range batch.Writes {
+		addWrite(&transaction, write, now)
+	}
+	revision, err := f.settle(ctx, transaction, s.number)
+	if err != nil {
+		return err
+	}
+	s.revision, s.told, s.at = revision, waiting, now
+	return nil
+}
+
+func addWrite(transaction *bbritem.Transaction, write bbrledger.Write, now time.Time) {
+	job := write.Job
+	if write.Final == "" {
+		transaction.Puts = append(transaction.Puts, bbritem.Put{Key: bbrrecord.ProgressKey(job.Service, job.ID), Value: write.Progress})
+		return
+	}
+	ended := bbrrecord.Ended{State: write.Final, Queue: job.Queue, At: now}
+	transaction.Puts = append(transaction.Puts, bbritem.Put{Key: bbrrecord.EndedKey(job.ID), Value: bbrrecord.Encode(ended)})
+	transaction.Removals = append(transaction.Removals, bbrrecord.JobKey(job.ID), bbrrecord.ProgressKey(job.Service, job.ID), bbrrecord.CancelKey(job.ID))
+}
+
+var errReplaced = errors.New("another owner has the service")
+
+// settle commits until the outcome is known: a transaction whose answer was
+// lost is sent again, and what the store says of the sequence tells whether an
+// earlier sending was carried out.
+func (f *flusher) settle(ctx context.Context, transaction bbritem.Transaction, number int64) (bbritem.Revision, error) {
+	lost := false
+	for {
+		revision, err := f.owner.Store.Commit(ctx, transaction)
+		var conflict *bbritem.Conflict
+		switch {
+		case err == nil:
+			return revision, nil
+		case errors.As(err, &conflict):
+			return f.settleConflict(conflict, number, lost)
+		case errors.Is(err, bbritem.ErrLost):
+			lost = true
+		case !lost:
+			f.owner.Metrics.Event("flush:refused")
+			return 0, err
+		}
+		f.owner.Metrics.Event("flush:unsettled")
+		bbrpause.For(ctx, flushRetry)
+		if ctx.Err() != nil {
+			return 0, ctx.Err()
+		}
+	}
+}
+
+func (f *flusher) settleConflict(conflict *bbritem.Conflict, number int64, lost bool) (bbritem.Revision, error) {
+	o := f.owner
+	item := conflict.Items[bbrrecord.SequenceKey(o.Held.Service)]
+	var record bbrrecord.Sequence
+	mine := json.Unmarshal(item.Value, &record) == nil && record.Token == int64(o.Held.Token) && record.Number == number
+	if lost && mine {
+		return item.Revision, nil
+	}
+	o.lost("a condition of its transaction does not hold")
+	return 0, errReplaced
+}
--- /dev/null
+++ b/internal/job/bbrowner/holder.go
@@ -0,0 +1,126 @@
+package bbrowner
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/bluebellridge/bluebellridge/internal/base/bbrpause"
+	"github.com/bluebellridge/bluebellridge/internal/job/bbrledger"
+	"github.com/bluebellridge/bluebellridge/internal/job/bbrorder"
+	"github.com/bluebellridge/bluebellridge/internal/job/bbrwork"
+)
+
+const (
+	// holdWait is how long a renewal waits for an end; it is also the pace of
+	// renewals where nothing ends.
+	holdWait = time.Second
+	// idleCheck is how often a holder without work looks whether it has some.
+	idleCheck = 500 * time.Millisecond
+	// holdGather is the least time between two renewals, so that several ends
+	// come in one.
+	holdGather = 8 * time.Millisecond
+	holdRetry  = 150 * time.Millisecond
+	// storeWait bounds how long a renewal waits for ends to be stored. Without
+	// it, upstreams would answer at once with the same ends.
+	storeWait = 150 * time.Millisecond
+	storePoll = 4 * time.Millisecond
+)
+
+// holder renews the lease of one upstream and collects its listings.
+type holder struct {
+	owner *Owner
+	id    string
+	wake  chan struct{}
+}
+
+func (h *holder) loop(ctx context.Context) {
+	for ctx.Err() == nil {
+		plan, ok := h.plan(time.Now())
+		if !ok {
+			h.leave()
+			return
+		}
+		if plan.Idle {
+			h.rest(ctx)
+			continue
+		}
+		if h.hold(ctx, plan) {
+			h.awaitStored(ctx)
+			bbrpause.For(ctx, holdGather)
+		} else {
+			bbrpause.For(ctx, holdRetry)
+		}
+	}
+}
+
+// leave forgets the holder, so that an upstream that comes back gets another.
+func (h *holder) leave() {
+	h.owner.mu.Lock()
+	defer h.owner.mu.Unlock()
+	delete(h.owner.holders, h.id)
+}
+
+func (h *holder) plan(now time.Time) (bbrledger.HoldPlan, bool) {
+	h.owner.mu.Lock()
+	defer h.owner.mu.Unlock()
+	return h.owner.ledger.Hold(h.id, h.owner.Confirmed(now), now)
+}
+
+func (h *holder) rest(ctx context.Context) {
+	select {
+	case <-ctx.Done():
+	case <-h.wake:
+	case <-time.After(idleCheck):
+	}
+}
+
+// hold makes one renewal and tells whether it was answered.
+func (h *holder) hold(ctx context.Context, plan bbrledger.HoldPlan) bool {
+	o := h.owner
+	order := bbrorder.Hold{Until: plan.Until, Token: int64(o.Held.Token), Acknowledged: plan.Acknowledged}
+	if plan.Running && plan.Until > 0 {
+		order.Wait = holdWait
+	}
+	sent := time.Now()
+	listing, err := o.Orders.Hold(ctx, plan.Upstream, order)
+	if ctx.Err() != nil {
+		return false
+	}
+	now := time.Now()
+	o.mu.Lock()
+	if err != nil {
+		o.ledger.Unanswered(h.id, err, now)
+	} else {
+		o.ledger.Listed(plan.Upstream.Life, &listing, sent, now)
+	}
+	dirty := o.ledger.Dirty()
+	o.mu.Unlock()
+	if errors.Is(err, bbrorder.ErrFenced) {
+		o.lost("an upstream knows a higher token")
+	}
+	h.tell(listing, dirty)
+	return err == nil
+}
+
+// tell wakes who has to act on the listing.
+func (h *holder) tell(listing bbrwork.Listing, dirty bool) {
+	if dirty || len(listing.Ended) > 0 {
+		signal(h.owner.flushNow)
+	}
+	h.owner.poke()
+}
+
+func (h *holder) awaitStored(ctx context.Context) {
+	until := time.Now().Add(storeWait)
+	for ctx.Err() == nil && time.Now().Before(until) {
+		h.owner.mu.Lock()
+		waiting := h.owner.ledger.Unacknowledged(h.id)
+		h.owner.mu.Unlock()
+		if !waiting {
+			return
+		}
+		bbrpause.For(ctx, storePoll)
+	}
+}
--- /dev/null
+++ b/internal/job/bbrowner/jobs.go
@@ -0,0 +1,91 @@
+package bbrowner
+
+import (
+	"context"
+	"encoding/json"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"k8s.io/klog/v2"
+
+	"github.com/bluebellridge/bluebellridge/internal/base/bbrpause"
+	"github.com/bluebellridge/bluebellridge/internal/job/bbrrecord"
+	"github.com/bluebellridge/bluebellridge/internal/job/bbrwork"
+	"github.com/bluebellridge/bluebellridge/internal/store/bbritem"
+)
+
+// accept adds stored jobs with their progress to the ledger.
+func (o *Owner) accept(jobs, progress []bbritem.Item, now time.Time) {
+	stored := make(map[string][]byte, len(progress))
+	for _, item := range progress {
+		stored[strings.TrimPrefix(item.Key, bbrrecord.ProgressPrefix(o.Held.Service))] = item.Value
+	}
+	for _, item := range jobs {
+		var job bbrwork.Job
+		if err := json.Unmarshal(item.Value, &job); err != nil {
+			klog.ErrorS(err, "Stored job unreadable", "key", item.Key, "revision", item.Revision)
+			continue
+		}
+		o.ledger.Accepted(&job, stored[job.ID], now)
+	}
+}
+
+func (o *Owner) jobsSnapshot(items []bbritem.Item, now time.Time) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.accept(items, nil, now)
+	o.poke()
+}
+
+func (o *Owner) jobChanged(item bbritem.Item, now time.Time) {
+	if item.Deleted {
+		return
+	}
+	o.jobsSnapshot([]bbritem.Item{item}, now)
+}
+
+func (o *Owner) loadLives(ctx context.Context) ([]bbrwork.Upstream, error) {
+	item, err := o.Store.Get(ctx, bbrrecord.LivesKey(o.Held.Service))
+	if errors.Is(err, bbritem.ErrNotFound) {
+		return nil, nil
+	}
+	if err != nil {
+		return nil, err
+	}
+	var lives []bbrwork.Upstream
+	err = json.Unmarshal(item.Value, &lives)
+	return lives, err
+}
+
+const (
+	// cancelEvery is between two reads of the demands to cancel.
+	cancelEvery = 500 * time.Millisecond
+)
+
+// runCancels reads the demands to cancel until ctx ends.
+func (o *Owner) runCancels(ctx context.Context) {
+	failing := false
+	for ctx.Err() == nil {
+		items, _, err := o.Store.All(ctx, bbrrecord.CancelPrefix)
+		if err == nil {
+			o.cancel(items, time.Now())
+		}
+		if (err != nil) != failing && ctx.Err() == nil {
+			failing = err != nil
+			klog.InfoS("Reading of cancellations changed", "service", o.Held.Service, "failing", failing)
+		}
+		bbrpause.For(ctx, cancelEvery)
+	}
+}
+
+func (o *Owner) cancel(items []bbritem.Item, now time.Time) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for _, item := range items {
+		o.ledger.Cancel(strings.TrimPrefix(item.Key, bbrrecord.CancelPrefix), now)
+	}
+	if len(items) > 0 {
+		o.poke()
+	}
+}
--- /dev/null
+++ b/internal/job/bbrowner/owner.go
@@ -0,0 +1,247 @@
+package bbrowner
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"k8s.io/klog/v2"
+
+	"github.com/bluebellridge/bluebellridge/internal/base/bbrmetric"
+	"github.com/bluebellridge/bluebellridge/internal/base/bbrpause"
+	"github.com/bluebellridge/bluebellridge/internal/fleet/bbrclaim"
+	"github.com/bluebellridge/bluebellridge/internal/job/bbrledger"
+	"github.com/bluebellridge/bluebellridge/internal/job/bbrorder"
+	"github.com/bluebellridge/bluebellridge/internal/job/bbrrecord"
+	"github.com/bluebellridge/bluebellridge/internal/job/bbrwork"
+	"github.com/bluebellridge/bluebellridge/internal/store/bbritem"
+)
+
+// AdviseFunc asks the advice service which upstreams may run a step. Tickets
+// are by upstream.
+type AdviseFunc func(ctx context.Context, step string, upstreams []string) (tickets map[string]string, valid time.Duration, err error)
+
+// Owner runs one service.
+type Owner struct {
+	Held    bbrclaim.Held
+	Store   *bbritem.Store
+	Orders  *bbrorder.Orders
+	Advise  AdviseFunc
+	Metrics *bbrmetric.Set
+	Timing  bbrledger.Timing
+	// Confirmed tells whether the claim's lease still stands for certain.
+	Confirmed func(now time.Time) bool
+	// Config returns the configuration in force.
+	Config func() *bbrwork.Config
+	// Registered returns the service's upstreams that the store lists, and a
+	// number that changes with them.
+	Registered func(service string) ([]bbrwork.Upstream, int64)
+
+	mu     sync.Mutex
+	ledger *bbrledger.Ledger
+	// registry is the number of the registrations that the ledger knows.
+	registry int64
+	version  int64
+	holders  map[string]*holder
+	wg       sync.WaitGroup
+	wake     chan struct{}
+	flushNow chan struct{}
+	sequence sequence
+	// replaced ends the owner.
+	replaced context.CancelFunc
+}
+
+const (
+	// planEvery bounds the time between two plans; events ask for one earlier.
+	planEvery = 100 * time.Millisecond
+	// planGather is the least time between two plans.
+	planGather = 4 * time.Millisecond
+	loadRetry  = 150 * time.Millisecond
+)
+
+// Run owns the service until ctx ends or the claim turns out to be lost.
+func (o *Owner) Run(ctx context.Context) {
+	ctx, o.replaced = context.WithCancel(ctx)
+	defer o.replaced()
+	o.wake = make(chan struct{}, 1)
+	o.flushNow = make(chan struct{}, 1)
+	o.holders = make(map[string]*holder)
+	began := time.Now()
+	at, ok := o.load(ctx, began)
+	if !ok {
+		return
+	}
+	klog.InfoS("Owner began", "service", o.Held.Service, "token", o.Held.Token, "jobs", o.ledger.Counts().Jobs, "took", time.Since(began).Round(time.Millisecond))
+	jobs := bbritem.Follower{Store: o.Store, Prefix: bbrrecord.JobPrefix, Wait: jobWatch, Snapshot: o.jobsSnapshot, Change: o.jobChanged}
+	jobs.From(at, began)
+	o.wg.Go(func() { jobs.Run(ctx) })
+	o.wg.Go(func() { o.runCancels(ctx) })
+	flushing, endFlushing := context.WithCancel(context.WithoutCancel(ctx))
+	defer endFlushing()
+	var flushed sync.WaitGroup
+	f := &flusher{owner: o}
+	flushed.Go(func() { f.run(flushing) })
+	o.loop(ctx)
+	o.wg.Wait()
+	endFlushing()
+	flushed.Wait()
+	klog.InfoS("Owner ended", "service", o.Held.Service, "token", o.Held.Token)
+}
+
+// jobWatch is how long a watch for jobs lasts.
+const jobWatch = time.Second
+
+// loop plans until ctx ends.
+func (o *Owner) loop(ctx context.Context) {
+	timer := time.NewTicker(planEvery)
+	defer timer.Stop()
+	for {
+		o.round(ctx, time.Now())
+		select {
+		case <-ctx.Done():
+			return
+		case <-timer.C:
+		case <-o.wake:
+			bbrpause.For(ctx, planGather)
+		}
+	}
+}
+
+// poke asks for a plan soon.
+func (o *Owner) poke() { signal(o.wake) }
+
+func signal(channel chan struct{}) {
+	select {
+	case channel <- struct{}{}:
+	default:
+	}
+}
+
+func (o *Owner) round(ctx context.Context, now time.Time) {
+	o.mu.Lock()
+	o.refresh(now)
+	plan := o.ledger.Plan(o.Confirmed(now), now)
+	o.startHolders(ctx)
+	urgent := o.ledger.Urgent()
+	notes, dropped := o.ledger.Notes()
+	o.mu.Unlock()
+	o.log(notes, dropped)
+	o.carryOut(ctx, plan)
+	if urgent {
+		signal(o.flushNow)
+	}
+}
+
+// refresh tells the ledger of a new configuration and of changed registrations.
+func (o *Owner) refresh(now time.Time) {
+	if config := o.Config(); config != nil && config.Version != o.version {
+		o.version = config.Version
+		o.ledger.SetConfig(config)
+	}
+	registered, number := o.Registered(o.Held.Service)
+	if number == o.registry {
+		return
+	}
+	o.registry = number
+	listed := make(map[string]bool, len(registered))
+	for _, up := range registered {
+		listed[up.ID] = true
+		o.ledger.Upstream(up, now)
+	}
+	for id := range o.holders {
+		if !listed[id] {
+			o.ledger.Unregistered(id, now)
+		}
+	}
+}
+
+func (o *Owner) startHolders(ctx context.Context) {
+	for _, id := range o.ledger.UpstreamIDs() {
+		if o.holders[id] == nil {
+			h := &holder{owner: o, id: id, wake: make(chan struct{}, 1)}
+			o.holders[id] = h
+			o.wg.Go(func() { h.loop(ctx) })
+		}
+	}
+}
+
+func (o *Owner) carryOut(ctx context.Context, plan bbrledger.Plan) {
+	for _, order := range plan.Stops {
+		s := &stopping{owner: o, order: order}
+		o.wg.Go(func() { s.run(ctx) })
+	}
+	for _, order := range plan.Starts {
+		s := &starting{owner: o, order: order}
+		o.wg.Go(func() { s.run(ctx) })
+	}
+	for _, order := range plan.Paces {
+		p := &pacing{owner: o, order: order}
+		o.wg.Go(func() { p.run(ctx) })
+	}
+	for _, order := range plan.Asks {
+		a := &asking{owner: o, order: order}
+		o.wg.Go(func() { a.run(ctx) })
+	}
+}
+
+// log writes the ledger's decisions.
+func (o *Owner) log(notes []bbrledger.Note, dropped int) {
+	for _, note := range notes {
+		klog.InfoS(note.Text, append([]any{"service", o.Held.Service, "token", o.Held.Token}, note.Fields...)...)
+	}
+	if dropped > 0 {
+		klog.InfoS("Decisions not logged", "service", o.Held.Service, "count", dropped)
+	}
+}
+
+// lost ends the owner because the claim is not its own any more.
+func (o *Owner) lost(why string) {
+	klog.InfoS("Owner replaced", "service", o.Held.Service, "token", o.Held.Token, "reason", why)
+	o.replaced()
+}
+
+// load reads everything that is stored of the service. It returns the revision
+// from which changes are to be followed.
+func (o *Owner) load(ctx context.Context, began time.Time) (bbritem.Revision, bool) {
+	for ctx.Err() == nil {
+		at, err := o.tryLoad(ctx, began)
+		if err == nil {
+			return at, true
+		}
+		klog.InfoS("Owner cannot load yet", "service", o.Held.Service, "reason", err.Error())
+		bbrpause.For(ctx, loadRetry)
+	}
+	return 0, false
+}
+
+func (o *Owner) tryLoad(ctx context.Context, began time.Time) (bbritem.Revision, error) {
+	sequence, err := o.Store.Get(ctx, bbrrecord.SequenceKey(o.Held.Service))
+	fresh := errors.Is(err, bbritem.ErrNotFound)
+	if err != nil && !fresh {
+		return 0, err
+	}
+	progress, _, err := o.Store.All(ctx, bbrrecord.ProgressPrefix(o.Held.Service))
+	if err != nil {
+		return 0, err
+	}
+	lives, err := o.loadLives(ctx)
+	if err != nil {
+		return 0, err
+	}
+	jobs, at, err := o.Store.All(ctx, bbrrecord.JobPrefix)
+	if err != nil {
+		return 0, err
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.sequence.revision = sequence.Revision
+	o.ledger = bbrledger.New(o.Held.Service, int64(o.Held.Token), o.Timing, fresh, began)
+	if config := o.Config(); config != nil {
+		o.version = config.Version
+		o.ledger.SetConfig(config)
+	}
+	o.accept(jobs, progress, time.Now())
+	o.ledger.Loaded(lives, time.Now())
+	return at, nil
+}
--- /dev/null
+++ b/internal/job/bbrrecord/doc.go
@@ -0,0 +1,2 @@
+// Package bbrrecord has the keys and values under which jobs lie in the store.
+package bbrrecord
--- a/internal/store/bbritem/follower.go
+++ b/internal/store/bbritem/follower.go
@@ -31,8 +31,8 @@
 	// Change receives one event. Events older than what was seen of the key may
 	// come again after a snapshot.
 	Change func(item Item, now time.Time)
-	// Heard is told of each answered call with the time it was sent; nil for
-	// nobody.
+	// Heard is told of each answered call, once its events are applied, with the
+	// time it was sent; nil for nobody.
 	Heard func(sent time.Time)
 
 	at      Revision
@@ -40,6 +40,10 @@
 	failing bool
 }
 
+// From makes the follower begin after a revision, as of which everything is
+// known already.
+func (f *Follower) From(at Revision, now time.Time) { f.at, f.loaded = at, now }
+
 // Run follows until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
 	for ctx.Err() == nil {
@@ -59,10 +63,10 @@
 	if err != nil {
 		return err
 	}
-	f.heard(now)
 	for _, item := range page.Items {
 		f.Change(item, time.Now())
 	}
+	f.heard(now)
 	f.at = max(f.at, page.AsOf)
 	if len(page.Items) > 0 {
 		bbrpause.For(ctx, followGather)
@@ -75,8 +79,8 @@
 	if err != nil {
 		return err
 	}
-	f.heard(now)
 	f.Snapshot(items, time.Now())
+	f.heard(now)
 	f.at, f.loaded = asOf, now
 	return nil
 }
