--- a/internal/base/bbrmetric/set.go
+++ b/internal/base/bbrmetric/set.go
@@ -20,6 +20,7 @@
 	events   *prometheus.CounterVec
 	bytes    *prometheus.CounterVec
 	calls    *prometheus.HistogramVec
+	store    *prometheus.HistogramVec
 }
 
 // New returns a set with its own registry.
@@ -35,7 +36,12 @@
 		Help:    "Time to answer a caller by method and result.",
 		Buckets: []float64{.005, .01, .02, .05, .1, .2, .5, 1, 2, 5},
 	}, []string{"method", "name"})
-	s.Registry.MustRegister(s.calls)
+	s.store = prometheus.NewHistogramVec(prometheus.HistogramOpts{
+		Name:    "bbr_store_seconds",
+		Help:    "Time of calls to the platform's store by kind and outcome.",
+		Buckets: []float64{.005, .01, .02, .05, .1, .2, .5, 1, 2, 5},
+	}, []string{"call", "outcome"})
+	s.Registry.MustRegister(s.calls, s.store)
 	return s
 }
 
@@ -48,6 +54,11 @@
 	}
 }
 
+// StoreCall counts a call to the store and its time.
+func (s *Set) StoreCall(call, outcome string, took time.Duration) {
+	s.store.WithLabelValues(call, outcome).Observe(took.Seconds())
+}
+
 func (s *Set) vector(name, help string, labels ...string) *prometheus.CounterVec {
 	vector := prometheus.NewCounterVec(prometheus.CounterOpts{Name: name, Help: help}, labels)
 	s.Registry.MustRegister(vector)
--- a/internal/daemon/bbrserve/owners.go
+++ b/internal/daemon/bbrserve/owners.go
@@ -3,9 +3,12 @@
 import (
 	"context"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/bluebellridge/bluebellridge/internal/fleet/bbrclaim"
+	"github.com/bluebellridge/bluebellridge/internal/fleet/bbrmachine"
+	"github.com/bluebellridge/bluebellridge/internal/fleet/bbrupkeep"
 	"github.com/bluebellridge/bluebellridge/internal/job/bbrledger"
 	"github.com/bluebellridge/bluebellridge/internal/job/bbrorder"
 	"github.com/bluebellridge/bluebellridge/internal/job/bbrowner"
@@ -16,9 +19,11 @@
 type owners struct {
 	service *service
 	orders  *bbrorder.Orders
+	fleet   *bbrmachine.Fleet
 	advise  bbrowner.AdviseFunc
 	// used has every service to which a queue was ever sent: jobs from then may
 	// be left.
+	mu   sync.Mutex
 	used map[string]bool
 }
 
@@ -27,17 +32,20 @@
 	return &owners{
 		service: s,
 		orders:  bbrwire.NewOrders(client),
+		fleet:   bbrwire.NewFleet(client, s.settings.Platform.Machines),
 		advise:  bbrwire.NewAdvice(client, s.settings.Platform.Advice),
 		used:    make(map[string]bool),
 	}
 }
 
-// services returns the names that need an owner. It is called by one goroutine.
+// services returns the names that need an owner.
 func (o *owners) services() []string {
 	config := o.service.config.Config()
 	if config == nil {
 		return nil
 	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
 	for _, queue := range config.Queues {
 		o.used[queue.Service] = true
 	}
@@ -46,7 +54,14 @@
 		names = append(names, name)
 	}
 	slices.Sort(names)
-	return names
+	return append(names, bbrclaim.DutyName)
+}
+
+// owned tells whether a service has an owner that puts work on its upstreams.
+func (o *owners) owned(service string) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.used[service]
 }
 
 // Lengths of an owner's work.
@@ -60,6 +75,10 @@
 )
 
 func (o *owners) own(ctx context.Context, held bbrclaim.Held) {
+	if held.Service == bbrclaim.DutyName {
+		o.keep(ctx, held)
+		return
+	}
 	s := o.service
 	jobs := s.settings.Jobs
 	owner := &bbrowner.Owner{
@@ -80,7 +99,31 @@
 		Confirmed:  func(now time.Time) bool { return s.session.Confirmed(held.Lease, now) },
 		Config:     s.config.Config,
 		Registered: s.registry.Of,
+		Reserved:   s.claims.Reserved,
 	}
 	owner.Run(ctx)
 	s.claimer.Release(held)
 }
+
+// keep carries out the fleet duty.
+func (o *owners) keep(ctx context.Context, held bbrclaim.Held) {
+	s := o.service
+	keeper := &bbrupkeep.Keeper{
+		Held:  held,
+		Entry: s.settings.Entry,
+		Store: s.store,
+		Fleet: o.fleet,
+		Waves: bbrupkeep.Waves{
+			Prefix:    bbrwire.WavePrefix,
+			Decode:    bbrwire.Wave,
+			StatusKey: bbrwire.WaveStatusKey,
+			Status:    bbrwire.WaveStatus,
+		},
+		Metrics:   s.metrics,
+		Confirmed: func(now time.Time) bool { return s.session.Confirmed(held.Lease, now) },
+		Owned:     o.owned,
+		Lease:     s.settings.Jobs.DutyLease,
+	}
+	keeper.Run(ctx, s.settings.Jobs.Upkeep)
+	s.claimer.Release(held)
+}
--- a/internal/daemon/bbrserve/plugin.go
+++ b/internal/daemon/bbrserve/plugin.go
@@ -68,7 +68,8 @@
 		debug.SetMemoryLimit(int64(memoryShare * float64(settings.Limits.MemoryMB) * (1 << 20)))
 	}
 	debug.SetGCPercent(gcPercent)
-	store := bbrwire.NewStore(bbrwire.NewClient(connectionsToStore), settings.Platform.Address)
+	store := bbritem.Metered(bbrwire.NewStore(bbrwire.NewClient(connectionsToStore), settings.Platform.Address),
+		func(call string, err error, took time.Duration) { metrics.StoreCall(call, bbritem.Outcome(err), took) })
 	s := &service{
 		settings: settings,
 		metrics:  metrics,
--- a/internal/fleet/bbrclaim/directory.go
+++ b/internal/fleet/bbrclaim/directory.go
@@ -35,7 +35,11 @@
 	missing map[string]time.Time
 	// gone has, by service, the newest claim that is known to have ended.
 	gone map[string]bbritem.Revision
-	seen map[string]bbritem.Revision
+	// reserved has the upstreams that planned work takes. It is replaced whole.
+	reserved map[string]bool
+	// reservation rises with each change of reserved.
+	reservation bbritem.Revision
+	seen        map[string]bbritem.Revision
 }
 
 // Snapshot replaces everything.
@@ -68,6 +72,9 @@
 		return
 	}
 	d.seen[item.Key] = item.Revision
+	if item.Key == ReservedKey {
+		d.applyReserved(item)
+	}
 	if name, ok := strings.CutPrefix(item.Key, entryPrefix); ok {
 		d.applyEntry(name, item)
 	}
@@ -98,6 +105,39 @@
 	d.claims[service] = Claim{Entry: record.Entry, Incarnation: record.Incarnation, Revision: item.Created}
 }
 
+func (d *Directory) applyReserved(item bbritem.Item) {
+	reserved, err := ParseReserved(item)
+	if err != nil {
+		klog.ErrorS(err, "Reservations unreadable", "revision", item.Revision)
+		return
+	}
+	d.reserved, d.reservation = reserved, item.Revision
+}
+
+// ParseReserved reads the reserved upstreams.
+func ParseReserved(item bbritem.Item) (map[string]bool, error) {
+	reserved := make(map[string]bool)
+	if item.Deleted || len(item.Value) == 0 {
+		return reserved, nil
+	}
+	var ids []string
+	if err := json.Unmarshal(item.Value, &ids); err != nil {
+		return nil, err
+	}
+	for _, id := range ids {
+		reserved[id] = true
+	}
+	return reserved, nil
+}
+
+// Reserved returns the reserved upstreams, not to be changed, and the revision
+// of their last change.
+func (d *Directory) Reserved() (map[string]bool, bbritem.Revision) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.reserved, d.reservation
+}
+
 func (d *Directory) end(service string, revision bbritem.Revision) {
 	if d.gone == nil {
 		d.gone = make(map[string]bbritem.Revision)
--- a/internal/fleet/bbrclaim/keys.go
+++ b/internal/fleet/bbrclaim/keys.go
@@ -8,6 +8,10 @@
 	claimPrefix = FleetPrefix + "claims/"
 )
 
+// ReservedKey holds the upstreams that the holder of the fleet duty is about to
+// take away.
+const ReservedKey = FleetPrefix + "reserved"
+
 // DutyName is the name under which the fleet duty is claimed; no service has
 // it.
 const DutyName = "~duty"
--- /dev/null
+++ b/internal/fleet/bbrmachine/doc.go
@@ -0,0 +1,3 @@
+// Package bbrmachine has the calls that move instances and take them away for
+// maintenance.
+package bbrmachine
--- /dev/null
+++ b/internal/fleet/bbrupkeep/keeper.go
@@ -0,0 +1,312 @@
+package bbrupkeep
+
+import (
+	"context"
+	"encoding/json"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"k8s.io/klog/v2"
+
+	"github.com/bluebellridge/bluebellridge/internal/base/bbrmetric"
+	"github.com/bluebellridge/bluebellridge/internal/base/bbrpause"
+	"github.com/bluebellridge/bluebellridge/internal/fleet/bbrclaim"
+	"github.com/bluebellridge/bluebellridge/internal/fleet/bbrmachine"
+	"github.com/bluebellridge/bluebellridge/internal/job/bbrrecord"
+	"github.com/bluebellridge/bluebellridge/internal/store/bbritem"
+)
+
+// Waves is how waves are written and answered in the store.
+type Waves struct {
+	Prefix    string
+	Decode    func(value []byte) (bbrmachine.Wave, error)
+	StatusKey func(wave int64) string
+	Status    func(completed bool) []byte
+}
+
+// Keeper carries out the fleet duty while the entry holds it.
+type Keeper struct {
+	Held    bbrclaim.Held
+	Entry   string
+	Store   *bbritem.Store
+	Fleet   *bbrmachine.Fleet
+	Waves   Waves
+	Metrics *bbrmetric.Set
+	// Confirmed tells whether the claim's lease still stands for certain.
+	Confirmed func(now time.Time) bool
+	// Owned tells whether a pool's instances have an owner that puts work on
+	// them.
+	Owned func(pool string) bool
+	// Lease is the least time between the orders of two holders.
+	Lease time.Duration
+
+	planner *Planner
+	// waveRead, listRead are when these were last asked for.
+	waveRead, listRead time.Time
+	// cleared has the lives that their owners reported as cleared.
+	cleared  map[string]bool
+	reserved []string
+	stored   map[int64]string
+	mu       sync.Mutex
+	ordering map[string]bool
+	wg       sync.WaitGroup
+}
+
+const (
+	keepEvery = 150 * time.Millisecond
+	// waveEvery is between two reads of the waves.
+	waveEvery = 700 * time.Millisecond
+	// listEvery is between two lists of the instances while a wave is open, and
+	// listIdle otherwise.
+	listEvery = 400 * time.Millisecond
+	listIdle  = 5 * time.Second
+)
+
+// waveRecord is the stored progress of a wave.
+type waveRecord struct {
+	Done  []string  `json:"done"`
+	Began time.Time `json:"began"`
+}
+
+const wavePrefix = "bbr/duty/wave/"
+
+func waveKey(number int64) string { return wavePrefix + bbrrecord.Number(number) }
+
+// Run keeps until ctx ends. The first order waits until those of an earlier
+// holder cannot arrive any more.
+func (k *Keeper) Run(ctx context.Context, away time.Duration) {
+	k.planner = NewPlanner(away)
+	k.cleared = make(map[string]bool)
+	k.stored = make(map[int64]string)
+	k.ordering = make(map[string]bool)
+	from := time.Now().Add(k.Lease + orderSlack)
+	failing := false
+	for ctx.Err() == nil {
+		err := k.round(ctx, from, time.Now())
+		if (err != nil) != failing && ctx.Err() == nil {
+			failing = err != nil
+			klog.InfoS("Fleet duty changed", "token", k.Held.Token, "failing", failing, "reason", errorText(err))
+		}
+		bbrpause.For(ctx, keepEvery)
+	}
+	k.wg.Wait()
+}
+
+// orderSlack is how long an order of an earlier holder may be on its way.
+const orderSlack = 300 * time.Millisecond
+
+func errorText(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
+
+func (k *Keeper) round(ctx context.Context, from, now time.Time) error {
+	if err := k.readWaves(ctx, now); err != nil {
+		return err
+	}
+	if err := k.list(ctx, now); err != nil {
+		return err
+	}
+	if err := k.readCleared(ctx); err != nil {
+		return err
+	}
+	k.mu.Lock()
+	orders := k.planner.Round(k.isCleared, now)
+	k.mu.Unlock()
+	if now.After(from) && k.Confirmed(now) {
+		k.send(ctx, orders)
+	}
+	return k.save(ctx)
+}
+
+// readWaves learns of new waves.
+func (k *Keeper) readWaves(ctx context.Context, now time.Time) error {
+	if now.Sub(k.waveRead) < waveEvery {
+		return nil
+	}
+	items, _, err := k.Store.All(ctx, k.Waves.Prefix)
+	if err != nil {
+		return err
+	}
+	k.waveRead = now
+	for _, item := range items {
+		wave, err := k.Waves.Decode(item.Value)
+		if err != nil {
+			klog.InfoS("Wave unreadable", "key", item.Key, "revision", item.Revision, "reason", err.Error())
+			continue
+		}
+		if err := k.learn(ctx, wave, now); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (k *Keeper) learn(ctx context.Context, wave bbrmachine.Wave, now time.Time) error {
+	k.mu.Lock()
+	known := k.planner.Knows(wave.Number)
+	k.mu.Unlock()
+	if known {
+		return nil
+	}
+	record := waveRecord{Began: now}
+	item, err := k.Store.Get(ctx, waveKey(wave.Number))
+	if err != nil && !errors.Is(err, bbritem.ErrNotFound) {
+		return err
+	}
+	if err == nil {
+		if err := json.Unmarshal(item.Value, &record); err != nil {
+			return err
+		}
+	}
+	klog.InfoS("Wave known", "wave", wave.Number, "instances", len(wave.Instances), "done", len(record.Done), "within", wave.Within, "cap", wave.Cap)
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.planner.Wave(wave, record.Done, record.Began)
+	return nil
+}
+
+// list asks for the instances.
+func (k *Keeper) list(ctx context.Context, now time.Time) error {
+	k.mu.Lock()
+	busy := k.planner.Busy()
+	k.mu.Unlock()
+	pause := listIdle
+	if busy {
+		pause = listEvery
+	}
+	if now.Sub(k.listRead) < pause {
+		return nil
+	}
+	instances, err := k.Fleet.List(ctx)
+	if err != nil {
+		return err
+	}
+	k.listRead = now
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.planner.Listed(instances, now)
+	return nil
+}
+
+// readCleared learns which reserved upstreams their owners have cleared.
+func (k *Keeper) readCleared(ctx context.Context) error {
+	clear(k.cleared)
+	if len(k.reserved) == 0 {
+		return nil
+	}
+	items, _, err := k.Store.All(ctx, bbrrecord.SequencePrefix)
+	if err != nil {
+		return err
+	}
+	for _, item := range items {
+		var record bbrrecord.Sequence
+		if err := json.Unmarshal(item.Value, &record); err != nil {
+			return errors.Wrapf(err, "record %s", item.Key)
+		}
+		for _, id := range record.Cleared {
+			k.cleared[id] = slices.Contains(k.reserved, id)
+		}
+	}
+	return nil
+}
+
+// isCleared tells whether an instance can be taken away: nothing runs in its
+// life, or no service's owner puts anything there.
+func (k *Keeper) isCleared(instance bbrmachine.Instance) bool {
+	return instance.Upstream == "" || k.cleared[instance.Upstream] || !k.Owned(instance.Pool)
+}
+
+// save stores what changed: the reservations, which owners follow, the progress
+// of waves and the operators' answers.
+func (k *Keeper) save(ctx context.Context) error {
+	k.mu.Lock()
+	reserved, progress := k.planner.Reserved(), k.planner.Progress()
+	k.mu.Unlock()
+	transaction := bbritem.Transaction{Conditions: []bbritem.Condition{k.Held.Condition()}}
+	if !slices.Equal(reserved, k.reserved) {
+		transaction.Puts = append(transaction.Puts, bbritem.Put{Key: bbrclaim.ReservedKey, Value: bbrrecord.Encode(reserved)})
+	}
+	stored := make(map[int64]string)
+	for _, wave := range progress {
+		text := strings.Join(wave.Done, ",") + bbrrecord.Number(int64(len(wave.Done))) + map[bool]string{true: "completed"}[wave.Completed]
+		if k.stored[wave.Wave] == text || len(transaction.Puts) > maxPuts {
+			continue
+		}
+		stored[wave.Wave] = text
+		transaction.Puts = append(transaction.Puts,
+			bbritem.Put{Key: waveKey(wave.Wave), Value: bbrrecord.Encode(waveRecord{Done: wave.Done, Began: wave.Began})},
+			bbritem.Put{Key: k.Waves.StatusKey(wave.Wave), Value: k.Waves.Status(wave.Completed)})
+	}
+	if len(transaction.Puts) == 0 {
+		return nil
+	}
+	if _, err := k.Store.Commit(ctx, transaction); err != nil {
+		return err
+	}
+	k.reserved = reserved
+	for wave, text := range stored {
+		k.stored[wave] = text
+		klog.InfoS("Wave stored", "wave", wave, "state", text)
+	}
+	return nil
+}
+
+// maxPuts leaves room for a wave's two puts in a transaction.
+const maxPuts = bbritem.MaxTransaction - 4
+
+// send makes the calls that are not on their way already.
+func (k *Keeper) send(ctx context.Context, orders []Order) {
+	for _, order := range orders {
+		k.mu.Lock()
+		busy := k.ordering[order.Instance]
+		k.ordering[order.Instance] = true
+		k.mu.Unlock()
+		if busy {
+			continue
+		}
+		s := &sending{keeper: k, order: order}
+		k.wg.Go(func() { s.run(ctx) })
+	}
+}
+
+// sending is one call to the platform.
+type sending struct {
+	keeper *Keeper
+	order  Order
+}
+
+func (s *sending) run(ctx context.Context) {
+	k := s.keeper
+	holder := bbrmachine.Holder{Entry: k.Entry, Token: int64(k.Held.Token)}
+	var err error
+	if s.order.Wave != 0 {
+		err = k.Fleet.Maintain(ctx, holder, s.order.Instance, s.order.Wave)
+	} else {
+		err = k.Fleet.Move(ctx, holder, s.order.Instance, s.order.Pool)
+	}
+	klog.InfoS("Instance ordered", "instance", s.order.Instance, "wave", s.order.Wave, "pool", s.order.Pool, "token", k.Held.Token, "outcome", errorText(err))
+	k.Metrics.Event("instance:" + errorText(errors.UnwrapAll(err)))
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	delete(k.ordering, s.order.Instance)
+	k.planner.Answered(s.order, outcome(err), time.Now())
+}
+
+func outcome(err error) Outcome {
+	switch {
+	case err == nil:
+		return OutcomeDone
+	case errors.Is(err, bbrmachine.ErrBusy):
+		return OutcomeBusy
+	case errors.Is(err, bbrmachine.ErrWave), errors.Is(err, bbrmachine.ErrInvalid):
+		return OutcomeNever
+	default:
+		return OutcomeOpen
+	}
+}
--- /dev/null
+++ b/internal/job/bbrledger/evacuate.go
@@ -0,0 +1,53 @@
+package bbrledger
+
+import (
+	"time"
+)
+
+const (
+	// saveAfter is how long a run that saves its progress may go on after its
+	// upstream was reserved, and loseAfter one that does not.
+	saveAfter = 1200 * time.Millisecond
+	loseAfter = 4 * time.Second
+)
+
+// evacuate tells whether a run should leave its reserved upstream now. Work
+// that is almost done is waited for; lasting work leaves as its availability
+// budget allows.
+func (r *run) evacuate(now time.Time) bool {
+	reserved := now.Sub(r.up.reserved)
+	shape := r.unit.step.shape
+	switch {
+	case shape.Lasting && shape.Fills:
+		return true
+	case shape.Lasting:
+		return r.percent < fullPercent || r.unit.mayMiss()
+	case shape.Checkpoints:
+		return reserved > saveAfter
+	default:
+		return reserved > loseAfter
+	}
+}
+
+// mayMiss tells whether the work unit's step can do without it for a while. A
+// step without a budget is treated as one that can miss one.
+func (u *unit) mayMiss() bool {
+	away := 0
+	for _, other := range u.step.units {
+		if other != u && !other.atWork() {
+			away++
+		}
+	}
+	return away < max(1, u.step.shape.MayMiss)
+}
+
+// atWork tells whether a lasting work unit was listed as working and is not
+// being stopped.
+func (u *unit) atWork() bool {
+	for _, r := range u.runs {
+		if r.phase == phaseRunning && r.percent == fullPercent && r.stopSent.IsZero() {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/job/bbrledger/ledger.go
+++ b/internal/job/bbrledger/ledger.go
@@ -61,8 +61,10 @@
 	// entitled has the lives on which this claim may start work, since the store
 	// lists them for a successor; asked has those that should be listed.
 	entitled, asked map[bbrwork.Life]bool
-	notes           []Note
-	notesDropped    int
+	// reserved has the upstreams that planned work takes.
+	reserved     map[string]bool
+	notes        []Note
+	notesDropped int
 }
 
 // New returns an empty ledger whose claim began now. Without an earlier owner,
--- a/internal/job/bbrledger/plan.go
+++ b/internal/job/bbrledger/plan.go
@@ -67,7 +67,7 @@
 	var suspects []*upstream
 	for _, up := range p.ledger.sortedUpstreams() {
 		switch {
-		case !up.registered || up.Draining || up.reserved || !up.reached || !up.known():
+		case !up.registered || up.Draining || !up.reserved.IsZero() || !up.reached || !up.known():
 		case up.lost >= lostLimit || p.now.Before(up.fullUntil) || !p.ledger.entitle(up):
 		case up.health.suspect(p.now):
 			suspects = append(suspects, up)
--- a/internal/job/bbrledger/stops.go
+++ b/internal/job/bbrledger/stops.go
@@ -20,7 +20,7 @@
 func (p *planner) stops() {
 	for _, up := range p.ledger.sortedUpstreams() {
 		for _, r := range up.runs {
-			if why := r.unwanted(); why != "" {
+			if why := r.unwanted(p.now); why != "" {
 				p.stop(r, why)
 			}
 		}
@@ -29,7 +29,7 @@
 }
 
 // unwanted returns why a run should be stopped, or nothing.
-func (r *run) unwanted() string {
+func (r *run) unwanted(now time.Time) string {
 	u := r.unit
 	switch {
 	case u.step.job.final != "":
@@ -44,6 +44,8 @@
 		return r.stopWhy
 	case r.up.Draining && u.step.shape.Lasting && r.phase == phaseRunning:
 		return "upstream drains"
+	case !r.up.reserved.IsZero() && r.phase == phaseRunning && r.evacuate(now):
+		return "upstream is reserved"
 	default:
 		return ""
 	}
--- a/internal/job/bbrledger/upstream.go
+++ b/internal/job/bbrledger/upstream.go
@@ -11,9 +11,9 @@
 	bbrwork.Upstream
 	// registered means that the store lists this life.
 	registered bool
-	// reserved means that planned work takes the instance: nothing new goes
-	// there.
-	reserved bool
+	// reserved is when planned work took the instance: nothing new goes there.
+	// It is zero while none does.
+	reserved time.Time
 	// reached means that it has answered under this token.
 	reached bool
 	runs    map[runKey]*run
@@ -77,6 +77,9 @@
 	}
 	if known == nil {
 		known = &upstream{runs: make(map[runKey]*run)}
+		if l.reserved[in.ID] {
+			known.reserved = now
+		}
 		l.upstreams[in.ID] = known
 		if !l.fresh {
 			l.located = false
@@ -103,11 +106,31 @@
 	l.locate(now)
 }
 
-// Reserve keeps new work off an instance, or lets it back.
-func (l *Ledger) Reserve(id string, reserved bool) {
-	if up := l.upstreams[id]; up != nil {
-		up.reserved = reserved
+// Reserve keeps new work off the upstreams of these IDs, and lets it back to
+// all others.
+func (l *Ledger) Reserve(ids map[string]bool, now time.Time) {
+	l.reserved = ids
+	for id, up := range l.upstreams {
+		switch {
+		case !ids[id]:
+			up.reserved = time.Time{}
+		case up.reserved.IsZero():
+			up.reserved = now
+			l.note(now, "Upstream reserved", "upstream", id, "runs", len(up.runs))
+		}
+	}
+}
+
+// Cleared returns the reserved upstreams on which nothing runs or may be
+// starting, in order. Those that are not known as this service's are left out.
+func (l *Ledger) Cleared() []string {
+	var ids []string
+	for _, up := range l.sortedUpstreams() {
+		if !up.reserved.IsZero() && len(up.runs) == 0 && up.reached && l.located {
+			ids = append(ids, up.ID)
+		}
 	}
+	return ids
 }
 
 // Gone tells the ledger that a life has certainly ended.
--- a/internal/job/bbrowner/flusher.go
+++ b/internal/job/bbrowner/flusher.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"maps"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -40,6 +41,14 @@
 	// told are the counts of waiting jobs that were stored last.
 	told map[string]int
 	at   time.Time
+	// cleared are the reserved upstreams that were reported last.
+	cleared []string
+}
+
+// report is what an owner tells besides the progress of jobs.
+type report struct {
+	waiting map[string]int
+	cleared []string
 }
 
 // flusher stores what the ledger learnt. It goes on a little after the owner's
@@ -95,17 +104,17 @@
 	o := f.owner
 	o.mu.Lock()
 	batch := o.ledger.Batch(maxWrites)
-	waiting := o.ledger.Waiting(now)
+	told := report{waiting: o.ledger.Waiting(now), cleared: o.ledger.Cleared()}
 	acknowledge := o.ledger.Acknowledgeable()
 	o.mu.Unlock()
 	batch, whole := fit(batch)
-	if len(batch.Writes) == 0 && batch.Entitle == nil && !f.mustTell(waiting, now) {
+	if len(batch.Writes) == 0 && batch.Entitle == nil && !f.mustTell(told, now) {
 		if acknowledge {
 			f.stored(batch)
 		}
 		return false, nil
 	}
-	if err := f.commit(ctx, batch, waiting, now); err != nil {
+	if err := f.commit(ctx, batch, told, now); err != nil {
 		return false, err
 	}
 	f.stored(batch)
@@ -122,10 +131,13 @@
 	}
 }
 
-// mustTell tells whether the counts of waiting jobs have to be stored for their
-// own sake.
-func (f *flusher) mustTell(waiting map[string]int, now time.Time) bool {
+// mustTell tells whether the report has to be stored for its own sake.
+func (f *flusher) mustTell(told report, now time.Time) bool {
 	s := &f.owner.sequence
+	waiting := told.waiting
+	if !slices.Equal(told.cleared, s.cleared) {
+		return true
+	}
 	return now.Sub(s.at) >= tellEvery-tellEvery/10 && (!maps.Equal(waiting, s.told) || len(waiting) > 0 && now.Sub(s.at) > tellAgain) || s.number == 0
 }
 
@@ -148,12 +160,12 @@
 	return batch, batch.Whole()
 }
 
-func (f *flusher) commit(ctx context.Context, batch bbrledger.Batch, waiting map[string]int, now time.Time) error {
+func (f *flusher) commit(ctx context.Context, batch bbrledger.Batch, told report, now time.Time) error {
 	o := f.owner
 	s := &o.sequence
 	s.number++
 	key := bbrrecord.SequenceKey(o.Held.Service)
-	record := bbrrecord.Sequence{Token: int64(o.Held.Token), Number: s.number, Waiting: waiting, At: now}
+	record := bbrrecord.Sequence{Token: int64(o.Held.Token), Number: s.number, Waiting: told.waiting, Cleared: told.cleared, At: now}
 	transaction := bbritem.Transaction{
 		Conditions: []bbritem.Condition{o.Held.Condition(), {Key: key, Revision: s.revision}},
 		Puts:       []bbritem.Put{{Key: key, Value: bbrrecord.Encode(record)}},
@@ -168,7 +180,7 @@
 	if err != nil {
 		return err
 	}
-	s.revision, s.told, s.at = revision, waiting, now
+	s.revision, s.told, s.cleared, s.at = revision, told.waiting, told.cleared, now
 	return nil
 }
 
--- a/internal/job/bbrowner/owner.go
+++ b/internal/job/bbrowner/owner.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -37,12 +38,19 @@
 	// Registered returns the service's upstreams that the store lists, and a
 	// number that changes with them.
 	Registered func(service string) ([]bbrwork.Upstream, int64)
+	// Reserved returns the upstreams that planned work takes, and the revision
+	// of their last change.
+	Reserved func() (map[string]bool, bbritem.Revision)
 
 	mu     sync.Mutex
 	ledger *bbrledger.Ledger
 	// registry is the number of the registrations that the ledger knows.
 	registry int64
 	version  int64
+	// reservation is the revision of the reservations that the ledger knows.
+	reservation bbritem.Revision
+	// cleared is what the ledger last reported as cleared.
+	cleared  []string
 	holders  map[string]*holder
 	wg       sync.WaitGroup
 	wake     chan struct{}
@@ -123,7 +131,9 @@
 	o.refresh(now)
 	plan := o.ledger.Plan(o.Confirmed(now), now)
 	o.startHolders(ctx)
-	urgent := o.ledger.Urgent()
+	cleared := o.ledger.Cleared()
+	urgent := o.ledger.Urgent() || !slices.Equal(cleared, o.cleared)
+	o.cleared = cleared
 	notes, dropped := o.ledger.Notes()
 	o.mu.Unlock()
 	o.log(notes, dropped)
@@ -139,6 +149,10 @@
 		o.version = config.Version
 		o.ledger.SetConfig(config)
 	}
+	if reserved, revision := o.Reserved(); revision > o.reservation {
+		o.reservation = revision
+		o.ledger.Reserve(reserved, now)
+	}
 	registered, number := o.Registered(o.Held.Service)
 	if number == o.registry {
 		return
@@ -225,6 +239,14 @@
 	if err != nil {
 		return 0, err
 	}
+	reserved, err := o.Store.Get(ctx, bbrclaim.ReservedKey)
+	if err != nil && !errors.Is(err, bbritem.ErrNotFound) {
+		return 0, err
+	}
+	taken, err := bbrclaim.ParseReserved(reserved)
+	if err != nil {
+		return 0, err
+	}
 	lives, err := o.loadLives(ctx)
 	if err != nil {
 		return 0, err
@@ -241,6 +263,8 @@
 		o.version = config.Version
 		o.ledger.SetConfig(config)
 	}
+	o.reservation = reserved.Revision
+	o.ledger.Reserve(taken, time.Now())
 	o.accept(jobs, progress, time.Now())
 	o.ledger.Loaded(lives, time.Now())
 	return at, nil
--- a/internal/job/bbrrecord/record.go
+++ b/internal/job/bbrrecord/record.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"strconv"
 	"time"
 
 	"github.com/bluebellridge/bluebellridge/internal/job/bbrwork"
@@ -14,9 +15,10 @@
 	// EndedPrefix is before the short records of jobs that have.
 	EndedPrefix = "bbr/ended/"
 	// CancelPrefix is before the demands to cancel a job.
-	CancelPrefix   = "bbr/cancel/"
+	CancelPrefix = "bbr/cancel/"
+	// SequencePrefix is before what the owners write with each transaction.
+	SequencePrefix = "bbr/sequence/"
 	progressPrefix = "bbr/progress/"
-	sequencePrefix = "bbr/sequence/"
 	livesPrefix    = "bbr/lives/"
 )
 
@@ -38,7 +40,7 @@
 // SequenceKey returns the key that every transaction of a service's owner
 // writes, so that one whose answer was lost cannot be carried out after a later
 // one.
-func SequenceKey(service string) string { return sequencePrefix + service }
+func SequenceKey(service string) string { return SequencePrefix + service }
 
 // LivesKey returns the key of the lives on which the service's work may run.
 func LivesKey(service string) string { return livesPrefix + service }
@@ -59,8 +61,13 @@
 	// by the owner's time of day.
 	Waiting map[string]int `json:"waiting,omitempty"`
 	At      time.Time      `json:"at"`
+	// Cleared has the reserved upstreams on which nothing runs.
+	Cleared []string `json:"cleared,omitempty"`
 }
 
+// Number returns a number as part of a key.
+func Number(n int64) string { return strconv.FormatInt(n, 10) }
+
 // Encode returns the value of a record.
 func Encode(record any) []byte {
 	data, err := json.Marshal(record)
--- a/internal/store/bbritem/store.go
+++ b/internal/store/bbritem/store.go
@@ -118,3 +118,24 @@
 		after = page.Items[len(page.Items)-1].Key
 	}
 }
+
+// Outcome names an outcome for counters.
+func Outcome(err error) string {
+	var conflict *Conflict
+	switch {
+	case err == nil:
+		return "done"
+	case errors.As(err, &conflict):
+		return "conflict"
+	case errors.Is(err, ErrRefused):
+		return "refused"
+	case errors.Is(err, ErrLost):
+		return "lost"
+	case errors.Is(err, ErrCompacted):
+		return "compacted"
+	case errors.Is(err, ErrNotFound):
+		return "notFound"
+	default:
+		return "invalid"
+	}
+}
