fleet/bbrupkeep: instances follow the pools' demand

Cause: each queue in its turn asks about five times its mean, more than its pool holds, while the other pools are nearly idle.

--- /dev/null
+++ b/internal/base/bbrmetric/report.go
@@ -0,0 +1,85 @@
+package bbrmetric
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	dto "github.com/prometheus/client_model/go"
+	"k8s.io/klog/v2"
+)
+
+// Reporter writes what the counters gained to the log from time to time, so
+// that the log alone tells the volume of what it has no line for.
+type Reporter struct {
+	Registry *prometheus.Registry
+	// Every is the time between two lines.
+	Every time.Duration
+
+	last map[string]float64
+}
+
+// Run reports until ctx ends.
+func (r *Reporter) Run(ctx context.Context) {
+	ticker := time.NewTicker(r.Every)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			r.report()
+		}
+	}
+}
+
+func (r *Reporter) report() {
+	families, err := r.Registry.Gather()
+	if err != nil {
+		klog.ErrorS(err, "Counters cannot be read")
+		return
+	}
+	now := make(map[string]float64)
+	for _, family := range families {
+		for _, metric := range family.GetMetric() {
+			if value, ok := counted(metric); ok {
+				now[name(family, metric)] = value
+			}
+		}
+	}
+	var fields []any
+	names := make([]string, 0, len(now))
+	for name := range now {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	for _, name := range names {
+		if gained := now[name] - r.last[name]; gained > 0 {
+			fields = append(fields, name, gained)
+		}
+	}
+	r.last = now
+	klog.InfoS("Counters gained", fields...)
+}
+
+// counted returns the value of a counter, or how often a histogram observed.
+func counted(metric *dto.Metric) (float64, bool) {
+	switch {
+	case metric.GetCounter() != nil:
+		return metric.GetCounter().GetValue(), true
+	case metric.GetHistogram() != nil:
+		return float64(metric.GetHistogram().GetSampleCount()), true
+	default:
+		return 0, false
+	}
+}
+
+func name(family *dto.MetricFamily, metric *dto.Metric) string {
+	parts := []string{strings.TrimPrefix(family.GetName(), "bbr_")}
+	for _, label := range metric.GetLabel() {
+		parts = append(parts, label.GetValue())
+	}
+	return strings.Join(parts, ".")
+}
--- a/internal/daemon/bbrserve/owners.go
+++ b/internal/daemon/bbrserve/owners.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -105,6 +106,19 @@
 	s.claimer.Release(held)
 }
 
+// pools returns the pools by the configuration in force.
+func (o *owners) pools() []bbrupkeep.Pool {
+	config := o.service.config.Config()
+	if config == nil {
+		return nil
+	}
+	var pools []bbrupkeep.Pool
+	for _, name := range slices.Sorted(maps.Keys(config.Services)) {
+		pools = append(pools, bbrupkeep.Pool{Name: name, Spare: config.Services[name].Spare})
+	}
+	return pools
+}
+
 // keep carries out the fleet duty.
 func (o *owners) keep(ctx context.Context, held bbrclaim.Held) {
 	s := o.service
@@ -121,6 +135,7 @@
 		},
 		Metrics:   s.metrics,
 		Confirmed: func(now time.Time) bool { return s.session.Confirmed(held.Lease, now) },
+		Pools:     o.pools,
 		Owned:     o.owned,
 		Lease:     s.settings.Jobs.DutyLease,
 	}
--- a/internal/daemon/bbrserve/plugin.go
+++ b/internal/daemon/bbrserve/plugin.go
@@ -121,16 +121,25 @@
 // found out soon after.
 const watchWait = time.Second
 
+// upstreamGather is the pause after events of upstreams. Each writes when it
+// reports that it lives.
+const upstreamGather = 200 * time.Millisecond
+
+// reportEvery is between two lines with what the counters gained.
+const reportEvery = 10 * time.Second
+
 func (s *service) start(ctx context.Context) error {
 	running, end := context.WithCancel(context.Background())
 	s.end = end
 	session, endSession := context.WithCancel(context.Background())
 	s.endSession = endSession
 	fleet := &bbritem.Follower{Store: s.store, Prefix: bbrclaim.FleetPrefix, Wait: watchWait, Snapshot: s.claims.Snapshot, Change: s.claims.Change}
-	upstreams := &bbritem.Follower{Store: s.store, Prefix: bbrwire.UpstreamPrefix, Wait: watchWait, Snapshot: s.registry.Snapshot, Change: s.registry.Change}
+	upstreams := &bbritem.Follower{Store: s.store, Prefix: bbrwire.UpstreamPrefix, Wait: watchWait, Gather: upstreamGather, Snapshot: s.registry.Snapshot, Change: s.registry.Change}
 	s.keep.Go(func() { s.session.Run(session) })
 	s.keep.Go(func() { s.acceptor.Run(session) })
 	s.keep.Go(func() { s.config.Run(session) })
+	reporter := &bbrmetric.Reporter{Registry: s.metrics.Registry, Every: reportEvery}
+	s.keep.Go(func() { reporter.Run(session) })
 	s.running.Go(func() { fleet.Run(running) })
 	s.running.Go(func() { upstreams.Run(running) })
 	s.running.Go(func() { s.claimer.Run(running) })
--- a/internal/fleet/bbrupkeep/keeper.go
+++ b/internal/fleet/bbrupkeep/keeper.go
@@ -15,6 +15,7 @@
 	"github.com/bluebellridge/bluebellridge/internal/base/bbrpause"
 	"github.com/bluebellridge/bluebellridge/internal/fleet/bbrclaim"
 	"github.com/bluebellridge/bluebellridge/internal/fleet/bbrmachine"
+	"github.com/bluebellridge/bluebellridge/internal/job/bbrledger"
 	"github.com/bluebellridge/bluebellridge/internal/job/bbrrecord"
 	"github.com/bluebellridge/bluebellridge/internal/store/bbritem"
 )
@@ -37,6 +38,9 @@
 	Metrics *bbrmetric.Set
 	// Confirmed tells whether the claim's lease still stands for certain.
 	Confirmed func(now time.Time) bool
+	// Pools returns the pools of instances by the configuration in force; their
+	// needs are filled in from what the owners report.
+	Pools func() []Pool
 	// Owned tells whether a pool's instances have an owner that puts work on
 	// them.
 	Owned func(pool string) bool
@@ -47,7 +51,9 @@
 	// waveRead, listRead are when these were last asked for.
 	waveRead, listRead time.Time
 	// cleared has the lives that their owners reported as cleared.
-	cleared  map[string]bool
+	cleared map[string]bool
+	// demands are by service, as their owners reported them.
+	demands  map[string]bbrledger.Demand
 	reserved []string
 	stored   map[int64]string
 	mu       sync.Mutex
@@ -56,7 +62,7 @@
 }
 
 const (
-	keepEvery = 150 * time.Millisecond
+	keepEvery = 120 * time.Millisecond
 	// waveEvery is between two reads of the waves.
 	waveEvery = 700 * time.Millisecond
 	// listEvery is between two lists of the instances while a wave is open, and
@@ -80,6 +86,7 @@
 func (k *Keeper) Run(ctx context.Context, away time.Duration) {
 	k.planner = NewPlanner(away)
 	k.cleared = make(map[string]bool)
+	k.demands = make(map[string]bbrledger.Demand)
 	k.stored = make(map[int64]string)
 	k.ordering = make(map[string]bool)
 	from := time.Now().Add(k.Lease + orderSlack)
@@ -112,10 +119,11 @@
 	if err := k.list(ctx, now); err != nil {
 		return err
 	}
-	if err := k.readCleared(ctx); err != nil {
+	if err := k.readReports(ctx, now); err != nil {
 		return err
 	}
 	k.mu.Lock()
+	k.planner.Balance(k.needs(), now)
 	orders := k.planner.Round(k.isCleared, now)
 	k.mu.Unlock()
 	if now.After(from) && k.Confirmed(now) {
@@ -194,16 +202,15 @@
 	return nil
 }
 
-// readCleared learns which reserved upstreams their owners have cleared.
-func (k *Keeper) readCleared(ctx context.Context) error {
-	clear(k.cleared)
-	if len(k.reserved) == 0 {
-		return nil
-	}
+// readReports learns what the owners need, and which reserved upstreams they
+// have cleared.
+func (k *Keeper) readReports(ctx context.Context, now time.Time) error {
 	items, _, err := k.Store.All(ctx, bbrrecord.SequencePrefix)
 	if err != nil {
 		return err
 	}
+	clear(k.cleared)
+	clear(k.demands)
 	for _, item := range items {
 		var record bbrrecord.Sequence
 		if err := json.Unmarshal(item.Value, &record); err != nil {
@@ -212,10 +219,30 @@
 		for _, id := range record.Cleared {
 			k.cleared[id] = slices.Contains(k.reserved, id)
 		}
+		if now.Sub(record.At) < reportFor {
+			k.demands[strings.TrimPrefix(item.Key, bbrrecord.SequencePrefix)] = record.Demand
+		}
 	}
 	return nil
 }
 
+// reportFor is how long a report counts. Owners report more often than that.
+const reportFor = 4 * time.Second
+
+// needs returns the pools with what their owners ask for. Without a recent
+// report of every pool that has an owner, nothing is moved.
+func (k *Keeper) needs() []Pool {
+	pools := k.Pools()
+	for i := range pools {
+		demand, reported := k.demands[pools[i].Name]
+		if !reported && k.Owned(pools[i].Name) {
+			return nil
+		}
+		pools[i].MilliCPU, pools[i].Keep, pools[i].Give = demand.MilliCPU, demand.Keep, demand.Give
+	}
+	return pools
+}
+
 // isCleared tells whether an instance can be taken away: nothing runs in its
 // life, or no service's owner puts anything there.
 func (k *Keeper) isCleared(instance bbrmachine.Instance) bool {
@@ -226,7 +253,7 @@
 // of waves and the operators' answers.
 func (k *Keeper) save(ctx context.Context) error {
 	k.mu.Lock()
-	reserved, progress := k.planner.Reserved(), k.planner.Progress()
+	reserved, progress := k.planner.Reserved(time.Now()), k.planner.Progress()
 	k.mu.Unlock()
 	transaction := bbritem.Transaction{Conditions: []bbritem.Condition{k.Held.Condition()}}
 	if !slices.Equal(reserved, k.reserved) {
--- a/internal/fleet/bbrupkeep/planner.go
+++ b/internal/fleet/bbrupkeep/planner.go
@@ -20,6 +20,10 @@
 	// listed is when the list of instances was asked for.
 	listed time.Time
 	tasks  map[string]*task
+	// retired has the lives that were taken away, with when: the store may list
+	// them a while longer.
+	retired map[string]time.Time
+	balance balance
 }
 
 // wave is the state of a wave.
@@ -73,6 +77,7 @@
 		waves:     make(map[int64]*wave),
 		instances: make(map[string]bbrmachine.Instance),
 		tasks:     make(map[string]*task),
+		retired:   make(map[string]time.Time),
 	}
 }
 
@@ -128,9 +133,15 @@
 	if w := p.waves[t.wave]; w != nil {
 		w.done[t.instance] = true
 	}
+	if t.life != "" && t.phase == phaseAway {
+		p.retired[t.life] = p.listed
+	}
 	delete(p.tasks, t.instance)
 }
 
+// retiredFor is above the time for which the store lists a silent upstream.
+const retiredFor = 8 * time.Second
+
 // Round decides what to do now. cleared tells whether nothing runs on an
 // upstream that is reserved.
 func (p *Planner) Round(cleared func(instance bbrmachine.Instance) bool, now time.Time) []Order {
@@ -245,10 +256,17 @@
 }
 
 // Reserved returns the lives that must not take new work.
-func (p *Planner) Reserved() []string {
+func (p *Planner) Reserved(now time.Time) []string {
 	var lives []string
+	for life, since := range p.retired {
+		if now.Sub(since) > retiredFor {
+			delete(p.retired, life)
+			continue
+		}
+		lives = append(lives, life)
+	}
 	for _, t := range p.tasks {
-		if t.life != "" {
+		if t.life != "" && p.retired[t.life].IsZero() {
 			lives = append(lives, t.life)
 		}
 	}
@@ -326,6 +344,9 @@
 
 // Busy tells whether a wave or a task is open.
 func (p *Planner) Busy() bool {
+	if p.listed.IsZero() {
+		return true
+	}
 	if len(p.tasks) > 0 {
 		return true
 	}
--- /dev/null
+++ b/internal/job/bbrledger/demand.go
@@ -0,0 +1,123 @@
+package bbrledger
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// Demand is what a service asks of the fleet.
+type Demand struct {
+	// MilliCPU is the processor room that the open jobs need to meet their
+	// objectives, and that jobs like the last ones will.
+	MilliCPU int `json:"milliCPU"`
+	// Lasting is the part of it that lasting work takes.
+	Lasting int `json:"lasting"`
+	// Keep is how many upstreams lasting work is or must be spread over.
+	Keep int `json:"keep"`
+	// Give has the upstreams that can be given away, the least busy first.
+	Give []string `json:"give,omitempty"`
+}
+
+const (
+	// shortestSlack keeps a job that is almost late from asking for everything.
+	shortestSlack = time.Second
+	// recentShare of a job's objective, and recentLeast, is how long after its
+	// arrival a job stands for others like it.
+	recentShare = 0.5
+	recentLeast = time.Second
+)
+
+// Demand returns what the service asks of the fleet now. The need of the open
+// jobs is their work spread over the time that is left to them. Instances take
+// time to come, so the recent arrivals count as a rate that goes on.
+func (l *Ledger) Demand(now time.Time) Demand {
+	var demand Demand
+	open, arriving := 0.0, 0.0
+	for _, j := range l.jobs {
+		if j.final != "" || j.cancelled {
+			continue
+		}
+		for _, o := range j.occurrences {
+			demand.addLasting(o)
+			work := o.workLeft()
+			if work == 0 || now.Before(j.Schedule.Due(o.number)) {
+				continue
+			}
+			by := j.objective(o)
+			if now.Add(o.chainLeft()).Before(by) {
+				open += work / max(shortestSlack, by.Sub(now)).Seconds()
+			}
+			whole := by.Sub(j.Accepted)
+			if window := max(recentLeast, time.Duration(recentShare*float64(whole))); now.Sub(j.seen) < window {
+				arriving += work / window.Seconds()
+			}
+		}
+	}
+	demand.MilliCPU = demand.Lasting + int(max(open, arriving))
+	demand.Give = l.giveable()
+	return demand
+}
+
+func (d *Demand) addLasting(o *occurrence) {
+	for _, s := range o.steps {
+		if !s.shape.Lasting {
+			continue
+		}
+		d.Lasting += s.shape.Taken().MilliCPU * len(s.units)
+		if s.shape.MaxPerUpstream > 0 {
+			d.Keep = max(d.Keep, (len(s.units)+s.shape.MaxPerUpstream-1)/s.shape.MaxPerUpstream)
+		}
+	}
+}
+
+// workLeft returns the work that ends and is not done, in thousandths of a core
+// times seconds. Work that runs counts by half.
+func (o *occurrence) workLeft() float64 {
+	work := 0.0
+	for _, s := range o.steps {
+		if s.shape.Lasting || s.left == 0 {
+			continue
+		}
+		units := float64(s.idle) + float64(s.left-s.idle)/2
+		work += units * float64(s.shape.Need.MilliCPU) * s.shape.Estimate.Seconds()
+	}
+	return work
+}
+
+// chainLeft returns the longest chain of estimated work that is not done.
+func (o *occurrence) chainLeft() time.Duration {
+	longest := time.Duration(0)
+	for _, s := range o.steps {
+		if s.left > 0 && !s.shape.Lasting {
+			longest = max(longest, s.remaining)
+		}
+	}
+	return longest
+}
+
+// giveable returns the upstreams without lasting work, the least busy first.
+func (l *Ledger) giveable() []string {
+	var list []*upstream
+	for _, up := range l.sortedUpstreams() {
+		if up.registered && !up.Draining && up.reserved.IsZero() && !up.serves() {
+			list = append(list, up)
+		}
+	}
+	slices.SortStableFunc(list, func(a, b *upstream) int { return cmp.Compare(len(a.runs), len(b.runs)) })
+	ids := make([]string, len(list))
+	for i, up := range list {
+		ids[i] = up.ID
+	}
+	return ids
+}
+
+// serves tells whether lasting work runs on the upstream.
+func (up *upstream) serves() bool {
+	for _, r := range up.runs {
+		if r.unit.step.shape.Lasting {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/job/bbrowner/flusher.go
+++ b/internal/job/bbrowner/flusher.go
@@ -43,12 +43,14 @@
 	at   time.Time
 	// cleared are the reserved upstreams that were reported last.
 	cleared []string
+	demand  bbrledger.Demand
 }
 
 // report is what an owner tells besides the progress of jobs.
 type report struct {
 	waiting map[string]int
 	cleared []string
+	demand  bbrledger.Demand
 }
 
 // flusher stores what the ledger learnt. It goes on a little after the owner's
@@ -58,7 +60,7 @@
 }
 
 func (f *flusher) run(ctx context.Context) {
-	timer := time.NewTicker(tellEvery)
+	timer := time.NewTicker(demandEvery)
 	defer timer.Stop()
 	for {
 		select {
@@ -104,7 +106,7 @@
 	o := f.owner
 	o.mu.Lock()
 	batch := o.ledger.Batch(maxWrites)
-	told := report{waiting: o.ledger.Waiting(now), cleared: o.ledger.Cleared()}
+	told := report{waiting: o.ledger.Waiting(now), cleared: o.ledger.Cleared(), demand: o.ledger.Demand(now)}
 	acknowledge := o.ledger.Acknowledgeable()
 	o.mu.Unlock()
 	batch, whole := fit(batch)
@@ -135,14 +137,30 @@
 func (f *flusher) mustTell(told report, now time.Time) bool {
 	s := &f.owner.sequence
 	waiting := told.waiting
-	if !slices.Equal(told.cleared, s.cleared) {
+	age := now.Sub(s.at)
+	if s.number == 0 || !slices.Equal(told.cleared, s.cleared) || age > tellAgain {
 		return true
 	}
-	return now.Sub(s.at) >= tellEvery-tellEvery/10 && (!maps.Equal(waiting, s.told) || len(waiting) > 0 && now.Sub(s.at) > tellAgain) || s.number == 0
+	if demandChanged(s.demand, told.demand) {
+		return age >= demandEvery
+	}
+	return age >= tellEvery-tellEvery/10 && !maps.Equal(waiting, s.told)
 }
 
-// tellAgain bounds the age of unchanged counts.
-const tellAgain = 1500 * time.Millisecond
+const (
+	// tellAgain bounds the age of an unchanged report.
+	tellAgain = 1500 * time.Millisecond
+	// demandEvery is the least time between two reports of changed demand.
+	demandEvery = 150 * time.Millisecond
+	// demandStep is a change of demand that is worth a report, in thousandths of
+	// a core.
+	demandStep = 8000
+)
+
+func demandChanged(before, now bbrledger.Demand) bool {
+	change := now.MilliCPU - before.MilliCPU
+	return change >= demandStep || -change >= demandStep || now.Keep != before.Keep
+}
 
 // fit cuts the batch to what a transaction holds.
 func fit(batch bbrledger.Batch) (bbrledger.Batch, bool) {
@@ -165,7 +183,7 @@
 	s := &o.sequence
 	s.number++
 	key := bbrrecord.SequenceKey(o.Held.Service)
-	record := bbrrecord.Sequence{Token: int64(o.Held.Token), Number: s.number, Waiting: told.waiting, Cleared: told.cleared, At: now}
+	record := bbrrecord.Sequence{Token: int64(o.Held.Token), Number: s.number, Waiting: told.waiting, Cleared: told.cleared, Demand: told.demand, At: now}
 	transaction := bbritem.Transaction{
 		Conditions: []bbritem.Condition{o.Held.Condition(), {Key: key, Revision: s.revision}},
 		Puts:       []bbritem.Put{{Key: key, Value: bbrrecord.Encode(record)}},
@@ -180,7 +198,7 @@
 	if err != nil {
 		return err
 	}
-	s.revision, s.told, s.cleared, s.at = revision, told.waiting, told.cleared, now
+	s.revision, s.told, s.cleared, s.demand, s.at = revision, told.waiting, told.cleared, told.demand, now
 	return nil
 }
 
--- a/internal/job/bbrowner/owner.go
+++ b/internal/job/bbrowner/owner.go
@@ -81,7 +81,7 @@
 		return
 	}
 	klog.InfoS("Owner began", "service", o.Held.Service, "token", o.Held.Token, "jobs", o.ledger.Counts().Jobs, "took", time.Since(began).Round(time.Millisecond))
-	jobs := bbritem.Follower{Store: o.Store, Prefix: bbrrecord.JobPrefix, Wait: jobWatch, Snapshot: o.jobsSnapshot, Change: o.jobChanged}
+	jobs := bbritem.Follower{Store: o.Store, Prefix: bbrrecord.JobPrefix, Wait: jobWatch, Gather: jobGather, Snapshot: o.jobsSnapshot, Change: o.jobChanged}
 	jobs.From(at, began)
 	o.wg.Go(func() { jobs.Run(ctx) })
 	o.wg.Go(func() { o.runCancels(ctx) })
@@ -100,6 +100,9 @@
 // jobWatch is how long a watch for jobs lasts.
 const jobWatch = time.Second
 
+// jobGather is the pause after events of jobs; it delays a job's start.
+const jobGather = 30 * time.Millisecond
+
 // loop plans until ctx ends.
 func (o *Owner) loop(ctx context.Context) {
 	timer := time.NewTicker(planEvery)
--- a/internal/job/bbrrecord/record.go
+++ b/internal/job/bbrrecord/record.go
@@ -5,6 +5,7 @@
 	"strconv"
 	"time"
 
+	"github.com/bluebellridge/bluebellridge/internal/job/bbrledger"
 	"github.com/bluebellridge/bluebellridge/internal/job/bbrwork"
 )
 
@@ -63,6 +64,8 @@
 	At      time.Time      `json:"at"`
 	// Cleared has the reserved upstreams on which nothing runs.
 	Cleared []string `json:"cleared,omitempty"`
+	// Demand is what the service asks of the fleet.
+	Demand bbrledger.Demand `json:"demand"`
 }
 
 // Number returns a number as part of a key.
--- a/internal/store/bbritem/follower.go
+++ b/internal/store/bbritem/follower.go
@@ -1,6 +1,7 @@
 package bbritem
 
 import (
+	"cmp"
 	"context"
 	"time"
 
@@ -13,8 +14,8 @@
 const (
 	// followRetry is the pause after a failed call.
 	followRetry = 200 * time.Millisecond
-	// followGather is the pause after events, so that several come in one call.
-	followGather = 15 * time.Millisecond
+	// defaultGather is the pause after events, so that several come in one call.
+	defaultGather = 15 * time.Millisecond
 )
 
 // Follower keeps up with the items under a prefix.
@@ -23,6 +24,9 @@
 	Prefix string
 	// Wait is how long a watch without events lasts.
 	Wait time.Duration
+	// Gather is the pause after events, so that several come in one call; 0 for
+	// a short one.
+	Gather time.Duration
 	// Reload bounds the time between two reads of everything, against watches
 	// that miss changes; 0 means that only a lost history is read anew.
 	Reload time.Duration
@@ -69,7 +73,7 @@
 	f.heard(now)
 	f.at = max(f.at, page.AsOf)
 	if len(page.Items) > 0 {
-		bbrpause.For(ctx, followGather)
+		bbrpause.For(ctx, cmp.Or(f.Gather, defaultGather))
 	}
 	return nil
 }
