--- a/internal/fleet/bbrupkeep/balance.go
+++ b/internal/fleet/bbrupkeep/balance.go
@@ -27,7 +27,7 @@
 	fillShare = 0.85
 	// reserve is how many instances a pool has beyond its lasting work, so that a
 	// turn of demand begins at once.
-	reserve = 2
+	reserve = 4
 	// restFor is how long an instance must have been too many before it goes to
 	// the spare pool. Another pool may take it at once.
 	restFor = 2 * time.Second
