--- a/internal/job/bbrledger/ledger.go
+++ b/internal/job/bbrledger/ledger.go
@@ -56,6 +56,9 @@
 	dirty   map[string]*job
 	// advice has the tickets of steps, by their name.
 	advice map[string]*advice
+	// endedJobs has the jobs that were dropped after their end was stored, with
+	// when: an older list or event may still bring them.
+	endedJobs map[string]time.Time
 	// dead has the lives that certainly ended, while the store may list them.
 	dead map[bbrwork.Life]bool
 	// entitled has the lives on which this claim may start work, since the store
@@ -83,6 +86,7 @@
 		located:   fresh,
 		dirty:     make(map[string]*job),
 		advice:    make(map[string]*advice),
+		endedJobs: make(map[string]time.Time),
 		dead:      make(map[bbrwork.Life]bool),
 		entitled:  make(map[bbrwork.Life]bool),
 		asked:     make(map[bbrwork.Life]bool),
--- /dev/null
+++ b/internal/job/bbrledger/ledger_test.go
@@ -0,0 +1,147 @@
+package bbrledger
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/bluebellridge/bluebellridge/internal/job/bbrorder"
+	"github.com/bluebellridge/bluebellridge/internal/job/bbrwork"
+)
+
+const testJob = "00000000000000a1"
+
+var testTiming = Timing{
+	Hold:        4500 * time.Millisecond,
+	StartWithin: 1500 * time.Millisecond,
+	Handover:    2200 * time.Millisecond,
+	GangWait:    3 * time.Second,
+	Notice:      4500 * time.Millisecond,
+	Harm:        4 * time.Second,
+	FarFactor:   3,
+}
+
+// scene is a ledger with a clock and upstreams that do what they are told.
+type scene struct {
+	*testing.T
+	ledger *Ledger
+	now    time.Time
+	// clocks are the upstreams' own, as of now.
+	start time.Time
+}
+
+func newScene(t *testing.T, fresh bool, upstreams ...string) *scene {
+	start := time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
+	s := &scene{T: t, ledger: New("press", 7, testTiming, fresh, start), now: start, start: start}
+	s.ledger.SetConfig(bbrwork.NewConfig(1, []*bbrwork.Queue{
+		{Name: "proofs", Service: "press", Attempts: 3, Stretch: 1.6, Objective: 600 * time.Millisecond},
+	}, nil, bbrwork.Limits{}))
+	for _, id := range upstreams {
+		s.register(id)
+		s.list(id)
+	}
+	return s
+}
+
+func (s *scene) upstream(id string) bbrwork.Upstream {
+	return bbrwork.Upstream{
+		Life:    bbrwork.Life{ID: id, Born: 1000},
+		Service: "press",
+		Address: netip.MustParseAddrPort("10.0.0.1:80"),
+		Room:    bbrwork.Resources{MilliCPU: 4000, MemoryMB: 8000},
+		Labels:  []string{"a", "rack-1"},
+	}
+}
+
+func (s *scene) register(id string) { s.ledger.Upstream(s.upstream(id), s.now) }
+
+func (s *scene) wait(d time.Duration) { s.now = s.now.Add(d) }
+
+// list delivers a listing that was asked for just now.
+func (s *scene) list(id string, ends ...bbrwork.End) {
+	s.listRunning(id, nil, ends...)
+}
+
+func (s *scene) listRunning(id string, running []bbrwork.Run, ends ...bbrwork.End) {
+	listing := bbrwork.Listing{Clock: s.now.Sub(s.start), Born: 1000, Running: running, Ended: ends}
+	sent := s.now
+	s.wait(time.Millisecond)
+	s.ledger.Listed(s.upstream(id).Life, &listing, sent, s.now)
+}
+
+func (s *scene) accept(id string, steps ...bbrwork.Step) {
+	s.ledger.Accepted(&bbrwork.Job{ID: id, Queue: "proofs", Service: "press", Spec: "x", Steps: steps, Accepted: s.now}, nil, s.now)
+}
+
+// plan plans, after the lives are stored that the ledger asks for.
+func (s *scene) plan() Plan {
+	s.wait(time.Millisecond)
+	first := s.ledger.Plan(true, s.now)
+	if len(first.Starts) > 0 {
+		return first
+	}
+	s.store()
+	second := s.ledger.Plan(true, s.now)
+	second.Stops = append(first.Stops, second.Stops...)
+	return second
+}
+
+// store stores all that is to be stored.
+func (s *scene) store() []Write {
+	batch := s.ledger.Batch(1000)
+	s.ledger.Stored(batch, s.now)
+	return batch.Writes
+}
+
+// started answers all starts.
+func (s *scene) started(plan Plan, err error) {
+	s.wait(time.Millisecond)
+	for _, order := range plan.Starts {
+		s.ledger.Started(order, s.now.Sub(s.start), err, s.now)
+	}
+}
+
+func unitStep(count int) bbrwork.Step {
+	return bbrwork.Step{Count: count, Need: bbrwork.Resources{MilliCPU: 1000, MemoryMB: 100}, Estimate: time.Second}
+}
+
+func unitName(index int) bbrwork.Unit { return bbrwork.Unit{Job: testJob, Index: index} }
+
+func TestCompletedJobIsNotTakenUpAgain(t *testing.T) {
+	s := newScene(t, true, "i-1")
+	s.accept(testJob, unitStep(1))
+	plan := s.plan()
+	require.Len(t, plan.Starts, 1)
+	s.started(plan, nil)
+	s.list("i-1", bbrwork.End{Number: 1, Unit: unitName(0), Run: 1, How: bbrwork.HowDone})
+	writes := s.store()
+	require.Len(t, writes, 1)
+	require.Equal(t, bbrwork.Completed, writes[0].Final)
+	// A list of jobs that was read before the end was stored arrives late.
+	s.accept(testJob, unitStep(1))
+	require.Empty(t, s.plan().Starts)
+}
+
+func TestSilentUpstreamIsNotKeptAlive(t *testing.T) {
+	s := newScene(t, true, "i-1", "i-2")
+	s.accept(testJob, unitStep(1))
+	plan := s.plan()
+	require.Len(t, plan.Starts, 1)
+	s.started(plan, nil)
+	silent := plan.Starts[0].Upstream.ID
+	limit := s.now.Add(2 * leaseBound(testTiming.Hold))
+	for s.now.Before(limit) {
+		_, known := s.ledger.Hold(silent, true, s.now)
+		require.True(t, known)
+		s.wait(300 * time.Millisecond)
+		s.ledger.Unanswered(silent, bbrorder.ErrLost, s.now)
+		if next := s.plan(); len(next.Starts) > 0 {
+			require.NotEqual(t, silent, next.Starts[0].Upstream.ID)
+			require.Equal(t, 2, next.Starts[0].Start.Run)
+			return
+		}
+	}
+	require.Fail(t, "the work unit was never started elsewhere")
+}
--- a/internal/job/bbrledger/store.go
+++ b/internal/job/bbrledger/store.go
@@ -142,19 +142,28 @@
 			up.acknowledged = max(up.acknowledged, applied)
 		}
 	}
-	l.forget()
+	l.forget(now)
 }
 
 // forget drops jobs that are stored as ended and have no runs.
-func (l *Ledger) forget() {
+func (l *Ledger) forget(now time.Time) {
+	for id, since := range l.endedJobs {
+		if now.Sub(since) > endedFor {
+			delete(l.endedJobs, id)
+		}
+	}
 	for id, job := range l.jobs {
 		if job.stored && !job.busy() {
 			l.dropAdvice(job.Job)
 			delete(l.jobs, id)
+			l.endedJobs[id] = now
 		}
 	}
 }
 
+// endedFor is above the time for which a list or event may be on its way.
+const endedFor = time.Minute
+
 func (j *job) busy() bool {
 	for _, o := range j.occurrences {
 		for _, s := range o.steps {
@@ -213,7 +222,7 @@
 // Accepted adds a job with its stored progress, which may be empty. A job that
 // is known already is left as it is.
 func (l *Ledger) Accepted(in *bbrwork.Job, progress []byte, now time.Time) {
-	if l.jobs[in.ID] != nil || in.Service != l.Service {
+	if _, ended := l.endedJobs[in.ID]; ended || l.jobs[in.ID] != nil || in.Service != l.Service {
 		return
 	}
 	j := newJob(in, l.config.Queues[in.Queue], now)
--- a/internal/job/bbrledger/upstream.go
+++ b/internal/job/bbrledger/upstream.go
@@ -221,7 +221,9 @@
 		Idle:         len(up.runs) == 0 && up.acknowledged == up.applied && up.reached,
 		Running:      len(up.runs) > 0,
 	}
-	if up.known() && confirmed && len(up.runs) > 0 {
+	// An upstream that does not answer is only asked: each order that may reach
+	// it would put off the time from which its work can start elsewhere.
+	if up.known() && confirmed && len(up.runs) > 0 && up.lost == 0 {
 		plan.Until = up.clockNow(now) + l.Timing.Hold
 		l.extend(up, now)
 	}
