--- a/internal/fleet/bbrclaim/claimer.go
+++ b/internal/fleet/bbrclaim/claimer.go
@@ -132,6 +132,7 @@
 			return
 		}
 	}
+	c.Directory.Claimed(service, Claim{Entry: c.Session.Entry, Incarnation: c.Session.Incarnation, Revision: token})
 	c.hold(ctx, Held{Service: service, Token: token, Lease: lease.ID})
 }
 
--- a/internal/fleet/bbrclaim/directory.go
+++ b/internal/fleet/bbrclaim/directory.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"hash/fnv"
 	"slices"
 	"strings"
 	"sync"
@@ -177,8 +176,8 @@
 	return names
 }
 
-// Due tells whether the entry should claim the service now: those with the
-// fewest claims come first, one after the other.
+// Due tells whether the entry should claim the service now; the entries come
+// one after the other, in the order of their rank.
 func (d *Directory) Due(service, entry string, now time.Time) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -207,32 +206,40 @@
 	for _, claim := range d.claims {
 		held[claim.Entry]++
 	}
-	own := preference{held[entry], mix(service, entry)}
+	own := preference{held[entry], d.seen[entryPrefix+entry]}
 	rank := 0
 	for name := range d.entries {
-		if name != entry && (preference{held[name], mix(service, name)}).before(own) {
+		if name != entry && (preference{held[name], d.seen[entryPrefix+name]}).before(own) {
 			rank++
 		}
 	}
 	return rank
 }
 
+// preference orders entries for a claim: few claims first, and then the one
+// that registered last, since entries that are restarted in turn are least
+// likely to be stopped again soon.
 type preference struct {
-	held int
-	hash uint64
+	held       int
+	registered bbritem.Revision
 }
 
 func (p preference) before(other preference) bool {
 	if p.held != other.held {
 		return p.held < other.held
 	}
-	return p.hash < other.hash
+	return p.registered > other.registered
 }
 
-func mix(service, entry string) uint64 {
-	hash := fnv.New64a()
-	_, _ = hash.Write([]byte(service))
-	_, _ = hash.Write([]byte{0})
-	_, _ = hash.Write([]byte(entry))
-	return hash.Sum64()
+// Claimed notes a claim of this entry before the store tells of it, so that it
+// counts when the next one is ranked.
+func (d *Directory) Claimed(service string, claim Claim) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.claims == nil {
+		d.claims = make(map[string]Claim)
+	}
+	if d.claims[service].Revision < claim.Revision && d.gone[service] < claim.Revision {
+		d.claims[service] = claim
+	}
 }
--- a/internal/fleet/bbrupkeep/keeper.go
+++ b/internal/fleet/bbrupkeep/keeper.go
@@ -58,7 +58,9 @@
 	stored   map[int64]string
 	mu       sync.Mutex
 	ordering map[string]bool
-	wg       sync.WaitGroup
+	// lastOrder is when the last order was answered or given up.
+	lastOrder time.Time
+	wg        sync.WaitGroup
 }
 
 const (
@@ -89,7 +91,10 @@
 	k.demands = make(map[string]bbrledger.Demand)
 	k.stored = make(map[int64]string)
 	k.ordering = make(map[string]bool)
-	from := time.Now().Add(k.Lease + orderSlack)
+	from, ok := k.firstOrder(ctx)
+	if !ok {
+		return
+	}
 	failing := false
 	for ctx.Err() == nil {
 		err := k.round(ctx, from, time.Now())
@@ -100,6 +105,69 @@
 		bbrpause.For(ctx, keepEvery)
 	}
 	k.wg.Wait()
+	k.resign()
+}
+
+// lastRecord tells a successor when the last order was sent, by a holder that
+// ended in order.
+type lastRecord struct {
+	At time.Time `json:"at"`
+}
+
+const lastKey = "bbr/duty/last"
+
+// firstOrder returns when the first order may be sent: so late that none of an
+// earlier holder can come after it, or so near to it that the two seem to take
+// turns. A holder that ended in order has left the time of its last one; the
+// record goes before the first order of the next.
+func (k *Keeper) firstOrder(ctx context.Context) (time.Time, bool) {
+	for ctx.Err() == nil {
+		from, err := k.takeRecord(ctx, time.Now())
+		if err == nil {
+			return from, true
+		}
+		klog.InfoS("Fleet duty cannot begin yet", "reason", err.Error())
+		bbrpause.For(ctx, keepEvery)
+	}
+	return time.Time{}, false
+}
+
+func (k *Keeper) takeRecord(ctx context.Context, now time.Time) (time.Time, error) {
+	item, err := k.Store.Get(ctx, lastKey)
+	if errors.Is(err, bbritem.ErrNotFound) {
+		return now.Add(k.Lease + orderSlack), nil
+	}
+	if err != nil {
+		return time.Time{}, err
+	}
+	var record lastRecord
+	if err := json.Unmarshal(item.Value, &record); err != nil {
+		return time.Time{}, err
+	}
+	_, err = k.Store.Commit(ctx, bbritem.Transaction{
+		Conditions: []bbritem.Condition{k.Held.Condition(), {Key: lastKey, Revision: item.Revision}},
+		Removals:   []string{lastKey},
+	})
+	var conflict *bbritem.Conflict
+	if errors.As(err, &conflict) {
+		// An earlier attempt removed it, and its answer was lost.
+		return now.Add(k.Lease + orderSlack), nil
+	}
+	return record.At.Add(k.Lease + orderSlack), err
+}
+
+// resign leaves the time of the last order for the successor.
+func (k *Keeper) resign() {
+	if !k.Confirmed(time.Now()) {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	_, err := k.Store.Commit(ctx, bbritem.Transaction{
+		Conditions: []bbritem.Condition{k.Held.Condition()},
+		Puts:       []bbritem.Put{{Key: lastKey, Value: bbrrecord.Encode(lastRecord{At: k.lastOrder})}},
+	})
+	klog.InfoS("Fleet duty ended", "token", k.Held.Token, "lastOrder", k.lastOrder, "error", errorText(err))
 }
 
 // orderSlack is how long an order of an earlier holder may be on its way.
@@ -322,6 +390,7 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	delete(k.ordering, s.order.Instance)
+	k.lastOrder = time.Now()
 	k.planner.Answered(s.order, outcome(err), time.Now())
 }
 
