--- a/internal/job/bbrledger/demand.go
+++ b/internal/job/bbrledger/demand.go
@@ -22,6 +22,8 @@
 const (
 	// shortestSlack keeps a job that is almost late from asking for everything.
 	shortestSlack = time.Second
+	// lateSpread is the time over which late work is spread.
+	lateSpread = 8 * time.Second
 	// recentShare of a job's objective, and recentLeast, is how long after its
 	// arrival a job stands for others like it.
 	recentShare = 0.5
@@ -47,6 +49,8 @@
 			by := j.objective(o)
 			if now.Add(o.chainLeft()).Before(by) {
 				open += work / max(shortestSlack, by.Sub(now)).Seconds()
+			} else {
+				open += work / lateSpread.Seconds()
 			}
 			whole := by.Sub(j.Accepted)
 			if window := max(recentLeast, time.Duration(recentShare*float64(whole))); now.Sub(j.seen) < window {
--- a/internal/job/bbrledger/ledger.go
+++ b/internal/job/bbrledger/ledger.go
@@ -46,14 +46,15 @@
 	config    *bbrwork.Config
 	jobs      map[string]*job
 	upstreams map[string]*upstream
-	// began is when the claim began. Work that an earlier owner may have
-	// started is unlocated until every upstream is reached or settled is past.
+	// began is when the claim began. After settled, nothing that an earlier owner
+	// started can be at work unknown.
 	began, settled time.Time
 	// fresh means that there was no earlier owner.
 	fresh bool
-	// located means that every upstream was reached under this token.
-	located bool
-	dirty   map[string]*job
+	// unlocated has the lives on which an earlier owner may have started work
+	// that is not known: those that it had listed and that were not reached yet.
+	unlocated map[bbrwork.Life]bool
+	dirty     map[string]*job
 	// advice has the tickets of steps, by their name.
 	advice map[string]*advice
 	// endedJobs has the jobs that were dropped after their end was stored, with
@@ -83,7 +84,7 @@
 		began:     now,
 		settled:   now.Add(timing.Handover + leaseBound(timing.Hold) + timing.StartWithin),
 		fresh:     fresh,
-		located:   fresh,
+		unlocated: make(map[bbrwork.Life]bool),
 		dirty:     make(map[string]*job),
 		advice:    make(map[string]*advice),
 		endedJobs: make(map[string]time.Time),
@@ -111,7 +112,9 @@
 }
 
 // Settled tells whether no work of an earlier owner can be unlocated.
-func (l *Ledger) Settled(now time.Time) bool { return l.located || now.After(l.settled) }
+func (l *Ledger) Settled(now time.Time) bool {
+	return len(l.unlocated) == 0 || now.After(l.settled)
+}
 
 // Counts is what a ledger holds.
 type Counts struct {
--- a/internal/job/bbrledger/ledger_test.go
+++ b/internal/job/bbrledger/ledger_test.go
@@ -145,3 +145,34 @@
 	}
 	require.Fail(t, "the work unit was never started elsewhere")
 }
+
+func TestUpstreamThatComesLaterDoesNotHoldUpClearing(t *testing.T) {
+	s := newScene(t, false)
+	s.ledger.Loaded([]bbrwork.Upstream{s.upstream("i-gone")}, s.now)
+	s.register("i-1")
+	s.list("i-1")
+	s.ledger.Reserve(map[string]bool{"i-1": true}, s.now)
+	require.Empty(t, s.ledger.Cleared(s.now), "work of the earlier owner may be on i-gone and move here")
+	s.wait(s.ledger.settled.Sub(s.now) + time.Millisecond)
+	s.plan()
+	s.register("i-2")
+	require.Equal(t, []string{"i-1"}, s.ledger.Cleared(s.now))
+}
+
+func TestLivesThatAreGoneAreNoLongerListed(t *testing.T) {
+	s := newScene(t, true, "i-1", "i-2")
+	s.accept(testJob, unitStep(1))
+	s.plan()
+	require.Nil(t, s.ledger.entitlement())
+	s.ledger.Unregistered("i-2", s.now)
+	lives := s.ledger.entitlement()
+	require.Len(t, lives, 1)
+	require.Equal(t, "i-1", lives[0].ID)
+}
+
+func TestLateWorkStillAsksForRoom(t *testing.T) {
+	s := newScene(t, true, "i-1")
+	s.accept(testJob, unitStep(100))
+	s.wait(time.Minute)
+	require.Greater(t, s.ledger.Demand(s.now).MilliCPU, 0)
+}
--- a/internal/job/bbrledger/listing.go
+++ b/internal/job/bbrledger/listing.go
@@ -25,10 +25,8 @@
 	up.silentAt = time.Time{}
 	l.applyEnds(up, listing.Ended, now)
 	l.applyRunning(up, listing, sent, now)
-	if !up.reached {
-		up.reached = true
-		l.locate(now)
-	}
+	up.reached = true
+	l.locate(life, now)
 }
 
 func (l *Ledger) applyEnds(up *upstream, ends []bbrwork.End, now time.Time) {
--- a/internal/job/bbrledger/store.go
+++ b/internal/job/bbrledger/store.go
@@ -85,7 +85,7 @@
 			return true
 		}
 	}
-	return l.entitlement() != nil
+	return l.entitlementMissing()
 }
 
 // Dirty tells whether anything has to be stored or acknowledged.
@@ -94,14 +94,10 @@
 // entitlement returns the lives on which work may run, or nil where the stored
 // list says enough.
 func (l *Ledger) entitlement() []bbrwork.Upstream {
-	missing := false
-	for life := range l.asked {
-		missing = missing || !l.entitled[life]
-	}
-	if !missing {
+	if !l.entitlementMissing() && !l.entitlementStale() {
 		return nil
 	}
-	var lives []bbrwork.Upstream
+	lives := []bbrwork.Upstream{}
 	for _, up := range l.sortedUpstreams() {
 		if l.asked[up.Life] || l.entitled[up.Life] || len(up.runs) > 0 {
 			lives = append(lives, up.Upstream)
@@ -110,6 +106,27 @@
 	return lives
 }
 
+// entitlementMissing tells whether work waits for a life to be listed.
+func (l *Ledger) entitlementMissing() bool {
+	for life := range l.asked {
+		if up := l.upstreams[life.ID]; up != nil && up.Life == life && !l.entitled[life] {
+			return true
+		}
+	}
+	return false
+}
+
+// entitlementStale tells whether a listed life is gone; a successor would look
+// for it in vain.
+func (l *Ledger) entitlementStale() bool {
+	for life := range l.entitled {
+		if up := l.upstreams[life.ID]; up == nil || up.Life != life {
+			return true
+		}
+	}
+	return false
+}
+
 // Acknowledgeable tells whether a batch without writes would still allow ends
 // to be acknowledged.
 func (l *Ledger) Acknowledgeable() bool {
@@ -133,6 +150,7 @@
 	}
 	if batch.Entitle != nil {
 		clear(l.entitled)
+		clear(l.asked)
 		for _, up := range batch.Entitle {
 			l.entitled[up.Life] = true
 		}
@@ -280,17 +298,14 @@
 
 // Loaded tells the ledger that all stored jobs are known.
 func (l *Ledger) Loaded(lives []bbrwork.Upstream, now time.Time) {
-	for _, up := range lives {
-		if l.upstreams[up.ID] == nil && !l.fresh {
-			l.Upstream(up, now)
-			if known := l.upstreams[up.ID]; known != nil {
-				known.registered = false
-			}
-		}
-	}
 	if l.fresh {
 		return
 	}
+	for _, up := range lives {
+		l.Upstream(up, now)
+		l.upstreams[up.ID].registered = false
+		l.unlocated[up.Life] = true
+	}
 	for _, job := range l.jobs {
 		for _, o := range job.occurrences {
 			for _, s := range o.steps {
--- a/internal/job/bbrledger/upstream.go
+++ b/internal/job/bbrledger/upstream.go
@@ -81,16 +81,12 @@
 			known.reserved = now
 		}
 		l.upstreams[in.ID] = known
-		if !l.fresh {
-			l.located = false
-		}
 	}
 	if in.Draining && !known.Draining {
 		l.note(now, "Upstream drains", "upstream", in.ID, "runs", len(known.runs), "leaves", in.Leaving)
 	}
 	known.Upstream = in
 	known.registered = true
-	l.locate(now)
 }
 
 // Unregistered tells the ledger that the store lists the upstream no more.
@@ -103,7 +99,6 @@
 	if len(up.runs) == 0 && up.reached {
 		delete(l.upstreams, id)
 	}
-	l.locate(now)
 }
 
 // Reserve keeps new work off the upstreams of these IDs, and lets it back to
@@ -123,10 +118,13 @@
 
 // Cleared returns the reserved upstreams on which nothing runs or may be
 // starting, in order. Those that are not known as this service's are left out.
-func (l *Ledger) Cleared() []string {
+func (l *Ledger) Cleared(now time.Time) []string {
+	if !l.Settled(now) {
+		return nil
+	}
 	var ids []string
 	for _, up := range l.sortedUpstreams() {
-		if !up.reserved.IsZero() && len(up.runs) == 0 && up.reached && l.located {
+		if !up.reserved.IsZero() && len(up.runs) == 0 && up.reached {
 			ids = append(ids, up.ID)
 		}
 	}
@@ -148,24 +146,18 @@
 	}
 	delete(l.upstreams, up.ID)
 	l.dead[up.Life] = true
-	l.locate(now)
+	l.locate(up.Life, now)
 }
 
-// locate notes whether every upstream was reached under this token.
-func (l *Ledger) locate(now time.Time) {
-	if l.located {
+// locate notes that what runs in a life is known.
+func (l *Ledger) locate(life bbrwork.Life, now time.Time) {
+	if !l.unlocated[life] {
 		return
 	}
-	for _, up := range l.upstreams {
-		if !up.reached {
-			return
-		}
-	}
-	if len(l.upstreams) == 0 {
-		return
+	delete(l.unlocated, life)
+	if len(l.unlocated) == 0 {
+		l.note(now, "All earlier work located", "after", now.Sub(l.began).Round(time.Millisecond))
 	}
-	l.located = true
-	l.note(now, "All upstreams reached", "service", l.Service, "token", l.Token)
 }
 
 // Expire drops what ran on upstreams whose lease has certainly ended.
@@ -175,6 +167,21 @@
 			l.lapse(up, now)
 		}
 	}
+	if len(l.unlocated) > 0 && now.After(l.settled) {
+		l.settle(now)
+	}
+}
+
+// settle gives up the lives that were never reached: what an earlier owner
+// started there has ended with its lease.
+func (l *Ledger) settle(now time.Time) {
+	l.note(now, "Earlier work settled by time", "unreached", len(l.unlocated))
+	clear(l.unlocated)
+	for _, up := range l.sortedUpstreams() {
+		if !up.registered && !up.reached {
+			l.ended(up, "unregistered and never reached", now)
+		}
+	}
 }
 
 // lapse drops what ran on an upstream whose lease ended unrenewed. The upstream
--- a/internal/job/bbrowner/flusher.go
+++ b/internal/job/bbrowner/flusher.go
@@ -106,7 +106,7 @@
 	o := f.owner
 	o.mu.Lock()
 	batch := o.ledger.Batch(maxWrites)
-	told := report{waiting: o.ledger.Waiting(now), cleared: o.ledger.Cleared(), demand: o.ledger.Demand(now)}
+	told := report{waiting: o.ledger.Waiting(now), cleared: o.ledger.Cleared(now), demand: o.ledger.Demand(now)}
 	acknowledge := o.ledger.Acknowledgeable()
 	o.mu.Unlock()
 	batch, whole := fit(batch)
--- a/internal/job/bbrowner/owner.go
+++ b/internal/job/bbrowner/owner.go
@@ -50,7 +50,9 @@
 	// reservation is the revision of the reservations that the ledger knows.
 	reservation bbritem.Revision
 	// cleared is what the ledger last reported as cleared.
-	cleared  []string
+	cleared []string
+	// loadTold is when the last line about the load was written.
+	loadTold time.Time
 	holders  map[string]*holder
 	wg       sync.WaitGroup
 	wake     chan struct{}
@@ -134,7 +136,8 @@
 	o.refresh(now)
 	plan := o.ledger.Plan(o.Confirmed(now), now)
 	o.startHolders(ctx)
-	cleared := o.ledger.Cleared()
+	o.tellLoad(now)
+	cleared := o.ledger.Cleared(now)
 	urgent := o.ledger.Urgent() || !slices.Equal(cleared, o.cleared)
 	o.cleared = cleared
 	notes, dropped := o.ledger.Notes()
@@ -146,6 +149,21 @@
 	}
 }
 
+// loadEvery is between two lines about what the service has and uses.
+const loadEvery = 2 * time.Second
+
+func (o *Owner) tellLoad(now time.Time) {
+	if now.Sub(o.loadTold) < loadEvery {
+		return
+	}
+	o.loadTold = now
+	load := o.ledger.Load(now)
+	klog.InfoS("Load", "service", o.Held.Service, "token", o.Held.Token, "jobs", load.Jobs, "late", load.Late,
+		"upstreams", load.Upstreams, "reached", load.Reached, "reserved", load.Reserved, "suspect", load.Suspect, "silent", load.Silent,
+		"runs", load.Runs, "unconfirmed", load.Unconfirmed, "waitingUnits", load.WaitingUnits,
+		"milliCPU", load.Used.MilliCPU, "ofMilliCPU", load.Room.MilliCPU, "memoryMB", load.Used.MemoryMB, "ofMemoryMB", load.Room.MemoryMB)
+}
+
 // refresh tells the ledger of a new configuration and of changed registrations.
 func (o *Owner) refresh(now time.Time) {
 	if config := o.Config(); config != nil && config.Version != o.version {
