job/bbrledger: an upstream that comes back in the same life takes work again

Moves that are not cleared are given up after 6 s, and instances count by registration. Ruled out: leaked runs, starts that are never answered (Load shows neither).

--- a/internal/daemon/bbrserve/owners.go
+++ b/internal/daemon/bbrserve/owners.go
@@ -133,11 +133,12 @@
 			StatusKey: bbrwire.WaveStatusKey,
 			Status:    bbrwire.WaveStatus,
 		},
-		Metrics:   s.metrics,
-		Confirmed: func(now time.Time) bool { return s.session.Confirmed(held.Lease, now) },
-		Pools:     o.pools,
-		Owned:     o.owned,
-		Lease:     s.settings.Jobs.DutyLease,
+		Metrics:    s.metrics,
+		Confirmed:  func(now time.Time) bool { return s.session.Confirmed(held.Lease, now) },
+		Pools:      o.pools,
+		Registered: s.registry.Has,
+		Owned:      o.owned,
+		Lease:      s.settings.Jobs.DutyLease,
 	}
 	keeper.Run(ctx, s.settings.Jobs.Upkeep)
 	s.claimer.Release(held)
--- a/internal/fleet/bbrregistry/registry.go
+++ b/internal/fleet/bbrregistry/registry.go
@@ -95,6 +95,18 @@
 	r.numbers[up.Service]++
 }
 
+// Has tells whether an upstream of the ID is listed.
+func (r *Registry) Has(id string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, up := range r.ups {
+		if up.ID == id {
+			return true
+		}
+	}
+	return false
+}
+
 // Of returns the upstreams of a service, and a number that changes with them.
 func (r *Registry) Of(service string) ([]bbrwork.Upstream, int64) {
 	r.mu.Lock()
--- a/internal/fleet/bbrupkeep/balance.go
+++ b/internal/fleet/bbrupkeep/balance.go
@@ -41,20 +41,21 @@
 
 // Balance plans moves from pools that have more than they need to those that
 // have less. Instances of the spare pool come first, since nothing runs there.
-func (p *Planner) Balance(pools []Pool, now time.Time) {
+func (p *Planner) Balance(pools []Pool, registered func(life string) bool, now time.Time) []PoolState {
 	if p.listed.IsZero() {
-		return
+		return nil
 	}
 	if p.balance.tooMany == nil {
 		p.balance.tooMany = make(map[string]time.Time)
 	}
 	members := p.members()
-	b := &balancing{planner: p, now: now, members: members, size: make(map[string]int), want: make(map[string]int), spare: ""}
+	b := &balancing{planner: p, now: now, members: members, size: make(map[string]int), want: make(map[string]int), registered: registered}
 	for i := range pools {
 		b.add(&pools[i])
 	}
 	b.fill()
 	b.rest()
+	return b.states()
 }
 
 // balancing is one round of balancing.
@@ -67,6 +68,8 @@
 	size    map[string]int
 	want    map[string]int
 	spare   string
+	// registered tells whether the store lists a life.
+	registered func(life string) bool
 }
 
 // members returns the instances that are up and in no task, by pool.
@@ -81,29 +84,39 @@
 	return members
 }
 
-// sizeOf counts the instances that are or will be in a pool. One that is down
-// does not count.
-func (p *Planner) sizeOf(pool string) int {
+// sizeOf counts the instances that work or soon will in a pool.
+func (p *Planner) sizeOf(pool string, registered func(life string) bool, now time.Time) int {
 	count := 0
 	for id, instance := range p.instances {
 		home := instance.Pool
 		if t := p.tasks[id]; t != nil && t.pool != "" {
 			home = t.pool
 		}
-		if home == pool && instance.Status != bbrmachine.StatusDown {
+		if home == pool && p.counts(instance, registered, now) {
 			count++
 		}
 	}
 	return count
 }
 
+// settleIn is how long an instance that is not up and registered still counts:
+// it is on its way.
+const settleIn = 3 * time.Second
+
+func (p *Planner) counts(instance bbrmachine.Instance, registered func(life string) bool, now time.Time) bool {
+	if instance.Status == bbrmachine.StatusUp && registered(instance.Upstream) {
+		return true
+	}
+	return instance.Status != bbrmachine.StatusDown && now.Sub(p.standing[instance.ID].since) < settleIn
+}
+
 func (b *balancing) add(pool *Pool) {
 	if pool.Spare {
 		b.spare = pool.Name
 		return
 	}
 	b.pools = append(b.pools, pool)
-	b.size[pool.Name] = b.planner.sizeOf(pool.Name)
+	b.size[pool.Name] = b.planner.sizeOf(pool.Name, b.registered, b.now)
 	room := b.roomOf(pool.Name)
 	need := int(float64(pool.MilliCPU)/(fillShare*float64(room)) + 1)
 	b.want[pool.Name] = max(need, pool.Keep+reserve)
@@ -218,3 +231,32 @@
 		}
 	}
 }
+
+// PoolState is a pool's size and need, for the log.
+type PoolState struct {
+	Name       string
+	Size, Want int
+	// Up counts the listed instances that are up, and Tasks those that are being
+	// taken away.
+	Up, Tasks int
+}
+
+func (b *balancing) states() []PoolState {
+	var states []PoolState
+	for _, pool := range b.pools {
+		state := PoolState{Name: pool.Name, Size: b.size[pool.Name], Want: b.want[pool.Name]}
+		for id, instance := range b.planner.instances {
+			if instance.Pool != pool.Name {
+				continue
+			}
+			if instance.Status == bbrmachine.StatusUp {
+				state.Up++
+			}
+			if b.planner.tasks[id] != nil {
+				state.Tasks++
+			}
+		}
+		states = append(states, state)
+	}
+	return states
+}
--- a/internal/fleet/bbrupkeep/keeper.go
+++ b/internal/fleet/bbrupkeep/keeper.go
@@ -41,6 +41,8 @@
 	// Pools returns the pools of instances by the configuration in force; their
 	// needs are filled in from what the owners report.
 	Pools func() []Pool
+	// Registered tells whether the store lists a life of an upstream.
+	Registered func(life string) bool
 	// Owned tells whether a pool's instances have an owner that puts work on
 	// them.
 	Owned func(pool string) bool
@@ -50,6 +52,8 @@
 	planner *Planner
 	// waveRead, listRead are when these were last asked for.
 	waveRead, listRead time.Time
+	// told is when the last lines about the pools were written.
+	told time.Time
 	// cleared has the lives that their owners reported as cleared.
 	cleared map[string]bool
 	// demands are by service, as their owners reported them.
@@ -191,7 +195,10 @@
 		return err
 	}
 	k.mu.Lock()
-	k.planner.Balance(k.needs(), now)
+	if given := k.planner.giveUp(now); len(given) > 0 {
+		klog.InfoS("Moves given up", "instances", given, "token", k.Held.Token)
+	}
+	k.tell(k.planner.Balance(k.needs(), k.Registered, now), now)
 	orders := k.planner.Round(k.isCleared, now)
 	k.mu.Unlock()
 	if now.After(from) && k.Confirmed(now) {
@@ -200,6 +207,20 @@
 	return k.save(ctx)
 }
 
+// tellEvery is between two lines about the pools.
+const tellEvery = 2 * time.Second
+
+func (k *Keeper) tell(pools []PoolState, now time.Time) {
+	if now.Sub(k.told) < tellEvery {
+		return
+	}
+	k.told = now
+	for _, pool := range pools {
+		klog.InfoS("Pool", "pool", pool.Name, "token", k.Held.Token, "size", pool.Size, "want", pool.Want, "up", pool.Up,
+			"inWork", pool.Tasks, "listAge", now.Sub(k.listRead).Round(time.Millisecond))
+	}
+}
+
 // readWaves learns of new waves.
 func (k *Keeper) readWaves(ctx context.Context, now time.Time) error {
 	if now.Sub(k.waveRead) < waveEvery {
--- a/internal/fleet/bbrupkeep/planner.go
+++ b/internal/fleet/bbrupkeep/planner.go
@@ -17,6 +17,8 @@
 
 	waves     map[int64]*wave
 	instances map[string]bbrmachine.Instance
+	// standing has, by instance, since when its life and status are as listed.
+	standing map[string]standing
 	// listed is when the list of instances was asked for.
 	listed time.Time
 	tasks  map[string]*task
@@ -26,6 +28,13 @@
 	balance balance
 }
 
+// standing is an instance's life and status with since when they are listed.
+type standing struct {
+	life   string
+	status bbrmachine.Status
+	since  time.Time
+}
+
 // wave is the state of a wave.
 type wave struct {
 	bbrmachine.Wave
@@ -100,8 +109,15 @@
 // Listed tells the planner of a list of instances that was asked for at sent.
 func (p *Planner) Listed(list []bbrmachine.Instance, sent time.Time) {
 	p.instances = make(map[string]bbrmachine.Instance, len(list))
+	before := p.standing
+	p.standing = make(map[string]standing, len(list))
 	for _, instance := range list {
 		p.instances[instance.ID] = instance
+		now := standing{life: instance.Upstream, status: instance.Status, since: sent}
+		if was, ok := before[instance.ID]; ok && was.life == now.life && was.status == now.status {
+			now.since = was.since
+		}
+		p.standing[instance.ID] = now
 	}
 	p.listed = sent
 	for _, t := range p.tasks {
@@ -274,6 +290,31 @@
 	return lives
 }
 
+// giveUpAfter is how long the owner may take to clear an instance for a move.
+// One that it does not know as its own is never cleared.
+const giveUpAfter = 6 * time.Second
+
+// giveUp ends moves whose instance is not cleared or does not come up. Waves go
+// on: they have to be done.
+func (p *Planner) giveUp(now time.Time) []string {
+	var given []string
+	for id, t := range p.tasks {
+		if t.wave == 0 && t.phase != phaseOrdering && now.Sub(later(t.since, t.ordered)) > giveUpAfter {
+			given = append(given, id)
+			delete(p.tasks, id)
+		}
+	}
+	slices.Sort(given)
+	return given
+}
+
+func later(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
+
 // Answered applies the answer to an order.
 func (p *Planner) Answered(order Order, outcome Outcome, now time.Time) {
 	t := p.tasks[order.Instance]
--- a/internal/job/bbrledger/ledger_test.go
+++ b/internal/job/bbrledger/ledger_test.go
@@ -176,3 +176,20 @@
 	s.wait(time.Minute)
 	require.Greater(t, s.ledger.Demand(s.now).MilliCPU, 0)
 }
+
+func TestUpstreamThatComesBackTakesWorkAgain(t *testing.T) {
+	s := newScene(t, true, "i-1")
+	s.accept(testJob, unitStep(1))
+	plan := s.plan()
+	require.Len(t, plan.Starts, 1)
+	s.started(plan, nil)
+	s.ledger.Unregistered("i-1", s.now)
+	s.wait(2 * leaseBound(testTiming.Hold))
+	require.Empty(t, s.plan().Starts)
+	s.register("i-1")
+	// Its work had ended as done before its lease ended; that no longer counts.
+	s.list("i-1", bbrwork.End{Number: 1, Unit: unitName(0), Run: 1, How: bbrwork.HowDone})
+	plan = s.plan()
+	require.Len(t, plan.Starts, 1)
+	require.Equal(t, 2, plan.Starts[0].Start.Run)
+}
--- a/internal/job/bbrledger/store.go
+++ b/internal/job/bbrledger/store.go
@@ -99,7 +99,7 @@
 	}
 	lives := []bbrwork.Upstream{}
 	for _, up := range l.sortedUpstreams() {
-		if l.asked[up.Life] || l.entitled[up.Life] || len(up.runs) > 0 {
+		if up.registered && (l.asked[up.Life] || l.entitled[up.Life]) || len(up.runs) > 0 {
 			lives = append(lives, up.Upstream)
 		}
 	}
@@ -120,7 +120,7 @@
 // for it in vain.
 func (l *Ledger) entitlementStale() bool {
 	for life := range l.entitled {
-		if up := l.upstreams[life.ID]; up == nil || up.Life != life {
+		if up := l.upstreams[life.ID]; up == nil || up.Life != life || !up.registered && len(up.runs) == 0 {
 			return true
 		}
 	}
--- a/internal/job/bbrledger/upstream.go
+++ b/internal/job/bbrledger/upstream.go
@@ -9,8 +9,10 @@
 // upstream is one life of an upstream as the ledger knows it.
 type upstream struct {
 	bbrwork.Upstream
-	// registered means that the store lists this life.
+	// registered means that the store lists this life; left is since when it does
+	// not.
 	registered bool
+	left       time.Time
 	// reserved is when planned work took the instance: nothing new goes there.
 	// It is zero while none does.
 	reserved time.Time
@@ -95,8 +97,8 @@
 	if up == nil {
 		return
 	}
-	up.registered = false
-	if len(up.runs) == 0 && up.reached {
+	up.registered, up.left = false, now
+	if len(up.runs) == 0 && up.reached && len(up.lapsed) == 0 {
 		delete(l.upstreams, id)
 	}
 }
@@ -167,6 +169,7 @@
 			l.lapse(up, now)
 		}
 	}
+	l.forgetUnregistered(now)
 	if len(l.unlocated) > 0 && now.After(l.settled) {
 		l.settle(now)
 	}
@@ -179,7 +182,20 @@
 	clear(l.unlocated)
 	for _, up := range l.sortedUpstreams() {
 		if !up.registered && !up.reached {
-			l.ended(up, "unregistered and never reached", now)
+			l.note(now, "Upstream given up", "upstream", up.ID, "reason", "unregistered and never reached")
+			delete(l.upstreams, up.ID)
+		}
+	}
+}
+
+// forgetAfter is how long an upstream that the store lists no more is kept in
+// mind: it may come back in the same life, with ends that no longer count.
+const forgetAfter = time.Minute
+
+func (l *Ledger) forgetUnregistered(now time.Time) {
+	for id, up := range l.upstreams {
+		if !up.registered && up.reached && len(up.runs) == 0 && now.Sub(up.left) > forgetAfter {
+			delete(l.upstreams, id)
 		}
 	}
 }
@@ -197,9 +213,6 @@
 		l.dropRun(r, now)
 	}
 	up.leased = time.Time{}
-	if !up.registered {
-		l.ended(up, "unregistered and not answering", now)
-	}
 }
 
 // HoldPlan is what a renewal of an upstream's lease should say.
@@ -225,7 +238,7 @@
 	plan := HoldPlan{
 		Upstream:     up.Upstream,
 		Acknowledged: up.acknowledged,
-		Idle:         len(up.runs) == 0 && up.acknowledged == up.applied && up.reached,
+		Idle:         len(up.runs) == 0 && (!up.registered || up.acknowledged == up.applied && up.reached && up.lost == 0),
 		Running:      len(up.runs) > 0,
 	}
 	// An upstream that does not answer is only asked: each order that may reach
