--- a/internal/daemon/bbrserve/owners.go
+++ b/internal/daemon/bbrserve/owners.go
@@ -87,6 +87,7 @@
 		Store:   s.store,
 		Orders:  o.orders,
 		Advise:  o.advise,
+		Lives:   o.lives,
 		Metrics: s.metrics,
 		Timing: bbrledger.Timing{
 			Hold:        min(hold, jobs.Hold),
@@ -106,6 +107,21 @@
 	s.claimer.Release(held)
 }
 
+// lives returns the lives of the instances that are not down.
+func (o *owners) lives(ctx context.Context) (map[string]bool, error) {
+	instances, err := o.fleet.List(ctx)
+	if err != nil {
+		return nil, err
+	}
+	lives := make(map[string]bool, len(instances))
+	for _, instance := range instances {
+		if instance.Status != bbrmachine.StatusDown {
+			lives[instance.Upstream] = true
+		}
+	}
+	return lives, nil
+}
+
 // pools returns the pools by the configuration in force.
 func (o *owners) pools() []bbrupkeep.Pool {
 	config := o.service.config.Config()
--- a/internal/fleet/bbrupkeep/balance.go
+++ b/internal/fleet/bbrupkeep/balance.go
@@ -89,7 +89,8 @@
 	count := 0
 	for id, instance := range p.instances {
 		home := instance.Pool
-		if t := p.tasks[id]; t != nil && t.pool != "" {
+		if t := p.tasks[id]; t != nil {
+			// An instance that a wave takes is not there for a while.
 			home = t.pool
 		}
 		if home == pool && p.counts(instance, registered, now) {
@@ -112,7 +113,7 @@
 
 func (b *balancing) add(pool *Pool) {
 	if pool.Spare {
-		b.spare = pool.Name
+		b.spare, b.planner.spare = pool.Name, pool.Name
 		return
 	}
 	b.pools = append(b.pools, pool)
--- a/internal/fleet/bbrupkeep/planner.go
+++ b/internal/fleet/bbrupkeep/planner.go
@@ -26,6 +26,8 @@
 	// them a while longer.
 	retired map[string]time.Time
 	balance balance
+	// spare is the pool whose instances are off; empty for none.
+	spare string
 }
 
 // standing is an instance's life and status with since when they are listed.
@@ -214,7 +216,8 @@
 	clearing = 2500 * time.Millisecond
 )
 
-// begin starts as many tasks of the wave as its deadline asks for.
+// begin starts as many tasks of the wave as its deadline asks for. Spare
+// instances, on which nothing runs, go as early as the cap allows.
 func (p *Planner) begin(w *wave, now time.Time) {
 	left := p.left(w)
 	busy := 0
@@ -223,8 +226,13 @@
 			busy++
 		}
 	}
-	for want := p.wanted(w, len(left)+busy, now); busy < want && len(left) > 0; busy++ {
-		next := p.pick(w, left)
+	want := p.wanted(w, len(left)+busy, now)
+	for busy < 2*w.Cap && len(left) > 0 {
+		next := p.pick(left)
+		if busy >= want && (p.instances[next].Pool != p.spare || busy >= w.Cap) {
+			return
+		}
+		busy++
 		left = slices.DeleteFunc(left, func(id string) bool { return id == next })
 		p.tasks[next] = &task{instance: next, wave: w.Number, life: p.instances[next].Upstream, since: now}
 	}
@@ -253,8 +261,9 @@
 	return min(max(1, need), 2*w.Cap)
 }
 
-// pick returns the instance whose pool has the smallest share in work.
-func (p *Planner) pick(w *wave, left []string) string {
+// pick returns an instance of the spare pool, or else one whose pool has the
+// smallest share in work.
+func (p *Planner) pick(left []string) string {
 	size, busy := make(map[string]int), make(map[string]int)
 	for id, instance := range p.instances {
 		size[instance.Pool]++
@@ -264,6 +273,9 @@
 	}
 	share := func(id string) float64 {
 		pool := p.instances[id].Pool
+		if pool == p.spare {
+			return -1
+		}
 		return float64(busy[pool]) / float64(max(1, size[pool]))
 	}
 	return slices.MinFunc(left, func(a, b string) int {
--- a/internal/job/bbrledger/demand.go
+++ b/internal/job/bbrledger/demand.go
@@ -26,8 +26,8 @@
 	lateSpread = 8 * time.Second
 	// recentShare of a job's objective, and recentLeast, is how long after its
 	// arrival a job stands for others like it.
-	recentShare = 0.5
-	recentLeast = time.Second
+	recentShare = 0.25
+	recentLeast = 500 * time.Millisecond
 )
 
 // Demand returns what the service asks of the fleet now. The need of the open
@@ -54,7 +54,7 @@
 			}
 			whole := by.Sub(j.Accepted)
 			if window := max(recentLeast, time.Duration(recentShare*float64(whole))); now.Sub(j.seen) < window {
-				arriving += work / window.Seconds()
+				arriving += o.work() / window.Seconds()
 			}
 		}
 	}
@@ -89,6 +89,17 @@
 	return work
 }
 
+// work returns all the work that ends, in the same unit.
+func (o *occurrence) work() float64 {
+	work := 0.0
+	for _, s := range o.steps {
+		if !s.shape.Lasting {
+			work += float64(len(s.units)*s.shape.Need.MilliCPU) * s.shape.Estimate.Seconds()
+		}
+	}
+	return work
+}
+
 // chainLeft returns the longest chain of estimated work that is not done.
 func (o *occurrence) chainLeft() time.Duration {
 	longest := time.Duration(0)
--- a/internal/job/bbrledger/ledger_test.go
+++ b/internal/job/bbrledger/ledger_test.go
@@ -193,3 +193,15 @@
 	require.Len(t, plan.Starts, 1)
 	require.Equal(t, 2, plan.Starts[0].Start.Run)
 }
+
+func TestEarlierLivesAreAskedThoughTheStoreListsThemNoMore(t *testing.T) {
+	s := newScene(t, false)
+	s.ledger.Loaded([]bbrwork.Upstream{s.upstream("i-old")}, s.now)
+	plan, known := s.ledger.Hold("i-old", true, s.now)
+	require.True(t, known)
+	require.False(t, plan.Idle)
+	s.ledger.Unanswered("i-old", bbrorder.ErrLost, s.now)
+	require.Equal(t, []bbrwork.Life{s.upstream("i-old").Life}, s.ledger.Doubtful(s.now))
+	s.ledger.Gone(s.upstream("i-old").Life, "the platform lists it no more", s.now)
+	require.True(t, s.ledger.Settled(s.now))
+}
--- a/internal/job/bbrledger/load.go
+++ b/internal/job/bbrledger/load.go
@@ -14,11 +14,12 @@
 	// WaitingUnits counts the work units whose turn has come and that have no run.
 	WaitingUnits int
 	Room, Used   bbrwork.Resources
+	Demand       Demand
 }
 
 // Load returns what the service has and uses now.
 func (l *Ledger) Load(now time.Time) Load {
-	load := Load{Jobs: len(l.jobs), Upstreams: len(l.upstreams)}
+	load := Load{Jobs: len(l.jobs), Upstreams: len(l.upstreams), Demand: l.Demand(now)}
 	for _, up := range l.upstreams {
 		load.add(up, now)
 	}
--- a/internal/job/bbrledger/plan.go
+++ b/internal/job/bbrledger/plan.go
@@ -96,7 +96,10 @@
 	// tier 0 is work that lasts, 1 work that can meet its objective, 2 the rest.
 	tier     int
 	priority int
-	by       time.Time
+	// fresh is 1 where nothing of the job has run: what was begun is worth
+	// finishing first.
+	fresh int
+	by    time.Time
 }
 
 func (p *planner) candidates() []candidate {
@@ -126,12 +129,19 @@
 	return list
 }
 
+// freshMargin is how much time more a job needs to be begun: starts take a
+// while, and estimates are rough.
+const freshMargin = 200 * time.Millisecond
+
 func compareCandidates(a, b candidate) int {
-	return cmp.Or(cmp.Compare(a.tier, b.tier), cmp.Compare(a.priority, b.priority), a.by.Compare(b.by))
+	return cmp.Or(cmp.Compare(a.tier, b.tier), cmp.Compare(a.priority, b.priority), cmp.Compare(a.fresh, b.fresh), a.by.Compare(b.by))
 }
 
 func (p *planner) rank(s *step, by time.Time) candidate {
 	c := candidate{step: s, tier: 1, by: by}
+	if !s.job.begun {
+		c.fresh = 1
+	}
 	if s.job.queue != nil {
 		c.priority = s.job.queue.Priority
 	}
@@ -140,7 +150,7 @@
 		c.tier = 0
 	case s.shape.Lasting:
 		c.tier = 1
-	case p.now.Add(s.remaining).After(by):
+	case p.now.Add(s.remaining).After(by.Add(-time.Duration(c.fresh) * freshMargin)):
 		c.tier = 2
 	}
 	return c
--- a/internal/job/bbrledger/upstream.go
+++ b/internal/job/bbrledger/upstream.go
@@ -140,6 +140,24 @@
 	}
 }
 
+// doubtAfter is how long an upstream with work may be silent before it is
+// doubted.
+const doubtAfter = 300 * time.Millisecond
+
+// Doubtful returns the lives of which it matters whether they are still there:
+// those that an earlier owner used and that were not reached yet, and silent
+// ones with work.
+func (l *Ledger) Doubtful(now time.Time) []bbrwork.Life {
+	var lives []bbrwork.Life
+	for _, up := range l.sortedUpstreams() {
+		silent := len(up.runs) > 0 && !up.silentAt.IsZero() && now.Sub(up.silentAt) > doubtAfter
+		if silent || l.unlocated[up.Life] && up.lost > 0 {
+			lives = append(lives, up.Life)
+		}
+	}
+	return lives
+}
+
 // ended drops a life with all that ran in it.
 func (l *Ledger) ended(up *upstream, why string, now time.Time) {
 	l.note(now, "Upstream ended", "upstream", up.ID, "born", up.Born, "reason", why, "runs", len(up.runs))
@@ -238,7 +256,7 @@
 	plan := HoldPlan{
 		Upstream:     up.Upstream,
 		Acknowledged: up.acknowledged,
-		Idle:         len(up.runs) == 0 && (!up.registered || up.acknowledged == up.applied && up.reached && up.lost == 0),
+		Idle:         len(up.runs) == 0 && !l.unlocated[up.Life] && (!up.registered || up.acknowledged == up.applied && up.reached && up.lost == 0),
 		Running:      len(up.runs) > 0,
 	}
 	// An upstream that does not answer is only asked: each order that may reach
--- a/internal/job/bbrowner/owner.go
+++ b/internal/job/bbrowner/owner.go
@@ -29,6 +29,7 @@
 	Store   *bbritem.Store
 	Orders  *bbrorder.Orders
 	Advise  AdviseFunc
+	Lives   LivesFunc
 	Metrics *bbrmetric.Set
 	Timing  bbrledger.Timing
 	// Confirmed tells whether the claim's lease still stands for certain.
@@ -87,6 +88,7 @@
 	jobs.From(at, began)
 	o.wg.Go(func() { jobs.Run(ctx) })
 	o.wg.Go(func() { o.runCancels(ctx) })
+	o.wg.Go(func() { o.runTruth(ctx) })
 	flushing, endFlushing := context.WithCancel(context.WithoutCancel(ctx))
 	defer endFlushing()
 	var flushed sync.WaitGroup
@@ -150,7 +152,7 @@
 }
 
 // loadEvery is between two lines about what the service has and uses.
-const loadEvery = 2 * time.Second
+const loadEvery = time.Second
 
 func (o *Owner) tellLoad(now time.Time) {
 	if now.Sub(o.loadTold) < loadEvery {
@@ -160,7 +162,7 @@
 	load := o.ledger.Load(now)
 	klog.InfoS("Load", "service", o.Held.Service, "token", o.Held.Token, "jobs", load.Jobs, "late", load.Late,
 		"upstreams", load.Upstreams, "reached", load.Reached, "reserved", load.Reserved, "suspect", load.Suspect, "silent", load.Silent,
-		"runs", load.Runs, "unconfirmed", load.Unconfirmed, "waitingUnits", load.WaitingUnits,
+		"runs", load.Runs, "unconfirmed", load.Unconfirmed, "waitingUnits", load.WaitingUnits, "demandMilliCPU", load.Demand.MilliCPU, "keep", load.Demand.Keep,
 		"milliCPU", load.Used.MilliCPU, "ofMilliCPU", load.Room.MilliCPU, "memoryMB", load.Used.MemoryMB, "ofMemoryMB", load.Room.MemoryMB)
 }
 
