--- a/internal/job/bbrledger/ledger_test.go
+++ b/internal/job/bbrledger/ledger_test.go
@@ -205,3 +205,57 @@
 	s.ledger.Gone(s.upstream("i-old").Life, "the platform lists it no more", s.now)
 	require.True(t, s.ledger.Settled(s.now))
 }
+
+// takeOver returns the scene of a successor that knows the stored job and that
+// the earlier owner had listed the lives.
+func takeOver(t *testing.T, progress []byte, lives ...string) *scene {
+	s := newScene(t, false)
+	s.ledger.Accepted(&bbrwork.Job{ID: testJob, Queue: "proofs", Service: "press", Spec: "x", Steps: []bbrwork.Step{unitStep(1)}, Accepted: s.now}, progress, s.now)
+	var listed []bbrwork.Upstream
+	for _, id := range lives {
+		listed = append(listed, s.upstream(id))
+	}
+	s.ledger.Loaded(listed, s.now)
+	return s
+}
+
+func TestSuccessorWaitsForWorkThatMayBeElsewhere(t *testing.T) {
+	s := takeOver(t, nil, "i-1", "i-2")
+	s.register("i-2")
+	s.list("i-2")
+	require.Empty(t, s.plan().Starts, "the work unit may be at work on i-1")
+	s.wait(s.ledger.settled.Sub(s.now) - 10*time.Millisecond)
+	s.list("i-2")
+	require.Empty(t, s.plan().Starts, "a lease of the earlier owner may still last")
+	s.wait(20 * time.Millisecond)
+	require.Len(t, s.plan().Starts, 1)
+}
+
+func TestSuccessorStartsAtOnceWhenAllIsKnown(t *testing.T) {
+	s := takeOver(t, nil, "i-1")
+	s.register("i-1")
+	s.list("i-1")
+	plan := s.plan()
+	require.Len(t, plan.Starts, 1)
+	require.Greater(t, plan.Starts[0].Start.Run, runNumberGap)
+}
+
+func TestSuccessorCountsEarlierFailures(t *testing.T) {
+	first := newScene(t, true, "i-1")
+	first.accept(testJob, unitStep(1))
+	first.started(first.plan(), nil)
+	first.list("i-1", bbrwork.End{Number: 1, Unit: unitName(0), Run: 1, How: bbrwork.HowFailed})
+	writes := first.store()
+	require.Len(t, writes, 1)
+	s := takeOver(t, writes[0].Progress, "i-1")
+	s.register("i-1")
+	for attempt := int64(2); attempt <= 3; attempt++ {
+		s.wait(time.Second)
+		s.list("i-1")
+		plan := s.plan()
+		require.Len(t, plan.Starts, 1, "attempt %d", attempt)
+		s.started(plan, nil)
+		s.list("i-1", bbrwork.End{Number: attempt, Unit: unitName(0), Run: plan.Starts[0].Start.Run, How: bbrwork.HowFailed})
+	}
+	require.Equal(t, bbrwork.Failed, s.store()[0].Final)
+}
--- /dev/null
+++ b/internal/job/bbrledger/world_test.go
@@ -0,0 +1,376 @@
+package bbrledger
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/bluebellridge/bluebellridge/internal/job/bbrorder"
+	"github.com/bluebellridge/bluebellridge/internal/job/bbrwork"
+)
+
+// world is upstreams, a store and owners under a virtual clock. It does what
+// the platform promises and notes what breaks a promise of the project.
+type world struct {
+	now       time.Time
+	upstreams map[string]*simUpstream
+	owners    []*simOwner
+	// late are orders that are carried out when their time comes.
+	late  []lateOrder
+	store simStore
+	// units is what really happened to each work unit.
+	units  map[bbrwork.Unit]*simUnit
+	faults []string
+}
+
+type lateOrder struct {
+	at      time.Time
+	deliver func()
+}
+
+// simStore is what the store holds.
+type simStore struct {
+	token    int64
+	jobs     map[string]*bbrwork.Job
+	progress map[string][]byte
+	final    map[string]bbrwork.State
+	lives    []bbrwork.Upstream
+	written  bool
+}
+
+// simUnit is the history of a work unit.
+type simUnit struct {
+	lastStart time.Time
+	done      bool
+	// noted means that an end as done was acknowledged under a lease that had
+	// not lapsed since.
+	noted  bool
+	failed int
+}
+
+type simRun struct {
+	unit   bbrwork.Unit
+	number int
+	ends   time.Duration
+	how    bbrwork.How
+}
+
+type simEnd struct {
+	bbrwork.End
+	at time.Time
+	// lapsed means that the lease ended after this end.
+	lapsed bool
+}
+
+// simUpstream is one life of an upstream.
+type simUpstream struct {
+	world   *world
+	reg     bbrwork.Upstream
+	started time.Time
+	// slow makes the clock run 2% slow.
+	slow    bool
+	up, cut bool
+	token   int64
+	lease   time.Duration
+	running map[runKey]*simRun
+	ended   map[bbrwork.Unit]int
+	ends    []*simEnd
+	count   int64
+	seen    int64
+}
+
+func newWorld(ids ...string) *world {
+	w := &world{
+		now:       time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC),
+		upstreams: make(map[string]*simUpstream),
+		units:     make(map[bbrwork.Unit]*simUnit),
+		store:     simStore{jobs: make(map[string]*bbrwork.Job), progress: make(map[string][]byte), final: make(map[string]bbrwork.State)},
+	}
+	for i, id := range ids {
+		w.boot(id, i%2 == 0)
+	}
+	return w
+}
+
+func (w *world) fault(format string, args ...any) {
+	w.faults = append(w.faults, fmt.Sprintf(format, args...))
+}
+
+// boot begins a new life under the ID.
+func (w *world) boot(id string, slow bool) {
+	w.upstreams[id] = &simUpstream{
+		world: w,
+		reg: bbrwork.Upstream{
+			Life:    bbrwork.Life{ID: id, Born: w.now.UnixMilli()},
+			Service: "press",
+			Room:    bbrwork.Resources{MilliCPU: 4000, MemoryMB: 8000},
+		},
+		started: w.now,
+		slow:    slow,
+		up:      true,
+		running: make(map[runKey]*simRun),
+		ended:   make(map[bbrwork.Unit]int),
+	}
+}
+
+func (u *simUpstream) clock() time.Duration {
+	passed := u.world.now.Sub(u.started)
+	if u.slow {
+		passed = passed * 98 / 100
+	}
+	return passed.Truncate(time.Millisecond)
+}
+
+func (w *world) unit(name bbrwork.Unit) *simUnit {
+	if w.units[name] == nil {
+		w.units[name] = &simUnit{}
+	}
+	return w.units[name]
+}
+
+// advance lets time pass in small steps.
+func (w *world) advance(d time.Duration) {
+	const step = 10 * time.Millisecond
+	for end := w.now.Add(d); w.now.Before(end); {
+		w.now = w.now.Add(step)
+		for _, id := range slices.Sorted(maps.Keys(w.upstreams)) {
+			w.upstreams[id].tick()
+		}
+		due := w.late
+		w.late = nil
+		for _, order := range due {
+			if w.now.Before(order.at) {
+				w.late = append(w.late, order)
+				continue
+			}
+			order.deliver()
+		}
+	}
+}
+
+func (u *simUpstream) tick() {
+	if !u.up {
+		return
+	}
+	if len(u.running) > 0 && u.clock() > u.lease {
+		for _, end := range u.ends {
+			end.lapsed = true
+		}
+		for _, run := range u.sorted() {
+			u.end(run, bbrwork.HowLapsed)
+		}
+	}
+	for _, run := range u.sorted() {
+		if u.clock() >= run.ends {
+			u.end(run, run.how)
+		}
+	}
+}
+
+func (u *simUpstream) sorted() []*simRun {
+	runs := slices.Collect(maps.Values(u.running))
+	slices.SortFunc(runs, func(a, b *simRun) int {
+		if a.unit.String() < b.unit.String() {
+			return -1
+		}
+		return 1
+	})
+	return runs
+}
+
+func (u *simUpstream) end(run *simRun, how bbrwork.How) {
+	delete(u.running, runKey{run.unit, run.number})
+	u.ended[run.unit] = max(u.ended[run.unit], run.number)
+	u.count++
+	u.ends = append(u.ends, &simEnd{End: bbrwork.End{Number: u.count, Unit: run.unit, Run: run.number, How: how}, at: u.world.now})
+	if how == bbrwork.HowDone {
+		u.world.unit(run.unit).done = true
+	}
+}
+
+// fenced applies the fencing token of an order.
+func (u *simUpstream) fenced(life bbrwork.Life, token int64) error {
+	switch {
+	case !u.up:
+		return bbrorder.ErrLost
+	case life.ID != u.reg.ID:
+		return bbrorder.ErrOtherLife
+	case token < u.token:
+		return bbrorder.ErrFenced
+	}
+	u.token = token
+	return nil
+}
+
+func (u *simUpstream) start(order StartOrder, length time.Duration, how bbrwork.How) error {
+	if err := u.fenced(order.Upstream.Life, order.Start.Token); err != nil {
+		return err
+	}
+	key := runKey{order.Start.Unit, order.Start.Run}
+	switch {
+	case u.running[key] != nil:
+		return nil
+	case order.Start.Until < u.clock():
+		return bbrorder.ErrLate
+	case order.Start.Run <= u.ended[order.Start.Unit]:
+		u.lease = max(u.lease, order.Start.Until)
+		return bbrorder.ErrOld
+	}
+	u.world.check(order.Start.Unit, u)
+	u.lease = max(u.lease, order.Start.Until)
+	u.running[key] = &simRun{unit: order.Start.Unit, number: order.Start.Run, ends: u.clock() + length, how: how}
+	u.world.unit(order.Start.Unit).lastStart = u.world.now
+	return nil
+}
+
+// check notes what a start breaks.
+func (w *world) check(name bbrwork.Unit, at *simUpstream) {
+	for _, id := range slices.Sorted(maps.Keys(w.upstreams)) {
+		up := w.upstreams[id]
+		for key := range up.running {
+			if up.up && key.unit == name {
+				w.fault("TWICE: %s starts on %s and runs on %s", name, at.reg.ID, id)
+			}
+		}
+	}
+	unit := w.unit(name)
+	if unit.noted {
+		w.fault("TWICE: %s starts after its end as done was noted", name)
+	}
+	job := w.store.jobs[name.Job]
+	if unit.failed >= 3 {
+		w.fault("BUDGET: %s starts after %d failures", name, unit.failed)
+	}
+	for _, earlier := range job.Steps[name.Step].After {
+		for index := range job.Steps[earlier].Count {
+			if !w.unit(bbrwork.Unit{Job: name.Job, Step: earlier, Index: index}).done {
+				w.fault("ORDER: %s starts before step %d is done", name, earlier)
+			}
+		}
+	}
+}
+
+func (u *simUpstream) stop(order StopOrder) error {
+	if err := u.fenced(order.Upstream.Life, order.Stop.Token); err != nil {
+		return err
+	}
+	if run := u.running[runKey{order.Stop.Unit, order.Stop.Run}]; run != nil {
+		u.end(run, bbrwork.HowStopped)
+	}
+	u.ended[order.Stop.Unit] = max(u.ended[order.Stop.Unit], order.Stop.Run)
+	return nil
+}
+
+func (u *simUpstream) hold(life bbrwork.Life, hold bbrorder.Hold) (bbrwork.Listing, error) {
+	if err := u.fenced(life, hold.Token); err != nil {
+		return bbrwork.Listing{}, err
+	}
+	u.lease = max(u.lease, hold.Until)
+	u.acknowledge(hold.Acknowledged)
+	listing := bbrwork.Listing{Clock: u.clock(), Born: u.reg.Born}
+	for _, run := range u.sorted() {
+		listing.Running = append(listing.Running, bbrwork.Run{Unit: run.unit, Number: run.number})
+	}
+	for _, end := range u.ends {
+		if end.Number > u.seen {
+			listing.Ended = append(listing.Ended, end.End)
+		}
+	}
+	return listing, nil
+}
+
+func (u *simUpstream) acknowledge(number int64) {
+	for _, end := range u.ends {
+		if end.Number <= u.seen || end.Number > number || end.lapsed {
+			continue
+		}
+		unit := u.world.unit(end.Unit)
+		switch end.How {
+		case bbrwork.HowDone:
+			unit.noted = true
+			if unit.lastStart.After(end.at) {
+				u.world.fault("TWICE: %s was started after it ended as done on %s, and that end is noted", end.Unit, u.reg.ID)
+			}
+		case bbrwork.HowFailed:
+			unit.failed++
+		}
+	}
+	u.seen = max(u.seen, number)
+}
+
+// simOwner is an owner with its view of the claim.
+type simOwner struct {
+	world  *world
+	ledger *Ledger
+	token  int64
+	// until is when the owner stops believing in a claim that it lost; zero while
+	// it holds it.
+	until time.Time
+	dead  bool
+}
+
+// claim makes a new owner. The earlier one may act a while longer.
+func (w *world) claim() *simOwner {
+	for _, o := range w.owners {
+		if o.until.IsZero() {
+			o.until = w.now.Add(testTiming.Handover)
+		}
+	}
+	w.store.token += 10
+	o := &simOwner{world: w, token: w.store.token}
+	o.ledger = New("press", o.token, testTiming, !w.store.written, w.now)
+	o.ledger.SetConfig(bbrwork.NewConfig(1, []*bbrwork.Queue{{Name: "proofs", Service: "press", Attempts: 3, Stretch: 1.6}}, nil, bbrwork.Limits{}))
+	for _, id := range slices.Sorted(maps.Keys(w.store.jobs)) {
+		o.learn(id)
+	}
+	o.ledger.Loaded(w.store.lives, w.now)
+	w.owners = append(w.owners, o)
+	return o
+}
+
+func (o *simOwner) learn(id string) {
+	w := o.world
+	if w.store.final[id] == "" {
+		o.ledger.Accepted(w.store.jobs[id], w.store.progress[id], w.now)
+	}
+}
+
+func (o *simOwner) confirmed() bool {
+	return !o.dead && (o.until.IsZero() || o.world.now.Before(o.until))
+}
+
+// flush stores what the ledger has, if the claim still stands.
+func (o *simOwner) flush() {
+	w := o.world
+	if o.token != w.store.token {
+		return
+	}
+	batch := o.ledger.Batch(1000)
+	for _, write := range batch.Writes {
+		if write.Final == "" {
+			w.store.progress[write.Job.ID] = write.Progress
+			continue
+		}
+		w.store.final[write.Job.ID] = write.Final
+		w.checkFinal(write.Job, write.Final)
+	}
+	if batch.Entitle != nil {
+		w.store.lives = batch.Entitle
+	}
+	w.store.written = true
+	o.ledger.Stored(batch, w.now)
+}
+
+func (w *world) checkFinal(job *bbrwork.Job, state bbrwork.State) {
+	if state != bbrwork.Completed {
+		return
+	}
+	for number, step := range job.Steps {
+		for index := range step.Count {
+			if !w.unit(bbrwork.Unit{Job: job.ID, Step: number, Index: index}).done {
+				w.fault("MIXED: %s is completed, and a work unit has not ended as done", job.ID)
+			}
+		}
+	}
+}
