job/bbrledger: a successor waits out earlier stops before it evacuates

The test failed without the wait. Ruled out: an order of the fleet duty (the other work unit had no run, and the budget of 1 was counted right where that is known).

--- a/internal/daemon/bbrserve/owners.go
+++ b/internal/daemon/bbrserve/owners.go
@@ -93,6 +93,7 @@
 			Hold:        min(hold, jobs.Hold),
 			StartWithin: startWithin,
 			Handover:    bbrclaim.Belief,
+			Stop:        jobs.Stop,
 			GangWait:    jobs.GangWait,
 			Notice:      jobs.Notice,
 			Harm:        jobs.Harm,
--- a/internal/job/bbrledger/evacuate.go
+++ b/internal/job/bbrledger/evacuate.go
@@ -14,14 +14,14 @@
 // evacuate tells whether a run should leave its reserved upstream now. Work
 // that is almost done is waited for; lasting work leaves as its availability
 // budget allows.
-func (r *run) evacuate(now time.Time) bool {
+func (l *Ledger) evacuate(r *run, now time.Time) bool {
 	reserved := now.Sub(r.up.reserved)
 	shape := r.unit.step.shape
 	switch {
 	case shape.Lasting && shape.Fills:
 		return true
 	case shape.Lasting:
-		return r.percent < fullPercent || r.unit.mayMiss()
+		return r.percent < fullPercent || r.unit.mayMiss() && l.stopsKnown(now)
 	case shape.Checkpoints:
 		return reserved > saveAfter
 	default:
@@ -29,6 +29,16 @@
 	}
 }
 
+// stopsKnown tells whether no stop that an earlier owner ordered can be under
+// way: a run that is being stopped is still listed as at work.
+func (l *Ledger) stopsKnown(now time.Time) bool {
+	return l.fresh || now.Sub(l.began) > l.Timing.Stop+stopSlack
+}
+
+// stopSlack is how long a stop may be on its way, and its end until it is
+// listed.
+const stopSlack = time.Second
+
 // mayMiss tells whether the work unit's step can do without it for a while. A
 // step without a budget is treated as one that can miss one.
 func (u *unit) mayMiss() bool {
--- a/internal/job/bbrledger/ledger.go
+++ b/internal/job/bbrledger/ledger.go
@@ -18,6 +18,8 @@
 	// Handover is how long an earlier owner may still believe in its claim
 	// after this one's began.
 	Handover time.Duration
+	// Stop is how long stopping a run takes at most.
+	Stop time.Duration
 	// GangWait is how long an upstream waits for the members of a gang.
 	GangWait time.Duration
 	// Notice is how long a lasting work unit may need to be at work again.
--- a/internal/job/bbrledger/ledger_test.go
+++ b/internal/job/bbrledger/ledger_test.go
@@ -17,6 +17,7 @@
 	Hold:        4500 * time.Millisecond,
 	StartWithin: 1500 * time.Millisecond,
 	Handover:    2200 * time.Millisecond,
+	Stop:        900 * time.Millisecond,
 	GangWait:    3 * time.Second,
 	Notice:      4500 * time.Millisecond,
 	Harm:        4 * time.Second,
@@ -259,3 +260,20 @@
 	}
 	require.Equal(t, bbrwork.Failed, s.store()[0].Final)
 }
+
+func TestSuccessorWaitsForEarlierStopsBeforeItEvacuates(t *testing.T) {
+	lasting := unitStep(2)
+	lasting.Lasting, lasting.MayMiss, lasting.MaxPerUpstream = true, 1, 1
+	s := newScene(t, false)
+	s.ledger.Accepted(&bbrwork.Job{ID: testJob, Queue: "proofs", Service: "press", Spec: "x", Steps: []bbrwork.Step{lasting}, Accepted: s.now}, nil, s.now)
+	s.ledger.Loaded([]bbrwork.Upstream{s.upstream("i-1"), s.upstream("i-2")}, s.now)
+	// The earlier owner may be stopping the one on i-2 already.
+	for index, id := range []string{"i-1", "i-2"} {
+		s.register(id)
+		s.listRunning(id, []bbrwork.Run{{Unit: unitName(index), Number: 1, Percent: 100}})
+	}
+	s.ledger.Reserve(map[string]bool{"i-1": true}, s.now)
+	require.Empty(t, s.plan().Stops)
+	s.wait(testTiming.Stop + stopSlack)
+	require.Len(t, s.plan().Stops, 1)
+}
--- a/internal/job/bbrledger/stops.go
+++ b/internal/job/bbrledger/stops.go
@@ -20,7 +20,7 @@
 func (p *planner) stops() {
 	for _, up := range p.ledger.sortedUpstreams() {
 		for _, r := range up.runs {
-			if why := r.unwanted(p.now); why != "" {
+			if why := p.ledger.unwanted(r, p.now); why != "" {
 				p.stop(r, why)
 			}
 		}
@@ -29,7 +29,7 @@
 }
 
 // unwanted returns why a run should be stopped, or nothing.
-func (r *run) unwanted(now time.Time) string {
+func (l *Ledger) unwanted(r *run, now time.Time) string {
 	u := r.unit
 	switch {
 	case u.step.job.final != "":
@@ -44,7 +44,7 @@
 		return r.stopWhy
 	case r.up.Draining && u.step.shape.Lasting && r.phase == phaseRunning:
 		return "upstream drains"
-	case !r.up.reserved.IsZero() && r.phase == phaseRunning && r.evacuate(now):
+	case !r.up.reserved.IsZero() && r.phase == phaseRunning && l.evacuate(r, now):
 		return "upstream is reserved"
 	default:
 		return ""
