--- a/internal/job/bbrledger/ledger_test.go
+++ b/internal/job/bbrledger/ledger_test.go
@@ -277,3 +277,27 @@
 	s.wait(testTiming.Stop + stopSlack)
 	require.Len(t, s.plan().Stops, 1)
 }
+
+func TestBusyPoolKeepsWorkNearItsData(t *testing.T) {
+	near := unitStep(1)
+	near.DataRack, near.Estimate = "rack-1", 10*time.Second
+	fill := unitStep(4)
+	fill.Need.MilliCPU = 1000
+	s := newScene(t, true, "i-1")
+	far := s.upstream("i-2")
+	far.Labels = []string{"a", "rack-2"}
+	s.ledger.Upstream(far, s.now)
+	s.list("i-2")
+	s.accept(testJob, fill)
+	s.started(s.plan(), nil)
+	s.accept("00000000000000a2", fill)
+	s.started(s.plan(), nil)
+	s.accept("00000000000000a3", near)
+	require.Empty(t, s.plan().Starts, "no room near the data, and far it would be late")
+	// A listing without them shows that the runs on i-1 are over.
+	s.list("i-1")
+	plan := s.plan()
+	last := plan.Starts[len(plan.Starts)-1]
+	require.Equal(t, "00000000000000a3", last.Start.Unit.Job)
+	require.Equal(t, "i-1", last.Upstream.ID)
+}
--- a/internal/job/bbrledger/plan.go
+++ b/internal/job/bbrledger/plan.go
@@ -44,6 +44,10 @@
 	now    time.Time
 	// usable are the upstreams that may take work, by ID.
 	usable []*upstream
+	// racks counts the usable upstreams of each rack.
+	racks map[string]int
+	// busy means that over half of the usable processor room is taken.
+	busy bool
 	plan   Plan
 }
 
@@ -78,6 +82,24 @@
 	if len(p.usable) == 0 {
 		p.usable = suspects
 	}
+	var room, used bbrwork.Resources
+	p.racks = make(map[string]int)
+	for _, up := range p.usable {
+		room, used = room.Plus(up.Room), used.Plus(up.used)
+		p.racks[up.Rack()]++
+	}
+	p.busy = 2*used.MilliCPU > room.MilliCPU
+}
+
+// mayRunFar tells whether a step may run away from its data now. It takes
+// several times as long there, so in a busy pool it waits for its rack unless
+// its job can meet the objective all the same.
+func (p *planner) mayRunFar(s *step) bool {
+	if !p.busy || p.racks[s.shape.DataRack] == 0 {
+		return true
+	}
+	longer := time.Duration((p.ledger.Timing.FarFactor - 1) * float64(s.shape.Estimate))
+	return p.now.Add(s.remaining + longer).Before(s.job.objective(s.occurrence))
 }
 
 // entitle tells whether the store lists the life as one on which work may run,
@@ -225,6 +247,9 @@
 	if up.leavesBefore(s.shape, p.now) {
 		return false
 	}
+	if s.shape.DataRack != "" && !up.HasLabel(s.shape.DataRack) && !p.mayRunFar(s) {
+		return false
+	}
 	if s.shape.MaxPerUpstream > 0 && s.runsOn(up) >= s.shape.MaxPerUpstream {
 		return false
 	}
