--- a/internal/job/bbrledger/ledger_test.go
+++ b/internal/job/bbrledger/ledger_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/netip"
-	"slices"
 	"testing"
 	"time"
 
@@ -295,10 +294,16 @@
 	s.started(s.plan(), nil)
 	s.accept("00000000000000a3", near)
 	require.Empty(t, s.plan().Starts, "no room near the data, and far it would be late")
-	// A listing without them shows that the runs on i-1 are over.
-	s.list("i-1")
+	var still []bbrwork.Run
+	for key := range s.ledger.upstreams["i-1"].runs {
+		if key.unit.Job == "00000000000000a2" {
+			still = append(still, bbrwork.Run{Unit: key.unit, Number: key.number})
+		}
+	}
+	s.listRunning("i-1", still,
+		bbrwork.End{Number: 1, Unit: unitName(0), Run: 1, How: bbrwork.HowDone},
+		bbrwork.End{Number: 2, Unit: unitName(2), Run: 1, How: bbrwork.HowDone})
 	plan := s.plan()
-	at := slices.IndexFunc(plan.Starts, func(o StartOrder) bool { return o.Start.Unit.Job == "00000000000000a3" })
-	require.GreaterOrEqual(t, at, 0)
-	require.Equal(t, "i-1", plan.Starts[at].Upstream.ID)
+	require.Len(t, plan.Starts, 1)
+	require.Equal(t, "i-1", plan.Starts[0].Upstream.ID)
 }
