--- a/internal/config/bbrsettings/parse.go
+++ b/internal/config/bbrsettings/parse.go
@@ -50,7 +50,6 @@
 	c.require(s.Entry != "", bbrcode.SettingsMissing, "entry", "must name the entry")
 	c.require(s.Zone != "", bbrcode.SettingsMissing, "zone", "must name the availability zone")
 	c.address(s.Listen.Callers, "listen.callers")
-	c.address(s.Platform.Address, "platform.address")
 	bothOrNone := (s.Listen.TLS.Certificate == "") == (s.Listen.TLS.Key == "")
 	c.require(bothOrNone, bbrcode.SettingsInvalid, "listen.tls", "certificate and key go together")
 }
@@ -61,11 +60,13 @@
 	case ProtocolOwn:
 		c.address(s.Listen.Operators, "listen.operators")
 		c.address(s.Listen.Peers, "listen.peers")
+		c.address(s.Platform.Address, "platform.address")
 		c.require(!s.Listen.Peers.Addr().IsUnspecified(), bbrcode.SettingsInvalid, "listen.peers", "must be an address that the other entries can reach")
 		c.require(len(s.Operators.Token) >= leastToken, bbrcode.SettingsMissing, "operators.token", "must have at least %d characters", leastToken)
 	case ProtocolFleet:
 		c.address(s.Listen.Readiness, "listen.readiness")
 		c.address(s.Listen.Metrics, "listen.metrics")
+		c.address(s.Platform.Address, "platform.address")
 		c.address(s.Platform.Machines, "platform.machines")
 		c.jobs(s.Jobs)
 	default:
--- a/internal/daemon/bbrcommand/check_test.go
+++ b/internal/daemon/bbrcommand/check_test.go
@@ -38,7 +38,7 @@
 	require.Equal(t, []string{
 		`5002 settingsUnknown at line 2, column 1: entry: the field is given twice`,
 		`5003 settingsInvalid at line 5, column 12: listen.callers: "nowhere" is not a netip.AddrPort`,
-		`5002 settingsUnknown at line 7, column 3: listen.cellars: unknown field; allowed are callers, operators, peers, tls`,
+		`5002 settingsUnknown at line 7, column 3: listen.cellars: unknown field; allowed are callers, operators, peers, readiness, metrics, tls`,
 		`5003 settingsInvalid at line 11, column 11: shutdown: must be a mapping of fields`,
 		`5004 settingsMissing at line 3, column 1: zone: must name the availability zone`,
 		`5004 settingsMissing at line 5, column 3: listen.callers: must be an IP address and port, such as 10.0.0.1:7001`,
--- a/internal/fleet/bbrupkeep/planner.go
+++ b/internal/fleet/bbrupkeep/planner.go
@@ -43,8 +43,6 @@
 	// began is when the wave was first seen.
 	began time.Time
 	done  map[string]bool
-	// told is the state that was stored last.
-	told string
 }
 
 // task is one instance that is being taken away.
--- a/internal/job/bbrledger/job.go
+++ b/internal/job/bbrledger/job.go
@@ -89,7 +89,6 @@
 	// pace is the share of speed that was last ordered, in percent.
 	pace     int
 	pacedAt  time.Time
-	overFrom time.Time
 	stopSent time.Time
 	stopWhy  string
 }
--- a/internal/job/bbrledger/plan.go
+++ b/internal/job/bbrledger/plan.go
@@ -48,7 +48,7 @@
 	racks map[string]int
 	// busy means that over half of the usable processor room is taken.
 	busy bool
-	plan   Plan
+	plan Plan
 }
 
 // Plan decides what to do now. Starts are planned only while the claim is
