--- /dev/null
+++ b/internal/standin/bbrfleet/storehttp.go
@@ -0,0 +1,114 @@
+package bbrfleet
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/gorilla/mux"
+)
+
+func (f *Fleet) routeStore(router *mux.Router) {
+	router.HandleFunc("/kv-key", f.serveGet).Methods(http.MethodGet)
+	router.HandleFunc("/kv-range", f.serveRange).Methods(http.MethodGet)
+	router.HandleFunc("/kv-watch", f.serveWatch).Methods(http.MethodGet)
+	router.HandleFunc("/kv-txn", f.serveCommit).Methods(http.MethodPost)
+	router.HandleFunc("/kv-lease", f.serveGrant).Methods(http.MethodPost)
+	router.HandleFunc("/kv-keep/{id}", f.serveRenew).Methods(http.MethodPost)
+	router.HandleFunc("/kv-lease-end/{id}", f.serveRevoke).Methods(http.MethodDelete)
+}
+
+// reply writes a JSON answer.
+func reply(w http.ResponseWriter, status int, body any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(body)
+}
+
+type page struct {
+	Items  []Item `json:"items,omitempty"`
+	Events []Item `json:"events,omitempty"`
+	More   bool   `json:"has_more"`
+	AsOf   int64  `json:"as_of"`
+}
+
+func (f *Fleet) serveGet(w http.ResponseWriter, r *http.Request) {
+	item, asOf, ok := f.store.Get(r.URL.Query().Get("key"), time.Now())
+	if !ok {
+		reply(w, http.StatusNotFound, page{AsOf: asOf})
+		return
+	}
+	reply(w, http.StatusOK, item)
+}
+
+func (f *Fleet) serveRange(w http.ResponseWriter, r *http.Request) {
+	items, asOf := f.store.Range(r.URL.Query().Get("prefix"), r.URL.Query().Get("after"), time.Now())
+	reply(w, http.StatusOK, page{Items: items, AsOf: asOf})
+}
+
+func (f *Fleet) serveWatch(w http.ResponseWriter, r *http.Request) {
+	query := r.URL.Query()
+	after, _ := strconv.ParseInt(query.Get("after"), 10, 64)
+	wait, _ := strconv.Atoi(query.Get("wait_ms"))
+	events, asOf := f.store.Watch(r.Context(), query.Get("prefix"), after, time.Duration(wait)*time.Millisecond)
+	reply(w, http.StatusOK, page{Events: events, AsOf: asOf})
+}
+
+func (f *Fleet) serveCommit(w http.ResponseWriter, r *http.Request) {
+	var in Transaction
+	if err := json.NewDecoder(r.Body).Decode(&in); err != nil || len(in.Conditions)+len(in.Puts)+len(in.Removals) > 32 {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	for _, put := range in.Puts {
+		if strings.HasPrefix(put.Key, "op/") || strings.HasPrefix(put.Key, "servers/") {
+			w.WriteHeader(http.StatusForbidden)
+			return
+		}
+	}
+	revision, conflict, noLease := f.store.Commit(in, time.Now())
+	switch {
+	case noLease:
+		w.WriteHeader(http.StatusNotFound)
+	case conflict != nil:
+		reply(w, http.StatusPreconditionFailed, page{Items: conflict})
+	default:
+		reply(w, http.StatusOK, Item{Revision: revision})
+	}
+}
+
+type leaseBody struct {
+	Lease int64 `json:"lease,omitempty"`
+	TTLMs int64 `json:"ttl_ms"`
+}
+
+func (f *Fleet) serveGrant(w http.ResponseWriter, r *http.Request) {
+	var in leaseBody
+	if err := json.NewDecoder(r.Body).Decode(&in); err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	id := f.store.Grant(time.Duration(in.TTLMs)*time.Millisecond, time.Now())
+	reply(w, http.StatusOK, leaseBody{Lease: id, TTLMs: in.TTLMs})
+}
+
+func leaseID(r *http.Request) int64 {
+	id, _ := strconv.ParseInt(mux.Vars(r)["id"], 10, 64)
+	return id
+}
+
+func (f *Fleet) serveRenew(w http.ResponseWriter, r *http.Request) {
+	ttl, ok := f.store.Renew(leaseID(r), time.Now())
+	if !ok {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	reply(w, http.StatusOK, leaseBody{TTLMs: ttl.Milliseconds()})
+}
+
+func (f *Fleet) serveRevoke(w http.ResponseWriter, r *http.Request) {
+	f.store.Revoke(leaseID(r), time.Now())
+	reply(w, http.StatusOK, struct{}{})
+}
--- a/internal/standin/bbrprogram/program.go
+++ b/internal/standin/bbrprogram/program.go
@@ -27,6 +27,8 @@
 	Upstream upstreamCommand `cmd:"" help:"Run stand-ins for upstreams."`
 	Relay    relayCommand    `cmd:"" help:"Run a stand-in for the network before one address."`
 	Caller   callerCommand   `cmd:"" help:"Send a bounded load and check every answer."`
+	Fleet    fleetCommand    `cmd:"" help:"Run a stand-in for the platform's fleet: store, machines and upstreams."`
+	Jobs     jobsCommand     `cmd:"" help:"Submit a bounded load of jobs and wait for their ends."`
 }
 
 type platformCommand struct {
