--- a/internal/job/bbrintake/acceptor.go
+++ b/internal/job/bbrintake/acceptor.go
@@ -97,8 +97,10 @@
 	store *bbritem.Store
 	batch []*submission
 	slots chan struct{}
-	// lost means that an earlier sending may have been carried out.
-	lost bool
+	// lost means that an earlier sending may have been carried out; settleBy is
+	// until when the writer asks for what became of it.
+	lost     bool
+	settleBy time.Time
 }
 
 func (w *writer) run(ctx context.Context) {
@@ -122,7 +124,9 @@
 	case errors.As(err, &conflict):
 		w.answer(func(s *submission) bbrcode.Code { return stored(conflict, s) })
 	case errors.Is(err, bbritem.ErrLost):
-		w.lost = true
+		if !w.lost {
+			w.lost, w.settleBy = true, time.Now().Add(settleFor)
+		}
 	case w.lost:
 		time.Sleep(settlePause)
 	case errors.Is(err, bbritem.ErrRefused):
@@ -135,6 +139,9 @@
 const (
 	// settlePause is between two attempts to settle a lost answer.
 	settlePause = 60 * time.Millisecond
+	// settleFor bounds the attempts: another entry may reach the store where this
+	// one does not, so the caller is told soon.
+	settleFor = 600 * time.Millisecond
 	// settleMargin is left of the caller's time for the answer.
 	settleMargin = 300 * time.Millisecond
 )
@@ -144,6 +151,8 @@
 func (w *writer) dropLate(now time.Time) {
 	w.answer(func(s *submission) bbrcode.Code {
 		switch {
+		case w.lost && now.After(w.settleBy):
+			return bbrcode.StoreUnsettled
 		case now.Before(s.by.Add(-settleMargin)):
 			return 0
 		case w.lost:
--- /dev/null
+++ b/internal/job/bbrintake/acceptor_test.go
@@ -0,0 +1,125 @@
+package bbrintake
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/bluebellridge/bluebellridge/internal/base/bbrcode"
+	"github.com/bluebellridge/bluebellridge/internal/job/bbrrecord"
+	"github.com/bluebellridge/bluebellridge/internal/job/bbrwork"
+	"github.com/bluebellridge/bluebellridge/internal/store/bbritem"
+)
+
+// scriptedStore answers commits by a script, and then as a store does.
+type scriptedStore struct {
+	mu     sync.Mutex
+	keys   map[string]bool
+	script []func(apply func() error) error
+	calls  int
+}
+
+func (s *scriptedStore) commit(_ context.Context, transaction bbritem.Transaction) (bbritem.Revision, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	apply := func() error { return s.apply(transaction) }
+	at := s.calls
+	s.calls++
+	if at < len(s.script) {
+		return 1, s.script[at](apply)
+	}
+	return 1, apply()
+}
+
+func (s *scriptedStore) apply(transaction bbritem.Transaction) error {
+	conflict := &bbritem.Conflict{Items: make(map[string]bbritem.Item)}
+	for _, condition := range transaction.Conditions {
+		if s.keys[condition.Key] {
+			conflict.Items[condition.Key] = bbritem.Item{Key: condition.Key, Revision: 1}
+		}
+	}
+	if len(conflict.Items) > 0 {
+		return conflict
+	}
+	for _, put := range transaction.Puts {
+		s.keys[put.Key] = true
+	}
+	return nil
+}
+
+func lostAfter(apply func() error) error {
+	_ = apply()
+	return bbritem.ErrLost
+}
+
+func lostBefore(func() error) error { return bbritem.ErrLost }
+
+func refused(func() error) error { return bbritem.ErrRefused }
+
+const (
+	firstID  = "00000000000000a1"
+	secondID = "00000000000000a2"
+)
+
+// accept accepts the jobs together and returns their codes and how long the
+// slowest took, on the virtual clock.
+func accept(t *testing.T, store *scriptedStore, ids ...string) (codes []bbrcode.Code, took time.Duration) {
+	synctest.Test(t, func(t *testing.T) {
+		a := NewAcceptor(&bbritem.Store{Commit: store.commit})
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go a.Run(ctx)
+		codes = make([]bbrcode.Code, len(ids))
+		began := time.Now()
+		var wg sync.WaitGroup
+		for i, id := range ids {
+			wg.Go(func() { codes[i] = a.Accept(&bbrwork.Job{ID: id}, began.Add(3*time.Second)) })
+		}
+		wg.Wait()
+		took = time.Since(began)
+	})
+	return codes, took
+}
+
+func TestAcceptance(t *testing.T) {
+	tests := []struct {
+		name   string
+		stored []string
+		script []func(apply func() error) error
+		want   []bbrcode.Code
+	}{
+		{name: "stored", want: []bbrcode.Code{bbrcode.Accepted, bbrcode.Accepted}},
+		{name: "one was stored before", stored: []string{firstID}, want: []bbrcode.Code{bbrcode.AlreadyStored, bbrcode.Accepted}},
+		{name: "answer lost, stored", script: []func(func() error) error{lostAfter}, want: []bbrcode.Code{bbrcode.AlreadyStored, bbrcode.AlreadyStored}},
+		{name: "answer lost, not stored", script: []func(func() error) error{lostBefore}, want: []bbrcode.Code{bbrcode.Accepted, bbrcode.Accepted}},
+		{name: "refused", script: []func(func() error) error{refused}, want: []bbrcode.Code{bbrcode.StoreAway, bbrcode.StoreAway}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			store := &scriptedStore{keys: make(map[string]bool), script: test.script}
+			for _, id := range test.stored {
+				store.keys[bbrrecord.JobKey(id)] = true
+			}
+			codes, _ := accept(t, store, firstID, secondID)
+			require.Equal(t, test.want, codes)
+		})
+	}
+}
+
+// TestRefusalAfterALostAnswerIsNotSaidToBeNotStored holds the difference
+// between 503, which is only said where nothing was stored and never will be,
+// and 504. The caller is told long before it would leave.
+func TestRefusalAfterALostAnswerIsNotSaidToBeNotStored(t *testing.T) {
+	store := &scriptedStore{keys: make(map[string]bool)}
+	store.script = append(store.script, lostBefore)
+	for range 100 {
+		store.script = append(store.script, refused)
+	}
+	codes, took := accept(t, store, firstID)
+	require.Equal(t, []bbrcode.Code{bbrcode.StoreUnsettled}, codes)
+	require.Less(t, took, 2*settleFor)
+}
--- a/internal/job/bbrledger/plan.go
+++ b/internal/job/bbrledger/plan.go
@@ -187,12 +187,25 @@
 
 func (p *planner) starts() {
 	for _, c := range p.candidates() {
+		before := len(p.plan.Starts)
 		if c.step.shape.Gang {
 			p.startGang(c.step)
-			continue
+		} else {
+			p.startStep(c.step)
 		}
-		p.startStep(c.step)
+		p.tell(c, p.plan.Starts[before:])
+	}
+}
+
+// tell notes what was started of a step, and what decided it.
+func (p *planner) tell(c candidate, starts []StartOrder) {
+	if len(starts) == 0 {
+		return
 	}
+	job := c.step.job
+	p.ledger.note(p.now, "Work units started", "job", job.ID, "step", c.step.number, "occurrence", c.step.occurrence.number,
+		"count", len(starts), "waiting", c.step.idle, "firstOn", starts[0].Upstream.ID, "run", starts[0].Start.Run,
+		"tier", c.tier, "untilObjective", c.by.Sub(p.now).Round(time.Millisecond), "age", p.now.Sub(job.Accepted).Round(time.Millisecond))
 }
 
 func (p *planner) startStep(s *step) {
