--- a/internal/job/bbrledger/evacuate.go
+++ b/internal/job/bbrledger/evacuate.go
@@ -21,7 +21,7 @@
 	case shape.Lasting && shape.Fills:
 		return true
 	case shape.Lasting:
-		return r.percent < fullPercent || r.unit.mayMiss() && l.stopsKnown(now)
+		return l.idles(r, now) || r.unit.mayMiss() && l.stopsKnown(now)
 	case shape.Checkpoints:
 		return reserved > saveAfter
 	default:
@@ -29,6 +29,12 @@
 	}
 }
 
+// idles tells whether lasting work has been listed as not at work for so long
+// that it is. Shortly after its start, a listing may be behind.
+func (l *Ledger) idles(r *run, now time.Time) bool {
+	return r.percent < fullPercent && !r.confirmed.IsZero() && now.Sub(r.confirmed) > l.Timing.Notice
+}
+
 // stopsKnown tells whether no stop that an earlier owner ordered can be under
 // way: a run that is being stopped is still listed as at work.
 func (l *Ledger) stopsKnown(now time.Time) bool {
--- a/internal/job/bbrledger/ledger_test.go
+++ b/internal/job/bbrledger/ledger_test.go
@@ -307,3 +307,16 @@
 	require.Len(t, plan.Starts, 1)
 	require.Equal(t, "i-1", plan.Starts[0].Upstream.ID)
 }
+
+func TestLastingWorkThatBeginsCountsAsAtWork(t *testing.T) {
+	lasting := unitStep(2)
+	lasting.Lasting, lasting.MayMiss, lasting.MaxPerUpstream = true, 1, 1
+	s := newScene(t, true, "i-1", "i-2")
+	s.accept(testJob, lasting)
+	plan := s.plan()
+	require.Len(t, plan.Starts, 2)
+	s.started(plan, nil)
+	// No listing has shown yet whether they are at work.
+	s.ledger.Reserve(map[string]bool{"i-1": true, "i-2": true}, s.now)
+	require.LessOrEqual(t, len(s.plan().Stops), 1)
+}
