--- a/internal/fleet/bbrupkeep/balance.go
+++ b/internal/fleet/bbrupkeep/balance.go
@@ -24,13 +24,13 @@
 
 const (
 	// fillShare is how much of an instance's room a pool is expected to fill.
-	fillShare = 0.85
+	fillShare = 0.75
 	// reserve is how many instances a pool has beyond its lasting work, so that a
 	// turn of demand begins at once.
 	reserve = 4
 	// restFor is how long an instance must have been too many before it goes to
 	// the spare pool. Another pool may take it at once.
-	restFor = 2 * time.Second
+	restFor = 3 * time.Second
 )
 
 // balance is the state of moving instances between pools.
