--- a/internal/job/bbrowner/flusher.go
+++ b/internal/job/bbrowner/flusher.go
@@ -60,17 +60,22 @@
 }
 
 func (f *flusher) run(ctx context.Context) {
+	// A transaction that is on its way at the end is waited for: without its
+	// outcome, the last one could not be made.
+	storing, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	defer context.AfterFunc(ctx, func() { time.AfterFunc(lastFlush, cancel) })()
 	timer := time.NewTicker(demandEvery)
 	defer timer.Stop()
 	for {
 		select {
 		case <-ctx.Done():
-			f.last()
+			f.last(storing)
 			return
 		case <-f.owner.flushNow:
 		case <-timer.C:
 		}
-		if err := f.flush(ctx); err != nil {
+		if err := f.flush(storing); err != nil {
 			bbrpause.For(ctx, flushRetry)
 			signal(f.owner.flushNow)
 			continue
@@ -80,9 +85,7 @@
 }
 
 // last stores what is left while the claim may still stand.
-func (f *flusher) last() {
-	ctx, cancel := context.WithTimeout(context.Background(), lastFlush)
-	defer cancel()
+func (f *flusher) last(ctx context.Context) {
 	if f.owner.ledger == nil || !f.owner.Confirmed(time.Now()) {
 		return
 	}
