--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -21,7 +21,7 @@
 done
 trap cleanup EXIT
 [ -n "$claim" ] || { echo "demo failed: no free block of ports"; exit 1; }
-for file in examples/demo/*.yaml; do
+for file in examples/demo/*.yaml examples/fleet/*.yaml; do
   sed "s/:17\([0-9][0-9][0-9]\)/:$thousands\1/" "$file" >"$work/${file##*/}"
 done
 export BLUEBELLRIDGE_TOKEN=demo-token-of-no-secret BLUEBELLRIDGE_ENTRY=127.0.0.1:${thousands}201
@@ -37,6 +37,33 @@
 load() { bin/bbrstandin caller --queue proofs,account "$@"; }
 all="--entry 127.0.0.1:${thousands}101,127.0.0.1:${thousands}102,127.0.0.1:${thousands}103,127.0.0.1:${thousands}104"
 
+step "Jobs on the platform's fleet: three entries, six upstreams in two pools"
+addresses() { for i in "$@"; do printf '%s127.0.0.1:%s' "$separator" "${thousands}$i"; separator=,; done; separator=; }
+separator=
+start fleet bin/bbrstandin fleet --listen "127.0.0.1:${thousands}500" --workers "$(addresses 541 542 543 544 545 546)" --pools press,proofs
+until_true curl -fs "http://127.0.0.1:${thousands}500/machines"
+for entry in f1 f2 f3; do start "$entry" bin/bluebellridged run "$work/entry-$entry.yaml"; done
+curl -fsS -X PUT "http://127.0.0.1:${thousands}500/operator/op/config" -d @examples/fleet/config.json >/dev/null
+for port in 521 522 523; do until_true curl -fs "http://127.0.0.1:${thousands}$port/ready"; done
+submit() { bin/bbrstandin jobs --host print.example "$@"; }
+entries="$(addresses 511 512 513)"
+submit --entry "$entries" --prefix /press/ --jobs 20 || fail "jobs"
+
+step "A maintenance wave over all six instances, and an entry dies under load"
+submit --entry "$entries" --prefix /proofs/ --jobs 80 --seed 2 >"$work/jobs.json" & loading=$!
+curl -fsS -X PUT "http://127.0.0.1:${thousands}500/operator/op/wave/1" -d '{"wave":1,"machines":["m-1","m-2","m-3","m-4","m-5","m-6"],"deadline_s":20,"cap":2}' >/dev/null
+sleep 1
+kill -KILL "$pid_f1"
+wait "$loading" || fail "$(cat "$work/jobs.json")"
+cat "$work/jobs.json"
+wave_done() { curl -fs "http://127.0.0.1:${thousands}500/kv-key?key=status/wave/1" | grep -q eyJzdGF0ZSI6ImNvbXBsZXRlZCJ9; }
+until_true wave_done
+facts=$(curl -fs "http://127.0.0.1:${thousands}500/facts")
+echo "the upstreams saw: $facts"
+[[ $facts == *'"Faults":null'* ]] || fail "$facts"
+for name in f2 f3; do eval "pid=\$pid_$name"; kill -TERM "$pid"; wait "$pid" || fail "$name did not stop well"; done
+kill "$pid_fleet"
+
 step "Starting the platform, six upstreams and four entries in two availability zones"
 start platform bin/bbrstandin platform --listen 127.0.0.1:${thousands}000
 start upstreams bin/bbrstandin upstream --listen 127.0.0.1:${thousands}401,127.0.0.1:${thousands}402,127.0.0.1:${thousands}403,127.0.0.1:${thousands}404,127.0.0.1:${thousands}405,127.0.0.1:${thousands}406
