--- a/internal/config/bbrsettings/parse.go
+++ b/internal/config/bbrsettings/parse.go
@@ -93,6 +93,7 @@
 	c.size(l.InProgress, 1, mostInProgress, "limits.inProgress")
 	c.size(int64(l.Keys), 1, mostKeys, "limits.keys")
 	c.size(l.KeptAnswerBytes, 0, 1<<30, "limits.keptAnswerBytes")
+	c.require(l.CPUShare > 0 && l.CPUCores > 0, bbrcode.SettingsInvalid, "limits", "cpuShare and cpuCores must be above 0")
 	c.size(int64(l.MemoryMB), 0, 1<<20, "limits.memoryMB")
 }
 
--- a/internal/config/bbrsettings/settings.go
+++ b/internal/config/bbrsettings/settings.go
@@ -103,6 +103,10 @@
 	KeptAnswerBytes int64 `yaml:"keptAnswerBytes"`
 	// MemoryMB is what the process may use in megabytes; 0 for no bound.
 	MemoryMB int `yaml:"memoryMB"`
+	// CPUShare of CPUCores is the processor time that the process has; entries
+	// with more take over services first.
+	CPUShare float64 `yaml:"cpuShare"`
+	CPUCores float64 `yaml:"cpuCores"`
 }
 
 // Timing is the process's clock settings.
@@ -140,6 +144,8 @@
 			InProgress:      2000,
 			Keys:            20_000,
 			KeptAnswerBytes: 8 << 20,
+			CPUShare:        1,
+			CPUCores:        1,
 		},
 		Timing: Timing{
 			Dial:         time.Second,
--- a/internal/daemon/bbrserve/plugin.go
+++ b/internal/daemon/bbrserve/plugin.go
@@ -76,7 +76,7 @@
 		store:    store,
 		config:   &bbrfollow.Follower{Store: store, Key: bbrwire.ConfigKey, Decode: bbrwire.Config},
 		registry: &bbrregistry.Registry{Decode: bbrwire.Registration},
-		session:  &bbrclaim.Session{Store: store, Entry: settings.Entry, Zone: settings.Zone, Incarnation: uuid.NewString()},
+		session:  &bbrclaim.Session{Store: store, Entry: settings.Entry, Zone: settings.Zone, Incarnation: uuid.NewString(), MilliCPU: milliCPU(settings.Limits)},
 		claims:   &bbrclaim.Directory{},
 		acceptor: bbrintake.NewAcceptor(store),
 	}
@@ -107,6 +107,12 @@
 	return s
 }
 
+// milliCPU is the processor time of the process in thousandths of a core.
+func milliCPU(limits bbrsettings.Limits) int {
+	const thousandths = 1000
+	return int(limits.CPUShare * limits.CPUCores * thousandths)
+}
+
 func start(lifecycle fx.Lifecycle, s *service) {
 	lifecycle.Append(fx.StartStopHook(s.start, s.stop))
 }
@@ -121,10 +127,6 @@
 // found out soon after.
 const watchWait = time.Second
 
-// upstreamGather is the pause after events of upstreams. Each writes when it
-// reports that it lives.
-const upstreamGather = 200 * time.Millisecond
-
 // reportEvery is between two lines with what the counters gained.
 const reportEvery = 10 * time.Second
 
@@ -134,14 +136,14 @@
 	session, endSession := context.WithCancel(context.Background())
 	s.endSession = endSession
 	fleet := &bbritem.Follower{Store: s.store, Prefix: bbrclaim.FleetPrefix, Wait: watchWait, Snapshot: s.claims.Snapshot, Change: s.claims.Change}
-	upstreams := &bbritem.Follower{Store: s.store, Prefix: bbrwire.UpstreamPrefix, Wait: watchWait, Gather: upstreamGather, Snapshot: s.registry.Snapshot, Change: s.registry.Change}
+	upstreams := &upstreamWatch{service: s}
 	s.keep.Go(func() { s.session.Run(session) })
 	s.keep.Go(func() { s.acceptor.Run(session) })
 	s.keep.Go(func() { s.config.Run(session) })
 	reporter := &bbrmetric.Reporter{Registry: s.metrics.Registry, Every: reportEvery}
 	s.keep.Go(func() { reporter.Run(session) })
 	s.running.Go(func() { fleet.Run(running) })
-	s.running.Go(func() { upstreams.Run(running) })
+	s.running.Go(func() { upstreams.run(running) })
 	s.running.Go(func() { s.claimer.Run(running) })
 	for _, server := range s.servers {
 		if err := server.Start(ctx); err != nil {
--- a/internal/fleet/bbrclaim/directory.go
+++ b/internal/fleet/bbrclaim/directory.go
@@ -206,28 +206,35 @@
 	for _, claim := range d.claims {
 		held[claim.Entry]++
 	}
-	own := preference{held[entry], d.seen[entryPrefix+entry]}
+	own := d.preferenceOf(entry, held)
 	rank := 0
 	for name := range d.entries {
-		if name != entry && (preference{held[name], d.seen[entryPrefix+name]}).before(own) {
+		if name != entry && d.preferenceOf(name, held).before(own) {
 			rank++
 		}
 	}
 	return rank
 }
 
-// preference orders entries for a claim: few claims first, and then the one
-// that registered last, since entries that are restarted in turn are least
-// likely to be stopped again soon.
+func (d *Directory) preferenceOf(entry string, held map[string]int) preference {
+	return preference{held: held[entry], milliCPU: d.entries[entry].MilliCPU, registered: d.seen[entryPrefix+entry]}
+}
+
+// preference orders entries for a claim: few claims first, then much processor
+// time, and then the one that registered last, since entries that are restarted
+// in turn are least likely to be stopped again soon.
 type preference struct {
-	held       int
-	registered bbritem.Revision
+	held, milliCPU int
+	registered     bbritem.Revision
 }
 
 func (p preference) before(other preference) bool {
 	if p.held != other.held {
 		return p.held < other.held
 	}
+	if p.milliCPU != other.milliCPU {
+		return p.milliCPU > other.milliCPU
+	}
 	return p.registered > other.registered
 }
 
--- a/internal/fleet/bbrclaim/session.go
+++ b/internal/fleet/bbrclaim/session.go
@@ -32,6 +32,8 @@
 	Incarnation string `json:"incarnation"`
 	// Lease is ended by a successor under the same name.
 	Lease bbritem.Lease `json:"lease"`
+	// MilliCPU is the processor time that the entry has.
+	MilliCPU int `json:"milliCPU"`
 }
 
 // Session is the entry's lease and registration.
@@ -39,6 +41,9 @@
 	Store *bbritem.Store
 	// Entry, Zone and Incarnation identify the process.
 	Entry, Zone, Incarnation string
+	// MilliCPU is the processor time that the process has, in thousandths of a
+	// core.
+	MilliCPU int
 
 	mu        sync.Mutex
 	lease     bbritem.Lease
@@ -130,7 +135,7 @@
 	if err != nil {
 		return err
 	}
-	record, err := json.Marshal(entryRecord{Entry: s.Entry, Zone: s.Zone, Incarnation: s.Incarnation, Lease: lease})
+	record, err := json.Marshal(entryRecord{Entry: s.Entry, Zone: s.Zone, Incarnation: s.Incarnation, Lease: lease, MilliCPU: s.MilliCPU})
 	if err != nil {
 		return err
 	}
--- a/internal/fleet/bbrregistry/registry.go
+++ b/internal/fleet/bbrregistry/registry.go
@@ -39,6 +39,17 @@
 	}
 }
 
+// Reset forgets everything.
+func (r *Registry) Reset() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	clear(r.ups)
+	clear(r.seen)
+	for service := range r.numbers {
+		r.numbers[service]++
+	}
+}
+
 // Change applies one event.
 func (r *Registry) Change(item bbritem.Item, now time.Time) {
 	r.mu.Lock()
