job/bbrsweeper, base/bbrlog: old records are swept, dropped lines are told; large files split

Records of ended jobs were kept for ever; they go after status time and a minute. Settings and lengths that nothing used are gone. keeper.go, plan.go and the ledger's store.go are split by concept; no decision changed.

--- a/internal/base/bbrlog/writer.go
+++ b/internal/base/bbrlog/writer.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"flag"
+	"fmt"
 	"io"
 	"sync/atomic"
 	"time"
@@ -17,6 +18,8 @@
 	// linesPerSecond and burstLines bound the volume under load.
 	linesPerSecond = 400
 	burstLines     = 1200
+	// tellDropped is the least time between two lines about dropped ones.
+	tellDropped = 5 * time.Second
 )
 
 // Writer passes lines on from its own goroutine.
@@ -56,10 +59,18 @@
 
 // Run passes lines on until ctx ends, and then those that wait.
 func (w *Writer) Run(ctx context.Context) {
+	ticker := time.NewTicker(tellDropped)
+	defer ticker.Stop()
+	told := int64(0)
 	for {
 		select {
 		case line := <-w.lines:
 			_, _ = w.out.Write(line)
+		case <-ticker.C:
+			if dropped := w.Dropped(); dropped > told {
+				told = dropped
+				_, _ = fmt.Fprintf(w.out, "\"Log lines dropped\" total=%d written=%d\n", dropped, w.Written())
+			}
 		case <-ctx.Done():
 			w.drain()
 			return
--- a/internal/config/bbrsettings/parse.go
+++ b/internal/config/bbrsettings/parse.go
@@ -76,12 +76,9 @@
 
 func (c *checker) jobs(j Jobs) {
 	c.duration(j.Hold, time.Second, "jobs.hold")
-	c.duration(j.GangWait, time.Millisecond, "jobs.gangWait")
 	c.duration(j.Notice, time.Millisecond, "jobs.notice")
-	c.duration(j.Harm, time.Millisecond, "jobs.harm")
 	c.duration(j.KeepEnded, time.Second, "jobs.keepEnded")
 	c.duration(j.DutyLease, 0, "jobs.dutyLease")
-	c.duration(j.Move, 0, "jobs.move")
 	c.duration(j.Upkeep, 0, "jobs.upkeep")
 	c.duration(j.Stop, 0, "jobs.stop")
 	c.require(j.FarFactor >= 1, bbrcode.SettingsInvalid, "jobs.farFactor", "must be at least 1")
--- a/internal/config/bbrsettings/settings.go
+++ b/internal/config/bbrsettings/settings.go
@@ -37,12 +37,8 @@
 type Jobs struct {
 	// Hold is the longest lease that an upstream gives.
 	Hold time.Duration `yaml:"hold"`
-	// GangWait is how long an upstream waits for the members of a gang.
-	GangWait time.Duration `yaml:"gangWait"`
 	// Notice is how long lasting work may be away before it counts as missing.
 	Notice time.Duration `yaml:"notice"`
-	// Harm is how long serving work may be over its target.
-	Harm time.Duration `yaml:"harm"`
 	// FarFactor is how many times as long work takes far from its data.
 	FarFactor float64 `yaml:"farFactor"`
 	// KeepEnded is how long the state of an ended job can be asked for.
@@ -50,8 +46,7 @@
 	// DutyLease is the least time between the orders of two holders of the fleet
 	// duty.
 	DutyLease time.Duration `yaml:"dutyLease"`
-	// Move and Upkeep are how long an instance is away for them.
-	Move   time.Duration `yaml:"move"`
+	// Upkeep is how long an instance is away for its maintenance.
 	Upkeep time.Duration `yaml:"upkeep"`
 	// Stop is how long stopping a run takes at most.
 	Stop time.Duration `yaml:"stop"`
@@ -159,13 +154,10 @@
 		Shutdown: Shutdown{BalancerLag: 2 * time.Second, Grace: time.Minute},
 		Jobs: Jobs{
 			Hold:      6 * time.Second,
-			GangWait:  3 * time.Second,
 			Notice:    4500 * time.Millisecond,
-			Harm:      4 * time.Second,
 			FarFactor: 3,
 			KeepEnded: 2 * time.Minute,
 			DutyLease: 3 * time.Second,
-			Move:      1500 * time.Millisecond,
 			Upkeep:    2 * time.Second,
 			Stop:      time.Second,
 		},
--- a/internal/daemon/bbrserve/owners.go
+++ b/internal/daemon/bbrserve/owners.go
@@ -13,6 +13,7 @@
 	"github.com/bluebellridge/bluebellridge/internal/job/bbrledger"
 	"github.com/bluebellridge/bluebellridge/internal/job/bbrorder"
 	"github.com/bluebellridge/bluebellridge/internal/job/bbrowner"
+	"github.com/bluebellridge/bluebellridge/internal/job/bbrsweeper"
 	"github.com/bluebellridge/bluebellridge/platform/bbrwire"
 )
 
@@ -94,9 +95,7 @@
 			StartWithin: startWithin,
 			Handover:    bbrclaim.Belief,
 			Stop:        jobs.Stop,
-			GangWait:    jobs.GangWait,
 			Notice:      jobs.Notice,
-			Harm:        jobs.Harm,
 			FarFactor:   jobs.FarFactor,
 		},
 		Confirmed:  func(now time.Time) bool { return s.session.Confirmed(held.Lease, now) },
@@ -157,6 +156,12 @@
 		Owned:      o.owned,
 		Lease:      s.settings.Jobs.DutyLease,
 	}
+	sweeper := &bbrsweeper.Sweeper{Store: s.store, Condition: held.Condition(), Keep: s.settings.Jobs.KeepEnded}
+	sweeping, end := context.WithCancel(ctx)
+	var wg sync.WaitGroup
+	wg.Go(func() { sweeper.Run(sweeping) })
 	keeper.Run(ctx, s.settings.Jobs.Upkeep)
+	end()
+	wg.Wait()
 	s.claimer.Release(held)
 }
--- /dev/null
+++ b/internal/fleet/bbrupkeep/sending.go
@@ -0,0 +1,63 @@
+package bbrupkeep
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"k8s.io/klog/v2"
+
+	"github.com/bluebellridge/bluebellridge/internal/fleet/bbrmachine"
+)
+
+// send makes the calls that are not on their way already.
+func (k *Keeper) send(ctx context.Context, orders []Order) {
+	for _, order := range orders {
+		k.mu.Lock()
+		busy := k.ordering[order.Instance]
+		k.ordering[order.Instance] = true
+		k.mu.Unlock()
+		if busy {
+			continue
+		}
+		s := &sending{keeper: k, order: order}
+		k.wg.Go(func() { s.run(ctx) })
+	}
+}
+
+// sending is one call to the platform.
+type sending struct {
+	keeper *Keeper
+	order  Order
+}
+
+func (s *sending) run(ctx context.Context) {
+	k := s.keeper
+	holder := bbrmachine.Holder{Entry: k.Entry, Token: int64(k.Held.Token)}
+	var err error
+	if s.order.Wave != 0 {
+		err = k.Fleet.Maintain(ctx, holder, s.order.Instance, s.order.Wave)
+	} else {
+		err = k.Fleet.Move(ctx, holder, s.order.Instance, s.order.Pool)
+	}
+	klog.InfoS("Instance ordered", "instance", s.order.Instance, "wave", s.order.Wave, "pool", s.order.Pool, "token", k.Held.Token, "outcome", errorText(err))
+	k.Metrics.Event("instance:" + errorText(errors.UnwrapAll(err)))
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	delete(k.ordering, s.order.Instance)
+	k.lastOrder = time.Now()
+	k.planner.Answered(s.order, outcome(err), time.Now())
+}
+
+func outcome(err error) Outcome {
+	switch {
+	case err == nil:
+		return OutcomeDone
+	case errors.Is(err, bbrmachine.ErrBusy):
+		return OutcomeBusy
+	case errors.Is(err, bbrmachine.ErrWave), errors.Is(err, bbrmachine.ErrInvalid):
+		return OutcomeNever
+	default:
+		return OutcomeOpen
+	}
+}
--- a/internal/job/bbrledger/ledger.go
+++ b/internal/job/bbrledger/ledger.go
@@ -20,12 +20,8 @@
 	Handover time.Duration
 	// Stop is how long stopping a run takes at most.
 	Stop time.Duration
-	// GangWait is how long an upstream waits for the members of a gang.
-	GangWait time.Duration
 	// Notice is how long a lasting work unit may need to be at work again.
 	Notice time.Duration
-	// Harm is how long a serving work unit may be above its target.
-	Harm time.Duration
 	// FarFactor is how many times as long work takes far from its data.
 	FarFactor float64
 }
@@ -118,22 +114,8 @@
 	return len(l.unlocated) == 0 || now.After(l.settled)
 }
 
-// Counts is what a ledger holds.
-type Counts struct {
-	Jobs, Upstreams, Reached, Runs int
-}
-
-// Counts returns what the ledger holds.
-func (l *Ledger) Counts() Counts {
-	counts := Counts{Jobs: len(l.jobs), Upstreams: len(l.upstreams)}
-	for _, up := range l.upstreams {
-		counts.Runs += len(up.runs)
-		if up.reached {
-			counts.Reached++
-		}
-	}
-	return counts
-}
+// Len returns how many jobs are known that are not stored as ended.
+func (l *Ledger) Len() int { return len(l.jobs) }
 
 // Waiting counts, by queue, the jobs for which nothing has started.
 func (l *Ledger) Waiting(now time.Time) map[string]int {
@@ -146,18 +128,6 @@
 	return waiting
 }
 
-// State returns the state of a job that is not stored as ended.
-func (l *Ledger) State(id string) (bbrwork.State, bool) {
-	job, ok := l.jobs[id]
-	if !ok {
-		return "", false
-	}
-	if job.begun {
-		return bbrwork.Running, true
-	}
-	return bbrwork.Pending, true
-}
-
 // sortedJobs returns the jobs by ID, so that decisions can be repeated.
 func (l *Ledger) sortedJobs() []*job {
 	list := slices.Collect(maps.Values(l.jobs))
--- a/internal/job/bbrledger/ledger_test.go
+++ b/internal/job/bbrledger/ledger_test.go
@@ -18,9 +18,7 @@
 	StartWithin: 1500 * time.Millisecond,
 	Handover:    2200 * time.Millisecond,
 	Stop:        900 * time.Millisecond,
-	GangWait:    3 * time.Second,
 	Notice:      4500 * time.Millisecond,
-	Harm:        4 * time.Second,
 	FarFactor:   3,
 }
 
--- a/internal/job/bbrledger/plan.go
+++ b/internal/job/bbrledger/plan.go
@@ -1,8 +1,6 @@
 package bbrledger
 
 import (
-	"cmp"
-	"slices"
 	"time"
 
 	"github.com/bluebellridge/bluebellridge/internal/job/bbrorder"
@@ -65,43 +63,6 @@
 	return p.plan
 }
 
-// findUsable collects the upstreams that may take work. Suspects are left out,
-// unless nothing else is there.
-func (p *planner) findUsable() {
-	var suspects []*upstream
-	for _, up := range p.ledger.sortedUpstreams() {
-		switch {
-		case !up.registered || up.Draining || !up.reserved.IsZero() || !up.reached || !up.known():
-		case up.lost >= lostLimit || p.now.Before(up.fullUntil) || !p.ledger.entitle(up):
-		case up.health.suspect(p.now):
-			suspects = append(suspects, up)
-		default:
-			p.usable = append(p.usable, up)
-		}
-	}
-	if len(p.usable) == 0 {
-		p.usable = suspects
-	}
-	var room, used bbrwork.Resources
-	p.racks = make(map[string]int)
-	for _, up := range p.usable {
-		room, used = room.Plus(up.Room), used.Plus(up.used)
-		p.racks[up.Rack()]++
-	}
-	p.busy = 2*used.MilliCPU > room.MilliCPU
-}
-
-// mayRunFar tells whether a step may run away from its data now. It takes
-// several times as long there, so in a busy pool it waits for its rack unless
-// its job can meet the objective all the same.
-func (p *planner) mayRunFar(s *step) bool {
-	if !p.busy || p.racks[s.shape.DataRack] == 0 {
-		return true
-	}
-	longer := time.Duration((p.ledger.Timing.FarFactor - 1) * float64(s.shape.Estimate))
-	return p.now.Add(s.remaining + longer).Before(s.job.objective(s.occurrence))
-}
-
 // entitle tells whether the store lists the life as one on which work may run,
 // and asks for it otherwise.
 func (l *Ledger) entitle(up *upstream) bool {
@@ -112,72 +73,6 @@
 	return false
 }
 
-// candidate is a step with work units to start, and its rank.
-type candidate struct {
-	step *step
-	// tier 0 is work that lasts, 1 work that can meet its objective, 2 the rest.
-	tier     int
-	priority int
-	// fresh is 1 where nothing of the job has run: what was begun is worth
-	// finishing first.
-	fresh int
-	by    time.Time
-}
-
-func (p *planner) candidates() []candidate {
-	var list []candidate
-	for _, job := range p.ledger.sortedJobs() {
-		if job.final != "" || job.cancelled || p.mayRunUnlocated(job) {
-			continue
-		}
-		for _, o := range job.occurrences {
-			if o.left == 0 {
-				continue
-			}
-			list = p.stepsOf(job, o, list)
-		}
-	}
-	slices.SortStableFunc(list, compareCandidates)
-	return list
-}
-
-func (p *planner) stepsOf(job *job, o *occurrence, list []candidate) []candidate {
-	by := job.objective(o)
-	for _, s := range o.steps {
-		if s.idle > 0 && s.left > 0 && s.open(p.now) {
-			list = append(list, p.rank(s, by))
-		}
-	}
-	return list
-}
-
-// freshMargin is how much time more a job needs to be begun: starts take a
-// while, and estimates are rough.
-const freshMargin = 200 * time.Millisecond
-
-func compareCandidates(a, b candidate) int {
-	return cmp.Or(cmp.Compare(a.tier, b.tier), cmp.Compare(a.priority, b.priority), cmp.Compare(a.fresh, b.fresh), a.by.Compare(b.by))
-}
-
-func (p *planner) rank(s *step, by time.Time) candidate {
-	c := candidate{step: s, tier: 1, by: by}
-	if !s.job.begun {
-		c.fresh = 1
-	}
-	if s.job.queue != nil {
-		c.priority = s.job.queue.Priority
-	}
-	switch {
-	case s.shape.Lasting && !s.shape.Fills:
-		c.tier = 0
-	case s.shape.Lasting:
-		c.tier = 1
-	case p.now.Add(s.remaining).After(by.Add(-time.Duration(c.fresh) * freshMargin)):
-		c.tier = 2
-	}
-	return c
-}
-
 // mayRunUnlocated tells whether an earlier owner may have started work units
 // of the job on an upstream that was not reached yet.
 func (p *planner) mayRunUnlocated(job *job) bool {
@@ -257,7 +152,7 @@
 	if up.starting >= maxStarting || !s.shape.Taken().Fits(up.free()) || !up.HasLabel(s.shape.Label) {
 		return false
 	}
-	if up.leavesBefore(s.shape, p.now) {
+	if up.Draining {
 		return false
 	}
 	if s.shape.DataRack != "" && !up.HasLabel(s.shape.DataRack) && !p.mayRunFar(s) {
@@ -270,10 +165,6 @@
 	return ok
 }
 
-func (up *upstream) leavesBefore(shape *bbrwork.Step, now time.Time) bool {
-	return up.Draining
-}
-
 // runsOn counts the step's runs on an upstream.
 func (s *step) runsOn(up *upstream) int {
 	count := 0
--- /dev/null
+++ b/internal/job/bbrledger/progress.go
@@ -0,0 +1,86 @@
+package bbrledger
+
+import (
+	"encoding/json"
+)
+
+// Progress is what is stored of a job beside the job itself.
+type Progress struct {
+	Occurrences map[int][]StepProgress `json:"occurrences"`
+}
+
+// StepProgress is the progress of one step in one occurrence.
+type StepProgress struct {
+	// Done has a bit for each work unit.
+	Done []byte `json:"done,omitempty"`
+	// Failed has, by work unit, the numbers of the runs that failed.
+	Failed map[int][]int `json:"failed,omitempty"`
+	// Last has the highest run number known, by work unit.
+	Last        map[int]int    `json:"last,omitempty"`
+	Checkpoints map[int]string `json:"checkpoints,omitempty"`
+}
+
+func (j *job) progress() []byte {
+	if j.final != "" {
+		return nil
+	}
+	progress := Progress{Occurrences: make(map[int][]StepProgress)}
+	for _, o := range j.occurrences {
+		var steps []StepProgress
+		for _, s := range o.steps {
+			steps = append(steps, s.progress())
+		}
+		progress.Occurrences[o.number] = steps
+	}
+	data, err := json.Marshal(progress)
+	if err != nil {
+		panic(err) // Only maps, slices and numbers: it cannot fail.
+	}
+	return data
+}
+
+func (s *step) progress() StepProgress {
+	p := StepProgress{Failed: make(map[int][]int), Last: make(map[int]int), Checkpoints: make(map[int]string)}
+	for i, u := range s.units {
+		if u.done {
+			if p.Done == nil {
+				p.Done = make([]byte, (len(s.units)+7)/8)
+			}
+			p.Done[i/8] |= 1 << (i % 8)
+			continue
+		}
+		if u.last > 0 {
+			p.Last[i] = u.last
+		}
+		if len(u.failed) > 0 {
+			p.Failed[i] = u.failed
+		}
+		if u.checkpoint != "" {
+			p.Checkpoints[i] = u.checkpoint
+		}
+	}
+	return p
+}
+
+func (j *job) restore(stored *Progress) {
+	for number, steps := range stored.Occurrences {
+		if number >= len(j.occurrences) || len(steps) != len(j.Steps) {
+			continue
+		}
+		for i, s := range j.occurrences[number].steps {
+			s.restore(&steps[i])
+		}
+	}
+}
+
+func (s *step) restore(stored *StepProgress) {
+	for i, u := range s.units {
+		u.failed = stored.Failed[i]
+		u.last = stored.Last[i]
+		u.checkpoint = stored.Checkpoints[i]
+		if i/8 < len(stored.Done) && stored.Done[i/8]&(1<<(i%8)) != 0 {
+			u.finish()
+			s.job.begun = true
+		}
+	}
+}
--- /dev/null
+++ b/internal/job/bbrledger/usable.go
@@ -0,0 +1,44 @@
+package bbrledger
+
+import (
+	"time"
+
+	"github.com/bluebellridge/bluebellridge/internal/job/bbrwork"
+)
+
+// findUsable collects the upstreams that may take work. Suspects are left out,
+// unless nothing else is there.
+func (p *planner) findUsable() {
+	var suspects []*upstream
+	for _, up := range p.ledger.sortedUpstreams() {
+		switch {
+		case !up.registered || up.Draining || !up.reserved.IsZero() || !up.reached || !up.known():
+		case up.lost >= lostLimit || p.now.Before(up.fullUntil) || !p.ledger.entitle(up):
+		case up.health.suspect(p.now):
+			suspects = append(suspects, up)
+		default:
+			p.usable = append(p.usable, up)
+		}
+	}
+	if len(p.usable) == 0 {
+		p.usable = suspects
+	}
+	var room, used bbrwork.Resources
+	p.racks = make(map[string]int)
+	for _, up := range p.usable {
+		room, used = room.Plus(up.Room), used.Plus(up.used)
+		p.racks[up.Rack()]++
+	}
+	p.busy = 2*used.MilliCPU > room.MilliCPU
+}
+
+// mayRunFar tells whether a step may run away from its data now. It takes
+// several times as long there, so in a busy pool it waits for its rack unless
+// its job can meet the objective all the same.
+func (p *planner) mayRunFar(s *step) bool {
+	if !p.busy || p.racks[s.shape.DataRack] == 0 {
+		return true
+	}
+	longer := time.Duration((p.ledger.Timing.FarFactor - 1) * float64(s.shape.Estimate))
+	return p.now.Add(s.remaining + longer).Before(s.job.objective(s.occurrence))
+}
--- a/internal/job/bbrowner/owner.go
+++ b/internal/job/bbrowner/owner.go
@@ -83,7 +83,7 @@
 	if !ok {
 		return
 	}
-	klog.InfoS("Owner began", "service", o.Held.Service, "token", o.Held.Token, "jobs", o.ledger.Counts().Jobs, "took", time.Since(began).Round(time.Millisecond))
+	klog.InfoS("Owner began", "service", o.Held.Service, "token", o.Held.Token, "jobs", o.ledger.Len(), "took", time.Since(began).Round(time.Millisecond))
 	jobs := bbritem.Follower{Store: o.Store, Prefix: bbrrecord.JobPrefix, Wait: jobWatch, Gather: jobGather, Snapshot: o.jobsSnapshot, Change: o.jobChanged}
 	jobs.From(at, began)
 	o.wg.Go(func() { jobs.Run(ctx) })
--- /dev/null
+++ b/internal/job/bbrsweeper/sweeper_test.go
@@ -0,0 +1,42 @@
+package bbrsweeper
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/bluebellridge/bluebellridge/internal/job/bbrrecord"
+	"github.com/bluebellridge/bluebellridge/internal/job/bbrwork"
+	"github.com/bluebellridge/bluebellridge/internal/store/bbritem"
+)
+
+func TestSweepRemovesOnlyWhatIsOld(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	ended := func(id string, age time.Duration) bbritem.Item {
+		record := bbrrecord.Ended{State: bbrwork.Completed, At: now.Add(-age)}
+		return bbritem.Item{Key: bbrrecord.EndedKey(id), Value: bbrrecord.Encode(record)}
+	}
+	items := []bbritem.Item{ended("new", time.Minute), ended("kept", 2*time.Minute+keepMargin), {Key: bbrrecord.EndedKey("odd"), Value: []byte("{")}}
+	for range 40 {
+		items = append(items, ended("old", 2*time.Minute+keepMargin+time.Second))
+	}
+	var removed []string
+	claim := bbritem.Condition{Key: "claim", Revision: 7}
+	s := &Sweeper{Keep: 2 * time.Minute, Condition: claim, Store: &bbritem.Store{
+		Range: func(context.Context, string, string) (bbritem.Page, error) { return bbritem.Page{Items: items}, nil },
+		Commit: func(_ context.Context, transaction bbritem.Transaction) (bbritem.Revision, error) {
+			require.LessOrEqual(t, transaction.Size(), bbritem.MaxTransaction)
+			require.Equal(t, []bbritem.Condition{claim}, transaction.Conditions)
+			removed = append(removed, transaction.Removals...)
+			return 1, nil
+		},
+	}}
+	count, err := s.Sweep(t.Context(), now)
+	require.NoError(t, err)
+	require.Equal(t, 40, count)
+	for _, key := range removed {
+		require.Equal(t, bbrrecord.EndedKey("old"), key)
+	}
+}
