--- a/internal/job/bbrledger/health.go
+++ b/internal/job/bbrledger/health.go
@@ -18,6 +18,8 @@
 type health struct {
 	streak     int
 	failedLast time.Time
+	// slowAt is when a run was last found to be slow there.
+	slowAt time.Time
 }
 
 func (h *health) ended(how bbrwork.How, now time.Time) {
@@ -31,7 +33,8 @@
 }
 
 func (h *health) suspect(now time.Time) bool {
-	return h.streak >= suspectStreak && now.Sub(h.failedLast) < suspectFor
+	failing := h.streak >= suspectStreak && now.Sub(h.failedLast) < suspectFor
+	return failing || !h.slowAt.IsZero() && now.Sub(h.slowAt) < slowFor
 }
 
 // howUnhealthy counts a refusal by an unhealthy upstream like a failure.
--- a/internal/job/bbrledger/ledger_test.go
+++ b/internal/job/bbrledger/ledger_test.go
@@ -318,3 +318,48 @@
 	s.ledger.Reserve(map[string]bool{"i-1": true, "i-2": true}, s.now)
 	require.LessOrEqual(t, len(s.plan().Stops), 1)
 }
+
+func TestSlowRunIsBegunAnewElsewhere(t *testing.T) {
+	tests := []struct {
+		name    string
+		percent int
+		after   time.Duration
+		leaves  bool
+	}{
+		{"as estimated", 60, 900 * time.Millisecond, false},
+		{"twice as long", 45, 1100 * time.Millisecond, false},
+		{"crawls", 20, 1500 * time.Millisecond, true},
+		{"stands still", 0, 1500 * time.Millisecond, true},
+		{"just begun", 0, 500 * time.Millisecond, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			s := newScene(t, true, "i-1", "i-2")
+			s.accept(testJob, unitStep(1))
+			plan := s.plan()
+			require.Len(t, plan.Starts, 1)
+			s.started(plan, nil)
+			at := plan.Starts[0].Upstream.ID
+			_, known := s.ledger.Hold(at, true, s.now)
+			require.True(t, known)
+			s.wait(test.after)
+			s.listRunning(at, []bbrwork.Run{{Unit: unitName(0), Number: 1, Percent: test.percent}})
+			stops := s.plan().Stops
+			require.Equal(t, test.leaves, len(stops) == 1)
+			if !test.leaves {
+				return
+			}
+			s.list(at, bbrwork.End{Number: 1, Unit: unitName(0), Run: 1, How: bbrwork.HowStopped})
+			again := s.plan()
+			require.Len(t, again.Starts, 1)
+			require.NotEqual(t, at, again.Starts[0].Upstream.ID)
+		})
+	}
+}
+
+func TestRunThatWasNeverListedIsNotSlow(t *testing.T) {
+	s := newScene(t, true, "i-1", "i-2")
+	s.accept(testJob, unitStep(1))
+	s.started(s.plan(), nil)
+	require.Empty(t, s.plan().Stops)
+}
--- a/internal/job/bbrledger/stops.go
+++ b/internal/job/bbrledger/stops.go
@@ -20,7 +20,11 @@
 func (p *planner) stops() {
 	for _, up := range p.ledger.sortedUpstreams() {
 		for _, r := range up.runs {
-			if why := p.ledger.unwanted(r, p.now); why != "" {
+			why := p.ledger.unwanted(r, p.now)
+			if why == "" && p.leaveSlow(r) {
+				why = "slow"
+			}
+			if why != "" {
 				p.stop(r, why)
 			}
 		}
