--- a/internal/job/bbrledger/health.go
+++ b/internal/job/bbrledger/health.go
@@ -18,8 +18,6 @@
 type health struct {
 	streak     int
 	failedLast time.Time
-	// slowAt is when a run was last found to be slow there.
-	slowAt time.Time
 }
 
 func (h *health) ended(how bbrwork.How, now time.Time) {
@@ -33,8 +31,7 @@
 }
 
 func (h *health) suspect(now time.Time) bool {
-	failing := h.streak >= suspectStreak && now.Sub(h.failedLast) < suspectFor
-	return failing || !h.slowAt.IsZero() && now.Sub(h.slowAt) < slowFor
+	return h.streak >= suspectStreak && now.Sub(h.failedLast) < suspectFor
 }
 
 // howUnhealthy counts a refusal by an unhealthy upstream like a failure.
--- a/internal/job/bbrledger/job.go
+++ b/internal/job/bbrledger/job.go
@@ -82,13 +82,10 @@
 	ordered, confirmed time.Time
 	// until is the start's deadline on the upstream's clock.
 	until time.Duration
-	// percent and tail are as listed at listed.
+	// percent and tail are as last listed; moved is when percent last rose.
 	percent int
 	tail    time.Duration
-	listed  time.Time
-	// adopted means that an earlier owner started the run, so that its age is not
-	// known.
-	adopted bool
+	moved   time.Time
 	// pace is the share of speed that was last ordered, in percent.
 	pace     int
 	pacedAt  time.Time
--- a/internal/job/bbrledger/listing.go
+++ b/internal/job/bbrledger/listing.go
@@ -174,7 +174,10 @@
 	if running.Checkpoint != "" {
 		r.unit.checkpoint = running.Checkpoint
 	}
-	r.percent, r.tail, r.listed = running.Percent, running.Tail, now
+	if running.Percent > r.percent || running.Percent == fullPercent {
+		r.moved = now
+	}
+	r.percent, r.tail = running.Percent, running.Tail
 	if r.unit.step.shape.Lasting && r.percent == fullPercent {
 		r.unit.awaySince = time.Time{}
 	}
@@ -196,7 +199,7 @@
 		return nil
 	}
 	r := l.addRun(u, key.number, up, now)
-	r.phase, r.confirmed, r.adopted = phaseRunning, now, true
+	r.phase, r.confirmed = phaseRunning, now
 	if up.leased.IsZero() {
 		up.leased = now.Add(leaseBound(l.Timing.Hold))
 	}
--- a/internal/job/bbrledger/plan.go
+++ b/internal/job/bbrledger/plan.go
@@ -54,9 +54,9 @@
 func (l *Ledger) Plan(confirmed bool, now time.Time) Plan {
 	l.Expire(now)
 	p := &planner{ledger: l, now: now}
-	p.findUsable()
 	p.stops()
 	if confirmed {
+		p.findUsable()
 		p.starts()
 		p.paces()
 	}
--- a/internal/job/bbrledger/stops.go
+++ b/internal/job/bbrledger/stops.go
@@ -20,11 +20,7 @@
 func (p *planner) stops() {
 	for _, up := range p.ledger.sortedUpstreams() {
 		for _, r := range up.runs {
-			why := p.ledger.unwanted(r, p.now)
-			if why == "" && p.leaveSlow(r) {
-				why = "slow"
-			}
-			if why != "" {
+			if why := p.ledger.unwanted(r, p.now); why != "" {
 				p.stop(r, why)
 			}
 		}
