--- a/internal/fleet/bbrclaim/claimer.go
+++ b/internal/fleet/bbrclaim/claimer.go
@@ -69,7 +69,7 @@
 		if ctx.Err() != nil || c.holds(service) {
 			continue
 		}
-		if left, ok := c.Directory.Owner(service); ok && left.Incarnation == c.Session.Incarnation {
+		if left, ok := c.Directory.Owner(service); ok && left.Incarnation == c.Session.Incarnation && left.Lease == lease.ID {
 			c.hold(ctx, Held{Service: service, Token: left.Revision, Lease: lease.ID})
 			continue
 		}
@@ -132,7 +132,7 @@
 			return
 		}
 	}
-	c.Directory.Claimed(service, Claim{Entry: c.Session.Entry, Incarnation: c.Session.Incarnation, Revision: token})
+	c.Directory.Claimed(service, Claim{Entry: c.Session.Entry, Incarnation: c.Session.Incarnation, Revision: token, Lease: lease.ID})
 	c.hold(ctx, Held{Service: service, Token: token, Lease: lease.ID})
 }
 
--- a/internal/fleet/bbrclaim/directory.go
+++ b/internal/fleet/bbrclaim/directory.go
@@ -23,6 +23,8 @@
 	Entry, Incarnation string
 	// Revision is that of the claim's creation.
 	Revision bbritem.Revision
+	// Lease is what the claim hangs on.
+	Lease bbritem.Lease
 }
 
 // Directory is the entries and claims that the store lists.
@@ -101,7 +103,7 @@
 		delete(d.claims, service)
 		return
 	}
-	d.claims[service] = Claim{Entry: record.Entry, Incarnation: record.Incarnation, Revision: item.Created}
+	d.claims[service] = Claim{Entry: record.Entry, Incarnation: record.Incarnation, Revision: item.Created, Lease: item.Lease}
 }
 
 func (d *Directory) applyReserved(item bbritem.Item) {
--- a/internal/fleet/bbrupkeep/keeper.go
+++ b/internal/fleet/bbrupkeep/keeper.go
@@ -99,6 +99,8 @@
 	if !ok {
 		return
 	}
+	// Until this holder orders, the last order is the one that it waits for.
+	k.lastOrder = from.Add(-k.Lease - orderSlack)
 	failing := false
 	for ctx.Err() == nil {
 		err := k.round(ctx, from, time.Now())
@@ -139,7 +141,8 @@
 	k.tell(k.planner.Balance(k.needs(), k.Registered, now), now)
 	orders := k.planner.Round(k.isCleared, now)
 	k.mu.Unlock()
-	if now.After(from) && k.Confirmed(now) {
+	// The calls above may have taken long.
+	if now.After(from) && k.Confirmed(time.Now()) {
 		k.send(ctx, orders)
 	}
 	return k.save(ctx)
