base/bbrlog: one text of an error for log lines

Ruled out as worth one piece: the stand-in's wire types (kept apart on purpose), the error lists of orders and of instances (two vocabularies), imports.

--- a/internal/fleet/bbrclaim/session.go
+++ b/internal/fleet/bbrclaim/session.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 	"k8s.io/klog/v2"
 
+	"github.com/bluebellridge/bluebellridge/internal/base/bbrlog"
 	"github.com/bluebellridge/bluebellridge/internal/base/bbrpause"
 	"github.com/bluebellridge/bluebellridge/internal/store/bbritem"
 )
@@ -158,14 +159,7 @@
 		return
 	}
 	err := s.Store.Revoke(ctx, record.Lease)
-	klog.InfoS("Earlier lease ended", "lease", record.Lease, "incarnation", record.Incarnation, "error", errorText(err))
-}
-
-func errorText(err error) string {
-	if err == nil {
-		return ""
-	}
-	return err.Error()
+	klog.InfoS("Earlier lease ended", "lease", record.Lease, "incarnation", record.Incarnation, "error", bbrlog.Reason(err))
 }
 
 func (s *Session) set(lease bbritem.Lease, revision bbritem.Revision, confirmed time.Time) {
--- a/internal/fleet/bbrupkeep/handover.go
+++ b/internal/fleet/bbrupkeep/handover.go
@@ -8,6 +8,7 @@
 	"github.com/cockroachdb/errors"
 	"k8s.io/klog/v2"
 
+	"github.com/bluebellridge/bluebellridge/internal/base/bbrlog"
 	"github.com/bluebellridge/bluebellridge/internal/base/bbrpause"
 	"github.com/bluebellridge/bluebellridge/internal/job/bbrrecord"
 	"github.com/bluebellridge/bluebellridge/internal/store/bbritem"
@@ -72,5 +73,5 @@
 		Conditions: []bbritem.Condition{k.Held.Condition()},
 		Puts:       []bbritem.Put{{Key: lastKey, Value: bbrrecord.Encode(lastRecord{At: k.lastOrder})}},
 	})
-	klog.InfoS("Fleet duty ended", "token", k.Held.Token, "lastOrder", k.lastOrder, "error", errorText(err))
+	klog.InfoS("Fleet duty ended", "token", k.Held.Token, "lastOrder", k.lastOrder, "error", bbrlog.Reason(err))
 }
--- a/internal/fleet/bbrupkeep/keeper.go
+++ b/internal/fleet/bbrupkeep/keeper.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 	"k8s.io/klog/v2"
 
+	"github.com/bluebellridge/bluebellridge/internal/base/bbrlog"
 	"github.com/bluebellridge/bluebellridge/internal/base/bbrmetric"
 	"github.com/bluebellridge/bluebellridge/internal/base/bbrpause"
 	"github.com/bluebellridge/bluebellridge/internal/fleet/bbrclaim"
@@ -106,7 +107,7 @@
 		err := k.round(ctx, from, time.Now())
 		if (err != nil) != failing && ctx.Err() == nil {
 			failing = err != nil
-			klog.InfoS("Fleet duty changed", "token", k.Held.Token, "failing", failing, "reason", errorText(err))
+			klog.InfoS("Fleet duty changed", "token", k.Held.Token, "failing", failing, "reason", bbrlog.Reason(err))
 		}
 		bbrpause.For(ctx, keepEvery)
 	}
@@ -117,13 +118,6 @@
 // orderSlack is how long an order of an earlier holder may be on its way.
 const orderSlack = 300 * time.Millisecond
 
-func errorText(err error) string {
-	if err == nil {
-		return ""
-	}
-	return err.Error()
-}
-
 func (k *Keeper) round(ctx context.Context, from, now time.Time) error {
 	if err := k.readWaves(ctx, now); err != nil {
 		return err
--- a/internal/fleet/bbrupkeep/sending.go
+++ b/internal/fleet/bbrupkeep/sending.go
@@ -7,6 +7,7 @@
 	"github.com/cockroachdb/errors"
 	"k8s.io/klog/v2"
 
+	"github.com/bluebellridge/bluebellridge/internal/base/bbrlog"
 	"github.com/bluebellridge/bluebellridge/internal/fleet/bbrmachine"
 )
 
@@ -40,8 +41,8 @@
 	} else {
 		err = k.Fleet.Move(ctx, holder, s.order.Instance, s.order.Pool)
 	}
-	klog.InfoS("Instance ordered", "instance", s.order.Instance, "wave", s.order.Wave, "pool", s.order.Pool, "token", k.Held.Token, "outcome", errorText(err))
-	k.Metrics.Event("instance:" + errorText(errors.UnwrapAll(err)))
+	klog.InfoS("Instance ordered", "instance", s.order.Instance, "wave", s.order.Wave, "pool", s.order.Pool, "token", k.Held.Token, "outcome", bbrlog.Reason(err))
+	k.Metrics.Event("instance:" + bbrlog.Reason(errors.UnwrapAll(err)))
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	delete(k.ordering, s.order.Instance)
--- a/internal/job/bbrsweeper/sweeper.go
+++ b/internal/job/bbrsweeper/sweeper.go
@@ -8,6 +8,7 @@
 
 	"k8s.io/klog/v2"
 
+	"github.com/bluebellridge/bluebellridge/internal/base/bbrlog"
 	"github.com/bluebellridge/bluebellridge/internal/base/bbrpause"
 	"github.com/bluebellridge/bluebellridge/internal/job/bbrrecord"
 	"github.com/bluebellridge/bluebellridge/internal/store/bbritem"
@@ -39,18 +40,11 @@
 		}
 		removed, err := s.Sweep(ctx, time.Now())
 		if err != nil || removed > 0 {
-			klog.InfoS("Ended jobs swept", "removed", removed, "failed", err != nil, "reason", text(err))
+			klog.InfoS("Ended jobs swept", "removed", removed, "failed", err != nil, "reason", bbrlog.Reason(err))
 		}
 	}
 }
 
-func text(err error) string {
-	if err == nil {
-		return ""
-	}
-	return err.Error()
-}
-
 // Sweep removes the records that are old now and returns how many.
 func (s *Sweeper) Sweep(ctx context.Context, now time.Time) (int, error) {
 	items, _, err := s.Store.All(ctx, bbrrecord.EndedPrefix)
