request/bbrconnection: the test's upstream takes back a script that was not read

An upstream's cut could fall exactly after a whole answer, before the bytes nobody asked for; the pool then kept a connection whose end had not arrived yet, the next request was written to it and never read, and its script stayed in the channel of one place.

Ruled out: the exchange itself (it reported Broke, which is true of a request that was written), deadlines (one minute each), the property's bounds.

The test now also holds what is said of such a request: Broke or ConnectFailed, and only after an answer whose connection was being closed.

Conclusion: a fault of the test's harness, the product's code is unchanged.

--- a/internal/request/bbrconnection/whole_test.go
+++ b/internal/request/bbrconnection/whole_test.go
@@ -20,6 +20,9 @@
 	"github.com/bluebellridge/bluebellridge/internal/request/bbrretry"
 )
 
+// foreignAnswer is what nobody asked for.
+const foreignAnswer = "HTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\nforeign"
+
 // script is how an upstream answers one request.
 type script struct {
 	body    string
@@ -31,6 +34,8 @@
 	// early sends an interim answer first, and extra adds bytes that nobody
 	// asked for.
 	early, extra bool
+	// linger is how long the connection stays open after the cut.
+	linger time.Duration
 }
 
 func (s script) bytes() string {
@@ -55,7 +60,7 @@
 		fmt.Fprintf(&b, "Content-Length: %d\r\n\r\n%s", len(s.body), s.body)
 	}
 	if s.extra {
-		b.WriteString("HTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\nforeign")
+		b.WriteString(foreignAnswer)
 	}
 	return b.String()
 }
@@ -89,12 +94,24 @@
 		data := s.bytes()
 		if s.cut >= 0 && s.cut < len(data) {
 			_, _ = io.WriteString(conn, data[:s.cut])
+			time.Sleep(s.linger)
 			return
 		}
 		_, _ = io.WriteString(conn, data)
 	}
 }
 
+// takeBack takes the script of a request that was not read and reports whether
+// there was one.
+func (u *scripted) takeBack() bool {
+	select {
+	case <-u.scripts:
+		return true
+	default:
+		return false
+	}
+}
+
 func startScripted(t *testing.T) (*scripted, netip.AddrPort) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
@@ -112,6 +129,9 @@
 	rapid.Check(t, func(t *rapid.T) {
 		pool := &Pool{DialTimeout: time.Minute}
 		defer pool.Drop(address)
+		// closing is whether the connection of an earlier answer may be
+		// closing still.
+		closing := false
 		for number := range rapid.IntRange(1, 4).Draw(t, "requests") {
 			id := fmt.Sprintf("request-%d", number)
 			s := script{
@@ -125,6 +145,10 @@
 			whole := len(s.bytes())
 			if rapid.Bool().Draw(t, "cut") {
 				s.cut = rapid.IntRange(0, whole-1).Draw(t, "at")
+				if s.extra && rapid.Bool().Draw(t, "after the answer") {
+					s.cut = whole - len(foreignAnswer)
+				}
+				s.linger = rapid.SampledFrom([]time.Duration{0, time.Millisecond}).Draw(t, "linger")
 			}
 			upstream.scripts <- s
 			requireEcho := rapid.Bool().Draw(t, "require echo")
@@ -137,10 +161,18 @@
 				require.Equal(t, s.body, string(reply.Body), "should be whole and its own")
 				require.NotEqual(t, "request-of-somebody-else", s.echo, "should be a mismatch")
 				require.False(t, requireEcho && s.echo == "", "should be a mismatch")
+				closing = closing || s.cut >= 0
 				continue
 			}
 			var failed *Failed
 			require.True(t, errors.As(err, &failed))
+			if upstream.takeBack() {
+				// The upstream closed the connection after an earlier answer
+				// and never read this request.
+				require.Contains(t, []bbrretry.Failure{bbrretry.Broke, bbrretry.ConnectFailed}, failed.Failure)
+				require.True(t, closing, "expected an open connection")
+				continue
+			}
 			require.NotEqual(t, bbrretry.ConnectFailed, failed.Failure, "expected another failure: the request was read")
 			broken := s.cut >= 0 || s.echo != id
 			require.True(t, broken, "expected an answer: %v", err)
