fleet/bbrupkeep, job/bbrowner: waves end while instances move, and wait for pools that are short

And in the first seconds of a turn of demand, when every pool was short, the wave held back up to 49 instances at once. Besides, a watch that hears nothing while the history is compacted was found out only after its wait of 1 s: jobs and new upstreams came up to 1.7 s late.

Change: a wave that is done stays so, moves or not; while pools want more than there is, maintenance waits as long as it can still be done in time at the allowed number (margin 1.5); the owner's watches last 300 ms.

Tests (failing first): TestWaveIsDoneWhileItsInstancesMove, TestWaveWaitsWhilePoolsAreShort, property TestWavesKeepTheirLimit.

--- a/internal/daemon/bbrserve/upstreams.go
+++ b/internal/daemon/bbrserve/upstreams.go
@@ -14,6 +14,9 @@
 	// upstreamGather is the pause after events of upstreams. Each writes whenever
 	// it reports that it lives.
 	upstreamGather = 200 * time.Millisecond
+	// upstreamWait is how long a watch for upstreams lasts. One that hears nothing
+	// of what changes delays the use of new ones by that much.
+	upstreamWait = 300 * time.Millisecond
 	// needCheck is how often the watch looks whether it is needed.
 	needCheck = 20 * time.Millisecond
 )
@@ -39,7 +42,7 @@
 	following, end := context.WithCancel(ctx)
 	defer end()
 	follower := &bbritem.Follower{
-		Store: s.store, Prefix: bbrwire.UpstreamPrefix, Wait: watchWait, Gather: upstreamGather,
+		Store: s.store, Prefix: bbrwire.UpstreamPrefix, Wait: upstreamWait, Gather: upstreamGather,
 		Snapshot: s.registry.Snapshot, Change: s.registry.Change,
 	}
 	var wg sync.WaitGroup
--- a/internal/fleet/bbrupkeep/balance.go
+++ b/internal/fleet/bbrupkeep/balance.go
@@ -54,6 +54,7 @@
 		b.add(&pools[i])
 	}
 	b.fill()
+	p.short = b.neediest() != nil
 	b.rest()
 	return b.states()
 }
--- a/internal/fleet/bbrupkeep/keeper.go
+++ b/internal/fleet/bbrupkeep/keeper.go
@@ -60,7 +60,7 @@
 	// demands are by service, as their owners reported them.
 	demands  map[string]bbrledger.Demand
 	reserved []string
-	stored   map[int64]string
+	stored   map[int64]waveState
 	mu       sync.Mutex
 	ordering map[string]bool
 	// lastOrder is when the last order was answered or given up.
@@ -84,6 +84,12 @@
 	Began time.Time `json:"began"`
 }
 
+// waveState is what was last stored of a wave. Instances that are done stay so.
+type waveState struct {
+	done      int
+	completed bool
+}
+
 const wavePrefix = "bbr/duty/wave/"
 
 func waveKey(number int64) string { return wavePrefix + bbrrecord.Number(number) }
@@ -94,7 +100,7 @@
 	k.planner = NewPlanner(away)
 	k.cleared = make(map[string]bool)
 	k.demands = make(map[string]bbrledger.Demand)
-	k.stored = make(map[int64]string)
+	k.stored = make(map[int64]waveState)
 	k.ordering = make(map[string]bool)
 	from, ok := k.firstOrder(ctx)
 	if !ok {
@@ -283,13 +289,13 @@
 	if !slices.Equal(reserved, k.reserved) {
 		transaction.Puts = append(transaction.Puts, bbritem.Put{Key: bbrclaim.ReservedKey, Value: bbrrecord.Encode(reserved)})
 	}
-	stored := make(map[int64]string)
+	stored := make(map[int64]waveState)
 	for _, wave := range progress {
-		text := strings.Join(wave.Done, ",") + bbrrecord.Number(int64(len(wave.Done))) + map[bool]string{true: "completed"}[wave.Completed]
-		if k.stored[wave.Wave] == text || len(transaction.Puts) > maxPuts {
+		state := waveState{done: len(wave.Done), completed: wave.Completed}
+		if k.stored[wave.Wave] == state || len(transaction.Puts) > maxPuts {
 			continue
 		}
-		stored[wave.Wave] = text
+		stored[wave.Wave] = state
 		transaction.Puts = append(transaction.Puts,
 			bbritem.Put{Key: waveKey(wave.Wave), Value: bbrrecord.Encode(waveRecord{Done: wave.Done, Began: wave.Began})},
 			bbritem.Put{Key: k.Waves.StatusKey(wave.Wave), Value: k.Waves.Status(wave.Completed)})
@@ -301,9 +307,9 @@
 		return err
 	}
 	k.reserved = reserved
-	for wave, text := range stored {
-		k.stored[wave] = text
-		klog.InfoS("Wave stored", "wave", wave, "state", text)
+	for wave, state := range stored {
+		k.stored[wave] = state
+		klog.InfoS("Wave stored", "wave", wave, "done", state.done, "completed", state.completed, "token", k.Held.Token)
 	}
 	return nil
 }
--- a/internal/fleet/bbrupkeep/planner.go
+++ b/internal/fleet/bbrupkeep/planner.go
@@ -28,6 +28,8 @@
 	balance balance
 	// spare is the pool whose instances are off; empty for none.
 	spare string
+	// short means that a pool wants more instances than there are.
+	short bool
 }
 
 // standing is an instance's life and status with since when they are listed.
@@ -43,6 +45,8 @@
 	// began is when the wave was first seen.
 	began time.Time
 	done  map[string]bool
+	// completed stays once it is true.
+	completed bool
 }
 
 // task is one instance that is being taken away.
@@ -250,6 +254,9 @@
 
 // wanted returns how many instances should be in work at once.
 func (p *Planner) wanted(w *wave, open int, now time.Time) int {
+	if p.short && p.canWait(w, open, now) {
+		return 0
+	}
 	cycle := clearing + p.Away
 	rest := time.Duration(paceShare*float64(w.Within)) - now.Sub(w.began)
 	if rest < cycle {
@@ -259,6 +266,27 @@
 	return min(max(1, need), 2*w.Cap)
 }
 
+const (
+	// lateShare is the share of a wave's time in which it is done also where it
+	// was put off.
+	lateShare = 0.8
+	// orderLag is what an instance's time away grows by until the next one is
+	// ordered.
+	orderLag = time.Second
+	// waitMargin is how much more time than computed is left to a wave that is
+	// put off.
+	waitMargin = 1.5
+)
+
+// canWait tells whether the wave would be done in time if it began later, with
+// as many instances away at once as it may have.
+func (p *Planner) canWait(w *wave, open int, now time.Time) bool {
+	rounds := (open + w.Cap - 1) / max(1, w.Cap)
+	need := clearing + time.Duration(rounds)*(p.Away+orderLag)
+	left := time.Duration(lateShare*float64(w.Within)) - now.Sub(w.began)
+	return time.Duration(waitMargin*float64(need)) < left
+}
+
 // pick returns an instance of the spare pool, or else one whose pool has the
 // smallest share in work.
 func (p *Planner) pick(left []string) string {
@@ -381,15 +409,19 @@
 	return list
 }
 
+// completed tells whether the wave is done. Instances that have had their
+// maintenance may be moved meanwhile.
 func (p *Planner) completed(w *wave) bool {
-	if p.listed.IsZero() {
-		return false
+	if w.completed || p.listed.IsZero() {
+		return w.completed
 	}
 	for _, id := range w.Instances {
-		if _, listed := p.instances[id]; listed && !w.done[id] || p.tasks[id] != nil {
+		t := p.tasks[id]
+		if _, listed := p.instances[id]; listed && !w.done[id] || t != nil && t.wave == w.Number {
 			return false
 		}
 	}
+	w.completed = true
 	return true
 }
 
--- /dev/null
+++ b/internal/fleet/bbrupkeep/planner_test.go
@@ -0,0 +1,194 @@
+package bbrupkeep
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/bluebellridge/bluebellridge/internal/fleet/bbrmachine"
+)
+
+const (
+	testAway = 2 * time.Second
+	testStep = 100 * time.Millisecond
+	pressed  = "pressed"
+	calm     = "calm"
+	off      = "off"
+)
+
+// testFleet plays the platform's side of orders.
+type testFleet struct {
+	now       time.Time
+	instances map[string]*testInstance
+	ids       []string
+}
+
+type testInstance struct {
+	bbrmachine.Instance
+	back time.Time
+	// lives counts, and maintained is the wave of its last maintenance.
+	lives      int
+	maintained int64
+}
+
+func newTestFleet(sizes map[string]int) *testFleet {
+	f := &testFleet{now: time.Unix(1000, 0), instances: make(map[string]*testInstance)}
+	for _, pool := range []string{calm, off, pressed} {
+		for range sizes[pool] {
+			id := fmt.Sprintf("i%02d", len(f.ids))
+			f.ids = append(f.ids, id)
+			instance := &testInstance{Instance: bbrmachine.Instance{ID: id, Pool: pool, Status: bbrmachine.StatusUp, Upstream: id + "-0"}}
+			instance.Room.MilliCPU = defaultRoom
+			f.instances[id] = instance
+		}
+	}
+	return f
+}
+
+func (f *testFleet) list() []bbrmachine.Instance {
+	list := make([]bbrmachine.Instance, 0, len(f.ids))
+	for _, id := range f.ids {
+		instance := f.instances[id]
+		if instance.Status != bbrmachine.StatusUp && !f.now.Before(instance.back) {
+			instance.Status = bbrmachine.StatusUp
+			instance.lives++
+			instance.Upstream = fmt.Sprintf("%s-%d", id, instance.lives)
+		}
+		list = append(list, instance.Instance)
+	}
+	return list
+}
+
+// carryOut does what an order asks for.
+func (f *testFleet) carryOut(order Order) Outcome {
+	instance := f.instances[order.Instance]
+	if instance.Status != bbrmachine.StatusUp {
+		return OutcomeBusy
+	}
+	instance.Status = bbrmachine.StatusMoving
+	if order.Wave != 0 {
+		instance.Status, instance.maintained = bbrmachine.StatusMaintained, order.Wave
+	} else {
+		instance.Pool = order.Pool
+	}
+	instance.back, instance.Upstream = f.now.Add(testAway), ""
+	return OutcomeDone
+}
+
+func (f *testFleet) away() int {
+	count := 0
+	for _, instance := range f.instances {
+		if instance.Status == bbrmachine.StatusMaintained {
+			count++
+		}
+	}
+	return count
+}
+
+// step lets the planner decide once and carries out what answer lets through.
+func (f *testFleet) step(p *Planner, pools []Pool, cleared func(bbrmachine.Instance) bool, answer func(order Order) Outcome) {
+	f.now = f.now.Add(testStep)
+	p.Listed(f.list(), f.now)
+	p.Balance(pools, func(string) bool { return true }, f.now)
+	for _, order := range p.Round(cleared, f.now) {
+		p.Answered(order, answer(order), f.now)
+	}
+}
+
+func always(bbrmachine.Instance) bool { return true }
+
+// ask makes a pool want so many instances.
+func ask(pool string, instances int) Pool {
+	return Pool{Name: pool, MilliCPU: int(fillShare*defaultRoom*float64(instances)) - defaultRoom/2}
+}
+
+func progressOf(p *Planner) Progress { return p.Progress()[0] }
+
+// TestWaveIsDoneWhileItsInstancesMove sees to it that an instance that has had
+// its maintenance holds up no wave by being moved afterwards.
+func TestWaveIsDoneWhileItsInstancesMove(t *testing.T) {
+	f := newTestFleet(map[string]int{off: 4, calm: 4})
+	p := NewPlanner(testAway)
+	pools := []Pool{ask(calm, 4), {Name: off, Spare: true}}
+	p.Wave(bbrmachine.Wave{Number: 1, Instances: []string{"i04"}, Within: time.Minute, Cap: 1}, nil, f.now)
+	for range 40 {
+		f.step(p, pools, always, f.carryOut)
+	}
+	require.Equal(t, int64(1), f.instances["i04"].maintained)
+
+	p.waves[1].completed = false
+	p.tasks["i04"] = &task{instance: "i04", wave: 1, since: f.now}
+	require.False(t, progressOf(p).Completed, "should wait for its own task")
+	p.tasks["i04"] = &task{instance: "i04", pool: off, since: f.now}
+	require.True(t, progressOf(p).Completed)
+}
+
+// TestWaveWaitsWhilePoolsAreShort plays a turn of demand that asks for more
+// than the fleet has while a wave is open: the wave begins when the turn is
+// over, or early enough to be done in time.
+func TestWaveWaitsWhilePoolsAreShort(t *testing.T) {
+	for _, turn := range []time.Duration{8 * time.Second, time.Minute} {
+		f := newTestFleet(map[string]int{pressed: 20})
+		p := NewPlanner(testAway)
+		wave := bbrmachine.Wave{Number: 1, Instances: f.ids, Within: 30 * time.Second, Cap: 5}
+		p.Wave(wave, nil, f.now)
+		began := f.now
+		for f.now.Sub(began) < wave.Within {
+			pool := ask(pressed, 10)
+			if f.now.Sub(began) < turn {
+				pool = ask(pressed, 40)
+			}
+			f.step(p, []Pool{pool}, always, f.carryOut)
+			require.False(t, f.now.Sub(began) < 2*time.Second && f.away() > 0, "maintenance began at once in a turn of demand")
+		}
+		require.True(t, progressOf(p).Completed, "turn of %v", turn)
+	}
+}
+
+// TestWavesKeepTheirLimit plays waves, moves and lost answers: never are more
+// instances of a wave away for it than it allows, and a wave that is said to be
+// done has had each instance maintained.
+func TestWavesKeepTheirLimit(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := newTestFleet(map[string]int{pressed: rapid.IntRange(1, 8).Draw(t, "pressed"), calm: rapid.IntRange(1, 8).Draw(t, "calm"), off: rapid.IntRange(0, 4).Draw(t, "off")})
+		p := NewPlanner(testAway)
+		wave := bbrmachine.Wave{Number: 1, Instances: f.ids, Within: 30 * time.Second, Cap: rapid.IntRange(1, 4).Draw(t, "cap")}
+		p.Wave(wave, nil, f.now)
+		answer := func(order Order) Outcome {
+			switch rapid.IntRange(0, 5).Draw(t, "answer") {
+			case 0:
+				return OutcomeOpen
+			case 1:
+				_ = f.carryOut(order)
+				return OutcomeOpen
+			default:
+				return f.carryOut(order)
+			}
+		}
+		cleared := func(bbrmachine.Instance) bool { return rapid.Bool().Draw(t, "cleared") }
+		for range rapid.IntRange(1, 300).Draw(t, "steps") {
+			pools := []Pool{ask(pressed, rapid.IntRange(1, 20).Draw(t, "want")), ask(calm, 2), {Name: off, Spare: true}}
+			pools[1].Give = f.lives(calm)
+			f.step(p, pools, cleared, answer)
+			require.LessOrEqual(t, f.away(), wave.Cap)
+			if progressOf(p).Completed {
+				for _, id := range f.ids {
+					require.Equal(t, int64(1), f.instances[id].maintained, id)
+				}
+			}
+		}
+	})
+}
+
+func (f *testFleet) lives(pool string) []string {
+	var lives []string
+	for _, id := range f.ids {
+		if f.instances[id].Pool == pool && f.instances[id].Upstream != "" {
+			lives = append(lives, f.instances[id].Upstream)
+		}
+	}
+	return lives
+}
--- a/internal/job/bbrowner/owner.go
+++ b/internal/job/bbrowner/owner.go
@@ -101,8 +101,9 @@
 	klog.InfoS("Owner ended", "service", o.Held.Service, "token", o.Held.Token)
 }
 
-// jobWatch is how long a watch for jobs lasts.
-const jobWatch = time.Second
+// jobWatch is how long a watch for jobs lasts. One that hears nothing of what
+// changes delays jobs by that much at most.
+const jobWatch = 300 * time.Millisecond
 
 // jobGather is the pause after events of jobs; it delays a job's start.
 const jobGather = 30 * time.Millisecond
