job/bbrowner, bbrledger: storing, planning and listings keep up with a large pool

The owner's process was busy with itself: each of 200 holders looked every 4 ms whether its ends were stored, plans followed each other without a pause and sorted 1000 jobs by ID first, each transaction computed the demand anew and went through all jobs, and a job that ended took four of 32 entries, also where the store had neither progress nor a cancellation of it.

Change: holders are woken when something is stored; the pause between plans grows with their length (a fifth of the time at most); what fits nowhere is left out before sorting; the report is at most 50 ms old; a job that ended takes what the store has of it (two entries at least); listings of many upstreams are 250 us each apart. Demands to cancel that come after a job's end are now removed by the sweeper.

Ruled out: upstreams' room (205 of 205 in use, yet 500 jobs without a run), the store's rates (its answers stay at 4 ms), the wave. Tests: TestShortJobsShareATransaction, TestSweepRemovesOnlyWhatIsOld.

--- /dev/null
+++ b/internal/job/bbrledger/crowded_test.go
@@ -0,0 +1,107 @@
+package bbrledger
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/bluebellridge/bluebellridge/internal/job/bbrwork"
+)
+
+// A turn of demand on a large pool: more jobs than it can run at once.
+const (
+	crowdedUpstreams = 200
+	crowdedJobs      = 1000
+)
+
+// crowd returns a ledger whose pool is full, with jobs that wait.
+func crowd() (*Ledger, time.Time) {
+	now := time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
+	l := New("press", 7, testTiming, true, now)
+	l.SetConfig(bbrwork.NewConfig(1, []*bbrwork.Queue{
+		{Name: "proofs", Service: "press", Attempts: 3, Stretch: 1.6, Objective: 600 * time.Millisecond},
+	}, nil, bbrwork.Limits{}))
+	for i := range crowdedUpstreams {
+		up := bbrwork.Upstream{
+			Life:    bbrwork.Life{ID: fmt.Sprintf("u%03d", i), Born: 1000},
+			Service: "press",
+			Room:    bbrwork.Resources{MilliCPU: 16000, MemoryMB: 64000},
+			Labels:  []string{"kind-1", fmt.Sprintf("r-%d", i/20)},
+		}
+		l.Upstream(up, now)
+		l.Listed(up.Life, &bbrwork.Listing{Clock: time.Second, Born: 1000}, now, now)
+	}
+	for i := range crowdedJobs {
+		step := bbrwork.Step{Count: 8, Need: bbrwork.Resources{MilliCPU: 1500, MemoryMB: 500}, Estimate: 640 * time.Millisecond, DataRack: fmt.Sprintf("r-%d", i%10)}
+		second := step
+		second.After = []int{0}
+		l.Accepted(&bbrwork.Job{ID: fmt.Sprintf("%016x", i), Queue: "proofs", Service: "press", Spec: "x", Steps: []bbrwork.Step{step, second}, Accepted: now}, nil, now)
+	}
+	l.Plan(true, now)
+	l.Stored(l.Batch(1000), now)
+	for {
+		plan := l.Plan(true, now)
+		l.Notes()
+		if len(plan.Starts) == 0 {
+			return l, now
+		}
+		for _, order := range plan.Starts {
+			l.Started(order, time.Second, nil, now)
+		}
+	}
+}
+
+func BenchmarkCrowdedPlan(b *testing.B) {
+	l, now := crowd()
+	for b.Loop() {
+		l.Plan(true, now)
+		l.Notes()
+	}
+}
+
+func BenchmarkCrowdedBatch(b *testing.B) {
+	l, now := crowd()
+	for _, j := range l.jobs {
+		l.markChanged(j)
+	}
+	for b.Loop() {
+		l.Batch(28)
+		l.Stored(Batch{}, now)
+	}
+}
+
+func BenchmarkCrowdedReport(b *testing.B) {
+	l, now := crowd()
+	for b.Loop() {
+		l.Waiting(now)
+		l.Cleared(now)
+		l.Demand(now)
+	}
+}
+
+// BenchmarkCrowdedEnd is one end that is listed, with the plan that follows.
+func BenchmarkCrowdedEnd(b *testing.B) {
+	l, now := crowd()
+	ids := l.sortedUpstreams()
+	number := int64(0)
+	for i := 0; b.Loop(); i++ {
+		up := ids[i%len(ids)]
+		listing := &bbrwork.Listing{Clock: time.Second, Born: 1000}
+		number++
+		ended := false
+		for key := range up.runs {
+			if !ended {
+				ended = true
+				listing.Ended = []bbrwork.End{{Number: number, Unit: key.unit, Run: key.number, How: bbrwork.HowFailed}}
+				continue
+			}
+			listing.Running = append(listing.Running, bbrwork.Run{Unit: key.unit, Number: key.number, Percent: 50})
+		}
+		l.Listed(up.Life, listing, now, now)
+		for _, order := range l.Plan(true, now).Starts {
+			l.Started(order, time.Second, nil, now)
+		}
+		l.Notes()
+		clear(l.dirty)
+	}
+}
--- a/internal/job/bbrledger/job.go
+++ b/internal/job/bbrledger/job.go
@@ -18,8 +18,8 @@
 	// final is the state in which the job has ended; it is told only once it is
 	// stored.
 	final bbrwork.State
-	// stored means that the store has the final state.
-	stored bool
+	// hasProgress means that the store may have progress of the job.
+	hasProgress bool
 	// chain is the longest chain of estimated work.
 	chain time.Duration
 	// seen is when the ledger learnt of the job.
--- a/internal/job/bbrledger/ledger.go
+++ b/internal/job/bbrledger/ledger.go
@@ -1,6 +1,7 @@
 package bbrledger
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -44,6 +45,10 @@
 	config    *bbrwork.Config
 	jobs      map[string]*job
 	upstreams map[string]*upstream
+	// sorted has the upstreams by ID; nil after one came or went.
+	sorted []*upstream
+	// leaving has the jobs that are stored as ended and still have runs.
+	leaving map[string]*job
 	// began is when the claim began. After settled, nothing that an earlier owner
 	// started can be at work unknown.
 	began, settled time.Time
@@ -79,6 +84,7 @@
 		config:    bbrwork.NewConfig(0, nil, nil, bbrwork.Limits{}),
 		jobs:      make(map[string]*job),
 		upstreams: make(map[string]*upstream),
+		leaving:   make(map[string]*job),
 		began:     now,
 		settled:   now.Add(timing.Handover + leaseBound(timing.Hold) + timing.StartWithin),
 		fresh:     fresh,
@@ -128,26 +134,21 @@
 	return waiting
 }
 
-// sortedJobs returns the jobs by ID, so that decisions can be repeated.
-func (l *Ledger) sortedJobs() []*job {
-	list := slices.Collect(maps.Values(l.jobs))
-	slices.SortFunc(list, func(a, b *job) int {
-		if a.ID < b.ID {
-			return -1
-		}
-		return 1
-	})
-	return list
+// sortedUpstreams returns the upstreams by ID, so that decisions can be
+// repeated. The list is not to be changed.
+func (l *Ledger) sortedUpstreams() []*upstream {
+	if l.sorted == nil {
+		l.sorted = slices.SortedFunc(maps.Values(l.upstreams), func(a, b *upstream) int { return cmp.Compare(a.ID, b.ID) })
+	}
+	return l.sorted
 }
 
-// sortedUpstreams returns the upstreams by ID.
-func (l *Ledger) sortedUpstreams() []*upstream {
-	list := slices.Collect(maps.Values(l.upstreams))
-	slices.SortFunc(list, func(a, b *upstream) int {
-		if a.ID < b.ID {
-			return -1
-		}
-		return 1
-	})
-	return list
+func (l *Ledger) addUpstream(up *upstream, id string) {
+	l.upstreams[id] = up
+	l.sorted = nil
+}
+
+func (l *Ledger) removeUpstream(id string) {
+	delete(l.upstreams, id)
+	l.sorted = nil
 }
--- a/internal/job/bbrledger/plan.go
+++ b/internal/job/bbrledger/plan.go
@@ -44,6 +44,9 @@
 	usable []*upstream
 	// racks counts the usable upstreams of each rack.
 	racks map[string]int
+	// tooBig has needs that no usable upstream has the room for; room only
+	// shrinks during a round.
+	tooBig map[bbrwork.Resources]bool
 	// busy means that over half of the usable processor room is taken.
 	busy bool
 	plan Plan
@@ -53,7 +56,7 @@
 // confirmed.
 func (l *Ledger) Plan(confirmed bool, now time.Time) Plan {
 	l.Expire(now)
-	p := &planner{ledger: l, now: now}
+	p := &planner{ledger: l, now: now, tooBig: make(map[bbrwork.Resources]bool)}
 	p.stops()
 	if confirmed {
 		p.findUsable()
@@ -125,11 +128,15 @@
 // anyRoom is a quick look before the work units are gone through.
 func (p *planner) anyRoom(s *step) bool {
 	taken := s.shape.Taken()
+	if p.tooBig[taken] {
+		return false
+	}
 	for _, up := range p.usable {
 		if taken.Fits(up.free()) {
 			return true
 		}
 	}
+	p.tooBig[taken] = true
 	return false
 }
 
--- a/internal/job/bbrledger/rank.go
+++ b/internal/job/bbrledger/rank.go
@@ -20,7 +20,7 @@
 
 func (p *planner) candidates() []candidate {
 	var list []candidate
-	for _, job := range p.ledger.sortedJobs() {
+	for _, job := range p.ledger.jobs {
 		if job.final != "" || job.cancelled || p.mayRunUnlocated(job) {
 			continue
 		}
@@ -31,26 +31,33 @@
 			list = p.stepsOf(job, o, list)
 		}
 	}
-	slices.SortStableFunc(list, compareCandidates)
+	slices.SortFunc(list, compareCandidates)
 	return list
 }
 
 func (p *planner) stepsOf(job *job, o *occurrence, list []candidate) []candidate {
 	by := job.objective(o)
 	for _, s := range o.steps {
-		if s.idle > 0 && s.left > 0 && s.open(p.now) {
+		if s.idle > 0 && s.left > 0 && s.open(p.now) && p.mayHaveRoom(s) {
 			list = append(list, p.rank(s, by))
 		}
 	}
 	return list
 }
 
+// mayHaveRoom tells whether it is worth looking for room for the step. One that
+// needs advice asks for it also where there is none.
+func (p *planner) mayHaveRoom(s *step) bool {
+	return s.shape.Gang || s.job.queue != nil && s.job.queue.Advice != nil || p.anyRoom(s)
+}
+
 // freshMargin is how much time more a job needs to be begun: starts take a
 // while, and estimates are rough.
 const freshMargin = 200 * time.Millisecond
 
 func compareCandidates(a, b candidate) int {
-	return cmp.Or(cmp.Compare(a.tier, b.tier), cmp.Compare(a.priority, b.priority), cmp.Compare(a.fresh, b.fresh), a.by.Compare(b.by))
+	return cmp.Or(cmp.Compare(a.tier, b.tier), cmp.Compare(a.priority, b.priority), cmp.Compare(a.fresh, b.fresh), a.by.Compare(b.by),
+		cmp.Compare(a.step.job.ID, b.step.job.ID), cmp.Compare(a.step.occurrence.number, b.step.occurrence.number), cmp.Compare(a.step.number, b.step.number))
 }
 
 func (p *planner) rank(s *step, by time.Time) candidate {
--- a/internal/job/bbrledger/store.go
+++ b/internal/job/bbrledger/store.go
@@ -16,6 +16,9 @@
 	// Final is empty while the job goes on; Progress is stored then.
 	Final    bbrwork.State
 	Progress []byte
+	// HasProgress and HasCancel tell of a job that has ended whether the store may
+	// have progress of it, and a demand to cancel it.
+	HasProgress, HasCancel bool
 
 	job     *job
 	changed int
@@ -48,8 +51,7 @@
 		return cmp.Compare(len(l.dirty[b].final), len(l.dirty[a].final))
 	})
 	for _, id := range ids[:min(len(ids), limit)] {
-		j := l.dirty[id]
-		batch.Writes = append(batch.Writes, Write{Job: j.Job, Final: j.final, Progress: j.progress(), job: j, changed: j.changed})
+		batch.Writes = append(batch.Writes, l.dirty[id].write())
 	}
 	if len(ids) <= limit {
 		batch.applied = make(map[bbrwork.Life]int64)
@@ -61,6 +63,13 @@
 	return batch
 }
 
+func (j *job) write() Write {
+	w := Write{Job: j.Job, Final: j.final, Progress: j.progress(), HasProgress: j.hasProgress, HasCancel: j.cancelled, job: j, changed: j.changed}
+	// Also a transaction whose answer is lost may have stored it.
+	j.hasProgress = j.hasProgress || j.final == ""
+	return w
+}
+
 // Urgent tells whether something waits for being stored that a caller or a
 // start waits for.
 func (l *Ledger) Urgent() bool {
@@ -129,7 +138,7 @@
 			delete(l.dirty, write.job.ID)
 		}
 		if write.Final != "" {
-			write.job.stored = true
+			l.leaving[write.job.ID] = write.job
 		}
 	}
 	if batch.Entitle != nil {
@@ -154,10 +163,11 @@
 			delete(l.endedJobs, id)
 		}
 	}
-	for id, job := range l.jobs {
-		if job.stored && !job.busy() {
+	for id, job := range l.leaving {
+		if !job.busy() {
 			l.dropAdvice(job.Job)
 			delete(l.jobs, id)
+			delete(l.leaving, id)
 			l.endedJobs[id] = now
 		}
 	}
@@ -190,6 +200,7 @@
 	if len(progress) == 0 {
 		return
 	}
+	j.hasProgress = true
 	var stored Progress
 	if err := json.Unmarshal(progress, &stored); err != nil {
 		l.note(now, "Stored progress unreadable", "job", in.ID, "reason", err.Error())
--- a/internal/job/bbrledger/upstream.go
+++ b/internal/job/bbrledger/upstream.go
@@ -82,7 +82,7 @@
 		if l.reserved[in.ID] {
 			known.reserved = now
 		}
-		l.upstreams[in.ID] = known
+		l.addUpstream(known, in.ID)
 	}
 	if in.Draining && !known.Draining {
 		l.note(now, "Upstream drains", "upstream", in.ID, "runs", len(known.runs), "leaves", in.Leaving)
@@ -99,7 +99,7 @@
 	}
 	up.registered, up.left = false, now
 	if len(up.runs) == 0 && up.reached && len(up.lapsed) == 0 {
-		delete(l.upstreams, id)
+		l.removeUpstream(id)
 	}
 }
 
@@ -164,7 +164,7 @@
 	for _, r := range up.runs {
 		l.dropRun(r, now)
 	}
-	delete(l.upstreams, up.ID)
+	l.removeUpstream(up.ID)
 	l.dead[up.Life] = true
 	l.locate(up.Life, now)
 }
@@ -201,7 +201,7 @@
 	for _, up := range l.sortedUpstreams() {
 		if !up.registered && !up.reached {
 			l.note(now, "Upstream given up", "upstream", up.ID, "reason", "unregistered and never reached")
-			delete(l.upstreams, up.ID)
+			l.removeUpstream(up.ID)
 		}
 	}
 }
@@ -213,7 +213,7 @@
 func (l *Ledger) forgetUnregistered(now time.Time) {
 	for id, up := range l.upstreams {
 		if !up.registered && up.reached && len(up.runs) == 0 && now.Sub(up.left) > forgetAfter {
-			delete(l.upstreams, id)
+			l.removeUpstream(id)
 		}
 	}
 }
--- a/internal/job/bbrowner/flusher.go
+++ b/internal/job/bbrowner/flusher.go
@@ -28,9 +28,6 @@
 	// Entries of a transaction besides the jobs: two conditions and the
 	// sequence, and perhaps the lives.
 	fixedEntries = 4
-	// endedEntries is what a job that has ended takes: its record, and the
-	// removal of the job, its progress and its cancellation.
-	endedEntries = 4
 	maxWrites    = bbritem.MaxTransaction - fixedEntries
 )
 
@@ -57,6 +54,9 @@
 // end, so that a successor finds what was done.
 type flusher struct {
 	owner *Owner
+	// told is the report as of reported.
+	told     report
+	reported time.Time
 }
 
 func (f *flusher) run(ctx context.Context) {
@@ -109,7 +109,7 @@
 	o := f.owner
 	o.mu.Lock()
 	batch := o.ledger.Batch(maxWrites)
-	told := report{waiting: o.ledger.Waiting(now), cleared: o.ledger.Cleared(now), demand: o.ledger.Demand(now)}
+	told := f.report(now)
 	acknowledge := o.ledger.Acknowledgeable()
 	o.mu.Unlock()
 	batch, whole := fit(batch)
@@ -126,10 +126,27 @@
 	return !whole, nil
 }
 
+// reportAge is how old a report may be when it is stored.
+const reportAge = 50 * time.Millisecond
+
+// report returns what to tell besides the progress of jobs. The caller holds
+// the owner's lock.
+func (f *flusher) report(now time.Time) report {
+	if l := f.owner.ledger; now.Sub(f.reported) > reportAge {
+		f.told = report{waiting: l.Waiting(now), cleared: l.Cleared(now), demand: l.Demand(now)}
+		f.reported = now
+	}
+	return f.told
+}
+
 func (f *flusher) stored(batch bbrledger.Batch) {
 	o := f.owner
 	o.mu.Lock()
 	o.ledger.Stored(batch, time.Now())
+	if o.storedOnce != nil {
+		close(o.storedOnce)
+		o.storedOnce = nil
+	}
 	o.mu.Unlock()
 	if batch.Entitle != nil {
 		o.poke()
@@ -169,18 +186,30 @@
 func fit(batch bbrledger.Batch) (bbrledger.Batch, bool) {
 	entries := fixedEntries
 	for i, write := range batch.Writes {
-		cost := 1
-		if write.Final != "" {
-			cost = endedEntries
-		}
-		if entries+cost > bbritem.MaxTransaction {
+		entries += entriesOf(write)
+		if entries > bbritem.MaxTransaction {
 			return batch.Head(i), false
 		}
-		entries += cost
 	}
 	return batch, batch.Whole()
 }
 
+// entriesOf returns what a write takes of a transaction. A job that has ended
+// takes its record and the removal of what the store has of it.
+func entriesOf(write bbrledger.Write) int {
+	if write.Final == "" {
+		return 1
+	}
+	entries := 2
+	if write.HasProgress {
+		entries++
+	}
+	if write.HasCancel {
+		entries++
+	}
+	return entries
+}
+
 func (f *flusher) commit(ctx context.Context, batch bbrledger.Batch, told report, now time.Time) error {
 	o := f.owner
 	s := &o.sequence
@@ -213,7 +242,13 @@
 	}
 	ended := bbrrecord.Ended{State: write.Final, Queue: job.Queue, At: now}
 	transaction.Puts = append(transaction.Puts, bbritem.Put{Key: bbrrecord.EndedKey(job.ID), Value: bbrrecord.Encode(ended)})
-	transaction.Removals = append(transaction.Removals, bbrrecord.JobKey(job.ID), bbrrecord.ProgressKey(job.Service, job.ID), bbrrecord.CancelKey(job.ID))
+	transaction.Removals = append(transaction.Removals, bbrrecord.JobKey(job.ID))
+	if write.HasProgress {
+		transaction.Removals = append(transaction.Removals, bbrrecord.ProgressKey(job.Service, job.ID))
+	}
+	if write.HasCancel {
+		transaction.Removals = append(transaction.Removals, bbrrecord.CancelKey(job.ID))
+	}
 }
 
 var errReplaced = errors.New("another owner has the service")
--- a/internal/job/bbrowner/flusher_test.go
+++ b/internal/job/bbrowner/flusher_test.go
@@ -13,6 +13,7 @@
 	"github.com/bluebellridge/bluebellridge/internal/fleet/bbrclaim"
 	"github.com/bluebellridge/bluebellridge/internal/job/bbrledger"
 	"github.com/bluebellridge/bluebellridge/internal/job/bbrrecord"
+	"github.com/bluebellridge/bluebellridge/internal/job/bbrwork"
 	"github.com/bluebellridge/bluebellridge/internal/store/bbritem"
 )
 
@@ -71,3 +72,35 @@
 		require.Equal(t, store.revision, o.sequence.revision)
 	})
 }
+
+// TestShortJobsShareATransaction sees to it that a job of which the store has
+// nothing but itself takes no more than its record and its removal.
+func TestShortJobsShareATransaction(t *testing.T) {
+	tests := []struct {
+		name  string
+		write bbrledger.Write
+		want  int
+	}{
+		{name: "nothing stored", write: bbrledger.Write{Final: bbrwork.Completed}, want: 2},
+		{name: "with progress", write: bbrledger.Write{Final: bbrwork.Completed, HasProgress: true}, want: 3},
+		{name: "cancelled, with progress", write: bbrledger.Write{Final: bbrwork.Cancelled, HasProgress: true, HasCancel: true}, want: 4},
+		{name: "goes on", write: bbrledger.Write{HasProgress: true}, want: 1},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			test.write.Job = &bbrwork.Job{ID: "00000000000000a1", Service: "press"}
+			var batch bbrledger.Batch
+			for range bbritem.MaxTransaction {
+				batch.Writes = append(batch.Writes, test.write)
+			}
+			fitting, whole := fit(batch)
+			require.False(t, whole)
+			require.Len(t, fitting.Writes, (bbritem.MaxTransaction-fixedEntries)/test.want)
+			var transaction bbritem.Transaction
+			for _, write := range fitting.Writes {
+				addWrite(&transaction, write, time.Time{})
+			}
+			require.Equal(t, test.want*len(fitting.Writes), transaction.Size())
+		})
+	}
+}
--- a/internal/job/bbrowner/holder.go
+++ b/internal/job/bbrowner/holder.go
@@ -19,13 +19,14 @@
 	// idleCheck is how often a holder without work looks whether it has some.
 	idleCheck = 500 * time.Millisecond
 	// holdGather is the least time between two renewals, so that several ends
-	// come in one.
+	// come in one. A pool of many upstreams takes gatherEach for each of them, so
+	// that the listings of all of them leave time for the rest.
 	holdGather = 8 * time.Millisecond
+	gatherEach = 250 * time.Microsecond
 	holdRetry  = 150 * time.Millisecond
 	// storeWait bounds how long a renewal waits for ends to be stored. Without
 	// it, upstreams would answer at once with the same ends.
 	storeWait = 150 * time.Millisecond
-	storePoll = 4 * time.Millisecond
 )
 
 // holder renews the lease of one upstream and collects its listings.
@@ -48,7 +49,7 @@
 		}
 		if h.hold(ctx, plan) {
 			h.awaitStored(ctx)
-			bbrpause.For(ctx, holdGather)
+			bbrpause.For(ctx, h.gather())
 		} else {
 			bbrpause.For(ctx, holdRetry)
 		}
@@ -112,15 +113,39 @@
 	h.owner.poke()
 }
 
+func (h *holder) gather() time.Duration {
+	h.owner.mu.Lock()
+	defer h.owner.mu.Unlock()
+	return max(holdGather, time.Duration(len(h.owner.holders))*gatherEach)
+}
+
 func (h *holder) awaitStored(ctx context.Context) {
-	until := time.Now().Add(storeWait)
-	for ctx.Err() == nil && time.Now().Before(until) {
-		h.owner.mu.Lock()
-		waiting := h.owner.ledger.Unacknowledged(h.id)
-		h.owner.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, storeWait)
+	defer cancel()
+	for {
+		stored, waiting := h.unstored()
 		if !waiting {
 			return
 		}
-		bbrpause.For(ctx, storePoll)
+		select {
+		case <-ctx.Done():
+			return
+		case <-stored:
+		}
+	}
+}
+
+// unstored tells whether ends of the upstream are not stored yet. The channel is
+// closed when the owner has stored something.
+func (h *holder) unstored() (<-chan struct{}, bool) {
+	o := h.owner
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if !o.ledger.Unacknowledged(h.id) {
+		return nil, false
+	}
+	if o.storedOnce == nil {
+		o.storedOnce = make(chan struct{})
 	}
+	return o.storedOnce, true
 }
--- a/internal/job/bbrowner/owner.go
+++ b/internal/job/bbrowner/owner.go
@@ -58,7 +58,9 @@
 	wg       sync.WaitGroup
 	wake     chan struct{}
 	flushNow chan struct{}
-	sequence sequence
+	// storedOnce is closed when something was stored; nil while nobody waits.
+	storedOnce chan struct{}
+	sequence   sequence
 	// replaced ends the owner.
 	replaced context.CancelFunc
 }
@@ -66,9 +68,12 @@
 const (
 	// planEvery bounds the time between two plans; events ask for one earlier.
 	planEvery = 100 * time.Millisecond
-	// planGather is the least time between two plans.
-	planGather = 4 * time.Millisecond
-	loadRetry  = 150 * time.Millisecond
+	// planGather is the least time between two plans. They are further apart where
+	// planning itself takes long, so that orders and answers get their turn.
+	planGather    = 4 * time.Millisecond
+	planShare     = 4
+	maxPlanGather = 40 * time.Millisecond
+	loadRetry     = 150 * time.Millisecond
 )
 
 // Run owns the service until ctx ends or the claim turns out to be lost.
@@ -113,13 +118,15 @@
 	timer := time.NewTicker(planEvery)
 	defer timer.Stop()
 	for {
-		o.round(ctx, time.Now())
+		began := time.Now()
+		o.round(ctx, began)
+		pause := min(maxPlanGather, planGather+planShare*time.Since(began))
 		select {
 		case <-ctx.Done():
 			return
 		case <-timer.C:
 		case <-o.wake:
-			bbrpause.For(ctx, planGather)
+			bbrpause.For(ctx, pause)
 		}
 	}
 }
--- a/internal/job/bbrsweeper/sweeper.go
+++ b/internal/job/bbrsweeper/sweeper.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"encoding/json"
+	"strings"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -45,13 +46,18 @@
 	}
 }
 
-// Sweep removes the records that are old now and returns how many.
+// Sweep removes the records that are old now, and demands to cancel jobs that
+// have ended, and returns how many.
 func (s *Sweeper) Sweep(ctx context.Context, now time.Time) (int, error) {
 	items, _, err := s.Store.All(ctx, bbrrecord.EndedPrefix)
 	if err != nil {
 		return 0, err
 	}
-	old := s.old(items, now)
+	cancels, _, err := s.Store.All(ctx, bbrrecord.CancelPrefix)
+	if err != nil {
+		return 0, err
+	}
+	old := append(s.old(items, now), needless(items, cancels)...)
 	removed := 0
 	for len(old) > 0 {
 		batch := old[:min(len(old), bbritem.MaxTransaction-1)]
@@ -64,6 +70,22 @@
 	return removed, nil
 }
 
+// needless returns the keys of the demands to cancel jobs that have ended: they
+// came too late for the owner to remove them with the job.
+func needless(ended, cancels []bbritem.Item) []string {
+	gone := make(map[string]bool, len(ended))
+	for _, item := range ended {
+		gone[strings.TrimPrefix(item.Key, bbrrecord.EndedPrefix)] = true
+	}
+	var keys []string
+	for _, item := range cancels {
+		if gone[strings.TrimPrefix(item.Key, bbrrecord.CancelPrefix)] {
+			keys = append(keys, item.Key)
+		}
+	}
+	return keys
+}
+
 // old returns the keys of the records whose time is over.
 func (s *Sweeper) old(items []bbritem.Item, now time.Time) []string {
 	var old []string
--- a/internal/job/bbrsweeper/sweeper_test.go
+++ b/internal/job/bbrsweeper/sweeper_test.go
@@ -25,7 +25,12 @@
 	var removed []string
 	claim := bbritem.Condition{Key: "claim", Revision: 7}
 	s := &Sweeper{Keep: 2 * time.Minute, Condition: claim, Store: &bbritem.Store{
-		Range: func(context.Context, string, string) (bbritem.Page, error) { return bbritem.Page{Items: items}, nil },
+		Range: func(_ context.Context, prefix, _ string) (bbritem.Page, error) {
+			if prefix == bbrrecord.CancelPrefix {
+				return bbritem.Page{Items: []bbritem.Item{{Key: bbrrecord.CancelKey("new")}, {Key: bbrrecord.CancelKey("active")}}}, nil
+			}
+			return bbritem.Page{Items: items}, nil
+		},
 		Commit: func(_ context.Context, transaction bbritem.Transaction) (bbritem.Revision, error) {
 			require.LessOrEqual(t, transaction.Size(), bbritem.MaxTransaction)
 			require.Equal(t, []bbritem.Condition{claim}, transaction.Conditions)
@@ -35,8 +40,9 @@
 	}}
 	count, err := s.Sweep(t.Context(), now)
 	require.NoError(t, err)
-	require.Equal(t, 40, count)
-	for _, key := range removed {
+	require.Equal(t, 41, count)
+	for _, key := range removed[:40] {
 		require.Equal(t, bbrrecord.EndedKey("old"), key)
 	}
+	require.Equal(t, bbrrecord.CancelKey("new"), removed[40], "should remove the demand to cancel a job that has ended")
 }
