peer/bbrinquiry, job/bbrintake: owners answer for the state of their jobs

Change: an entry asks the owner over drpc (listen.peers in the settings, the address stands in the entry's registration) and reads the store only where the owner does not know, does not answer within 150 ms, or there is none; an entry that did not answer is left alone for 1 s. An owner tells an end once it is stored, and while its claim is not confirmed nothing else. 410 still comes from the store only. Without listen.peers everything is as before.

--- a/internal/config/bbrsettings/parse.go
+++ b/internal/config/bbrsettings/parse.go
@@ -68,6 +68,7 @@
 		c.address(s.Listen.Metrics, "listen.metrics")
 		c.address(s.Platform.Address, "platform.address")
 		c.address(s.Platform.Machines, "platform.machines")
+		c.require(!s.Listen.Peers.Addr().IsUnspecified(), bbrcode.SettingsInvalid, "listen.peers", "must be an address that the other entries can reach")
 		c.jobs(s.Jobs)
 	default:
 		c.require(false, bbrcode.SettingsInvalid, "platform.protocol", "must be %s or %s", ProtocolOwn, ProtocolFleet)
--- a/internal/daemon/bbrserve/owners.go
+++ b/internal/daemon/bbrserve/owners.go
@@ -14,6 +14,7 @@
 	"github.com/bluebellridge/bluebellridge/internal/job/bbrorder"
 	"github.com/bluebellridge/bluebellridge/internal/job/bbrowner"
 	"github.com/bluebellridge/bluebellridge/internal/job/bbrsweeper"
+	"github.com/bluebellridge/bluebellridge/internal/job/bbrwork"
 	"github.com/bluebellridge/bluebellridge/platform/bbrwire"
 )
 
@@ -27,6 +28,8 @@
 	// be left.
 	mu   sync.Mutex
 	used map[string]bool
+	// running has the owners that run here, by service; nil after their end.
+	running map[string]*bbrowner.Owner
 }
 
 func newOwners(s *service) *owners {
@@ -37,6 +40,7 @@
 		fleet:   bbrwire.NewFleet(client, s.settings.Platform.Machines),
 		advise:  bbrwire.NewAdvice(client, s.settings.Platform.Advice),
 		used:    make(map[string]bool),
+		running: make(map[string]*bbrowner.Owner),
 	}
 }
 
@@ -103,10 +107,42 @@
 		Registered: s.registry.Of,
 		Reserved:   s.claims.Reserved,
 	}
+	o.setRunning(held.Service, owner)
 	owner.Run(ctx)
+	o.setRunning(held.Service, nil)
 	s.claimer.Release(held)
 }
 
+func (o *owners) setRunning(service string, owner *bbrowner.Owner) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.running[service] = owner
+}
+
+// state returns the state of a job of a service that this entry owns.
+func (o *owners) state(service, job string) (bbrwork.State, bool) {
+	o.mu.Lock()
+	owner := o.running[service]
+	o.mu.Unlock()
+	if owner == nil {
+		return "", false
+	}
+	return owner.State(job, time.Now())
+}
+
+// ask returns the state of a job from the service's owner, which may be this
+// entry.
+func (o *owners) ask(ctx context.Context, service, job string, now time.Time) (bbrwork.State, bool) {
+	if state, known := o.state(service, job); known {
+		return state, true
+	}
+	address, ok := o.service.claims.OwnerAddress(service)
+	if !ok || address == o.service.settings.Listen.Peers {
+		return "", false
+	}
+	return o.service.questions.State(ctx, address, service, job, now)
+}
+
 // lives returns the lives of the instances that are not down.
 func (o *owners) lives(ctx context.Context) (map[string]bool, error) {
 	instances, err := o.fleet.List(ctx)
--- a/internal/daemon/bbrserve/plugin.go
+++ b/internal/daemon/bbrserve/plugin.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"runtime/debug"
 	"sync"
@@ -12,6 +13,7 @@
 	"go.uber.org/fx"
 	"k8s.io/klog/v2"
 
+	"github.com/bluebellridge/bluebellridge/internal/base/bbrlog"
 	"github.com/bluebellridge/bluebellridge/internal/base/bbrmetric"
 	"github.com/bluebellridge/bluebellridge/internal/base/bbrpause"
 	"github.com/bluebellridge/bluebellridge/internal/config/bbrfollow"
@@ -21,6 +23,7 @@
 	"github.com/bluebellridge/bluebellridge/internal/fleet/bbrclaim"
 	"github.com/bluebellridge/bluebellridge/internal/fleet/bbrregistry"
 	"github.com/bluebellridge/bluebellridge/internal/job/bbrintake"
+	"github.com/bluebellridge/bluebellridge/internal/peer/bbrinquiry"
 	"github.com/bluebellridge/bluebellridge/internal/store/bbritem"
 	"github.com/bluebellridge/bluebellridge/platform/bbrwire"
 )
@@ -56,7 +59,9 @@
 	acceptor *bbrintake.Acceptor
 	handler  *bbrintake.Handler
 	owners   *owners
-	servers  []*bbrlistener.Listener
+	// questions asks the owners at other entries.
+	questions *bbrinquiry.Client
+	servers   []*bbrlistener.Listener
 
 	// end ends what owns and follows, and endSession the session.
 	end, endSession context.CancelFunc
@@ -76,9 +81,11 @@
 		store:    store,
 		config:   &bbrfollow.Follower{Store: store, Key: bbrwire.ConfigKey, Decode: bbrwire.Config},
 		registry: &bbrregistry.Registry{Decode: bbrwire.Registration},
-		session:  &bbrclaim.Session{Store: store, Entry: settings.Entry, Zone: settings.Zone, Incarnation: uuid.NewString(), MilliCPU: milliCPU(settings.Limits)},
+		session:  &bbrclaim.Session{Store: store, Entry: settings.Entry, Zone: settings.Zone, Incarnation: uuid.NewString(), MilliCPU: milliCPU(settings.Limits), Peers: settings.Listen.Peers},
 		claims:   &bbrclaim.Directory{},
 		acceptor: bbrintake.NewAcceptor(store),
+
+		questions: bbrinquiry.NewClient(),
 	}
 	s.owners = newOwners(s)
 	s.claimer = &bbrclaim.Claimer{Session: s.session, Directory: s.claims, Services: s.owners.services, Own: s.owners.own}
@@ -88,6 +95,7 @@
 			Store:        store,
 			Config:       s.config.Config,
 			StoreAnswers: s.config.StoreAnswers,
+			AskOwner:     s.owners.ask,
 		},
 		Codec: bbrintake.Codec{
 			Submission:  bbrwire.Submission,
@@ -145,6 +153,9 @@
 	s.running.Go(func() { fleet.Run(running) })
 	s.running.Go(func() { upstreams.run(running) })
 	s.running.Go(func() { s.claimer.Run(running) })
+	if err := s.answerEntries(ctx, session); err != nil {
+		return err
+	}
 	for _, server := range s.servers {
 		if err := server.Start(ctx); err != nil {
 			return err
@@ -153,6 +164,25 @@
 	return nil
 }
 
+// answerEntries answers other entries' questions until running ends, where the
+// settings have an address for them.
+func (s *service) answerEntries(ctx, running context.Context) error {
+	if !s.settings.Listen.Peers.IsValid() {
+		return nil
+	}
+	var config net.ListenConfig
+	listener, err := config.Listen(ctx, "tcp", s.settings.Listen.Peers.String())
+	if err != nil {
+		return err
+	}
+	server := &bbrinquiry.Server{StateOf: s.owners.state}
+	s.keep.Go(func() {
+		err := server.Run(running, listener)
+		klog.InfoS("Questions end", "address", s.settings.Listen.Peers, "reason", bbrlog.Reason(err))
+	})
+	return nil
+}
+
 // stop hands over: the balancer is told, the services are given up, and
 // callers are served while the balancer may still send them.
 func (s *service) stop(ctx context.Context) error {
@@ -175,5 +205,8 @@
 	}
 	s.endSession()
 	s.keep.Wait()
+	if failed := s.questions.Close(); failed != nil {
+		klog.InfoS("Connections to entries not closed", "reason", failed.Error())
+	}
 	return err
 }
--- a/internal/fleet/bbrclaim/directory.go
+++ b/internal/fleet/bbrclaim/directory.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"net/netip"
 	"slices"
 	"strings"
 	"sync"
@@ -162,6 +163,15 @@
 	return claim, ok
 }
 
+// OwnerAddress returns where the owner of a service can be asked.
+func (d *Directory) OwnerAddress(service string) (netip.AddrPort, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	claim, owned := d.claims[service]
+	entry := d.entries[claim.Entry]
+	return entry.Peers, owned && entry.Incarnation == claim.Incarnation && entry.Peers.IsValid()
+}
+
 // Entries returns the names of the registered entries in order.
 func (d *Directory) Entries() []string {
 	d.mu.Lock()
--- /dev/null
+++ b/internal/fleet/bbrclaim/directory_test.go
@@ -0,0 +1,47 @@
+package bbrclaim
+
+import (
+	"encoding/json"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/bluebellridge/bluebellridge/internal/store/bbritem"
+)
+
+func encoded(t *testing.T, record any) []byte {
+	t.Helper()
+	data, err := json.Marshal(record)
+	require.NoError(t, err)
+	return data
+}
+
+// TestOwnerAddress holds that an owner is asked only at the process that claimed
+// the service, not at a later one of the same name.
+func TestOwnerAddress(t *testing.T) {
+	now := time.Unix(1000, 0)
+	address := netip.MustParseAddrPort("10.0.0.1:7075")
+	entry := func(incarnation string, peers netip.AddrPort, revision bbritem.Revision) bbritem.Item {
+		return bbritem.Item{Key: entryPrefix + "e1", Revision: revision, Value: encoded(t, entryRecord{Entry: "e1", Incarnation: incarnation, Peers: peers})}
+	}
+	d := &Directory{}
+	_, ok := d.OwnerAddress("press")
+	require.False(t, ok)
+
+	d.Snapshot([]bbritem.Item{
+		entry("first", address, 1),
+		{Key: ClaimKey("press"), Revision: 2, Created: 2, Value: encoded(t, claimRecord{Entry: "e1", Incarnation: "first"})},
+	}, now)
+	got, ok := d.OwnerAddress("press")
+	require.True(t, ok)
+	require.Equal(t, address, got)
+
+	d.Change(entry("second", address, 3), now)
+	_, ok = d.OwnerAddress("press")
+	require.False(t, ok)
+	d.Change(entry("first", netip.AddrPort{}, 4), now)
+	_, ok = d.OwnerAddress("press")
+	require.False(t, ok, "an entry without an address cannot be asked")
+}
--- a/internal/fleet/bbrclaim/session.go
+++ b/internal/fleet/bbrclaim/session.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"net/netip"
 	"sync"
 	"time"
 
@@ -35,6 +36,8 @@
 	Lease bbritem.Lease `json:"lease"`
 	// MilliCPU is the processor time that the entry has.
 	MilliCPU int `json:"milliCPU"`
+	// Peers is where other entries ask this one; invalid for nowhere.
+	Peers netip.AddrPort `json:"peers"`
 }
 
 // Session is the entry's lease and registration.
@@ -45,6 +48,8 @@
 	// MilliCPU is the processor time that the process has, in thousandths of a
 	// core.
 	MilliCPU int
+	// Peers is where other entries ask this one; invalid for nowhere.
+	Peers netip.AddrPort
 
 	mu        sync.Mutex
 	lease     bbritem.Lease
@@ -136,7 +141,7 @@
 	if err != nil {
 		return err
 	}
-	record, err := json.Marshal(entryRecord{Entry: s.Entry, Zone: s.Zone, Incarnation: s.Incarnation, Lease: lease, MilliCPU: s.MilliCPU})
+	record, err := json.Marshal(entryRecord{Entry: s.Entry, Zone: s.Zone, Incarnation: s.Incarnation, Lease: lease, MilliCPU: s.MilliCPU, Peers: s.Peers})
 	if err != nil {
 		return err
 	}
--- a/internal/job/bbrintake/handler.go
+++ b/internal/job/bbrintake/handler.go
@@ -151,7 +151,7 @@
 	if !h.Codec.ValidID(r.id) {
 		return reply{code: bbrcode.UnknownJob}
 	}
-	state, code := h.Intake.State(r.Context(), r.id)
+	state, code := h.Intake.State(r.Context(), r.queue, r.id, r.now)
 	return reply{code: code, body: h.Codec.StateBody(state)}
 }
 
--- a/internal/job/bbrintake/intake.go
+++ b/internal/job/bbrintake/intake.go
@@ -19,6 +19,9 @@
 	Store    *bbritem.Store
 	// Config returns the configuration in force, or nil.
 	Config func() *bbrwork.Config
+	// AskOwner returns the state of a job from its service's owner, where there is
+	// one that knows; nil where owners cannot be asked.
+	AskOwner func(ctx context.Context, service, id string, now time.Time) (state bbrwork.State, known bool)
 	// StoreAnswers tells whether the store answered lately.
 	StoreAnswers func(now time.Time) bool
 }
@@ -32,8 +35,14 @@
 	return i.Acceptor.Accept(job, by)
 }
 
-// State returns the state of a job, as the store has it.
-func (i *Intake) State(ctx context.Context, id string) (bbrwork.State, bbrcode.Code) {
+// State returns the state of a job of the queue, from its owner or else from
+// the store. That a job does not exist is told by the store only.
+func (i *Intake) State(ctx context.Context, queue *bbrwork.Queue, id string, now time.Time) (bbrwork.State, bbrcode.Code) {
+	if i.AskOwner != nil {
+		if state, known := i.AskOwner(ctx, queue.Service, id, now); known {
+			return state, bbrcode.StateTold
+		}
+	}
 	state, err := i.ended(ctx, id)
 	if errors.Is(err, bbritem.ErrNotFound) {
 		state, err = i.active(ctx, id)
--- a/internal/job/bbrledger/ledger.go
+++ b/internal/job/bbrledger/ledger.go
@@ -60,9 +60,11 @@
 	dirty     map[string]*job
 	// advice has the tickets of steps, by their name.
 	advice map[string]*advice
-	// endedJobs has the jobs that were dropped after their end was stored, with
-	// when: an older list or event may still bring them.
-	endedJobs map[string]time.Time
+	// endedJobs has the jobs that were dropped after their end was stored: an
+	// older list or event may still bring them, and callers ask for them.
+	endedJobs map[string]endedJob
+	// swept is when the ended jobs were last gone through.
+	swept time.Time
 	// dead has the lives that certainly ended, while the store may list them.
 	dead map[bbrwork.Life]bool
 	// entitled has the lives on which this claim may start work, since the store
@@ -91,7 +93,7 @@
 		unlocated: make(map[bbrwork.Life]bool),
 		dirty:     make(map[string]*job),
 		advice:    make(map[string]*advice),
-		endedJobs: make(map[string]time.Time),
+		endedJobs: make(map[string]endedJob),
 		dead:      make(map[bbrwork.Life]bool),
 		entitled:  make(map[bbrwork.Life]bool),
 		asked:     make(map[bbrwork.Life]bool),
--- /dev/null
+++ b/internal/job/bbrledger/state_test.go
@@ -0,0 +1,50 @@
+package bbrledger
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/bluebellridge/bluebellridge/internal/job/bbrwork"
+)
+
+// TestStateIsToldOnlyOfWhatIsStored follows a job through what its callers are
+// told: an end only after it is stored, and for a while after.
+func TestStateIsToldOnlyOfWhatIsStored(t *testing.T) {
+	s := newScene(t, true, "u1")
+	requireState := func(want bbrwork.State) {
+		t.Helper()
+		state, known := s.ledger.State(testJob)
+		require.Equal(t, want, state)
+		require.Equal(t, want != "", known)
+	}
+	requireState("")
+	s.accept(testJob, unitStep(1))
+	requireState(bbrwork.Pending)
+	s.started(s.plan(), nil)
+	requireState(bbrwork.Running)
+	s.list("u1", bbrwork.End{Number: 1, Unit: unitName(0), Run: 1, How: bbrwork.HowDone})
+	requireState(bbrwork.Running)
+	s.store()
+	requireState(bbrwork.Completed)
+	s.wait(endedFor)
+	s.store()
+	requireState(bbrwork.Completed)
+	s.wait(2 * sweepEvery)
+	s.store()
+	requireState("")
+}
+
+// TestStateOfAJobWhoseRunsAreStopped holds that a stored end is told while runs
+// are still being stopped.
+func TestStateOfAJobWhoseRunsAreStopped(t *testing.T) {
+	s := newScene(t, true, "u1")
+	s.accept(testJob, unitStep(1))
+	s.started(s.plan(), nil)
+	s.ledger.Cancel(testJob, s.now)
+	state, _ := s.ledger.State(testJob)
+	require.Equal(t, bbrwork.Running, state)
+	s.store()
+	state, _ = s.ledger.State(testJob)
+	require.Equal(t, bbrwork.Cancelled, state)
+}
--- a/internal/job/bbrledger/store.go
+++ b/internal/job/bbrledger/store.go
@@ -158,17 +158,28 @@
 
 // forget drops jobs that are stored as ended and have no runs.
 func (l *Ledger) forget(now time.Time) {
-	for id, since := range l.endedJobs {
-		if now.Sub(since) > endedFor {
-			delete(l.endedJobs, id)
-		}
-	}
+	l.sweepEnded(now)
 	for id, job := range l.leaving {
 		if !job.busy() {
 			l.dropAdvice(job.Job)
 			delete(l.jobs, id)
 			delete(l.leaving, id)
-			l.endedJobs[id] = now
+			l.endedJobs[id] = endedJob{at: now, state: job.final}
+		}
+	}
+}
+
+// sweepEvery is between two looks for ended jobs to forget.
+const sweepEvery = time.Second
+
+func (l *Ledger) sweepEnded(now time.Time) {
+	if now.Sub(l.swept) < sweepEvery {
+		return
+	}
+	l.swept = now
+	for id, ended := range l.endedJobs {
+		if now.Sub(ended.at) > endedFor {
+			delete(l.endedJobs, id)
 		}
 	}
 }
--- /dev/null
+++ b/internal/job/bbrowner/state_test.go
@@ -0,0 +1,39 @@
+package bbrowner
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/bluebellridge/bluebellridge/internal/job/bbrledger"
+	"github.com/bluebellridge/bluebellridge/internal/job/bbrwork"
+)
+
+// TestUnconfirmedOwnerTellsOnlyEnds holds that an owner that may have been
+// replaced does not say that a job still runs.
+func TestUnconfirmedOwnerTellsOnlyEnds(t *testing.T) {
+	now := time.Unix(1000, 0)
+	confirmed := true
+	o := &Owner{Confirmed: func(time.Time) bool { return confirmed }}
+	_, known := o.State("a", now)
+	require.False(t, known, "nothing is loaded yet")
+
+	o.ledger = bbrledger.New("press", 7, bbrledger.Timing{}, true, now)
+	for _, id := range []string{"a", "b"} {
+		o.ledger.Accepted(&bbrwork.Job{ID: id, Service: "press", Steps: []bbrwork.Step{{Count: 1}}}, nil, now)
+	}
+	o.ledger.Cancel("b", now)
+	o.ledger.Stored(o.ledger.Batch(1), now)
+	confirmed = false
+	_, known = o.State("a", now)
+	require.False(t, known)
+	state, known := o.State("b", now)
+	require.True(t, known)
+	require.Equal(t, bbrwork.Cancelled, state)
+
+	confirmed = true
+	state, known = o.State("a", now)
+	require.True(t, known)
+	require.Equal(t, bbrwork.Pending, state)
+}
--- a/internal/job/bbrwork/job.go
+++ b/internal/job/bbrwork/job.go
@@ -131,3 +131,6 @@
 	Failed    State = "failed"
 	Cancelled State = "cancelled"
 )
+
+// Final tells whether a job in this state stays in it.
+func (s State) Final() bool { return s == Completed || s == Failed || s == Cancelled }
--- /dev/null
+++ b/internal/peer/bbrinquiry/client.go
@@ -0,0 +1,97 @@
+package bbrinquiry
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"k8s.io/klog/v2"
+	"storj.io/drpc"
+	"storj.io/drpc/drpcconn"
+	"storj.io/drpc/drpcpool"
+
+	"github.com/bluebellridge/bluebellridge/internal/job/bbrwork"
+)
+
+const (
+	// askWithin bounds a question. The store is asked afterwards, while the caller
+	// still waits.
+	askWithin = 150 * time.Millisecond
+	// avoidFor is how long an entry that did not answer is not asked.
+	avoidFor = time.Second
+	// idleFor is how long an unused connection is kept.
+	idleFor = 20 * time.Second
+	// connectionsEach bounds the idle connections to one entry.
+	connectionsEach = 4
+	connections     = 64
+)
+
+// Client asks other entries.
+type Client struct {
+	pool *drpcpool.Pool[netip.AddrPort, drpcpool.Conn]
+
+	mu sync.Mutex
+	// avoided has the entries that did not answer, with until when they are not
+	// asked.
+	avoided map[netip.AddrPort]time.Time
+}
+
+// NewClient returns a client that keeps its connections.
+func NewClient() *Client {
+	return &Client{
+		pool:    drpcpool.New[netip.AddrPort, drpcpool.Conn](drpcpool.Options{Expiration: idleFor, Capacity: connections, KeyCapacity: connectionsEach}),
+		avoided: make(map[netip.AddrPort]time.Time),
+	}
+}
+
+// State asks the entry for the state of a job. It is not known where the entry
+// does not answer in time.
+func (c *Client) State(ctx context.Context, entry netip.AddrPort, service, job string, now time.Time) (bbrwork.State, bool) {
+	if c.avoids(entry, now) {
+		return "", false
+	}
+	ctx, cancel := context.WithTimeout(ctx, askWithin)
+	defer cancel()
+	var out StateResponse
+	err := c.pool.Get(ctx, entry, dial).Invoke(ctx, stateMethod, jsonEncoding{}, &StateRequest{Service: service, Job: job}, &out)
+	c.answered(entry, err, now)
+	return out.State, err == nil && out.Known
+}
+
+// Close ends all connections.
+func (c *Client) Close() error { return c.pool.Close() }
+
+func (c *Client) avoids(entry netip.AddrPort, now time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return now.Before(c.avoided[entry])
+}
+
+func (c *Client) answered(entry netip.AddrPort, err error, now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	_, failing := c.avoided[entry]
+	switch {
+	case err != nil:
+		c.avoided[entry] = now.Add(avoidFor)
+		if !failing {
+			klog.InfoS("Dependency lost", "dependency", "entry", "address", entry, "use", "questions", "reason", err.Error())
+		}
+	case failing:
+		delete(c.avoided, entry)
+		klog.InfoS("Dependency regained", "dependency", "entry", "address", entry, "use", "questions")
+	}
+}
+
+func dial(ctx context.Context, entry netip.AddrPort) (drpcpool.Conn, error) {
+	var dialer net.Dialer
+	conn, err := dialer.DialContext(ctx, "tcp", entry.String())
+	if err != nil {
+		return nil, err
+	}
+	return drpcconn.New(conn), nil
+}
+
+var _ drpc.Encoding = jsonEncoding{}
--- /dev/null
+++ b/internal/peer/bbrinquiry/client_test.go
@@ -0,0 +1,56 @@
+package bbrinquiry
+
+import (
+	"net"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/bluebellridge/bluebellridge/internal/job/bbrwork"
+)
+
+func listen(t *testing.T) (net.Listener, netip.AddrPort) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	return listener, netip.MustParseAddrPort(listener.Addr().String())
+}
+
+func TestState(t *testing.T) {
+	listener, address := listen(t)
+	server := &Server{StateOf: func(service, job string) (bbrwork.State, bool) {
+		return bbrwork.Running, service == "press" && job == "known"
+	}}
+	go func() { _ = server.Run(t.Context(), listener) }()
+	client := NewClient()
+	defer client.Close()
+	for range 3 {
+		state, known := client.State(t.Context(), address, "press", "known", time.Now())
+		require.True(t, known)
+		require.Equal(t, bbrwork.Running, state)
+		_, known = client.State(t.Context(), address, "press", "other", time.Now())
+		require.False(t, known)
+	}
+}
+
+// TestSilentEntryIsNotAskedAgainAtOnce holds that an entry that does not answer
+// costs one question, and is asked again a while later.
+func TestSilentEntryIsNotAskedAgainAtOnce(t *testing.T) {
+	silent, address := listen(t)
+	client := NewClient()
+	defer client.Close()
+	now := time.Now()
+	_, known := client.State(t.Context(), address, "press", "a", now)
+	require.False(t, known)
+	require.True(t, client.avoids(address, now.Add(avoidFor-time.Millisecond)))
+	require.False(t, client.avoids(address, now.Add(avoidFor)))
+
+	server := &Server{StateOf: func(string, string) (bbrwork.State, bool) { return bbrwork.Pending, true }}
+	go func() { _ = server.Run(t.Context(), silent) }()
+	_, known = client.State(t.Context(), address, "press", "a", now.Add(avoidFor))
+	require.True(t, known)
+	require.False(t, client.avoids(address, now))
+}
