job/bbrledger: gangs, labels, racks, limits, schedules and advice under failure

Cause: these shapes had no property test, and advice had never been played. The world of TestPromisesUnderFailure now draws them and checks room, labels, work units of a step on one upstream, due times, whole gangs on one rack where one has the room, and tickets; calls to the advice service get lost.

The world now ends the lease by time. Found by reading: one call for advice named the first hundred upstreams, always the same ones, and forgot earlier tickets; a step whose upstreams come later would never have run. Now 30 with most room are named, refused ones are not asked again, four calls are on their way at most, and a rejected ticket is dropped alone.

TestUpstreamThatComesBackTakesWorkAgain now says that the upstream was silent, which it means; its expectations are the same.

--- a/internal/job/bbrledger/advice.go
+++ b/internal/job/bbrledger/advice.go
@@ -1,15 +1,20 @@
 package bbrledger
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/bluebellridge/bluebellridge/internal/job/bbrwork"
 )
 
-// advice is what the advice service said of a step.
+// advice is what the advice service said of a step. Which upstreams may run a
+// step never changes; tickets run out.
 type advice struct {
-	// tickets are by upstream; an upstream without one may not run the step.
+	// tickets are by upstream.
 	tickets map[string]ticket
+	// refused has the lives that may not run the step.
+	refused map[bbrwork.Life]bool
 	asking  bool
 	// again is when the service may be asked once more.
 	again time.Time
@@ -22,8 +27,12 @@
 }
 
 const (
-	// maxAdvised is how many upstreams one call may name.
-	maxAdvised = 100
+	// askedAtOnce is how many upstreams a call names. The service takes its time
+	// for each.
+	askedAtOnce = 30
+	// maxAsking bounds the calls on their way: the service takes one after the
+	// other, so those of later steps would only wait.
+	maxAsking = 4
 	// advisePause is the least time between two calls for a step.
 	advisePause = 300 * time.Millisecond
 	// ticketMargin is taken off a ticket's life.
@@ -32,15 +41,28 @@
 
 // AskOrder asks the advice service about a step.
 type AskOrder struct {
-	Step      string
-	Upstreams []string
-	Valid     time.Duration
+	Step  string
+	Lives []bbrwork.Life
+	Valid time.Duration
 }
 
+// Upstreams returns the IDs of the upstreams that the call is about.
+func (a AskOrder) Upstreams() []string {
+	ids := make([]string, len(a.Lives))
+	for i, life := range a.Lives {
+		ids[i] = life.ID
+	}
+	return ids
+}
+
+// needsAdvice tells whether the job's steps may run only on upstreams that the
+// advice service names.
+func (j *job) needsAdvice() bool { return j.queue != nil && j.queue.Advice != nil }
+
 // advised returns the step's ticket for an upstream. An empty text with ok
 // means that the queue needs none.
 func (l *Ledger) advised(s *step, up *upstream, now time.Time) (text string, ok bool) {
-	if s.job.queue == nil || s.job.queue.Advice == nil {
+	if !s.job.needsAdvice() {
 		return "", true
 	}
 	known := l.advice[s.units[0].name().StepName()]
@@ -54,55 +76,79 @@
 	return got.text, true
 }
 
-// ask returns a call to the advice service where the step has no usable ticket.
+// ask returns a call to the advice service where the step has no usable ticket
+// for an upstream with room.
 func (l *Ledger) ask(s *step, usable []*upstream, now time.Time) (AskOrder, bool) {
-	if s.job.queue == nil || s.job.queue.Advice == nil || len(usable) == 0 {
+	if !s.job.needsAdvice() || l.asking >= maxAsking {
 		return AskOrder{}, false
 	}
 	name := s.units[0].name().StepName()
 	known := l.advice[name]
 	if known == nil {
-		known = &advice{}
+		known = &advice{tickets: make(map[string]ticket), refused: make(map[bbrwork.Life]bool)}
 		l.advice[name] = known
 	}
 	if known.asking || now.Before(known.again) {
 		return AskOrder{}, false
 	}
+	lives := l.worthAsking(s, known, usable, now)
+	if len(lives) == 0 {
+		return AskOrder{}, false
+	}
+	known.asking = true
+	l.asking++
+	return AskOrder{Step: name, Lives: lives, Valid: s.job.queue.Advice.Valid}, true
+}
+
+// worthAsking returns the upstreams with room of which it is not known whether
+// they may run the step, those with most room first; none where one that may
+// has room.
+func (l *Ledger) worthAsking(s *step, known *advice, usable []*upstream, now time.Time) []bbrwork.Life {
+	var open []*upstream
 	for _, up := range usable {
-		if _, ok := l.advised(s, up, now); ok {
-			return AskOrder{}, false
+		if !s.shape.Taken().Fits(up.free()) || !up.HasLabel(s.shape.Label) {
+			continue
+		}
+		if _, ok := l.advised(s, up, now); ok && !s.shape.Gang {
+			return nil
+		} else if !ok && !known.refused[up.Life] {
+			open = append(open, up)
 		}
 	}
-	order := AskOrder{Step: name, Valid: s.job.queue.Advice.Valid}
-	for _, up := range usable[:min(len(usable), maxAdvised)] {
-		order.Upstreams = append(order.Upstreams, up.ID)
+	slices.SortStableFunc(open, func(a, b *upstream) int { return cmp.Compare(b.free().MilliCPU, a.free().MilliCPU) })
+	lives := make([]bbrwork.Life, 0, askedAtOnce)
+	for _, up := range open[:min(len(open), askedAtOnce)] {
+		lives = append(lives, up.Life)
 	}
-	known.asking = true
-	return order, true
+	return lives
 }
 
 // Advised applies the advice service's answer to a call sent at sent. Tickets
 // are by upstream.
 func (l *Ledger) Advised(order AskOrder, tickets map[string]string, valid time.Duration, err error, sent, now time.Time) {
+	l.asking--
 	known := l.advice[order.Step]
 	if known == nil {
 		return
 	}
 	known.asking = false
-	known.again = now.Add(advisePause)
 	if err != nil {
+		known.again = now.Add(advisePause)
 		l.note(now, "Advice not given", "step", order.Step, "reason", err.Error())
 		return
 	}
 	if valid == 0 {
 		valid = order.Valid
 	}
-	known.tickets = make(map[string]ticket, len(tickets))
-	for id, text := range tickets {
-		if up := l.upstreams[id]; up != nil {
-			known.tickets[id] = ticket{text: text, born: up.Born, until: sent.Add(valid - ticketMargin)}
+	for _, life := range order.Lives {
+		text, good := tickets[life.ID]
+		if !good {
+			known.refused[life] = true
+			continue
 		}
+		known.tickets[life.ID] = ticket{text: text, born: life.Born, until: sent.Add(valid - ticketMargin)}
 	}
+	l.note(now, "Advice given", "step", order.Step, "asked", len(order.Lives), "good", len(tickets), "took", now.Sub(sent).Round(time.Millisecond))
 }
 
 // dropAdvice forgets the tickets of a job.
--- a/internal/job/bbrledger/ledger_test.go
+++ b/internal/job/bbrledger/ledger_test.go
@@ -183,6 +183,7 @@
 	require.Len(t, plan.Starts, 1)
 	s.started(plan, nil)
 	s.ledger.Unregistered("i-1", s.now)
+	s.ledger.Unanswered("i-1", bbrorder.ErrLost, s.now)
 	s.wait(2 * leaseBound(testTiming.Hold))
 	require.Empty(t, s.plan().Starts)
 	s.register("i-1")
@@ -193,6 +194,48 @@
 	require.Equal(t, 2, plan.Starts[0].Start.Run)
 }
 
+// TestLateOwnerAsksBeforeItStartsAgain holds that an owner that stood still
+// until a lease had ended asks the upstream, which answers, how the runs ended.
+func TestLateOwnerAsksBeforeItStartsAgain(t *testing.T) {
+	s := newScene(t, true, "i-1", "i-2")
+	s.accept(testJob, unitStep(1))
+	plan := s.plan()
+	require.Len(t, plan.Starts, 1)
+	s.started(plan, nil)
+	s.wait(2 * leaseBound(testTiming.Hold))
+	require.Empty(t, s.plan().Starts)
+	s.list(plan.Starts[0].Upstream.ID, bbrwork.End{Number: 1, Unit: unitName(0), Run: 1, How: bbrwork.HowDone})
+	require.Empty(t, s.plan().Starts)
+	s.store()
+	state, _ := s.ledger.State(testJob)
+	require.Equal(t, bbrwork.Completed, state)
+}
+
+// TestNothingStartsBesideWorkThatIsNotKnown holds that a successor keeps off an
+// upstream on which work of a job that has ended is still listed: what that
+// takes is not known. The work is stopped until it is listed no more.
+func TestNothingStartsBesideWorkThatIsNotKnown(t *testing.T) {
+	s := newScene(t, true, "i-1")
+	left := bbrwork.Run{Unit: bbrwork.Unit{Job: "00000000000000ff"}, Number: 1}
+	s.listRunning("i-1", []bbrwork.Run{left})
+	s.accept(testJob, unitStep(1))
+	plan := s.plan()
+	require.Empty(t, plan.Starts)
+	s.wait(strayPause)
+	require.Len(t, s.plan().Stops, 1)
+	require.Empty(t, s.plan().Stops, "one stop is on its way")
+	s.wait(stopAgain)
+	s.listRunning("i-1", []bbrwork.Run{left})
+	plan = s.plan()
+	require.Empty(t, plan.Starts)
+	require.Len(t, plan.Stops, 1, "an earlier stop had no effect")
+	hold, _ := s.ledger.Hold("i-1", true, s.now)
+	require.False(t, hold.Idle)
+	require.Zero(t, hold.Until, "its lease is not renewed")
+	s.list("i-1")
+	require.Len(t, s.plan().Starts, 1)
+}
+
 func TestEarlierLivesAreAskedThoughTheStoreListsThemNoMore(t *testing.T) {
 	s := newScene(t, false)
 	s.ledger.Loaded([]bbrwork.Upstream{s.upstream("i-old")}, s.now)
--- a/internal/job/bbrledger/listing.go
+++ b/internal/job/bbrledger/listing.go
@@ -131,6 +131,11 @@
 		listed[key] = true
 		l.applyRun(up, key, running, now)
 	}
+	for key := range up.strays {
+		if !listed[key] {
+			delete(up.strays, key)
+		}
+	}
 	if len(listing.Ended) >= maxListedEnds {
 		return
 	}
@@ -198,6 +203,7 @@
 		l.stray(up, key, now)
 		return nil
 	}
+	delete(up.strays, key)
 	r := l.addRun(u, key.number, up, now)
 	r.phase, r.confirmed = phaseRunning, now
 	if up.leased.IsZero() {
--- a/internal/job/bbrledger/promise_test.go
+++ b/internal/job/bbrledger/promise_test.go
@@ -89,23 +89,91 @@
 func (p *player) accept(*rapid.T) {
 	p.jobs++
 	id := fmt.Sprintf("%016x", p.jobs)
-	steps := []bbrwork.Step{unitStep(rapid.IntRange(1, 3).Draw(p.T, "units"))}
+	steps := []bbrwork.Step{p.step()}
 	if rapid.Bool().Draw(p.T, "two steps") {
-		second := unitStep(2)
+		second := p.step()
 		second.After = []int{0}
 		steps = append(steps, second)
 	}
-	p.world.store.jobs[id] = &bbrwork.Job{ID: id, Queue: "proofs", Service: "press", Spec: "x", Steps: steps, Accepted: p.world.now}
+	job := &bbrwork.Job{ID: id, Queue: "proofs", Service: "press", Spec: "x", Steps: steps, Accepted: p.world.now}
+	if rapid.IntRange(0, 3).Draw(p.T, "advice") == 0 {
+		job.Queue = "plates"
+	}
+	if rapid.IntRange(0, 3).Draw(p.T, "schedule") == 0 {
+		due := time.Duration(rapid.IntRange(-10, 30).Draw(p.T, "due")) * 100 * time.Millisecond
+		job.Schedule = bbrwork.Schedule{Count: 2, First: p.world.now.Add(due), Every: 500 * time.Millisecond}
+	}
+	p.world.store.jobs[id] = job
 	for _, o := range p.world.owners {
 		o.learn(id)
 	}
 }
 
+// step draws what a step asks for. Each can run somewhere while all upstreams
+// are up.
+func (p *player) step() bbrwork.Step {
+	step := unitStep(rapid.IntRange(1, 3).Draw(p.T, "units"))
+	step.Need.MilliCPU = rapid.SampledFrom([]int{1000, 1000, 2500}).Draw(p.T, "need")
+	step.Label = rapid.SampledFrom([]string{"", "", "kind-0", "kind-1"}).Draw(p.T, "label")
+	step.DataRack = rapid.SampledFrom([]string{"", "", "r-0", "r-1", "r-9"}).Draw(p.T, "rack")
+	step.MaxPerUpstream = rapid.SampledFrom([]int{0, 0, 1, 2}).Draw(p.T, "together")
+	if rapid.IntRange(0, 3).Draw(p.T, "gang") == 0 {
+		// A gang must fit as a whole.
+		step = unitStep(2)
+		step.Gang, step.SameRack = true, rapid.Bool().Draw(p.T, "same rack")
+	}
+	return step
+}
+
+// checkGangs notes gangs that are started in part, under different numbers or
+// on more racks than need be.
+func (p *player) checkGangs(starts []StartOrder) {
+	type gang struct {
+		step string
+		run  int
+	}
+	members := make(map[gang]int)
+	racks := make(map[gang]map[string]bool)
+	shapes := make(map[gang]*bbrwork.Step)
+	for _, order := range starts {
+		name := order.Start.Unit
+		g := gang{step: name.StepName(), run: order.Start.Run}
+		if racks[g] == nil {
+			racks[g] = make(map[string]bool)
+		}
+		members[g]++
+		racks[g][order.Upstream.Rack()] = true
+		shapes[g] = &p.world.store.jobs[name.Job].Steps[name.Step]
+	}
+	for g, shape := range shapes {
+		if shape.Gang && members[g] != shape.Count {
+			p.world.fault("GANG: %d of %d members of %s start as run %d", members[g], shape.Count, g.step, g.run)
+		}
+		if shape.SameRack && len(racks[g]) > 1 && len(p.world.upstreams) > 2 {
+			p.world.fault("GANG: %s starts on %d racks", g.step, len(racks[g]))
+		}
+	}
+}
+
+// ask carries out the calls to the advice service.
+func (p *player) ask(o *simOwner, asks []AskOrder) {
+	for _, order := range asks {
+		sent := p.world.now
+		if p.fate() == fateAnswered {
+			o.ledger.Advised(order, p.world.advise(order), 0, nil, sent, p.world.now)
+			continue
+		}
+		o.ledger.Advised(order, nil, 0, bbrorder.ErrLost, sent, p.world.now)
+	}
+}
+
 func (p *player) plan(*rapid.T) { p.planBy(p.owner()) }
 
 func (p *player) planBy(o *simOwner) {
 	p.register(o)
 	plan := o.ledger.Plan(o.confirmed(), p.world.now)
+	p.checkGangs(plan.Starts)
+	p.ask(o, plan.Asks)
 	for _, order := range plan.Starts {
 		up := p.world.upstreams[order.Upstream.ID]
 		length := time.Duration(rapid.IntRange(1, 40).Draw(p.T, "length")) * 100 * time.Millisecond
@@ -240,6 +308,10 @@
 	w := p.world
 	p.register(o)
 	plan := o.ledger.Plan(true, w.now)
+	p.checkGangs(plan.Starts)
+	for _, order := range plan.Asks {
+		o.ledger.Advised(order, w.advise(order), 0, nil, w.now, w.now)
+	}
 	for _, order := range plan.Starts {
 		err := w.upstreams[order.Upstream.ID].start(order, 300*time.Millisecond, bbrwork.HowDone)
 		o.ledger.Started(order, w.upstreams[order.Upstream.ID].clock(), err, w.now)
--- a/internal/job/bbrledger/rank.go
+++ b/internal/job/bbrledger/rank.go
@@ -45,10 +45,9 @@
 	return list
 }
 
-// mayHaveRoom tells whether it is worth looking for room for the step. One that
-// needs advice asks for it also where there is none.
+// mayHaveRoom tells whether it is worth looking for room for the step.
 func (p *planner) mayHaveRoom(s *step) bool {
-	return s.shape.Gang || s.job.queue != nil && s.job.queue.Advice != nil || p.anyRoom(s)
+	return s.shape.Gang || p.anyRoom(s)
 }
 
 // freshMargin is how much time more a job needs to be begun: starts take a
--- a/internal/job/bbrledger/started.go
+++ b/internal/job/bbrledger/started.go
@@ -73,7 +73,9 @@
 		up.health.ended(howUnhealthy, now)
 		up.fullUntil = now.Add(fullPause)
 	case errors.Is(err, bbrorder.ErrTicket):
-		delete(l.advice, r.unit.name().StepName())
+		if known := l.advice[r.unit.name().StepName()]; known != nil {
+			delete(known.tickets, up.ID)
+		}
 	}
 	r.unit.notBefore = now.Add(retryPause)
 	l.dropRun(r, now)
--- a/internal/job/bbrledger/stops.go
+++ b/internal/job/bbrledger/stops.go
@@ -62,21 +62,6 @@
 	p.plan.Stops = append(p.plan.Stops, StopOrder{Upstream: r.up.Upstream, Stop: bbrorder.Stop{Unit: r.unit.name(), Run: r.number, Token: p.ledger.Token}})
 }
 
-func (p *planner) stopStrays(up *upstream) {
-	for key, at := range up.strays {
-		if p.ledger.jobs[key.unit.Job] != nil {
-			delete(up.strays, key)
-			continue
-		}
-		if p.now.Sub(at) < strayPause {
-			continue
-		}
-		delete(up.strays, key)
-		p.ledger.note(p.now, "Run stopped", "job", key.unit.Job, "unit", key.unit.String(), "run", key.number, "upstream", up.ID, "reason", "no such job")
-		p.plan.Stops = append(p.plan.Stops, StopOrder{Upstream: up.Upstream, Stop: bbrorder.Stop{Unit: key.unit, Run: key.number, Token: p.ledger.Token}})
-	}
-}
-
 // Stopped applies the answer to a stop.
 func (l *Ledger) Stopped(order StopOrder, err error, now time.Time) {
 	up := l.upstreams[order.Upstream.ID]
--- a/internal/job/bbrledger/upstream.go
+++ b/internal/job/bbrledger/upstream.go
@@ -40,8 +40,8 @@
 	// lapsed are runs that were dropped when the lease ended; their ends no
 	// longer count.
 	lapsed map[runKey]bool
-	// strays are listed runs of jobs that are not known, with when they were first listed.
-	strays map[runKey]time.Time
+	// strays are listed runs of jobs that are not known.
+	strays map[runKey]*stray
 }
 
 // known tells whether the upstream's clock is known.
@@ -180,10 +180,11 @@
 	}
 }
 
-// Expire drops what ran on upstreams whose lease has certainly ended.
+// Expire drops what ran on silent upstreams whose lease has certainly ended. One
+// that answers lists how its runs ended, also where this owner was late to renew.
 func (l *Ledger) Expire(now time.Time) {
 	for _, up := range l.sortedUpstreams() {
-		if len(up.runs) > 0 && !up.leased.IsZero() && now.After(up.leased) {
+		if len(up.runs) > 0 && up.lost > 0 && !up.leased.IsZero() && now.After(up.leased) {
 			l.lapse(up, now)
 		}
 	}
@@ -244,6 +245,8 @@
 	Idle bool
 	// Running means that work is or may be running there.
 	Running bool
+	// Strays means that runs of jobs that are not known are listed there.
+	Strays bool
 }
 
 // Hold returns what to tell an upstream. confirmed tells whether the claim
@@ -256,7 +259,8 @@
 	plan := HoldPlan{
 		Upstream:     up.Upstream,
 		Acknowledged: up.acknowledged,
-		Idle:         len(up.runs) == 0 && !l.unlocated[up.Life] && (!up.registered || up.acknowledged == up.applied && up.reached && up.lost == 0),
+		Strays:       len(up.strays) > 0,
+		Idle:         len(up.runs) == 0 && len(up.strays) == 0 && !l.unlocated[up.Life] && (!up.registered || up.acknowledged == up.applied && up.reached && up.lost == 0),
 		Running:      len(up.runs) > 0,
 	}
 	// An upstream that does not answer is only asked: each order that may reach
--- a/internal/job/bbrledger/usable.go
+++ b/internal/job/bbrledger/usable.go
@@ -13,6 +13,7 @@
 	for _, up := range p.ledger.sortedUpstreams() {
 		switch {
 		case !up.registered || up.Draining || !up.reserved.IsZero() || !up.reached || !up.known():
+		case len(up.strays) > 0:
 		case up.lost >= lostLimit || p.now.Before(up.fullUntil) || !p.ledger.entitle(up):
 		case up.health.suspect(p.now):
 			suspects = append(suspects, up)
--- a/internal/job/bbrledger/world_test.go
+++ b/internal/job/bbrledger/world_test.go
@@ -22,6 +22,8 @@
 	// units is what really happened to each work unit.
 	units  map[bbrwork.Unit]*simUnit
 	faults []string
+	// advice counts the calls to the advice service.
+	advice int
 }
 
 type lateOrder struct {
@@ -93,6 +95,53 @@
 	return w
 }
 
+// testQueues are the queues of the world: one whose steps need advice, and one
+// whose steps do not.
+var testQueues = []*bbrwork.Queue{
+	{Name: "proofs", Service: "press", Attempts: 3, Stretch: 1.6},
+	{Name: "plates", Service: "press", Attempts: 3, Stretch: 1.6, Advice: &bbrwork.Advice{Valid: ticketLife}},
+}
+
+const ticketLife = 2 * time.Second
+
+// labelsOf returns the labels of an upstream: every second one of a kind, and
+// two to a rack.
+func labelsOf(id string) []string {
+	number := int(id[len(id)-1] - '0')
+	return []string{fmt.Sprintf("kind-%d", number%2), fmt.Sprintf("r-%d", number/2)}
+}
+
+// mayRunStep is the advice service's policy: a step may run on all upstreams
+// but one.
+func mayRunStep(step, id string) bool {
+	return int(step[len(step)-1]-'0')%3 != int(id[len(id)-1]-'0')%3
+}
+
+// advise answers a call to the advice service.
+func (w *world) advise(order AskOrder) map[string]string {
+	w.advice++
+	tickets := make(map[string]string)
+	for _, life := range order.Lives {
+		if up := w.upstreams[life.ID]; up != nil && up.reg.Life == life && mayRunStep(order.Step, life.ID) {
+			tickets[life.ID] = fmt.Sprintf("%s %d %d", order.Step, life.Born, w.now.Add(ticketLife).UnixMilli())
+		}
+	}
+	return tickets
+}
+
+// takesTicket tells whether a start's ticket holds.
+func (u *simUpstream) takesTicket(start bbrorder.Start) bool {
+	if u.world.store.jobs[start.Unit.Job].Queue != "plates" {
+		return true
+	}
+	var step string
+	var born, until int64
+	if _, err := fmt.Sscanf(start.Ticket, "%s %d %d", &step, &born, &until); err != nil {
+		return false
+	}
+	return step == start.Unit.StepName() && born == u.reg.Born && u.world.now.UnixMilli() <= until && mayRunStep(step, u.reg.ID)
+}
+
 func (w *world) fault(format string, args ...any) {
 	w.faults = append(w.faults, fmt.Sprintf(format, args...))
 }
@@ -105,6 +154,7 @@
 			Life:    bbrwork.Life{ID: id, Born: w.now.UnixMilli()},
 			Service: "press",
 			Room:    bbrwork.Resources{MilliCPU: 4000, MemoryMB: 8000},
+			Labels:  labelsOf(id),
 		},
 		started: w.now,
 		slow:    slow,
@@ -153,7 +203,8 @@
 	if !u.up {
 		return
 	}
-	if len(u.running) > 0 && u.clock() > u.lease {
+	// The lease is over also where nothing runs any more.
+	if u.lease > 0 && u.clock() > u.lease {
 		for _, end := range u.ends {
 			end.lapsed = true
 		}
@@ -162,12 +213,54 @@
 		}
 	}
 	for _, run := range u.sorted() {
-		if u.clock() >= run.ends {
+		switch {
+		case u.clock() < run.ends || u.running[runKey{run.unit, run.number}] == nil:
+		case u.world.shape(run.unit).Gang:
+			u.world.endGang(u, run)
+		default:
 			u.end(run, run.how)
 		}
 	}
 }
 
+func (w *world) shape(name bbrwork.Unit) *bbrwork.Step {
+	return &w.store.jobs[name.Job].Steps[name.Step]
+}
+
+// gangWait is how long a member of a gang waits for the others.
+const gangWait = 3 * time.Second
+
+// endGang ends a gang whose member has worked for long enough: all are done
+// together, or the others break. A member that lacks others waits for them.
+func (w *world) endGang(at *simUpstream, member *simRun) {
+	type place struct {
+		up  *simUpstream
+		run *simRun
+	}
+	var places []place
+	for _, id := range slices.Sorted(maps.Keys(w.upstreams)) {
+		up := w.upstreams[id]
+		for _, run := range up.sorted() {
+			if up.up && run.unit.StepName() == member.unit.StepName() && run.number == member.number {
+				places = append(places, place{up, run})
+			}
+		}
+	}
+	if len(places) < w.shape(member.unit).Count {
+		if at.clock() > member.ends+gangWait {
+			at.end(member, bbrwork.HowAlone)
+		}
+		return
+	}
+	for _, p := range places {
+		how := member.how
+		if how != bbrwork.HowDone && p.run != member {
+			how = bbrwork.HowBroken
+		}
+		p.up.end(p.run, how)
+	}
+}
+
 func (u *simUpstream) sorted() []*simRun {
 	runs := slices.Collect(maps.Values(u.running))
 	slices.SortFunc(runs, func(a, b *simRun) int {
@@ -216,8 +309,11 @@
 	case order.Start.Run <= u.ended[order.Start.Unit]:
 		u.lease = max(u.lease, order.Start.Until)
 		return bbrorder.ErrOld
+	case !u.takesTicket(order.Start):
+		return bbrorder.ErrTicket
 	}
 	u.world.check(order.Start.Unit, u)
+	u.checkPlace(order.Start.Unit)
 	u.lease = max(u.lease, order.Start.Until)
 	u.running[key] = &simRun{unit: order.Start.Unit, number: order.Start.Run, ends: u.clock() + length, how: how}
 	u.world.unit(order.Start.Unit).lastStart = u.world.now
@@ -244,13 +340,40 @@
 	}
 	for _, earlier := range job.Steps[name.Step].After {
 		for index := range job.Steps[earlier].Count {
-			if !w.unit(bbrwork.Unit{Job: name.Job, Step: earlier, Index: index}).done {
+			if !w.unit(bbrwork.Unit{Job: name.Job, Occurrence: name.Occurrence, Step: earlier, Index: index}).done {
 				w.fault("ORDER: %s starts before step %d is done", name, earlier)
 			}
 		}
 	}
 }
 
+// checkPlace notes what a start breaks here: room, label, and how many work
+// units of a step may be together. What ran under an earlier owner counts.
+func (u *simUpstream) checkPlace(name bbrwork.Unit) {
+	w := u.world
+	job := w.store.jobs[name.Job]
+	shape := &job.Steps[name.Step]
+	used, together := shape.Taken(), 1
+	for key := range u.running {
+		used = used.Plus(w.store.jobs[key.unit.Job].Steps[key.unit.Step].Taken())
+		if key.unit.StepName() == name.StepName() {
+			together++
+		}
+	}
+	if !used.Fits(u.reg.Room) {
+		w.fault("LIMIT: %s brings %s over its room: %+v", name, u.reg.ID, used)
+	}
+	if !u.reg.HasLabel(shape.Label) {
+		w.fault("ROUTE: %s starts on %s, which lacks %s", name, u.reg.ID, shape.Label)
+	}
+	if shape.MaxPerUpstream > 0 && together > shape.MaxPerUpstream {
+		w.fault("ROUTE: %s is one of %d of its step on %s", name, together, u.reg.ID)
+	}
+	if w.now.Before(job.Schedule.Due(name.Occurrence)) {
+		w.fault("ORDER: %s starts before it is due", name)
+	}
+}
+
 func (u *simUpstream) stop(order StopOrder) error {
 	if err := u.fenced(order.Upstream.Life, order.Stop.Token); err != nil {
 		return err
@@ -320,7 +443,7 @@
 	w.store.token += 10
 	o := &simOwner{world: w, token: w.store.token}
 	o.ledger = New("press", o.token, testTiming, !w.store.written, w.now)
-	o.ledger.SetConfig(bbrwork.NewConfig(1, []*bbrwork.Queue{{Name: "proofs", Service: "press", Attempts: 3, Stretch: 1.6}}, nil, bbrwork.Limits{}))
+	o.ledger.SetConfig(bbrwork.NewConfig(1, testQueues, nil, bbrwork.Limits{}))
 	for _, id := range slices.Sorted(maps.Keys(w.store.jobs)) {
 		o.learn(id)
 	}
@@ -366,10 +489,12 @@
 	if state != bbrwork.Completed {
 		return
 	}
-	for number, step := range job.Steps {
-		for index := range step.Count {
-			if !w.unit(bbrwork.Unit{Job: job.ID, Step: number, Index: index}).done {
-				w.fault("MIXED: %s is completed, and a work unit has not ended as done", job.ID)
+	for occurrence := range job.Occurrences() {
+		for number, step := range job.Steps {
+			for index := range step.Count {
+				if !w.unit(bbrwork.Unit{Job: job.ID, Occurrence: occurrence, Step: number, Index: index}).done {
+					w.fault("MIXED: %s is completed, and a work unit has not ended as done", job.ID)
+				}
 			}
 		}
 	}
--- a/internal/job/bbrowner/holder.go
+++ b/internal/job/bbrowner/holder.go
@@ -49,7 +49,7 @@
 		}
 		if h.hold(ctx, plan) {
 			h.awaitStored(ctx)
-			bbrpause.For(ctx, h.gather())
+			bbrpause.For(ctx, h.gather(plan))
 		} else {
 			bbrpause.For(ctx, holdRetry)
 		}
@@ -113,7 +113,11 @@
 	h.owner.poke()
 }
 
-func (h *holder) gather() time.Duration {
+// gather returns the pause after a renewal.
+func (h *holder) gather(plan bbrledger.HoldPlan) time.Duration {
+	if plan.Strays {
+		return holdRetry
+	}
 	h.owner.mu.Lock()
 	defer h.owner.mu.Unlock()
 	return max(holdGather, time.Duration(len(h.owner.holders))*gatherEach)
--- a/internal/job/bbrowner/orders.go
+++ b/internal/job/bbrowner/orders.go
@@ -74,7 +74,7 @@
 func (a *asking) run(ctx context.Context) {
 	o := a.owner
 	sent := time.Now()
-	tickets, valid, err := o.Advise(ctx, a.order.Step, a.order.Upstreams)
+	tickets, valid, err := o.Advise(ctx, a.order.Step, a.order.Upstreams())
 	o.Metrics.Event("advise:" + reason(err))
 	o.mu.Lock()
 	o.ledger.Advised(a.order, tickets, valid, err, sent, time.Now())
