operator/bbrdesk: operators ask a fleet's entry for jobs, waves and instances

Cause: on the platform's fleet an entry had no operators' interface; why a job waits could only be pieced together from log lines.

Change: listen.operators (with operators.token) serves the language's show jobs, waves, instances, services, entries, queues and why job ID, why instance NAME at any entry. 'why job' comes from the owner's ledger over drpc: the first condition of a start that does not hold, or how many upstreams lack what; the functions are those that the plan decides by.

--- a/internal/config/bbrsettings/parse.go
+++ b/internal/config/bbrsettings/parse.go
@@ -62,8 +62,11 @@
 		c.address(s.Listen.Peers, "listen.peers")
 		c.address(s.Platform.Address, "platform.address")
 		c.require(!s.Listen.Peers.Addr().IsUnspecified(), bbrcode.SettingsInvalid, "listen.peers", "must be an address that the other entries can reach")
-		c.require(len(s.Operators.Token) >= leastToken, bbrcode.SettingsMissing, "operators.token", "must have at least %d characters", leastToken)
+		c.token(s)
 	case ProtocolFleet:
+		if s.Listen.Operators.IsValid() {
+			c.token(s)
+		}
 		c.address(s.Listen.Readiness, "listen.readiness")
 		c.address(s.Listen.Metrics, "listen.metrics")
 		c.address(s.Platform.Address, "platform.address")
@@ -75,6 +78,10 @@
 	}
 }
 
+func (c *checker) token(s Settings) {
+	c.require(len(s.Operators.Token) >= leastToken, bbrcode.SettingsMissing, "operators.token", "must have at least %d characters", leastToken)
+}
+
 func (c *checker) jobs(j Jobs) {
 	c.duration(j.Hold, time.Second, "jobs.hold")
 	c.duration(j.Notice, time.Millisecond, "jobs.notice")
--- a/internal/daemon/bbrcommand/script_test.go
+++ b/internal/daemon/bbrcommand/script_test.go
@@ -60,6 +60,7 @@
 		return 2
 	}
 	request.Header = header
+	request.Host = header.Get("Host")
 	response, err := (&http.Client{Timeout: patience}).Do(request)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
--- a/internal/daemon/bbrserve/owners.go
+++ b/internal/daemon/bbrserve/owners.go
@@ -121,15 +121,28 @@
 
 // state returns the state of a job of a service that this entry owns.
 func (o *owners) state(service, job string) (bbrwork.State, bool) {
-	o.mu.Lock()
-	owner := o.running[service]
-	o.mu.Unlock()
+	owner := o.runningOwner(service)
 	if owner == nil {
 		return "", false
 	}
 	return owner.State(job, time.Now())
 }
 
+// explain returns why a job of a service that this entry owns is where it is.
+func (o *owners) explain(service, job string) (bbrledger.Explanation, bool) {
+	owner := o.runningOwner(service)
+	if owner == nil {
+		return bbrledger.Explanation{}, false
+	}
+	return owner.Explain(job, time.Now())
+}
+
+func (o *owners) runningOwner(service string) *bbrowner.Owner {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.running[service]
+}
+
 // ask returns the state of a job from the service's owner, which may be this
 // entry.
 func (o *owners) ask(ctx context.Context, service, job string, now time.Time) (bbrwork.State, bool) {
@@ -143,6 +156,18 @@
 	return o.service.questions.State(ctx, address, service, job, now)
 }
 
+// askWhy returns why a job is where it is, from the service's owner.
+func (o *owners) askWhy(ctx context.Context, service, job string, now time.Time) (bbrledger.Explanation, bool) {
+	if explanation, known := o.explain(service, job); known {
+		return explanation, true
+	}
+	address, ok := o.service.claims.OwnerAddress(service)
+	if !ok || address == o.service.settings.Listen.Peers {
+		return bbrledger.Explanation{}, false
+	}
+	return o.service.questions.Explain(ctx, address, service, job, now)
+}
+
 // lives returns the lives of the instances that are not down.
 func (o *owners) lives(ctx context.Context) (map[string]bool, error) {
 	instances, err := o.fleet.List(ctx)
--- a/internal/daemon/bbrserve/plugin.go
+++ b/internal/daemon/bbrserve/plugin.go
@@ -112,6 +112,9 @@
 		bbrlistener.New(settings.Listen.Readiness, http.HandlerFunc(s.serveReady), settings),
 		bbrlistener.New(settings.Listen.Metrics, promhttp.HandlerFor(metrics.Registry, promhttp.HandlerOpts{}), settings),
 	}
+	if operators := s.operators(); operators != nil {
+		s.servers = append(s.servers, operators)
+	}
 	return s
 }
 
@@ -175,7 +178,7 @@
 	if err != nil {
 		return err
 	}
-	server := &bbrinquiry.Server{StateOf: s.owners.state}
+	server := &bbrinquiry.Server{StateOf: s.owners.state, Explanation: s.owners.explain}
 	s.keep.Go(func() {
 		err := server.Run(running, listener)
 		klog.InfoS("Questions end", "address", s.settings.Listen.Peers, "reason", bbrlog.Reason(err))
--- a/internal/fleet/bbrupkeep/keeper.go
+++ b/internal/fleet/bbrupkeep/keeper.go
@@ -78,8 +78,8 @@
 	listIdle  = 5 * time.Second
 )
 
-// waveRecord is the stored progress of a wave.
-type waveRecord struct {
+// WaveRecord is the stored progress of a wave.
+type WaveRecord struct {
 	Done  []string  `json:"done"`
 	Began time.Time `json:"began"`
 }
@@ -92,7 +92,8 @@
 
 const wavePrefix = "bbr/duty/wave/"
 
-func waveKey(number int64) string { return wavePrefix + bbrrecord.Number(number) }
+// WaveKey returns the key of a wave's stored progress.
+func WaveKey(number int64) string { return wavePrefix + bbrrecord.Number(number) }
 
 // Run keeps until ctx ends. The first order waits until those of an earlier
 // holder cannot arrive any more.
@@ -192,8 +193,8 @@
 	if known {
 		return nil
 	}
-	record := waveRecord{Began: now}
-	item, err := k.Store.Get(ctx, waveKey(wave.Number))
+	record := WaveRecord{Began: now}
+	item, err := k.Store.Get(ctx, WaveKey(wave.Number))
 	if err != nil && !errors.Is(err, bbritem.ErrNotFound) {
 		return err
 	}
@@ -297,7 +298,7 @@
 		}
 		stored[wave.Wave] = state
 		transaction.Puts = append(transaction.Puts,
-			bbritem.Put{Key: waveKey(wave.Wave), Value: bbrrecord.Encode(waveRecord{Done: wave.Done, Began: wave.Began})},
+			bbritem.Put{Key: WaveKey(wave.Wave), Value: bbrrecord.Encode(WaveRecord{Done: wave.Done, Began: wave.Began})},
 			bbritem.Put{Key: k.Waves.StatusKey(wave.Wave), Value: k.Waves.Status(wave.Completed)})
 	}
 	if len(transaction.Puts) == 0 {
--- a/internal/job/bbrowner/state.go
+++ b/internal/job/bbrowner/state.go
@@ -3,9 +3,20 @@
 import (
 	"time"
 
+	"github.com/bluebellridge/bluebellridge/internal/job/bbrledger"
 	"github.com/bluebellridge/bluebellridge/internal/job/bbrwork"
 )
 
+// Explain returns why a job is where it is.
+func (o *Owner) Explain(id string, now time.Time) (bbrledger.Explanation, bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.ledger == nil {
+		return bbrledger.Explanation{}, false
+	}
+	return o.ledger.Explain(id, o.Confirmed(now), now)
+}
+
 // State returns the state of a job for its callers. While the claim is not
 // confirmed, another owner may have gone on with the job, so only an end is
 // told.
--- a/internal/operator/bbrapi/config.go
+++ b/internal/operator/bbrapi/config.go
@@ -35,7 +35,7 @@
 func (x *Executor) set(ctx context.Context, c *bbrlanguage.Set, request Request) Result {
 	change, err := changeOf(c)
 	if err != nil {
-		return refused(err)
+		return Refused(err)
 	}
 	return x.apply(ctx, change, request)
 }
@@ -85,7 +85,7 @@
 // Replace makes config the whole configuration.
 func (x *Executor) Replace(ctx context.Context, config bbrrevision.Config, request Request) Result {
 	if faults := config.Validate(); len(faults) > 0 {
-		return refused(bbrrevision.Join(faults))
+		return Refused(bbrrevision.Join(faults))
 	}
 	return x.updateConfig(ctx, func(c *bbrrevision.Config) error {
 		operations := c.Operations
@@ -102,7 +102,7 @@
 	}
 	config, number, err := x.document().Update(ctx, request.Operation, update)
 	if err != nil {
-		return refused(err)
+		return Refused(err)
 	}
 	x.State.OfferRevision(&bbrrevision.Revision{Number: number, Config: config}, time.Now())
 	result := x.awaitForce(ctx, number)
@@ -129,7 +129,7 @@
 		}
 		missing := acceptance.Missing(incarnations(entries))
 		if len(missing) == 0 {
-			return done(fmt.Sprintf("in force at %d entries", len(entries)))
+			return Done(fmt.Sprintf("in force at %d entries", len(entries)))
 		}
 		where = names(entries, missing)
 		x.askToConfirm(ctx, acceptance, missing)
--- a/internal/operator/bbrapi/executor.go
+++ b/internal/operator/bbrapi/executor.go
@@ -59,7 +59,7 @@
 func (x *Executor) parseAndRun(ctx context.Context, request Request, passOn bool) Result {
 	command, err := bbrlanguage.Parse(request.Line)
 	if err != nil {
-		return refused(err)
+		return Refused(err)
 	}
 	return x.dispatch(ctx, command, request, passOn)
 }
@@ -67,7 +67,7 @@
 func (x *Executor) dispatch(ctx context.Context, c *bbrlanguage.Command, request Request, passOn bool) Result {
 	switch {
 	case c.Help:
-		return done(bbrlanguage.Help)
+		return Done(bbrlanguage.Help)
 	case c.Show != nil:
 		return x.show(ctx, c.Show)
 	case c.Why != nil:
@@ -130,7 +130,7 @@
 	if c.Declare != nil {
 		code = bbrcode.UnknownName
 	}
-	return refused(bbrcode.Errorf(code, place, "no zone has it"))
+	return Refused(bbrcode.Errorf(code, place, "no zone has it"))
 }
 
 func named(v *bbrview.View, entry string) bool {
@@ -150,7 +150,7 @@
 			return result
 		}
 	}
-	return refused(bbrcode.Errorf(bbrcode.ZoneUnreachable, zone, "%d entries were tried; the operation may still take effect", len(view.Entries)))
+	return Refused(bbrcode.Errorf(bbrcode.ZoneUnreachable, zone, "%d entries were tried; the operation may still take effect", len(view.Entries)))
 }
 
 // passOnTimeout bounds one entry's execution of a command.
@@ -177,16 +177,16 @@
 	wanted := withdrawalOf(c, request.Operation)
 	if wanted.Plan == bbrview.Move {
 		if err := x.checkMove(wanted); err != nil {
-			return refused(err)
+			return Refused(err)
 		}
 	}
 	if request.DryRun {
 		return x.tryWithdraw(ctx, wanted)
 	}
 	if err := x.Withdrawer.Withdraw(ctx, wanted); err != nil {
-		return refused(err)
+		return Refused(err)
 	}
-	return done(wanted.Instance + " receives no new work and is draining")
+	return Done(wanted.Instance + " receives no new work and is draining")
 }
 
 func withdrawalOf(c *bbrlanguage.Command, operation string) bbrview.Withdrawal {
@@ -223,7 +223,7 @@
 // tryWithdraw says whether a withdrawal would be taken, and changes nothing.
 func (x *Executor) tryWithdraw(ctx context.Context, w bbrview.Withdrawal) Result {
 	if err := x.Withdrawer.Try(ctx, w); err != nil {
-		return refused(err)
+		return Refused(err)
 	}
 	return dryRun()
 }
@@ -240,14 +240,14 @@
 	if request.DryRun {
 		trial := x.State.Snapshot().View.Clone()
 		if err := apply(&trial); err != nil {
-			return refused(err)
+			return Refused(err)
 		}
 		return dryRun()
 	}
 	view, version, err := bbrmember.Document(x.Store, x.State.Identity.Zone).Update(ctx, request.Operation, apply)
 	if err != nil {
-		return refused(err)
+		return Refused(err)
 	}
 	x.State.OfferView(view, version, time.Now())
-	return done("")
+	return Done("")
 }
--- a/internal/operator/bbrapi/handler.go
+++ b/internal/operator/bbrapi/handler.go
@@ -1,6 +1,7 @@
 package bbrapi
 
 import (
+	"context"
 	"crypto/subtle"
 	"encoding/json"
 	"io"
@@ -11,6 +12,7 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"github.com/bluebellridge/bluebellridge/internal/base/bbrcode"
+	"github.com/bluebellridge/bluebellridge/internal/base/bbrmetric"
 	"github.com/bluebellridge/bluebellridge/internal/config/bbrrevision"
 	"github.com/bluebellridge/bluebellridge/internal/config/bbryaml"
 )
@@ -27,21 +29,32 @@
 // Handler returns the operators' API. Commands need the token; metrics do not.
 func (x *Executor) Handler(token string) http.Handler {
 	router := mux.NewRouter()
-	router.HandleFunc(CommandPath, x.guard(token, x.serveCommand)).Methods(http.MethodPost)
-	router.HandleFunc(ConfigPath, x.guard(token, x.serveConfig)).Methods(http.MethodPut)
+	router.HandleFunc(CommandPath, guard(token, x.Metrics, commandServer(x.Execute))).Methods(http.MethodPost)
+	router.HandleFunc(ConfigPath, guard(token, x.Metrics, x.serveConfig)).Methods(http.MethodPut)
 	router.Handle(MetricsPath, promhttp.HandlerFor(x.Metrics.Registry, promhttp.HandlerOpts{})).Methods(http.MethodGet)
 	return router
 }
 
+// ExecuteFunc runs a command line.
+type ExecuteFunc func(ctx context.Context, request Request) Result
+
+// CommandHandler returns the operators' API of an entry that runs commands and
+// takes no configuration.
+func CommandHandler(token string, metrics *bbrmetric.Set, execute ExecuteFunc) http.Handler {
+	router := mux.NewRouter()
+	router.HandleFunc(CommandPath, guard(token, metrics, commandServer(execute))).Methods(http.MethodPost)
+	return router
+}
+
 type serve func(r *http.Request) Result
 
-func (x *Executor) guard(token string, next serve) http.HandlerFunc {
+func guard(token string, metrics *bbrmetric.Set, next serve) http.HandlerFunc {
 	expected := []byte("Bearer " + token)
 	return func(w http.ResponseWriter, r *http.Request) {
 		given := []byte(r.Header.Get("Authorization"))
 		if subtle.ConstantTimeCompare(given, expected) != 1 {
-			x.Metrics.Refuse(bbrcode.Unauthorized)
-			reply(w, refused(bbrcode.Errorf(bbrcode.Unauthorized, "Authorization", "")))
+			metrics.Refuse(bbrcode.Unauthorized)
+			reply(w, Refused(bbrcode.Errorf(bbrcode.Unauthorized, "Authorization", "")))
 			return
 		}
 		r.Body = http.MaxBytesReader(w, r.Body, maxBodyBytes)
@@ -55,23 +68,25 @@
 	_ = json.NewEncoder(w).Encode(result)
 }
 
-func (x *Executor) serveCommand(r *http.Request) Result {
-	var request Request
-	if err := json.NewDecoder(r.Body).Decode(&request); err != nil {
-		return refused(bbrcode.Errorf(bbrcode.Syntax, "body", "%v", err))
+func commandServer(execute ExecuteFunc) serve {
+	return func(r *http.Request) Result {
+		var request Request
+		if err := json.NewDecoder(r.Body).Decode(&request); err != nil {
+			return Refused(bbrcode.Errorf(bbrcode.Syntax, "body", "%v", err))
+		}
+		return execute(r.Context(), request)
 	}
-	return x.Execute(r.Context(), request)
 }
 
 // serveConfig replaces the configuration by a YAML document.
 func (x *Executor) serveConfig(r *http.Request) Result {
 	data, err := io.ReadAll(r.Body)
 	if err != nil {
-		return refused(bbrcode.Errorf(bbrcode.Syntax, "body", "%v", err))
+		return Refused(bbrcode.Errorf(bbrcode.Syntax, "body", "%v", err))
 	}
 	config, faults := ParseConfig(data)
 	if len(faults) > 0 {
-		return refused(bbrrevision.Join(faults))
+		return Refused(bbrrevision.Join(faults))
 	}
 	query := r.URL.Query()
 	request := Request{Operation: query.Get("operation"), DryRun: query.Get("dryRun") == "true"}
--- a/internal/operator/bbrapi/result.go
+++ b/internal/operator/bbrapi/result.go
@@ -24,13 +24,13 @@
 	Rows     [][]string `json:"rows,omitempty"`
 }
 
-// done returns the result of a command that is in force.
-func done(text string) Result {
+// Done returns the result of a command that is in force.
+func Done(text string) Result {
 	return Result{Code: bbrcode.Done, Name: bbrcode.Done.String(), Text: text}
 }
 
-// refused returns the result that err stands for.
-func refused(err error) Result {
+// Refused returns the result that err stands for.
+func Refused(err error) Result {
 	code := bbrcode.From(err, codeOfStore(err))
 	result := Result{Code: code, Name: code.String(), Text: err.Error()}
 	if coded := asCoded(err); coded != nil {
--- a/internal/operator/bbrapi/show.go
+++ b/internal/operator/bbrapi/show.go
@@ -29,17 +29,17 @@
 func (x *Executor) show(ctx context.Context, c *bbrlanguage.Show) Result {
 	t, err := x.list(ctx, c.Kind)
 	if err != nil {
-		return refused(err)
+		return Refused(err)
 	}
 	for _, filter := range c.Filters {
 		column := slices.Index(t.columns, filter.Field)
 		if column < 0 {
-			return refused(bbrcode.Errorf(bbrcode.Syntax, filter.Field, "%s have no such field; they have %s", c.Kind, strings.Join(t.columns, ", ")))
+			return Refused(bbrcode.Errorf(bbrcode.Syntax, filter.Field, "%s have no such field; they have %s", c.Kind, strings.Join(t.columns, ", ")))
 		}
 		t.rows = slices.DeleteFunc(t.rows, func(row []string) bool { return !filter.Keeps(row[column]) })
 	}
 	slices.SortFunc(t.rows, slices.Compare)
-	result := done(t.note)
+	result := Done(t.note)
 	result.Columns = t.columns
 	result.Rows = t.rows
 	return result
--- a/internal/operator/bbrapi/wave.go
+++ b/internal/operator/bbrapi/wave.go
@@ -17,11 +17,11 @@
 func (x *Executor) startWave(ctx context.Context, c *bbrlanguage.Start, request Request) Result {
 	views, err := x.views(ctx)
 	if err != nil {
-		return refused(err)
+		return Refused(err)
 	}
 	planned, err := bbrwave.New(c.Name, c.Pool, request.Operation, views, time.Now())
 	if err != nil {
-		return refused(err)
+		return Refused(err)
 	}
 	create := func(w *bbrwave.Wave) error {
 		if w.Status == bbrwave.Running {
@@ -35,9 +35,9 @@
 		return try(ctx, document, create)
 	}
 	if _, _, err := document.Update(ctx, request.Operation, create); err != nil {
-		return refused(err)
+		return Refused(err)
 	}
-	return done(fmt.Sprintf("wave %s over %d instances", c.Name, len(planned.Instances)))
+	return Done(fmt.Sprintf("wave %s over %d instances", c.Name, len(planned.Instances)))
 }
 
 func haltWave(w *bbrwave.Wave) error   { return w.Halt(time.Now()) }
@@ -46,13 +46,13 @@
 func (x *Executor) changeWave(ctx context.Context, name string, request Request, change func(w *bbrwave.Wave) error) Result {
 	document := bbrduty.WaveDocument(x.Store, bbrwave.KeyPrefix+name)
 	if _, err := x.Store.Get(ctx, document.Key, 0); errors.Is(err, bbrstore.ErrNotFound) {
-		return refused(bbrcode.Errorf(bbrcode.UnknownName, name, "no wave has this name"))
+		return Refused(bbrcode.Errorf(bbrcode.UnknownName, name, "no wave has this name"))
 	}
 	if request.DryRun {
 		return try(ctx, document, change)
 	}
 	if _, _, err := document.Update(ctx, "", change); err != nil {
-		return refused(err)
+		return Refused(err)
 	}
-	return done("")
+	return Done("")
 }
--- a/internal/operator/bbrapi/why.go
+++ b/internal/operator/bbrapi/why.go
@@ -29,12 +29,12 @@
 		if !ok {
 			continue
 		}
-		result := done(note)
+		result := Done(note)
 		result.Columns = []string{"what", "is"}
 		result.Rows = append(describe(&view, instance), x.holding(ctx, &view, instance)...)
 		return result
 	}
-	return refused(bbrcode.Errorf(bbrcode.UnknownInstance, id, "no zone that this entry knows has it"))
+	return Refused(bbrcode.Errorf(bbrcode.UnknownInstance, id, "no zone that this entry knows has it"))
 }
 
 func describe(view *bbrview.View, i bbrview.Instance) [][]string {
@@ -86,10 +86,10 @@
 func (x *Executor) whyQueue(name string) Result {
 	queue, ok := x.State.Table().Queues[name]
 	if !ok {
-		return refused(bbrcode.Errorf(bbrcode.UnknownName, name, "no queue has this name"))
+		return Refused(bbrcode.Errorf(bbrcode.UnknownName, name, "no queue has this name"))
 	}
 	pool := queue.Pool
-	result := done("as seen by entry " + x.State.Identity.Name)
+	result := Done("as seen by entry " + x.State.Identity.Name)
 	result.Columns = []string{"what", "is"}
 	result.Rows = [][]string{
 		{"pool", pool.Name},
--- /dev/null
+++ b/internal/operator/bbrdesk/desk.go
@@ -0,0 +1,93 @@
+package bbrdesk
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/bluebellridge/bluebellridge/internal/base/bbrcode"
+	"github.com/bluebellridge/bluebellridge/internal/base/bbrmetric"
+	"github.com/bluebellridge/bluebellridge/internal/fleet/bbrclaim"
+	"github.com/bluebellridge/bluebellridge/internal/fleet/bbrmachine"
+	"github.com/bluebellridge/bluebellridge/internal/job/bbrledger"
+	"github.com/bluebellridge/bluebellridge/internal/job/bbrwork"
+	"github.com/bluebellridge/bluebellridge/internal/operator/bbrapi"
+	"github.com/bluebellridge/bluebellridge/internal/operator/bbrlanguage"
+	"github.com/bluebellridge/bluebellridge/internal/store/bbritem"
+)
+
+// Desk runs commands.
+type Desk struct {
+	Store     *bbritem.Store
+	Directory *bbrclaim.Directory
+	Fleet     *bbrmachine.Fleet
+	Metrics   *bbrmetric.Set
+	// Config returns the configuration in force, or nil.
+	Config func() *bbrwork.Config
+	// Explain asks a service's owner about a job.
+	Explain func(ctx context.Context, service, job string, now time.Time) (explanation bbrledger.Explanation, known bool)
+	// WavePrefix is before the keys of the waves that operators ask for, and
+	// DecodeWave reads one.
+	WavePrefix string
+	DecodeWave func(value []byte) (bbrmachine.Wave, error)
+}
+
+// Execute runs a command line.
+func (d *Desk) Execute(ctx context.Context, request bbrapi.Request) bbrapi.Result {
+	result, err := d.execute(ctx, request.Line, time.Now())
+	if err != nil {
+		result = bbrapi.Refused(err)
+		d.Metrics.Refuse(result.Code)
+	}
+	result.Operation = request.Operation
+	return result
+}
+
+func (d *Desk) execute(ctx context.Context, line string, now time.Time) (bbrapi.Result, error) {
+	command, err := bbrlanguage.Parse(line)
+	switch {
+	case err != nil:
+		return bbrapi.Result{}, err
+	case command.Help:
+		return bbrapi.Done(bbrlanguage.Help), nil
+	case command.Show != nil:
+		return d.show(ctx, command.Show, now)
+	case command.Why != nil:
+		return d.why(ctx, command.Why, now)
+	default:
+		return bbrapi.Result{}, notHere("the platform's operators change this; an entry only shows and explains")
+	}
+}
+
+func notHere(text string) error { return bbrcode.Errorf(bbrcode.WrongState, "command", "%s", text) }
+
+// table is what a command lists.
+type table struct {
+	columns []string
+	rows    [][]string
+}
+
+func (t *table) add(row ...string) { t.rows = append(t.rows, row) }
+
+func (t *table) result() bbrapi.Result {
+	result := bbrapi.Done("")
+	result.Columns, result.Rows = t.columns, t.rows
+	return result
+}
+
+func (d *Desk) show(ctx context.Context, c *bbrlanguage.Show, now time.Time) (bbrapi.Result, error) {
+	t, err := d.list(ctx, c.Kind, now)
+	if err != nil {
+		return bbrapi.Result{}, err
+	}
+	for _, filter := range c.Filters {
+		column := slices.Index(t.columns, filter.Field)
+		if column < 0 {
+			return bbrapi.Result{}, bbrcode.Errorf(bbrcode.Syntax, filter.Field, "%s have no such field; they have %s", c.Kind, strings.Join(t.columns, ", "))
+		}
+		t.rows = slices.DeleteFunc(t.rows, func(row []string) bool { return !filter.Keeps(row[column]) })
+	}
+	slices.SortFunc(t.rows, slices.Compare)
+	return t.result(), nil
+}
--- /dev/null
+++ b/internal/operator/bbrdesk/show.go
@@ -0,0 +1,171 @@
+package bbrdesk
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"maps"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/bluebellridge/bluebellridge/internal/fleet/bbrclaim"
+	"github.com/bluebellridge/bluebellridge/internal/fleet/bbrmachine"
+	"github.com/bluebellridge/bluebellridge/internal/fleet/bbrupkeep"
+	"github.com/bluebellridge/bluebellridge/internal/job/bbrrecord"
+	"github.com/bluebellridge/bluebellridge/internal/job/bbrwork"
+)
+
+func (d *Desk) list(ctx context.Context, kind string, now time.Time) (*table, error) {
+	switch kind {
+	case "jobs":
+		return d.jobs(ctx, now)
+	case "waves":
+		return d.waves(ctx, now)
+	case "instances":
+		return d.instances(ctx)
+	case "services":
+		return d.services(ctx, now)
+	case "entries":
+		return d.entries(), nil
+	case "queues":
+		return d.queues(), nil
+	default:
+		return nil, notHere(kind + " are not kept on the platform's fleet")
+	}
+}
+
+// jobs lists what is stored and has not ended.
+func (d *Desk) jobs(ctx context.Context, now time.Time) (*table, error) {
+	t := &table{columns: []string{"job", "queue", "service", "age", "steps", "units", "lasting"}}
+	items, _, err := d.Store.All(ctx, bbrrecord.JobPrefix)
+	if err != nil {
+		return nil, err
+	}
+	for _, item := range items {
+		var job bbrwork.Job
+		if err := json.Unmarshal(item.Value, &job); err != nil {
+			return nil, errors.Wrap(err, item.Key)
+		}
+		units := 0
+		for i := range job.Steps {
+			units += job.Steps[i].Count
+		}
+		t.add(job.ID, job.Queue, job.Service, age(job.Accepted, now), strconv.Itoa(len(job.Steps)), strconv.Itoa(units*job.Occurrences()), strconv.FormatBool(job.Lasting()))
+	}
+	return t, nil
+}
+
+func age(since, now time.Time) string { return now.Sub(since).Round(time.Millisecond).String() }
+
+// waves lists what operators asked for with what the holder of the fleet duty
+// stored of it.
+func (d *Desk) waves(ctx context.Context, now time.Time) (*table, error) {
+	t := &table{columns: []string{"wave", "instances", "done", "cap", "within", "age"}}
+	items, _, err := d.Store.All(ctx, d.WavePrefix)
+	if err != nil {
+		return nil, err
+	}
+	for _, item := range items {
+		wave, err := d.DecodeWave(item.Value)
+		if err != nil {
+			return nil, errors.Wrap(err, item.Key)
+		}
+		done, since := "0", "not begun"
+		progress, err := d.waveProgress(ctx, wave.Number)
+		if err != nil {
+			return nil, err
+		}
+		if progress != nil {
+			done, since = strconv.Itoa(len(progress.Done)), age(progress.Began, now)
+		}
+		t.add(strconv.FormatInt(wave.Number, 10), strconv.Itoa(len(wave.Instances)), done, strconv.Itoa(wave.Cap), wave.Within.String(), since)
+	}
+	return t, nil
+}
+
+// waveProgress returns what is stored of a wave, or nil before it has begun.
+func (d *Desk) waveProgress(ctx context.Context, wave int64) (*bbrupkeep.WaveRecord, error) {
+	return read[bbrupkeep.WaveRecord](ctx, d.Store, bbrupkeep.WaveKey(wave))
+}
+
+func (d *Desk) instances(ctx context.Context) (*table, error) {
+	t := &table{columns: []string{"instance", "pool", "status", "zone", "upstream", "reserved"}}
+	instances, err := d.Fleet.List(ctx)
+	if err != nil {
+		return nil, err
+	}
+	reserved, _ := d.Directory.Reserved()
+	for _, instance := range instances {
+		t.add(instance.ID, instance.Pool, statusName(instance.Status), instance.Zone, instance.Upstream, strconv.FormatBool(reserved[instance.Upstream]))
+	}
+	return t, nil
+}
+
+func statusName(status bbrmachine.Status) string {
+	switch status {
+	case bbrmachine.StatusUp:
+		return "up"
+	case bbrmachine.StatusMoving:
+		return "moving"
+	case bbrmachine.StatusMaintained:
+		return "maintained"
+	case bbrmachine.StatusDown:
+		return "down"
+	default:
+		return "unknown"
+	}
+}
+
+// services lists the owners with their last reports.
+func (d *Desk) services(ctx context.Context, now time.Time) (*table, error) {
+	t := &table{columns: []string{"service", "owner", "token", "waiting", "demandMilliCPU", "keep", "reportAge"}}
+	items, _, err := d.Store.All(ctx, bbrrecord.SequencePrefix)
+	if err != nil {
+		return nil, err
+	}
+	for _, item := range items {
+		var report bbrrecord.Sequence
+		if err := json.Unmarshal(item.Value, &report); err != nil {
+			return nil, errors.Wrap(err, item.Key)
+		}
+		service := strings.TrimPrefix(item.Key, bbrrecord.SequencePrefix)
+		owner, token := "none", ""
+		if claim, ok := d.Directory.Owner(service); ok {
+			owner, token = claim.Entry, strconv.FormatInt(int64(claim.Revision), 10)
+		}
+		waiting := 0
+		for _, count := range report.Waiting {
+			waiting += count
+		}
+		t.add(service, owner, token, strconv.Itoa(waiting), strconv.Itoa(report.Demand.MilliCPU), strconv.Itoa(report.Demand.Keep), age(report.At, now))
+	}
+	if claim, ok := d.Directory.Owner(bbrclaim.DutyName); ok {
+		t.add(bbrclaim.DutyName, claim.Entry, strconv.FormatInt(int64(claim.Revision), 10), "", "", "", "")
+	}
+	return t, nil
+}
+
+func (d *Desk) entries() *table {
+	t := &table{columns: []string{"entry"}}
+	for _, name := range d.Directory.Entries() {
+		t.add(name)
+	}
+	return t
+}
+
+func (d *Desk) queues() *table {
+	t := &table{columns: []string{"queue", "service", "host", "prefix", "priority", "attempts", "objective"}}
+	config := d.Config()
+	if config == nil {
+		return t
+	}
+	for _, name := range slices.Sorted(maps.Keys(config.Queues)) {
+		q := config.Queues[name]
+		t.add(name, q.Service, q.Host, q.Prefix, strconv.Itoa(q.Priority), strconv.Itoa(q.Attempts), fmt.Sprintf("%g x work + %v", q.Stretch, q.Objective))
+	}
+	return t
+}
--- /dev/null
+++ b/internal/operator/bbrdesk/why.go
@@ -0,0 +1,153 @@
+package bbrdesk
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/bluebellridge/bluebellridge/internal/base/bbrcode"
+	"github.com/bluebellridge/bluebellridge/internal/fleet/bbrupkeep"
+	"github.com/bluebellridge/bluebellridge/internal/job/bbrledger"
+	"github.com/bluebellridge/bluebellridge/internal/job/bbrrecord"
+	"github.com/bluebellridge/bluebellridge/internal/job/bbrwork"
+	"github.com/bluebellridge/bluebellridge/internal/operator/bbrapi"
+	"github.com/bluebellridge/bluebellridge/internal/operator/bbrlanguage"
+	"github.com/bluebellridge/bluebellridge/internal/store/bbritem"
+)
+
+func (d *Desk) why(ctx context.Context, c *bbrlanguage.Why, now time.Time) (bbrapi.Result, error) {
+	switch c.Kind {
+	case "job":
+		return d.whyJob(ctx, c.Name, now)
+	case "instance":
+		return d.whyInstance(ctx, c.Name)
+	default:
+		return bbrapi.Result{}, notHere("ask why job ID, or why instance NAME")
+	}
+}
+
+// whyJob tells what the store has of a job, and what its owner decides of it.
+func (d *Desk) whyJob(ctx context.Context, id string, now time.Time) (bbrapi.Result, error) {
+	t := &table{columns: []string{"what", "is"}}
+	ended, err := read[bbrrecord.Ended](ctx, d.Store, bbrrecord.EndedKey(id))
+	if err != nil {
+		return bbrapi.Result{}, err
+	}
+	if ended != nil {
+		t.add("state", fmt.Sprintf("%s, stored at %s", ended.State, ended.At.UTC().Format(time.RFC3339Nano)))
+		t.add("queue", ended.Queue)
+		return t.result(), nil
+	}
+	job, err := read[bbrwork.Job](ctx, d.Store, bbrrecord.JobKey(id))
+	if err != nil {
+		return bbrapi.Result{}, err
+	}
+	if job == nil {
+		return bbrapi.Result{}, bbrcode.Errorf(bbrcode.UnknownName, id, "the store has no such job: it was never accepted, or ended long ago")
+	}
+	t.add("accepted", fmt.Sprintf("%s, %s ago", job.Accepted.UTC().Format(time.RFC3339Nano), age(job.Accepted, now)))
+	t.add("queue", job.Queue+" of service "+job.Service)
+	d.addOwner(ctx, t, job, now)
+	return t.result(), nil
+}
+
+func (d *Desk) addOwner(ctx context.Context, t *table, job *bbrwork.Job, now time.Time) {
+	claim, owned := d.Directory.Owner(job.Service)
+	if !owned {
+		t.add("owner", "none: the service waits for an entry to claim it")
+		return
+	}
+	t.add("owner", fmt.Sprintf("%s, token %d", claim.Entry, claim.Revision))
+	explanation, known := d.Explain(ctx, job.Service, job.ID, now)
+	if !known {
+		t.add("decision", "the owner does not know the job yet, or does not answer")
+		return
+	}
+	t.add("state", string(explanation.State))
+	t.add("objective", fmt.Sprintf("%s, in %s", explanation.Objective.UTC().Format(time.RFC3339Nano), age(now, explanation.Objective)))
+	for _, step := range explanation.Steps {
+		t.add(fmt.Sprintf("step %d.%d", step.Occurrence, step.Step), describe(step))
+	}
+}
+
+func describe(step bbrledger.StepExplanation) string {
+	text := fmt.Sprintf("%d of %d done, %d running", step.Done, step.Units, step.Running)
+	if len(step.On) > 0 {
+		text += fmt.Sprintf(" on %v", slices.Compact(slices.Sorted(slices.Values(step.On))))
+	}
+	if step.Failures > 0 {
+		text += fmt.Sprintf(", failed %d times", step.Failures)
+	}
+	if step.Waits != "" {
+		text += "; waits: " + step.Waits
+	}
+	return text
+}
+
+// read returns the record that is stored under the key, or nil for none.
+func read[T any](ctx context.Context, store *bbritem.Store, key string) (*T, error) {
+	item, err := store.Get(ctx, key)
+	if errors.Is(err, bbritem.ErrNotFound) {
+		return nil, nil
+	}
+	if err != nil {
+		return nil, err
+	}
+	record := new(T)
+	return record, errors.Wrap(json.Unmarshal(item.Value, record), key)
+}
+
+// whyInstance tells where an instance is and what planned work holds it.
+func (d *Desk) whyInstance(ctx context.Context, id string) (bbrapi.Result, error) {
+	instances, err := d.Fleet.List(ctx)
+	if err != nil {
+		return bbrapi.Result{}, err
+	}
+	t := &table{columns: []string{"what", "is"}}
+	reserved, _ := d.Directory.Reserved()
+	for _, instance := range instances {
+		if instance.ID != id {
+			continue
+		}
+		t.add("status", statusName(instance.Status)+" in pool "+instance.Pool+", zone "+instance.Zone)
+		t.add("upstream", instance.Upstream)
+		if reserved[instance.Upstream] {
+			t.add("reserved", "it takes no new work until planned work is done with it")
+		}
+		if err := d.addWaves(ctx, t, id); err != nil {
+			return bbrapi.Result{}, err
+		}
+		return t.result(), nil
+	}
+	return bbrapi.Result{}, bbrcode.Errorf(bbrcode.UnknownInstance, id, "the platform does not list it")
+}
+
+func (d *Desk) addWaves(ctx context.Context, t *table, id string) error {
+	items, _, err := d.Store.All(ctx, d.WavePrefix)
+	if err != nil {
+		return err
+	}
+	for _, item := range items {
+		wave, err := d.DecodeWave(item.Value)
+		if err != nil || !slices.Contains(wave.Instances, id) {
+			continue
+		}
+		progress, err := d.waveProgress(ctx, wave.Number)
+		if err != nil {
+			return err
+		}
+		if progress == nil {
+			progress = &bbrupkeep.WaveRecord{}
+		}
+		state := "waits for its turn"
+		if slices.Contains(progress.Done, id) {
+			state = "had its maintenance"
+		}
+		t.add(fmt.Sprintf("wave %d", wave.Number), fmt.Sprintf("%s; %d of %d are done, %d at once", state, len(progress.Done), len(wave.Instances), wave.Cap))
+	}
+	return nil
+}
--- a/internal/operator/bbrlanguage/command.go
+++ b/internal/operator/bbrlanguage/command.go
@@ -29,7 +29,7 @@
 
 // Show lists things of one kind.
 type Show struct {
-	Kind    string   `parser:"@('instances'|'entries'|'pools'|'queues'|'services'|'teams'|'waves'|'permits')"`
+	Kind    string   `parser:"@('instances'|'entries'|'pools'|'queues'|'services'|'teams'|'waves'|'permits'|'jobs')"`
 	Filters []Filter `parser:"('where' @@ ('and' @@)*)?"`
 }
 
@@ -47,7 +47,7 @@
 
 // Why asks for the decision that holds something.
 type Why struct {
-	Kind string `parser:"@('instance'|'queue')"`
+	Kind string `parser:"@('instance'|'queue'|'job')"`
 	Name string `parser:"@Word"`
 }
 
--- a/internal/operator/bbrlanguage/help.go
+++ b/internal/operator/bbrlanguage/help.go
@@ -2,10 +2,11 @@
 
 // Help describes the language with examples.
 const Help = `show KIND [where FIELD = VALUE [and ...]]
-    KIND: instances, entries, pools, queues, services, teams, waves, permits
+    KIND: instances, entries, pools, queues, services, teams, waves, permits, jobs
     show instances where pool = press and state != serving
 why instance NAME        what holds an instance, since when
 why queue NAME           what a queue waits for
+why job ID               how far a job is and what its work units wait for
 drain NAME [for REASON]  take an instance out of service
     drain i-12 for "fan noise"
 resume NAME              return a drained instance to service
--- a/internal/peer/bbrinquiry/client.go
+++ b/internal/peer/bbrinquiry/client.go
@@ -12,6 +12,7 @@
 	"storj.io/drpc/drpcconn"
 	"storj.io/drpc/drpcpool"
 
+	"github.com/bluebellridge/bluebellridge/internal/job/bbrledger"
 	"github.com/bluebellridge/bluebellridge/internal/job/bbrwork"
 )
 
@@ -49,15 +50,27 @@
 // State asks the entry for the state of a job. It is not known where the entry
 // does not answer in time.
 func (c *Client) State(ctx context.Context, entry netip.AddrPort, service, job string, now time.Time) (bbrwork.State, bool) {
+	var out StateResponse
+	answered := c.ask(ctx, entry, stateMethod, JobRequest{Service: service, Job: job}, &out, now)
+	return out.State, answered && out.Known
+}
+
+// Explain asks the entry why a job is where it is.
+func (c *Client) Explain(ctx context.Context, entry netip.AddrPort, service, job string, now time.Time) (bbrledger.Explanation, bool) {
+	var out ExplainResponse
+	answered := c.ask(ctx, entry, explainMethod, JobRequest{Service: service, Job: job}, &out, now)
+	return out.Explanation, answered && out.Known
+}
+
+func (c *Client) ask(ctx context.Context, entry netip.AddrPort, method string, in JobRequest, out any, now time.Time) bool {
 	if c.avoids(entry, now) {
-		return "", false
+		return false
 	}
 	ctx, cancel := context.WithTimeout(ctx, askWithin)
 	defer cancel()
-	var out StateResponse
-	err := c.pool.Get(ctx, entry, dial).Invoke(ctx, stateMethod, jsonEncoding{}, &StateRequest{Service: service, Job: job}, &out)
+	err := c.pool.Get(ctx, entry, dial).Invoke(ctx, method, jsonEncoding{}, &in, out)
 	c.answered(entry, err, now)
-	return out.State, err == nil && out.Known
+	return err == nil
 }
 
 // Close ends all connections.
--- a/internal/peer/bbrinquiry/client_test.go
+++ b/internal/peer/bbrinquiry/client_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/bluebellridge/bluebellridge/internal/job/bbrledger"
 	"github.com/bluebellridge/bluebellridge/internal/job/bbrwork"
 )
 
@@ -23,6 +24,8 @@
 	listener, address := listen(t)
 	server := &Server{StateOf: func(service, job string) (bbrwork.State, bool) {
 		return bbrwork.Running, service == "press" && job == "known"
+	}, Explanation: func(_, job string) (bbrledger.Explanation, bool) {
+		return bbrledger.Explanation{Queue: "proofs"}, job == "known"
 	}}
 	go func() { _ = server.Run(t.Context(), listener) }()
 	client := NewClient()
@@ -33,6 +36,9 @@
 		require.Equal(t, bbrwork.Running, state)
 		_, known = client.State(t.Context(), address, "press", "other", time.Now())
 		require.False(t, known)
+		explanation, known := client.Explain(t.Context(), address, "press", "known", time.Now())
+		require.True(t, known)
+		require.Equal(t, "proofs", explanation.Queue)
 	}
 }
 
--- a/internal/peer/bbrinquiry/message.go
+++ b/internal/peer/bbrinquiry/message.go
@@ -5,11 +5,12 @@
 
 	"storj.io/drpc"
 
+	"github.com/bluebellridge/bluebellridge/internal/job/bbrledger"
 	"github.com/bluebellridge/bluebellridge/internal/job/bbrwork"
 )
 
-// StateRequest asks for the state of a job.
-type StateRequest struct {
+// JobRequest asks about a job.
+type JobRequest struct {
 	Service string `json:"service"`
 	Job     string `json:"job"`
 }
@@ -21,6 +22,13 @@
 	State bbrwork.State `json:"state"`
 }
 
+// ExplainResponse is why a job is where it is. Without Known, the owner cannot
+// tell.
+type ExplainResponse struct {
+	Known       bool                  `json:"known"`
+	Explanation bbrledger.Explanation `json:"explanation"`
+}
+
 // jsonEncoding writes messages as JSON.
 type jsonEncoding struct{}
 
--- a/internal/peer/bbrinquiry/server.go
+++ b/internal/peer/bbrinquiry/server.go
@@ -8,17 +8,26 @@
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcserver"
 
+	"github.com/bluebellridge/bluebellridge/internal/job/bbrledger"
 	"github.com/bluebellridge/bluebellridge/internal/job/bbrwork"
 )
 
-const stateMethod = "/bbrinquiry.Owner/State"
+const (
+	stateMethod   = "/bbrinquiry.Owner/State"
+	explainMethod = "/bbrinquiry.Owner/Explain"
+)
 
 // StateFunc returns the state of a job of a service that this entry owns.
 type StateFunc func(service, job string) (state bbrwork.State, known bool)
 
+// ExplainFunc returns why a job of a service that this entry owns is where it
+// is.
+type ExplainFunc func(service, job string) (explanation bbrledger.Explanation, known bool)
+
 // Server answers the questions of other entries.
 type Server struct {
-	StateOf StateFunc
+	StateOf     StateFunc
+	Explanation ExplainFunc
 }
 
 // Run serves the listener until ctx ends.
@@ -31,24 +40,37 @@
 }
 
 // State answers a question for the state of a job.
-func (s *Server) State(_ context.Context, in *StateRequest) (*StateResponse, error) {
+func (s *Server) State(_ context.Context, in *JobRequest) (*StateResponse, error) {
 	state, known := s.StateOf(in.Service, in.Job)
 	return &StateResponse{Known: known, State: state}, nil
 }
 
+// Explain answers why a job is where it is.
+func (s *Server) Explain(_ context.Context, in *JobRequest) (*ExplainResponse, error) {
+	explanation, known := s.Explanation(in.Service, in.Job)
+	return &ExplainResponse{Known: known, Explanation: explanation}, nil
+}
+
 // description tells drpc of the server's methods.
 type description struct{}
 
 // NumMethods implements drpc.Description.
-func (description) NumMethods() int { return 1 }
+func (description) NumMethods() int { return 2 }
 
 // Method implements drpc.Description.
 func (description) Method(n int) (string, drpc.Encoding, drpc.Receiver, any, bool) {
-	if n != 0 {
+	switch n {
+	case 0:
+		receive := func(server any, ctx context.Context, in, _ any) (drpc.Message, error) {
+			return server.(*Server).State(ctx, in.(*JobRequest))
+		}
+		return stateMethod, jsonEncoding{}, receive, (*Server).State, true
+	case 1:
+		receive := func(server any, ctx context.Context, in, _ any) (drpc.Message, error) {
+			return server.(*Server).Explain(ctx, in.(*JobRequest))
+		}
+		return explainMethod, jsonEncoding{}, receive, (*Server).Explain, true
+	default:
 		return "", nil, nil, nil, false
 	}
-	receive := func(server any, ctx context.Context, in, _ any) (drpc.Message, error) {
-		return server.(*Server).State(ctx, in.(*StateRequest))
-	}
-	return stateMethod, jsonEncoding{}, receive, (*Server).State, true
 }
