peer/bbrinquiry, store/bbritem: owners are told of jobs, and quiet watches are doubted

Owners knew 55 jobs where 400 were stored, so demand fell in the middle of a turn and the pool stood still from 0.7 to 2.4 s; new instances were up at 2.2 s and known at 3.0 s.

Change: an entry tells the owner over drpc of each job that it has stored, and does not wait. The owner takes it only if the hint names its token and the job was stored after it had read everything, since an older one may have ended under an earlier owner.

Ruled out: shorter waits alone (History lost at 2.5 s all the same).

--- a/internal/daemon/bbrserve/owners.go
+++ b/internal/daemon/bbrserve/owners.go
@@ -30,6 +30,8 @@
 	used map[string]bool
 	// running has the owners that run here, by service; nil after their end.
 	running map[string]*bbrowner.Owner
+	// hints has a place for each hint that is on its way.
+	hints chan struct{}
 }
 
 func newOwners(s *service) *owners {
@@ -41,6 +43,7 @@
 		advise:  bbrwire.NewAdvice(client, s.settings.Platform.Advice),
 		used:    make(map[string]bool),
 		running: make(map[string]*bbrowner.Owner),
+		hints:   make(chan struct{}, maxHints),
 	}
 }
 
--- a/internal/daemon/bbrserve/plugin.go
+++ b/internal/daemon/bbrserve/plugin.go
@@ -96,6 +96,7 @@
 			Config:       s.config.Config,
 			StoreAnswers: s.config.StoreAnswers,
 			AskOwner:     s.owners.ask,
+			TellOwner:    s.owners.tell,
 		},
 		Codec: bbrintake.Codec{
 			Submission:  bbrwire.Submission,
@@ -178,7 +179,7 @@
 	if err != nil {
 		return err
 	}
-	server := &bbrinquiry.Server{StateOf: s.owners.state, Explanation: s.owners.explain}
+	server := &bbrinquiry.Server{StateOf: s.owners.state, Explanation: s.owners.explain, TakeHint: s.owners.accept}
 	s.keep.Go(func() {
 		err := server.Run(running, listener)
 		klog.InfoS("Questions end", "address", s.settings.Listen.Peers, "reason", bbrlog.Reason(err))
--- a/internal/daemon/bbrserve/upstreams.go
+++ b/internal/daemon/bbrserve/upstreams.go
@@ -17,6 +17,8 @@
 	// upstreamWait is how long a watch for upstreams lasts. One that hears nothing
 	// of what changes delays the use of new ones by that much.
 	upstreamWait = 300 * time.Millisecond
+	// livelyUpstreams are so many that one of them reports within upstreamWait.
+	livelyUpstreams = 24
 	// needCheck is how often the watch looks whether it is needed.
 	needCheck = 20 * time.Millisecond
 )
@@ -43,6 +45,7 @@
 	defer end()
 	follower := &bbritem.Follower{
 		Store: s.store, Prefix: bbrwire.UpstreamPrefix, Wait: upstreamWait, Gather: upstreamGather,
+		Lively:   func() bool { return s.registry.Len() >= livelyUpstreams },
 		Snapshot: s.registry.Snapshot, Change: s.registry.Change,
 	}
 	var wg sync.WaitGroup
--- a/internal/fleet/bbrregistry/registry.go
+++ b/internal/fleet/bbrregistry/registry.go
@@ -118,6 +118,13 @@
 	return false
 }
 
+// Len returns how many upstreams are listed.
+func (r *Registry) Len() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.ups)
+}
+
 // Of returns the upstreams of a service, and a number that changes with them.
 func (r *Registry) Of(service string) ([]bbrwork.Upstream, int64) {
 	r.mu.Lock()
--- a/internal/job/bbrintake/acceptor.go
+++ b/internal/job/bbrintake/acceptor.go
@@ -30,6 +30,9 @@
 	// by is when the caller leaves.
 	by     time.Time
 	result chan bbrcode.Code
+	// stored is the revision of the transaction that stored the job; 0 where it
+	// is not known.
+	stored bbritem.Revision
 }
 
 // Acceptor stores jobs, several in a transaction.
@@ -45,16 +48,17 @@
 	return &Acceptor{Store: store, waiting: make(chan *submission, maxWaiting)}
 }
 
-// Accept stores the job and returns the code of the answer. by is when the
-// caller leaves.
-func (a *Acceptor) Accept(job *bbrwork.Job, by time.Time) bbrcode.Code {
+// Accept stores the job and returns the code of the answer, and the revision at
+// which the job was stored where that is known. by is when the caller leaves.
+func (a *Acceptor) Accept(job *bbrwork.Job, by time.Time) (bbrcode.Code, bbritem.Revision) {
 	s := &submission{job: job, by: by, result: make(chan bbrcode.Code, 1)}
 	select {
 	case a.waiting <- s:
 	default:
-		return bbrcode.QueueFull
+		return bbrcode.QueueFull, 0
 	}
-	return <-s.result
+	code := <-s.result
+	return code, s.stored
 }
 
 // Run stores jobs until ctx ends.
@@ -116,11 +120,14 @@
 	if len(w.batch) == 0 {
 		return
 	}
-	_, err := w.store.Commit(ctx, w.transaction())
+	revision, err := w.store.Commit(ctx, w.transaction())
 	var conflict *bbritem.Conflict
 	switch {
 	case err == nil:
-		w.answer(func(*submission) bbrcode.Code { return bbrcode.Accepted })
+		w.answer(func(s *submission) bbrcode.Code {
+			s.stored = revision
+			return bbrcode.Accepted
+		})
 	case errors.As(err, &conflict):
 		w.answer(func(s *submission) bbrcode.Code { return stored(conflict, s) })
 	case errors.Is(err, bbritem.ErrLost):
--- a/internal/job/bbrintake/acceptor_test.go
+++ b/internal/job/bbrintake/acceptor_test.go
@@ -77,7 +77,7 @@
 		began := time.Now()
 		var wg sync.WaitGroup
 		for i, id := range ids {
-			wg.Go(func() { codes[i] = a.Accept(&bbrwork.Job{ID: id}, began.Add(3*time.Second)) })
+			wg.Go(func() { codes[i], _ = a.Accept(&bbrwork.Job{ID: id}, began.Add(3*time.Second)) })
 		}
 		wg.Wait()
 		took = time.Since(began)
--- a/internal/job/bbrintake/intake.go
+++ b/internal/job/bbrintake/intake.go
@@ -22,6 +22,10 @@
 	// AskOwner returns the state of a job from its service's owner, where there is
 	// one that knows; nil where owners cannot be asked.
 	AskOwner func(ctx context.Context, service, id string, now time.Time) (state bbrwork.State, known bool)
+	// TellOwner tells the service's owner of a job that was stored just now, at
+	// the revision, and does not wait; nil for nobody. The owner would hear of it
+	// from the store a little later.
+	TellOwner func(job *bbrwork.Job, stored bbritem.Revision, now time.Time)
 	// StoreAnswers tells whether the store answered lately.
 	StoreAnswers func(now time.Time) bool
 }
@@ -31,8 +35,12 @@
 	if !i.StoreAnswers(now) {
 		return bbrcode.StoreAway
 	}
-	job.ID, job.Queue, job.Service, job.Accepted = id, queue.Name, queue.Service, now
-	return i.Acceptor.Accept(job, by)
+	job.ID, job.Queue, job.Service, job.Accepted = id, queue.Name, queue.Service, now.Round(0)
+	code, stored := i.Acceptor.Accept(job, by)
+	if stored != 0 && i.TellOwner != nil {
+		i.TellOwner(job, stored, now)
+	}
+	return code
 }
 
 // State returns the state of a job of the queue, from its owner or else from
--- /dev/null
+++ b/internal/job/bbrowner/hint.go
@@ -0,0 +1,38 @@
+package bbrowner
+
+import (
+	"time"
+
+	"github.com/bluebellridge/bluebellridge/internal/fleet/bbrclaim"
+	"github.com/bluebellridge/bluebellridge/internal/job/bbrwork"
+	"github.com/bluebellridge/bluebellridge/internal/store/bbritem"
+)
+
+// Hint is a job that an entry has just stored, so that its owner need not wait
+// to hear of it from the store.
+type Hint struct {
+	Job *bbrwork.Job `json:"job"`
+	// Stored is the revision of the transaction that stored the job.
+	Stored bbritem.Revision `json:"stored"`
+	// Token is that of the owner for whom the hint is.
+	Token bbritem.Revision `json:"token"`
+}
+
+// Accept takes a hint. A job that was stored before the owner had read
+// everything may have ended under an earlier owner, so such a hint is left out,
+// and so is one for another owner.
+func (o *Owner) Accept(hint Hint, now time.Time) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.ledger == nil || hint.Job == nil || hint.Token != o.Held.Token || hint.Stored <= o.loaded {
+		return false
+	}
+	o.ledger.Accepted(hint.Job, nil, now)
+	o.poke()
+	return true
+}
+
+// HintFor returns the hint for the owner of a claim.
+func HintFor(claim bbrclaim.Claim, job *bbrwork.Job, stored bbritem.Revision) Hint {
+	return Hint{Job: job, Stored: stored, Token: claim.Revision}
+}
--- a/internal/job/bbrowner/owner.go
+++ b/internal/job/bbrowner/owner.go
@@ -45,6 +45,8 @@
 
 	mu     sync.Mutex
 	ledger *bbrledger.Ledger
+	// loaded is the revision as of which everything stored is in the ledger.
+	loaded bbritem.Revision
 	// registry is the number of the registrations that the ledger knows.
 	registry int64
 	version  int64
@@ -298,5 +300,6 @@
 	o.ledger.Reserve(taken, time.Now())
 	o.accept(jobs, progress, time.Now())
 	o.ledger.Loaded(lives, time.Now())
+	o.loaded = at
 	return at, nil
 }
--- a/internal/peer/bbrinquiry/client.go
+++ b/internal/peer/bbrinquiry/client.go
@@ -13,6 +13,7 @@
 	"storj.io/drpc/drpcpool"
 
 	"github.com/bluebellridge/bluebellridge/internal/job/bbrledger"
+	"github.com/bluebellridge/bluebellridge/internal/job/bbrowner"
 	"github.com/bluebellridge/bluebellridge/internal/job/bbrwork"
 )
 
@@ -51,24 +52,31 @@
 // does not answer in time.
 func (c *Client) State(ctx context.Context, entry netip.AddrPort, service, job string, now time.Time) (bbrwork.State, bool) {
 	var out StateResponse
-	answered := c.ask(ctx, entry, stateMethod, JobRequest{Service: service, Job: job}, &out, now)
+	answered := c.ask(ctx, entry, stateMethod, &JobRequest{Service: service, Job: job}, &out, now)
 	return out.State, answered && out.Known
 }
 
 // Explain asks the entry why a job is where it is.
 func (c *Client) Explain(ctx context.Context, entry netip.AddrPort, service, job string, now time.Time) (bbrledger.Explanation, bool) {
 	var out ExplainResponse
-	answered := c.ask(ctx, entry, explainMethod, JobRequest{Service: service, Job: job}, &out, now)
+	answered := c.ask(ctx, entry, explainMethod, &JobRequest{Service: service, Job: job}, &out, now)
 	return out.Explanation, answered && out.Known
 }
 
-func (c *Client) ask(ctx context.Context, entry netip.AddrPort, method string, in JobRequest, out any, now time.Time) bool {
+// Hint tells the entry of a job that was stored just now, and whether its owner
+// took it.
+func (c *Client) Hint(ctx context.Context, entry netip.AddrPort, hint bbrowner.Hint, now time.Time) bool {
+	var out HintResponse
+	return c.ask(ctx, entry, hintMethod, &hint, &out, now) && out.Taken
+}
+
+func (c *Client) ask(ctx context.Context, entry netip.AddrPort, method string, in, out drpc.Message, now time.Time) bool {
 	if c.avoids(entry, now) {
 		return false
 	}
 	ctx, cancel := context.WithTimeout(ctx, askWithin)
 	defer cancel()
-	err := c.pool.Get(ctx, entry, dial).Invoke(ctx, method, jsonEncoding{}, &in, out)
+	err := c.pool.Get(ctx, entry, dial).Invoke(ctx, method, jsonEncoding{}, in, out)
 	c.answered(entry, err, now)
 	return err == nil
 }
--- a/internal/peer/bbrinquiry/client_test.go
+++ b/internal/peer/bbrinquiry/client_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/bluebellridge/bluebellridge/internal/job/bbrledger"
+	"github.com/bluebellridge/bluebellridge/internal/job/bbrowner"
 	"github.com/bluebellridge/bluebellridge/internal/job/bbrwork"
 )
 
@@ -26,6 +27,8 @@
 		return bbrwork.Running, service == "press" && job == "known"
 	}, Explanation: func(_, job string) (bbrledger.Explanation, bool) {
 		return bbrledger.Explanation{Queue: "proofs"}, job == "known"
+	}, TakeHint: func(hint bbrowner.Hint) bool {
+		return hint.Job.Spec == "x" && hint.Stored == 8
 	}}
 	go func() { _ = server.Run(t.Context(), listener) }()
 	client := NewClient()
@@ -39,6 +42,7 @@
 		explanation, known := client.Explain(t.Context(), address, "press", "known", time.Now())
 		require.True(t, known)
 		require.Equal(t, "proofs", explanation.Queue)
+		require.True(t, client.Hint(t.Context(), address, bbrowner.Hint{Job: &bbrwork.Job{Spec: "x"}, Stored: 8}, time.Now()))
 	}
 }
 
--- a/internal/peer/bbrinquiry/message.go
+++ b/internal/peer/bbrinquiry/message.go
@@ -29,6 +29,11 @@
 	Explanation bbrledger.Explanation `json:"explanation"`
 }
 
+// HintResponse tells whether the owner took the hint.
+type HintResponse struct {
+	Taken bool `json:"taken"`
+}
+
 // jsonEncoding writes messages as JSON.
 type jsonEncoding struct{}
 
--- a/internal/peer/bbrinquiry/server.go
+++ b/internal/peer/bbrinquiry/server.go
@@ -9,12 +9,14 @@
 	"storj.io/drpc/drpcserver"
 
 	"github.com/bluebellridge/bluebellridge/internal/job/bbrledger"
+	"github.com/bluebellridge/bluebellridge/internal/job/bbrowner"
 	"github.com/bluebellridge/bluebellridge/internal/job/bbrwork"
 )
 
 const (
 	stateMethod   = "/bbrinquiry.Owner/State"
 	explainMethod = "/bbrinquiry.Owner/Explain"
+	hintMethod    = "/bbrinquiry.Owner/Hint"
 )
 
 // StateFunc returns the state of a job of a service that this entry owns.
@@ -24,10 +26,14 @@
 // is.
 type ExplainFunc func(service, job string) (explanation bbrledger.Explanation, known bool)
 
+// HintFunc takes a hint for an owner of this entry.
+type HintFunc func(hint bbrowner.Hint) bool
+
 // Server answers the questions of other entries.
 type Server struct {
 	StateOf     StateFunc
 	Explanation ExplainFunc
+	TakeHint    HintFunc
 }
 
 // Run serves the listener until ctx ends.
@@ -51,11 +57,16 @@
 	return &ExplainResponse{Known: known, Explanation: explanation}, nil
 }
 
+// Hint takes a job that another entry has just stored.
+func (s *Server) Hint(_ context.Context, in *bbrowner.Hint) (*HintResponse, error) {
+	return &HintResponse{Taken: s.TakeHint(*in)}, nil
+}
+
 // description tells drpc of the server's methods.
 type description struct{}
 
 // NumMethods implements drpc.Description.
-func (description) NumMethods() int { return 2 }
+func (description) NumMethods() int { return 3 }
 
 // Method implements drpc.Description.
 func (description) Method(n int) (string, drpc.Encoding, drpc.Receiver, any, bool) {
@@ -70,6 +81,11 @@
 			return server.(*Server).Explain(ctx, in.(*JobRequest))
 		}
 		return explainMethod, jsonEncoding{}, receive, (*Server).Explain, true
+	case 2:
+		receive := func(server any, ctx context.Context, in, _ any) (drpc.Message, error) {
+			return server.(*Server).Hint(ctx, in.(*bbrowner.Hint))
+		}
+		return hintMethod, jsonEncoding{}, receive, (*Server).Hint, true
 	default:
 		return "", nil, nil, nil, false
 	}
--- a/internal/store/bbritem/follower.go
+++ b/internal/store/bbritem/follower.go
@@ -30,6 +30,10 @@
 	// Reload bounds the time between two reads of everything, against watches
 	// that miss changes; 0 means that only a lost history is read anew.
 	Reload time.Duration
+	// Lively means that changes come all the time, so a watch that lasted to its
+	// end without any is taken for one that misses them, and everything is read
+	// anew.
+	Lively func() bool
 	// Snapshot receives everything under the prefix: what it lacks is gone.
 	Snapshot func(items []Item, now time.Time)
 	// Change receives one event. Events older than what was seen of the key may
@@ -74,6 +78,10 @@
 	f.at = max(f.at, page.AsOf)
 	if len(page.Items) > 0 {
 		bbrpause.For(ctx, cmp.Or(f.Gather, defaultGather))
+		return nil
+	}
+	if f.Lively != nil && f.Lively() {
+		return f.reload(ctx, time.Now())
 	}
 	return nil
 }
--- /dev/null
+++ b/internal/store/bbritem/follower_test.go
@@ -0,0 +1,68 @@
+package bbritem
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// deafStore hears nothing in its watches, which last to their end.
+type deafStore struct {
+	mu    sync.Mutex
+	items []Item
+}
+
+func (s *deafStore) put(item Item) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.items = append(s.items, item)
+}
+
+func (s *deafStore) store() *Store {
+	return &Store{
+		Range: func(context.Context, string, string) (Page, error) {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			return Page{Items: slices.Clone(s.items), AsOf: 100}, nil
+		},
+		Watch: func(ctx context.Context, _ string, _ Revision, wait time.Duration) (Page, error) {
+			select {
+			case <-time.After(wait):
+				return Page{}, nil
+			case <-ctx.Done():
+				return Page{}, ErrLost
+			}
+		},
+	}
+}
+
+// TestLivelyFollowerDoubtsAQuietWatch holds that what a watch misses is read
+// within its wait, where changes come all the time.
+func TestLivelyFollowerDoubtsAQuietWatch(t *testing.T) {
+	for _, lively := range []bool{true, false} {
+		synctest.Test(t, func(t *testing.T) {
+			deaf := &deafStore{}
+			var seen atomic.Int64
+			f := &Follower{
+				Store: deaf.store(), Prefix: "servers/", Wait: 300 * time.Millisecond,
+				Lively:   func() bool { return lively },
+				Snapshot: func(items []Item, _ time.Time) { seen.Store(int64(len(items))) },
+			}
+			ctx, cancel := context.WithCancel(t.Context())
+			var wg sync.WaitGroup
+			wg.Go(func() { f.Run(ctx) })
+			time.Sleep(time.Millisecond)
+			deaf.put(Item{Key: "servers/new", Revision: 7})
+			time.Sleep(400 * time.Millisecond)
+			require.Equal(t, lively, seen.Load() == 1)
+			cancel()
+			wg.Wait()
+		})
+	}
+}
