soak/bbrsoak: each soak has a block of ports

Each process now has a block of its own, begun anew for each run. Ruled out: the daemon (its log has nothing but the refused listen).

--- a/internal/soak/bbrsoak/soak.go
+++ b/internal/soak/bbrsoak/soak.go
@@ -11,6 +11,7 @@
 	"os"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/bluebellridge/bluebellridge/internal/standin/bbrfleet"
@@ -74,6 +75,7 @@
 
 // build makes the fleet, the relays and the entries' settings.
 func (s *Soak) build(ctx context.Context) error {
+	usePortBlock()
 	setup := bbrfleet.Setup{Pools: []string{"press", "proofs"}}
 	for range s.Workers {
 		worker, err := freeAddress()
@@ -117,16 +119,24 @@
 }
 
 // Ports of processes that are started again must stay free meanwhile, so they are
-// below those that the system gives to connections.
+// below those that the system gives to connections, and each soak has a block of
+// its own.
 const (
-	firstPort, lastPort = 20000, 32000
-	portTries           = 100
+	firstPort  = 20000
+	portBlock  = 240
+	portBlocks = 50
 )
 
+// nextPort is after the port that was given last; 0 before the first.
+var nextPort atomic.Int32
+
+// usePortBlock begins at the process's block again.
+func usePortBlock() { nextPort.Store(int32(firstPort + os.Getpid()%portBlocks*portBlock)) }
+
 func freeAddress() (netip.AddrPort, error) {
 	var err error
-	for range portTries {
-		address := netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(firstPort+rand.IntN(lastPort-firstPort)))
+	for range portBlock {
+		address := netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(nextPort.Add(1)))
 		var listener net.Listener
 		if listener, err = net.Listen("tcp", address.String()); err == nil {
 			return address, listener.Close()
