--- a/internal/daemon/bbrserve/hints.go
+++ b/internal/daemon/bbrserve/hints.go
@@ -51,7 +51,7 @@
 func (h *hinting) run(now time.Time) {
 	defer func() { <-h.owners.hints }()
 	s := h.owners.service
-	address, ok := s.claims.OwnerAddress(h.hint.Job.Service)
+	address, ok := h.owners.elsewhere(h.hint.Job.Service)
 	if !ok {
 		return
 	}
--- a/internal/daemon/bbrserve/owners.go
+++ b/internal/daemon/bbrserve/owners.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"net/netip"
 	"slices"
 	"sync"
 	"time"
@@ -152,20 +153,27 @@
 	if state, known := o.state(service, job); known {
 		return state, true
 	}
-	address, ok := o.service.claims.OwnerAddress(service)
-	if !ok || address == o.service.settings.Listen.Peers {
+	address, ok := o.elsewhere(service)
+	if !ok {
 		return "", false
 	}
 	return o.service.questions.State(ctx, address, service, job, now)
 }
 
+// elsewhere returns where the service's owner can be asked, if it is at another
+// entry.
+func (o *owners) elsewhere(service string) (netip.AddrPort, bool) {
+	address, ok := o.service.claims.OwnerAddress(service)
+	return address, ok && address != o.service.settings.Listen.Peers
+}
+
 // askWhy returns why a job is where it is, from the service's owner.
 func (o *owners) askWhy(ctx context.Context, service, job string, now time.Time) (bbrledger.Explanation, bool) {
 	if explanation, known := o.explain(service, job); known {
 		return explanation, true
 	}
-	address, ok := o.service.claims.OwnerAddress(service)
-	if !ok || address == o.service.settings.Listen.Peers {
+	address, ok := o.elsewhere(service)
+	if !ok {
 		return bbrledger.Explanation{}, false
 	}
 	return o.service.questions.Explain(ctx, address, service, job, now)
--- a/internal/fleet/bbrupkeep/planner.go
+++ b/internal/fleet/bbrupkeep/planner.go
@@ -1,7 +1,6 @@
 package bbrupkeep
 
 import (
-	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -39,16 +38,6 @@
 	since  time.Time
 }
 
-// wave is the state of a wave.
-type wave struct {
-	bbrmachine.Wave
-	// began is when the wave was first seen.
-	began time.Time
-	done  map[string]bool
-	// completed stays once it is true.
-	completed bool
-}
-
 // task is one instance that is being taken away.
 type task struct {
 	instance string
@@ -94,22 +83,6 @@
 	}
 }
 
-// Wave tells the planner of a wave, with the instances that had their
-// maintenance under an earlier holder and when the wave was first seen.
-func (p *Planner) Wave(in bbrmachine.Wave, done []string, began time.Time) {
-	if p.waves[in.Number] != nil {
-		return
-	}
-	w := &wave{Wave: in, began: began, done: make(map[string]bool)}
-	for _, instance := range done {
-		w.done[instance] = true
-	}
-	p.waves[in.Number] = w
-}
-
-// Knows tells whether the wave is known.
-func (p *Planner) Knows(number int64) bool { return p.waves[number] != nil }
-
 // Listed tells the planner of a list of instances that was asked for at sent.
 func (p *Planner) Listed(list []bbrmachine.Instance, sent time.Time) {
 	p.instances = make(map[string]bbrmachine.Instance, len(list))
@@ -192,123 +165,6 @@
 	return Order{Instance: t.instance, Wave: t.wave, Pool: t.pool}, true
 }
 
-// atCap tells whether as many instances of the task's wave are away as may be.
-func (p *Planner) atCap(t *task) bool {
-	w := p.waves[t.wave]
-	return w != nil && p.away(w) >= w.Cap
-}
-
-// away counts the instances of a wave that are or may be away for it.
-func (p *Planner) away(w *wave) int {
-	count := 0
-	for _, id := range w.Instances {
-		t := p.tasks[id]
-		ordered := t != nil && t.wave == w.Number && t.phase != phaseClearing
-		if ordered || p.instances[id].Status == bbrmachine.StatusMaintained {
-			count++
-		}
-	}
-	return count
-}
-
-const (
-	// paceShare is the share of a wave's time in which it should be done.
-	paceShare = 0.7
-	// clearing is how long taking the work off an instance usually takes.
-	clearing = 2500 * time.Millisecond
-)
-
-// begin starts as many tasks of the wave as its deadline asks for. Spare
-// instances, on which nothing runs, go as early as the cap allows.
-func (p *Planner) begin(w *wave, now time.Time) {
-	left := p.left(w)
-	busy := 0
-	for _, t := range p.tasks {
-		if t.wave == w.Number {
-			busy++
-		}
-	}
-	want := p.wanted(w, len(left)+busy, now)
-	for busy < 2*w.Cap && len(left) > 0 {
-		next := p.pick(left)
-		if busy >= want && (p.instances[next].Pool != p.spare || busy >= w.Cap) {
-			return
-		}
-		busy++
-		left = slices.DeleteFunc(left, func(id string) bool { return id == next })
-		p.tasks[next] = &task{instance: next, wave: w.Number, life: p.instances[next].Upstream, since: now}
-	}
-}
-
-// left returns the wave's instances that still need a task and are there.
-func (p *Planner) left(w *wave) []string {
-	var left []string
-	for _, id := range w.Instances {
-		instance, listed := p.instances[id]
-		if !w.done[id] && p.tasks[id] == nil && listed && instance.Status == bbrmachine.StatusUp {
-			left = append(left, id)
-		}
-	}
-	return left
-}
-
-// wanted returns how many instances should be in work at once.
-func (p *Planner) wanted(w *wave, open int, now time.Time) int {
-	if p.short && p.canWait(w, open, now) {
-		return 0
-	}
-	cycle := clearing + p.Away
-	rest := time.Duration(paceShare*float64(w.Within)) - now.Sub(w.began)
-	if rest < cycle {
-		return 2 * w.Cap
-	}
-	need := int((time.Duration(open)*cycle + rest - 1) / rest)
-	return min(max(1, need), 2*w.Cap)
-}
-
-const (
-	// lateShare is the share of a wave's time in which it is done also where it
-	// was put off.
-	lateShare = 0.8
-	// orderLag is what an instance's time away grows by until the next one is
-	// ordered.
-	orderLag = time.Second
-	// waitMargin is how much more time than computed is left to a wave that is
-	// put off.
-	waitMargin = 1.5
-)
-
-// canWait tells whether the wave would be done in time if it began later, with
-// as many instances away at once as it may have.
-func (p *Planner) canWait(w *wave, open int, now time.Time) bool {
-	rounds := (open + w.Cap - 1) / max(1, w.Cap)
-	need := clearing + time.Duration(rounds)*(p.Away+orderLag)
-	left := time.Duration(lateShare*float64(w.Within)) - now.Sub(w.began)
-	return time.Duration(waitMargin*float64(need)) < left
-}
-
-// pick returns an instance of the spare pool, or else one whose pool has the
-// smallest share in work.
-func (p *Planner) pick(left []string) string {
-	size, busy := make(map[string]int), make(map[string]int)
-	for id, instance := range p.instances {
-		size[instance.Pool]++
-		if p.tasks[id] != nil || instance.Status != bbrmachine.StatusUp {
-			busy[instance.Pool]++
-		}
-	}
-	share := func(id string) float64 {
-		pool := p.instances[id].Pool
-		if pool == p.spare {
-			return -1
-		}
-		return float64(busy[pool]) / float64(max(1, size[pool]))
-	}
-	return slices.MinFunc(left, func(a, b string) int {
-		return cmp.Or(cmp.Compare(share(a), share(b)), cmp.Compare(a, b))
-	})
-}
-
 // Reserved returns the lives that must not take new work.
 func (p *Planner) Reserved(now time.Time) []string {
 	var lives []string
@@ -384,47 +240,6 @@
 	OutcomeNever
 )
 
-// Progress is the stored state of a wave.
-type Progress struct {
-	Wave  int64
-	Done  []string
-	Began time.Time
-	// Completed means that every instance that stays had its maintenance and is
-	// up again.
-	Completed bool
-}
-
-// Progress returns the state of all waves in order.
-func (p *Planner) Progress() []Progress {
-	var list []Progress
-	for _, number := range slices.Sorted(maps.Keys(p.waves)) {
-		w := p.waves[number]
-		list = append(list, Progress{
-			Wave:      number,
-			Done:      slices.Sorted(maps.Keys(w.done)),
-			Began:     w.began,
-			Completed: p.completed(w),
-		})
-	}
-	return list
-}
-
-// completed tells whether the wave is done. Instances that have had their
-// maintenance may be moved meanwhile.
-func (p *Planner) completed(w *wave) bool {
-	if w.completed || p.listed.IsZero() {
-		return w.completed
-	}
-	for _, id := range w.Instances {
-		t := p.tasks[id]
-		if _, listed := p.instances[id]; listed && !w.done[id] || t != nil && t.wave == w.Number {
-			return false
-		}
-	}
-	w.completed = true
-	return true
-}
-
 // Busy tells whether a wave or a task is open.
 func (p *Planner) Busy() bool {
 	if p.listed.IsZero() {
--- a/internal/operator/bbrapi/show.go
+++ b/internal/operator/bbrapi/show.go
@@ -8,10 +8,8 @@
 	"maps"
 	"slices"
 	"strconv"
-	"strings"
 	"time"
 
-	"github.com/bluebellridge/bluebellridge/internal/base/bbrcode"
 	"github.com/bluebellridge/bluebellridge/internal/fleet/bbrview"
 	"github.com/bluebellridge/bluebellridge/internal/fleet/bbrwave"
 	"github.com/bluebellridge/bluebellridge/internal/fleet/bbrwithdrawal"
@@ -31,17 +29,12 @@
 	if err != nil {
 		return Refused(err)
 	}
-	for _, filter := range c.Filters {
-		column := slices.Index(t.columns, filter.Field)
-		if column < 0 {
-			return Refused(bbrcode.Errorf(bbrcode.Syntax, filter.Field, "%s have no such field; they have %s", c.Kind, strings.Join(t.columns, ", ")))
-		}
-		t.rows = slices.DeleteFunc(t.rows, func(row []string) bool { return !filter.Keeps(row[column]) })
+	rows, err := c.Select(t.columns, t.rows)
+	if err != nil {
+		return Refused(err)
 	}
-	slices.SortFunc(t.rows, slices.Compare)
 	result := Done(t.note)
-	result.Columns = t.columns
-	result.Rows = t.rows
+	result.Columns, result.Rows = t.columns, rows
 	return result
 }
 
--- a/internal/operator/bbrdesk/desk.go
+++ b/internal/operator/bbrdesk/desk.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"slices"
-	"strings"
 	"time"
 
 	"github.com/bluebellridge/bluebellridge/internal/base/bbrcode"
@@ -81,13 +79,6 @@
 	if err != nil {
 		return bbrapi.Result{}, err
 	}
-	for _, filter := range c.Filters {
-		column := slices.Index(t.columns, filter.Field)
-		if column < 0 {
-			return bbrapi.Result{}, bbrcode.Errorf(bbrcode.Syntax, filter.Field, "%s have no such field; they have %s", c.Kind, strings.Join(t.columns, ", "))
-		}
-		t.rows = slices.DeleteFunc(t.rows, func(row []string) bool { return !filter.Keeps(row[column]) })
-	}
-	slices.SortFunc(t.rows, slices.Compare)
-	return t.result(), nil
+	t.rows, err = c.Select(t.columns, t.rows)
+	return t.result(), err
 }
--- a/internal/operator/bbrlanguage/command.go
+++ b/internal/operator/bbrlanguage/command.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 
 	"github.com/alecthomas/participle/v2"
@@ -45,6 +46,19 @@
 	return (value == f.Value) == (f.Operator == "=")
 }
 
+// Select returns the rows that all filters keep, in order.
+func (s *Show) Select(columns []string, rows [][]string) ([][]string, error) {
+	for _, filter := range s.Filters {
+		column := slices.Index(columns, filter.Field)
+		if column < 0 {
+			return nil, bbrcode.Errorf(bbrcode.Syntax, filter.Field, "%s have no such field; they have %s", s.Kind, strings.Join(columns, ", "))
+		}
+		rows = slices.DeleteFunc(rows, func(row []string) bool { return !filter.Keeps(row[column]) })
+	}
+	slices.SortFunc(rows, slices.Compare)
+	return rows, nil
+}
+
 // Why asks for the decision that holds something.
 type Why struct {
 	Kind string `parser:"@('instance'|'queue'|'job')"`
