scripts, soak/bbrsoak: the demo asks an entry; the soak keeps off the demo's ports

make demo failed once beside three soaks ('listen tcp 127.0.0.1:26500: address already in use'): both took ports from 20000 up. The soak now uses 14000 to 17840. The demo's check of the upstreams' facts names both kinds again, faults and what planned work ended.

--- a/internal/soak/bbrsoak/soak.go
+++ b/internal/soak/bbrsoak/soak.go
@@ -118,13 +118,13 @@
 	return r, netip.MustParseAddrPort(listener.Addr().String()), nil
 }
 
-// Ports of processes that are started again must stay free meanwhile, so they are
-// below those that the system gives to connections, and each soak has a block of
-// its own.
+// Ports of processes that are started again must stay free meanwhile. They are
+// below those that the system gives to connections and apart from those of the
+// demo and the scripts, and each soak has a block of its own.
 const (
-	firstPort  = 20000
+	firstPort  = 14000
 	portBlock  = 240
-	portBlocks = 50
+	portBlocks = 16
 )
 
 // nextPort is after the port that was given last; 0 before the first.
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -60,7 +60,9 @@
 until_true wave_done
 facts=$(curl -fs "http://127.0.0.1:${thousands}500/facts")
 echo "the upstreams saw: $facts"
-[[ $facts == *'"Faults":null'* ]] || fail "$facts"
+[[ $facts == *'"Faults":null,"TakenAway":null'* ]] || fail "$facts"
+operator --entry 127.0.0.1:${thousands}562 show services
+operator --entry 127.0.0.1:${thousands}563 show waves
 for name in f2 f3; do eval "pid=\$pid_$name"; kill -TERM "$pid"; wait "$pid" || fail "$name did not stop well"; done
 kill "$pid_fleet"
 
