--- a/internal/standin/bbrprogram/soak.go
+++ b/internal/standin/bbrprogram/soak.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"os"
-	"path/filepath"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -46,13 +45,11 @@
 }
 
 func (c *soakCommand) run(o output, seed uint64) ([]string, error) {
-	dir := filepath.Join(c.Dir, fmt.Sprintf("bbrsoak-%d", seed))
-	if err := os.RemoveAll(dir); err != nil {
-		return nil, err
-	}
-	if err := os.MkdirAll(dir, 0o755); err != nil {
+	dir, err := os.MkdirTemp(c.Dir, fmt.Sprintf("bbrsoak-%d-", seed))
+	if err != nil {
 		return nil, err
 	}
+	fmt.Fprintln(o.out, "settings and logs in", dir)
 	s := &bbrsoak.Soak{Seed: seed, For: c.For, Daemon: c.Daemon, Entries: c.Entries, Workers: c.Workers, Dir: dir, Out: o.out}
 	faults, err := s.Run(context.Background())
 	if err == nil && len(faults) == 0 {
