fleet/bbrupkeep: only instances that an earlier holder may still order wait for it

Change: the platform's rule is for each instance. A holder records the instances under its claim before it orders them; a holder that was replaced can record none. The successor reads them after its claim: these wait the lease and 0.3 s, are left out of moves, and count as away for a wave's limit. All others are ordered at once. The record of the last order's time of day, which two clocks had to agree on, goes.

Tests: TestHoldersKeepApart (property), TestOrdersAreRecordedFirst, TestFirstHolderWaitsForNothing, TestInstancesOfAnEarlierHolderCountAsAway.

--- a/internal/fleet/bbrupkeep/balance.go
+++ b/internal/fleet/bbrupkeep/balance.go
@@ -78,7 +78,7 @@
 	members := make(map[string][]bbrmachine.Instance)
 	for _, id := range slices.Sorted(maps.Keys(p.instances)) {
 		instance := p.instances[id]
-		if instance.Status == bbrmachine.StatusUp && p.tasks[id] == nil {
+		if instance.Status == bbrmachine.StatusUp && p.tasks[id] == nil && !p.unsure[id] {
 			members[instance.Pool] = append(members[instance.Pool], instance)
 		}
 	}
--- /dev/null
+++ b/internal/fleet/bbrupkeep/intents.go
@@ -0,0 +1,124 @@
+package bbrupkeep
+
+import (
+	"context"
+	"encoding/json"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/bluebellridge/bluebellridge/internal/fleet/bbrclaim"
+	"github.com/bluebellridge/bluebellridge/internal/job/bbrrecord"
+	"github.com/bluebellridge/bluebellridge/internal/store/bbritem"
+)
+
+// intents are the instances for which an order may be on its way, or was lately.
+// They are stored before the order is sent and under the holder's claim: a
+// holder that was replaced can store none, so its successor, which reads them
+// after its own claim, knows every instance that it may still order.
+type intents struct {
+	held  bbrclaim.Held
+	store *bbritem.Store
+	// apart is the least time between the orders of two holders for an instance,
+	// with what an order may be on its way.
+	apart time.Duration
+
+	// inherited are those of earlier holders, which wait until the time.
+	inherited map[string]bool
+	until     time.Time
+
+	mu sync.Mutex
+	// sent has when an order of this holder was last on its way.
+	sent map[string]time.Time
+	// stored are those that the store has.
+	stored map[string]bool
+}
+
+const intentsKey = "bbr/duty/orders"
+
+// load reads what earlier holders may have ordered. It is called after the claim
+// began.
+func (i *intents) load(ctx context.Context) error {
+	item, err := i.store.Get(ctx, intentsKey)
+	if err != nil && !errors.Is(err, bbritem.ErrNotFound) {
+		return err
+	}
+	var instances []string
+	if err == nil {
+		if err := json.Unmarshal(item.Value, &instances); err != nil {
+			return errors.Wrap(err, intentsKey)
+		}
+	}
+	i.inherited, i.stored, i.sent = make(map[string]bool), make(map[string]bool), make(map[string]time.Time)
+	for _, instance := range instances {
+		i.inherited[instance], i.stored[instance] = true, true
+	}
+	i.until = time.Now().Add(i.apart)
+	return nil
+}
+
+// unsure returns the instances that an earlier holder may still order now.
+func (i *intents) unsure(now time.Time) map[string]bool {
+	if !now.Before(i.until) {
+		return nil
+	}
+	return i.inherited
+}
+
+// answered notes that an order was on its way until now.
+func (i *intents) answered(instance string, now time.Time) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.sent[instance] = now
+}
+
+// record stores the instances of the orders, before these are sent.
+func (i *intents) record(ctx context.Context, orders []Order, now time.Time) error {
+	missing := false
+	for _, order := range orders {
+		i.answered(order.Instance, now)
+		missing = missing || !i.stored[order.Instance]
+	}
+	if !missing {
+		return nil
+	}
+	return i.save(ctx, now)
+}
+
+// save stores what a successor has to know.
+func (i *intents) save(ctx context.Context, now time.Time) error {
+	instances := i.present(now)
+	_, err := i.store.Commit(ctx, bbritem.Transaction{
+		Conditions: []bbritem.Condition{i.held.Condition()},
+		Puts:       []bbritem.Put{{Key: intentsKey, Value: bbrrecord.Encode(instances)}},
+	})
+	if err != nil {
+		return err
+	}
+	i.stored = make(map[string]bool, len(instances))
+	for _, instance := range instances {
+		i.stored[instance] = true
+	}
+	return nil
+}
+
+// present returns the instances that a successor would have to wait for.
+func (i *intents) present(now time.Time) []string {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	present := maps.Clone(i.unsure(now))
+	if present == nil {
+		present = make(map[string]bool)
+	}
+	for instance, sent := range i.sent {
+		if now.Sub(sent) < i.apart {
+			present[instance] = true
+		} else {
+			delete(i.sent, instance)
+		}
+	}
+	return slices.Sorted(maps.Keys(present))
+}
--- /dev/null
+++ b/internal/fleet/bbrupkeep/intents_test.go
@@ -0,0 +1,134 @@
+package bbrupkeep
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/bluebellridge/bluebellridge/internal/fleet/bbrclaim"
+	"github.com/bluebellridge/bluebellridge/internal/store/bbritem"
+)
+
+// claimStore is a store in which one claim holds.
+type claimStore struct {
+	claim  bbritem.Revision
+	record []byte
+	// failing makes writes fail; carriedOut tells whether they happen all the
+	// same.
+	failing, carriedOut bool
+}
+
+func (s *claimStore) store() *bbritem.Store {
+	return &bbritem.Store{
+		Get: func(_ context.Context, key string) (bbritem.Item, error) {
+			if key != intentsKey || s.record == nil {
+				return bbritem.Item{}, bbritem.ErrNotFound
+			}
+			return bbritem.Item{Key: key, Value: s.record, Revision: 1}, nil
+		},
+		Commit: func(_ context.Context, transaction bbritem.Transaction) (bbritem.Revision, error) {
+			if transaction.Conditions[0].Revision != s.claim {
+				return 0, &bbritem.Conflict{}
+			}
+			if !s.failing || s.carriedOut {
+				s.record = transaction.Puts[0].Value
+			}
+			if s.failing {
+				return 0, bbritem.ErrLost
+			}
+			return 1, nil
+		},
+	}
+}
+
+const testApart = 3300 * time.Millisecond
+
+func (s *claimStore) holder(t require.TestingT) *intents {
+	s.claim++
+	i := &intents{held: bbrclaim.Held{Service: bbrclaim.DutyName, Token: s.claim}, store: s.store(), apart: testApart}
+	require.NoError(t, i.load(context.Background()))
+	return i
+}
+
+func move(instance string) []Order { return []Order{{Instance: instance, Pool: pressed}} }
+
+func TestFirstHolderWaitsForNothing(t *testing.T) {
+	require.Empty(t, (&claimStore{}).holder(t).unsure(time.Now()))
+}
+
+// TestOrdersAreRecordedFirst holds that an order whose record may be missing is
+// not sent.
+func TestOrdersAreRecordedFirst(t *testing.T) {
+	s := &claimStore{}
+	first := s.holder(t)
+	s.failing = true
+	require.Error(t, first.record(t.Context(), move("i1"), time.Now()))
+	require.Error(t, first.record(t.Context(), move("i1"), time.Now()), "should be tried again")
+	s.failing = false
+	require.NoError(t, first.record(t.Context(), move("i1"), time.Now()))
+	second := s.holder(t)
+	require.Error(t, first.record(t.Context(), move("i2"), time.Now()), "an earlier holder cannot order what it has not recorded")
+	require.Equal(t, map[string]bool{"i1": true}, second.unsure(time.Now()))
+}
+
+// TestHoldersKeepApart plays holders that replace each other at any moment, lost
+// answers of the store, and orders that take a while: no two holders order an
+// instance within the time, and no earlier one after a later one.
+func TestHoldersKeepApart(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		synctest.Test(t, func(t *testing.T) {
+			s := &claimStore{}
+			holders := []*intents{s.holder(r)}
+			last := make(map[string]time.Time)
+			by := make(map[string]bbritem.Revision)
+			for range rapid.IntRange(1, 60).Draw(r, "steps") {
+				time.Sleep(time.Duration(rapid.IntRange(0, 20).Draw(r, "wait")) * 100 * time.Millisecond)
+				s.failing, s.carriedOut = rapid.IntRange(0, 4).Draw(r, "fails") == 0, rapid.Bool().Draw(r, "carried out")
+				if rapid.IntRange(0, 5).Draw(r, "replaced") == 0 {
+					holders = append(holders, s.holder(r))
+				}
+				h := holders[rapid.IntRange(max(0, len(holders)-2), len(holders)-1).Draw(r, "holder")]
+				instance := fmt.Sprintf("i%d", rapid.IntRange(1, 3).Draw(r, "instance"))
+				now := time.Now()
+				if h.unsure(now)[instance] || h.record(t.Context(), move(instance), now) != nil {
+					continue
+				}
+				// A holder that was replaced sends no more: its own claim is not
+				// confirmed. What it began before may be on its way.
+				if h.held.Token != s.claim {
+					continue
+				}
+				if before, ok := by[instance]; ok && before != h.held.Token {
+					require.Less(r, before, h.held.Token)
+					require.GreaterOrEqual(r, now.Sub(last[instance]), testApart)
+				}
+				last[instance], by[instance] = now, h.held.Token
+				h.answered(instance, now)
+			}
+		})
+	})
+}
+
+// TestInstancesOfAnEarlierHolderCountAsAway holds that a wave keeps its limit
+// beside orders of an earlier holder that may still come.
+func TestInstancesOfAnEarlierHolderCountAsAway(t *testing.T) {
+	f := newTestFleet(map[string]int{calm: 4})
+	p := NewPlanner(testAway)
+	p.Unsure(map[string]bool{"i00": true, "i01": true})
+	require.Empty(t, p.members()[calm])
+	ordered := 0
+	count := func(Order) Outcome { ordered++; return OutcomeOpen }
+	for _, test := range []struct{ limit, want int }{{limit: 2, want: 0}, {limit: 3, want: 1}} {
+		p.waves = make(map[int64]*wave)
+		p.tasks = make(map[string]*task)
+		p.Wave(waveOver(f.ids, test.limit), nil, f.now)
+		ordered = 0
+		f.step(p, []Pool{ask(calm, 1)}, always, count)
+		require.Equal(t, test.want, ordered, "limit %d", test.limit)
+	}
+}
--- a/internal/fleet/bbrupkeep/keeper.go
+++ b/internal/fleet/bbrupkeep/keeper.go
@@ -63,9 +63,8 @@
 	stored   map[int64]waveState
 	mu       sync.Mutex
 	ordering map[string]bool
-	// lastOrder is when the last order was answered or given up.
-	lastOrder time.Time
-	wg        sync.WaitGroup
+	intents  intents
+	wg       sync.WaitGroup
 }
 
 const (
@@ -95,23 +94,21 @@
 // WaveKey returns the key of a wave's stored progress.
 func WaveKey(number int64) string { return wavePrefix + bbrrecord.Number(number) }
 
-// Run keeps until ctx ends. The first order waits until those of an earlier
-// holder cannot arrive any more.
+// Run keeps until ctx ends. An instance that an earlier holder may have ordered
+// waits until that order cannot arrive any more.
 func (k *Keeper) Run(ctx context.Context, away time.Duration) {
 	k.planner = NewPlanner(away)
 	k.cleared = make(map[string]bool)
 	k.demands = make(map[string]bbrledger.Demand)
 	k.stored = make(map[int64]waveState)
 	k.ordering = make(map[string]bool)
-	from, ok := k.firstOrder(ctx)
-	if !ok {
+	k.intents = intents{held: k.Held, store: k.Store, apart: k.Lease + orderSlack}
+	if !k.loadIntents(ctx) {
 		return
 	}
-	// Until this holder orders, the last order is the one that it waits for.
-	k.lastOrder = from.Add(-k.Lease - orderSlack)
 	failing := false
 	for ctx.Err() == nil {
-		err := k.round(ctx, from, time.Now())
+		err := k.round(ctx, time.Now())
 		if (err != nil) != failing && ctx.Err() == nil {
 			failing = err != nil
 			klog.InfoS("Fleet duty changed", "token", k.Held.Token, "failing", failing, "reason", bbrlog.Reason(err))
@@ -122,10 +119,35 @@
 	k.resign()
 }
 
+// resign leaves no more to a successor than it has to wait for.
+func (k *Keeper) resign() {
+	var err error
+	if k.Confirmed(time.Now()) {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		err = k.intents.save(ctx, time.Now())
+	}
+	klog.InfoS("Fleet duty ended", "token", k.Held.Token, "error", bbrlog.Reason(err))
+}
+
+// loadIntents tries until it knows what earlier holders may have ordered.
+func (k *Keeper) loadIntents(ctx context.Context) bool {
+	for ctx.Err() == nil {
+		err := k.intents.load(ctx)
+		if err == nil {
+			klog.InfoS("Fleet duty begins", "token", k.Held.Token, "waitsFor", len(k.intents.inherited), "atMost", k.intents.apart)
+			return true
+		}
+		klog.InfoS("Fleet duty cannot begin yet", "reason", err.Error())
+		bbrpause.For(ctx, keepEvery)
+	}
+	return false
+}
+
 // orderSlack is how long an order of an earlier holder may be on its way.
 const orderSlack = 300 * time.Millisecond
 
-func (k *Keeper) round(ctx context.Context, from, now time.Time) error {
+func (k *Keeper) round(ctx context.Context, now time.Time) error {
 	if err := k.readWaves(ctx, now); err != nil {
 		return err
 	}
@@ -139,11 +161,15 @@
 	if given := k.planner.giveUp(now); len(given) > 0 {
 		klog.InfoS("Moves given up", "instances", given, "token", k.Held.Token)
 	}
+	k.planner.Unsure(k.intents.unsure(now))
 	k.tell(k.planner.Balance(k.needs(), k.Registered, now), now)
 	orders := k.planner.Round(k.isCleared, now)
 	k.mu.Unlock()
+	if err := k.intents.record(ctx, orders, time.Now()); err != nil {
+		return err
+	}
 	// The calls above may have taken long.
-	if now.After(from) && k.Confirmed(time.Now()) {
+	if k.Confirmed(time.Now()) {
 		k.send(ctx, orders)
 	}
 	return k.save(ctx)
--- a/internal/fleet/bbrupkeep/planner.go
+++ b/internal/fleet/bbrupkeep/planner.go
@@ -27,6 +27,8 @@
 	balance balance
 	// spare is the pool whose instances are off; empty for none.
 	spare string
+	// unsure has the instances that an earlier holder may still order.
+	unsure map[string]bool
 	// short means that a pool wants more instances than there are.
 	short bool
 }
@@ -83,6 +85,10 @@
 	}
 }
 
+// Unsure tells the planner of the instances that an earlier holder may still
+// order: they are left alone, and count as away.
+func (p *Planner) Unsure(instances map[string]bool) { p.unsure = instances }
+
 // Listed tells the planner of a list of instances that was asked for at sent.
 func (p *Planner) Listed(list []bbrmachine.Instance, sent time.Time) {
 	p.instances = make(map[string]bbrmachine.Instance, len(list))
@@ -157,7 +163,7 @@
 	}
 	if t.phase == phaseClearing {
 		t.life = instance.Upstream
-		if instance.Status != bbrmachine.StatusUp || !cleared(instance) || p.atCap(t) {
+		if instance.Status != bbrmachine.StatusUp || p.unsure[t.instance] || !cleared(instance) || p.atCap(t) {
 			return Order{}, false
 		}
 		t.phase, t.since = phaseOrdering, now
--- a/internal/fleet/bbrupkeep/planner_test.go
+++ b/internal/fleet/bbrupkeep/planner_test.go
@@ -192,3 +192,7 @@
 	}
 	return lives
 }
+
+func waveOver(ids []string, limit int) bbrmachine.Wave {
+	return bbrmachine.Wave{Number: 1, Instances: ids, Within: 4 * time.Second, Cap: limit}
+}
--- a/internal/fleet/bbrupkeep/sending.go
+++ b/internal/fleet/bbrupkeep/sending.go
@@ -46,7 +46,7 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	delete(k.ordering, s.order.Instance)
-	k.lastOrder = time.Now()
+	k.intents.answered(s.order.Instance, time.Now())
 	k.planner.Answered(s.order, outcome(err), time.Now())
 }
 
--- a/internal/fleet/bbrupkeep/waves.go
+++ b/internal/fleet/bbrupkeep/waves.go
@@ -47,7 +47,7 @@
 	for _, id := range w.Instances {
 		t := p.tasks[id]
 		ordered := t != nil && t.wave == w.Number && t.phase != phaseClearing
-		if ordered || p.instances[id].Status == bbrmachine.StatusMaintained {
+		if ordered || p.unsure[id] || p.instances[id].Status == bbrmachine.StatusMaintained {
 			count++
 		}
 	}
