job/bbrledger: a successor sets the pace of filling work anew

Cause, by reading and then by test: a run that is taken over counted as at full speed, though the earlier owner may have slowed it down to a standstill; since the ledger then wanted full speed and believed in it, no order was sent and the work stood still for good. Its pace is now unknown, so the next plan orders one. Ruled out: the pace's steps (at a standstill within 3 s of a tail over the target, at full speed within 6 s of low ones: TestFillingWorkGivesWay, new). Tests: TestSuccessorSetsThePaceAnew, failing first; TestFillingWorkGivesWay.

--- a/internal/job/bbrledger/listing.go
+++ b/internal/job/bbrledger/listing.go
@@ -206,6 +206,9 @@
 	delete(up.strays, key)
 	r := l.addRun(u, key.number, up, now)
 	r.phase, r.confirmed = phaseRunning, now
+	if u.step.shape.Fills {
+		r.pace = unknownPace
+	}
 	if up.leased.IsZero() {
 		up.leased = now.Add(leaseBound(l.Timing.Hold))
 	}
--- /dev/null
+++ b/internal/job/bbrledger/pace_test.go
@@ -0,0 +1,79 @@
+package bbrledger
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/bluebellridge/bluebellridge/internal/job/bbrwork"
+)
+
+const (
+	servingJob = "00000000000000b1"
+	fillingJob = "00000000000000b2"
+	testTarget = 100 * time.Millisecond
+)
+
+// pacedScene has a serving and a filling work unit at work on one upstream.
+func pacedScene(t *testing.T) *scene {
+	s := newScene(t, true, "i-1")
+	serving, filling := unitStep(1), unitStep(1)
+	serving.Lasting, serving.Target = true, testTarget
+	filling.Lasting, filling.Fills = true, true
+	s.accept(servingJob, serving)
+	s.accept(fillingJob, filling)
+	s.started(s.plan(), nil)
+	return s
+}
+
+// listTail delivers a listing in which the serving work unit has the tail.
+func (s *scene) listTail(tail time.Duration) {
+	s.listRunning("i-1", []bbrwork.Run{
+		{Unit: bbrwork.Unit{Job: servingJob}, Number: 1, Percent: fullPercent, Tail: tail},
+		{Unit: bbrwork.Unit{Job: fillingJob}, Number: 1, Percent: fullPercent},
+	})
+}
+
+// TestFillingWorkGivesWay plays any tails: the pace stays in its bounds, filling
+// work stands still well before a serving work unit has been over its target for
+// 4 s, and is at full speed again once all tails are low.
+func TestFillingWorkGivesWay(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		s := pacedScene(t)
+		pace := fullPace
+		play := func(rounds int, tail func() time.Duration) {
+			for range rounds {
+				s.wait(100 * time.Millisecond)
+				s.listTail(tail())
+				for _, order := range s.ledger.Plan(true, s.now).Paces {
+					require.Equal(r, bbrwork.Unit{Job: fillingJob}, order.Pace.Unit)
+					pace = order.Pace.Percent
+				}
+				require.GreaterOrEqual(r, pace, 0)
+				require.LessOrEqual(r, pace, fullPace)
+			}
+		}
+		play(rapid.IntRange(0, 40).Draw(r, "rounds"), func() time.Duration {
+			return time.Duration(rapid.IntRange(0, 300).Draw(r, "tail")) * time.Millisecond
+		})
+		play(30, func() time.Duration { return 2 * testTarget })
+		require.Zero(r, pace)
+		play(60, func() time.Duration { return testTarget / 10 })
+		require.Equal(r, fullPace, pace)
+	})
+}
+
+// TestSuccessorSetsThePaceAnew holds that work which an earlier owner had slowed
+// down does not stay slow: its pace is not known.
+func TestSuccessorSetsThePaceAnew(t *testing.T) {
+	s := newScene(t, false, "i-1")
+	filling := unitStep(1)
+	filling.Lasting, filling.Fills = true, true
+	s.accept(fillingJob, filling)
+	s.listRunning("i-1", []bbrwork.Run{{Unit: bbrwork.Unit{Job: fillingJob}, Number: 1, Percent: fullPercent}})
+	paces := s.ledger.Plan(true, s.now).Paces
+	require.Len(t, paces, 1)
+	require.Equal(t, fullPace, paces[0].Pace.Percent)
+}
