--- a/internal/soak/bbrsoak/trouble.go
+++ b/internal/soak/bbrsoak/trouble.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/bluebellridge/bluebellridge/internal/standin/bbrfleet"
+	"github.com/bluebellridge/bluebellridge/internal/standin/bbrrelay"
 )
 
 // event is one piece of trouble. Events overlap.
@@ -133,7 +134,7 @@
 }
 
 // path brings trouble to the connections of a relay.
-func (t *troubles) path(name string, relay relay) *event {
+func (t *troubles) path(name string, relay *bbrrelay.Relay) *event {
 	delay := between(t.random, 20*time.Millisecond, 1500*time.Millisecond)
 	return []*event{
 		{name: name + " is cut", begin: func() { relay.SetCut(true) }, end: func() { relay.SetCut(false) }},
@@ -144,15 +145,6 @@
 	}[t.random.IntN(5)]
 }
 
-// relay is what trouble does to a path.
-type relay interface {
-	SetCut(cut bool)
-	SetOneWay(drop bool)
-	SetDelay(delay time.Duration)
-	Forget() int
-	Reset()
-}
-
 func (t *troubles) crash(time.Duration) *event {
 	number := t.random.IntN(len(t.soak.workers))
 	return &event{name: fmt.Sprintf("crash of upstream %d", number), begin: func() { t.soak.fleet.Crash(number) }}
@@ -189,7 +181,7 @@
 	}
 }
 
-func mend(r relay) {
+func mend(r *bbrrelay.Relay) {
 	r.SetCut(false)
 	r.SetOneWay(false)
 	r.SetDelay(0)
