fleet/bbrreach: an owner that the others cannot reach loses its lease early

Cause: services of an owner in a cut zone, or on a dead entry, waited 3 s until its lease ended by itself.

Change: each owner is pinged every 0.3 s by one entry of each other zone. After a failed ping that entry asks two entries of each zone whether they reach the owner; where nobody does and more than half say so, its lease is ended in the store. Ruled out: shorter leases (more renewals, and owners lost in slow spells of the store). Safe because a successor already waits for what an earlier holder may still do: claims can vanish with the store's leases, and TestPromisesUnderFailure plays that.

--- a/internal/daemon/bbrserve/plugin.go
+++ b/internal/daemon/bbrserve/plugin.go
@@ -21,6 +21,7 @@
 	"github.com/bluebellridge/bluebellridge/internal/daemon/bbrkernel"
 	"github.com/bluebellridge/bluebellridge/internal/daemon/bbrlistener"
 	"github.com/bluebellridge/bluebellridge/internal/fleet/bbrclaim"
+	"github.com/bluebellridge/bluebellridge/internal/fleet/bbrreach"
 	"github.com/bluebellridge/bluebellridge/internal/fleet/bbrregistry"
 	"github.com/bluebellridge/bluebellridge/internal/job/bbrintake"
 	"github.com/bluebellridge/bluebellridge/internal/peer/bbrinquiry"
@@ -179,7 +180,16 @@
 	if err != nil {
 		return err
 	}
-	server := &bbrinquiry.Server{StateOf: s.owners.state, Explanation: s.owners.explain, TakeHint: s.owners.accept}
+	server := &bbrinquiry.Server{StateOf: s.owners.state, Explanation: s.owners.explain, TakeHint: s.owners.accept, PingEntry: s.questions.Ping}
+	watch := &bbrreach.Watch{
+		Entry:     s.settings.Entry,
+		Directory: s.claims,
+		Ping:      s.questions.Ping,
+		Opinion:   s.questions.Opinion,
+		End:       s.store.Revoke,
+		Event:     s.metrics.Event,
+	}
+	s.keep.Go(func() { watch.Run(running) })
 	s.keep.Go(func() {
 		err := server.Run(running, listener)
 		klog.InfoS("Questions end", "address", s.settings.Listen.Peers, "reason", bbrlog.Reason(err))
--- /dev/null
+++ b/internal/fleet/bbrreach/watch.go
@@ -0,0 +1,200 @@
+package bbrreach
+
+import (
+	"context"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"k8s.io/klog/v2"
+
+	"github.com/bluebellridge/bluebellridge/internal/base/bbrpause"
+	"github.com/bluebellridge/bluebellridge/internal/fleet/bbrclaim"
+	"github.com/bluebellridge/bluebellridge/internal/store/bbritem"
+)
+
+const (
+	// pingEvery is between two pings of an owner by one entry.
+	pingEvery = 300 * time.Millisecond
+	// confirmAfter is between a failed ping and the next, while the others are
+	// asked: an owner that is merely out of processor time for a moment answers
+	// one of the two.
+	confirmAfter = 200 * time.Millisecond
+	// youngest is how old a claim must be before its holder is doubted. A new
+	// owner is busy with reading.
+	youngest = 2 * time.Second
+	// endTries and endRetry are how often, and with which pause, the lease of an
+	// owner that is cut off is tried to be ended.
+	endTries = 4
+	endRetry = 200 * time.Millisecond
+	// judgeEvery is between two rounds of questions about one owner.
+	judgeEvery = time.Second
+	// askedPerZone bounds the entries that are asked for their opinion.
+	askedPerZone = 2
+)
+
+// Watch pings the owners that this entry watches. The zero value of a function
+// field is not usable.
+type Watch struct {
+	// Entry is this entry's name.
+	Entry     string
+	Directory *bbrclaim.Directory
+	// Ping returns an error where the entry at the address does not answer in
+	// time.
+	Ping func(ctx context.Context, address netip.AddrPort, now time.Time) error
+	// Opinion asks the entry at the address whether it reaches the one about
+	// which it is asked.
+	Opinion func(ctx context.Context, address, about netip.AddrPort, now time.Time) Opinion
+	// End ends a lease.
+	End func(ctx context.Context, lease bbritem.Lease) error
+	// Event counts what happened.
+	Event func(name string)
+
+	mu sync.Mutex
+	// watched has the owners that are watched now, by lease.
+	watched map[bbritem.Lease]*owner
+	wg      sync.WaitGroup
+}
+
+// owner is what is known of an owner by pings.
+type owner struct {
+	watch *Watch
+	bbrclaim.Owner
+	since time.Time
+	// reached is set by the first answer. One that never answered may be out of
+	// reach by its installation, and is not doubted.
+	reached bool
+	// pinging is set while a ping is under way.
+	pinging bool
+	// judged is when the others were last asked about it.
+	judged time.Time
+	// reported is set while the log's last word is that it is doubted.
+	reported bool
+	// ended is set once the lease was ended.
+	ended bool
+}
+
+// Run watches until ctx ends.
+func (w *Watch) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		w.round(ctx, time.Now())
+		bbrpause.For(ctx, pingEvery)
+	}
+	w.wg.Wait()
+}
+
+// round pings each watched owner whose last ping has ended.
+func (w *Watch) round(ctx context.Context, now time.Time) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	before := w.watched
+	w.watched = make(map[bbritem.Lease]*owner)
+	for _, found := range w.Directory.Watched(w.Entry) {
+		o := before[found.Lease]
+		if o == nil {
+			o = &owner{watch: w, Owner: found, since: now}
+		}
+		w.watched[found.Lease] = o
+		if !o.pinging {
+			o.pinging = true
+			w.wg.Go(func() { o.run(ctx, now) })
+		}
+	}
+}
+
+// run pings the owner once, and takes its claims away where it is cut off.
+func (o *owner) run(ctx context.Context, now time.Time) {
+	w := o.watch
+	err := w.Ping(ctx, o.Peers, now)
+	ended := false
+	if err != nil && ctx.Err() == nil && o.doubt(now) {
+		w.Event("reach:doubted")
+		ended = o.judge(ctx, err)
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	o.reached = o.reached || err == nil
+	o.reported = o.reported && err != nil
+	o.ended = o.ended || ended
+	o.pinging = false
+}
+
+// doubt tells whether the owner should be judged now.
+func (o *owner) doubt(now time.Time) bool {
+	o.watch.mu.Lock()
+	defer o.watch.mu.Unlock()
+	if !o.reached || o.ended || now.Sub(o.since) < youngest || now.Sub(o.judged) < judgeEvery {
+		return false
+	}
+	o.judged = now
+	return true
+}
+
+// judge asks others, and ends the owner's lease if they agree that it is cut
+// off. It tells whether the lease has ended.
+func (o *owner) judge(ctx context.Context, reason error) bool {
+	w := o.watch
+	opinions := o.gather(ctx)
+	if !CutOff(opinions) {
+		if o.report() {
+			klog.InfoS("Owner doubted", "entry", o.Entry, "zone", o.Zone, "lease", o.Lease, "reason", reason.Error(), "opinions", names(opinions))
+		}
+		return false
+	}
+	err := o.endLease(ctx)
+	if err != nil {
+		klog.InfoS("Owner cut off, its lease cannot be ended", "entry", o.Entry, "zone", o.Zone, "lease", o.Lease, "opinions", names(opinions), "error", err.Error())
+		return false
+	}
+	klog.InfoS("Owner cut off, its lease ended", "entry", o.Entry, "zone", o.Zone, "lease", o.Lease, "reason", reason.Error(), "opinions", names(opinions))
+	w.Event("reach:ended")
+	return true
+}
+
+// endLease ends the owner's lease. It tries again while the judgement is fresh,
+// since the store may be on its way back.
+func (o *owner) endLease(ctx context.Context) error {
+	var err error
+	for range endTries {
+		err = o.watch.End(ctx, o.Lease)
+		if err == nil || errors.Is(err, bbritem.ErrNotFound) {
+			return nil
+		}
+		bbrpause.For(ctx, endRetry)
+	}
+	return err
+}
+
+// report tells whether a line about the doubt is due: one for each time that the
+// owner stops answering.
+func (o *owner) report() bool {
+	o.watch.mu.Lock()
+	defer o.watch.mu.Unlock()
+	due := !o.reported
+	o.reported = true
+	return due
+}
+
+// gather returns this entry's opinion by another ping, and those of others.
+func (o *owner) gather(ctx context.Context) []Opinion {
+	w := o.watch
+	asked := w.Directory.Sample(askedPerZone, w.Entry, o.Entry)
+	opinions := make([]Opinion, len(asked)+1)
+	var wg sync.WaitGroup
+	for i, address := range asked {
+		wg.Go(func() { opinions[i] = w.Opinion(ctx, address, o.Peers, time.Now()) })
+	}
+	bbrpause.For(ctx, confirmAfter)
+	opinions[len(asked)] = OpinionOf(w.Ping(ctx, o.Peers, time.Now()))
+	wg.Wait()
+	return opinions
+}
+
+// OpinionOf returns the opinion of an entry whose ping had the outcome.
+func OpinionOf(err error) Opinion {
+	if err != nil {
+		return Unreached
+	}
+	return Reached
+}
--- a/internal/peer/bbrinquiry/client.go
+++ b/internal/peer/bbrinquiry/client.go
@@ -12,6 +12,7 @@
 	"storj.io/drpc/drpcconn"
 	"storj.io/drpc/drpcpool"
 
+	"github.com/bluebellridge/bluebellridge/internal/fleet/bbrreach"
 	"github.com/bluebellridge/bluebellridge/internal/job/bbrledger"
 	"github.com/bluebellridge/bluebellridge/internal/job/bbrowner"
 	"github.com/bluebellridge/bluebellridge/internal/job/bbrwork"
@@ -21,6 +22,11 @@
 	// askWithin bounds a question. The store is asked afterwards, while the caller
 	// still waits.
 	askWithin = 150 * time.Millisecond
+	// pingWithin bounds a ping. It leaves room for an entry that has used up its
+	// processor time for some periods of the scheduler.
+	pingWithin = 400 * time.Millisecond
+	// opinionWithin bounds a question for an opinion, which takes a ping.
+	opinionWithin = pingWithin + askWithin
 	// avoidFor is how long an entry that did not answer is not asked.
 	avoidFor = time.Second
 	// idleFor is how long an unused connection is kept.
@@ -70,15 +76,31 @@
 	return c.ask(ctx, entry, hintMethod, &hint, &out, now) && out.Taken
 }
 
-func (c *Client) ask(ctx context.Context, entry netip.AddrPort, method string, in, out drpc.Message, now time.Time) bool {
-	if c.avoids(entry, now) {
-		return false
+// Ping returns an error where the entry does not answer in time. It asks also
+// where the entry has just failed to answer.
+func (c *Client) Ping(ctx context.Context, entry netip.AddrPort, now time.Time) error {
+	return c.invoke(ctx, entry, pingMethod, &PingMessage{}, &PingMessage{}, pingWithin, now)
+}
+
+// Opinion asks the entry whether it reaches the one at the address about.
+func (c *Client) Opinion(ctx context.Context, entry, about netip.AddrPort, now time.Time) bbrreach.Opinion {
+	var out OpinionResponse
+	if err := c.invoke(ctx, entry, opinionMethod, &OpinionRequest{About: about}, &out, opinionWithin, now); err != nil {
+		return bbrreach.Silent
 	}
-	ctx, cancel := context.WithTimeout(ctx, askWithin)
+	return out.Opinion
+}
+
+func (c *Client) ask(ctx context.Context, entry netip.AddrPort, method string, in, out drpc.Message, now time.Time) bool {
+	return !c.avoids(entry, now) && c.invoke(ctx, entry, method, in, out, askWithin, now) == nil
+}
+
+func (c *Client) invoke(ctx context.Context, entry netip.AddrPort, method string, in, out drpc.Message, within time.Duration, now time.Time) error {
+	ctx, cancel := context.WithTimeout(ctx, within)
 	defer cancel()
 	err := c.pool.Get(ctx, entry, dial).Invoke(ctx, method, jsonEncoding{}, in, out)
 	c.answered(entry, err, now)
-	return err == nil
+	return err
 }
 
 // Close ends all connections.
--- a/internal/peer/bbrinquiry/client_test.go
+++ b/internal/peer/bbrinquiry/client_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/bluebellridge/bluebellridge/internal/fleet/bbrreach"
 	"github.com/bluebellridge/bluebellridge/internal/job/bbrledger"
 	"github.com/bluebellridge/bluebellridge/internal/job/bbrowner"
 	"github.com/bluebellridge/bluebellridge/internal/job/bbrwork"
@@ -64,3 +65,22 @@
 	require.True(t, known)
 	require.False(t, client.avoids(address, now))
 }
+
+// TestOpinion holds that an entry tells whether it reaches another, and that the
+// one that is asked and does not answer counts as silent.
+func TestOpinion(t *testing.T) {
+	listener, address := listen(t)
+	silent, lost := listen(t)
+	client := NewClient()
+	defer client.Close()
+	server := &Server{PingEntry: client.Ping}
+	go func() { _ = server.Run(t.Context(), listener) }()
+
+	require.NoError(t, client.Ping(t.Context(), address, time.Now()))
+	require.Equal(t, bbrreach.Reached, client.Opinion(t.Context(), address, address, time.Now()))
+	require.Error(t, client.Ping(t.Context(), lost, time.Now()))
+	require.Equal(t, bbrreach.Unreached, client.Opinion(t.Context(), address, lost, time.Now()))
+	require.Equal(t, bbrreach.Silent, client.Opinion(t.Context(), lost, address, time.Now()))
+	require.NoError(t, silent.Close())
+	require.Equal(t, bbrreach.Unreached, client.Opinion(t.Context(), address, lost, time.Now()))
+}
--- a/internal/peer/bbrinquiry/message.go
+++ b/internal/peer/bbrinquiry/message.go
@@ -2,9 +2,11 @@
 
 import (
 	"encoding/json"
+	"net/netip"
 
 	"storj.io/drpc"
 
+	"github.com/bluebellridge/bluebellridge/internal/fleet/bbrreach"
 	"github.com/bluebellridge/bluebellridge/internal/job/bbrledger"
 	"github.com/bluebellridge/bluebellridge/internal/job/bbrwork"
 )
@@ -34,6 +36,20 @@
 	Taken bool `json:"taken"`
 }
 
+// PingMessage is the question and the answer of a ping.
+type PingMessage struct{}
+
+// OpinionRequest asks whether an entry reaches another.
+type OpinionRequest struct {
+	// About is the address at which the other answers entries.
+	About netip.AddrPort `json:"about"`
+}
+
+// OpinionResponse answers it.
+type OpinionResponse struct {
+	Opinion bbrreach.Opinion `json:"opinion"`
+}
+
 // jsonEncoding writes messages as JSON.
 type jsonEncoding struct{}
 
--- a/internal/peer/bbrinquiry/server.go
+++ b/internal/peer/bbrinquiry/server.go
@@ -3,11 +3,14 @@
 import (
 	"context"
 	"net"
+	"net/netip"
+	"time"
 
 	"storj.io/drpc"
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcserver"
 
+	"github.com/bluebellridge/bluebellridge/internal/fleet/bbrreach"
 	"github.com/bluebellridge/bluebellridge/internal/job/bbrledger"
 	"github.com/bluebellridge/bluebellridge/internal/job/bbrowner"
 	"github.com/bluebellridge/bluebellridge/internal/job/bbrwork"
@@ -17,6 +20,8 @@
 	stateMethod   = "/bbrinquiry.Owner/State"
 	explainMethod = "/bbrinquiry.Owner/Explain"
 	hintMethod    = "/bbrinquiry.Owner/Hint"
+	pingMethod    = "/bbrinquiry.Entry/Ping"
+	opinionMethod = "/bbrinquiry.Entry/Opinion"
 )
 
 // StateFunc returns the state of a job of a service that this entry owns.
@@ -29,11 +34,16 @@
 // HintFunc takes a hint for an owner of this entry.
 type HintFunc func(hint bbrowner.Hint) bool
 
+// PingFunc returns an error where the entry at the address does not answer in
+// time.
+type PingFunc func(ctx context.Context, address netip.AddrPort, now time.Time) error
+
 // Server answers the questions of other entries.
 type Server struct {
 	StateOf     StateFunc
 	Explanation ExplainFunc
 	TakeHint    HintFunc
+	PingEntry   PingFunc
 }
 
 // Run serves the listener until ctx ends.
@@ -62,11 +72,21 @@
 	return &HintResponse{Taken: s.TakeHint(*in)}, nil
 }
 
+// Ping answers that this entry is there.
+func (s *Server) Ping(context.Context, *PingMessage) (*PingMessage, error) {
+	return &PingMessage{}, nil
+}
+
+// Opinion tells whether this entry reaches another.
+func (s *Server) Opinion(ctx context.Context, in *OpinionRequest) (*OpinionResponse, error) {
+	return &OpinionResponse{Opinion: bbrreach.OpinionOf(s.PingEntry(ctx, in.About, time.Now()))}, nil
+}
+
 // description tells drpc of the server's methods.
 type description struct{}
 
 // NumMethods implements drpc.Description.
-func (description) NumMethods() int { return 3 }
+func (description) NumMethods() int { return 5 }
 
 // Method implements drpc.Description.
 func (description) Method(n int) (string, drpc.Encoding, drpc.Receiver, any, bool) {
@@ -86,6 +106,16 @@
 			return server.(*Server).Hint(ctx, in.(*bbrowner.Hint))
 		}
 		return hintMethod, jsonEncoding{}, receive, (*Server).Hint, true
+	case 3:
+		receive := func(server any, ctx context.Context, in, _ any) (drpc.Message, error) {
+			return server.(*Server).Ping(ctx, in.(*PingMessage))
+		}
+		return pingMethod, jsonEncoding{}, receive, (*Server).Ping, true
+	case 4:
+		receive := func(server any, ctx context.Context, in, _ any) (drpc.Message, error) {
+			return server.(*Server).Opinion(ctx, in.(*OpinionRequest))
+		}
+		return opinionMethod, jsonEncoding{}, receive, (*Server).Opinion, true
 	default:
 		return "", nil, nil, nil, false
 	}
