job/bbrledger: a successor's wait for an owner that still believes is proved

Cause: docs/promises.md listed the 2.2 s of an earlier owner's belief as not proved (no test failed without them). Since entries end the leases of owners out of reach, that case is an everyday one. Ruled out: relying on the random world, which does not meet the case. No change of the product.

--- a/internal/job/bbrledger/ledger_test.go
+++ b/internal/job/bbrledger/ledger_test.go
@@ -315,6 +315,22 @@
 	require.Len(t, s.plan().Starts, 1)
 }
 
+// TestSuccessorOutlastsAnOwnerThatStillBelieves holds that an owner whose claim
+// was taken away may renew a lease until it hears of that, on an upstream that
+// only it reaches, and that its work ends before it starts again elsewhere.
+func TestSuccessorOutlastsAnOwnerThatStillBelieves(t *testing.T) {
+	s := takeOver(t, nil, "i-1", "i-2")
+	s.register("i-2")
+	const slowClock = 1.02
+	lastRenewal := s.now.Add(testTiming.Handover)
+	leaseEnds := lastRenewal.Add(time.Duration(slowClock * float64(testTiming.Hold)))
+	for s.now.Before(leaseEnds) {
+		s.list("i-2")
+		require.Empty(t, s.plan().Starts, "%v before the earlier owner's last lease ends", leaseEnds.Sub(s.now))
+		s.wait(50 * time.Millisecond)
+	}
+}
+
 func TestSuccessorStartsAtOnceWhenAllIsKnown(t *testing.T) {
 	s := takeOver(t, nil, "i-1")
 	s.register("i-1")
