operator/bbrdesk: operators drain, move and resume instances on the platform's fleet

Change: `drain`, `move` (pinned to the pool) and `resume` store what is asked in one value, bbr/fleet/directives, by compare-and-swap; the holder of the fleet duty obeys it. A drain or move that leaves a pool fewer instances than its lasting work needs is refused (4006), of two operators at once one gets 4004. Waves take drained instances, and the drain holds in the next life. No more calls to the store: the value lies under the watched prefix. `why instance` tells when nothing runs on a reserved instance any more.

Found on the way: scripts/mutants.sh passed rapid's flags to packages without rapid, whose tests then failed for that alone; such mutants were called killed without proof. Now the flags go only where they are known, and a flag that is not is reported as BROKEN.

--- a/internal/daemon/bbrserve/owners.go
+++ b/internal/daemon/bbrserve/owners.go
@@ -226,6 +226,7 @@
 		Pools:      o.pools,
 		Registered: s.registry.Has,
 		Owned:      o.owned,
+		Directives: s.claims.Directives,
 		Lease:      s.settings.Jobs.DutyLease,
 	}
 	sweeper := &bbrsweeper.Sweeper{Store: s.store, Condition: held.Condition(), Keep: s.settings.Jobs.KeepEnded}
--- a/internal/fleet/bbrclaim/directory.go
+++ b/internal/fleet/bbrclaim/directory.go
@@ -10,6 +10,7 @@
 
 	"k8s.io/klog/v2"
 
+	"github.com/bluebellridge/bluebellridge/internal/fleet/bbrmachine"
 	"github.com/bluebellridge/bluebellridge/internal/store/bbritem"
 )
 
@@ -41,7 +42,9 @@
 	reserved map[string]bool
 	// reservation rises with each change of reserved.
 	reservation bbritem.Revision
-	seen        map[string]bbritem.Revision
+	// directives is replaced whole.
+	directives bbrmachine.Directives
+	seen       map[string]bbritem.Revision
 }
 
 // Snapshot replaces everything.
@@ -77,6 +80,9 @@
 	if item.Key == ReservedKey {
 		d.applyReserved(item)
 	}
+	if item.Key == DirectivesKey {
+		d.applyDirectives(item)
+	}
 	if name, ok := strings.CutPrefix(item.Key, entryPrefix); ok {
 		d.applyEntry(name, item)
 	}
@@ -132,6 +138,26 @@
 	return reserved, nil
 }
 
+func (d *Directory) applyDirectives(item bbritem.Item) {
+	value := item.Value
+	if item.Deleted {
+		value = nil
+	}
+	directives, err := bbrmachine.ParseDirectives(value)
+	if err != nil {
+		klog.ErrorS(err, "Directives unreadable", "revision", item.Revision)
+		return
+	}
+	d.directives = directives
+}
+
+// Directives returns what operators ask of instances, not to be changed.
+func (d *Directory) Directives() bbrmachine.Directives {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.directives
+}
+
 // Reserved returns the reserved upstreams, not to be changed, and the revision
 // of their last change.
 func (d *Directory) Reserved() (map[string]bool, bbritem.Revision) {
--- a/internal/fleet/bbrclaim/keys.go
+++ b/internal/fleet/bbrclaim/keys.go
@@ -12,6 +12,10 @@
 // take away.
 const ReservedKey = FleetPrefix + "reserved"
 
+// DirectivesKey holds what operators ask of instances, in one value, so that
+// operators who act at the same time cannot both use up the same budget.
+const DirectivesKey = FleetPrefix + "directives"
+
 // DutyName is the name under which the fleet duty is claimed; no service has
 // it.
 const DutyName = "~duty"
--- a/internal/fleet/bbrupkeep/balance.go
+++ b/internal/fleet/bbrupkeep/balance.go
@@ -73,12 +73,14 @@
 	registered func(life string) bool
 }
 
-// members returns the instances that are up and in no task, by pool.
+// members returns the instances that are up, in no task and of no directive, by
+// pool.
 func (p *Planner) members() map[string][]bbrmachine.Instance {
 	members := make(map[string][]bbrmachine.Instance)
 	for _, id := range slices.Sorted(maps.Keys(p.instances)) {
 		instance := p.instances[id]
-		if instance.Status == bbrmachine.StatusUp && p.tasks[id] == nil && !p.unsure[id] {
+		_, directed := p.directives[id]
+		if instance.Status == bbrmachine.StatusUp && p.tasks[id] == nil && !p.unsure[id] && !directed {
 			members[instance.Pool] = append(members[instance.Pool], instance)
 		}
 	}
--- /dev/null
+++ b/internal/fleet/bbrupkeep/directives_test.go
@@ -0,0 +1,86 @@
+package bbrupkeep
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/bluebellridge/bluebellridge/internal/fleet/bbrmachine"
+)
+
+// play runs the fleet for a while under directives.
+func (f *testFleet) play(p *Planner, directives bbrmachine.Directives, pools []Pool, length time.Duration) {
+	for end := f.now.Add(length); f.now.Before(end); {
+		p.Directives(directives, f.now)
+		f.step(p, pools, always, f.carryOut)
+	}
+}
+
+func drained(ids ...string) bbrmachine.Directives {
+	directives := make(bbrmachine.Directives)
+	for _, id := range ids {
+		directives[id] = bbrmachine.Directive{Reason: "fan noise"}
+	}
+	return directives
+}
+
+// TestDrainedInstanceTakesNoWork holds that an instance that operators drained
+// stays reserved as long as they want, counts for no pool, and serves again
+// afterwards.
+func TestDrainedInstanceTakesNoWork(t *testing.T) {
+	f := newTestFleet(map[string]int{calm: 6, off: 2})
+	p := NewPlanner(testAway)
+	pools := []Pool{ask(calm, 6), {Name: off, Spare: true}}
+	f.play(p, drained("i00"), pools, 20*time.Second)
+	require.Equal(t, []string{"i00-0"}, p.Reserved(f.now))
+	require.Equal(t, calm, f.instances["i00"].Pool, "nothing is ordered for it")
+	require.Len(t, f.lives(calm), 7, "another instance stands in")
+	require.False(t, p.Busy(), "nothing is awaited")
+
+	f.play(p, nil, pools, testStep)
+	require.Empty(t, p.Reserved(f.now))
+}
+
+// TestDrainOutlastsAnotherLife holds that a drained instance that restarts takes
+// no work in its next life either.
+func TestDrainOutlastsAnotherLife(t *testing.T) {
+	f := newTestFleet(map[string]int{calm: 6})
+	p := NewPlanner(testAway)
+	pools := []Pool{ask(calm, 6)}
+	f.play(p, drained("i00"), pools, time.Second)
+	f.instances["i00"].Upstream = "i00-1"
+	f.play(p, drained("i00"), pools, time.Second)
+	require.Contains(t, p.Reserved(f.now), "i00-1")
+}
+
+// TestWaveTakesDrainedInstances holds that a wave is done in time where operators
+// drained one of its instances, and that it stays drained.
+func TestWaveTakesDrainedInstances(t *testing.T) {
+	f := newTestFleet(map[string]int{calm: 6})
+	p := NewPlanner(testAway)
+	f.play(p, drained("i00"), []Pool{ask(calm, 2)}, time.Second)
+	p.Wave(waveOver(f.ids, 2), nil, f.now)
+	f.play(p, drained("i00"), []Pool{ask(calm, 2)}, 40*time.Second)
+	require.True(t, progressOf(p).Completed)
+	require.Contains(t, progressOf(p).Done, "i00")
+	require.EqualValues(t, 1, f.instances["i00"].maintained)
+	require.Equal(t, []string{f.instances["i00"].Upstream}, p.Reserved(f.now.Add(time.Minute)))
+}
+
+// TestPinnedInstanceStaysInItsPool holds that an instance that operators move
+// goes there and is not taken back, however much others ask for.
+func TestPinnedInstanceStaysInItsPool(t *testing.T) {
+	f := newTestFleet(map[string]int{calm: 8, pressed: 5})
+	p := NewPlanner(testAway)
+	directives := bbrmachine.Directives{"i00": {Pool: pressed}}
+	idle := []Pool{ask(calm, 8), ask(pressed, 5)}
+	f.play(p, directives, idle, 10*time.Second)
+	require.Equal(t, pressed, f.instances["i00"].Pool)
+	lives := f.instances["i00"].lives
+	for range 20 {
+		idle[1].Give = f.lives(pressed)
+		f.play(p, directives, idle, time.Second)
+	}
+	require.Equal(t, lives, f.instances["i00"].lives, "it was moved away and back")
+}
--- a/internal/fleet/bbrupkeep/keeper.go
+++ b/internal/fleet/bbrupkeep/keeper.go
@@ -47,10 +47,14 @@
 	// Owned tells whether a pool's instances have an owner that puts work on
 	// them.
 	Owned func(pool string) bool
+	// Directives returns what operators ask of instances.
+	Directives func() bbrmachine.Directives
 	// Lease is the least time between the orders of two holders.
 	Lease time.Duration
 
 	planner *Planner
+	// directives are those that the planner was told last.
+	directives bbrmachine.Directives
 	// waveRead, listRead are when these were last asked for.
 	waveRead, listRead time.Time
 	// told is when the last lines about the pools were written.
@@ -162,6 +166,7 @@
 		klog.InfoS("Moves given up", "instances", given, "token", k.Held.Token)
 	}
 	k.planner.Unsure(k.intents.unsure(now))
+	k.learnDirectives(now)
 	k.tell(k.planner.Balance(k.needs(), k.Registered, now), now)
 	orders := k.planner.Round(k.isCleared, now)
 	k.mu.Unlock()
--- a/internal/fleet/bbrupkeep/planner.go
+++ b/internal/fleet/bbrupkeep/planner.go
@@ -29,6 +29,8 @@
 	spare string
 	// unsure has the instances that an earlier holder may still order.
 	unsure map[string]bool
+	// directives are what operators ask of instances.
+	directives bbrmachine.Directives
 	// short means that a pool wants more instances than there are.
 	short bool
 }
@@ -52,6 +54,8 @@
 	since time.Time
 	// ordered is when the order was answered.
 	ordered time.Time
+	// held means that operators drained the instance: there is nothing to order.
+	held bool
 }
 
 // phase is how far a task is.
@@ -158,7 +162,7 @@
 
 func (p *Planner) order(t *task, cleared func(instance bbrmachine.Instance) bool, now time.Time) (Order, bool) {
 	instance := p.instances[t.instance]
-	if t.phase == phaseAway {
+	if t.phase == phaseAway || t.held {
 		return Order{}, false
 	}
 	if t.phase == phaseClearing {
@@ -199,7 +203,7 @@
 func (p *Planner) giveUp(now time.Time) []string {
 	var given []string
 	for id, t := range p.tasks {
-		if t.wave == 0 && t.phase != phaseOrdering && now.Sub(later(t.since, t.ordered)) > giveUpAfter {
+		if t.wave == 0 && !t.held && t.phase != phaseOrdering && now.Sub(later(t.since, t.ordered)) > giveUpAfter {
 			given = append(given, id)
 			delete(p.tasks, id)
 		}
@@ -251,8 +255,10 @@
 	if p.listed.IsZero() {
 		return true
 	}
-	if len(p.tasks) > 0 {
-		return true
+	for _, t := range p.tasks {
+		if !t.held {
+			return true
+		}
 	}
 	for _, w := range p.waves {
 		if !p.completed(w) {
--- a/internal/fleet/bbrupkeep/waves.go
+++ b/internal/fleet/bbrupkeep/waves.go
@@ -88,7 +88,8 @@
 	var left []string
 	for _, id := range w.Instances {
 		instance, listed := p.instances[id]
-		if !w.done[id] && p.tasks[id] == nil && listed && instance.Status == bbrmachine.StatusUp {
+		free := p.tasks[id] == nil || p.tasks[id].held
+		if !w.done[id] && free && listed && instance.Status == bbrmachine.StatusUp {
 			left = append(left, id)
 		}
 	}
--- a/internal/operator/bbrdesk/desk.go
+++ b/internal/operator/bbrdesk/desk.go
@@ -33,7 +33,7 @@
 
 // Execute runs a command line.
 func (d *Desk) Execute(ctx context.Context, request bbrapi.Request) bbrapi.Result {
-	result, err := d.execute(ctx, request.Line, time.Now())
+	result, err := d.execute(ctx, request, time.Now())
 	if err != nil {
 		result = bbrapi.Refused(err)
 		d.Metrics.Refuse(result.Code)
@@ -42,8 +42,8 @@
 	return result
 }
 
-func (d *Desk) execute(ctx context.Context, line string, now time.Time) (bbrapi.Result, error) {
-	command, err := bbrlanguage.Parse(line)
+func (d *Desk) execute(ctx context.Context, request bbrapi.Request, now time.Time) (bbrapi.Result, error) {
+	command, err := bbrlanguage.Parse(request.Line)
 	switch {
 	case err != nil:
 		return bbrapi.Result{}, err
@@ -53,8 +53,14 @@
 		return d.show(ctx, command.Show, now)
 	case command.Why != nil:
 		return d.why(ctx, command.Why, now)
+	case command.Drain != nil:
+		return d.drain(ctx, command.Drain, request.DryRun, now)
+	case command.Move != nil:
+		return d.move(ctx, command.Move, request.DryRun, now)
+	case command.Resume != nil && command.Resume.Instance != "":
+		return d.resume(ctx, command.Resume.Instance, request.DryRun)
 	default:
-		return bbrapi.Result{}, notHere("the platform's operators change this; an entry only shows and explains")
+		return bbrapi.Result{}, notHere("configuration and waves are written to the platform's store; an entry shows and explains them, and drains, moves and resumes instances")
 	}
 }
 
--- a/internal/operator/bbrdesk/show.go
+++ b/internal/operator/bbrdesk/show.go
@@ -93,14 +93,18 @@
 }
 
 func (d *Desk) instances(ctx context.Context) (*table, error) {
-	t := &table{columns: []string{"instance", "pool", "status", "zone", "upstream", "reserved"}}
+	t := &table{columns: []string{"instance", "pool", "status", "zone", "upstream", "reserved", "operators"}}
 	instances, err := d.Fleet.List(ctx)
 	if err != nil {
 		return nil, err
 	}
+	directives, err := d.directives(ctx)
+	if err != nil {
+		return nil, err
+	}
 	reserved, _ := d.Directory.Reserved()
 	for _, instance := range instances {
-		t.add(instance.ID, instance.Pool, statusName(instance.Status), instance.Zone, instance.Upstream, strconv.FormatBool(reserved[instance.Upstream]))
+		t.add(instance.ID, instance.Pool, statusName(instance.Status), instance.Zone, instance.Upstream, strconv.FormatBool(reserved[instance.Upstream]), describeDirective(directives, instance.ID))
 	}
 	return t, nil
 }
--- a/internal/operator/bbrdesk/why.go
+++ b/internal/operator/bbrdesk/why.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/bluebellridge/bluebellridge/internal/base/bbrcode"
+	"github.com/bluebellridge/bluebellridge/internal/fleet/bbrmachine"
 	"github.com/bluebellridge/bluebellridge/internal/fleet/bbrupkeep"
 	"github.com/bluebellridge/bluebellridge/internal/job/bbrledger"
 	"github.com/bluebellridge/bluebellridge/internal/job/bbrrecord"
@@ -101,32 +102,54 @@
 	return record, errors.Wrap(json.Unmarshal(item.Value, record), key)
 }
 
-// whyInstance tells where an instance is and what planned work holds it.
+// whyInstance tells where an instance is and what holds it.
 func (d *Desk) whyInstance(ctx context.Context, id string) (bbrapi.Result, error) {
 	instances, err := d.Fleet.List(ctx)
 	if err != nil {
 		return bbrapi.Result{}, err
 	}
+	instance, err := find(instances, id)
+	if err != nil {
+		return bbrapi.Result{}, err
+	}
 	t := &table{columns: []string{"what", "is"}}
-	reserved, _ := d.Directory.Reserved()
-	for _, instance := range instances {
-		if instance.ID != id {
-			continue
-		}
-		t.add("status", statusName(instance.Status)+" in pool "+instance.Pool+", zone "+instance.Zone)
-		t.add("upstream", instance.Upstream)
-		if reserved[instance.Upstream] {
-			t.add("reserved", "it takes no new work until planned work is done with it")
-		}
-		if err := d.addWaves(ctx, t, id); err != nil {
+	t.add("status", statusName(instance.Status)+" in pool "+instance.Pool+", zone "+instance.Zone)
+	t.add("upstream", instance.Upstream)
+	for _, add := range []func(ctx context.Context, t *table, instance bbrmachine.Instance) error{d.addDirective, d.addReserved, d.addWaves} {
+		if err := add(ctx, t, instance); err != nil {
 			return bbrapi.Result{}, err
 		}
-		return t.result(), nil
 	}
-	return bbrapi.Result{}, bbrcode.Errorf(bbrcode.UnknownInstance, id, "the platform does not list it")
+	return t.result(), nil
+}
+
+func (d *Desk) addDirective(ctx context.Context, t *table, instance bbrmachine.Instance) error {
+	directives, err := d.directives(ctx)
+	if text := describeDirective(directives, instance.ID); text != "" {
+		t.add("operators", text+" since "+directives[instance.ID].Since.UTC().Format(time.RFC3339))
+	}
+	return err
+}
+
+func (d *Desk) addReserved(ctx context.Context, t *table, instance bbrmachine.Instance) error {
+	reserved, _ := d.Directory.Reserved()
+	if !reserved[instance.Upstream] {
+		return nil
+	}
+	service, err := d.clearedBy(ctx, instance.Upstream)
+	if err != nil {
+		return err
+	}
+	text := "it takes no new work; its owner has not reported yet that nothing runs there"
+	if service != "" {
+		text = "it takes no new work, and nothing runs there any more, says the owner of " + service
+	}
+	t.add("reserved", text)
+	return nil
 }
 
-func (d *Desk) addWaves(ctx context.Context, t *table, id string) error {
+func (d *Desk) addWaves(ctx context.Context, t *table, instance bbrmachine.Instance) error {
+	id := instance.ID
 	items, _, err := d.Store.All(ctx, d.WavePrefix)
 	if err != nil {
 		return err
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -16,9 +16,14 @@
   sed -E "$expression" "$file" >"$work/mutant.go"
   if cmp -s "$file" "$work/mutant.go"; then echo "STALE     $name: the expression changes nothing in $file"; survived=$((survived + 1)); return; fi
   printf '{"Replace":{"%s":"%s"}}' "$PWD/$file" "$work/mutant.go" >"$work/overlay.json"
-  go test -overlay "$work/overlay.json" "./$package" -run "^$test\$" -count=1 -rapid.seed="$seed" -rapid.checks="${CHECKS:-6000}" -rapid.nofailfile -rapid.steps="${STEPS:-80}" -rapid.shrinktime=1s -timeout 40s >"$work/log" 2>&1
+  local flags=()
+  if grep -lq 'pgregory.net/rapid' "$package"/*_test.go; then
+    flags=(-rapid.seed="$seed" -rapid.checks="${CHECKS:-6000}" -rapid.nofailfile -rapid.steps="${STEPS:-80}" -rapid.shrinktime=1s)
+  fi
+  go test -overlay "$work/overlay.json" "./$package" -run "^$test\$" -count=1 "${flags[@]}" -timeout 40s >"$work/log" 2>&1
   local status=$?
-  if [ $status -eq 0 ]; then echo "SURVIVED  $name ($test)"; survived=$((survived + 1))
+  if grep -q 'flag provided but not defined' "$work/log"; then echo "BROKEN    $name: the test takes no such flag"; survived=$((survived + 1))
+  elif [ $status -eq 0 ]; then echo "SURVIVED  $name ($test)"; survived=$((survived + 1))
   elif grep -q 'build failed' "$work/log"; then echo "BROKEN    $name: does not compile"; head -5 "$work/log"; survived=$((survived + 1))
   else
     killed=$((killed + 1))
