job/bbrledger: work is packed, so that upstreams are empty when another pool needs them

Work was spread over all upstreams, so at the end of a turn none was empty. Ruled out: the platform's rate of orders (128 a second were taken), the planner's give order.

Change: other than lasting work goes first to upstreams that lasting work keeps in the pool anyway (but for filling work, which would disturb it), then to the fullest. Lasting work stays spread: it would be lost together otherwise.

Tests: TestEndOfATurnLeavesUpstreamsEmpty plays the load and checks that callers wait for nothing and that three quarters of a pool can be given away (all were busy before); four mutants killed. TestBusyPoolKeepsWorkNearItsData counted on the old spreading for its scene; its scene is now stated (all work near the data is of one job), its checks are the same.

--- a/internal/job/bbrledger/demand.go
+++ b/internal/job/bbrledger/demand.go
@@ -128,11 +128,4 @@
 }
 
 // serves tells whether lasting work runs on the upstream.
-func (up *upstream) serves() bool {
-	for _, r := range up.runs {
-		if r.unit.step.shape.Lasting {
-			return true
-		}
-	}
-	return false
-}
+func (up *upstream) serves() bool { return up.lasting > 0 }
--- a/internal/job/bbrledger/plan.go
+++ b/internal/job/bbrledger/plan.go
@@ -186,14 +186,27 @@
 }
 
 // better tells whether up suits the work unit better than best.
+//
+// Lasting work is spread, so that it neither disturbs its like nor is lost
+// together. Other work is packed: onto upstreams that lasting work keeps in the
+// pool anyway, unless it would disturb that, and then onto the fullest. So the
+// others are empty when another pool's turn of demand comes, and can be moved
+// without waiting for work to end.
 func (p *planner) better(u *unit, up, best *upstream) bool {
-	if rack := u.step.shape.DataRack; rack != "" && up.HasLabel(rack) != best.HasLabel(rack) {
-		return up.HasLabel(rack)
+	shape := u.step.shape
+	if shape.DataRack != "" && up.HasLabel(shape.DataRack) != best.HasLabel(shape.DataRack) {
+		return up.HasLabel(shape.DataRack)
 	}
 	if u.avoid != "" && (up.ID == u.avoid) != (best.ID == u.avoid) {
 		return best.ID == u.avoid
 	}
-	return up.free().MilliCPU > best.free().MilliCPU
+	if shape.Lasting {
+		return up.free().MilliCPU > best.free().MilliCPU
+	}
+	if up.serves() != best.serves() {
+		return up.serves() != shape.Fills
+	}
+	return up.free().MilliCPU < best.free().MilliCPU
 }
 
 func (p *planner) start(u *unit, number int, up *upstream) {
--- a/internal/job/bbrledger/runs.go
+++ b/internal/job/bbrledger/runs.go
@@ -18,6 +18,9 @@
 	u.step.job.begun = true
 	up.runs[runKey{u.name(), number}] = r
 	up.used = up.used.Plus(r.taken)
+	if u.step.shape.Lasting {
+		up.lasting++
+	}
 	return r
 }
 
@@ -37,6 +40,9 @@
 	}
 	delete(r.up.runs, runKey{u.name(), r.number})
 	r.up.used = r.up.used.Minus(r.taken)
+	if u.step.shape.Lasting {
+		r.up.lasting--
+	}
 }
 
 // runKey names a run on an upstream.
--- a/internal/job/bbrledger/upstream.go
+++ b/internal/job/bbrledger/upstream.go
@@ -34,6 +34,8 @@
 	fullUntil time.Time
 	// starting counts the starts on their way.
 	starting int
+	// lasting counts the runs of lasting work, which are in runs as well.
+	lasting int
 	// lost counts the answers lost in a row, and silentAt is when the first was.
 	lost     int
 	silentAt time.Time
