fleet/bbrclaim: only holders of a claim follow the reservations

Only owners use it.

Change: it is bbr/reserved now, followed by holders of a claim beside the upstreams' registrations; operators' commands read it from the store.

--- a/internal/daemon/bbrserve/upstreams.go
+++ b/internal/daemon/bbrserve/holder.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/bluebellridge/bluebellridge/internal/base/bbrpause"
+	"github.com/bluebellridge/bluebellridge/internal/fleet/bbrclaim"
 	"github.com/bluebellridge/bluebellridge/internal/store/bbritem"
 	"github.com/bluebellridge/bluebellridge/platform/bbrwire"
 )
@@ -23,37 +24,43 @@
 	needCheck = 20 * time.Millisecond
 )
 
-// upstreamWatch follows the registrations of upstreams while the entry holds a
-// claim; others need none of them.
-type upstreamWatch struct {
+// holderWatch follows what only holders of a claim need: the registrations of
+// upstreams, and which of them are reserved.
+type holderWatch struct {
 	service *service
 }
 
-func (u *upstreamWatch) run(ctx context.Context) {
+func (h *holderWatch) run(ctx context.Context) {
 	for ctx.Err() == nil {
-		if u.service.claimer.Count() > 0 {
-			u.follow(ctx)
+		if h.service.claimer.Count() > 0 {
+			h.follow(ctx)
 		}
 		bbrpause.For(ctx, needCheck)
 	}
 }
 
 // follow follows until no claim is left, and then forgets what it knew.
-func (u *upstreamWatch) follow(ctx context.Context) {
-	s := u.service
+func (h *holderWatch) follow(ctx context.Context) {
+	s := h.service
 	following, end := context.WithCancel(ctx)
 	defer end()
-	follower := &bbritem.Follower{
+	upstreams := &bbritem.Follower{
 		Store: s.store, Prefix: bbrwire.UpstreamPrefix, Wait: upstreamWait, Gather: upstreamGather,
 		Lively:   func() bool { return s.registry.Len() >= livelyUpstreams },
 		Snapshot: s.registry.Snapshot, Change: s.registry.Change,
 	}
+	reservations := &bbritem.Follower{
+		Store: s.store, Prefix: bbrclaim.ReservedKey, Wait: watchWait,
+		Snapshot: s.reservations.Snapshot, Change: s.reservations.Change,
+	}
 	var wg sync.WaitGroup
-	wg.Go(func() { follower.Run(following) })
+	wg.Go(func() { upstreams.Run(following) })
+	wg.Go(func() { reservations.Run(following) })
 	for ctx.Err() == nil && s.claimer.Count() > 0 {
 		bbrpause.For(ctx, needCheck)
 	}
 	end()
 	wg.Wait()
 	s.registry.Reset()
+	s.reservations.Reset()
 }
--- a/internal/daemon/bbrserve/owners.go
+++ b/internal/daemon/bbrserve/owners.go
@@ -109,7 +109,7 @@
 		Confirmed:  func(now time.Time) bool { return s.session.Confirmed(held.Lease, now) },
 		Config:     s.config.Config,
 		Registered: s.registry.Of,
-		Reserved:   s.claims.Reserved,
+		Reserved:   s.reservations.Reserved,
 	}
 	o.setRunning(held.Service, owner)
 	owner.Run(ctx)
--- a/internal/daemon/bbrserve/plugin.go
+++ b/internal/daemon/bbrserve/plugin.go
@@ -56,10 +56,12 @@
 	registry *bbrregistry.Registry
 	session  *bbrclaim.Session
 	claims   *bbrclaim.Directory
-	claimer  *bbrclaim.Claimer
-	acceptor *bbrintake.Acceptor
-	handler  *bbrintake.Handler
-	owners   *owners
+	// reservations are known while the entry holds a claim.
+	reservations *bbrclaim.Reservations
+	claimer      *bbrclaim.Claimer
+	acceptor     *bbrintake.Acceptor
+	handler      *bbrintake.Handler
+	owners       *owners
 	// questions asks the owners at other entries.
 	questions *bbrinquiry.Client
 	servers   []*bbrlistener.Listener
@@ -77,14 +79,15 @@
 	store := bbritem.Metered(bbrwire.NewStore(bbrwire.NewClient(connectionsToStore), settings.Platform.Address),
 		func(call string, err error, took time.Duration) { metrics.StoreCall(call, bbritem.Outcome(err), took) })
 	s := &service{
-		settings: settings,
-		metrics:  metrics,
-		store:    store,
-		config:   &bbrfollow.Follower{Store: store, Key: bbrwire.ConfigKey, Decode: bbrwire.Config},
-		registry: &bbrregistry.Registry{Decode: bbrwire.Registration},
-		session:  &bbrclaim.Session{Store: store, Entry: settings.Entry, Zone: settings.Zone, Incarnation: uuid.NewString(), MilliCPU: milliCPU(settings.Limits), Peers: settings.Listen.Peers},
-		claims:   &bbrclaim.Directory{},
-		acceptor: bbrintake.NewAcceptor(store),
+		settings:     settings,
+		metrics:      metrics,
+		store:        store,
+		config:       &bbrfollow.Follower{Store: store, Key: bbrwire.ConfigKey, Decode: bbrwire.Config},
+		registry:     &bbrregistry.Registry{Decode: bbrwire.Registration},
+		session:      &bbrclaim.Session{Store: store, Entry: settings.Entry, Zone: settings.Zone, Incarnation: uuid.NewString(), MilliCPU: milliCPU(settings.Limits), Peers: settings.Listen.Peers},
+		claims:       &bbrclaim.Directory{},
+		reservations: &bbrclaim.Reservations{},
+		acceptor:     bbrintake.NewAcceptor(store),
 
 		questions: bbrinquiry.NewClient(),
 	}
@@ -149,14 +152,14 @@
 	session, endSession := context.WithCancel(context.Background())
 	s.endSession = endSession
 	fleet := &bbritem.Follower{Store: s.store, Prefix: bbrclaim.FleetPrefix, Wait: watchWait, Snapshot: s.claims.Snapshot, Change: s.claims.Change}
-	upstreams := &upstreamWatch{service: s}
+	holder := &holderWatch{service: s}
 	s.keep.Go(func() { s.session.Run(session) })
 	s.keep.Go(func() { s.acceptor.Run(session) })
 	s.keep.Go(func() { s.config.Run(session) })
 	reporter := &bbrmetric.Reporter{Registry: s.metrics.Registry, Every: reportEvery}
 	s.keep.Go(func() { reporter.Run(session) })
 	s.running.Go(func() { fleet.Run(running) })
-	s.running.Go(func() { upstreams.run(running) })
+	s.running.Go(func() { holder.run(running) })
 	s.running.Go(func() { s.claimer.Run(running) })
 	if err := s.answerEntries(ctx, session); err != nil {
 		return err
--- a/internal/fleet/bbrclaim/directory.go
+++ b/internal/fleet/bbrclaim/directory.go
@@ -38,10 +38,6 @@
 	missing map[string]time.Time
 	// gone has, by service, the newest claim that is known to have ended.
 	gone map[string]bbritem.Revision
-	// reserved has the upstreams that planned work takes. It is replaced whole.
-	reserved map[string]bool
-	// reservation rises with each change of reserved.
-	reservation bbritem.Revision
 	// directives is replaced whole.
 	directives bbrmachine.Directives
 	seen       map[string]bbritem.Revision
@@ -77,9 +73,6 @@
 		return
 	}
 	d.seen[item.Key] = item.Revision
-	if item.Key == ReservedKey {
-		d.applyReserved(item)
-	}
 	if item.Key == DirectivesKey {
 		d.applyDirectives(item)
 	}
@@ -113,31 +106,6 @@
 	d.claims[service] = Claim{Entry: record.Entry, Incarnation: record.Incarnation, Revision: item.Created, Lease: item.Lease}
 }
 
-func (d *Directory) applyReserved(item bbritem.Item) {
-	reserved, err := ParseReserved(item)
-	if err != nil {
-		klog.ErrorS(err, "Reservations unreadable", "revision", item.Revision)
-		return
-	}
-	d.reserved, d.reservation = reserved, item.Revision
-}
-
-// ParseReserved reads the reserved upstreams.
-func ParseReserved(item bbritem.Item) (map[string]bool, error) {
-	reserved := make(map[string]bool)
-	if item.Deleted || len(item.Value) == 0 {
-		return reserved, nil
-	}
-	var ids []string
-	if err := json.Unmarshal(item.Value, &ids); err != nil {
-		return nil, err
-	}
-	for _, id := range ids {
-		reserved[id] = true
-	}
-	return reserved, nil
-}
-
 func (d *Directory) applyDirectives(item bbritem.Item) {
 	value := item.Value
 	if item.Deleted {
@@ -158,14 +126,6 @@
 	return d.directives
 }
 
-// Reserved returns the reserved upstreams, not to be changed, and the revision
-// of their last change.
-func (d *Directory) Reserved() (map[string]bool, bbritem.Revision) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.reserved, d.reservation
-}
-
 func (d *Directory) end(service string, revision bbritem.Revision) {
 	if d.gone == nil {
 		d.gone = make(map[string]bbritem.Revision)
--- a/internal/fleet/bbrclaim/keys.go
+++ b/internal/fleet/bbrclaim/keys.go
@@ -9,8 +9,8 @@
 )
 
 // ReservedKey holds the upstreams that the holder of the fleet duty is about to
-// take away.
-const ReservedKey = FleetPrefix + "reserved"
+// take away. It changes often, and only holders of a claim follow it.
+const ReservedKey = "bbr/reserved"
 
 // DirectivesKey holds what operators ask of instances, in one value, so that
 // operators who act at the same time cannot both use up the same budget.
--- /dev/null
+++ b/internal/fleet/bbrclaim/reservations_test.go
@@ -0,0 +1,34 @@
+package bbrclaim
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/bluebellridge/bluebellridge/internal/store/bbritem"
+)
+
+// TestReservationsNeverGoBack holds that a list that was read before a change
+// does not undo it, and that what is forgotten is learnt anew.
+func TestReservationsNeverGoBack(t *testing.T) {
+	now := time.Unix(1000, 0)
+	r := &Reservations{}
+	r.Change(bbritem.Item{Key: ReservedKey, Revision: 5, Value: []byte(`["a"]`)}, now)
+	r.Snapshot([]bbritem.Item{{Key: ReservedKey, Revision: 4, Value: []byte(`["b"]`)}}, now)
+	reserved, revision := r.Reserved()
+	require.Equal(t, map[string]bool{"a": true}, reserved)
+	require.EqualValues(t, 5, revision)
+
+	r.Change(bbritem.Item{Key: ReservedKey, Revision: 6, Value: []byte("[")}, now)
+	reserved, _ = r.Reserved()
+	require.Equal(t, map[string]bool{"a": true}, reserved, "an unreadable value changes nothing")
+
+	r.Reset()
+	r.Snapshot([]bbritem.Item{{Key: ReservedKey, Revision: 5, Value: []byte(`["a","c"]`)}}, now)
+	reserved, _ = r.Reserved()
+	require.Len(t, reserved, 2)
+	r.Change(bbritem.Item{Key: ReservedKey, Revision: 7, Deleted: true}, now)
+	reserved, _ = r.Reserved()
+	require.Empty(t, reserved)
+}
--- a/internal/operator/bbrdesk/show.go
+++ b/internal/operator/bbrdesk/show.go
@@ -17,6 +17,7 @@
 	"github.com/bluebellridge/bluebellridge/internal/fleet/bbrupkeep"
 	"github.com/bluebellridge/bluebellridge/internal/job/bbrrecord"
 	"github.com/bluebellridge/bluebellridge/internal/job/bbrwork"
+	"github.com/bluebellridge/bluebellridge/internal/store/bbritem"
 )
 
 func (d *Desk) list(ctx context.Context, kind string, now time.Time) (*table, error) {
@@ -102,13 +103,25 @@
 	if err != nil {
 		return nil, err
 	}
-	reserved, _ := d.Directory.Reserved()
+	reserved, err := d.reserved(ctx)
+	if err != nil {
+		return nil, err
+	}
 	for _, instance := range instances {
 		t.add(instance.ID, instance.Pool, statusName(instance.Status), instance.Zone, instance.Upstream, strconv.FormatBool(reserved[instance.Upstream]), describeDirective(directives, instance.ID))
 	}
 	return t, nil
 }
 
+// reserved reads the upstreams that planned work takes.
+func (d *Desk) reserved(ctx context.Context) (map[string]bool, error) {
+	item, err := d.Store.Get(ctx, bbrclaim.ReservedKey)
+	if err != nil && !errors.Is(err, bbritem.ErrNotFound) {
+		return nil, err
+	}
+	return bbrclaim.ParseReserved(item)
+}
+
 func statusName(status bbrmachine.Status) string {
 	switch status {
 	case bbrmachine.StatusUp:
--- a/internal/operator/bbrdesk/why.go
+++ b/internal/operator/bbrdesk/why.go
@@ -132,9 +132,9 @@
 }
 
 func (d *Desk) addReserved(ctx context.Context, t *table, instance bbrmachine.Instance) error {
-	reserved, _ := d.Directory.Reserved()
-	if !reserved[instance.Upstream] {
-		return nil
+	reserved, err := d.reserved(ctx)
+	if err != nil || !reserved[instance.Upstream] {
+		return err
 	}
 	service, err := d.clearedBy(ctx, instance.Upstream)
 	if err != nil {
