standin/bbrload: a seeded load with turns of demand, and reports that compare builds

bbrstandin load submits jobs of several queues with turns of demand, cancellations and poison, and reports what callers got (accepted, refusals, ends, median, p95, slowest by class) and what ran for nothing, as table, JSON and SVG (gonum/plot); bbrstandin compare puts reports of two builds side by side. make load plays it on three entries and a stand-in fleet. bbrsubmitter is gone: bbrstandin jobs is a load of one class.

--- a/Makefile
+++ b/Makefile
@@ -42,6 +42,13 @@
 soak: build
 	bin/bbrstandin soak --seed $(SEED) --runs $(RUNS) --for $(MINUTES)m
 
+# A seeded load of jobs on this tree's build: make load SEED=1 OUT=before
+JOBS ?= 400
+OUT ?= load
+.PHONY: load
+load: build
+	SEED=$(SEED) JOBS=$(JOBS) OUT=$(OUT) NAME=$(notdir $(OUT)) scripts/load.sh
+
 # Prints each policy against its baseline on seeded traces, and the cost of the
 # hot decisions. Nothing here is asserted.
 .PHONY: measure
--- a/internal/standin/bbrfleet/worker.go
+++ b/internal/standin/bbrfleet/worker.go
@@ -52,6 +52,8 @@
 	task string
 	run  int
 	ends time.Time
+	// how is what the end will be.
+	how string
 }
 
 type workerCall struct {
@@ -123,7 +125,7 @@
 		case lapsed:
 			w.end(r, "lapsed")
 		case now.After(r.ends):
-			w.end(r, "done")
+			w.end(r, r.how)
 		}
 	}
 }
@@ -185,11 +187,18 @@
 	if err != nil {
 		length = defaultWork
 	}
+	how := "done"
+	if call.Spec == poisonSpec {
+		how = "failed"
+	}
 	w.fleet.noteStart(call.Task, w, now)
-	w.running[call.Task] = &running{task: call.Task, run: call.Run, ends: now.Add(length)}
+	w.running[call.Task] = &running{task: call.Task, run: call.Run, ends: now.Add(length), how: how}
 	return http.StatusOK, ""
 }
 
+// poisonSpec is that of work units that always fail.
+const poisonSpec = "poison"
+
 // defaultWork is how long a work unit takes whose spec is not a duration.
 const defaultWork = 200 * time.Millisecond
 
--- /dev/null
+++ b/internal/standin/bbrload/caller.go
@@ -0,0 +1,153 @@
+package bbrload
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/bluebellridge/bluebellridge/internal/base/bbrpause"
+)
+
+const (
+	callTimeout     = 3 * time.Second
+	askEvery        = 100 * time.Millisecond
+	idleConnections = 64
+	// poisonSpec is the spec of work that the stand-in's upstreams fail.
+	poisonSpec = "poison"
+)
+
+// caller submits one job and follows it.
+type caller struct {
+	load   *Load
+	class  *Class
+	id     string
+	random *rand.Rand
+	client *http.Client
+	// cancels means that the caller cancels the job, and poisoned that it fails.
+	cancels, poisoned bool
+	outcome           *Outcome
+}
+
+func (c *caller) run(ctx context.Context, began time.Time) {
+	submitted := time.Now()
+	limit := submitted.Add(c.load.Timeout)
+	*c.outcome = Outcome{Class: c.class.Name, Job: c.id, At: submitted.Sub(began)}
+	if !c.submit(ctx, limit) {
+		return
+	}
+	c.outcome.Accepted = true
+	if c.cancels {
+		c.call(ctx, http.MethodDelete, nil)
+	}
+	c.outcome.State = c.await(ctx, limit)
+	c.outcome.Took = time.Since(submitted)
+}
+
+// submit hands the job in, and again when it is told to come back.
+func (c *caller) submit(ctx context.Context, limit time.Time) bool {
+	body := c.body()
+	for ctx.Err() == nil && time.Now().Before(limit) {
+		answer := c.call(ctx, http.MethodPost, body)
+		if answer.status/100 == 2 {
+			return true
+		}
+		if answer.status == 0 {
+			c.outcome.Lost++
+		} else {
+			c.outcome.Refused++
+		}
+		bbrpause.For(ctx, answer.retryAfter)
+	}
+	return false
+}
+
+// job is a job as it is submitted.
+type job struct {
+	Spec  string `json:"spec"`
+	Steps []step `json:"steps"`
+}
+
+type step struct {
+	Count    int   `json:"count"`
+	MilliCPU int   `json:"cpu"`
+	MemoryMB int   `json:"mem_mb"`
+	Estimate int64 `json:"estimate_ms"`
+	After    []int `json:"after,omitempty"`
+}
+
+// Needs of a work unit.
+const (
+	unitMilliCPU = 500
+	unitMemoryMB = 100
+)
+
+func (c *caller) body() []byte {
+	submitted := job{Spec: c.class.Work.String()}
+	if c.poisoned {
+		submitted.Spec = poisonSpec
+	}
+	for number := range max(1, c.class.Steps) {
+		s := step{Count: c.class.Units, MilliCPU: unitMilliCPU, MemoryMB: unitMemoryMB, Estimate: c.class.Work.Milliseconds()}
+		if number > 0 {
+			s.After = []int{number - 1}
+		}
+		submitted.Steps = append(submitted.Steps, s)
+	}
+	data, err := json.Marshal(submitted)
+	if err != nil {
+		panic(err) // Only strings and numbers: it cannot fail.
+	}
+	return data
+}
+
+// await returns the state in which the job ended, or "" where it did not.
+func (c *caller) await(ctx context.Context, limit time.Time) string {
+	for ctx.Err() == nil && time.Now().Before(limit) {
+		var told struct {
+			State string `json:"state"`
+		}
+		answer := c.call(ctx, http.MethodGet, nil)
+		if answer.status == http.StatusOK && json.Unmarshal(answer.body, &told) == nil && told.State != "pending" && told.State != "running" {
+			return told.State
+		}
+		bbrpause.For(ctx, askEvery)
+	}
+	return ""
+}
+
+// answer is an entry's answer; status 0 means that none came.
+type answer struct {
+	status     int
+	body       []byte
+	retryAfter time.Duration
+}
+
+// call makes a call at any entry.
+func (c *caller) call(ctx context.Context, method string, body []byte) answer {
+	none := answer{retryAfter: askEvery}
+	entry := c.load.Entries[c.random.IntN(len(c.load.Entries))]
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+entry.String()+c.class.Prefix+c.id, bytes.NewReader(body))
+	if err != nil {
+		return none
+	}
+	request.Host = c.load.Host
+	response, err := c.client.Do(request)
+	if err != nil {
+		return none
+	}
+	defer response.Body.Close()
+	data, err := io.ReadAll(response.Body)
+	if err != nil {
+		return none
+	}
+	back := askEvery
+	if seconds, err := strconv.Atoi(response.Header.Get("Retry-After")); err == nil {
+		back = time.Duration(seconds) * time.Second
+	}
+	return answer{status: response.StatusCode, body: data, retryAfter: back}
+}
--- /dev/null
+++ b/internal/standin/bbrload/load.go
@@ -0,0 +1,84 @@
+package bbrload
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/bluebellridge/bluebellridge/internal/base/bbrpause"
+)
+
+// Class is one kind of jobs.
+type Class struct {
+	Name string
+	// Prefix is the path before a job's ID.
+	Prefix string
+	// Units is the width of each step, and Steps how many follow each other.
+	Units, Steps int
+	// Work is how long a work unit takes.
+	Work time.Duration
+}
+
+// Load describes the jobs and who takes them.
+type Load struct {
+	Entries []netip.AddrPort
+	Host    string
+	Classes []Class
+	Jobs    int
+	// Pause is the mean time between two submissions; they come at random.
+	Pause time.Duration
+	// Turn is how long one class after the other has its turn of demand, in which
+	// it gets turnShare of the jobs; 0 for even demand.
+	Turn time.Duration
+	// Cancelled and Poisoned are shares of the jobs, 0 to 1, that their caller
+	// cancels and that fail by their own fault.
+	Cancelled, Poisoned float64
+	// Timeout bounds the time from a job's first submission to its end.
+	Timeout time.Duration
+	// Seed decides the jobs, when they come and which entries are asked.
+	Seed uint64
+}
+
+// turnShare is the share of the jobs that the class whose turn it is gets.
+const turnShare = 0.85
+
+// Run submits all jobs and waits for their ends.
+func (l *Load) Run(ctx context.Context) Report {
+	began := time.Now()
+	random := rand.New(rand.NewPCG(l.Seed, 0))
+	client := &http.Client{Timeout: callTimeout, Transport: &http.Transport{MaxIdleConnsPerHost: idleConnections}}
+	outcomes := make([]Outcome, l.Jobs)
+	var wg sync.WaitGroup
+	at := time.Duration(0)
+	for i := range outcomes {
+		c := l.caller(i, l.classAt(at, random), client)
+		c.outcome = &outcomes[i]
+		bbrpause.For(ctx, time.Until(began.Add(at)))
+		wg.Go(func() { c.run(ctx, began) })
+		at += time.Duration(random.ExpFloat64() * float64(l.Pause))
+	}
+	wg.Wait()
+	return Report{Seed: l.Seed, Outcomes: outcomes}
+}
+
+// classAt returns the class of a job that comes at a time.
+func (l *Load) classAt(at time.Duration, random *rand.Rand) *Class {
+	drawn := &l.Classes[random.IntN(len(l.Classes))]
+	inTurn := random.Float64() < turnShare
+	if l.Turn <= 0 || !inTurn {
+		return drawn
+	}
+	return &l.Classes[int(at/l.Turn)%len(l.Classes)]
+}
+
+func (l *Load) caller(number int, class *Class, client *http.Client) *caller {
+	random := rand.New(rand.NewPCG(l.Seed, uint64(number)+1))
+	c := &caller{load: l, class: class, random: random, client: client, id: fmt.Sprintf("%016x", random.Uint64())}
+	c.cancels = random.Float64() < l.Cancelled
+	c.poisoned = random.Float64() < l.Poisoned
+	return c
+}
--- /dev/null
+++ b/internal/standin/bbrload/load_test.go
@@ -0,0 +1,130 @@
+package bbrload
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// jobServer takes jobs as an entry does: it refuses the first attempt of each,
+// and ends it at once.
+type jobServer struct {
+	mu   sync.Mutex
+	seen map[string]int
+	// state is by job what it ended as.
+	state map[string]string
+}
+
+func (s *jobServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	id := filepath.Base(r.URL.Path)
+	switch r.Method {
+	case http.MethodPost:
+		s.seen[id]++
+		if s.seen[id] == 1 {
+			w.Header().Set("Retry-After", "0")
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		body, _ := io.ReadAll(r.Body)
+		s.state[id] = "completed"
+		if bytes.Contains(body, []byte(poisonSpec)) {
+			s.state[id] = "failed"
+		}
+	case http.MethodDelete:
+		s.state[id] = "cancelled"
+	case http.MethodGet:
+		_ = json.NewEncoder(w).Encode(map[string]string{"state": s.state[id]})
+	}
+}
+
+func playAgainst(t *testing.T, server http.Handler) Report {
+	t.Helper()
+	listening := httptest.NewServer(server)
+	t.Cleanup(listening.Close)
+	load := Load{
+		Entries: []netip.AddrPort{netip.MustParseAddrPort(strings.TrimPrefix(listening.URL, "http://"))},
+		Host:    "print.example", Jobs: 60, Pause: time.Millisecond, Turn: 20 * time.Millisecond,
+		Classes:   []Class{{Name: "press", Prefix: "/press/", Units: 1, Steps: 2, Work: time.Millisecond}, {Name: "proofs", Prefix: "/proofs/", Units: 1, Work: time.Millisecond}},
+		Cancelled: 0.2, Poisoned: 0.2, Timeout: 20 * time.Second, Seed: 7,
+	}
+	return load.Run(t.Context())
+}
+
+// TestReportCountsEachJobOnce holds that every job is in the report with its end,
+// and every refusal with it.
+func TestReportCountsEachJobOnce(t *testing.T) {
+	report := playAgainst(t, &jobServer{seen: make(map[string]int), state: make(map[string]string)})
+	all := report.Summarize("")
+	require.True(t, all.Good())
+	require.Equal(t, 60, all.Jobs)
+	require.Equal(t, 60, all.Accepted)
+	require.Equal(t, 60, all.Refusals)
+	require.Positive(t, all.Failed)
+	require.Positive(t, all.Cancelled)
+	require.Equal(t, []string{"press", "proofs"}, report.Classes())
+	require.Equal(t, all.Jobs, report.Summarize("press").Jobs+report.Summarize("proofs").Jobs)
+
+	var table bytes.Buffer
+	report.Name = "first"
+	require.NoError(t, Table(&table, &report, &report))
+	require.Equal(t, 7, strings.Count(table.String(), "\n"), table.String())
+	plot := filepath.Join(t.TempDir(), "load.svg")
+	require.NoError(t, Plot(plot, &report))
+	drawn, err := os.ReadFile(plot)
+	require.NoError(t, err)
+	require.Contains(t, string(drawn), "first proofs")
+}
+
+// TestSameSeedSameJobs holds that two builds are given the same jobs.
+func TestSameSeedSameJobs(t *testing.T) {
+	load := Load{Classes: make([]Class, 3), Seed: 7, Turn: time.Second, Cancelled: 0.5, Poisoned: 0.5}
+	for number := range 50 {
+		first := load.caller(number, &load.Classes[0], nil)
+		again := load.caller(number, &load.Classes[0], nil)
+		require.Equal(t, first.id, again.id)
+		require.Equal(t, first.cancels, again.cancels)
+		require.Equal(t, first.poisoned, again.poisoned)
+	}
+}
+
+// TestTurns holds that a class gets most of the jobs in its turn.
+func TestTurns(t *testing.T) {
+	load := Load{Classes: make([]Class, 4), Turn: time.Second}
+	random := rand.New(rand.NewPCG(1, 1))
+	inTurn := 0
+	for range 1000 {
+		if load.classAt(2500*time.Millisecond, random) == &load.Classes[2] {
+			inTurn++
+		}
+	}
+	require.Greater(t, inTurn, 800)
+}
+
+// TestUnansweredJobsAreNotCalledRefused holds that an attempt without an answer is
+// counted apart.
+func TestUnansweredJobsAreNotCalledRefused(t *testing.T) {
+	load := Load{
+		Entries: []netip.AddrPort{netip.MustParseAddrPort("127.0.0.1:1")}, Jobs: 2, Timeout: 300 * time.Millisecond,
+		Classes: []Class{{Name: "press", Prefix: "/press/", Units: 1}},
+	}
+	report := load.Run(t.Context())
+	all := report.Summarize("")
+	require.Zero(t, all.Refusals)
+	require.Positive(t, all.Lost)
+	require.Equal(t, 2, all.Unfinished)
+	require.False(t, all.Good())
+}
--- /dev/null
+++ b/internal/standin/bbrload/plot.go
@@ -0,0 +1,46 @@
+package bbrload
+
+import (
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+)
+
+// Size of a plot.
+const (
+	plotWidth  = 8 * vg.Inch
+	plotHeight = 5 * vg.Inch
+)
+
+// Plot writes a file with the share of jobs that were completed by a time, a line
+// for each class and report. The file's ending tells its format, such as svg.
+func Plot(file string, reports ...*Report) error {
+	p := plot.New()
+	p.Title.Text = "Jobs completed"
+	p.X.Label.Text = "seconds from the first submission"
+	p.Y.Label.Text = "share of the jobs"
+	p.Y.Min, p.Y.Max = 0, 1
+	p.Legend.Top, p.Legend.Left = false, false
+	p.Add(plotter.NewGrid())
+	var lines []any
+	for _, r := range reports {
+		for _, class := range r.Classes() {
+			lines = append(lines, r.Name+" "+class, r.curve(class))
+		}
+	}
+	if err := plotutil.AddLines(p, lines...); err != nil {
+		return err
+	}
+	return p.Save(plotWidth, plotHeight, file)
+}
+
+// curve returns the share of a class's jobs that were completed by each time.
+func (r *Report) curve(class string) plotter.XYs {
+	jobs := float64(max(1, r.Summarize(class).Jobs))
+	points := plotter.XYs{{X: 0, Y: 0}}
+	for i, seconds := range r.Times(class) {
+		points = append(points, plotter.XY{X: seconds, Y: float64(i+1) / jobs})
+	}
+	return points
+}
--- a/internal/standin/bbrprogram/program.go
+++ b/internal/standin/bbrprogram/program.go
@@ -30,6 +30,8 @@
 	Caller   callerCommand   `cmd:"" help:"Send a bounded load and check every answer."`
 	Fleet    fleetCommand    `cmd:"" help:"Run a stand-in for the platform's fleet: store, machines and upstreams."`
 	Jobs     jobsCommand     `cmd:"" help:"Submit a bounded load of jobs and wait for their ends."`
+	Load     loadCommand     `cmd:"" help:"Submit a seeded load with turns of demand and report what callers got."`
+	Compare  compareCommand  `cmd:"" help:"Compare reports of load."`
 	Soak     soakCommand     `cmd:"" help:"Run entries as processes under seeded trouble and check the promises."`
 }
 
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -2,34 +2,9 @@
 # Runs the main job as separate processes on loopback and checks every answer.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-work=$(mktemp -d)
-pids=()
-cleanup() {
-  for pid in "${pids[@]}"; do kill "$pid" 2>/dev/null || true; done
-  wait 2>/dev/null || true
-  rm -rf "$work" "$claim"
-}
-# Claims a block of a thousand ports below the ephemeral range, so that two
-# demos do not meet.
-claim=
-for thousands in $(shuf -i 18-31); do
-  if mkdir "${TMPDIR:-/tmp}/bluebellridge-demo-$thousands" 2>/dev/null; then
-    claim="${TMPDIR:-/tmp}/bluebellridge-demo-$thousands"
-    (exec 3<>"/dev/tcp/127.0.0.1/${thousands}000") 2>/dev/null || break
-    rmdir "$claim"; claim=
-  fi
-done
-trap cleanup EXIT
-[ -n "$claim" ] || { echo "demo failed: no free block of ports"; exit 1; }
-for file in examples/demo/*.yaml examples/fleet/*.yaml; do
-  sed "s/:17\([0-9][0-9][0-9]\)/:$thousands\1/" "$file" >"$work/${file##*/}"
-done
-export BLUEBELLRIDGE_TOKEN=demo-token-of-no-secret BLUEBELLRIDGE_ENTRY=127.0.0.1:${thousands}201
-step() { printf '\n== %s\n' "$*"; }
-start() { local name=$1; shift; "$@" >"$work/$name.log" 2>&1 & pids+=($!); eval "pid_$name=$!"; }
+. scripts/processes.sh
 operator() { echo "\$ bluebellridge $*"; bin/bluebellridge "$@"; }
 fail() { echo "demo failed: $*"; bin/bluebellridge show instances || true; tail -n 20 "$work"/*.log; exit 1; }
-until_true() { for _ in $(seq 200); do if "$@" >/dev/null 2>&1; then return 0; fi; sleep 0.1; done; fail "waited in vain for: $*"; }
 ready() { curl -fs "http://127.0.0.1:$1/_ready"; }
 shows() { local text; text=$(bin/bluebellridge "${@:2}") && [[ $text == *"$1"* ]]; }
 state_is() { shows "$1 " "show instances where instance = $1 and state = $2"; }
@@ -38,13 +13,7 @@
 all="--entry 127.0.0.1:${thousands}101,127.0.0.1:${thousands}102,127.0.0.1:${thousands}103,127.0.0.1:${thousands}104"
 
 step "Jobs on the platform's fleet: three entries, six upstreams in two pools"
-addresses() { for i in "$@"; do printf '%s127.0.0.1:%s' "$separator" "${thousands}$i"; separator=,; done; separator=; }
-separator=
-start fleet bin/bbrstandin fleet --listen "127.0.0.1:${thousands}500" --workers "$(addresses 541 542 543 544 545 546)" --pools press,proofs
-until_true curl -fs "http://127.0.0.1:${thousands}500/machines"
-for entry in f1 f2 f3; do start "$entry" bin/bluebellridged run "$work/entry-$entry.yaml"; done
-curl -fsS -X PUT "http://127.0.0.1:${thousands}500/operator/op/config" -d @examples/fleet/config.json >/dev/null
-for port in 521 522 523; do until_true curl -fs "http://127.0.0.1:${thousands}$port/ready"; done
+start_fleet
 submit() { bin/bbrstandin jobs --host print.example "$@"; }
 entries="$(addresses 511 512 513)"
 submit --entry "$entries" --prefix /press/ --jobs 20 || fail "jobs"
