job/bbrledger: instances are asked for ahead of a rise of arrivals that is no chance

Ruled out: the platform's rate of orders, want of spare instances (over 100 were off).

Change: the work that arrived in the last second is compared with that of the second before; what it exceeds by, less 1.5 standard deviations of chance, is taken to go on rising until an instance asked for now works.

--- /dev/null
+++ b/internal/job/bbrledger/arrivals.go
@@ -0,0 +1,73 @@
+package bbrledger
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// arrivalWindow is the length of the two windows in which arrivals are
+	// compared.
+	arrivalWindow = time.Second
+	// riseDeviations is by how many standard deviations the newer window must
+	// exceed the older one before a rise is believed in.
+	riseDeviations = 1.5
+	// moveLead is how long an instance takes from the report that asks for it to
+	// its first work unit.
+	moveLead = 1800 * time.Millisecond
+	// loadFor is how long after the claim began jobs that become known count as
+	// left by an earlier owner.
+	loadFor = time.Second
+)
+
+// arrival is a job that came.
+type arrival struct {
+	at time.Time
+	// work is in thousandths of a core times seconds.
+	work float64
+}
+
+// arrivals are the jobs that came within two windows, the oldest first.
+type arrivals []arrival
+
+// noteArrival notes a job that has just come. Scheduled ones say nothing of those
+// to come.
+func (l *Ledger) noteArrival(j *job, now time.Time) {
+	if j.Schedule.Count > 0 || !l.fresh && now.Sub(l.began) < loadFor {
+		return
+	}
+	if work := j.occurrences[0].work(); work > 0 {
+		l.arrivals.add(now, work)
+	}
+}
+
+// add notes a job. What is too old is dropped.
+func (a *arrivals) add(at time.Time, work float64) {
+	*a = append(*a, arrival{at: at, work: work})
+	old := 0
+	for old < len(*a) && at.Sub((*a)[old].at) > 2*arrivalWindow {
+		old++
+	}
+	*a = (*a)[old:]
+}
+
+// ahead returns the work a second that will arrive when an instance that is asked
+// for now begins to work, where demand rises as it did within the two windows; 0
+// where it does not rise beyond chance.
+func (a arrivals) ahead(now time.Time) float64 {
+	var count, work [2]float64
+	for _, arrival := range a {
+		if window := max(0, int(now.Sub(arrival.at)/arrivalWindow)); window < len(count) {
+			count[window]++
+			work[window] += arrival.work
+		}
+	}
+	more := count[0] - count[1]
+	sure := more - riseDeviations*math.Sqrt(count[0]+count[1])
+	if sure <= 0 {
+		return 0
+	}
+	window := arrivalWindow.Seconds()
+	rise := (work[0] - work[1]) * sure / more / (window * window)
+	return work[0]/window + max(0, rise)*(moveLead.Seconds()+window/2)
+}
--- a/internal/job/bbrledger/demand.go
+++ b/internal/job/bbrledger/demand.go
@@ -58,7 +58,7 @@
 			}
 		}
 	}
-	demand.MilliCPU = demand.Lasting + int(max(open, arriving))
+	demand.MilliCPU = demand.Lasting + int(max(open, arriving, l.arrivals.ahead(now)))
 	demand.Give = l.giveable()
 	return demand
 }
--- a/internal/job/bbrledger/ledger.go
+++ b/internal/job/bbrledger/ledger.go
@@ -60,6 +60,8 @@
 	dirty     map[string]*job
 	// advice has the tickets of steps, by their name.
 	advice map[string]*advice
+	// arrivals are the newest jobs.
+	arrivals arrivals
 	// asking counts the calls to the advice service that are on their way.
 	asking int
 	// endedJobs has the jobs that were dropped after their end was stored: an
--- a/internal/job/bbrledger/store.go
+++ b/internal/job/bbrledger/store.go
@@ -209,6 +209,7 @@
 	}
 	j := newJob(in, l.config.Queues[in.Queue], now)
 	l.jobs[in.ID] = j
+	l.noteArrival(j, now)
 	if len(progress) == 0 {
 		return
 	}
