operator/bbrdesk: one read of a key that may be missing; one word for poisoned work

Read as a newcomer: four functions of the desk told apart 'no such key' each for itself, and the directives were read and parsed in two places; both go through find and directives now. The spec of work that fails stood in the load tool and in the stand-in fleet; it is bbrfleet.PoisonSpec.

--- a/internal/operator/bbrdesk/directive.go
+++ b/internal/operator/bbrdesk/directive.go
@@ -34,7 +34,7 @@
 	if err != nil {
 		return nil, unavailable(err)
 	}
-	instance, err := find(instances, id)
+	instance, err := listed(instances, id)
 	if err != nil {
 		return nil, err
 	}
@@ -121,13 +121,9 @@
 // change reads the directives, changes them and stores them if nobody else has
 // meanwhile.
 func (d *Desk) change(ctx context.Context, dryRun bool, text string, apply func(directives bbrmachine.Directives) error) (bbrapi.Result, error) {
-	item, err := d.Store.Get(ctx, bbrclaim.DirectivesKey)
-	if err != nil && !errors.Is(err, bbritem.ErrNotFound) {
-		return bbrapi.Result{}, unavailable(err)
-	}
-	directives, err := bbrmachine.ParseDirectives(item.Value)
+	directives, revision, err := d.directives(ctx)
 	if err != nil {
-		return bbrapi.Result{}, errors.Wrap(err, bbrclaim.DirectivesKey)
+		return bbrapi.Result{}, unavailable(err)
 	}
 	before := maps.Clone(directives)
 	if err := apply(directives); err != nil {
@@ -141,14 +137,14 @@
 	if maps.Equal(before, directives) {
 		return bbrapi.Done(text), nil
 	}
-	revision, err := d.Store.Commit(ctx, bbritem.Transaction{
-		Conditions: []bbritem.Condition{{Key: bbrclaim.DirectivesKey, Revision: item.Revision}},
+	stored, err := d.Store.Commit(ctx, bbritem.Transaction{
+		Conditions: []bbritem.Condition{{Key: bbrclaim.DirectivesKey, Revision: revision}},
 		Puts:       []bbritem.Put{{Key: bbrclaim.DirectivesKey, Value: bbrrecord.Encode(directives)}},
 	})
 	if err != nil {
 		return bbrapi.Result{}, unstored(err)
 	}
-	klog.InfoS("Directives stored", "revision", revision, "directives", len(directives), "result", text)
+	klog.InfoS("Directives stored", "revision", stored, "directives", len(directives), "result", text)
 	return bbrapi.Done(text), nil
 }
 
@@ -171,7 +167,7 @@
 	}
 }
 
-func find(instances []bbrmachine.Instance, id string) (bbrmachine.Instance, error) {
+func listed(instances []bbrmachine.Instance, id string) (bbrmachine.Instance, error) {
 	at := slices.IndexFunc(instances, func(instance bbrmachine.Instance) bool { return instance.ID == id })
 	if at < 0 {
 		return bbrmachine.Instance{}, bbrcode.Errorf(bbrcode.UnknownInstance, id, "the platform does not list it")
@@ -195,13 +191,14 @@
 	return text
 }
 
-// directives reads what operators ask of instances.
-func (d *Desk) directives(ctx context.Context) (bbrmachine.Directives, error) {
-	item, err := d.Store.Get(ctx, bbrclaim.DirectivesKey)
-	if err != nil && !errors.Is(err, bbritem.ErrNotFound) {
-		return nil, err
+// directives reads what operators ask of instances, and as of which revision.
+func (d *Desk) directives(ctx context.Context) (bbrmachine.Directives, bbritem.Revision, error) {
+	item, err := find(ctx, d.Store, bbrclaim.DirectivesKey)
+	if err != nil {
+		return nil, 0, err
 	}
-	return bbrmachine.ParseDirectives(item.Value)
+	directives, err := bbrmachine.ParseDirectives(item.Value)
+	return directives, item.Revision, errors.Wrap(err, bbrclaim.DirectivesKey)
 }
 
 // clearedBy returns the service whose owner reports that nothing runs on an
--- a/internal/operator/bbrdesk/show.go
+++ b/internal/operator/bbrdesk/show.go
@@ -17,7 +17,6 @@
 	"github.com/bluebellridge/bluebellridge/internal/fleet/bbrupkeep"
 	"github.com/bluebellridge/bluebellridge/internal/job/bbrrecord"
 	"github.com/bluebellridge/bluebellridge/internal/job/bbrwork"
-	"github.com/bluebellridge/bluebellridge/internal/store/bbritem"
 )
 
 func (d *Desk) list(ctx context.Context, kind string, now time.Time) (*table, error) {
@@ -99,7 +98,7 @@
 	if err != nil {
 		return nil, err
 	}
-	directives, err := d.directives(ctx)
+	directives, _, err := d.directives(ctx)
 	if err != nil {
 		return nil, err
 	}
@@ -115,8 +114,8 @@
 
 // reserved reads the upstreams that planned work takes.
 func (d *Desk) reserved(ctx context.Context) (map[string]bool, error) {
-	item, err := d.Store.Get(ctx, bbrclaim.ReservedKey)
-	if err != nil && !errors.Is(err, bbritem.ErrNotFound) {
+	item, err := find(ctx, d.Store, bbrclaim.ReservedKey)
+	if err != nil {
 		return nil, err
 	}
 	return bbrclaim.ParseReserved(item)
--- a/internal/operator/bbrdesk/why.go
+++ b/internal/operator/bbrdesk/why.go
@@ -89,13 +89,19 @@
 	return text
 }
 
-// read returns the record that is stored under the key, or nil for none.
-func read[T any](ctx context.Context, store *bbritem.Store, key string) (*T, error) {
+// find returns the item of the key; one of revision 0 where there is none.
+func find(ctx context.Context, store *bbritem.Store, key string) (bbritem.Item, error) {
 	item, err := store.Get(ctx, key)
 	if errors.Is(err, bbritem.ErrNotFound) {
-		return nil, nil
+		return bbritem.Item{Key: key}, nil
 	}
-	if err != nil {
+	return item, err
+}
+
+// read returns the record that is stored under the key, or nil for none.
+func read[T any](ctx context.Context, store *bbritem.Store, key string) (*T, error) {
+	item, err := find(ctx, store, key)
+	if err != nil || item.Revision == 0 {
 		return nil, err
 	}
 	record := new(T)
@@ -108,7 +114,7 @@
 	if err != nil {
 		return bbrapi.Result{}, err
 	}
-	instance, err := find(instances, id)
+	instance, err := listed(instances, id)
 	if err != nil {
 		return bbrapi.Result{}, err
 	}
@@ -124,7 +130,7 @@
 }
 
 func (d *Desk) addDirective(ctx context.Context, t *table, instance bbrmachine.Instance) error {
-	directives, err := d.directives(ctx)
+	directives, _, err := d.directives(ctx)
 	if text := describeDirective(directives, instance.ID); text != "" {
 		t.add("operators", text+" since "+directives[instance.ID].Since.UTC().Format(time.RFC3339))
 	}
--- a/internal/standin/bbrfleet/worker.go
+++ b/internal/standin/bbrfleet/worker.go
@@ -188,7 +188,7 @@
 		length = defaultWork
 	}
 	how := "done"
-	if call.Spec == poisonSpec {
+	if call.Spec == PoisonSpec {
 		how = "failed"
 	}
 	w.fleet.noteStart(call.Task, w, now)
@@ -196,8 +196,8 @@
 	return http.StatusOK, ""
 }
 
-// poisonSpec is that of work units that always fail.
-const poisonSpec = "poison"
+// PoisonSpec is that of work units that always fail.
+const PoisonSpec = "poison"
 
 // defaultWork is how long a work unit takes whose spec is not a duration.
 const defaultWork = 200 * time.Millisecond
--- a/internal/standin/bbrload/caller.go
+++ b/internal/standin/bbrload/caller.go
@@ -11,14 +11,13 @@
 	"time"
 
 	"github.com/bluebellridge/bluebellridge/internal/base/bbrpause"
+	"github.com/bluebellridge/bluebellridge/internal/standin/bbrfleet"
 )
 
 const (
 	callTimeout     = 3 * time.Second
 	askEvery        = 100 * time.Millisecond
 	idleConnections = 64
-	// poisonSpec is the spec of work that the stand-in's upstreams fail.
-	poisonSpec = "poison"
 )
 
 // caller submits one job and follows it.
@@ -89,7 +88,7 @@
 func (c *caller) body() []byte {
 	submitted := job{Spec: c.class.Work.String()}
 	if c.poisoned {
-		submitted.Spec = poisonSpec
+		submitted.Spec = bbrfleet.PoisonSpec
 	}
 	for number := range max(1, c.class.Steps) {
 		s := step{Count: c.class.Units, MilliCPU: unitMilliCPU, MemoryMB: unitMemoryMB, Estimate: c.class.Work.Milliseconds()}
--- a/internal/standin/bbrload/load_test.go
+++ b/internal/standin/bbrload/load_test.go
@@ -16,6 +16,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/bluebellridge/bluebellridge/internal/standin/bbrfleet"
 )
 
 // jobServer takes jobs as an entry does: it refuses the first attempt of each,
@@ -41,7 +43,7 @@
 		}
 		body, _ := io.ReadAll(r.Body)
 		s.state[id] = "completed"
-		if bytes.Contains(body, []byte(poisonSpec)) {
+		if bytes.Contains(body, []byte(bbrfleet.PoisonSpec)) {
 			s.state[id] = "failed"
 		}
 	case http.MethodDelete:
