--- a/internal/base/bbrmetric/set.go
+++ b/internal/base/bbrmetric/set.go
@@ -19,6 +19,7 @@
 	retries  *prometheus.CounterVec
 	events   *prometheus.CounterVec
 	bytes    *prometheus.CounterVec
+	bodies   *prometheus.CounterVec
 	calls    *prometheus.HistogramVec
 	store    *prometheus.HistogramVec
 }
@@ -31,6 +32,7 @@
 	s.retries = s.vector("bbr_retries_total", "Further attempts by the failure that led to them.", "reason")
 	s.events = s.vector("bbr_events_total", "Changes of state by kind.", "event")
 	s.bytes = s.vector("bbr_control_bytes_total", "Bytes of control connections.", "channel", "direction")
+	s.bodies = s.vector("bbr_body_bytes_total", "Bytes of the bodies of calls to the platform and to upstreams.", "purpose", "direction")
 	s.calls = prometheus.NewHistogramVec(prometheus.HistogramOpts{
 		Name:    "bbr_call_seconds",
 		Help:    "Time to answer a caller by method and result.",
@@ -90,6 +92,12 @@
 	s.Registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, read))
 }
 
+// Bodies counts the bytes of a call's bodies by what the call is for.
+func (s *Set) Bodies(purpose string, sent, received int) {
+	s.bodies.WithLabelValues(purpose, "out").Add(float64(sent))
+	s.bodies.WithLabelValues(purpose, "in").Add(float64(received))
+}
+
 // ControlBytes returns the counter of a channel's bytes in one direction.
 func (s *Set) ControlBytes(channel, direction string) prometheus.Counter {
 	return s.bytes.WithLabelValues(channel, direction)
--- a/internal/daemon/bbrserve/hints.go
+++ b/internal/daemon/bbrserve/hints.go
@@ -15,7 +15,7 @@
 
 // tell tells the owner of a job that this entry has stored. It does not wait.
 func (o *owners) tell(job *bbrwork.Job, stored bbritem.Revision, now time.Time) {
-	claim, owned := o.service.claims.Owner(job.Service)
+	claim, owned := o.service.claims.Owner(job.Shard().String())
 	if !owned {
 		return
 	}
@@ -38,7 +38,7 @@
 	if hint.Job == nil {
 		return false
 	}
-	owner := o.runningOwner(hint.Job.Service)
+	owner := o.runningOwner(hint.Job.Shard())
 	return owner != nil && owner.Accept(hint, time.Now())
 }
 
@@ -51,7 +51,7 @@
 func (h *hinting) run(now time.Time) {
 	defer func() { <-h.owners.hints }()
 	s := h.owners.service
-	address, ok := h.owners.elsewhere(h.hint.Job.Service)
+	address, ok := h.owners.elsewhere(h.hint.Job.Shard())
 	if !ok {
 		return
 	}
--- a/internal/daemon/bbrserve/owners.go
+++ b/internal/daemon/bbrserve/owners.go
@@ -8,8 +8,11 @@
 	"sync"
 	"time"
 
+	"k8s.io/klog/v2"
+
 	"github.com/bluebellridge/bluebellridge/internal/fleet/bbrclaim"
 	"github.com/bluebellridge/bluebellridge/internal/fleet/bbrmachine"
+	"github.com/bluebellridge/bluebellridge/internal/fleet/bbrregistry"
 	"github.com/bluebellridge/bluebellridge/internal/fleet/bbrupkeep"
 	"github.com/bluebellridge/bluebellridge/internal/job/bbrledger"
 	"github.com/bluebellridge/bluebellridge/internal/job/bbrorder"
@@ -29,27 +32,28 @@
 	// be left.
 	mu   sync.Mutex
 	used map[string]bool
-	// running has the owners that run here, by service; nil after their end.
-	running map[string]*bbrowner.Owner
+	// running has the owners that run here, by shard; nil after their end.
+	running map[bbrwork.Shard]*bbrowner.Owner
 	// hints has a place for each hint that is on its way.
 	hints chan struct{}
 }
 
 func newOwners(s *service) *owners {
-	client := bbrwire.NewClient(connectionsPerUpstream)
+	client := bbrwire.NewClient(connectionsPerUpstream, s.metrics.Bodies)
 	return &owners{
 		service: s,
 		orders:  bbrwire.NewOrders(client),
 		fleet:   bbrwire.NewFleet(client, s.settings.Platform.Machines),
 		advise:  bbrwire.NewAdvice(client, s.settings.Platform.Advice),
 		used:    make(map[string]bool),
-		running: make(map[string]*bbrowner.Owner),
+		running: make(map[bbrwork.Shard]*bbrowner.Owner),
 		hints:   make(chan struct{}, maxHints),
 	}
 }
 
-// services returns the names that need an owner.
-func (o *owners) services() []string {
+// names returns what needs an owner: each cell's shard of each service, and the
+// fleet duty.
+func (o *owners) names() []string {
 	config := o.service.config.Config()
 	if config == nil {
 		return nil
@@ -59,12 +63,14 @@
 	for _, queue := range config.Queues {
 		o.used[queue.Service] = true
 	}
-	names := make([]string, 0, len(o.used))
-	for name := range o.used {
-		names = append(names, name)
+	cells := o.service.claims.Cells().Count()
+	names := []string{bbrclaim.DutyName}
+	for service := range o.used {
+		for cell := range cells {
+			names = append(names, bbrwork.Shard{Service: service, Cell: cell}.String())
+		}
 	}
-	slices.Sort(names)
-	return append(names, bbrclaim.DutyName)
+	return names
 }
 
 // owned tells whether a service has an owner that puts work on its upstreams.
@@ -85,14 +91,21 @@
 )
 
 func (o *owners) own(ctx context.Context, held bbrclaim.Held) {
-	if held.Service == bbrclaim.DutyName {
+	if held.Name == bbrclaim.DutyName {
 		o.keep(ctx, held)
 		return
 	}
 	s := o.service
+	defer s.claimer.Release(held)
+	shard, err := bbrwork.ParseShard(held.Name)
+	if err != nil {
+		klog.ErrorS(err, "Claim names no shard", "claim", held.Name)
+		return
+	}
 	jobs := s.settings.Jobs
 	owner := &bbrowner.Owner{
 		Held:    held,
+		Shard:   shard,
 		Store:   s.store,
 		Orders:  o.orders,
 		Advise:  o.advise,
@@ -108,75 +121,79 @@
 		},
 		Confirmed:  func(now time.Time) bool { return s.session.Confirmed(held.Lease, now) },
 		Config:     s.config.Config,
-		Registered: s.registry.Of,
+		Registered: o.registered,
 		Reserved:   s.reservations.Reserved,
 	}
-	o.setRunning(held.Service, owner)
+	o.setRunning(shard, owner)
 	owner.Run(ctx)
-	o.setRunning(held.Service, nil)
-	s.claimer.Release(held)
+	o.setRunning(shard, nil)
+}
+
+// registered returns the registered upstreams of a shard.
+func (o *owners) registered(shard bbrwork.Shard, known bbrregistry.Version) ([]bbrwork.Upstream, bbrregistry.Version) {
+	return o.service.registry.Of(shard, o.service.claims.Cells(), known)
 }
 
-func (o *owners) setRunning(service string, owner *bbrowner.Owner) {
+func (o *owners) setRunning(shard bbrwork.Shard, owner *bbrowner.Owner) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.running[service] = owner
+	o.running[shard] = owner
 }
 
-// state returns the state of a job of a service that this entry owns.
-func (o *owners) state(service, job string) (bbrwork.State, bool) {
-	owner := o.runningOwner(service)
+// state returns the state of a job of a shard that this entry owns.
+func (o *owners) state(shard bbrwork.Shard, job string) (bbrwork.State, bool) {
+	owner := o.runningOwner(shard)
 	if owner == nil {
 		return "", false
 	}
 	return owner.State(job, time.Now())
 }
 
-// explain returns why a job of a service that this entry owns is where it is.
-func (o *owners) explain(service, job string) (bbrledger.Explanation, bool) {
-	owner := o.runningOwner(service)
+// explain returns why a job of a shard that this entry owns is where it is.
+func (o *owners) explain(shard bbrwork.Shard, job string) (bbrledger.Explanation, bool) {
+	owner := o.runningOwner(shard)
 	if owner == nil {
 		return bbrledger.Explanation{}, false
 	}
 	return owner.Explain(job, time.Now())
 }
 
-func (o *owners) runningOwner(service string) *bbrowner.Owner {
+func (o *owners) runningOwner(shard bbrwork.Shard) *bbrowner.Owner {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return o.running[service]
+	return o.running[shard]
 }
 
-// ask returns the state of a job from the service's owner, which may be this
+// ask returns the state of a job from the shard's owner, which may be this
 // entry.
-func (o *owners) ask(ctx context.Context, service, job string, now time.Time) (bbrwork.State, bool) {
-	if state, known := o.state(service, job); known {
+func (o *owners) ask(ctx context.Context, shard bbrwork.Shard, job string, now time.Time) (bbrwork.State, bool) {
+	if state, known := o.state(shard, job); known {
 		return state, true
 	}
-	address, ok := o.elsewhere(service)
+	address, ok := o.elsewhere(shard)
 	if !ok {
 		return "", false
 	}
-	return o.service.questions.State(ctx, address, service, job, now)
+	return o.service.questions.State(ctx, address, shard, job, now)
 }
 
-// elsewhere returns where the service's owner can be asked, if it is at another
+// elsewhere returns where the shard's owner can be asked, if it is at another
 // entry.
-func (o *owners) elsewhere(service string) (netip.AddrPort, bool) {
-	address, ok := o.service.claims.OwnerAddress(service)
+func (o *owners) elsewhere(shard bbrwork.Shard) (netip.AddrPort, bool) {
+	address, ok := o.service.claims.OwnerAddress(shard.String())
 	return address, ok && address != o.service.settings.Listen.Peers
 }
 
-// askWhy returns why a job is where it is, from the service's owner.
-func (o *owners) askWhy(ctx context.Context, service, job string, now time.Time) (bbrledger.Explanation, bool) {
-	if explanation, known := o.explain(service, job); known {
+// askWhy returns why a job is where it is, from the shard's owner.
+func (o *owners) askWhy(ctx context.Context, shard bbrwork.Shard, job string, now time.Time) (bbrledger.Explanation, bool) {
+	if explanation, known := o.explain(shard, job); known {
 		return explanation, true
 	}
-	address, ok := o.elsewhere(service)
+	address, ok := o.elsewhere(shard)
 	if !ok {
 		return bbrledger.Explanation{}, false
 	}
-	return o.service.questions.Explain(ctx, address, service, job, now)
+	return o.service.questions.Explain(ctx, address, shard, job, now)
 }
 
 // lives returns the lives of the instances that are not down.
--- a/internal/daemon/bbrserve/plugin.go
+++ b/internal/daemon/bbrserve/plugin.go
@@ -76,7 +76,7 @@
 		debug.SetMemoryLimit(int64(memoryShare * float64(settings.Limits.MemoryMB) * (1 << 20)))
 	}
 	debug.SetGCPercent(gcPercent)
-	store := bbritem.Metered(bbrwire.NewStore(bbrwire.NewClient(connectionsToStore), settings.Platform.Address),
+	store := bbritem.Metered(bbrwire.NewStore(bbrwire.NewClient(connectionsToStore, metrics.Bodies), settings.Platform.Address),
 		func(call string, err error, took time.Duration) { metrics.StoreCall(call, bbritem.Outcome(err), took) })
 	s := &service{
 		settings:     settings,
@@ -92,12 +92,13 @@
 		questions: bbrinquiry.NewClient(),
 	}
 	s.owners = newOwners(s)
-	s.claimer = &bbrclaim.Claimer{Session: s.session, Directory: s.claims, Services: s.owners.services, Own: s.owners.own}
+	s.claimer = &bbrclaim.Claimer{Session: s.session, Directory: s.claims, Names: s.owners.names, Own: s.owners.own}
 	s.handler = &bbrintake.Handler{
 		Intake: &bbrintake.Intake{
 			Acceptor:     s.acceptor,
 			Store:        store,
 			Config:       s.config.Config,
+			Cells:        s.claims.Cells,
 			StoreAnswers: s.config.StoreAnswers,
 			AskOwner:     s.owners.ask,
 			TellOwner:    s.owners.tell,
--- /dev/null
+++ b/internal/fleet/bbrcell/cells.go
@@ -0,0 +1,153 @@
+package bbrcell
+
+import (
+	"encoding/json"
+	"hash/fnv"
+	"slices"
+
+	"github.com/bluebellridge/bluebellridge/internal/job/bbrwork"
+)
+
+// Cells is the division of the fleet. A value never changes once it is shared.
+type Cells struct {
+	// Sizes has how many instances each cell had when racks were last added.
+	Sizes []int `json:"sizes"`
+	// Racks has each rack's cell, for good.
+	Racks map[string]int `json:"racks"`
+	// Labels has, for the other labels, the cells with an instance that bears it,
+	// in order.
+	Labels map[string][]int `json:"labels"`
+}
+
+// Parse reads a stored division; no value has none.
+func Parse(value []byte) (*Cells, error) {
+	if len(value) == 0 {
+		return nil, nil
+	}
+	cells := &Cells{}
+	return cells, json.Unmarshal(value, cells)
+}
+
+// Count returns how many cells there are. Before the fleet is divided there is
+// one, so that jobs can be accepted.
+func (c *Cells) Count() int {
+	if c == nil {
+		return 1
+	}
+	return max(1, len(c.Sizes))
+}
+
+// Known returns how many racks have a cell; it rises with each that gets one.
+func (c *Cells) Known() int {
+	if c == nil {
+		return 0
+	}
+	return len(c.Racks)
+}
+
+// Of returns the cell of an upstream or instance by its rack. It is not known
+// before the fleet is divided, and for a rack that was not seen yet.
+func (c *Cells) Of(rack string) (int, bool) {
+	if c == nil {
+		return 0, false
+	}
+	if len(c.Sizes) == 1 {
+		return 0, true
+	}
+	cell, known := c.Racks[rack]
+	return cell, known
+}
+
+// Choose returns the cell for a new job of a service. A job that needs many
+// upstreams at once goes to the service's home, so that not every cell keeps
+// instances for such jobs; one whose data lies on a rack goes there, and any
+// other to a cell that is drawn by the job's ID.
+func (c *Cells) Choose(job *bbrwork.Job, home int) int {
+	if c.Count() == 1 {
+		return 0
+	}
+	possible := c.possible(job)
+	if home %= c.Count(); wide(job) && slices.Contains(possible, home) {
+		return home
+	}
+	if cell, known := c.Of(dataRack(job)); known && slices.Contains(possible, cell) {
+		return cell
+	}
+	return c.draw(job.ID, possible)
+}
+
+// possible returns the cells that have all labels which the job's steps ask
+// for, or all cells where none has.
+func (c *Cells) possible(job *bbrwork.Job) []int {
+	all := make([]int, c.Count())
+	for cell := range all {
+		all[cell] = cell
+	}
+	possible := slices.Clone(all)
+	for i := range job.Steps {
+		if label := job.Steps[i].Label; label != "" {
+			possible = slices.DeleteFunc(possible, func(cell int) bool { return !c.has(label, cell) })
+		}
+	}
+	if len(possible) == 0 {
+		return all
+	}
+	return possible
+}
+
+func (c *Cells) has(label string, cell int) bool {
+	if at, known := c.Racks[label]; known {
+		return at == cell
+	}
+	return slices.Contains(c.Labels[label], cell)
+}
+
+// wide tells whether a step of the job needs many upstreams at once.
+func wide(job *bbrwork.Job) bool {
+	for i := range job.Steps {
+		step := &job.Steps[i]
+		if step.Lasting && step.MaxPerUpstream > 0 || step.Gang && !step.SameRack {
+			return true
+		}
+	}
+	return false
+}
+
+// dataRack returns the rack with the data of most of the job's work; empty for
+// none.
+func dataRack(job *bbrwork.Job) string {
+	work := make(map[string]int)
+	most := ""
+	for i := range job.Steps {
+		step := &job.Steps[i]
+		if step.DataRack == "" {
+			continue
+		}
+		work[step.DataRack] += step.Count * step.Need.MilliCPU
+		if most == "" || work[step.DataRack] > work[most] {
+			most = step.DataRack
+		}
+	}
+	return most
+}
+
+// draw returns one of the cells by the ID, larger ones for more IDs.
+func (c *Cells) draw(id string, cells []int) int {
+	total := 0
+	for _, cell := range cells {
+		total += c.Sizes[cell]
+	}
+	if total == 0 {
+		return cells[0]
+	}
+	hash := fnv.New32a()
+	hash.Write([]byte(id)) // It never fails.
+	at := int(uint64(hash.Sum32()) * uint64(total) >> 32)
+	for _, cell := range cells {
+		if at < c.Sizes[cell] {
+			return cell
+		}
+		at -= c.Sizes[cell]
+	}
+	return cells[len(cells)-1]
+}
--- /dev/null
+++ b/internal/fleet/bbrcell/cells_test.go
@@ -0,0 +1,150 @@
+package bbrcell
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/bluebellridge/bluebellridge/internal/fleet/bbrmachine"
+	"github.com/bluebellridge/bluebellridge/internal/job/bbrwork"
+)
+
+// fleet returns instances of four pools in three zones, eight to a rack, with
+// the racks numbered from first on.
+func fleet(first, racks int) []bbrmachine.Instance {
+	var list []bbrmachine.Instance
+	for r := first; r < first+racks; r++ {
+		for i := range 8 {
+			list = append(list, bbrmachine.Instance{
+				ID:     fmt.Sprintf("m-%d-%d", r, i),
+				Pool:   fmt.Sprintf("pool-%d", r%4),
+				Zone:   fmt.Sprintf("zone-%d", r/4%3),
+				Labels: []string{"kind", fmt.Sprintf("rack-%d", r)},
+			})
+		}
+	}
+	return list
+}
+
+func TestSmallFleetHasOneCell(t *testing.T) {
+	var none *Cells
+	require.Equal(t, 1, none.Count())
+	_, known := none.Of("rack-1")
+	require.False(t, known, "where its upstreams belong is not known before")
+
+	cells := none.Divide(fleet(0, 10))
+	require.Equal(t, 1, cells.Count())
+	cell, known := cells.Of("a rack that came later")
+	require.True(t, known)
+	require.Zero(t, cell)
+	require.Zero(t, cells.Choose(&bbrwork.Job{ID: "a"}, 3))
+}
+
+// TestDivisionSpreadsPoolsAndZones holds that each cell has a like share of each
+// pool and zone, so that the loss of a zone takes a share of every cell.
+func TestDivisionSpreadsPoolsAndZones(t *testing.T) {
+	instances := fleet(0, 144)
+	cells := (*Cells)(nil).Divide(instances)
+	require.Equal(t, 9, cells.Count())
+	pools, zones := make(map[string]int), make(map[string]int)
+	for _, instance := range instances {
+		cell, known := cells.Of(instance.Rack())
+		require.True(t, known)
+		pools[fmt.Sprint(cell, instance.Pool)]++
+		zones[fmt.Sprint(cell, instance.Zone)]++
+	}
+	require.Len(t, pools, 9*4)
+	for part, count := range pools {
+		require.Equal(t, 32, count, part)
+	}
+	require.Len(t, zones, 9*3)
+	for part, count := range zones {
+		require.InDelta(t, 128/3, count, 24, part)
+	}
+}
+
+// TestRackKeepsItsCell holds that a life belongs to one shard for all its time,
+// however the fleet grows and shrinks.
+func TestRackKeepsItsCell(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var cells *Cells
+		known := make(map[string]int)
+		for range rapid.IntRange(1, 6).Draw(t, "lists") {
+			first, racks := rapid.IntRange(0, 150).Draw(t, "first"), rapid.IntRange(1, 150).Draw(t, "racks")
+			before := cells
+			instances := fleet(first, racks)
+			cells = cells.Divide(instances)
+			require.GreaterOrEqual(t, cells.Count(), before.Count())
+			for _, instance := range instances {
+				cell, placed := cells.Of(instance.Rack())
+				require.True(t, placed)
+				require.Less(t, cell, cells.Count())
+				if at, seen := known[instance.Rack()]; seen && before.Count() > 1 {
+					require.Equal(t, at, cell)
+				}
+				known[instance.Rack()] = cell
+			}
+			require.Same(t, cells, cells.Divide(instances), "nothing is new")
+			for rack, cell := range cells.Racks {
+				known[rack] = cell
+			}
+		}
+	})
+}
+
+// TestGrownFleetGetsMoreCells holds that racks that come later go to cells of
+// their own, where they are enough for some.
+func TestGrownFleetGetsMoreCells(t *testing.T) {
+	cells := (*Cells)(nil).Divide(fleet(0, 32))
+	require.Equal(t, 2, cells.Count())
+	few := cells.Divide(fleet(0, 40))
+	require.Equal(t, 2, few.Count(), "too few for a cell")
+	more := few.Divide(fleet(0, 64))
+	require.Equal(t, 3, more.Count())
+	require.InDelta(t, more.Sizes[0], more.Sizes[2], 32)
+	require.InDelta(t, more.Sizes[1], more.Sizes[2], 32)
+}
+
+func TestJobGoesWhereItCanRun(t *testing.T) {
+	cells := (*Cells)(nil).Divide(fleet(0, 64))
+	require.Equal(t, 4, cells.Count())
+	cells.Labels["fast"] = []int{1, 3}
+	lasting := bbrwork.Step{Count: 30, Lasting: true, MaxPerUpstream: 1}
+	gang := bbrwork.Step{Count: 30, Gang: true}
+	need := bbrwork.Resources{MilliCPU: 500}
+	onRack := bbrwork.Step{Count: 3, Need: need, DataRack: "rack-9"}
+	small := bbrwork.Step{Count: 1, Need: need, DataRack: "rack-2"}
+	fast := bbrwork.Step{Count: 3, Label: "fast"}
+	nowhere := bbrwork.Step{Count: 3, Label: "none"}
+	tests := []struct {
+		name  string
+		steps []bbrwork.Step
+		want  []int
+	}{
+		{name: "any", steps: []bbrwork.Step{{Count: 2}}, want: []int{0, 1, 2, 3}},
+		{name: "lasting work that is spread", steps: []bbrwork.Step{lasting}, want: []int{2}},
+		{name: "a wide gang", steps: []bbrwork.Step{gang}, want: []int{2}},
+		{name: "near its data", steps: []bbrwork.Step{onRack}, want: []int{cells.Racks["rack-9"]}},
+		{name: "near most of its data", steps: []bbrwork.Step{small, onRack}, want: []int{cells.Racks["rack-9"]}},
+		{name: "where the kind is", steps: []bbrwork.Step{fast}, want: []int{1, 3}},
+		{name: "a kind that no cell has", steps: []bbrwork.Step{nowhere}, want: []int{0, 1, 2, 3}},
+	}
+	const home = 6 // It counts round the cells.
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			counts := make(map[int]int)
+			for i := range 4000 {
+				job := &bbrwork.Job{ID: fmt.Sprintf("%016x", i*7919), Steps: test.steps}
+				cell := cells.Choose(job, home)
+				require.Equal(t, cell, cells.Choose(job, home))
+				counts[cell]++
+			}
+			require.Len(t, counts, len(test.want))
+			for _, cell := range test.want {
+				require.InEpsilon(t, 4000/len(test.want), counts[cell], 0.15, "cell %d", cell)
+			}
+		})
+	}
+}
--- a/internal/fleet/bbrclaim/claimer.go
+++ b/internal/fleet/bbrclaim/claimer.go
@@ -15,7 +15,8 @@
 
 // Held is a claim that this entry holds.
 type Held struct {
-	Service string
+	// Name is that of the shard, or DutyName.
+	Name string
 	// Token is the fencing token.
 	Token bbritem.Revision
 	// Lease is what the claim hangs on.
@@ -24,15 +25,15 @@
 
 // Condition returns the condition under which the owner writes.
 func (h Held) Condition() bbritem.Condition {
-	return bbritem.Condition{Key: ClaimKey(h.Service), Revision: h.Token}
+	return bbritem.Condition{Key: ClaimKey(h.Name), Revision: h.Token}
 }
 
-// Claimer claims services and runs what a claim entitles to.
+// Claimer claims shards and runs what a claim entitles to.
 type Claimer struct {
 	Session   *Session
 	Directory *Directory
-	// Services returns the names that should have an owner.
-	Services func() []string
+	// Names returns what should have an owner: shards, and the fleet duty.
+	Names func() []string
 	// Own runs until ctx ends or the claim is lost.
 	Own func(ctx context.Context, held Held)
 
@@ -65,16 +66,18 @@
 	if !ok {
 		return
 	}
-	for _, service := range c.Services() {
-		if ctx.Err() != nil || c.holds(service) {
+	names := c.Names()
+	for _, name := range names {
+		if c.holds(name) {
 			continue
 		}
-		if left, ok := c.Directory.Owner(service); ok && left.Incarnation == c.Session.Incarnation && left.Lease == lease.ID {
-			c.hold(ctx, Held{Service: service, Token: left.Revision, Lease: lease.ID})
-			continue
+		if left, ok := c.Directory.Owner(name); ok && left.Incarnation == c.Session.Incarnation && left.Lease == lease.ID {
+			c.hold(ctx, Held{Name: name, Token: left.Revision, Lease: lease.ID})
 		}
-		if c.Directory.Due(service, c.Session.Entry, now) {
-			c.claim(ctx, service, lease)
+	}
+	for _, name := range c.Directory.Due(names, c.Session.Entry, now) {
+		if ctx.Err() == nil && !c.holds(name) {
+			c.claim(ctx, name, lease)
 		}
 	}
 }
@@ -83,11 +86,11 @@
 func (c *Claimer) dropLost(now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for service, held := range c.held {
+	for name, held := range c.held {
 		if why := c.lost(held, now); why != "" {
-			klog.InfoS("Claim lost", "service", service, "token", held.Token, "reason", why)
+			klog.InfoS("Claim lost", "claim", name, "token", held.Token, "reason", why)
 			held.end()
-			delete(c.held, service)
+			delete(c.held, name)
 		}
 	}
 }
@@ -96,19 +99,19 @@
 	if lease, _ := c.Session.Lease(now); lease.ID != held.Lease {
 		return "the lease ended"
 	}
-	if c.Directory.Ended(held.Service, held.Token) {
+	if c.Directory.Ended(held.Name, held.Token) {
 		return "the store lists another owner or none"
 	}
 	return ""
 }
 
-func (c *Claimer) holds(service string) bool {
+func (c *Claimer) holds(name string) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.held[service] != nil
+	return c.held[name] != nil
 }
 
-func (c *Claimer) claim(ctx context.Context, service string, lease Lease) {
+func (c *Claimer) claim(ctx context.Context, name string, lease Lease) {
 	record, err := json.Marshal(claimRecord{Entry: c.Session.Entry, Incarnation: c.Session.Incarnation})
 	if err != nil {
 		klog.ErrorS(err, "Encoding a claim")
@@ -116,32 +119,32 @@
 	}
 	token, err := c.Session.Store.Commit(ctx, bbritem.Transaction{
 		Conditions: []bbritem.Condition{
-			{Key: ClaimKey(service), Revision: 0},
+			{Key: ClaimKey(name), Revision: 0},
 			{Key: c.Session.Key(), Revision: lease.Registration},
 		},
-		Puts: []bbritem.Put{{Key: ClaimKey(service), Value: record, Lease: lease.ID}},
+		Puts: []bbritem.Put{{Key: ClaimKey(name), Value: record, Lease: lease.ID}},
 	})
 	if err != nil {
 		var conflict *bbritem.Conflict
 		if errors.As(err, &conflict) {
-			err = c.mine(conflict, service)
-			token = conflict.Items[ClaimKey(service)].Created
+			err = c.mine(conflict, name)
+			token = conflict.Items[ClaimKey(name)].Created
 		}
 		if err != nil {
-			klog.V(1).InfoS("Claim not made", "service", service, "reason", err.Error())
+			klog.V(1).InfoS("Claim not made", "claim", name, "reason", err.Error())
 			return
 		}
 	}
-	c.Directory.Claimed(service, Claim{Entry: c.Session.Entry, Incarnation: c.Session.Incarnation, Revision: token, Lease: lease.ID})
-	c.hold(ctx, Held{Service: service, Token: token, Lease: lease.ID})
+	c.Directory.Claimed(name, Claim{Entry: c.Session.Entry, Incarnation: c.Session.Incarnation, Revision: token, Lease: lease.ID})
+	c.hold(ctx, Held{Name: name, Token: token, Lease: lease.ID})
 }
 
-var errOwned = errors.New("another entry owns the service")
+var errOwned = errors.New("another entry holds the claim")
 
 // mine tells whether the claim in the store is one of this process whose answer
 // was lost.
-func (c *Claimer) mine(conflict *bbritem.Conflict, service string) error {
-	item, ok := conflict.Items[ClaimKey(service)]
+func (c *Claimer) mine(conflict *bbritem.Conflict, name string) error {
+	item, ok := conflict.Items[ClaimKey(name)]
 	var record claimRecord
 	if !ok || json.Unmarshal(item.Value, &record) != nil || record.Incarnation != c.Session.Incarnation {
 		return errOwned
@@ -153,7 +156,7 @@
 }
 
 func (c *Claimer) hold(ctx context.Context, held Held) {
-	klog.InfoS("Claimed", "service", held.Service, "token", held.Token, "lease", held.Lease)
+	klog.InfoS("Claimed", "claim", held.Name, "token", held.Token, "lease", held.Lease)
 	ctx, end := context.WithCancel(ctx)
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -161,7 +164,7 @@
 		c.held = make(map[string]*holding)
 	}
 	h := &holding{Held: held, end: end, claimed: time.Now(), own: c.Own}
-	c.held[held.Service] = h
+	c.held[held.Name] = h
 	c.wg.Go(func() { h.run(ctx) })
 }
 
@@ -170,13 +173,13 @@
 	h.own(ctx, h.Held)
 }
 
-// Release ends the claim of a service whose owner found that it was replaced.
+// Release ends the claim of a name whose owner found that it was replaced.
 func (c *Claimer) Release(held Held) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if h := c.held[held.Service]; h != nil && h.Token == held.Token {
+	if h := c.held[held.Name]; h != nil && h.Token == held.Token {
 		h.end()
-		delete(c.held, held.Service)
+		delete(c.held, held.Name)
 	}
 }
 
--- a/internal/fleet/bbrclaim/directory.go
+++ b/internal/fleet/bbrclaim/directory.go
@@ -10,6 +10,7 @@
 
 	"k8s.io/klog/v2"
 
+	"github.com/bluebellridge/bluebellridge/internal/fleet/bbrcell"
 	"github.com/bluebellridge/bluebellridge/internal/fleet/bbrmachine"
 	"github.com/bluebellridge/bluebellridge/internal/store/bbritem"
 )
@@ -20,7 +21,7 @@
 	Incarnation string `json:"incarnation"`
 }
 
-// Claim is a service's owner as the store tells it.
+// Claim is an owner as the store tells it.
 type Claim struct {
 	Entry, Incarnation string
 	// Revision is that of the claim's creation.
@@ -34,12 +35,15 @@
 	mu      sync.Mutex
 	entries map[string]entryRecord
 	claims  map[string]Claim
-	// missing has when a service was first seen without an owner.
+	// missing has when a name was first seen without an owner.
 	missing map[string]time.Time
-	// gone has, by service, the newest claim that is known to have ended.
+	// gone has, by name, the newest claim that is known to have ended.
 	gone map[string]bbritem.Revision
-	// directives is replaced whole.
+	// ended has, by name, when a claim was last seen to have ended.
+	ended map[string]time.Time
+	// directives and cells are replaced whole.
 	directives bbrmachine.Directives
+	cells      *bbrcell.Cells
 	seen       map[string]bbritem.Revision
 }
 
@@ -52,11 +56,11 @@
 	d.claims = make(map[string]Claim)
 	d.seen = make(map[string]bbritem.Revision)
 	for _, item := range items {
-		d.apply(item)
+		d.apply(item, now)
 	}
-	for service, claim := range before {
-		if d.claims[service].Revision != claim.Revision {
-			d.end(service, claim.Revision)
+	for name, claim := range before {
+		if d.claims[name].Revision != claim.Revision {
+			d.end(name, claim.Revision, now)
 		}
 	}
 }
@@ -65,10 +69,10 @@
 func (d *Directory) Change(item bbritem.Item, now time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.apply(item)
+	d.apply(item, now)
 }
 
-func (d *Directory) apply(item bbritem.Item) {
+func (d *Directory) apply(item bbritem.Item, now time.Time) {
 	if item.Revision <= d.seen[item.Key] {
 		return
 	}
@@ -76,11 +80,14 @@
 	if item.Key == DirectivesKey {
 		d.applyDirectives(item)
 	}
+	if item.Key == CellsKey {
+		d.applyCells(item)
+	}
 	if name, ok := strings.CutPrefix(item.Key, entryPrefix); ok {
 		d.applyEntry(name, item)
 	}
-	if service, ok := strings.CutPrefix(item.Key, claimPrefix); ok {
-		d.applyClaim(service, item)
+	if name, ok := strings.CutPrefix(item.Key, claimPrefix); ok {
+		d.applyClaim(name, item, now)
 	}
 }
 
@@ -93,17 +100,17 @@
 	d.entries[name] = record
 }
 
-func (d *Directory) applyClaim(service string, item bbritem.Item) {
+func (d *Directory) applyClaim(name string, item bbritem.Item, now time.Time) {
 	var record claimRecord
 	if item.Deleted || json.Unmarshal(item.Value, &record) != nil {
-		d.end(service, item.Revision)
-		if held, ok := d.claims[service]; ok {
-			klog.InfoS("Owner gone", "service", service, "entry", held.Entry, "token", held.Revision, "revision", item.Revision)
+		d.end(name, item.Revision, now)
+		if held, ok := d.claims[name]; ok {
+			klog.InfoS("Owner gone", "claim", name, "entry", held.Entry, "token", held.Revision, "revision", item.Revision)
 		}
-		delete(d.claims, service)
+		delete(d.claims, name)
 		return
 	}
-	d.claims[service] = Claim{Entry: record.Entry, Incarnation: record.Incarnation, Revision: item.Created, Lease: item.Lease}
+	d.claims[name] = Claim{Entry: record.Entry, Incarnation: record.Incarnation, Revision: item.Created, Lease: item.Lease}
 }
 
 func (d *Directory) applyDirectives(item bbritem.Item) {
@@ -119,6 +126,23 @@
 	d.directives = directives
 }
 
+func (d *Directory) applyCells(item bbritem.Item) {
+	cells, err := bbrcell.Parse(item.Value)
+	if err != nil || item.Deleted {
+		klog.ErrorS(err, "Division of the fleet unreadable", "revision", item.Revision, "deleted", item.Deleted)
+		return
+	}
+	klog.InfoS("Fleet divided", "cells", cells.Count(), "racks", len(cells.Racks), "revision", item.Revision)
+	d.cells = cells
+}
+
+// Cells returns the division of the fleet, nil before the fleet is divided.
+func (d *Directory) Cells() *bbrcell.Cells {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.cells
+}
+
 // Directives returns what operators ask of instances, not to be changed.
 func (d *Directory) Directives() bbrmachine.Directives {
 	d.mu.Lock()
@@ -126,34 +150,35 @@
 	return d.directives
 }
 
-func (d *Directory) end(service string, revision bbritem.Revision) {
+func (d *Directory) end(name string, revision bbritem.Revision, now time.Time) {
 	if d.gone == nil {
-		d.gone = make(map[string]bbritem.Revision)
+		d.gone, d.ended = make(map[string]bbritem.Revision), make(map[string]time.Time)
 	}
-	d.gone[service] = max(d.gone[service], revision)
+	d.ended[name] = now
+	d.gone[name] = max(d.gone[name], revision)
 }
 
 // Ended tells whether the claim with the token is known to have ended. A claim
 // that is merely not listed yet has not.
-func (d *Directory) Ended(service string, token bbritem.Revision) bool {
+func (d *Directory) Ended(name string, token bbritem.Revision) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.gone[service] >= token || d.claims[service].Revision > token
+	return d.gone[name] >= token || d.claims[name].Revision > token
 }
 
 // Owner returns the owner of a service.
-func (d *Directory) Owner(service string) (Claim, bool) {
+func (d *Directory) Owner(name string) (Claim, bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	claim, ok := d.claims[service]
+	claim, ok := d.claims[name]
 	return claim, ok
 }
 
-// OwnerAddress returns where the owner of a service can be asked.
-func (d *Directory) OwnerAddress(service string) (netip.AddrPort, bool) {
+// OwnerAddress returns where the owner of the name can be asked.
+func (d *Directory) OwnerAddress(name string) (netip.AddrPort, bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	claim, owned := d.claims[service]
+	claim, owned := d.claims[name]
 	entry := d.entries[claim.Entry]
 	return entry.Peers, owned && entry.Incarnation == claim.Incarnation && entry.Peers.IsValid()
 }
@@ -174,77 +199,105 @@
 	return names
 }
 
-// Due tells whether the entry should claim the service now; the entries come
-// one after the other, in the order of their rank.
-func (d *Directory) Due(service, entry string, now time.Time) bool {
+// Due returns which of the names without an owner the entry should claim now.
+// For each name the entries come one after the other, in the order of their
+// rank.
+func (d *Directory) Due(names []string, entry string, now time.Time) []string {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.missing == nil {
-		d.missing = make(map[string]time.Time)
+	missing := d.noteMissing(names, now)
+	if len(missing) == 0 {
+		return nil
+	}
+	held := make(map[string]int)
+	for _, claim := range d.claims {
+		held[claim.Entry]++
 	}
-	if _, owned := d.claims[service]; owned {
-		delete(d.missing, service)
-		return false
+	var due []string
+	for _, name := range missing {
+		rank, first := d.rank(entry, held)
+		if now.Sub(d.missing[name]) >= time.Duration(rank)*claimStagger {
+			due = append(due, name)
+		}
+		// The next name is for the entry that is first once this one is claimed.
+		held[first]++
 	}
-	since, known := d.missing[service]
-	if !known {
-		d.missing[service] = now
-		since = now
+	return due
+}
+
+// noteMissing returns the names that have no owner, in order, and notes since
+// when.
+func (d *Directory) noteMissing(names []string, now time.Time) []string {
+	before := d.missing
+	d.missing = make(map[string]time.Time)
+	var missing []string
+	for _, name := range names {
+		if _, owned := d.claims[name]; owned {
+			continue
+		}
+		since, known := before[name]
+		if !known {
+			since = now
+		}
+		d.missing[name] = since
+		missing = append(missing, name)
 	}
-	rank := d.rank(service, entry)
-	return now.Sub(since) >= time.Duration(rank)*claimStagger
+	slices.Sort(missing)
+	return missing
 }
 
-// claimStagger is between the attempts of two entries to claim a service.
+// claimStagger is between the attempts of two entries to make the same claim.
 const claimStagger = 250 * time.Millisecond
 
-// rank returns how many entries should claim the service before this one.
-func (d *Directory) rank(service, entry string) int {
-	held := make(map[string]int)
-	for _, claim := range d.claims {
-		held[claim.Entry]++
-	}
+// rank returns how many entries should claim something before this one, and
+// which comes first. held counts the claims of each entry.
+func (d *Directory) rank(entry string, held map[string]int) (rank int, first string) {
 	own := d.preferenceOf(entry, held)
-	rank := 0
+	best := own
+	first = entry
 	for name := range d.entries {
-		if name != entry && d.preferenceOf(name, held).before(own) {
+		other := d.preferenceOf(name, held)
+		if name != entry && other.before(own) {
 			rank++
 		}
+		if other.before(best) {
+			best, first = other, name
+		}
 	}
-	return rank
+	return rank, first
 }
 
 func (d *Directory) preferenceOf(entry string, held map[string]int) preference {
-	return preference{held: held[entry], milliCPU: d.entries[entry].MilliCPU, registered: d.seen[entryPrefix+entry]}
+	return preference{held: held[entry], milliCPU: max(1, d.entries[entry].MilliCPU), registered: d.seen[entryPrefix+entry]}
 }
 
-// preference orders entries for a claim: few claims first, then much processor
-// time, and then the one that registered last, since entries that are restarted
-// in turn are least likely to be stopped again soon.
+// preference orders entries for a claim: those that would have most processor
+// time for each of their claims come first, and then the one that registered
+// last, since entries that are restarted in turn are least likely to be stopped
+// again soon.
 type preference struct {
 	held, milliCPU int
 	registered     bbritem.Revision
 }
 
 func (p preference) before(other preference) bool {
-	if p.held != other.held {
-		return p.held < other.held
-	}
-	if p.milliCPU != other.milliCPU {
-		return p.milliCPU > other.milliCPU
+	// The shares are compared as milliCPU/(held+1).
+	share, otherShare := p.milliCPU*(other.held+1), other.milliCPU*(p.held+1)
+	if share != otherShare {
+		return share > otherShare
 	}
 	return p.registered > other.registered
 }
 
 // Claimed notes a claim of this entry before the store tells of it, so that it
 // counts when the next one is ranked.
-func (d *Directory) Claimed(service string, claim Claim) {
+func (d *Directory) Claimed(name string, claim Claim) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.claims == nil {
 		d.claims = make(map[string]Claim)
 	}
-	if d.claims[service].Revision < claim.Revision && d.gone[service] < claim.Revision {
-		d.claims[service] = claim
+	if d.claims[name].Revision < claim.Revision && d.gone[name] < claim.Revision {
+		d.claims[name] = claim
 	}
 }
--- /dev/null
+++ b/internal/fleet/bbrclaim/due_test.go
@@ -0,0 +1,69 @@
+package bbrclaim
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/bluebellridge/bluebellridge/internal/store/bbritem"
+)
+
+// TestManyClaimsAreMadeAtOnce holds that names without an owner go to different
+// entries at the same moment, to stronger ones more often, and that others stand
+// in after a while.
+func TestManyClaimsAreMadeAtOnce(t *testing.T) {
+	now := time.Unix(1000, 0)
+	var items []bbritem.Item
+	for i := range 10 {
+		cpu := 200
+		if i >= 8 {
+			cpu = 800
+		}
+		name := fmt.Sprintf("e%d", i)
+		items = append(items, bbritem.Item{Key: entryPrefix + name, Revision: bbritem.Revision(i + 1), Value: encoded(t, entryRecord{Entry: name, MilliCPU: cpu})})
+	}
+	var names []string
+	for i := range 12 {
+		names = append(names, fmt.Sprintf("press/%02d", i))
+	}
+	due := func(at time.Time) map[string][]string {
+		owners := make(map[string][]string)
+		for i := range 10 {
+			d := &Directory{}
+			d.Snapshot(items, now)
+			d.Due(names, "", now)
+			entry := fmt.Sprintf("e%d", i)
+			for _, name := range d.Due(names, entry, at) {
+				owners[name] = append(owners[name], entry)
+			}
+		}
+		return owners
+	}
+	counts := make(map[string]int)
+	for name, entries := range due(now) {
+		require.Len(t, entries, 1, name)
+		counts[entries[0]]++
+	}
+	require.Len(t, due(now), len(names), "each has one entry that claims it at once")
+	require.GreaterOrEqual(t, counts["e9"], 3)
+	require.GreaterOrEqual(t, counts["e8"], 3)
+	for i := range 8 {
+		require.LessOrEqual(t, counts[fmt.Sprintf("e%d", i)], 1)
+	}
+	for name, entries := range due(now.Add(claimStagger)) {
+		require.GreaterOrEqual(t, len(entries), 2, name)
+	}
+}
+
+// TestOwnedNamesAreNotDue holds that a claim which stands is left alone.
+func TestOwnedNamesAreNotDue(t *testing.T) {
+	now := time.Unix(1000, 0)
+	d := &Directory{}
+	d.Snapshot([]bbritem.Item{
+		{Key: entryPrefix + "e1", Revision: 1, Value: encoded(t, entryRecord{Entry: "e1", MilliCPU: 400})},
+		{Key: ClaimKey("press/0"), Revision: 2, Created: 2, Value: encoded(t, claimRecord{Entry: "e1"})},
+	}, now)
+	require.Equal(t, []string{"press/1"}, d.Due([]string{"press/0", "press/1"}, "e1", now.Add(time.Hour)))
+}
--- a/internal/fleet/bbrclaim/keys.go
+++ b/internal/fleet/bbrclaim/keys.go
@@ -16,9 +16,11 @@
 // operators who act at the same time cannot both use up the same budget.
 const DirectivesKey = FleetPrefix + "directives"
 
-// DutyName is the name under which the fleet duty is claimed; no service has
-// it.
+// CellsKey holds the division of the fleet into cells.
+const CellsKey = FleetPrefix + "cells"
+
+// DutyName is the name under which the fleet duty is claimed; no shard has it.
 const DutyName = "~duty"
 
-// ClaimKey returns the key of a service's claim.
-func ClaimKey(service string) string { return claimPrefix + service }
+// ClaimKey returns the key of the claim of a shard's name, or of DutyName.
+func ClaimKey(name string) string { return claimPrefix + name }
--- a/internal/fleet/bbrclaim/watched.go
+++ b/internal/fleet/bbrclaim/watched.go
@@ -4,6 +4,7 @@
 	"net/netip"
 	"slices"
 	"strings"
+	"time"
 
 	"github.com/bluebellridge/bluebellridge/internal/store/bbritem"
 )
@@ -15,24 +16,42 @@
 	Lease bbritem.Lease
 	// Peers is where it can be asked.
 	Peers netip.AddrPort
+	// Succeeded means that one of its claims was another's a short while ago.
+	Succeeded bool
 }
 
 // Watched returns the owners that the entry should watch. In each zone but its
 // own, an owner is watched by the entry whose name comes next after its name; in
 // a fleet of one zone, by the next two.
-func (d *Directory) Watched(entry string) []Owner {
+func (d *Directory) Watched(entry string, now time.Time) []Owner {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	succeeded := d.successors(now)
 	var owners []Owner
 	for _, name := range d.owners() {
 		record := d.entries[name]
 		if name != entry && d.watchers(name)[entry] {
-			owners = append(owners, Owner{Entry: name, Zone: record.Zone, Lease: record.Lease, Peers: record.Peers})
+			owners = append(owners, Owner{Entry: name, Zone: record.Zone, Lease: record.Lease, Peers: record.Peers, Succeeded: succeeded[name]})
 		}
 	}
 	return owners
 }
 
+// successionFor is how long an entry that took another's claim counts as its
+// successor.
+const successionFor = 10 * time.Second
+
+// successors returns the entries that took a claim of another lately.
+func (d *Directory) successors(now time.Time) map[string]bool {
+	successors := make(map[string]bool)
+	for name, ended := range d.ended {
+		if claim, owned := d.claims[name]; owned && now.Sub(ended) < successionFor {
+			successors[claim.Entry] = true
+		}
+	}
+	return successors
+}
+
 // owners returns the names of the entries that hold a claim and can be asked,
 // in order.
 func (d *Directory) owners() []string {
--- a/internal/fleet/bbrmachine/machine.go
+++ b/internal/fleet/bbrmachine/machine.go
@@ -35,6 +35,14 @@
 	Upstream string
 }
 
+// Rack returns the label that names the rack: the last one, as with upstreams.
+func (i *Instance) Rack() string {
+	if len(i.Labels) == 0 {
+		return ""
+	}
+	return i.Labels[len(i.Labels)-1]
+}
+
 // Wave asks for the maintenance of instances.
 type Wave struct {
 	Number    int64
--- a/internal/fleet/bbrreach/watch.go
+++ b/internal/fleet/bbrreach/watch.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"net/netip"
+	"slices"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -42,10 +44,10 @@
 	Directory *bbrclaim.Directory
 	// Ping returns an error where the entry at the address does not answer in
 	// time.
-	Ping func(ctx context.Context, address netip.AddrPort, now time.Time) error
-	// Opinion asks the entry at the address whether it reaches the one about
-	// which it is asked.
-	Opinion func(ctx context.Context, address, about netip.AddrPort, now time.Time) Opinion
+	Ping func(ctx context.Context, address netip.AddrPort, within time.Duration, now time.Time) error
+	// Opinion asks the entry at the address whether it reaches, in time, the one
+	// about which it is asked.
+	Opinion func(ctx context.Context, address, about netip.AddrPort, within time.Duration, now time.Time) Opinion
 	// End ends a lease.
 	End func(ctx context.Context, lease bbritem.Lease) error
 	// Event counts what happened.
@@ -62,6 +64,8 @@
 	watch *Watch
 	bbrclaim.Owner
 	since time.Time
+	// patience is for the owner's answers.
+	patience patience
 	// reached is set by the first answer. One that never answered may be out of
 	// reach by its installation, and is not doubted.
 	reached bool
@@ -90,12 +94,13 @@
 	defer w.mu.Unlock()
 	before := w.watched
 	w.watched = make(map[bbritem.Lease]*owner)
-	for _, found := range w.Directory.Watched(w.Entry) {
+	for _, found := range w.Directory.Watched(w.Entry, now) {
 		o := before[found.Lease]
 		if o == nil {
 			o = &owner{watch: w, Owner: found, since: now}
 		}
 		w.watched[found.Lease] = o
+		o.Succeeded = found.Succeeded
 		if !o.pinging {
 			o.pinging = true
 			w.wg.Go(func() { o.run(ctx, now) })
@@ -106,11 +111,15 @@
 // run pings the owner once, and takes its claims away where it is cut off.
 func (o *owner) run(ctx context.Context, now time.Time) {
 	w := o.watch
-	err := w.Ping(ctx, o.Peers, now)
+	within := o.within()
+	err := w.Ping(ctx, o.Peers, within, now)
+	if err == nil {
+		o.answered(time.Since(now))
+	}
 	ended := false
-	if err != nil && ctx.Err() == nil && o.doubt(now) {
+	if err != nil && ctx.Err() == nil && o.doubt(now, err) {
 		w.Event("reach:doubted")
-		ended = o.judge(ctx, err)
+		ended = o.judge(ctx, err, within)
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -120,10 +129,27 @@
 	o.pinging = false
 }
 
-// doubt tells whether the owner should be judged now.
-func (o *owner) doubt(now time.Time) bool {
+func (o *owner) within() time.Duration {
+	o.watch.mu.Lock()
+	defer o.watch.mu.Unlock()
+	return o.patience.within()
+}
+
+func (o *owner) answered(took time.Duration) {
+	o.watch.mu.Lock()
+	defer o.watch.mu.Unlock()
+	o.patience.answered(took)
+}
+
+// doubt tells whether the owner should be judged now. One that has just
+// succeeded another is judged only if its address refuses connections: what made
+// the other silent may be the load, and then it would take all owners in turn.
+func (o *owner) doubt(now time.Time, reason error) bool {
 	o.watch.mu.Lock()
 	defer o.watch.mu.Unlock()
+	if o.Succeeded && !refused(reason) {
+		return false
+	}
 	if !o.reached || o.ended || now.Sub(o.since) < youngest || now.Sub(o.judged) < judgeEvery {
 		return false
 	}
@@ -133,12 +159,12 @@
 
 // judge asks others, and ends the owner's lease if they agree that it is cut
 // off. It tells whether the lease has ended.
-func (o *owner) judge(ctx context.Context, reason error) bool {
+func (o *owner) judge(ctx context.Context, reason error, within time.Duration) bool {
 	w := o.watch
-	opinions := o.gather(ctx)
+	opinions := o.gather(ctx, within)
 	if !CutOff(opinions) {
-		if o.report() {
-			klog.InfoS("Owner doubted", "entry", o.Entry, "zone", o.Zone, "lease", o.Lease, "reason", reason.Error(), "opinions", names(opinions))
+		if o.report(slices.Contains(opinions, Reached)) {
+			klog.InfoS("Owner doubted", "entry", o.Entry, "zone", o.Zone, "lease", o.Lease, "within", within, "reason", reason.Error(), "opinions", names(opinions))
 		}
 		return false
 	}
@@ -147,7 +173,7 @@
 		klog.InfoS("Owner cut off, its lease cannot be ended", "entry", o.Entry, "zone", o.Zone, "lease", o.Lease, "opinions", names(opinions), "error", err.Error())
 		return false
 	}
-	klog.InfoS("Owner cut off, its lease ended", "entry", o.Entry, "zone", o.Zone, "lease", o.Lease, "reason", reason.Error(), "opinions", names(opinions))
+	klog.InfoS("Owner cut off, its lease ended", "entry", o.Entry, "zone", o.Zone, "lease", o.Lease, "within", within, "reason", reason.Error(), "opinions", names(opinions))
 	w.Event("reach:ended")
 	return true
 }
@@ -166,31 +192,40 @@
 	return err
 }
 
-// report tells whether a line about the doubt is due: one for each time that the
-// owner stops answering.
-func (o *owner) report() bool {
+// report notes that the doubt was false and tells whether a line about it is due:
+// one for each time that the owner stops answering.
+func (o *owner) report(reached bool) bool {
 	o.watch.mu.Lock()
 	defer o.watch.mu.Unlock()
+	if reached {
+		o.patience.reached()
+	}
 	due := !o.reported
 	o.reported = true
 	return due
 }
 
 // gather returns this entry's opinion by another ping, and those of others.
-func (o *owner) gather(ctx context.Context) []Opinion {
+func (o *owner) gather(ctx context.Context, within time.Duration) []Opinion {
 	w := o.watch
 	asked := w.Directory.Sample(askedPerZone, w.Entry, o.Entry)
 	opinions := make([]Opinion, len(asked)+1)
 	var wg sync.WaitGroup
 	for i, address := range asked {
-		wg.Go(func() { opinions[i] = w.Opinion(ctx, address, o.Peers, time.Now()) })
+		wg.Go(func() { opinions[i] = w.Opinion(ctx, address, o.Peers, within, time.Now()) })
 	}
 	bbrpause.For(ctx, confirmAfter)
-	opinions[len(asked)] = OpinionOf(w.Ping(ctx, o.Peers, time.Now()))
+	opinions[len(asked)] = OpinionOf(w.Ping(ctx, o.Peers, within, time.Now()))
 	wg.Wait()
 	return opinions
 }
 
+// refused tells whether the address answered that nobody listens there, which no
+// load brings about.
+func refused(err error) bool {
+	return errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET)
+}
+
 // OpinionOf returns the opinion of an entry whose ping had the outcome.
 func OpinionOf(err error) Opinion {
 	if err != nil {
--- a/internal/fleet/bbrregistry/registry.go
+++ b/internal/fleet/bbrregistry/registry.go
@@ -7,17 +7,28 @@
 
 	"k8s.io/klog/v2"
 
+	"github.com/bluebellridge/bluebellridge/internal/fleet/bbrcell"
 	"github.com/bluebellridge/bluebellridge/internal/job/bbrwork"
 	"github.com/bluebellridge/bluebellridge/internal/store/bbritem"
 )
 
+// Version tells whether the upstreams of a shard may have changed.
+type Version struct {
+	// Service rises with each change of an upstream of the service.
+	Service int64
+	// Racks is how many racks were known to have a cell.
+	Racks int
+}
+
 // Registry is the upstreams by the key of their registration.
 type Registry struct {
 	// Decode reads a registration.
 	Decode func(key string, value []byte) (bbrwork.Upstream, error)
 
-	mu   sync.Mutex
-	ups  map[string]bbrwork.Upstream
+	mu  sync.Mutex
+	ups map[string]bbrwork.Upstream
+	// ids counts the registrations of each upstream's ID.
+	ids  map[string]int
 	seen map[string]bbritem.Revision
 	// numbers rise, by service, with each change of its upstreams.
 	numbers map[string]int64
@@ -44,6 +55,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	clear(r.ups)
+	clear(r.ids)
 	clear(r.seen)
 	for service := range r.numbers {
 		r.numbers[service]++
@@ -60,6 +72,7 @@
 func (r *Registry) apply(item bbritem.Item) {
 	if r.ups == nil {
 		r.ups = make(map[string]bbrwork.Upstream)
+		r.ids = make(map[string]int)
 		r.seen = make(map[string]bbritem.Revision)
 		r.numbers = make(map[string]int64)
 	}
@@ -87,10 +100,20 @@
 	if !known {
 		klog.InfoS("Upstream registered", "upstream", up.ID, "service", up.Service, "revision", item.Revision)
 	}
+	if known {
+		r.forgetID(before.ID)
+	}
 	r.ups[item.Key] = up
+	r.ids[up.ID]++
 	r.numbers[up.Service]++
 }
 
+func (r *Registry) forgetID(id string) {
+	if r.ids[id]--; r.ids[id] <= 0 {
+		delete(r.ids, id)
+	}
+}
+
 func same(a, b bbrwork.Upstream) bool {
 	return a.Life == b.Life && a.Service == b.Service && a.Address == b.Address && a.Zone == b.Zone &&
 		a.Room == b.Room && a.Draining == b.Draining && a.Leaving == b.Leaving && slices.Equal(a.Labels, b.Labels)
@@ -103,6 +126,7 @@
 	}
 	klog.InfoS("Upstream no longer registered", "upstream", up.ID, "service", up.Service)
 	delete(r.ups, key)
+	r.forgetID(up.ID)
 	r.numbers[up.Service]++
 }
 
@@ -110,12 +134,7 @@
 func (r *Registry) Has(id string) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	for _, up := range r.ups {
-		if up.ID == id {
-			return true
-		}
-	}
-	return false
+	return r.ids[id] > 0
 }
 
 // Len returns how many upstreams are listed.
@@ -125,15 +144,23 @@
 	return len(r.ups)
 }
 
-// Of returns the upstreams of a service, and a number that changes with them.
-func (r *Registry) Of(service string) ([]bbrwork.Upstream, int64) {
+// Of returns the upstreams of a shard with their version; none where that is the
+// known one.
+func (r *Registry) Of(shard bbrwork.Shard, cells *bbrcell.Cells, known Version) ([]bbrwork.Upstream, Version) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	version := Version{Service: r.numbers[shard.Service], Racks: cells.Known()}
+	if version == known {
+		return nil, version
+	}
 	var list []bbrwork.Upstream
 	for _, up := range r.ups {
-		if up.Service == service {
+		if up.Service != shard.Service {
+			continue
+		}
+		if cell, placed := cells.Of(up.Rack()); placed && cell == shard.Cell {
 			list = append(list, up)
 		}
 	}
-	return list, r.numbers[service]
+	return list, version
 }
--- a/internal/fleet/bbrupkeep/balance.go
+++ b/internal/fleet/bbrupkeep/balance.go
@@ -9,11 +9,15 @@
 	"github.com/bluebellridge/bluebellridge/internal/fleet/bbrmachine"
 )
 
-// Pool is what a pool asks for.
-type Pool struct {
-	Name string
-	// Spare means that the pool's instances are off.
-	Spare bool
+// Part is the instances of a pool in one cell of the fleet.
+type Part struct {
+	Pool string
+	Cell int
+}
+
+// Need is what a part of a pool asks for.
+type Need struct {
+	Part
 	// MilliCPU is the room that it needs now.
 	MilliCPU int
 	// Keep is how many instances it needs whatever it does.
@@ -26,7 +30,7 @@
 	// fillShare is how much of an instance's room a pool is expected to fill.
 	fillShare = 0.75
 	// reserve is how many instances a pool has beyond its lasting work, so that a
-	// turn of demand begins at once.
+	// turn of demand begins at once. They are shared among the pool's parts.
 	reserve = 4
 	// restFor is how long an instance must have been too many before it goes to
 	// the spare pool. Another pool may take it at once.
@@ -35,23 +39,26 @@
 
 // balance is the state of moving instances between pools.
 type balance struct {
-	// tooMany has when a pool was first seen with more than it needs.
-	tooMany map[string]time.Time
+	// tooMany has when a part was first seen with more than it needs.
+	tooMany map[Part]time.Time
 }
 
-// Balance plans moves from pools that have more than they need to those that
-// have less. Instances of the spare pool come first, since nothing runs there.
-func (p *Planner) Balance(pools []Pool, registered func(life string) bool, now time.Time) []PoolState {
+// Balance plans moves from pools that have more than they need to those of the
+// same cell that have less. Instances of the spare pool, which are off, come
+// first. Pools of cells without a need are left alone.
+func (p *Planner) Balance(needs []Need, spare string, registered func(life string) bool, now time.Time) []PartState {
 	if p.listed.IsZero() {
 		return nil
 	}
 	if p.balance.tooMany == nil {
-		p.balance.tooMany = make(map[string]time.Time)
+		p.balance.tooMany = make(map[Part]time.Time)
 	}
-	members := p.members()
-	b := &balancing{planner: p, now: now, members: members, size: make(map[string]int), want: make(map[string]int), registered: registered}
-	for i := range pools {
-		b.add(&pools[i])
+	p.spare = spare
+	b := &balancing{planner: p, now: now, members: p.members(), want: make(map[Part]int), spare: spare}
+	b.size = p.sizes(registered, now)
+	b.rooms = p.rooms()
+	for i := range needs {
+		b.add(&needs[i])
 	}
 	b.fill()
 	p.short = b.neediest() != nil
@@ -63,44 +70,65 @@
 type balancing struct {
 	planner *Planner
 	now     time.Time
-	// members are the instances that can be moved, by pool, the best first.
-	members map[string][]bbrmachine.Instance
-	pools   []*Pool
-	size    map[string]int
-	want    map[string]int
-	spare   string
-	// registered tells whether the store lists a life.
-	registered func(life string) bool
+	// members are the instances that can be moved, by part, the best first.
+	members map[Part][]bbrmachine.Instance
+	parts   []*Need
+	size    map[Part]int
+	want    map[Part]int
+	// rooms has the processor room of an instance, by pool.
+	rooms map[string]int
+	spare string
+}
+
+// partOf returns the part that an instance belongs to while it is in the pool.
+// It is not known before its rack has a cell.
+func (p *Planner) partOf(instance bbrmachine.Instance, pool string) (Part, bool) {
+	if p.cells == nil {
+		return Part{Pool: pool}, true
+	}
+	cell, known := p.cells.Of(instance.Rack())
+	return Part{Pool: pool, Cell: cell}, known
 }
 
 // members returns the instances that are up, in no task and of no directive, by
-// pool.
-func (p *Planner) members() map[string][]bbrmachine.Instance {
-	members := make(map[string][]bbrmachine.Instance)
+// part.
+func (p *Planner) members() map[Part][]bbrmachine.Instance {
+	members := make(map[Part][]bbrmachine.Instance)
 	for _, id := range slices.Sorted(maps.Keys(p.instances)) {
 		instance := p.instances[id]
 		_, directed := p.directives[id]
-		if instance.Status == bbrmachine.StatusUp && p.tasks[id] == nil && !p.unsure[id] && !directed {
-			members[instance.Pool] = append(members[instance.Pool], instance)
+		part, known := p.partOf(instance, instance.Pool)
+		if known && instance.Status == bbrmachine.StatusUp && p.tasks[id] == nil && !p.unsure[id] && !directed {
+			members[part] = append(members[part], instance)
 		}
 	}
 	return members
 }
 
-// sizeOf counts the instances that work or soon will in a pool.
-func (p *Planner) sizeOf(pool string, registered func(life string) bool, now time.Time) int {
-	count := 0
+// sizes counts the instances that work or soon will, by part.
+func (p *Planner) sizes(registered func(life string) bool, now time.Time) map[Part]int {
+	sizes := make(map[Part]int)
 	for id, instance := range p.instances {
 		home := instance.Pool
 		if t := p.tasks[id]; t != nil {
 			// An instance that a wave takes is not there for a while.
 			home = t.pool
 		}
-		if home == pool && p.counts(instance, registered, now) {
-			count++
+		part, known := p.partOf(instance, home)
+		if known && home != "" && p.counts(instance, registered, now) {
+			sizes[part]++
 		}
 	}
-	return count
+	return sizes
+}
+
+// rooms returns the processor room of an instance, by pool.
+func (p *Planner) rooms() map[string]int {
+	rooms := make(map[string]int)
+	for _, instance := range p.instances {
+		rooms[instance.Pool] = max(rooms[instance.Pool], instance.Room.MilliCPU)
+	}
+	return rooms
 }
 
 // settleIn is how long an instance that is not up and registered still counts:
@@ -114,92 +142,96 @@
 	return instance.Status != bbrmachine.StatusDown && now.Sub(p.standing[instance.ID].since) < settleIn
 }
 
-func (b *balancing) add(pool *Pool) {
-	if pool.Spare {
-		b.spare, b.planner.spare = pool.Name, pool.Name
-		return
-	}
-	b.pools = append(b.pools, pool)
-	b.size[pool.Name] = b.planner.sizeOf(pool.Name, b.registered, b.now)
-	room := b.roomOf(pool.Name)
-	need := int(float64(pool.MilliCPU)/(fillShare*float64(room)) + 1)
-	b.want[pool.Name] = max(need, pool.Keep+reserve)
+func (b *balancing) add(need *Need) {
+	b.parts = append(b.parts, need)
+	room := cmp.Or(b.rooms[need.Pool], defaultRoom)
+	instances := int(float64(need.MilliCPU)/(fillShare*float64(room)) + 1)
+	b.want[need.Part] = max(instances, need.Keep+b.reserve())
 }
 
-// roomOf returns the processor room of an instance of the pool.
-func (b *balancing) roomOf(pool string) int {
-	for _, instance := range b.planner.instances {
-		if instance.Pool == pool && instance.Room.MilliCPU > 0 {
-			return instance.Room.MilliCPU
-		}
-	}
-	return defaultRoom
+// reserve returns how many instances a part has beyond its lasting work.
+func (b *balancing) reserve() int {
+	cells := b.planner.cells.Count()
+	return (reserve + cells - 1) / cells
 }
 
 // defaultRoom is taken for a pool without instances, in thousandths of a core.
 const defaultRoom = 16000
 
-// fill moves instances into the pools that need them, the neediest first.
+// fill moves instances into the parts that need them, the neediest first.
 func (b *balancing) fill() {
+	stuck := make(map[int]bool)
 	for {
-		needy := b.neediest()
+		needy := b.neediestBut(stuck)
 		if needy == nil {
 			return
 		}
-		instance, ok := b.take(needy.Name)
+		instance, ok := b.take(needy.Part)
 		if !ok {
-			return
+			stuck[needy.Cell] = true
+			continue
 		}
-		b.move(instance, needy.Name)
+		b.move(instance, needy.Pool)
 	}
 }
 
-// neediest returns the pool with the smallest share of what it wants.
-func (b *balancing) neediest() *Pool {
-	var needy *Pool
-	for _, pool := range b.pools {
-		if b.size[pool.Name] < b.want[pool.Name] && (needy == nil || b.share(pool) < b.share(needy)) {
-			needy = pool
+// neediest returns the part with the smallest share of what it wants.
+func (b *balancing) neediest() *Need { return b.neediestBut(nil) }
+
+// neediestBut returns the neediest part that is in none of the cells.
+func (b *balancing) neediestBut(cells map[int]bool) *Need {
+	var needy *Need
+	for _, part := range b.parts {
+		if cells[part.Cell] || b.size[part.Part] >= b.want[part.Part] {
+			continue
+		}
+		if needy == nil || b.share(part) < b.share(needy) {
+			needy = part
 		}
 	}
 	return needy
 }
 
-func (b *balancing) share(pool *Pool) float64 {
-	return float64(b.size[pool.Name]) / float64(b.want[pool.Name])
+func (b *balancing) share(part *Need) float64 {
+	return float64(b.size[part.Part]) / float64(b.want[part.Part])
 }
 
-// take returns an instance for a pool: a spare one, or one of the pool that has
-// most more than it needs.
-func (b *balancing) take(pool string) (bbrmachine.Instance, bool) {
-	if spares := b.members[b.spare]; b.spare != "" && len(spares) > 0 {
-		b.members[b.spare] = spares[1:]
+// take returns an instance for a part: a spare one, or one of the part of its
+// cell that has most more than it needs.
+func (b *balancing) take(to Part) (bbrmachine.Instance, bool) {
+	off := Part{Pool: b.spare, Cell: to.Cell}
+	if spares := b.members[off]; b.spare != "" && len(spares) > 0 {
+		b.members[off] = spares[1:]
 		return spares[0], true
 	}
-	givers := slices.Clone(b.pools)
-	slices.SortStableFunc(givers, func(x, y *Pool) int {
-		return cmp.Compare(b.size[y.Name]-b.want[y.Name], b.size[x.Name]-b.want[x.Name])
-	})
+	var givers []*Need
+	for _, giver := range b.parts {
+		if giver.Cell == to.Cell && giver.Pool != to.Pool && b.excess(giver) > 0 {
+			givers = append(givers, giver)
+		}
+	}
+	slices.SortStableFunc(givers, func(x, y *Need) int { return cmp.Compare(b.excess(y), b.excess(x)) })
 	for _, giver := range givers {
-		if giver.Name != pool && b.size[giver.Name] > b.want[giver.Name] {
-			if instance, ok := b.give(giver); ok {
-				return instance, true
-			}
+		if instance, ok := b.give(giver); ok {
+			return instance, true
 		}
 	}
 	return bbrmachine.Instance{}, false
 }
 
-// give takes the next instance that the pool can give away.
-func (b *balancing) give(pool *Pool) (bbrmachine.Instance, bool) {
-	for len(pool.Give) > 0 {
-		life := pool.Give[0]
-		pool.Give = pool.Give[1:]
-		members := b.members[pool.Name]
+// excess returns how many instances a part has more than it wants.
+func (b *balancing) excess(part *Need) int { return b.size[part.Part] - b.want[part.Part] }
+
+// give takes the next instance that the part can give away.
+func (b *balancing) give(part *Need) (bbrmachine.Instance, bool) {
+	for len(part.Give) > 0 {
+		life := part.Give[0]
+		part.Give = part.Give[1:]
+		members := b.members[part.Part]
 		at := slices.IndexFunc(members, func(instance bbrmachine.Instance) bool { return instance.Upstream == life })
 		if at >= 0 {
 			instance := members[at]
-			b.members[pool.Name] = slices.Delete(slices.Clone(members), at, at+1)
+			b.members[part.Part] = slices.Delete(slices.Clone(members), at, at+1)
 			return instance, true
 		}
 	}
@@ -207,27 +239,30 @@
 }
 
 func (b *balancing) move(instance bbrmachine.Instance, pool string) {
-	b.size[instance.Pool]--
-	b.size[pool]++
+	if from, known := b.planner.partOf(instance, instance.Pool); known {
+		b.size[from]--
+		from.Pool = pool
+		b.size[from]++
+	}
 	b.planner.tasks[instance.ID] = &task{instance: instance.ID, pool: pool, life: instance.Upstream, since: b.now}
 }
 
 // rest moves instances that have been too many for a while to the spare pool.
 func (b *balancing) rest() {
-	for _, pool := range b.pools {
+	for _, part := range b.parts {
 		since := b.planner.balance.tooMany
-		if b.size[pool.Name] <= b.want[pool.Name] {
-			delete(since, pool.Name)
+		if b.excess(part) <= 0 {
+			delete(since, part.Part)
 			continue
 		}
-		if since[pool.Name].IsZero() {
-			since[pool.Name] = b.now
+		if since[part.Part].IsZero() {
+			since[part.Part] = b.now
 		}
-		if b.spare == "" || b.now.Sub(since[pool.Name]) < restFor {
+		if b.spare == "" || b.now.Sub(since[part.Part]) < restFor {
 			continue
 		}
-		for b.size[pool.Name] > b.want[pool.Name] {
-			instance, ok := b.give(pool)
+		for b.excess(part) > 0 {
+			instance, ok := b.give(part)
 			if !ok {
 				break
 			}
@@ -236,31 +271,32 @@
 	}
 }
 
-// PoolState is a pool's size and need, for the log.
-type PoolState struct {
-	Name       string
+// PartState is a part's size and need, for the log.
+type PartState struct {
+	Part
 	Size, Want int
 	// Up counts the listed instances that are up, and Tasks those that are being
 	// taken away.
 	Up, Tasks int
 }
 
-func (b *balancing) states() []PoolState {
-	var states []PoolState
-	for _, pool := range b.pools {
-		state := PoolState{Name: pool.Name, Size: b.size[pool.Name], Want: b.want[pool.Name]}
-		for id, instance := range b.planner.instances {
-			if instance.Pool != pool.Name {
-				continue
-			}
-			if instance.Status == bbrmachine.StatusUp {
-				state.Up++
-			}
-			if b.planner.tasks[id] != nil {
-				state.Tasks++
-			}
+func (b *balancing) states() []PartState {
+	up, tasks := make(map[Part]int), make(map[Part]int)
+	for id, instance := range b.planner.instances {
+		part, known := b.planner.partOf(instance, instance.Pool)
+		if !known {
+			continue
 		}
-		states = append(states, state)
+		if instance.Status == bbrmachine.StatusUp {
+			up[part]++
+		}
+		if b.planner.tasks[id] != nil {
+			tasks[part]++
+		}
+	}
+	states := make([]PartState, 0, len(b.parts))
+	for _, part := range b.parts {
+		states = append(states, PartState{Part: part.Part, Size: b.size[part.Part], Want: b.want[part.Part], Up: up[part.Part], Tasks: tasks[part.Part]})
 	}
 	return states
 }
--- /dev/null
+++ b/internal/fleet/bbrupkeep/cells_test.go
@@ -0,0 +1,51 @@
+package bbrupkeep
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/bluebellridge/bluebellridge/internal/fleet/bbrcell"
+)
+
+// TestInstancesMoveWithinTheirCell holds that a part gets instances of its cell
+// only, also where another cell has more than it needs, and that a cell without
+// any to give holds up no other.
+func TestInstancesMoveWithinTheirCell(t *testing.T) {
+	f := newTestFleet(map[string]int{calm: 12, pressed: 4})
+	cells := &bbrcell.Cells{Sizes: []int{8, 8}, Racks: map[string]int{"r0": 0, "r1": 1}}
+	// Cell 0 has 4 instances of calm, and cell 1 has 8; each has 2 of pressed.
+	for i, id := range f.ids {
+		rack := "r1"
+		if i < 4 || i >= 12 && i < 14 {
+			rack = "r0"
+		}
+		f.instances[id].Labels = []string{"a", rack}
+	}
+	p := NewPlanner(testAway)
+	p.Divided(cells)
+	need := func(pool string, cell, instances int) Need {
+		need := ask(pool, instances)
+		need.Cell = cell
+		return need
+	}
+	sizeOf := func(pool string, cell int) int {
+		count := 0
+		for _, instance := range f.instances {
+			if at, _ := cells.Of(instance.Rack()); instance.Pool == pool && at == cell {
+				count++
+			}
+		}
+		return count
+	}
+	for end := f.now.Add(20 * time.Second); f.now.Before(end); {
+		needs := []Need{need(calm, 0, 4), need(pressed, 0, 9), need(calm, 1, 4), need(pressed, 1, 6)}
+		needs[2].Give = f.lives(calm)
+		f.step(p, needs, always, f.carryOut)
+	}
+	require.Equal(t, 4, sizeOf(calm, 0))
+	require.Equal(t, 2, sizeOf(pressed, 0), "its cell has none to give")
+	require.Equal(t, 4, sizeOf(calm, 1))
+	require.Equal(t, 6, sizeOf(pressed, 1))
+}
--- a/internal/fleet/bbrupkeep/keeper.go
+++ b/internal/fleet/bbrupkeep/keeper.go
@@ -14,10 +14,12 @@
 	"github.com/bluebellridge/bluebellridge/internal/base/bbrlog"
 	"github.com/bluebellridge/bluebellridge/internal/base/bbrmetric"
 	"github.com/bluebellridge/bluebellridge/internal/base/bbrpause"
+	"github.com/bluebellridge/bluebellridge/internal/fleet/bbrcell"
 	"github.com/bluebellridge/bluebellridge/internal/fleet/bbrclaim"
 	"github.com/bluebellridge/bluebellridge/internal/fleet/bbrmachine"
 	"github.com/bluebellridge/bluebellridge/internal/job/bbrledger"
 	"github.com/bluebellridge/bluebellridge/internal/job/bbrrecord"
+	"github.com/bluebellridge/bluebellridge/internal/job/bbrwork"
 	"github.com/bluebellridge/bluebellridge/internal/store/bbritem"
 )
 
@@ -39,8 +41,7 @@
 	Metrics *bbrmetric.Set
 	// Confirmed tells whether the claim's lease still stands for certain.
 	Confirmed func(now time.Time) bool
-	// Pools returns the pools of instances by the configuration in force; their
-	// needs are filled in from what the owners report.
+	// Pools returns the pools of instances by the configuration in force.
 	Pools func() []Pool
 	// Registered tells whether the store lists a life of an upstream.
 	Registered func(life string) bool
@@ -61,8 +62,10 @@
 	told time.Time
 	// cleared has the lives that their owners reported as cleared.
 	cleared map[string]bool
-	// demands are by service, as their owners reported them.
-	demands  map[string]bbrledger.Demand
+	// demands are by shard, as their owners reported them.
+	demands map[bbrwork.Shard]bbrledger.Demand
+	// divided is the newest division that was stored.
+	divided  *bbrcell.Cells
 	reserved []string
 	stored   map[int64]waveState
 	mu       sync.Mutex
@@ -103,7 +106,7 @@
 func (k *Keeper) Run(ctx context.Context, away time.Duration) {
 	k.planner = NewPlanner(away)
 	k.cleared = make(map[string]bool)
-	k.demands = make(map[string]bbrledger.Demand)
+	k.demands = make(map[bbrwork.Shard]bbrledger.Demand)
 	k.stored = make(map[int64]waveState)
 	k.ordering = make(map[string]bool)
 	k.intents = intents{held: k.Held, store: k.Store, apart: k.Lease + orderSlack}
@@ -167,7 +170,8 @@
 	}
 	k.planner.Unsure(k.intents.unsure(now))
 	k.learnDirectives(now)
-	k.tell(k.planner.Balance(k.needs(), k.Registered, now), now)
+	pools := k.Pools()
+	k.tell(k.planner.Balance(k.needs(pools), spareOf(pools), k.Registered, now), now)
 	orders := k.planner.Round(k.isCleared, now)
 	k.mu.Unlock()
 	if err := k.intents.record(ctx, orders, time.Now()); err != nil {
@@ -183,14 +187,14 @@
 // tellEvery is between two lines about the pools.
 const tellEvery = 2 * time.Second
 
-func (k *Keeper) tell(pools []PoolState, now time.Time) {
+func (k *Keeper) tell(parts []PartState, now time.Time) {
 	if now.Sub(k.told) < tellEvery {
 		return
 	}
 	k.told = now
-	for _, pool := range pools {
-		klog.InfoS("Pool", "pool", pool.Name, "token", k.Held.Token, "size", pool.Size, "want", pool.Want, "up", pool.Up,
-			"inWork", pool.Tasks, "listAge", now.Sub(k.listRead).Round(time.Millisecond))
+	for _, part := range parts {
+		klog.InfoS("Pool", "pool", part.Pool, "cell", part.Cell, "token", k.Held.Token, "size", part.Size, "want", part.Want, "up", part.Up,
+			"inWork", part.Tasks, "listAge", now.Sub(k.listRead).Round(time.Millisecond))
 	}
 }
 
@@ -257,6 +261,9 @@
 	if err != nil {
 		return err
 	}
+	if err := k.divide(ctx, instances); err != nil {
+		return err
+	}
 	k.listRead = now
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -264,6 +271,49 @@
 	return nil
 }
 
+// divide gives racks that are new a cell. An owner may use their instances only
+// once that is stored.
+func (k *Keeper) divide(ctx context.Context, instances []bbrmachine.Instance) error {
+	if len(instances) == 0 {
+		return nil
+	}
+	stored, err := k.storedCells(ctx)
+	if err != nil {
+		return err
+	}
+	cells := stored.Divide(instances)
+	if cells != stored {
+		_, err = k.Store.Commit(ctx, bbritem.Transaction{
+			Conditions: []bbritem.Condition{k.Held.Condition()},
+			Puts:       []bbritem.Put{{Key: bbrclaim.CellsKey, Value: bbrrecord.Encode(cells)}},
+		})
+		if err != nil {
+			return err
+		}
+	}
+	k.divided = cells
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.planner.Divided(cells)
+	return nil
+}
+
+// storedCells returns the division that the store has. Only the holder of the
+// duty changes it, so it is read once.
+func (k *Keeper) storedCells(ctx context.Context) (*bbrcell.Cells, error) {
+	if k.divided != nil {
+		return k.divided, nil
+	}
+	item, err := k.Store.Get(ctx, bbrclaim.CellsKey)
+	if errors.Is(err, bbritem.ErrNotFound) {
+		return nil, nil
+	}
+	if err != nil {
+		return nil, err
+	}
+	return bbrcell.Parse(item.Value)
+}
+
 // readReports learns what the owners need, and which reserved upstreams they
 // have cleared.
 func (k *Keeper) readReports(ctx context.Context, now time.Time) error {
@@ -281,8 +331,12 @@
 		for _, id := range record.Cleared {
 			k.cleared[id] = slices.Contains(k.reserved, id)
 		}
+		shard, err := bbrwork.ParseShard(strings.TrimPrefix(item.Key, bbrrecord.SequencePrefix))
+		if err != nil {
+			return err
+		}
 		if now.Sub(record.At) < reportFor {
-			k.demands[strings.TrimPrefix(item.Key, bbrrecord.SequencePrefix)] = record.Demand
+			k.demands[shard] = record.Demand
 		}
 	}
 	return nil
@@ -291,18 +345,46 @@
 // reportFor is how long a report counts. Owners report more often than that.
 const reportFor = 4 * time.Second
 
-// needs returns the pools with what their owners ask for. Without a recent
-// report of every pool that has an owner, nothing is moved.
-func (k *Keeper) needs() []Pool {
-	pools := k.Pools()
-	for i := range pools {
-		demand, reported := k.demands[pools[i].Name]
-		if !reported && k.Owned(pools[i].Name) {
-			return nil
+// Pool is a pool of instances.
+type Pool struct {
+	Name string
+	// Spare means that the pool's instances are off.
+	Spare bool
+}
+
+func spareOf(pools []Pool) string {
+	for _, pool := range pools {
+		if pool.Spare {
+			return pool.Name
+		}
+	}
+	return ""
+}
+
+// needs returns what the owners ask for. Without a recent report of every owner
+// in a cell, nothing is moved there.
+func (k *Keeper) needs(pools []Pool) []Need {
+	var needs []Need
+	for cell := range k.divided.Count() {
+		if in, whole := k.needsOf(cell, pools); whole {
+			needs = append(needs, in...)
+		}
+	}
+	return needs
+}
+
+func (k *Keeper) needsOf(cell int, pools []Pool) (needs []Need, whole bool) {
+	for _, pool := range pools {
+		if pool.Spare {
+			continue
+		}
+		demand, reported := k.demands[bbrwork.Shard{Service: pool.Name, Cell: cell}]
+		if !reported && k.Owned(pool.Name) {
+			return nil, false
 		}
-		pools[i].MilliCPU, pools[i].Keep, pools[i].Give = demand.MilliCPU, demand.Keep, demand.Give
+		needs = append(needs, Need{Part: Part{Pool: pool.Name, Cell: cell}, MilliCPU: demand.MilliCPU, Keep: demand.Keep, Give: demand.Give})
 	}
-	return pools
+	return needs, true
 }
 
 // isCleared tells whether an instance can be taken away: nothing runs in its
--- a/internal/fleet/bbrupkeep/planner.go
+++ b/internal/fleet/bbrupkeep/planner.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/bluebellridge/bluebellridge/internal/fleet/bbrcell"
 	"github.com/bluebellridge/bluebellridge/internal/fleet/bbrmachine"
 )
 
@@ -27,6 +28,8 @@
 	balance balance
 	// spare is the pool whose instances are off; empty for none.
 	spare string
+	// cells is the division of the fleet; nil leaves it whole.
+	cells *bbrcell.Cells
 	// unsure has the instances that an earlier holder may still order.
 	unsure map[string]bool
 	// directives are what operators ask of instances.
@@ -93,6 +96,9 @@
 // order: they are left alone, and count as away.
 func (p *Planner) Unsure(instances map[string]bool) { p.unsure = instances }
 
+// Divided tells the planner of the division of the fleet.
+func (p *Planner) Divided(cells *bbrcell.Cells) { p.cells = cells }
+
 // Listed tells the planner of a list of instances that was asked for at sent.
 func (p *Planner) Listed(list []bbrmachine.Instance, sent time.Time) {
 	p.instances = make(map[string]bbrmachine.Instance, len(list))
--- a/internal/job/bbrintake/acceptor.go
+++ b/internal/job/bbrintake/acceptor.go
@@ -14,7 +14,7 @@
 )
 
 const (
-	// jobEntries is what a job takes of a transaction: two conditions and a put.
+	// jobEntries is what a job takes of a transaction: a condition and two puts.
 	jobEntries = 3
 	maxBatch   = bbritem.MaxTransaction / jobEntries
 	// acceptGather is how long a job waits for others to share its transaction.
@@ -186,9 +186,7 @@
 // stored returns the code for a job that the store turned out to have already,
 // or 0.
 func stored(conflict *bbritem.Conflict, s *submission) bbrcode.Code {
-	_, active := conflict.Items[bbrrecord.JobKey(s.job.ID)]
-	_, ended := conflict.Items[bbrrecord.EndedKey(s.job.ID)]
-	if active || ended {
+	if _, known := conflict.Items[bbrrecord.StatusKey(s.job.ID)]; known {
 		return bbrcode.AlreadyStored
 	}
 	return 0
@@ -197,9 +195,10 @@
 func (w *writer) transaction() bbritem.Transaction {
 	var transaction bbritem.Transaction
 	for _, s := range w.batch {
-		transaction.Conditions = append(transaction.Conditions,
-			bbritem.Condition{Key: bbrrecord.JobKey(s.job.ID)}, bbritem.Condition{Key: bbrrecord.EndedKey(s.job.ID)})
-		transaction.Puts = append(transaction.Puts, bbritem.Put{Key: bbrrecord.JobKey(s.job.ID), Value: bbrrecord.Encode(s.job)})
+		transaction.Conditions = append(transaction.Conditions, bbritem.Condition{Key: bbrrecord.StatusKey(s.job.ID)})
+		transaction.Puts = append(transaction.Puts,
+			bbritem.Put{Key: bbrrecord.StatusKey(s.job.ID), Value: bbrrecord.Encode(bbrrecord.StatusOf(s.job))},
+			bbritem.Put{Key: bbrrecord.JobKey(s.job.Shard(), s.job.ID), Value: bbrrecord.Encode(s.job)})
 	}
 	return transaction
 }
--- a/internal/job/bbrintake/intake.go
+++ b/internal/job/bbrintake/intake.go
@@ -6,8 +6,10 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"k8s.io/klog/v2"
 
 	"github.com/bluebellridge/bluebellridge/internal/base/bbrcode"
+	"github.com/bluebellridge/bluebellridge/internal/fleet/bbrcell"
 	"github.com/bluebellridge/bluebellridge/internal/job/bbrrecord"
 	"github.com/bluebellridge/bluebellridge/internal/job/bbrwork"
 	"github.com/bluebellridge/bluebellridge/internal/store/bbritem"
@@ -19,10 +21,14 @@
 	Store    *bbritem.Store
 	// Config returns the configuration in force, or nil.
 	Config func() *bbrwork.Config
-	// AskOwner returns the state of a job from its service's owner, where there is
+	// Cells returns the division of the fleet.
+	Cells func() *bbrcell.Cells
+	// Places remembers where jobs run.
+	Places Places
+	// AskOwner returns the state of a job from its shard's owner, where there is
 	// one that knows; nil where owners cannot be asked.
-	AskOwner func(ctx context.Context, service, id string, now time.Time) (state bbrwork.State, known bool)
-	// TellOwner tells the service's owner of a job that was stored just now, at
+	AskOwner func(ctx context.Context, shard bbrwork.Shard, id string, now time.Time) (state bbrwork.State, known bool)
+	// TellOwner tells the shard's owner of a job that was stored just now, at
 	// the revision, and does not wait; nil for nobody. The owner would hear of it
 	// from the store a little later.
 	TellOwner func(job *bbrwork.Job, stored bbritem.Revision, now time.Time)
@@ -36,8 +42,13 @@
 		return bbrcode.StoreAway
 	}
 	job.ID, job.Queue, job.Service, job.Accepted = id, queue.Name, queue.Service, now.Round(0)
+	job.Cell = i.Cells().Choose(job, i.Config().Home(queue.Service))
 	code, stored := i.Acceptor.Accept(job, by)
-	if stored != 0 && i.TellOwner != nil {
+	if stored == 0 {
+		return code
+	}
+	i.Places.Learn(id, job.Shard())
+	if i.TellOwner != nil {
 		i.TellOwner(job, stored, now)
 	}
 	return code
@@ -46,56 +57,59 @@
 // State returns the state of a job of the queue, from its owner or else from
 // the store. That a job does not exist is told by the store only.
 func (i *Intake) State(ctx context.Context, queue *bbrwork.Queue, id string, now time.Time) (bbrwork.State, bbrcode.Code) {
-	if i.AskOwner != nil {
-		if state, known := i.AskOwner(ctx, queue.Service, id, now); known {
+	asked, located := i.Places.Find(id, queue.Service, i.Cells().Count())
+	if located {
+		if state, known := i.ask(ctx, asked, id, now); known {
 			return state, bbrcode.StateTold
 		}
 	}
-	state, err := i.ended(ctx, id)
-	if errors.Is(err, bbritem.ErrNotFound) {
-		state, err = i.active(ctx, id)
-	}
-	if errors.Is(err, bbritem.ErrNotFound) {
-		// The job may have ended between the two reads.
-		state, err = i.ended(ctx, id)
-	}
+	status, err := i.status(ctx, id)
 	switch {
 	case errors.Is(err, bbritem.ErrNotFound):
 		return "", bbrcode.UnknownJob
 	case err != nil:
 		return "", bbrcode.StoreAway
-	default:
-		return state, bbrcode.StateTold
+	case status.State != "":
+		return status.State, bbrcode.StateTold
 	}
+	i.Places.Learn(id, status.Shard())
+	if shard := status.Shard(); !located || shard != asked {
+		if state, known := i.ask(ctx, shard, id, now); known {
+			return state, bbrcode.StateTold
+		}
+	}
+	return i.active(ctx, status.Shard(), id)
 }
 
-func (i *Intake) ended(ctx context.Context, id string) (bbrwork.State, error) {
-	item, err := i.Store.Get(ctx, bbrrecord.EndedKey(id))
-	if err != nil {
-		return "", err
+// ask returns the state of a job from its shard's owner.
+func (i *Intake) ask(ctx context.Context, shard bbrwork.Shard, id string, now time.Time) (bbrwork.State, bool) {
+	if i.AskOwner == nil {
+		return "", false
 	}
-	var record bbrrecord.Ended
-	if err := json.Unmarshal(item.Value, &record); err != nil {
-		return "", err
-	}
-	return record.State, nil
+	return i.AskOwner(ctx, shard, id, now)
 }
 
-// active returns the state of a job that has not ended.
-func (i *Intake) active(ctx context.Context, id string) (bbrwork.State, error) {
-	item, err := i.Store.Get(ctx, bbrrecord.JobKey(id))
+// status reads the short record of a job.
+func (i *Intake) status(ctx context.Context, id string) (bbrrecord.Status, error) {
+	var status bbrrecord.Status
+	item, err := i.Store.Get(ctx, bbrrecord.StatusKey(id))
 	if err != nil {
-		return "", err
+		return status, err
 	}
-	var job bbrwork.Job
-	if err := json.Unmarshal(item.Value, &job); err != nil {
-		return "", err
-	}
-	_, err = i.Store.Get(ctx, bbrrecord.ProgressKey(job.Service, id))
-	if errors.Is(err, bbritem.ErrNotFound) {
-		return bbrwork.Pending, nil
+	return status, json.Unmarshal(item.Value, &status)
+}
+
+// active returns the state of a job that has not ended.
+func (i *Intake) active(ctx context.Context, shard bbrwork.Shard, id string) (bbrwork.State, bbrcode.Code) {
+	_, err := i.Store.Get(ctx, bbrrecord.ProgressKey(shard, id))
+	switch {
+	case errors.Is(err, bbritem.ErrNotFound):
+		return bbrwork.Pending, bbrcode.StateTold
+	case err != nil:
+		return "", bbrcode.StoreAway
+	default:
+		return bbrwork.Running, bbrcode.StateTold
 	}
-	return bbrwork.Running, err
 }
 
 // Cancel stores a demand to cancel a job.
@@ -119,36 +133,42 @@
 const cancelAttempts = 3
 
 func (i *Intake) tryCancel(ctx context.Context, id string) (bbrcode.Code, error) {
-	item, err := i.Store.Get(ctx, bbrrecord.JobKey(id))
+	item, err := i.Store.Get(ctx, bbrrecord.StatusKey(id))
 	if errors.Is(err, bbritem.ErrNotFound) {
-		_, err := i.ended(ctx, id)
-		if errors.Is(err, bbritem.ErrNotFound) {
-			return bbrcode.UnknownJob, nil
-		}
-		return bbrcode.CancelStored, err
+		return bbrcode.UnknownJob, nil
 	}
 	if err != nil {
 		return 0, err
 	}
+	var status bbrrecord.Status
+	if err := json.Unmarshal(item.Value, &status); err != nil {
+		return 0, err
+	}
+	if status.State != "" {
+		return bbrcode.CancelStored, nil
+	}
 	_, err = i.Store.Commit(ctx, bbritem.Transaction{
-		Conditions: []bbritem.Condition{{Key: bbrrecord.JobKey(id), Revision: item.Revision}},
-		Puts:       []bbritem.Put{{Key: bbrrecord.CancelKey(id), Value: []byte("{}")}},
+		Conditions: []bbritem.Condition{{Key: item.Key, Revision: item.Revision}},
+		Puts:       []bbritem.Put{{Key: bbrrecord.CancelKey(status.Shard(), id), Value: []byte("{}")}},
 	})
 	return bbrcode.CancelStored, err
 }
 
-// Waiting returns how many jobs of the queue have nothing started.
+// Waiting returns how many jobs of the queue have nothing started, by the last
+// reports of its service's owners.
 func (i *Intake) Waiting(ctx context.Context, queue *bbrwork.Queue) (int, bbrcode.Code) {
-	item, err := i.Store.Get(ctx, bbrrecord.SequenceKey(queue.Service))
-	if errors.Is(err, bbritem.ErrNotFound) {
-		return 0, bbrcode.StateTold
-	}
+	items, _, err := i.Store.All(ctx, bbrrecord.SequencesOf(queue.Service))
 	if err != nil {
 		return 0, bbrcode.StoreAway
 	}
-	var record bbrrecord.Sequence
-	if err := json.Unmarshal(item.Value, &record); err != nil {
-		return 0, bbrcode.StoreAway
+	waiting := 0
+	for _, item := range items {
+		var record bbrrecord.Sequence
+		if err := json.Unmarshal(item.Value, &record); err != nil {
+			klog.ErrorS(err, "Owner's report unreadable", "key", item.Key, "revision", item.Revision)
+			return 0, bbrcode.StoreAway
+		}
+		waiting += record.Waiting[queue.Name]
 	}
-	return record.Waiting[queue.Name], bbrcode.StateTold
+	return waiting, bbrcode.StateTold
 }
--- /dev/null
+++ b/internal/job/bbrintake/places.go
@@ -0,0 +1,42 @@
+package bbrintake
+
+import (
+	"sync"
+
+	lru "github.com/hashicorp/golang-lru/v2"
+
+	"github.com/bluebellridge/bluebellridge/internal/job/bbrwork"
+)
+
+// maxPlaces bounds the jobs whose place an entry remembers. Callers mostly ask
+// the entry that took their job; for others the store is read once.
+const maxPlaces = 4096
+
+// Places remembers the shards of jobs. The zero value is ready.
+type Places struct {
+	once  sync.Once
+	cache *lru.Cache[string, bbrwork.Shard]
+}
+
+// Learn notes the shard of a job, which never changes.
+func (p *Places) Learn(id string, shard bbrwork.Shard) { p.shards().Add(id, shard) }
+
+// Find returns the shard of a job where it is remembered, or where a fleet of
+// one cell leaves no choice.
+func (p *Places) Find(id, service string, cells int) (bbrwork.Shard, bool) {
+	if shard, known := p.shards().Get(id); known {
+		return shard, true
+	}
+	return bbrwork.Shard{Service: service}, cells == 1
+}
+
+func (p *Places) shards() *lru.Cache[string, bbrwork.Shard] {
+	p.once.Do(func() {
+		cache, err := lru.New[string, bbrwork.Shard](maxPlaces)
+		if err != nil {
+			panic(err) // It fails for a size below 1 only.
+		}
+		p.cache = cache
+	})
+	return p.cache
+}
--- a/internal/job/bbrledger/ledger.go
+++ b/internal/job/bbrledger/ledger.go
@@ -34,10 +34,10 @@
 	clockMargin = 30 * time.Millisecond
 )
 
-// Ledger is the memory of a service's owner. Its methods are called by one
+// Ledger is the memory of a shard's owner. Its methods are called by one
 // goroutine at a time.
 type Ledger struct {
-	Service string
+	Shard bbrwork.Shard
 	// Token is the fencing token of all orders.
 	Token  int64
 	Timing Timing
@@ -82,9 +82,9 @@
 
 // New returns an empty ledger whose claim began now. Without an earlier owner,
 // nothing can be running yet.
-func New(service string, token int64, timing Timing, fresh bool, now time.Time) *Ledger {
+func New(shard bbrwork.Shard, token int64, timing Timing, fresh bool, now time.Time) *Ledger {
 	return &Ledger{
-		Service:   service,
+		Shard:     shard,
 		Token:     token,
 		Timing:    timing,
 		config:    bbrwork.NewConfig(0, nil, nil, bbrwork.Limits{}),
--- a/internal/job/bbrledger/store.go
+++ b/internal/job/bbrledger/store.go
@@ -204,7 +204,7 @@
 // Accepted adds a job with its stored progress, which may be empty. A job that
 // is known already is left as it is.
 func (l *Ledger) Accepted(in *bbrwork.Job, progress []byte, now time.Time) {
-	if _, ended := l.endedJobs[in.ID]; ended || l.jobs[in.ID] != nil || in.Service != l.Service {
+	if _, ended := l.endedJobs[in.ID]; ended || l.jobs[in.ID] != nil || in.Shard() != l.Shard {
 		return
 	}
 	j := newJob(in, l.config.Queues[in.Queue], now)
--- a/internal/job/bbrowner/flusher.go
+++ b/internal/job/bbrowner/flusher.go
@@ -90,7 +90,7 @@
 		return
 	}
 	if err := f.flush(ctx); err != nil {
-		klog.InfoS("Last storing failed", "service", f.owner.Held.Service, "reason", err.Error())
+		klog.InfoS("Last storing failed", "shard", f.owner.Shard, "reason", err.Error())
 	}
 }
 
@@ -214,14 +214,14 @@
 	o := f.owner
 	s := &o.sequence
 	s.number++
-	key := bbrrecord.SequenceKey(o.Held.Service)
+	key := bbrrecord.SequenceKey(o.Shard)
 	record := bbrrecord.Sequence{Token: int64(o.Held.Token), Number: s.number, Waiting: told.waiting, Cleared: told.cleared, Demand: told.demand, At: now}
 	transaction := bbritem.Transaction{
 		Conditions: []bbritem.Condition{o.Held.Condition(), {Key: key, Revision: s.revision}},
 		Puts:       []bbritem.Put{{Key: key, Value: bbrrecord.Encode(record)}},
 	}
 	if batch.Entitle != nil {
-		transaction.Puts = append(transaction.Puts, bbritem.Put{Key: bbrrecord.LivesKey(o.Held.Service), Value: bbrrecord.Encode(batch.Entitle)})
+		transaction.Puts = append(transaction.Puts, bbritem.Put{Key: bbrrecord.LivesKey(o.Shard), Value: bbrrecord.Encode(batch.Entitle)})
 	}
 	for _, write := range batch.Writes {
 		addWrite(&transaction, write, now)
@@ -237,21 +237,21 @@
 func addWrite(transaction *bbritem.Transaction, write bbrledger.Write, now time.Time) {
 	job := write.Job
 	if write.Final == "" {
-		transaction.Puts = append(transaction.Puts, bbritem.Put{Key: bbrrecord.ProgressKey(job.Service, job.ID), Value: write.Progress})
+		transaction.Puts = append(transaction.Puts, bbritem.Put{Key: bbrrecord.ProgressKey(job.Shard(), job.ID), Value: write.Progress})
 		return
 	}
-	ended := bbrrecord.Ended{State: write.Final, Queue: job.Queue, At: now}
-	transaction.Puts = append(transaction.Puts, bbritem.Put{Key: bbrrecord.EndedKey(job.ID), Value: bbrrecord.Encode(ended)})
-	transaction.Removals = append(transaction.Removals, bbrrecord.JobKey(job.ID))
+	ended := bbrrecord.StatusOf(job).Ended(write.Final, now)
+	transaction.Puts = append(transaction.Puts, bbritem.Put{Key: bbrrecord.StatusKey(job.ID), Value: bbrrecord.Encode(ended)})
+	transaction.Removals = append(transaction.Removals, bbrrecord.JobKey(job.Shard(), job.ID))
 	if write.HasProgress {
-		transaction.Removals = append(transaction.Removals, bbrrecord.ProgressKey(job.Service, job.ID))
+		transaction.Removals = append(transaction.Removals, bbrrecord.ProgressKey(job.Shard(), job.ID))
 	}
 	if write.HasCancel {
-		transaction.Removals = append(transaction.Removals, bbrrecord.CancelKey(job.ID))
+		transaction.Removals = append(transaction.Removals, bbrrecord.CancelKey(job.Shard(), job.ID))
 	}
 }
 
-var errReplaced = errors.New("another owner has the service")
+var errReplaced = errors.New("another owner has the shard")
 
 // settle commits until the outcome is known: a transaction whose answer was
 // lost is sent again, and what the store says of the sequence tells whether an
@@ -282,7 +282,7 @@
 
 func (f *flusher) settleConflict(conflict *bbritem.Conflict, number int64, lost bool) (bbritem.Revision, error) {
 	o := f.owner
-	item := conflict.Items[bbrrecord.SequenceKey(o.Held.Service)]
+	item := conflict.Items[bbrrecord.SequenceKey(o.Shard)]
 	var record bbrrecord.Sequence
 	mine := json.Unmarshal(item.Value, &record) == nil && record.Token == int64(o.Held.Token) && record.Number == number
 	if lost && mine {
--- a/internal/job/bbrowner/jobs.go
+++ b/internal/job/bbrowner/jobs.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -19,7 +18,7 @@
 func (o *Owner) accept(jobs, progress []bbritem.Item, now time.Time) {
 	stored := make(map[string][]byte, len(progress))
 	for _, item := range progress {
-		stored[strings.TrimPrefix(item.Key, bbrrecord.ProgressPrefix(o.Held.Service))] = item.Value
+		stored[bbrrecord.JobID(item.Key)] = item.Value
 	}
 	for _, item := range jobs {
 		var job bbrwork.Job
@@ -46,7 +45,7 @@
 }
 
 func (o *Owner) loadLives(ctx context.Context) ([]bbrwork.Upstream, error) {
-	item, err := o.Store.Get(ctx, bbrrecord.LivesKey(o.Held.Service))
+	item, err := o.Store.Get(ctx, bbrrecord.LivesKey(o.Shard))
 	if errors.Is(err, bbritem.ErrNotFound) {
 		return nil, nil
 	}
@@ -67,13 +66,13 @@
 func (o *Owner) runCancels(ctx context.Context) {
 	failing := false
 	for ctx.Err() == nil {
-		items, _, err := o.Store.All(ctx, bbrrecord.CancelPrefix)
+		items, _, err := o.Store.All(ctx, bbrrecord.CancelsOf(o.Shard))
 		if err == nil {
 			o.cancel(items, time.Now())
 		}
 		if (err != nil) != failing && ctx.Err() == nil {
 			failing = err != nil
-			klog.InfoS("Reading of cancellations changed", "service", o.Held.Service, "failing", failing)
+			klog.InfoS("Reading of cancellations changed", "shard", o.Shard, "failing", failing)
 		}
 		bbrpause.For(ctx, cancelEvery)
 	}
@@ -83,7 +82,7 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	for _, item := range items {
-		o.ledger.Cancel(strings.TrimPrefix(item.Key, bbrrecord.CancelPrefix), now)
+		o.ledger.Cancel(bbrrecord.JobID(item.Key), now)
 	}
 	if len(items) > 0 {
 		o.poke()
--- a/internal/job/bbrowner/owner.go
+++ b/internal/job/bbrowner/owner.go
@@ -12,6 +12,7 @@
 	"github.com/bluebellridge/bluebellridge/internal/base/bbrmetric"
 	"github.com/bluebellridge/bluebellridge/internal/base/bbrpause"
 	"github.com/bluebellridge/bluebellridge/internal/fleet/bbrclaim"
+	"github.com/bluebellridge/bluebellridge/internal/fleet/bbrregistry"
 	"github.com/bluebellridge/bluebellridge/internal/job/bbrledger"
 	"github.com/bluebellridge/bluebellridge/internal/job/bbrorder"
 	"github.com/bluebellridge/bluebellridge/internal/job/bbrrecord"
@@ -23,9 +24,10 @@
 // are by upstream.
 type AdviseFunc func(ctx context.Context, step string, upstreams []string) (tickets map[string]string, valid time.Duration, err error)
 
-// Owner runs one service.
+// Owner runs one shard.
 type Owner struct {
 	Held    bbrclaim.Held
+	Shard   bbrwork.Shard
 	Store   *bbritem.Store
 	Orders  *bbrorder.Orders
 	Advise  AdviseFunc
@@ -36,9 +38,9 @@
 	Confirmed func(now time.Time) bool
 	// Config returns the configuration in force.
 	Config func() *bbrwork.Config
-	// Registered returns the service's upstreams that the store lists, and a
-	// number that changes with them.
-	Registered func(service string) ([]bbrwork.Upstream, int64)
+	// Registered returns the shard's upstreams that the store lists, with their
+	// version; none where that is the known one.
+	Registered func(shard bbrwork.Shard, known bbrregistry.Version) ([]bbrwork.Upstream, bbrregistry.Version)
 	// Reserved returns the upstreams that planned work takes, and the revision
 	// of their last change.
 	Reserved func() (map[string]bool, bbritem.Revision)
@@ -47,8 +49,8 @@
 	ledger *bbrledger.Ledger
 	// loaded is the revision as of which everything stored is in the ledger.
 	loaded bbritem.Revision
-	// registry is the number of the registrations that the ledger knows.
-	registry int64
+	// registry is the version of the registrations that the ledger knows.
+	registry bbrregistry.Version
 	version  int64
 	// reservation is the revision of the reservations that the ledger knows.
 	reservation bbritem.Revision
@@ -78,7 +80,7 @@
 	loadRetry     = 150 * time.Millisecond
 )
 
-// Run owns the service until ctx ends or the claim turns out to be lost.
+// Run owns the shard until ctx ends or the claim turns out to be lost.
 func (o *Owner) Run(ctx context.Context) {
 	ctx, o.replaced = context.WithCancel(ctx)
 	defer o.replaced()
@@ -90,8 +92,8 @@
 	if !ok {
 		return
 	}
-	klog.InfoS("Owner began", "service", o.Held.Service, "token", o.Held.Token, "jobs", o.ledger.Len(), "took", time.Since(began).Round(time.Millisecond))
-	jobs := bbritem.Follower{Store: o.Store, Prefix: bbrrecord.JobPrefix, Wait: jobWatch, Gather: jobGather, Snapshot: o.jobsSnapshot, Change: o.jobChanged}
+	klog.InfoS("Owner began", "shard", o.Shard, "token", o.Held.Token, "jobs", o.ledger.Len(), "took", time.Since(began).Round(time.Millisecond))
+	jobs := bbritem.Follower{Store: o.Store, Prefix: bbrrecord.JobsOf(o.Shard), Wait: jobWatch, Gather: jobGather, Snapshot: o.jobsSnapshot, Change: o.jobChanged}
 	jobs.From(at, began)
 	o.wg.Go(func() { jobs.Run(ctx) })
 	o.wg.Go(func() { o.runCancels(ctx) })
@@ -105,7 +107,7 @@
 	o.wg.Wait()
 	endFlushing()
 	flushed.Wait()
-	klog.InfoS("Owner ended", "service", o.Held.Service, "token", o.Held.Token)
+	klog.InfoS("Owner ended", "shard", o.Shard, "token", o.Held.Token)
 }
 
 // jobWatch is how long a watch for jobs lasts. One that hears nothing of what
@@ -161,7 +163,7 @@
 	}
 }
 
-// loadEvery is between two lines about what the service has and uses.
+// loadEvery is between two lines about what the shard has and uses.
 const loadEvery = time.Second
 
 func (o *Owner) tellLoad(now time.Time) {
@@ -170,7 +172,7 @@
 	}
 	o.loadTold = now
 	load := o.ledger.Load(now)
-	klog.InfoS("Load", "service", o.Held.Service, "token", o.Held.Token, "jobs", load.Jobs, "late", load.Late,
+	klog.InfoS("Load", "shard", o.Shard, "token", o.Held.Token, "jobs", load.Jobs, "late", load.Late,
 		"upstreams", load.Upstreams, "reached", load.Reached, "reserved", load.Reserved, "suspect", load.Suspect, "silent", load.Silent,
 		"runs", load.Runs, "unconfirmed", load.Unconfirmed, "waitingUnits", load.WaitingUnits, "demandMilliCPU", load.Demand.MilliCPU, "keep", load.Demand.Keep,
 		"milliCPU", load.Used.MilliCPU, "ofMilliCPU", load.Room.MilliCPU, "memoryMB", load.Used.MemoryMB, "ofMemoryMB", load.Room.MemoryMB)
@@ -186,11 +188,11 @@
 		o.reservation = revision
 		o.ledger.Reserve(reserved, now)
 	}
-	registered, number := o.Registered(o.Held.Service)
-	if number == o.registry {
+	registered, version := o.Registered(o.Shard, o.registry)
+	if version == o.registry {
 		return
 	}
-	o.registry = number
+	o.registry = version
 	listed := make(map[string]bool, len(registered))
 	for _, up := range registered {
 		listed[up.ID] = true
@@ -235,20 +237,20 @@
 // log writes the ledger's decisions.
 func (o *Owner) log(notes []bbrledger.Note, dropped int) {
 	for _, note := range notes {
-		klog.InfoS(note.Text, append([]any{"service", o.Held.Service, "token", o.Held.Token}, note.Fields...)...)
+		klog.InfoS(note.Text, append([]any{"shard", o.Shard, "token", o.Held.Token}, note.Fields...)...)
 	}
 	if dropped > 0 {
-		klog.InfoS("Decisions not logged", "service", o.Held.Service, "count", dropped)
+		klog.InfoS("Decisions not logged", "shard", o.Shard, "count", dropped)
 	}
 }
 
 // lost ends the owner because the claim is not its own any more.
 func (o *Owner) lost(why string) {
-	klog.InfoS("Owner replaced", "service", o.Held.Service, "token", o.Held.Token, "reason", why)
+	klog.InfoS("Owner replaced", "shard", o.Shard, "token", o.Held.Token, "reason", why)
 	o.replaced()
 }
 
-// load reads everything that is stored of the service. It returns the revision
+// load reads everything that is stored of the shard. It returns the revision
 // from which changes are to be followed.
 func (o *Owner) load(ctx context.Context, began time.Time) (bbritem.Revision, bool) {
 	for ctx.Err() == nil {
@@ -256,19 +258,19 @@
 		if err == nil {
 			return at, true
 		}
-		klog.InfoS("Owner cannot load yet", "service", o.Held.Service, "reason", err.Error())
+		klog.InfoS("Owner cannot load yet", "shard", o.Shard, "reason", err.Error())
 		bbrpause.For(ctx, loadRetry)
 	}
 	return 0, false
 }
 
 func (o *Owner) tryLoad(ctx context.Context, began time.Time) (bbritem.Revision, error) {
-	sequence, err := o.Store.Get(ctx, bbrrecord.SequenceKey(o.Held.Service))
+	sequence, err := o.Store.Get(ctx, bbrrecord.SequenceKey(o.Shard))
 	fresh := errors.Is(err, bbritem.ErrNotFound)
 	if err != nil && !fresh {
 		return 0, err
 	}
-	progress, _, err := o.Store.All(ctx, bbrrecord.ProgressPrefix(o.Held.Service))
+	progress, _, err := o.Store.All(ctx, bbrrecord.ProgressOf(o.Shard))
 	if err != nil {
 		return 0, err
 	}
@@ -284,14 +286,14 @@
 	if err != nil {
 		return 0, err
 	}
-	jobs, at, err := o.Store.All(ctx, bbrrecord.JobPrefix)
+	jobs, at, err := o.Store.All(ctx, bbrrecord.JobsOf(o.Shard))
 	if err != nil {
 		return 0, err
 	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.sequence.revision = sequence.Revision
-	o.ledger = bbrledger.New(o.Held.Service, int64(o.Held.Token), o.Timing, fresh, began)
+	o.ledger = bbrledger.New(o.Shard, int64(o.Held.Token), o.Timing, fresh, began)
 	if config := o.Config(); config != nil {
 		o.version = config.Version
 		o.ledger.SetConfig(config)
--- a/internal/job/bbrowner/truth.go
+++ b/internal/job/bbrowner/truth.go
@@ -37,7 +37,7 @@
 		}
 		if (err != nil) != failing && ctx.Err() == nil {
 			failing = err != nil
-			klog.InfoS("Asking for the instances changed", "service", o.Held.Service, "failing", failing)
+			klog.InfoS("Asking for the instances changed", "shard", o.Shard, "failing", failing)
 		}
 		bbrpause.For(ctx, doubtPause)
 	}
--- a/internal/job/bbrrecord/record.go
+++ b/internal/job/bbrrecord/record.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/bluebellridge/bluebellridge/internal/job/bbrledger"
@@ -11,11 +12,11 @@
 
 // Prefixes of the store's keys.
 const (
-	// JobPrefix is before the jobs that have not ended.
+	// StatusPrefix is before the short records of all jobs, by their ID.
+	StatusPrefix = "bbr/status/"
+	// JobPrefix is before the jobs that have not ended, by shard.
 	JobPrefix = "bbr/job/"
-	// EndedPrefix is before the short records of jobs that have.
-	EndedPrefix = "bbr/ended/"
-	// CancelPrefix is before the demands to cancel a job.
+	// CancelPrefix is before the demands to cancel a job, by shard.
 	CancelPrefix = "bbr/cancel/"
 	// SequencePrefix is before what the owners write with each transaction.
 	SequencePrefix = "bbr/sequence/"
@@ -23,37 +24,69 @@
 	livesPrefix    = "bbr/lives/"
 )
 
+// StatusKey returns the key of a job's short record.
+func StatusKey(id string) string { return StatusPrefix + id }
+
+// JobsOf returns the prefix of a shard's jobs that have not ended.
+func JobsOf(shard bbrwork.Shard) string { return JobPrefix + shard.String() + "/" }
+
 // JobKey returns the key of a job that has not ended.
-func JobKey(id string) string { return JobPrefix + id }
+func JobKey(shard bbrwork.Shard, id string) string { return JobsOf(shard) + id }
 
-// EndedKey returns the key of an ended job's record.
-func EndedKey(id string) string { return EndedPrefix + id }
+// CancelsOf returns the prefix of the demands to cancel a shard's jobs.
+func CancelsOf(shard bbrwork.Shard) string { return CancelPrefix + shard.String() + "/" }
 
 // CancelKey returns the key of a demand to cancel a job.
-func CancelKey(id string) string { return CancelPrefix + id }
+func CancelKey(shard bbrwork.Shard, id string) string { return CancelsOf(shard) + id }
 
-// ProgressPrefix returns the prefix of the progress of a service's jobs.
-func ProgressPrefix(service string) string { return progressPrefix + service + "/" }
+// ProgressOf returns the prefix of the progress of a shard's jobs.
+func ProgressOf(shard bbrwork.Shard) string { return progressPrefix + shard.String() + "/" }
 
 // ProgressKey returns the key of a job's progress.
-func ProgressKey(service, id string) string { return ProgressPrefix(service) + id }
+func ProgressKey(shard bbrwork.Shard, id string) string { return ProgressOf(shard) + id }
+
+// SequenceKey returns the key that every transaction of a shard's owner writes,
+// so that one whose answer was lost cannot be carried out after a later one.
+func SequenceKey(shard bbrwork.Shard) string { return SequencePrefix + shard.String() }
+
+// SequencesOf returns the prefix of what the owners of a service's shards write.
+func SequencesOf(service string) string {
+	return SequencePrefix + strings.TrimSuffix(bbrwork.Shard{Service: service}.String(), "0")
+}
 
-// SequenceKey returns the key that every transaction of a service's owner
-// writes, so that one whose answer was lost cannot be carried out after a later
-// one.
-func SequenceKey(service string) string { return SequencePrefix + service }
+// LivesKey returns the key of the lives on which the shard's work may run.
+func LivesKey(shard bbrwork.Shard) string { return livesPrefix + shard.String() }
 
-// LivesKey returns the key of the lives on which the service's work may run.
-func LivesKey(service string) string { return livesPrefix + service }
+// JobID returns the ID that a key of a job's record ends with.
+func JobID(key string) string { return key[strings.LastIndexByte(key, '/')+1:] }
 
-// Ended is the record of a job that has ended. It never changes.
-type Ended struct {
-	State bbrwork.State `json:"state"`
+// Status is the short record of a job. It tells who runs the job until it ends,
+// and never changes afterwards.
+type Status struct {
+	// State is empty until the job has ended.
+	State bbrwork.State `json:"state,omitempty"`
 	Queue string        `json:"queue"`
-	// At is the owner's time of day at the end.
+	// Service and Cell are the job's shard.
+	Service string `json:"service"`
+	Cell    int    `json:"cell,omitempty"`
+	// At is the owner's time of day at the end, or the accepting entry's before.
 	At time.Time `json:"at"`
 }
 
+// StatusOf returns the status of a job that has not ended.
+func StatusOf(job *bbrwork.Job) Status {
+	return Status{Queue: job.Queue, Service: job.Service, Cell: job.Cell, At: job.Accepted}
+}
+
+// Ended returns the status of the job once it has ended.
+func (s Status) Ended(state bbrwork.State, now time.Time) Status {
+	s.State, s.At = state, now
+	return s
+}
+
+// Shard returns the shard that runs the job.
+func (s Status) Shard() bbrwork.Shard { return bbrwork.Shard{Service: s.Service, Cell: s.Cell} }
+
 // Sequence is what the owner writes with each transaction.
 type Sequence struct {
 	Token  int64 `json:"token"`
--- a/internal/job/bbrsweeper/sweeper.go
+++ b/internal/job/bbrsweeper/sweeper.go
@@ -4,7 +4,8 @@
 import (
 	"context"
 	"encoding/json"
-	"strings"
+	"maps"
+	"slices"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -16,8 +17,10 @@
 )
 
 const (
-	// sweepEvery is between two sweeps; each reads all records of ended jobs.
+	// sweepEvery is the time for a sweep of all records. It goes by the first digit
+	// of the IDs, so that no read is large.
 	sweepEvery = 30 * time.Second
+	digits     = "0123456789abcdefABCDEF"
 	// keepMargin is added to the promised time: the entries' times of day differ,
 	// and a late copy of a submission must still meet the record.
 	keepMargin = time.Minute
@@ -34,12 +37,12 @@
 
 // Run sweeps until ctx ends.
 func (s *Sweeper) Run(ctx context.Context) {
-	for ctx.Err() == nil {
-		bbrpause.For(ctx, sweepEvery)
+	for at := 0; ; at = (at + 1) % len(digits) {
+		bbrpause.For(ctx, sweepEvery/time.Duration(len(digits)))
 		if ctx.Err() != nil {
 			return
 		}
-		removed, err := s.Sweep(ctx, time.Now())
+		removed, err := s.Sweep(ctx, digits[at:at+1], time.Now())
 		if err != nil || removed > 0 {
 			klog.InfoS("Ended jobs swept", "removed", removed, "failed", err != nil, "reason", bbrlog.Reason(err))
 		}
@@ -47,9 +50,9 @@
 }
 
 // Sweep removes the records that are old now, and demands to cancel jobs that
-// have ended, and returns how many.
-func (s *Sweeper) Sweep(ctx context.Context, now time.Time) (int, error) {
-	items, _, err := s.Store.All(ctx, bbrrecord.EndedPrefix)
+// have ended, of jobs whose IDs begin with the digits. It returns how many.
+func (s *Sweeper) Sweep(ctx context.Context, begin string, now time.Time) (int, error) {
+	items, _, err := s.Store.All(ctx, bbrrecord.StatusKey(begin))
 	if err != nil {
 		return 0, err
 	}
@@ -57,7 +60,8 @@
 	if err != nil {
 		return 0, err
 	}
-	old := append(s.old(items, now), needless(items, cancels)...)
+	ended := s.ended(items)
+	old := append(s.old(ended, now), needless(ended, cancels)...)
 	removed := 0
 	for len(old) > 0 {
 		batch := old[:min(len(old), bbritem.MaxTransaction-1)]
@@ -70,33 +74,40 @@
 	return removed, nil
 }
 
+// ended returns when the jobs that have ended did, by ID.
+func (s *Sweeper) ended(items []bbritem.Item) map[string]time.Time {
+	ended := make(map[string]time.Time)
+	for _, item := range items {
+		var status bbrrecord.Status
+		if err := json.Unmarshal(item.Value, &status); err != nil {
+			klog.ErrorS(err, "Record of a job unreadable", "key", item.Key)
+			continue
+		}
+		if status.State != "" {
+			ended[bbrrecord.JobID(item.Key)] = status.At
+		}
+	}
+	return ended
+}
+
 // needless returns the keys of the demands to cancel jobs that have ended: they
 // came too late for the owner to remove them with the job.
-func needless(ended, cancels []bbritem.Item) []string {
-	gone := make(map[string]bool, len(ended))
-	for _, item := range ended {
-		gone[strings.TrimPrefix(item.Key, bbrrecord.EndedPrefix)] = true
-	}
+func needless(ended map[string]time.Time, cancels []bbritem.Item) []string {
 	var keys []string
 	for _, item := range cancels {
-		if gone[strings.TrimPrefix(item.Key, bbrrecord.CancelPrefix)] {
+		if _, gone := ended[bbrrecord.JobID(item.Key)]; gone {
 			keys = append(keys, item.Key)
 		}
 	}
 	return keys
 }
 
-// old returns the keys of the records whose time is over.
-func (s *Sweeper) old(items []bbritem.Item, now time.Time) []string {
+// old returns the keys of the records whose time is over, in order.
+func (s *Sweeper) old(ended map[string]time.Time, now time.Time) []string {
 	var old []string
-	for _, item := range items {
-		var record bbrrecord.Ended
-		if err := json.Unmarshal(item.Value, &record); err != nil {
-			klog.ErrorS(err, "Record of an ended job unreadable", "key", item.Key)
-			continue
-		}
-		if now.Sub(record.At) > s.Keep+keepMargin {
-			old = append(old, item.Key)
+	for _, id := range slices.Sorted(maps.Keys(ended)) {
+		if now.Sub(ended[id]) > s.Keep+keepMargin {
+			old = append(old, bbrrecord.StatusKey(id))
 		}
 	}
 	return old
--- a/internal/job/bbrwork/config.go
+++ b/internal/job/bbrwork/config.go
@@ -82,6 +82,18 @@
 	return config
 }
 
+// Home returns a number for a service that differs from those of the other
+// services.
+func (c *Config) Home(service string) int {
+	home := 0
+	for name := range c.Services {
+		if name < service {
+			home++
+		}
+	}
+	return home
+}
+
 // Find returns the queue of the host with the longest prefix of the path, or
 // nil. The rest of the path follows the prefix.
 func (c *Config) Find(host, path string) (found *Queue, rest string) {
--- a/internal/job/bbrwork/job.go
+++ b/internal/job/bbrwork/job.go
@@ -99,7 +99,9 @@
 	Queue string `json:"queue"`
 	// Service names the pool whose upstreams run the job. It stays what the
 	// queue's configuration said at acceptance.
-	Service  string   `json:"service"`
+	Service string `json:"service"`
+	// Cell is the part of the fleet in which the job runs.
+	Cell     int      `json:"cell,omitempty"`
 	Spec     string   `json:"spec"`
 	Steps    []Step   `json:"steps"`
 	Schedule Schedule `json:"schedule,omitzero"`
@@ -107,6 +109,9 @@
 	Accepted time.Time `json:"accepted"`
 }
 
+// Shard returns the shard that runs the job.
+func (j *Job) Shard() Shard { return Shard{Service: j.Service, Cell: j.Cell} }
+
 // Occurrences returns how often the steps run.
 func (j *Job) Occurrences() int { return max(1, j.Schedule.Count) }
 
--- a/internal/operator/bbrdesk/desk.go
+++ b/internal/operator/bbrdesk/desk.go
@@ -24,7 +24,7 @@
 	// Config returns the configuration in force, or nil.
 	Config func() *bbrwork.Config
 	// Explain asks a service's owner about a job.
-	Explain func(ctx context.Context, service, job string, now time.Time) (explanation bbrledger.Explanation, known bool)
+	Explain func(ctx context.Context, shard bbrwork.Shard, job string, now time.Time) (explanation bbrledger.Explanation, known bool)
 	// WavePrefix is before the keys of the waves that operators ask for, and
 	// DecodeWave reads one.
 	WavePrefix string
--- a/internal/operator/bbrdesk/directive.go
+++ b/internal/operator/bbrdesk/directive.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"maps"
 	"slices"
@@ -24,8 +23,8 @@
 type target struct {
 	bbrmachine.Instance
 	all []bbrmachine.Instance
-	// keep is how many instances the pool's lasting work needs, by its owner's
-	// last report.
+	// keep is how many instances the pool's lasting work needs, by its owners'
+	// last reports.
 	keep int
 }
 
@@ -38,13 +37,13 @@
 	if err != nil {
 		return nil, err
 	}
-	report, err := read[bbrrecord.Sequence](ctx, d.Store, bbrrecord.SequenceKey(instance.Pool))
+	reports, err := d.reports(ctx, bbrrecord.SequencesOf(instance.Pool))
 	if err != nil {
 		return nil, unavailable(err)
 	}
 	t := &target{Instance: instance, all: instances}
-	if report != nil {
-		t.keep = report.Demand.Keep
+	for _, report := range reports {
+		t.keep += report.Demand.Keep
 	}
 	return t, nil
 }
@@ -204,17 +203,13 @@
 // clearedBy returns the service whose owner reports that nothing runs on an
 // upstream; empty for none.
 func (d *Desk) clearedBy(ctx context.Context, upstream string) (string, error) {
-	items, _, err := d.Store.All(ctx, bbrrecord.SequencePrefix)
+	reports, err := d.reports(ctx, bbrrecord.SequencePrefix)
 	if err != nil {
 		return "", err
 	}
-	for _, item := range items {
-		var report bbrrecord.Sequence
-		if err := json.Unmarshal(item.Value, &report); err != nil {
-			return "", errors.Wrap(err, item.Key)
-		}
+	for _, report := range reports {
 		if slices.Contains(report.Cleared, upstream) {
-			return item.Key[len(bbrrecord.SequencePrefix):], nil
+			return report.shard.Service, nil
 		}
 	}
 	return "", nil
--- a/internal/operator/bbrdesk/show.go
+++ b/internal/operator/bbrdesk/show.go
@@ -136,31 +136,51 @@
 	}
 }
 
-// services lists the owners with their last reports.
-func (d *Desk) services(ctx context.Context, now time.Time) (*table, error) {
-	t := &table{columns: []string{"service", "owner", "token", "waiting", "demandMilliCPU", "keep", "reportAge"}}
-	items, _, err := d.Store.All(ctx, bbrrecord.SequencePrefix)
+// report is what the owner of a shard told last.
+type report struct {
+	bbrrecord.Sequence
+	shard bbrwork.Shard
+}
+
+// reports reads what the owners told whose keys begin with the prefix.
+func (d *Desk) reports(ctx context.Context, prefix string) ([]report, error) {
+	items, _, err := d.Store.All(ctx, prefix)
 	if err != nil {
 		return nil, err
 	}
-	for _, item := range items {
-		var report bbrrecord.Sequence
-		if err := json.Unmarshal(item.Value, &report); err != nil {
+	reports := make([]report, len(items))
+	for i, item := range items {
+		if err := json.Unmarshal(item.Value, &reports[i].Sequence); err != nil {
+			return nil, errors.Wrap(err, item.Key)
+		}
+		reports[i].shard, err = bbrwork.ParseShard(strings.TrimPrefix(item.Key, bbrrecord.SequencePrefix))
+		if err != nil {
 			return nil, errors.Wrap(err, item.Key)
 		}
-		service := strings.TrimPrefix(item.Key, bbrrecord.SequencePrefix)
+	}
+	return reports, nil
+}
+
+// services lists the owners with their last reports.
+func (d *Desk) services(ctx context.Context, now time.Time) (*table, error) {
+	t := &table{columns: []string{"service", "cell", "owner", "token", "waiting", "demandMilliCPU", "keep", "reportAge"}}
+	reports, err := d.reports(ctx, bbrrecord.SequencePrefix)
+	if err != nil {
+		return nil, err
+	}
+	for _, report := range reports {
 		owner, token := "none", ""
-		if claim, ok := d.Directory.Owner(service); ok {
+		if claim, ok := d.Directory.Owner(report.shard.String()); ok {
 			owner, token = claim.Entry, strconv.FormatInt(int64(claim.Revision), 10)
 		}
 		waiting := 0
 		for _, count := range report.Waiting {
 			waiting += count
 		}
-		t.add(service, owner, token, strconv.Itoa(waiting), strconv.Itoa(report.Demand.MilliCPU), strconv.Itoa(report.Demand.Keep), age(report.At, now))
+		t.add(report.shard.Service, strconv.Itoa(report.shard.Cell), owner, token, strconv.Itoa(waiting), strconv.Itoa(report.Demand.MilliCPU), strconv.Itoa(report.Demand.Keep), age(report.At, now))
 	}
 	if claim, ok := d.Directory.Owner(bbrclaim.DutyName); ok {
-		t.add(bbrclaim.DutyName, claim.Entry, strconv.FormatInt(int64(claim.Revision), 10), "", "", "", "")
+		t.add(bbrclaim.DutyName, "", claim.Entry, strconv.FormatInt(int64(claim.Revision), 10), "", "", "", "")
 	}
 	return t, nil
 }
--- a/internal/operator/bbrdesk/why.go
+++ b/internal/operator/bbrdesk/why.go
@@ -34,36 +34,33 @@
 // whyJob tells what the store has of a job, and what its owner decides of it.
 func (d *Desk) whyJob(ctx context.Context, id string, now time.Time) (bbrapi.Result, error) {
 	t := &table{columns: []string{"what", "is"}}
-	ended, err := read[bbrrecord.Ended](ctx, d.Store, bbrrecord.EndedKey(id))
+	status, err := read[bbrrecord.Status](ctx, d.Store, bbrrecord.StatusKey(id))
 	if err != nil {
 		return bbrapi.Result{}, err
 	}
-	if ended != nil {
-		t.add("state", fmt.Sprintf("%s, stored at %s", ended.State, ended.At.UTC().Format(time.RFC3339Nano)))
-		t.add("queue", ended.Queue)
-		return t.result(), nil
-	}
-	job, err := read[bbrwork.Job](ctx, d.Store, bbrrecord.JobKey(id))
-	if err != nil {
-		return bbrapi.Result{}, err
-	}
-	if job == nil {
+	if status == nil {
 		return bbrapi.Result{}, bbrcode.Errorf(bbrcode.UnknownName, id, "the store has no such job: it was never accepted, or ended long ago")
 	}
-	t.add("accepted", fmt.Sprintf("%s, %s ago", job.Accepted.UTC().Format(time.RFC3339Nano), age(job.Accepted, now)))
-	t.add("queue", job.Queue+" of service "+job.Service)
-	d.addOwner(ctx, t, job, now)
+	if status.State != "" {
+		t.add("state", fmt.Sprintf("%s, stored at %s", status.State, status.At.UTC().Format(time.RFC3339Nano)))
+		t.add("queue", status.Queue)
+		return t.result(), nil
+	}
+	t.add("accepted", fmt.Sprintf("%s, %s ago", status.At.UTC().Format(time.RFC3339Nano), age(status.At, now)))
+	t.add("queue", status.Queue+" of service "+status.Service)
+	d.addOwner(ctx, t, id, status.Shard(), now)
 	return t.result(), nil
 }
 
-func (d *Desk) addOwner(ctx context.Context, t *table, job *bbrwork.Job, now time.Time) {
-	claim, owned := d.Directory.Owner(job.Service)
+func (d *Desk) addOwner(ctx context.Context, t *table, id string, shard bbrwork.Shard, now time.Time) {
+	t.add("shard", shard.String())
+	claim, owned := d.Directory.Owner(shard.String())
 	if !owned {
-		t.add("owner", "none: the service waits for an entry to claim it")
+		t.add("owner", "none: the shard waits for an entry to claim it")
 		return
 	}
 	t.add("owner", fmt.Sprintf("%s, token %d", claim.Entry, claim.Revision))
-	explanation, known := d.Explain(ctx, job.Service, job.ID, now)
+	explanation, known := d.Explain(ctx, shard, id, now)
 	if !known {
 		t.add("decision", "the owner does not know the job yet, or does not answer")
 		return
--- a/internal/peer/bbrinquiry/client.go
+++ b/internal/peer/bbrinquiry/client.go
@@ -22,11 +22,6 @@
 	// askWithin bounds a question. The store is asked afterwards, while the caller
 	// still waits.
 	askWithin = 150 * time.Millisecond
-	// pingWithin bounds a ping. It leaves room for an entry that has used up its
-	// processor time for some periods of the scheduler.
-	pingWithin = 400 * time.Millisecond
-	// opinionWithin bounds a question for an opinion, which takes a ping.
-	opinionWithin = pingWithin + askWithin
 	// avoidFor is how long an entry that did not answer is not asked.
 	avoidFor = time.Second
 	// idleFor is how long an unused connection is kept.
@@ -56,16 +51,16 @@
 
 // State asks the entry for the state of a job. It is not known where the entry
 // does not answer in time.
-func (c *Client) State(ctx context.Context, entry netip.AddrPort, service, job string, now time.Time) (bbrwork.State, bool) {
+func (c *Client) State(ctx context.Context, entry netip.AddrPort, shard bbrwork.Shard, job string, now time.Time) (bbrwork.State, bool) {
 	var out StateResponse
-	answered := c.ask(ctx, entry, stateMethod, &JobRequest{Service: service, Job: job}, &out, now)
+	answered := c.ask(ctx, entry, stateMethod, requestFor(shard, job), &out, now)
 	return out.State, answered && out.Known
 }
 
 // Explain asks the entry why a job is where it is.
-func (c *Client) Explain(ctx context.Context, entry netip.AddrPort, service, job string, now time.Time) (bbrledger.Explanation, bool) {
+func (c *Client) Explain(ctx context.Context, entry netip.AddrPort, shard bbrwork.Shard, job string, now time.Time) (bbrledger.Explanation, bool) {
 	var out ExplainResponse
-	answered := c.ask(ctx, entry, explainMethod, &JobRequest{Service: service, Job: job}, &out, now)
+	answered := c.ask(ctx, entry, explainMethod, requestFor(shard, job), &out, now)
 	return out.Explanation, answered && out.Known
 }
 
@@ -78,14 +73,16 @@
 
 // Ping returns an error where the entry does not answer in time. It asks also
 // where the entry has just failed to answer.
-func (c *Client) Ping(ctx context.Context, entry netip.AddrPort, now time.Time) error {
-	return c.invoke(ctx, entry, pingMethod, &PingMessage{}, &PingMessage{}, pingWithin, now)
+func (c *Client) Ping(ctx context.Context, entry netip.AddrPort, within time.Duration, now time.Time) error {
+	return c.invoke(ctx, entry, pingMethod, &PingMessage{}, &PingMessage{}, within, now)
 }
 
-// Opinion asks the entry whether it reaches the one at the address about.
-func (c *Client) Opinion(ctx context.Context, entry, about netip.AddrPort, now time.Time) bbrreach.Opinion {
+// Opinion asks the entry whether it reaches the one at the address about in
+// time.
+func (c *Client) Opinion(ctx context.Context, entry, about netip.AddrPort, within time.Duration, now time.Time) bbrreach.Opinion {
 	var out OpinionResponse
-	if err := c.invoke(ctx, entry, opinionMethod, &OpinionRequest{About: about}, &out, opinionWithin, now); err != nil {
+	in := &OpinionRequest{About: about, Within: within}
+	if err := c.invoke(ctx, entry, opinionMethod, in, &out, within+askWithin, now); err != nil {
 		return bbrreach.Silent
 	}
 	return out.Opinion
--- a/internal/peer/bbrinquiry/message.go
+++ b/internal/peer/bbrinquiry/message.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"net/netip"
+	"time"
 
 	"storj.io/drpc"
 
@@ -14,9 +15,17 @@
 // JobRequest asks about a job.
 type JobRequest struct {
 	Service string `json:"service"`
+	Cell    int    `json:"cell"`
 	Job     string `json:"job"`
 }
 
+func requestFor(shard bbrwork.Shard, job string) *JobRequest {
+	return &JobRequest{Service: shard.Service, Cell: shard.Cell, Job: job}
+}
+
+// Shard returns the job's shard.
+func (r *JobRequest) Shard() bbrwork.Shard { return bbrwork.Shard{Service: r.Service, Cell: r.Cell} }
+
 // StateResponse is what the owner knows of a job. Without Known, the owner
 // cannot tell; the job may exist all the same.
 type StateResponse struct {
@@ -43,6 +52,8 @@
 type OpinionRequest struct {
 	// About is the address at which the other answers entries.
 	About netip.AddrPort `json:"about"`
+	// Within is how long its answer is waited for.
+	Within time.Duration `json:"within"`
 }
 
 // OpinionResponse answers it.
--- a/internal/peer/bbrinquiry/server.go
+++ b/internal/peer/bbrinquiry/server.go
@@ -24,19 +24,18 @@
 	opinionMethod = "/bbrinquiry.Entry/Opinion"
 )
 
-// StateFunc returns the state of a job of a service that this entry owns.
-type StateFunc func(service, job string) (state bbrwork.State, known bool)
+// StateFunc returns the state of a job of a shard that this entry owns.
+type StateFunc func(shard bbrwork.Shard, job string) (state bbrwork.State, known bool)
 
-// ExplainFunc returns why a job of a service that this entry owns is where it
-// is.
-type ExplainFunc func(service, job string) (explanation bbrledger.Explanation, known bool)
+// ExplainFunc returns why a job of a shard that this entry owns is where it is.
+type ExplainFunc func(shard bbrwork.Shard, job string) (explanation bbrledger.Explanation, known bool)
 
 // HintFunc takes a hint for an owner of this entry.
 type HintFunc func(hint bbrowner.Hint) bool
 
 // PingFunc returns an error where the entry at the address does not answer in
 // time.
-type PingFunc func(ctx context.Context, address netip.AddrPort, now time.Time) error
+type PingFunc func(ctx context.Context, address netip.AddrPort, within time.Duration, now time.Time) error
 
 // Server answers the questions of other entries.
 type Server struct {
@@ -57,13 +56,13 @@
 
 // State answers a question for the state of a job.
 func (s *Server) State(_ context.Context, in *JobRequest) (*StateResponse, error) {
-	state, known := s.StateOf(in.Service, in.Job)
+	state, known := s.StateOf(in.Shard(), in.Job)
 	return &StateResponse{Known: known, State: state}, nil
 }
 
 // Explain answers why a job is where it is.
 func (s *Server) Explain(_ context.Context, in *JobRequest) (*ExplainResponse, error) {
-	explanation, known := s.Explanation(in.Service, in.Job)
+	explanation, known := s.Explanation(in.Shard(), in.Job)
 	return &ExplainResponse{Known: known, Explanation: explanation}, nil
 }
 
@@ -79,7 +78,7 @@
 
 // Opinion tells whether this entry reaches another.
 func (s *Server) Opinion(ctx context.Context, in *OpinionRequest) (*OpinionResponse, error) {
-	return &OpinionResponse{Opinion: bbrreach.OpinionOf(s.PingEntry(ctx, in.About, time.Now()))}, nil
+	return &OpinionResponse{Opinion: bbrreach.OpinionOf(s.PingEntry(ctx, in.About, in.Within, time.Now()))}, nil
 }
 
 // description tells drpc of the server's methods.
--- a/internal/store/bbritem/meter.go
+++ b/internal/store/bbritem/meter.go
@@ -17,7 +17,7 @@
 			return store.Range(ctx, prefix, after)
 		},
 		Watch: func(ctx context.Context, prefix string, after Revision, wait time.Duration) (page Page, err error) {
-			defer measure(count, "watch:"+prefix, time.Now(), &err)
+			defer measure(count, "watch:"+Area(prefix), time.Now(), &err)
 			return store.Watch(ctx, prefix, after, wait)
 		},
 		Commit: func(ctx context.Context, transaction Transaction) (revision Revision, err error) {
--- a/internal/store/bbritem/store.go
+++ b/internal/store/bbritem/store.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -119,6 +120,13 @@
 	}
 }
 
+// Area returns the beginning of a key or prefix that names what it is about, for
+// counters: its first two parts.
+func Area(key string) string {
+	parts := strings.SplitN(key, "/", 3)
+	return strings.Join(parts[:min(2, len(parts))], "/")
+}
+
 // Outcome names an outcome for counters.
 func Outcome(err error) string {
 	var conflict *Conflict
