config/bbrfollow, job/bbrowner: the configuration is watched, reports are stored apart

The configuration is watched, and read every 0.3 of the time in which a change must be in force; whether the store answers is told by the session's renewals. Reports have a key of their own and offer 16 upstreams at most.

--- a/internal/config/bbrfollow/follower.go
+++ b/internal/config/bbrfollow/follower.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -14,22 +15,30 @@
 )
 
 const (
-	// readEvery keeps a new configuration in force within two seconds also where
-	// one read is lost.
-	readEvery = 500 * time.Millisecond
-	// answersFor is how long after an answered read the store counts as there.
-	answersFor = 1500 * time.Millisecond
+	// watchWait is how long a watch without changes lasts.
+	watchWait = 10 * time.Second
+	// readShare of the time in which a change must be in force is between two
+	// reads; it leaves room for one that is lost.
+	readShare = 0.3
+	// readRetry is the pause after a failed read, and until the first
+	// configuration is known.
+	readRetry = 200 * time.Millisecond
 )
 
-// Follower reads the configuration.
+// Follower keeps up with the configuration. A watch tells of changes at once. It
+// may miss them, so the configuration, which can be large, is also read from
+// time to time.
 type Follower struct {
 	Store *bbritem.Store
 	Key   string
 	// Decode reads a configuration.
 	Decode func(value []byte) (*bbrwork.Config, error)
+	// Apply is the time in which a change must be in force.
+	Apply time.Duration
 
-	config   atomic.Pointer[bbrwork.Config]
-	answered atomic.Pointer[time.Time]
+	config atomic.Pointer[bbrwork.Config]
+	mu     sync.Mutex
+	// revision is the newest one that was decoded; it never falls.
 	revision bbritem.Revision
 	failing  bool
 }
@@ -37,35 +46,41 @@
 // Config returns the configuration in force, or nil.
 func (f *Follower) Config() *bbrwork.Config { return f.config.Load() }
 
-// StoreAnswers tells whether the store answered lately.
-func (f *Follower) StoreAnswers(now time.Time) bool {
-	answered := f.answered.Load()
-	return answered != nil && now.Sub(*answered) < answersFor
+// Run follows until ctx ends.
+func (f *Follower) Run(ctx context.Context) {
+	watch := &bbritem.Follower{Store: f.Store, Prefix: f.Key, Wait: watchWait, Snapshot: f.snapshot, Change: f.change}
+	var wg sync.WaitGroup
+	wg.Go(func() { watch.Run(ctx) })
+	f.loop(ctx)
+	wg.Wait()
 }
 
-// Run reads until ctx ends.
-func (f *Follower) Run(ctx context.Context) {
+// loop reads the configuration until ctx ends.
+func (f *Follower) loop(ctx context.Context) {
 	for ctx.Err() == nil {
-		f.round(ctx)
-		bbrpause.For(ctx, readEvery)
+		pause := time.Duration(readShare * float64(f.Apply))
+		if err := f.read(ctx); err != nil || f.Config() == nil {
+			pause = min(pause, readRetry)
+		}
+		bbrpause.For(ctx, pause)
 	}
 }
 
-func (f *Follower) round(ctx context.Context) {
+func (f *Follower) read(ctx context.Context) error {
 	item, err := f.Store.Get(ctx, f.Key)
-	if err != nil && !errors.Is(err, bbritem.ErrNotFound) {
+	if errors.Is(err, bbritem.ErrNotFound) {
+		return nil
+	}
+	if err != nil {
 		f.failed(ctx, err)
-		return
+		return err
 	}
-	now := time.Now()
-	f.answered.Store(&now)
 	if f.failing {
 		klog.InfoS("Dependency regained", "dependency", "store", "use", "configuration", "revision", item.Revision)
 		f.failing = false
 	}
-	if err == nil && item.Revision != f.revision {
-		f.apply(item)
-	}
+	f.apply(item)
+	return nil
 }
 
 func (f *Follower) failed(ctx context.Context, err error) {
@@ -80,8 +95,27 @@
 	klog.InfoS("Dependency lost", "dependency", "store", "use", "configuration", "version", version, "reason", err.Error())
 }
 
+func (f *Follower) snapshot(items []bbritem.Item, now time.Time) {
+	for _, item := range items {
+		f.change(item, now)
+	}
+}
+
+// change applies an item of the watch, which also has keys that begin like the
+// configuration's.
+func (f *Follower) change(item bbritem.Item, _ time.Time) {
+	if item.Key == f.Key && !item.Deleted {
+		f.apply(item)
+	}
+}
+
 // apply puts a configuration in force, unless one as new is.
 func (f *Follower) apply(item bbritem.Item) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if item.Revision <= f.revision {
+		return
+	}
 	f.revision = item.Revision
 	config, err := f.Decode(item.Value)
 	if err != nil {
--- /dev/null
+++ b/internal/config/bbrfollow/follower_test.go
@@ -0,0 +1,117 @@
+package bbrfollow
+
+import (
+	"context"
+	"strconv"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/bluebellridge/bluebellridge/internal/job/bbrwork"
+	"github.com/bluebellridge/bluebellridge/internal/store/bbritem"
+)
+
+const (
+	testKey   = "op/config"
+	testApply = 2 * time.Second
+	// largeConfig is about the size of a configuration of some hundred queues.
+	largeConfig = 100 << 10
+)
+
+// configStore holds one configuration; its value is the version.
+type configStore struct {
+	mu      sync.Mutex
+	version int
+	// deaf watches hear nothing.
+	deaf bool
+	// read counts the bytes of configurations that were read.
+	read    int
+	changed chan struct{}
+}
+
+func (s *configStore) set(version int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.version = version
+	if !s.deaf {
+		close(s.changed)
+		s.changed = make(chan struct{})
+	}
+}
+
+func (s *configStore) item() bbritem.Item {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.read += largeConfig
+	return bbritem.Item{Key: testKey, Revision: bbritem.Revision(s.version), Value: []byte(strconv.Itoa(s.version))}
+}
+
+func (s *configStore) store() *bbritem.Store {
+	return &bbritem.Store{
+		Get: func(context.Context, string) (bbritem.Item, error) { return s.item(), nil },
+		Range: func(context.Context, string, string) (bbritem.Page, error) {
+			item := s.item()
+			other := bbritem.Item{Key: testKey + "/other", Revision: item.Revision + 50, Value: []byte("90")}
+			return bbritem.Page{Items: []bbritem.Item{item, other}, AsOf: item.Revision}, nil
+		},
+		Watch: func(ctx context.Context, _ string, after bbritem.Revision, wait time.Duration) (bbritem.Page, error) {
+			s.mu.Lock()
+			changed := s.changed
+			s.mu.Unlock()
+			select {
+			case <-changed:
+				item := s.item()
+				return bbritem.Page{Items: []bbritem.Item{item}, AsOf: item.Revision}, nil
+			case <-time.After(wait):
+				return bbritem.Page{AsOf: after}, nil
+			case <-ctx.Done():
+				return bbritem.Page{}, bbritem.ErrLost
+			}
+		},
+	}
+}
+
+// TestChangeIsInForce holds that a change is in force at once by the watch, and
+// in time where the watch hears nothing, and that what following costs between
+// changes stays small.
+func TestChangeIsInForce(t *testing.T) {
+	for _, deaf := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			s := &configStore{version: 3, changed: make(chan struct{}), deaf: deaf}
+			f := &Follower{Store: s.store(), Key: testKey, Apply: testApply, Decode: func(value []byte) (*bbrwork.Config, error) {
+				version, err := strconv.ParseInt(string(value), 10, 64)
+				return bbrwork.NewConfig(version, nil, nil, bbrwork.Limits{}), err
+			}}
+			ctx, cancel := context.WithCancel(t.Context())
+			var wg sync.WaitGroup
+			wg.Go(func() { f.Run(ctx) })
+			time.Sleep(time.Second)
+			require.EqualValues(t, 3, f.Config().Version)
+
+			s.set(8)
+			bound := testApply / 2
+			if !deaf {
+				bound = 50 * time.Millisecond
+			}
+			time.Sleep(bound)
+			require.EqualValues(t, 8, f.Config().Version)
+
+			s.mu.Lock()
+			s.read = 0
+			s.mu.Unlock()
+			time.Sleep(time.Minute)
+			s.mu.Lock()
+			read := s.read
+			s.mu.Unlock()
+			require.Less(t, read, 105*largeConfig, "it is read less than twice a second")
+			s.set(5)
+			time.Sleep(testApply)
+			require.EqualValues(t, 8, f.Config().Version, "a version never goes back")
+			cancel()
+			wg.Wait()
+		})
+	}
+}
--- a/internal/config/bbrsettings/settings.go
+++ b/internal/config/bbrsettings/settings.go
@@ -41,6 +41,9 @@
 	Notice time.Duration `yaml:"notice"`
 	// FarFactor is how many times as long work takes far from its data.
 	FarFactor float64 `yaml:"farFactor"`
+	// ConfigApply is the time in which a change of the configuration must be in
+	// force.
+	ConfigApply time.Duration `yaml:"configApply"`
 	// KeepEnded is how long the state of an ended job can be asked for.
 	KeepEnded time.Duration `yaml:"keepEnded"`
 	// DutyLease is the least time between the orders of two holders of the fleet
@@ -153,13 +156,14 @@
 		},
 		Shutdown: Shutdown{BalancerLag: 2 * time.Second, Grace: time.Minute},
 		Jobs: Jobs{
-			Hold:      6 * time.Second,
-			Notice:    4500 * time.Millisecond,
-			FarFactor: 3,
-			KeepEnded: 2 * time.Minute,
-			DutyLease: 3 * time.Second,
-			Upkeep:    2 * time.Second,
-			Stop:      time.Second,
+			Hold:        6 * time.Second,
+			Notice:      4500 * time.Millisecond,
+			FarFactor:   3,
+			ConfigApply: 2 * time.Second,
+			KeepEnded:   2 * time.Minute,
+			DutyLease:   3 * time.Second,
+			Upkeep:      2 * time.Second,
+			Stop:        time.Second,
 		},
 	}
 }
--- a/internal/fleet/bbrclaim/session.go
+++ b/internal/fleet/bbrclaim/session.go
@@ -55,7 +55,9 @@
 	lease     bbritem.Lease
 	revision  bbritem.Revision
 	confirmed time.Time
-	closed    bool
+	// answered is when the store last answered.
+	answered time.Time
+	closed   bool
 }
 
 // Lease is a confirmed lease with the registration that hangs on it.
@@ -73,6 +75,16 @@
 	return Lease{ID: s.lease, Registration: s.revision}, ok
 }
 
+// answersFor is how long after an answered call the store counts as there.
+const answersFor = 1500 * time.Millisecond
+
+// StoreAnswers tells whether the store answered lately.
+func (s *Session) StoreAnswers(now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !s.answered.IsZero() && now.Sub(s.answered) < answersFor
+}
+
 // Confirmed tells whether the lease of the ID still stands for certain.
 func (s *Session) Confirmed(lease bbritem.Lease, now time.Time) bool {
 	held, ok := s.Lease(now)
@@ -118,7 +130,7 @@
 		return err
 	}
 	s.mu.Lock()
-	s.confirmed = now
+	s.confirmed, s.answered = now, time.Now()
 	s.mu.Unlock()
 	return nil
 }
@@ -170,7 +182,7 @@
 func (s *Session) set(lease bbritem.Lease, revision bbritem.Revision, confirmed time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.lease, s.revision, s.confirmed = lease, revision, confirmed
+	s.lease, s.revision, s.confirmed, s.answered = lease, revision, confirmed, time.Now()
 }
 
 // Close ends the lease, and with it all claims.
--- a/internal/fleet/bbrupkeep/keeper.go
+++ b/internal/fleet/bbrupkeep/keeper.go
@@ -317,21 +317,21 @@
 // readReports learns what the owners need, and which reserved upstreams they
 // have cleared.
 func (k *Keeper) readReports(ctx context.Context, now time.Time) error {
-	items, _, err := k.Store.All(ctx, bbrrecord.SequencePrefix)
+	items, _, err := k.Store.All(ctx, bbrrecord.ReportPrefix)
 	if err != nil {
 		return err
 	}
 	clear(k.cleared)
 	clear(k.demands)
 	for _, item := range items {
-		var record bbrrecord.Sequence
+		var record bbrrecord.Report
 		if err := json.Unmarshal(item.Value, &record); err != nil {
 			return errors.Wrapf(err, "record %s", item.Key)
 		}
 		for _, id := range record.Cleared {
 			k.cleared[id] = slices.Contains(k.reserved, id)
 		}
-		shard, err := bbrwork.ParseShard(strings.TrimPrefix(item.Key, bbrrecord.SequencePrefix))
+		shard, err := bbrwork.ParseShard(strings.TrimPrefix(item.Key, bbrrecord.ReportPrefix))
 		if err != nil {
 			return err
 		}
--- a/internal/job/bbrintake/intake.go
+++ b/internal/job/bbrintake/intake.go
@@ -157,13 +157,13 @@
 // Waiting returns how many jobs of the queue have nothing started, by the last
 // reports of its service's owners.
 func (i *Intake) Waiting(ctx context.Context, queue *bbrwork.Queue) (int, bbrcode.Code) {
-	items, _, err := i.Store.All(ctx, bbrrecord.SequencesOf(queue.Service))
+	items, _, err := i.Store.All(ctx, bbrrecord.ReportsOf(queue.Service))
 	if err != nil {
 		return 0, bbrcode.StoreAway
 	}
 	waiting := 0
 	for _, item := range items {
-		var record bbrrecord.Sequence
+		var record bbrrecord.Report
 		if err := json.Unmarshal(item.Value, &record); err != nil {
 			klog.ErrorS(err, "Owner's report unreadable", "key", item.Key, "revision", item.Revision)
 			return 0, bbrcode.StoreAway
--- a/internal/job/bbrowner/flusher.go
+++ b/internal/job/bbrowner/flusher.go
@@ -26,8 +26,8 @@
 	// lastFlush bounds the storing after the owner's end.
 	lastFlush = time.Second
 	// Entries of a transaction besides the jobs: two conditions and the
-	// sequence, and perhaps the lives.
-	fixedEntries = 4
+	// sequence, and perhaps the lives and the report.
+	fixedEntries = 5
 	maxWrites    = bbritem.MaxTransaction - fixedEntries
 )
 
@@ -113,27 +113,34 @@
 	acknowledge := o.ledger.Acknowledgeable()
 	o.mu.Unlock()
 	batch, whole := fit(batch)
-	if len(batch.Writes) == 0 && batch.Entitle == nil && !f.mustTell(told, now) {
+	tell := f.mustTell(told, now)
+	if len(batch.Writes) == 0 && batch.Entitle == nil && !tell {
 		if acknowledge {
 			f.stored(batch)
 		}
 		return false, nil
 	}
-	if err := f.commit(ctx, batch, told, now); err != nil {
+	if err := f.commit(ctx, batch, told, tell, now); err != nil {
 		return false, err
 	}
 	f.stored(batch)
 	return !whole, nil
 }
 
-// reportAge is how old a report may be when it is stored.
-const reportAge = 50 * time.Millisecond
+const (
+	// reportAge is how old a report may be when it is stored.
+	reportAge = 50 * time.Millisecond
+	// mostGiven bounds the upstreams that a report offers; the next one offers
+	// others.
+	mostGiven = 16
+)
 
 // report returns what to tell besides the progress of jobs. The caller holds
 // the owner's lock.
 func (f *flusher) report(now time.Time) report {
 	if l := f.owner.ledger; now.Sub(f.reported) > reportAge {
 		f.told = report{waiting: l.Waiting(now), cleared: l.Cleared(now), demand: l.Demand(now)}
+		f.told.demand.Give = f.told.demand.Give[:min(mostGiven, len(f.told.demand.Give))]
 		f.reported = now
 	}
 	return f.told
@@ -210,16 +217,20 @@
 	return entries
 }
 
-func (f *flusher) commit(ctx context.Context, batch bbrledger.Batch, told report, now time.Time) error {
+func (f *flusher) commit(ctx context.Context, batch bbrledger.Batch, told report, tell bool, now time.Time) error {
 	o := f.owner
 	s := &o.sequence
 	s.number++
 	key := bbrrecord.SequenceKey(o.Shard)
-	record := bbrrecord.Sequence{Token: int64(o.Held.Token), Number: s.number, Waiting: told.waiting, Cleared: told.cleared, Demand: told.demand, At: now}
+	record := bbrrecord.Sequence{Token: int64(o.Held.Token), Number: s.number}
 	transaction := bbritem.Transaction{
 		Conditions: []bbritem.Condition{o.Held.Condition(), {Key: key, Revision: s.revision}},
 		Puts:       []bbritem.Put{{Key: key, Value: bbrrecord.Encode(record)}},
 	}
+	if tell {
+		told := bbrrecord.Report{Waiting: told.waiting, Cleared: told.cleared, Demand: told.demand, At: now}
+		transaction.Puts = append(transaction.Puts, bbritem.Put{Key: bbrrecord.ReportKey(o.Shard), Value: bbrrecord.Encode(told)})
+	}
 	if batch.Entitle != nil {
 		transaction.Puts = append(transaction.Puts, bbritem.Put{Key: bbrrecord.LivesKey(o.Shard), Value: bbrrecord.Encode(batch.Entitle)})
 	}
@@ -230,7 +241,10 @@
 	if err != nil {
 		return err
 	}
-	s.revision, s.told, s.cleared, s.demand, s.at = revision, told.waiting, told.cleared, told.demand, now
+	s.revision = revision
+	if tell {
+		s.told, s.cleared, s.demand, s.at = told.waiting, told.cleared, told.demand, now
+	}
 	return nil
 }
 
--- a/internal/job/bbrrecord/record.go
+++ b/internal/job/bbrrecord/record.go
@@ -18,8 +18,9 @@
 	JobPrefix = "bbr/job/"
 	// CancelPrefix is before the demands to cancel a job, by shard.
 	CancelPrefix = "bbr/cancel/"
-	// SequencePrefix is before what the owners write with each transaction.
-	SequencePrefix = "bbr/sequence/"
+	// ReportPrefix is before what the owners tell of their shards.
+	ReportPrefix   = "bbr/report/"
+	sequencePrefix = "bbr/sequence/"
 	progressPrefix = "bbr/progress/"
 	livesPrefix    = "bbr/lives/"
 )
@@ -47,11 +48,14 @@
 
 // SequenceKey returns the key that every transaction of a shard's owner writes,
 // so that one whose answer was lost cannot be carried out after a later one.
-func SequenceKey(shard bbrwork.Shard) string { return SequencePrefix + shard.String() }
+func SequenceKey(shard bbrwork.Shard) string { return sequencePrefix + shard.String() }
 
-// SequencesOf returns the prefix of what the owners of a service's shards write.
-func SequencesOf(service string) string {
-	return SequencePrefix + strings.TrimSuffix(bbrwork.Shard{Service: service}.String(), "0")
+// ReportKey returns the key of what a shard's owner tells.
+func ReportKey(shard bbrwork.Shard) string { return ReportPrefix + shard.String() }
+
+// ReportsOf returns the prefix of what the owners of a service's shards tell.
+func ReportsOf(service string) string {
+	return ReportPrefix + strings.TrimSuffix(bbrwork.Shard{Service: service}.String(), "0")
 }
 
 // LivesKey returns the key of the lives on which the shard's work may run.
@@ -91,13 +95,17 @@
 type Sequence struct {
 	Token  int64 `json:"token"`
 	Number int64 `json:"number"`
+}
+
+// Report is what an owner tells of its shard from time to time.
+type Report struct {
 	// Waiting counts the jobs, by queue, for which nothing has started, as of At
 	// by the owner's time of day.
 	Waiting map[string]int `json:"waiting,omitempty"`
 	At      time.Time      `json:"at"`
 	// Cleared has the reserved upstreams on which nothing runs.
 	Cleared []string `json:"cleared,omitempty"`
-	// Demand is what the service asks of the fleet.
+	// Demand is what the shard asks of the fleet.
 	Demand bbrledger.Demand `json:"demand"`
 }
 
--- a/internal/operator/bbrdesk/directive.go
+++ b/internal/operator/bbrdesk/directive.go
@@ -37,7 +37,7 @@
 	if err != nil {
 		return nil, err
 	}
-	reports, err := d.reports(ctx, bbrrecord.SequencesOf(instance.Pool))
+	reports, err := d.reports(ctx, bbrrecord.ReportsOf(instance.Pool))
 	if err != nil {
 		return nil, unavailable(err)
 	}
@@ -203,7 +203,7 @@
 // clearedBy returns the service whose owner reports that nothing runs on an
 // upstream; empty for none.
 func (d *Desk) clearedBy(ctx context.Context, upstream string) (string, error) {
-	reports, err := d.reports(ctx, bbrrecord.SequencePrefix)
+	reports, err := d.reports(ctx, bbrrecord.ReportPrefix)
 	if err != nil {
 		return "", err
 	}
--- a/internal/operator/bbrdesk/show.go
+++ b/internal/operator/bbrdesk/show.go
@@ -138,7 +138,7 @@
 
 // report is what the owner of a shard told last.
 type report struct {
-	bbrrecord.Sequence
+	bbrrecord.Report
 	shard bbrwork.Shard
 }
 
@@ -150,10 +150,10 @@
 	}
 	reports := make([]report, len(items))
 	for i, item := range items {
-		if err := json.Unmarshal(item.Value, &reports[i].Sequence); err != nil {
+		if err := json.Unmarshal(item.Value, &reports[i].Report); err != nil {
 			return nil, errors.Wrap(err, item.Key)
 		}
-		reports[i].shard, err = bbrwork.ParseShard(strings.TrimPrefix(item.Key, bbrrecord.SequencePrefix))
+		reports[i].shard, err = bbrwork.ParseShard(strings.TrimPrefix(item.Key, bbrrecord.ReportPrefix))
 		if err != nil {
 			return nil, errors.Wrap(err, item.Key)
 		}
@@ -164,7 +164,7 @@
 // services lists the owners with their last reports.
 func (d *Desk) services(ctx context.Context, now time.Time) (*table, error) {
 	t := &table{columns: []string{"service", "cell", "owner", "token", "waiting", "demandMilliCPU", "keep", "reportAge"}}
-	reports, err := d.reports(ctx, bbrrecord.SequencePrefix)
+	reports, err := d.reports(ctx, bbrrecord.ReportPrefix)
 	if err != nil {
 		return nil, err
 	}
