--- a/internal/daemon/bbrserve/owners.go
+++ b/internal/daemon/bbrserve/owners.go
@@ -244,6 +244,7 @@
 		Registered: s.registry.Has,
 		Owned:      o.owned,
 		Directives: s.claims.Directives,
+		Strength:   s.claims.Strength,
 		Lease:      s.settings.Jobs.DutyLease,
 	}
 	sweeper := &bbrsweeper.Sweeper{Store: s.store, Condition: held.Condition(), Keep: s.settings.Jobs.KeepEnded}
--- a/internal/fleet/bbrcell/cells_test.go
+++ b/internal/fleet/bbrcell/cells_test.go
@@ -34,7 +34,7 @@
 	_, known := none.Of("rack-1")
 	require.False(t, known, "where its upstreams belong is not known before")
 
-	cells := none.Divide(fleet(0, 10))
+	cells := none.Divide(fleet(0, 10), 128)
 	require.Equal(t, 1, cells.Count())
 	cell, known := cells.Of("a rack that came later")
 	require.True(t, known)
@@ -46,7 +46,7 @@
 // pool and zone, so that the loss of a zone takes a share of every cell.
 func TestDivisionSpreadsPoolsAndZones(t *testing.T) {
 	instances := fleet(0, 144)
-	cells := (*Cells)(nil).Divide(instances)
+	cells := (*Cells)(nil).Divide(instances, 128)
 	require.Equal(t, 9, cells.Count())
 	pools, zones := make(map[string]int), make(map[string]int)
 	for _, instance := range instances {
@@ -75,7 +75,7 @@
 			first, racks := rapid.IntRange(0, 150).Draw(t, "first"), rapid.IntRange(1, 150).Draw(t, "racks")
 			before := cells
 			instances := fleet(first, racks)
-			cells = cells.Divide(instances)
+			cells = cells.Divide(instances, 128)
 			require.GreaterOrEqual(t, cells.Count(), before.Count())
 			for _, instance := range instances {
 				cell, placed := cells.Of(instance.Rack())
@@ -86,7 +86,7 @@
 				}
 				known[instance.Rack()] = cell
 			}
-			require.Same(t, cells, cells.Divide(instances), "nothing is new")
+			require.Same(t, cells, cells.Divide(instances, 128), "nothing is new")
 			for rack, cell := range cells.Racks {
 				known[rack] = cell
 			}
@@ -97,18 +97,25 @@
 // TestGrownFleetGetsMoreCells holds that racks that come later go to cells of
 // their own, where they are enough for some.
 func TestGrownFleetGetsMoreCells(t *testing.T) {
-	cells := (*Cells)(nil).Divide(fleet(0, 32))
+	cells := (*Cells)(nil).Divide(fleet(0, 32), 128)
 	require.Equal(t, 2, cells.Count())
-	few := cells.Divide(fleet(0, 40))
+	few := cells.Divide(fleet(0, 40), 128)
 	require.Equal(t, 2, few.Count(), "too few for a cell")
-	more := few.Divide(fleet(0, 64))
+	more := few.Divide(fleet(0, 64), 128)
 	require.Equal(t, 3, more.Count())
 	require.InDelta(t, more.Sizes[0], more.Sizes[2], 32)
 	require.InDelta(t, more.Sizes[1], more.Sizes[2], 32)
 }
 
+// TestWeakEntriesGetSmallCells holds that an owner's work fits its entry.
+func TestWeakEntriesGetSmallCells(t *testing.T) {
+	for milliCPU, want := range map[int]int{0: 1, 800: 1, 400: 1, 120: 3, 10: 4} {
+		require.Equal(t, want, (*Cells)(nil).Divide(fleet(0, 16), Size(milliCPU)).Count(), "thousandths of a core: %d", milliCPU)
+	}
+}
+
 func TestJobGoesWhereItCanRun(t *testing.T) {
-	cells := (*Cells)(nil).Divide(fleet(0, 64))
+	cells := (*Cells)(nil).Divide(fleet(0, 64), 128)
 	require.Equal(t, 4, cells.Count())
 	cells.Labels["fast"] = []int{1, 3}
 	lasting := bbrwork.Step{Count: 30, Lasting: true, MaxPerUpstream: 1}
--- a/internal/fleet/bbrcell/divide.go
+++ b/internal/fleet/bbrcell/divide.go
@@ -8,10 +8,26 @@
 	"github.com/bluebellridge/bluebellridge/internal/fleet/bbrmachine"
 )
 
-// CellInstances is how many instances of all pools a cell has, where the fleet
-// is large enough. It bounds an owner's work: in a turn of its service's demand
-// the owner has about a third of them.
-const CellInstances = 128
+const (
+	// mostInstances is how many instances of all pools a cell has, where the fleet
+	// is large enough and entries are strong. It bounds an owner's work: in a turn
+	// of its service's demand the owner has about half of them.
+	mostInstances = 128
+	// leastInstances leaves a cell enough of each pool to move some.
+	leastInstances = 32
+	// strongMilliCPU is the processor time of an entry whose owner can have a
+	// cell of the most instances, in thousandths of a core.
+	strongMilliCPU = 400
+)
+
+// Size returns how many instances a cell should have, where owners are entries
+// of the processor time, in thousandths of a core; 0 where it is not known.
+func Size(milliCPU int) int {
+	if milliCPU == 0 {
+		return mostInstances
+	}
+	return min(mostInstances, max(leastInstances, mostInstances*milliCPU/strongMilliCPU))
+}
 
 // rack is the instances of one rack.
 type rack struct {
@@ -19,17 +35,17 @@
 	instances        []bbrmachine.Instance
 }
 
-// Divide returns the division with the racks of the instances that it lacks, or
-// the same one where it has them all. Racks of each pool and zone are spread
+// Divide returns the division into cells of the size with the racks of the
+// instances that it lacks, or the same one where it has them all. Racks of each pool and zone are spread
 // over the cells. A rack keeps its cell for good, so a fleet that has grown gets
 // further cells of new racks, and none are ever joined.
-func (c *Cells) Divide(instances []bbrmachine.Instance) *Cells {
+func (c *Cells) Divide(instances []bbrmachine.Instance, size int) *Cells {
 	missing := c.missing(instances)
 	if len(missing) == 0 && c != nil {
 		return c
 	}
 	d := newDivision(c, instances)
-	d.addCells(len(instances), missing)
+	d.addCells(len(instances), size, missing)
 	for _, r := range missing {
 		d.add(r)
 	}
@@ -94,16 +110,16 @@
 
 // addCells adds as many cells as a fleet of the size should have more, as far as
 // the missing racks fill them.
-func (d *division) addCells(fleet int, missing []rack) {
+func (d *division) addCells(fleet, size int, missing []rack) {
 	fresh := 0
 	for _, r := range missing {
 		fresh += len(r.instances)
 	}
-	want := max(1, fleet/CellInstances)
-	for len(d.cells.Sizes) == 0 || len(d.cells.Sizes) < want && fresh >= CellInstances {
+	want := max(1, fleet/size)
+	for len(d.cells.Sizes) == 0 || len(d.cells.Sizes) < want && fresh >= size {
 		d.cells.Sizes = append(d.cells.Sizes, 0)
 		d.pools, d.zones = append(d.pools, make(map[string]int)), append(d.zones, make(map[string]int))
-		fresh -= CellInstances
+		fresh -= size
 	}
 }
 
--- a/internal/fleet/bbrclaim/directory.go
+++ b/internal/fleet/bbrclaim/directory.go
@@ -190,6 +190,24 @@
 	return d.names()
 }
 
+// Strength returns the processor time of the entry that comes at the place,
+// counted from 1, among the strongest, in thousandths of a core; of the weakest
+// one where there are fewer, and 0 where there is none.
+func (d *Directory) Strength(place int) int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	strengths := make([]int, 0, len(d.entries))
+	for _, record := range d.entries {
+		strengths = append(strengths, record.MilliCPU)
+	}
+	if len(strengths) == 0 {
+		return 0
+	}
+	slices.Sort(strengths)
+	slices.Reverse(strengths)
+	return strengths[min(max(1, place), len(strengths))-1]
+}
+
 func (d *Directory) names() []string {
 	names := make([]string, 0, len(d.entries))
 	for name := range d.entries {
--- a/internal/fleet/bbrupkeep/keeper.go
+++ b/internal/fleet/bbrupkeep/keeper.go
@@ -50,6 +50,9 @@
 	Owned func(pool string) bool
 	// Directives returns what operators ask of instances.
 	Directives func() bbrmachine.Directives
+	// Strength returns the processor time of the entry that comes at the place
+	// among the strongest, in thousandths of a core.
+	Strength func(place int) int
 	// Lease is the least time between the orders of two holders.
 	Lease time.Duration
 
@@ -281,7 +284,7 @@
 	if err != nil {
 		return err
 	}
-	cells := stored.Divide(instances)
+	cells := stored.Divide(instances, bbrcell.Size(k.Strength(len(k.Pools()))))
 	if cells != stored {
 		_, err = k.Store.Commit(ctx, bbritem.Transaction{
 			Conditions: []bbritem.Condition{k.Held.Condition()},
