fleet/bbrupkeep: work that can be in time gets instances before late work, and scarce ones are shared

A pool's want counted late work like the rest, and of two pools that want more than there is the first kept all. Test first: TestWorkInTimeComesBeforeLateWork, TestScarceInstancesAreShared.

--- a/internal/fleet/bbrupkeep/balance.go
+++ b/internal/fleet/bbrupkeep/balance.go
@@ -18,8 +18,9 @@
 // Need is what a part of a pool asks for.
 type Need struct {
 	Part
-	// MilliCPU is the room that it needs now.
-	MilliCPU int
+	// MilliCPU is the room that it needs now, and Late what it needs besides for
+	// work that is late already.
+	MilliCPU, Late int
 	// Keep is how many instances it needs whatever it does.
 	Keep int
 	// Give has the lives that it can give away, in order.
@@ -61,6 +62,9 @@
 		b.add(&needs[i])
 	}
 	b.fill()
+	b.wantLate()
+	b.late = true
+	b.fill()
 	p.short = b.neediest() != nil
 	b.rest()
 	return b.states()
@@ -78,6 +82,9 @@
 	// rooms has the processor room of an instance, by pool.
 	rooms map[string]int
 	spare string
+	// late means that instances are now for late work: no part gives one that it
+	// wants.
+	late bool
 }
 
 // partOf returns the part that an instance belongs to while it is in the pool.
@@ -144,11 +151,26 @@
 
 func (b *balancing) add(need *Need) {
 	b.parts = append(b.parts, need)
-	room := cmp.Or(b.rooms[need.Pool], defaultRoom)
-	instances := int(float64(need.MilliCPU)/(fillShare*float64(room)) + 1)
-	b.want[need.Part] = max(instances, need.Keep+b.reserve())
+	b.want[need.Part] = max(b.instances(need, need.MilliCPU), b.least(need))
+}
+
+// wantLate makes the parts want instances for late work as well. It earns little,
+// so it gets what the work that is in time leaves.
+func (b *balancing) wantLate() {
+	for _, part := range b.parts {
+		b.want[part.Part] = max(b.want[part.Part], b.instances(part, part.MilliCPU+part.Late))
+	}
+}
+
+// instances returns how many instances of the part have the room.
+func (b *balancing) instances(part *Need, milliCPU int) int {
+	room := cmp.Or(b.rooms[part.Pool], defaultRoom)
+	return int(float64(milliCPU)/(fillShare*float64(room)) + 1)
 }
 
+// least returns how many instances a part has whatever others need.
+func (b *balancing) least(part *Need) int { return part.Keep + b.reserve() }
+
 // reserve returns how many instances a part has beyond its lasting work.
 func (b *balancing) reserve() int {
 	cells := b.planner.cells.Count()
@@ -166,7 +188,7 @@
 		if needy == nil {
 			return
 		}
-		instance, ok := b.take(needy.Part)
+		instance, ok := b.take(needy)
 		if !ok {
 			stuck[needy.Cell] = true
 			continue
@@ -197,8 +219,10 @@
 }
 
 // take returns an instance for a part: a spare one, or one of the part of its
-// cell that has most more than it needs.
-func (b *balancing) take(to Part) (bbrmachine.Instance, bool) {
+// cell that has most more than it needs, or else much more of what it needs than
+// this one.
+func (b *balancing) take(needy *Need) (bbrmachine.Instance, bool) {
+	to := needy.Part
 	off := Part{Pool: b.spare, Cell: to.Cell}
 	if spares := b.members[off]; b.spare != "" && len(spares) > 0 {
 		b.members[off] = spares[1:]
@@ -211,7 +235,7 @@
 		}
 	}
 	slices.SortStableFunc(givers, func(x, y *Need) int { return cmp.Compare(b.excess(y), b.excess(x)) })
-	for _, giver := range givers {
+	for _, giver := range append(givers, b.richer(needy)...) {
 		if instance, ok := b.give(giver); ok {
 			return instance, true
 		}
@@ -219,6 +243,28 @@
 	return bbrmachine.Instance{}, false
 }
 
+// muchMore is how many times the share of what it wants a part must have that
+// gives an instance which it needs itself: a move takes time on both sides.
+const muchMore = 2
+
+// richer returns the parts of the cell that want instances themselves but have
+// much more of what they want, the richest first.
+func (b *balancing) richer(needy *Need) []*Need {
+	var richer []*Need
+	for _, part := range b.parts {
+		left := b.size[part.Part] - 1
+		if b.late || part.Cell != needy.Cell || b.excess(part) > 0 || left < b.least(part) {
+			continue
+		}
+		after := float64(left) / float64(b.want[part.Part])
+		if after >= muchMore*float64(b.size[needy.Part]+1)/float64(b.want[needy.Part]) {
+			richer = append(richer, part)
+		}
+	}
+	slices.SortStableFunc(richer, func(x, y *Need) int { return cmp.Compare(b.share(y), b.share(x)) })
+	return richer
+}
+
 // excess returns how many instances a part has more than it wants.
 func (b *balancing) excess(part *Need) int { return b.size[part.Part] - b.want[part.Part] }
 
--- /dev/null
+++ b/internal/fleet/bbrupkeep/scarce_test.go
@@ -0,0 +1,58 @@
+package bbrupkeep
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// playTurn lets two pools of 20 instances each compete, where calm asks for more
+// than there is and pressed then begins to, and returns how many each has at
+// the end.
+func playTurn(f *testFleet, needs func() []Need) (calmSize, pressedSize int) {
+	p := NewPlanner(testAway)
+	for end := f.now.Add(20 * time.Second); f.now.Before(end); {
+		list := needs()
+		for i := range list {
+			list[i].Give = f.lives(list[i].Pool)
+		}
+		f.step(p, list, always, f.carryOut)
+	}
+	return len(f.lives(calm)), len(f.lives(pressed))
+}
+
+// TestWorkInTimeComesBeforeLateWork holds that the instances of a pool whose
+// work is late already go to another whose work can still be in time.
+func TestWorkInTimeComesBeforeLateWork(t *testing.T) {
+	f := newTestFleet(map[string]int{calm: 36, pressed: 4})
+	late := ask(calm, 4)
+	late.Late = ask(calm, 80).MilliCPU
+	calmSize, pressedSize := playTurn(f, func() []Need { return []Need{late, ask(pressed, 30)} })
+	require.Equal(t, 30, pressedSize)
+	require.Equal(t, 10, calmSize, "late work has the rest")
+}
+
+// TestScarceInstancesAreShared holds that of two pools that want more than there
+// is, none is left with a few, and that instances do not go to and fro.
+func TestScarceInstancesAreShared(t *testing.T) {
+	f := newTestFleet(map[string]int{calm: 36, pressed: 4})
+	calmSize, pressedSize := playTurn(f, func() []Need { return []Need{ask(calm, 40), ask(pressed, 40)} })
+	require.GreaterOrEqual(t, pressedSize, 13)
+	require.GreaterOrEqual(t, calmSize, 20)
+	moves := 0
+	for _, instance := range f.instances {
+		moves += instance.lives
+	}
+	require.LessOrEqual(t, moves, 10)
+}
+
+// TestLastingWorkKeepsItsInstances holds that what a pool keeps for lasting work
+// is never taken.
+func TestLastingWorkKeepsItsInstances(t *testing.T) {
+	f := newTestFleet(map[string]int{calm: 20, pressed: 4})
+	keeping := ask(calm, 10)
+	keeping.Keep = 12
+	calmSize, _ := playTurn(f, func() []Need { return []Need{keeping, ask(pressed, 100)} })
+	require.Equal(t, 12+reserve, calmSize)
+}
--- a/internal/job/bbrledger/demand.go
+++ b/internal/job/bbrledger/demand.go
@@ -11,6 +11,8 @@
 	// MilliCPU is the processor room that the open jobs need to meet their
 	// objectives, and that jobs like the last ones will.
 	MilliCPU int `json:"milliCPU"`
+	// Late is what jobs need besides that cannot meet their objectives any more.
+	Late int `json:"late,omitempty"`
 	// Lasting is the part of it that lasting work takes.
 	Lasting int `json:"lasting"`
 	// Keep is how many upstreams lasting work is or must be spread over.
@@ -35,7 +37,7 @@
 // time to come, so the recent arrivals count as a rate that goes on.
 func (l *Ledger) Demand(now time.Time) Demand {
 	var demand Demand
-	open, arriving := 0.0, 0.0
+	open, late, arriving := 0.0, 0.0, 0.0
 	for _, j := range l.jobs {
 		if j.final != "" || j.cancelled {
 			continue
@@ -50,7 +52,7 @@
 			if now.Add(o.chainLeft()).Before(by) {
 				open += work / max(shortestSlack, by.Sub(now)).Seconds()
 			} else {
-				open += work / lateSpread.Seconds()
+				late += work / lateSpread.Seconds()
 			}
 			whole := by.Sub(j.Accepted)
 			if window := max(recentLeast, time.Duration(recentShare*float64(whole))); now.Sub(j.seen) < window {
@@ -58,7 +60,9 @@
 			}
 		}
 	}
-	demand.MilliCPU = demand.Lasting + int(max(open, arriving, l.arrivals.ahead(now)))
+	inTime := max(open, arriving, l.arrivals.ahead(now))
+	demand.MilliCPU = demand.Lasting + int(inTime)
+	demand.Late = int(max(open+late, inTime) - inTime)
 	demand.Give = l.giveable()
 	return demand
 }
--- a/internal/job/bbrowner/flusher.go
+++ b/internal/job/bbrowner/flusher.go
@@ -185,10 +185,11 @@
 )
 
 func demandChanged(before, now bbrledger.Demand) bool {
-	change := now.MilliCPU - before.MilliCPU
-	return change >= demandStep || -change >= demandStep || now.Keep != before.Keep
+	return changed(before.MilliCPU, now.MilliCPU) || changed(before.Late, now.Late) || now.Keep != before.Keep
 }
 
+func changed(before, now int) bool { return now-before >= demandStep || before-now >= demandStep }
+
 // fit cuts the batch to what a transaction holds.
 func fit(batch bbrledger.Batch) (bbrledger.Batch, bool) {
 	entries := fixedEntries
