--- a/internal/fleet/bbrupkeep/balance.go
+++ b/internal/fleet/bbrupkeep/balance.go
@@ -21,6 +21,8 @@
 	// MilliCPU is the room that it needs now, and Late what it needs besides for
 	// work that is late already.
 	MilliCPU, Late int
+	// Lasting is the part of MilliCPU that lasting work takes.
+	Lasting int
 	// Keep is how many instances it needs whatever it does.
 	Keep int
 	// Give has the lives that it can give away, in order.
@@ -61,10 +63,10 @@
 	for i := range needs {
 		b.add(&needs[i])
 	}
-	b.fill()
-	b.wantLate()
-	b.late = true
-	b.fill()
+	for b.tier = range tiers {
+		b.setWants()
+		b.fill()
+	}
 	p.short = b.neediest() != nil
 	b.rest()
 	return b.states()
@@ -82,11 +84,23 @@
 	// rooms has the processor room of an instance, by pool.
 	rooms map[string]int
 	spare string
-	// late means that instances are now for late work: no part gives one that it
-	// wants.
-	late bool
+	// tier is what instances are given for now.
+	tier tier
 }
 
+// tier is what instances are for: each gets what the earlier ones leave.
+type tier uint8
+
+const (
+	// tierLasting is lasting work and the reserve.
+	tierLasting tier = iota
+	// tierInTime is work that can meet its objective.
+	tierInTime
+	// tierLate is work that cannot, which earns little.
+	tierLate
+	tiers
+)
+
 // partOf returns the part that an instance belongs to while it is in the pool.
 // It is not known before its rack has a cell.
 func (p *Planner) partOf(instance bbrmachine.Instance, pool string) (Part, bool) {
@@ -151,14 +165,19 @@
 
 func (b *balancing) add(need *Need) {
 	b.parts = append(b.parts, need)
-	b.want[need.Part] = max(b.instances(need, need.MilliCPU), b.least(need))
 }
 
-// wantLate makes the parts want instances for late work as well. It earns little,
-// so it gets what the work that is in time leaves.
-func (b *balancing) wantLate() {
+// setWants sets how many instances the parts want for the tier and those before.
+func (b *balancing) setWants() {
 	for _, part := range b.parts {
-		b.want[part.Part] = max(b.want[part.Part], b.instances(part, part.MilliCPU+part.Late))
+		want := b.least(part)
+		if b.tier >= tierInTime {
+			want = max(want, b.instances(part, part.MilliCPU))
+		}
+		if b.tier >= tierLate {
+			want = max(want, b.instances(part, part.MilliCPU+part.Late))
+		}
+		b.want[part.Part] = want
 	}
 }
 
@@ -169,7 +188,13 @@
 }
 
 // least returns how many instances a part has whatever others need.
-func (b *balancing) least(part *Need) int { return part.Keep + b.reserve() }
+func (b *balancing) least(part *Need) int {
+	lasting := 0
+	if part.Lasting > 0 {
+		lasting = b.instances(part, part.Lasting)
+	}
+	return max(part.Keep, lasting) + b.reserve()
+}
 
 // reserve returns how many instances a part has beyond its lasting work.
 func (b *balancing) reserve() int {
@@ -253,7 +278,7 @@
 	var richer []*Need
 	for _, part := range b.parts {
 		left := b.size[part.Part] - 1
-		if b.late || part.Cell != needy.Cell || b.excess(part) > 0 || left < b.least(part) {
+		if b.tier != tierInTime || part.Cell != needy.Cell || b.excess(part) > 0 || left < b.least(part) {
 			continue
 		}
 		after := float64(left) / float64(b.want[part.Part])
--- a/internal/fleet/bbrupkeep/scarce_test.go
+++ b/internal/fleet/bbrupkeep/scarce_test.go
@@ -56,3 +56,13 @@
 	calmSize, _ := playTurn(f, func() []Need { return []Need{keeping, ask(pressed, 100)} })
 	require.Equal(t, 12+reserve, calmSize)
 }
+
+// TestLastingWorkComesFirst holds that a pool gets the instances of its lasting
+// work also from one that needs them for other work.
+func TestLastingWorkComesFirst(t *testing.T) {
+	f := newTestFleet(map[string]int{calm: 30, pressed: 2})
+	lasting := ask(pressed, 8)
+	lasting.Lasting = lasting.MilliCPU
+	_, pressedSize := playTurn(f, func() []Need { return []Need{ask(calm, 100), lasting} })
+	require.GreaterOrEqual(t, pressedSize, 8)
+}
--- a/internal/fleet/bbrupkeep/waves.go
+++ b/internal/fleet/bbrupkeep/waves.go
@@ -131,22 +131,23 @@
 	return time.Duration(waitMargin*float64(need)) < left
 }
 
-// pick returns an instance of the spare pool, or else one whose pool has the
-// smallest share in work.
+// pick returns an instance of the spare pool, or else one whose part of a pool
+// has the smallest share in work.
 func (p *Planner) pick(left []string) string {
-	size, busy := make(map[string]int), make(map[string]int)
+	size, busy := make(map[Part]int), make(map[Part]int)
 	for id, instance := range p.instances {
-		size[instance.Pool]++
+		part, _ := p.partOf(instance, instance.Pool)
+		size[part]++
 		if p.tasks[id] != nil || instance.Status != bbrmachine.StatusUp {
-			busy[instance.Pool]++
+			busy[part]++
 		}
 	}
 	share := func(id string) float64 {
-		pool := p.instances[id].Pool
-		if pool == p.spare {
+		part, _ := p.partOf(p.instances[id], p.instances[id].Pool)
+		if part.Pool == p.spare {
 			return -1
 		}
-		return float64(busy[pool]) / float64(max(1, size[pool]))
+		return float64(busy[part]) / float64(max(1, size[part]))
 	}
 	return slices.MinFunc(left, func(a, b string) int {
 		return cmp.Or(cmp.Compare(share(a), share(b)), cmp.Compare(a, b))
