--- a/internal/fleet/bbrupkeep/balance.go
+++ b/internal/fleet/bbrupkeep/balance.go
@@ -32,8 +32,8 @@
 const (
 	// fillShare is how much of an instance's room a pool is expected to fill.
 	fillShare = 0.75
-	// reserve is how many instances a pool has beyond its lasting work, so that a
-	// turn of demand begins at once. They are shared among the pool's parts.
+	// reserve is how many instances a part has beyond its lasting work, so that a
+	// turn of demand begins at once.
 	reserve = 4
 	// restFor is how long an instance must have been too many before it goes to
 	// the spare pool. Another pool may take it at once.
@@ -193,13 +193,7 @@
 	if part.Lasting > 0 {
 		lasting = b.instances(part, part.Lasting)
 	}
-	return max(part.Keep, lasting) + b.reserve()
-}
-
-// reserve returns how many instances a part has beyond its lasting work.
-func (b *balancing) reserve() int {
-	cells := b.planner.cells.Count()
-	return (reserve + cells - 1) / cells
+	return max(part.Keep, lasting) + reserve
 }
 
 // defaultRoom is taken for a pool without instances, in thousandths of a core.
