--- a/internal/fleet/bbrupkeep/balance.go
+++ b/internal/fleet/bbrupkeep/balance.go
@@ -67,7 +67,7 @@
 		b.setWants()
 		b.fill()
 	}
-	p.short = b.neediest() != nil
+	p.short = b.short()
 	b.rest()
 	return b.states()
 }
@@ -216,8 +216,18 @@
 	}
 }
 
-// neediest returns the part with the smallest share of what it wants.
-func (b *balancing) neediest() *Need { return b.neediestBut(nil) }
+// shortShare of the fleet's instances must be missing before the fleet counts as
+// short: of many parts one or the other always wants some.
+const shortShare = 0.02
+
+// short tells whether pools want more instances than there are.
+func (b *balancing) short() bool {
+	missing := 0
+	for _, part := range b.parts {
+		missing += max(0, -b.excess(part))
+	}
+	return float64(missing) > shortShare*float64(len(b.planner.instances))
+}
 
 // neediestBut returns the neediest part that is in none of the cells.
 func (b *balancing) neediestBut(cells map[int]bool) *Need {
