job/bbrledger: an owner that reads slowly waits for its predecessor's work all the same

Cause, by reading: a job counts as possibly started by the earlier owner if it was learnt of within 2.2 s after the claim. An owner that was short of processor time, or whose reads failed, took longer than that to read, and then started every job again beside upstreams that it had not reached. The same for a job whose news came late. Ruled out: stale progress (the claim is in each transaction's conditions), late transactions (sequence), acknowledgement before storing. Tests first: TestSlowLoadKeepsTheWait, TestJobThatIsReadLateKeepsTheWait.

--- a/internal/job/bbrledger/job.go
+++ b/internal/job/bbrledger/job.go
@@ -22,8 +22,10 @@
 	hasProgress bool
 	// chain is the longest chain of estimated work.
 	chain time.Duration
-	// seen is when the ledger learnt of the job.
-	seen time.Time
+	// seen is when the ledger learnt of the job. inherited means that it was read
+	// when the claim began, however long that took.
+	seen      time.Time
+	inherited bool
 	// changed rises with each change that has to be stored.
 	changed int
 }
--- a/internal/job/bbrledger/ledger.go
+++ b/internal/job/bbrledger/ledger.go
@@ -34,6 +34,9 @@
 	clockMargin = 30 * time.Millisecond
 )
 
+// newsLag bounds the time from a job's storing until its owner hears of it.
+const newsLag = 1200 * time.Millisecond
+
 // Ledger is the memory of a shard's owner. Its methods are called by one
 // goroutine at a time.
 type Ledger struct {
--- a/internal/job/bbrledger/ledger_test.go
+++ b/internal/job/bbrledger/ledger_test.go
@@ -422,3 +422,32 @@
 	s.ledger.Reserve(map[string]bool{"i-1": true, "i-2": true}, s.now)
 	require.LessOrEqual(t, len(s.plan().Stops), 1)
 }
+
+// TestSlowLoadKeepsTheWait holds that an owner whose reading took longer than an
+// earlier one believes in its claim still waits for what that one may have
+// started.
+func TestSlowLoadKeepsTheWait(t *testing.T) {
+	s := newScene(t, false, "i-1")
+	s.wait(testTiming.Handover + time.Second)
+	s.accept(testJob, unitStep(1))
+	s.ledger.Loaded([]bbrwork.Upstream{s.upstream("i-silent")}, s.now)
+	require.Empty(t, s.plan().Starts, "the earlier owner may have started it on i-silent")
+	s.list("i-silent")
+	require.Len(t, s.plan().Starts, 1)
+}
+
+// TestJobThatIsReadLateKeepsTheWait holds that a job counts as the earlier
+// owner's as long as its news may have been on the way.
+func TestJobThatIsReadLateKeepsTheWait(t *testing.T) {
+	s := newScene(t, false, "i-1")
+	s.ledger.Loaded([]bbrwork.Upstream{s.upstream("i-silent")}, s.now)
+	s.wait(testTiming.Handover + newsLag - time.Millisecond)
+	s.accept(testJob, unitStep(1))
+	require.Empty(t, s.plan().Starts)
+	s.wait(2 * time.Millisecond)
+	other := "00000000000000b2"
+	s.accept(other, unitStep(1))
+	starts := s.plan().Starts
+	require.Len(t, starts, 1)
+	require.Equal(t, other, starts[0].Start.Unit.Job)
+}
--- a/internal/job/bbrledger/plan.go
+++ b/internal/job/bbrledger/plan.go
@@ -80,7 +80,7 @@
 // of the job on an upstream that was not reached yet.
 func (p *planner) mayRunUnlocated(job *job) bool {
 	l := p.ledger
-	return !l.Settled(p.now) && !job.seen.After(l.began.Add(l.Timing.Handover))
+	return !l.Settled(p.now) && (job.inherited || !job.seen.After(l.began.Add(l.Timing.Handover+newsLag)))
 }
 
 func (p *planner) starts() {
--- a/internal/job/bbrledger/store.go
+++ b/internal/job/bbrledger/store.go
@@ -250,6 +250,7 @@
 		l.unlocated[up.Life] = true
 	}
 	for _, job := range l.jobs {
+		job.inherited = true
 		for _, o := range job.occurrences {
 			for _, s := range o.steps {
 				for _, u := range s.units {
