--- a/internal/fleet/bbrupkeep/balance.go
+++ b/internal/fleet/bbrupkeep/balance.go
@@ -63,7 +63,7 @@
 	for i := range needs {
 		b.add(&needs[i])
 	}
-	for b.tier = range tiers {
+	for _, b.tier = range tiers {
 		b.setWants()
 		b.fill()
 	}
@@ -98,9 +98,11 @@
 	tierInTime
 	// tierLate is work that cannot, which earns little.
 	tierLate
-	tiers
 )
 
+// tiers are in the order in which instances are given.
+var tiers = [...]tier{tierLasting, tierInTime, tierLate}
+
 // partOf returns the part that an instance belongs to while it is in the pool.
 // It is not known before its rack has a cell.
 func (p *Planner) partOf(instance bbrmachine.Instance, pool string) (Part, bool) {
