fleet/bbrupkeep: late work is wanted like the rest again

Tried and taken back: instances for late work only after work in time. Cause: what counts as late rests on submitters' estimates, which are far off; such work can often still be in time. Sharing and the tier of lasting work stay.

--- a/internal/fleet/bbrupkeep/balance.go
+++ b/internal/fleet/bbrupkeep/balance.go
@@ -18,9 +18,8 @@
 // Need is what a part of a pool asks for.
 type Need struct {
 	Part
-	// MilliCPU is the room that it needs now, and Late what it needs besides for
-	// work that is late already.
-	MilliCPU, Late int
+	// MilliCPU is the room that it needs now.
+	MilliCPU int
 	// Lasting is the part of MilliCPU that lasting work takes.
 	Lasting int
 	// Keep is how many instances it needs whatever it does.
@@ -94,14 +93,12 @@
 const (
 	// tierLasting is lasting work and the reserve.
 	tierLasting tier = iota
-	// tierInTime is work that can meet its objective.
-	tierInTime
-	// tierLate is work that cannot, which earns little.
-	tierLate
+	// tierRest is all other work.
+	tierRest
 )
 
 // tiers are in the order in which instances are given.
-var tiers = [...]tier{tierLasting, tierInTime, tierLate}
+var tiers = [...]tier{tierLasting, tierRest}
 
 // partOf returns the part that an instance belongs to while it is in the pool.
 // It is not known before its rack has a cell.
@@ -173,12 +170,9 @@
 func (b *balancing) setWants() {
 	for _, part := range b.parts {
 		want := b.least(part)
-		if b.tier >= tierInTime {
+		if b.tier == tierRest {
 			want = max(want, b.instances(part, part.MilliCPU))
 		}
-		if b.tier >= tierLate {
-			want = max(want, b.instances(part, part.MilliCPU+part.Late))
-		}
 		b.want[part.Part] = want
 	}
 }
@@ -284,7 +278,7 @@
 	var richer []*Need
 	for _, part := range b.parts {
 		left := b.size[part.Part] - 1
-		if b.tier != tierInTime || part.Cell != needy.Cell || b.excess(part) > 0 || left < b.least(part) {
+		if b.tier != tierRest || part.Cell != needy.Cell || b.excess(part) > 0 || left < b.least(part) {
 			continue
 		}
 		after := float64(left) / float64(b.want[part.Part])
--- a/internal/job/bbrledger/demand.go
+++ b/internal/job/bbrledger/demand.go
@@ -11,8 +11,6 @@
 	// MilliCPU is the processor room that the open jobs need to meet their
 	// objectives, and that jobs like the last ones will.
 	MilliCPU int `json:"milliCPU"`
-	// Late is what jobs need besides that cannot meet their objectives any more.
-	Late int `json:"late,omitempty"`
 	// Lasting is the part of it that lasting work takes.
 	Lasting int `json:"lasting"`
 	// Keep is how many upstreams lasting work is or must be spread over.
@@ -37,7 +35,7 @@
 // time to come, so the recent arrivals count as a rate that goes on.
 func (l *Ledger) Demand(now time.Time) Demand {
 	var demand Demand
-	open, late, arriving := 0.0, 0.0, 0.0
+	open, arriving := 0.0, 0.0
 	for _, j := range l.jobs {
 		if j.final != "" || j.cancelled {
 			continue
@@ -52,7 +50,7 @@
 			if now.Add(o.chainLeft()).Before(by) {
 				open += work / max(shortestSlack, by.Sub(now)).Seconds()
 			} else {
-				late += work / lateSpread.Seconds()
+				open += work / lateSpread.Seconds()
 			}
 			whole := by.Sub(j.Accepted)
 			if window := max(recentLeast, time.Duration(recentShare*float64(whole))); now.Sub(j.seen) < window {
@@ -60,9 +58,7 @@
 			}
 		}
 	}
-	inTime := max(open, arriving, l.arrivals.ahead(now))
-	demand.MilliCPU = demand.Lasting + int(inTime)
-	demand.Late = int(max(open+late, inTime) - inTime)
+	demand.MilliCPU = demand.Lasting + int(max(open, arriving, l.arrivals.ahead(now)))
 	demand.Give = l.giveable()
 	return demand
 }
--- a/internal/job/bbrowner/flusher.go
+++ b/internal/job/bbrowner/flusher.go
@@ -185,11 +185,10 @@
 )
 
 func demandChanged(before, now bbrledger.Demand) bool {
-	return changed(before.MilliCPU, now.MilliCPU) || changed(before.Late, now.Late) || now.Keep != before.Keep
+	change := now.MilliCPU - before.MilliCPU
+	return change >= demandStep || -change >= demandStep || now.Keep != before.Keep
 }
 
-func changed(before, now int) bool { return now-before >= demandStep || before-now >= demandStep }
-
 // fit cuts the batch to what a transaction holds.
 func fit(batch bbrledger.Batch) (bbrledger.Batch, bool) {
 	entries := fixedEntries
