job/bbrledger, fleet/bbrupkeep: large work units ask for upstreams of their own

Cause, by reading: a cell's part of a pool is some upstreams that lasting and other work share; together they have the room that the demand asks for, and none has 14 cores. Tests first: TestLargeWorkAsksForAWholeUpstream, TestLargeWorkGetsInstances.

--- a/internal/fleet/bbrupkeep/balance.go
+++ b/internal/fleet/bbrupkeep/balance.go
@@ -22,6 +22,8 @@
 	MilliCPU int
 	// Lasting is the part of MilliCPU that lasting work takes.
 	Lasting int
+	// Whole is how many instances it needs for work that fits beside no other.
+	Whole int
 	// Keep is how many instances it needs whatever it does.
 	Keep int
 	// Give has the lives that it can give away, in order.
@@ -189,7 +191,7 @@
 	if part.Lasting > 0 {
 		lasting = b.instances(part, part.Lasting)
 	}
-	return max(part.Keep, lasting) + reserve
+	return max(part.Keep, lasting) + reserve + part.Whole
 }
 
 // defaultRoom is taken for a pool without instances, in thousandths of a core.
--- a/internal/fleet/bbrupkeep/keeper.go
+++ b/internal/fleet/bbrupkeep/keeper.go
@@ -385,7 +385,7 @@
 		if !reported && k.Owned(pool.Name) {
 			return nil, false
 		}
-		needs = append(needs, Need{Part: Part{Pool: pool.Name, Cell: cell}, MilliCPU: demand.MilliCPU, Lasting: demand.Lasting, Keep: demand.Keep, Give: demand.Give})
+		needs = append(needs, Need{Part: Part{Pool: pool.Name, Cell: cell}, MilliCPU: demand.MilliCPU, Lasting: demand.Lasting, Whole: demand.Whole, Keep: demand.Keep, Give: demand.Give})
 	}
 	return needs, true
 }
--- a/internal/fleet/bbrupkeep/scarce_test.go
+++ b/internal/fleet/bbrupkeep/scarce_test.go
@@ -55,3 +55,13 @@
 	_, pressedSize := playTurn(f, func() []Need { return []Need{ask(calm, 100), lasting} })
 	require.GreaterOrEqual(t, pressedSize, 8)
 }
+
+// TestLargeWorkGetsInstances holds that instances for large work units come
+// before those for other work.
+func TestLargeWorkGetsInstances(t *testing.T) {
+	f := newTestFleet(map[string]int{calm: 30, pressed: 4})
+	large := ask(pressed, 1)
+	large.Whole = 2
+	_, pressedSize := playTurn(f, func() []Need { return []Need{ask(calm, 100), large} })
+	require.GreaterOrEqual(t, pressedSize, reserve+2)
+}
--- a/internal/job/bbrledger/ledger_test.go
+++ b/internal/job/bbrledger/ledger_test.go
@@ -449,3 +449,23 @@
 	require.Len(t, starts, 1)
 	require.Equal(t, other, starts[0].Start.Unit.Job)
 }
+
+// TestLargeWorkAsksForAWholeUpstream holds that a work unit that fits on none of
+// a few upstreams, each with some work, asks for one more, though all together
+// have the room.
+func TestLargeWorkAsksForAWholeUpstream(t *testing.T) {
+	s := newScene(t, true, "i-1", "i-2")
+	small := unitStep(6)
+	small.Need.MilliCPU = 1000
+	s.accept(testJob, small)
+	s.started(s.plan(), nil)
+	require.Zero(t, s.ledger.Demand(s.now).Whole)
+	large := unitStep(2)
+	large.Need.MilliCPU = 3500
+	s.accept("00000000000000b2", large)
+	require.Empty(t, s.plan().Starts)
+	require.Equal(t, 2, s.ledger.Demand(s.now).Whole)
+	s.register("i-3")
+	s.list("i-3")
+	require.Len(t, s.plan().Starts, 1)
+}
--- a/internal/job/bbrowner/flusher.go
+++ b/internal/job/bbrowner/flusher.go
@@ -186,7 +186,7 @@
 
 func demandChanged(before, now bbrledger.Demand) bool {
 	change := now.MilliCPU - before.MilliCPU
-	return change >= demandStep || -change >= demandStep || now.Keep != before.Keep
+	return change >= demandStep || -change >= demandStep || now.Keep != before.Keep || now.Whole != before.Whole
 }
 
 // fit cuts the batch to what a transaction holds.
