job/bbrledger: one upstream at a time for large work units

Under load each of 32 shards took four upstreams from work that fits together; one is enough for such work to go on.

--- a/internal/job/bbrledger/demand.go
+++ b/internal/job/bbrledger/demand.go
@@ -67,8 +67,9 @@
 	return demand
 }
 
-// mostWhole bounds the upstreams that are asked for large work units at once.
-const mostWhole = 4
+// mostWhole bounds the upstreams that are asked for large work units at once: they
+// are taken from work that fits together.
+const mostWhole = 1
 
 // wholeWanted counts the work units whose turn has come that take more than half
 // of an upstream, where no upstream has the room for one: the processor time
