--- a/internal/job/bbrledger/job.go
+++ b/internal/job/bbrledger/job.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/bluebellridge/bluebellridge/internal/job/bbrwork"
+	"github.com/bluebellridge/bluebellridge/internal/store/bbritem"
 )
 
 // job is a job that is not stored as ended.
@@ -22,10 +23,10 @@
 	hasProgress bool
 	// chain is the longest chain of estimated work.
 	chain time.Duration
-	// seen is when the ledger learnt of the job. inherited means that it was read
-	// when the claim began, however long that took.
-	seen      time.Time
-	inherited bool
+	// seen is when the ledger learnt of the job, and stored the revision at which
+	// the store took it.
+	seen   time.Time
+	stored bbritem.Revision
 	// changed rises with each change that has to be stored.
 	changed int
 }
@@ -108,8 +109,8 @@
 	phaseStopping
 )
 
-func newJob(in *bbrwork.Job, queue *bbrwork.Queue, now time.Time) *job {
-	j := &job{Job: in, queue: queue, seen: now}
+func newJob(in *bbrwork.Job, queue *bbrwork.Queue, stored bbritem.Revision, now time.Time) *job {
+	j := &job{Job: in, queue: queue, seen: now, stored: stored}
 	remaining := remainingChains(in.Steps)
 	for i := range in.Steps {
 		j.chain = max(j.chain, remaining[i])
--- a/internal/job/bbrledger/ledger.go
+++ b/internal/job/bbrledger/ledger.go
@@ -34,9 +34,6 @@
 	clockMargin = 30 * time.Millisecond
 )
 
-// newsLag bounds the time from a job's storing until its owner hears of it.
-const newsLag = 1200 * time.Millisecond
-
 // Ledger is the memory of a shard's owner. Its methods are called by one
 // goroutine at a time.
 type Ledger struct {
@@ -62,7 +59,8 @@
 	unlocated map[bbrwork.Life]bool
 	dirty     map[string]*job
 	// advice has the tickets of steps, by their name.
-	advice map[string]*advice
+	advice  map[string]*advice
+	horizon horizon
 	// arrivals are the newest jobs.
 	arrivals arrivals
 	// asking counts the calls to the advice service that are on their way.
--- a/internal/job/bbrledger/plan.go
+++ b/internal/job/bbrledger/plan.go
@@ -76,13 +76,6 @@
 	return false
 }
 
-// mayRunUnlocated tells whether an earlier owner may have started work units
-// of the job on an upstream that was not reached yet.
-func (p *planner) mayRunUnlocated(job *job) bool {
-	l := p.ledger
-	return !l.Settled(p.now) && (job.inherited || !job.seen.After(l.began.Add(l.Timing.Handover+newsLag)))
-}
-
 func (p *planner) starts() {
 	for _, c := range p.candidates() {
 		before := len(p.plan.Starts)
--- a/internal/job/bbrledger/promise_test.go
+++ b/internal/job/bbrledger/promise_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/bluebellridge/bluebellridge/internal/job/bbrorder"
 	"github.com/bluebellridge/bluebellridge/internal/job/bbrwork"
+	"github.com/bluebellridge/bluebellridge/internal/store/bbritem"
 )
 
 // player draws what happens next in a world.
@@ -106,6 +107,9 @@
 		due := time.Duration(rapid.IntRange(-10, 30).Draw(p.T, "due")) * 100 * time.Millisecond
 		job.Schedule = bbrwork.Schedule{Count: 2, First: p.world.now.Add(due), Every: 500 * time.Millisecond}
 	}
+	// Other changes of the store take a horizon's lead or not.
+	p.world.store.revision += bbritem.Revision(rapid.SampledFrom([]int{1, horizonAhead}).Draw(p.T, "changes"))
+	p.world.store.stored[id] = p.world.store.revision
 	p.world.store.jobs[id] = job
 	for _, o := range p.world.owners {
 		o.learn(id)
--- a/internal/job/bbrledger/rank.go
+++ b/internal/job/bbrledger/rank.go
@@ -21,7 +21,7 @@
 func (p *planner) candidates() []candidate {
 	var list []candidate
 	for _, job := range p.ledger.jobs {
-		if job.final != "" || job.cancelled || p.mayRunUnlocated(job) {
+		if job.final != "" || job.cancelled || p.mayRunUnlocated(job) || !p.ledger.mayBegin(job) {
 			continue
 		}
 		for _, o := range job.occurrences {
--- a/internal/job/bbrledger/store.go
+++ b/internal/job/bbrledger/store.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/bluebellridge/bluebellridge/internal/job/bbrwork"
+	"github.com/bluebellridge/bluebellridge/internal/store/bbritem"
 )
 
 // Write is one job to be stored.
@@ -30,6 +31,9 @@
 	Writes []Write
 	// Entitle is the lives to be listed for a successor; nil for no change.
 	Entitle []bbrwork.Upstream
+	// Horizon bounds the jobs that may be begun once it is stored; 0 tells a
+	// successor nothing.
+	Horizon bbritem.Revision
 	// applied has what may be acknowledged; nil where writes are left out.
 	applied map[bbrwork.Life]int64
 }
@@ -39,11 +43,11 @@
 
 // Head returns the batch with its first n writes.
 func (b Batch) Head(n int) Batch {
-	return Batch{Writes: b.Writes[:n], Entitle: b.Entitle}
+	return Batch{Writes: b.Writes[:n], Entitle: b.Entitle, Horizon: b.Horizon}
 }
 
 // Batch returns what has to be stored now, at most limit jobs.
-func (l *Ledger) Batch(limit int) Batch {
+func (l *Ledger) Batch(limit int, now time.Time) Batch {
 	var batch Batch
 	ids := slices.Sorted(maps.Keys(l.dirty))
 	// Jobs that have ended go first: callers wait for them.
@@ -60,6 +64,7 @@
 		}
 	}
 	batch.Entitle = l.entitlement()
+	batch.Horizon = l.horizon.next(l.Settled(now))
 	return batch
 }
 
@@ -78,9 +83,12 @@
 			return true
 		}
 	}
-	return l.entitlementMissing()
+	return l.entitlementMissing() || l.horizon.short
 }
 
+// HorizonShort tells whether a job waits for a further horizon.
+func (l *Ledger) HorizonShort() bool { return l.horizon.short }
+
 // Dirty tells whether anything has to be stored or acknowledged.
 func (l *Ledger) Dirty() bool { return len(l.dirty) > 0 }
 
@@ -132,8 +140,13 @@
 	return false
 }
 
-// Stored tells the ledger that all of a batch is stored.
-func (l *Ledger) Stored(batch Batch, now time.Time) {
+// Stored tells the ledger that all of a batch is stored, and at which revision;
+// 0 where nothing had to be written.
+func (l *Ledger) Stored(batch Batch, at bbritem.Revision, now time.Time) {
+	if at != 0 {
+		l.horizon.learn(at)
+		l.horizon.advance(batch.Horizon)
+	}
 	for _, write := range batch.Writes {
 		if write.job.changed == write.changed {
 			delete(l.dirty, write.job.ID)
@@ -201,25 +214,26 @@
 	return false
 }
 
-// Accepted adds a job with its stored progress, which may be empty. A job that
-// is known already is left as it is.
-func (l *Ledger) Accepted(in *bbrwork.Job, progress []byte, now time.Time) {
+// Accepted adds a job with the revision at which it was stored and its stored
+// progress, which may be empty. A job that is known already is left as it is.
+func (l *Ledger) Accepted(in *bbrwork.Job, stored bbritem.Revision, progress []byte, now time.Time) {
+	l.horizon.learn(stored)
 	if _, ended := l.endedJobs[in.ID]; ended || l.jobs[in.ID] != nil || in.Shard() != l.Shard {
 		return
 	}
-	j := newJob(in, l.config.Queues[in.Queue], now)
+	j := newJob(in, l.config.Queues[in.Queue], stored, now)
 	l.jobs[in.ID] = j
 	l.noteArrival(j, now)
 	if len(progress) == 0 {
 		return
 	}
 	j.hasProgress = true
-	var stored Progress
-	if err := json.Unmarshal(progress, &stored); err != nil {
+	var before Progress
+	if err := json.Unmarshal(progress, &before); err != nil {
 		l.note(now, "Stored progress unreadable", "job", in.ID, "reason", err.Error())
 		return
 	}
-	j.restore(&stored)
+	j.restore(&before)
 	if j.completed() && !j.Lasting() {
 		l.finishJob(j, bbrwork.Completed, "all work units are stored as done", now)
 	}
@@ -239,18 +253,19 @@
 // one started on upstreams that cannot be asked is not known.
 const runNumberGap = 16
 
-// Loaded tells the ledger that all stored jobs are known.
-func (l *Ledger) Loaded(lives []bbrwork.Upstream, now time.Time) {
+// Loaded tells the ledger that all stored jobs are known, with the lives and the
+// horizon that an earlier owner stored.
+func (l *Ledger) Loaded(lives []bbrwork.Upstream, horizon bbritem.Revision, now time.Time) {
 	if l.fresh {
 		return
 	}
+	l.horizon.inherit(horizon)
 	for _, up := range lives {
 		l.Upstream(up, now)
 		l.upstreams[up.ID].registered = false
 		l.unlocated[up.Life] = true
 	}
 	for _, job := range l.jobs {
-		job.inherited = true
 		for _, o := range job.occurrences {
 			for _, s := range o.steps {
 				for _, u := range s.units {
--- a/internal/job/bbrowner/flusher.go
+++ b/internal/job/bbrowner/flusher.go
@@ -108,22 +108,26 @@
 func (f *flusher) transaction(ctx context.Context, now time.Time) (bool, error) {
 	o := f.owner
 	o.mu.Lock()
-	batch := o.ledger.Batch(maxWrites)
+	batch := o.ledger.Batch(maxWrites, now)
+	short := o.ledger.HorizonShort()
 	told := f.report(now)
 	acknowledge := o.ledger.Acknowledgeable()
 	o.mu.Unlock()
 	batch, whole := fit(batch)
 	tell := f.mustTell(told, now)
-	if len(batch.Writes) == 0 && batch.Entitle == nil && !tell {
+	if len(batch.Writes) == 0 && batch.Entitle == nil && !short && !tell {
 		if acknowledge {
-			f.stored(batch)
+			f.stored(batch, 0)
 		}
 		return false, nil
 	}
 	if err := f.commit(ctx, batch, told, tell, now); err != nil {
 		return false, err
 	}
-	f.stored(batch)
+	f.stored(batch, o.sequence.revision)
+	if batch.Entitle != nil || short {
+		o.poke()
+	}
 	return !whole, nil
 }
 
@@ -146,18 +150,15 @@
 	return f.told
 }
 
-func (f *flusher) stored(batch bbrledger.Batch) {
+func (f *flusher) stored(batch bbrledger.Batch, at bbritem.Revision) {
 	o := f.owner
 	o.mu.Lock()
-	o.ledger.Stored(batch, time.Now())
+	o.ledger.Stored(batch, at, time.Now())
 	if o.storedOnce != nil {
 		close(o.storedOnce)
 		o.storedOnce = nil
 	}
 	o.mu.Unlock()
-	if batch.Entitle != nil {
-		o.poke()
-	}
 }
 
 // mustTell tells whether the report has to be stored for its own sake.
@@ -222,7 +223,7 @@
 	s := &o.sequence
 	s.number++
 	key := bbrrecord.SequenceKey(o.Shard)
-	record := bbrrecord.Sequence{Token: int64(o.Held.Token), Number: s.number}
+	record := bbrrecord.Sequence{Token: int64(o.Held.Token), Number: s.number, Horizon: batch.Horizon}
 	transaction := bbritem.Transaction{
 		Conditions: []bbritem.Condition{o.Held.Condition(), {Key: key, Revision: s.revision}},
 		Puts:       []bbritem.Put{{Key: key, Value: bbrrecord.Encode(record)}},
--- a/internal/job/bbrowner/owner.go
+++ b/internal/job/bbrowner/owner.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"slices"
 	"sync"
 	"time"
@@ -270,6 +271,12 @@
 	if err != nil && !fresh {
 		return 0, err
 	}
+	var record bbrrecord.Sequence
+	if !fresh {
+		if err := json.Unmarshal(sequence.Value, &record); err != nil {
+			return 0, errors.Wrapf(err, "record %s", sequence.Key)
+		}
+	}
 	progress, _, err := o.Store.All(ctx, bbrrecord.ProgressOf(o.Shard))
 	if err != nil {
 		return 0, err
@@ -301,7 +308,7 @@
 	o.reservation = reserved.Revision
 	o.ledger.Reserve(taken, time.Now())
 	o.accept(jobs, progress, time.Now())
-	o.ledger.Loaded(lives, time.Now())
+	o.ledger.Loaded(lives, record.Horizon, time.Now())
 	o.loaded = at
 	return at, nil
 }
--- a/internal/job/bbrrecord/record.go
+++ b/internal/job/bbrrecord/record.go
@@ -8,6 +8,7 @@
 
 	"github.com/bluebellridge/bluebellridge/internal/job/bbrledger"
 	"github.com/bluebellridge/bluebellridge/internal/job/bbrwork"
+	"github.com/bluebellridge/bluebellridge/internal/store/bbritem"
 )
 
 // Prefixes of the store's keys.
@@ -95,6 +96,9 @@
 type Sequence struct {
 	Token  int64 `json:"token"`
 	Number int64 `json:"number"`
+	// Horizon bounds the revisions of the jobs that owners until now may have
+	// begun; 0 allows any.
+	Horizon bbritem.Revision `json:"horizon,omitempty"`
 }
 
 // Report is what an owner tells of its shard from time to time.
--- /dev/null
+++ b/internal/standin/bbrprogram/pairs.go
@@ -0,0 +1,48 @@
+package bbrprogram
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+
+	"github.com/bluebellridge/bluebellridge/internal/standin/bbrtrial"
+	"github.com/bluebellridge/bluebellridge/platform/bbrbench"
+)
+
+type pairsCommand struct {
+	Before []string `help:"Folders with the journal of the earlier build." required:"" type:"existingdir"`
+	After  []string `help:"Folders with the journal of the later build." required:"" type:"existingdir"`
+	Out    string   `help:"File for the pairs as JSON."`
+	Plot   string   `help:"File for a plot, such as pairs.svg."`
+}
+
+// Run implements the command.
+func (c *pairsCommand) Run(o output) error {
+	before, err := bbrbench.Plays(c.Before...)
+	if err != nil {
+		return err
+	}
+	after, err := bbrbench.Plays(c.After...)
+	if err != nil {
+		return err
+	}
+	pairs, single := bbrtrial.Pairs(before, after)
+	if single > 0 {
+		fmt.Fprintf(o.out, "%d plays have no partner\n", single)
+	}
+	if c.Out != "" {
+		data, err := json.MarshalIndent(pairs, "", " ")
+		if err != nil {
+			return err
+		}
+		if err := os.WriteFile(c.Out, data, 0o644); err != nil {
+			return err
+		}
+	}
+	if c.Plot != "" {
+		if err := bbrtrial.Plot(c.Plot, pairs); err != nil {
+			return err
+		}
+	}
+	return bbrtrial.Table(o.out, bbrtrial.Rows(pairs))
+}
--- a/internal/standin/bbrprogram/program.go
+++ b/internal/standin/bbrprogram/program.go
@@ -32,6 +32,7 @@
 	Jobs     jobsCommand     `cmd:"" help:"Submit a bounded load of jobs and wait for their ends."`
 	Load     loadCommand     `cmd:"" help:"Submit a seeded load with turns of demand and report what callers got."`
 	Compare  compareCommand  `cmd:"" help:"Compare reports of load."`
+	Pairs    pairsCommand    `cmd:"" help:"Compare two builds by pairs of plays from the journal of the bench."`
 	Soak     soakCommand     `cmd:"" help:"Run entries as processes under seeded trouble and check the promises."`
 }
 
--- /dev/null
+++ b/internal/standin/bbrtrial/pairs_test.go
@@ -0,0 +1,38 @@
+package bbrtrial
+
+import (
+	"math"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+func TestPairsMatchDayAndSeed(t *testing.T) {
+	before := []Play{{Day: "a", Seed: 1, Worth: 0.2}, {Day: "a", Seed: 2, Worth: 0.4}, {Day: "b", Seed: 1, Worth: 0.9}}
+	after := []Play{{Day: "a", Seed: 2, Worth: 0.5}, {Day: "a", Seed: 1, Worth: 0.4}, {Day: "a", Seed: 1, Worth: 0.6}}
+	pairs, single := Pairs(before, after)
+	require.Equal(t, 2, single)
+	require.Equal(t, []Pair{{Before: before[1], After: after[0]}, {Before: before[0], After: after[1]}}, pairs)
+}
+
+func TestRowsHaveTheErrorOfTheDifference(t *testing.T) {
+	rows := Rows([]Pair{
+		{Before: Play{Day: "a", Worth: 0.1}, After: Play{Day: "a", Worth: 0.2}},
+		{Before: Play{Day: "a", Worth: 0.9, Broken: []string{"x"}}, After: Play{Day: "a", Worth: 1.2}},
+		{Before: Play{Day: "b", Worth: 0.5}, After: Play{Day: "b", Worth: 0.5}},
+	})
+	require.Len(t, rows, 3)
+	require.Equal(t, "a", rows[0].Day)
+	require.InDelta(t, 0.2, rows[0].Worth.Value, 1e-9)
+	// The days differ far more than the two plays of a pair do.
+	require.InDelta(t, 0.1, rows[0].Worth.Error, 1e-9)
+	require.Equal(t, [2]int{1, 0}, rows[0].Broken)
+	require.True(t, math.IsNaN(rows[1].Worth.Error))
+	require.Equal(t, allDays, rows[2].Day)
+	require.Equal(t, 3, rows[2].Pairs)
+
+	var out strings.Builder
+	require.NoError(t, Table(&out, rows))
+	require.Contains(t, out.String(), "+0.200 ± 0.100")
+}
--- /dev/null
+++ b/internal/standin/bbrtrial/play.go
@@ -0,0 +1,27 @@
+package bbrtrial
+
+// Play is one day, played once.
+type Play struct {
+	Site, Day string
+	Seed      int64
+	// Worth is what the day earned, less its prices, as a share of what it could.
+	Worth float64
+	// Served is the share of the requests' worth that was earned, and Windows that
+	// of the worst seconds.
+	Served, Windows float64
+	// Pools is the price of instances that are on.
+	Pools float64
+	// Broken names the rules that were broken; a play that broke one counts for
+	// nothing, whatever its worth.
+	Broken []string
+	// Passed tells whether the day passed its gate.
+	Passed bool
+}
+
+// key is what two plays of a pair share.
+type key struct {
+	site, day string
+	seed      int64
+}
+
+func (p *Play) key() key { return key{site: p.Site, day: p.Day, seed: p.Seed} }
