--- a/internal/daemon/bbrserve/plugin.go
+++ b/internal/daemon/bbrserve/plugin.go
@@ -76,7 +76,7 @@
 		debug.SetMemoryLimit(int64(memoryShare * float64(settings.Limits.MemoryMB) * (1 << 20)))
 	}
 	debug.SetGCPercent(gcPercent)
-	store := bbritem.Metered(bbrwire.NewStore(bbrwire.NewClient(connectionsToStore, metrics.Bodies), settings.Platform.Address),
+	store := bbritem.Metered(bbrwire.NewStore(bbrwire.NewClient(connectionsToStore, metrics.Bodies), settings.Platform.Address, metrics.Event),
 		func(call string, err error, took time.Duration) { metrics.StoreCall(call, bbritem.Outcome(err), took) })
 	s := &service{
 		settings:     settings,
--- a/internal/fleet/bbrupkeep/keeper.go
+++ b/internal/fleet/bbrupkeep/keeper.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -65,8 +66,10 @@
 	told time.Time
 	// cleared has the lives that their owners reported as cleared.
 	cleared map[string]bool
-	// demands are by shard, as their owners reported them.
-	demands map[bbrwork.Shard]bbrledger.Demand
+	// demands are by shard, as their owners reported them; reportsRead is when the
+	// reports were last read.
+	demands     map[bbrwork.Shard]reported
+	reportsRead time.Time
 	// divided is the newest division that was stored.
 	divided  *bbrcell.Cells
 	reserved []string
@@ -109,7 +112,7 @@
 func (k *Keeper) Run(ctx context.Context, away time.Duration) {
 	k.planner = NewPlanner(away)
 	k.cleared = make(map[string]bool)
-	k.demands = make(map[bbrwork.Shard]bbrledger.Demand)
+	k.demands = make(map[bbrwork.Shard]reported)
 	k.stored = make(map[int64]waveState)
 	k.ordering = make(map[string]bool)
 	k.intents = intents{held: k.Held, store: k.Store, apart: k.Lease + orderSlack}
@@ -158,15 +161,7 @@
 const orderSlack = 300 * time.Millisecond
 
 func (k *Keeper) round(ctx context.Context, now time.Time) error {
-	if err := k.readWaves(ctx, now); err != nil {
-		return err
-	}
-	if err := k.list(ctx, now); err != nil {
-		return err
-	}
-	if err := k.readReports(ctx, now); err != nil {
-		return err
-	}
+	unread := k.read(ctx, now)
 	k.mu.Lock()
 	if given := k.planner.giveUp(now); len(given) > 0 {
 		klog.InfoS("Moves given up", "instances", given, "token", k.Held.Token)
@@ -174,7 +169,7 @@
 	k.planner.Unsure(k.intents.unsure(now))
 	k.learnDirectives(now)
 	pools := k.Pools()
-	k.tell(k.planner.Balance(k.needs(pools), spareOf(pools), k.Registered, now), now)
+	k.tell(k.planner.Balance(k.needs(pools, now), spareOf(pools), k.Registered, now), now)
 	orders := k.planner.Round(k.isCleared, now)
 	k.mu.Unlock()
 	if err := k.intents.record(ctx, orders, time.Now()); err != nil {
@@ -184,7 +179,19 @@
 	if k.Confirmed(time.Now()) {
 		k.send(ctx, orders)
 	}
-	return k.save(ctx)
+	return errors.CombineErrors(k.save(ctx), unread)
+}
+
+// read learns what is new, all at once. What cannot be read now stays as it was:
+// a round decides by what is known.
+func (k *Keeper) read(ctx context.Context, now time.Time) error {
+	var waves, instances, reports error
+	var reading sync.WaitGroup
+	reading.Go(func() { waves = k.readWaves(ctx, now) })
+	reading.Go(func() { instances = k.list(ctx, now) })
+	reading.Go(func() { reports = k.readReports(ctx, now) })
+	reading.Wait()
+	return errors.CombineErrors(errors.CombineErrors(waves, instances), reports)
 }
 
 // tellEvery is between two lines about the pools.
@@ -197,7 +204,7 @@
 	k.told = now
 	for _, part := range parts {
 		klog.InfoS("Pool", "pool", part.Pool, "cell", part.Cell, "token", k.Held.Token, "size", part.Size, "want", part.Want, "up", part.Up,
-			"inWork", part.Tasks, "listAge", now.Sub(k.listRead).Round(time.Millisecond))
+			"inWork", part.Tasks, "listAge", now.Sub(k.listRead).Round(time.Millisecond), "reportsAge", now.Sub(k.reportsRead).Round(time.Millisecond))
 	}
 }
 
@@ -338,13 +345,18 @@
 		if err != nil {
 			return err
 		}
-		if now.Sub(record.At) < reportFor {
-			k.demands[shard] = record.Demand
-		}
+		k.demands[shard] = reported{demand: record.Demand, at: record.At}
 	}
+	k.reportsRead = now
 	return nil
 }
 
+// reported is a demand with when its owner reported it.
+type reported struct {
+	demand bbrledger.Demand
+	at     time.Time
+}
+
 // reportFor is how long a report counts. Owners report more often than that.
 const reportFor = 4 * time.Second
 
@@ -366,25 +378,30 @@
 
 // needs returns what the owners ask for. Without a recent report of every owner
 // in a cell, nothing is moved there.
-func (k *Keeper) needs(pools []Pool) []Need {
+func (k *Keeper) needs(pools []Pool, now time.Time) []Need {
 	var needs []Need
 	for cell := range k.divided.Count() {
-		if in, whole := k.needsOf(cell, pools); whole {
+		if in, whole := k.needsOf(cell, pools, now); whole {
 			needs = append(needs, in...)
 		}
 	}
 	return needs
 }
 
-func (k *Keeper) needsOf(cell int, pools []Pool) (needs []Need, whole bool) {
+func (k *Keeper) needsOf(cell int, pools []Pool, now time.Time) (needs []Need, whole bool) {
 	for _, pool := range pools {
 		if pool.Spare {
 			continue
 		}
-		demand, reported := k.demands[bbrwork.Shard{Service: pool.Name, Cell: cell}]
-		if !reported && k.Owned(pool.Name) {
+		report := k.demands[bbrwork.Shard{Service: pool.Name, Cell: cell}]
+		recent := now.Sub(report.at) < reportFor
+		if !recent && k.Owned(pool.Name) {
 			return nil, false
 		}
+		var demand bbrledger.Demand
+		if recent {
+			demand = report.demand
+		}
 		needs = append(needs, Need{Part: Part{Pool: pool.Name, Cell: cell}, MilliCPU: demand.MilliCPU, Lasting: demand.Lasting, Whole: demand.Whole, Keep: demand.Keep, Give: demand.Give})
 	}
 	return needs, true
@@ -424,6 +441,8 @@
 		return err
 	}
 	k.reserved = reserved
+	// A report on an instance that is left alone for a while says nothing of later.
+	maps.DeleteFunc(k.cleared, func(life string, _ bool) bool { return !slices.Contains(reserved, life) })
 	for wave, state := range stored {
 		k.stored[wave] = state
 		klog.InfoS("Wave stored", "wave", wave, "done", state.done, "completed", state.completed, "token", k.Held.Token)
--- /dev/null
+++ b/internal/fleet/bbrupkeep/keeper_test.go
@@ -0,0 +1,129 @@
+package bbrupkeep
+
+import (
+	"context"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/bluebellridge/bluebellridge/internal/base/bbrmetric"
+	"github.com/bluebellridge/bluebellridge/internal/fleet/bbrclaim"
+	"github.com/bluebellridge/bluebellridge/internal/fleet/bbrmachine"
+	"github.com/bluebellridge/bluebellridge/internal/job/bbrledger"
+	"github.com/bluebellridge/bluebellridge/internal/job/bbrrecord"
+	"github.com/bluebellridge/bluebellridge/internal/job/bbrwork"
+	"github.com/bluebellridge/bluebellridge/internal/store/bbritem"
+)
+
+// keeping is a keeper over a store whose answers can be lost by prefix, and a
+// fleet that carries out what it is told.
+type keeping struct {
+	*Keeper
+	lost map[string]bool
+
+	mu    sync.Mutex
+	moved []string
+}
+
+const keptPool, givingPool, wavesPrefix = "press", "idle", "waves/"
+
+func newKeeping(now time.Time, instances []bbrmachine.Instance, reports map[bbrwork.Shard]bbrrecord.Report) *keeping {
+	k := &keeping{lost: make(map[string]bool)}
+	k.Keeper = &Keeper{
+		Entry:   "entry-1",
+		Metrics: bbrmetric.New(),
+		Store: &bbritem.Store{
+			Get: func(context.Context, string) (bbritem.Item, error) { return bbritem.Item{}, bbritem.ErrNotFound },
+			Range: func(_ context.Context, prefix, _ string) (bbritem.Page, error) {
+				if k.lost[prefix] {
+					return bbritem.Page{}, bbritem.ErrLost
+				}
+				return pageOf(prefix, reports), nil
+			},
+			Commit: func(context.Context, bbritem.Transaction) (bbritem.Revision, error) { return 1, nil },
+		},
+		Fleet: &bbrmachine.Fleet{
+			List: func(context.Context) ([]bbrmachine.Instance, error) { return instances, nil },
+			Move: func(_ context.Context, _ bbrmachine.Holder, instance, _ string) error {
+				k.mu.Lock()
+				defer k.mu.Unlock()
+				k.moved = append(k.moved, instance)
+				return nil
+			},
+		},
+		Waves:      Waves{Prefix: wavesPrefix},
+		Confirmed:  func(time.Time) bool { return true },
+		Pools:      func() []Pool { return []Pool{{Name: keptPool}, {Name: givingPool}} },
+		Registered: func(string) bool { return true },
+		Owned:      func(string) bool { return true },
+		Directives: func() bbrmachine.Directives { return nil },
+		Strength:   func(int) int { return 400 },
+		Lease:      time.Second,
+		planner:    NewPlanner(testAway),
+		cleared:    make(map[string]bool),
+		demands:    make(map[bbrwork.Shard]reported),
+		stored:     make(map[int64]waveState),
+		ordering:   make(map[string]bool),
+	}
+	k.intents = intents{store: k.Store, apart: time.Second, inherited: map[string]bool{}, stored: map[string]bool{}, sent: map[string]time.Time{}}
+	return k
+}
+
+func pageOf(prefix string, reports map[bbrwork.Shard]bbrrecord.Report) bbritem.Page {
+	var page bbritem.Page
+	if strings.HasPrefix(prefix, bbrrecord.ReportPrefix) {
+		for shard, report := range reports {
+			page.Items = append(page.Items, bbritem.Item{Key: bbrrecord.ReportKey(shard), Value: bbrrecord.Encode(report)})
+		}
+	}
+	return page
+}
+
+// TestRoundGoesOnWithWhatItHas holds that instances move to a pool that needs
+// them while one of the reads that a round makes gets no answer.
+func TestRoundGoesOnWithWhatItHas(t *testing.T) {
+	now := time.Now()
+	var instances []bbrmachine.Instance
+	var given []string
+	for _, id := range []string{"m-1", "m-2", "m-3", "m-4", "m-5", "m-6", "m-7", "m-8"} {
+		instances = append(instances, bbrmachine.Instance{ID: id, Pool: givingPool, Status: bbrmachine.StatusUp, Upstream: "i-" + id, Room: bbrwork.Resources{MilliCPU: 16000}, Labels: []string{"a", "r-1"}})
+		given = append(given, "i-"+id)
+	}
+	reports := map[bbrwork.Shard]bbrrecord.Report{
+		{Service: keptPool}:   {At: now, Demand: bbrledger.Demand{MilliCPU: 200000}},
+		{Service: givingPool}: {At: now, Cleared: given, Demand: bbrledger.Demand{Give: given}},
+	}
+	k := newKeeping(now, instances, reports)
+	k.lost[wavesPrefix] = true
+	for range 3 {
+		require.ErrorIs(t, k.round(t.Context(), now), bbritem.ErrLost)
+		k.wg.Wait()
+	}
+	require.NotEmpty(t, k.moved)
+}
+
+// TestOldReportsMoveNothing holds that what a round goes on with is not too old.
+func TestOldReportsMoveNothing(t *testing.T) {
+	now := time.Now()
+	k := newKeeping(now, nil, nil)
+	pools := k.Pools()
+	for _, pool := range pools {
+		k.demands[bbrwork.Shard{Service: pool.Name}] = reported{demand: bbrledger.Demand{MilliCPU: 1}, at: now}
+	}
+	require.Len(t, k.needs(pools, now), 2)
+	require.Empty(t, k.needs(pools, now.Add(reportFor)))
+}
+
+// TestClearedLifeThatIsNotReservedIsForgotten holds that a report of an earlier
+// reservation does not count for a later one.
+func TestClearedLifeThatIsNotReservedIsForgotten(t *testing.T) {
+	k := newKeeping(time.Now(), nil, nil)
+	k.Held = bbrclaim.Held{}
+	k.reserved = []string{"i-1"}
+	k.cleared["i-1"] = true
+	require.NoError(t, k.save(t.Context()))
+	require.Empty(t, k.cleared)
+}
