config/bbrrevision: the configuration names its organisation

The setting was called tenant, which is the platform's word; ours is organisation. A file with the old name is refused with the place of the unknown field.

--- a/internal/config/bbrrevision/config.go
+++ b/internal/config/bbrrevision/config.go
@@ -11,9 +11,9 @@
 // Key is where the platform keeps the configuration.
 const Key = "config"
 
-// Config is the shared configuration of one tenant.
+// Config is the shared configuration of one organisation.
 type Config struct {
-	Tenant string `json:"tenant" yaml:"tenant"`
+	Organisation string `json:"organisation" yaml:"organisation"`
 	// SparePool lends instances first.
 	SparePool string             `json:"sparePool" yaml:"sparePool"`
 	Weights   Weights            `json:"weights" yaml:"weights"`
@@ -28,7 +28,7 @@
 	Operations bbroperation.Log `json:"operations" yaml:"-"`
 }
 
-// Weights are what the tenant minds most. They weigh a move against a second
+// Weights are what the organisation minds most. They weigh a move against a second
 // of an instance's worth of missing capacity.
 type Weights struct {
 	// Move is the cost of one move, in instance-seconds of deficit.
--- a/internal/config/bbrrevision/validate.go
+++ b/internal/config/bbrrevision/validate.go
@@ -29,7 +29,7 @@
 // Validate returns every fault of the configuration, in a fixed order.
 func (c *Config) Validate() []*bbrcode.Error {
 	var check checker
-	check.require(c.Tenant != "", "tenant", "must not be empty")
+	check.require(c.Organisation != "", "organisation", "must not be empty")
 	_, spare := c.Pools[c.SparePool]
 	check.require(c.SparePool == "" || spare, "sparePool", "no pool is named %q", c.SparePool)
 	check.require(c.Weights.Move >= 0, "weights.move", "must not be negative")
--- a/scripts/capacity.sh
+++ b/scripts/capacity.sh
@@ -24,7 +24,7 @@
   done | sed 1d >"$work/curl"
   curl -s -K "$work/curl" >/dev/null
   {
-    echo 'tenant: capacity'; echo 'services: {all: {budget: 5}}'; echo 'pools:'
+    echo 'organisation: capacity'; echo 'services: {all: {budget: 5}}'; echo 'pools:'
     for i in $(seq 0 75); do echo "  p-$i: {urgentReserve: 1}"; done
     echo 'queues:'
     for i in $(seq 0 75); do echo "  q-$i: {service: all, pool: p-$i, bound: 100, timeout: 30s, answerBytes: 1048576}"; done
