--- a/internal/fleet/bbrupkeep/balance.go
+++ b/internal/fleet/bbrupkeep/balance.go
@@ -1,9 +1,6 @@
 package bbrupkeep
 
 import (
-	"cmp"
-	"maps"
-	"slices"
 	"time"
 
 	"github.com/bluebellridge/bluebellridge/internal/fleet/bbrmachine"
@@ -112,91 +109,10 @@
 	return Part{Pool: pool, Cell: cell}, known
 }
 
-// members returns the instances that are up, in no task and of no directive, by
-// part.
-func (p *Planner) members() map[Part][]bbrmachine.Instance {
-	members := make(map[Part][]bbrmachine.Instance)
-	for _, id := range slices.Sorted(maps.Keys(p.instances)) {
-		instance := p.instances[id]
-		_, directed := p.directives[id]
-		part, known := p.partOf(instance, instance.Pool)
-		if known && instance.Status == bbrmachine.StatusUp && p.tasks[id] == nil && !p.unsure[id] && !directed {
-			members[part] = append(members[part], instance)
-		}
-	}
-	return members
-}
-
-// sizes counts the instances that work or soon will, by part.
-func (p *Planner) sizes(registered func(life string) bool, now time.Time) map[Part]int {
-	sizes := make(map[Part]int)
-	for id, instance := range p.instances {
-		home := instance.Pool
-		if t := p.tasks[id]; t != nil {
-			// An instance that a wave takes is not there for a while.
-			home = t.pool
-		}
-		part, known := p.partOf(instance, home)
-		if known && home != "" && p.counts(instance, registered, now) {
-			sizes[part]++
-		}
-	}
-	return sizes
-}
-
-// rooms returns the processor room of an instance, by pool.
-func (p *Planner) rooms() map[string]int {
-	rooms := make(map[string]int)
-	for _, instance := range p.instances {
-		rooms[instance.Pool] = max(rooms[instance.Pool], instance.Room.MilliCPU)
-	}
-	return rooms
-}
-
-// settleIn is how long an instance that is not up and registered still counts:
-// it is on its way.
-const settleIn = 3 * time.Second
-
-func (p *Planner) counts(instance bbrmachine.Instance, registered func(life string) bool, now time.Time) bool {
-	if instance.Status == bbrmachine.StatusUp && registered(instance.Upstream) {
-		return true
-	}
-	return instance.Status != bbrmachine.StatusDown && now.Sub(p.standing[instance.ID].since) < settleIn
-}
-
 func (b *balancing) add(need *Need) {
 	b.parts = append(b.parts, need)
 }
 
-// setWants sets how many instances the parts want for the tier and those before.
-func (b *balancing) setWants() {
-	for _, part := range b.parts {
-		want := b.least(part)
-		if b.tier == tierRest {
-			want = max(want, b.instances(part, part.MilliCPU))
-		}
-		b.want[part.Part] = want
-	}
-}
-
-// instances returns how many instances of the part have the room.
-func (b *balancing) instances(part *Need, milliCPU int) int {
-	room := cmp.Or(b.rooms[part.Pool], defaultRoom)
-	return int(float64(milliCPU)/(fillShare*float64(room)) + 1)
-}
-
-// least returns how many instances a part has whatever others need.
-func (b *balancing) least(part *Need) int {
-	lasting := 0
-	if part.Lasting > 0 {
-		lasting = b.instances(part, part.Lasting)
-	}
-	return max(part.Keep, lasting) + reserve + part.Whole
-}
-
-// defaultRoom is taken for a pool without instances, in thousandths of a core.
-const defaultRoom = 16000
-
 // fill moves instances into the parts that need them, the neediest first.
 func (b *balancing) fill() {
 	stuck := make(map[int]bool)
@@ -241,76 +157,6 @@
 	return needy
 }
 
-func (b *balancing) share(part *Need) float64 {
-	return float64(b.size[part.Part]) / float64(b.want[part.Part])
-}
-
-// take returns an instance for a part: a spare one, or one of the part of its
-// cell that has most more than it needs, or else much more of what it needs than
-// this one.
-func (b *balancing) take(needy *Need) (bbrmachine.Instance, bool) {
-	to := needy.Part
-	off := Part{Pool: b.spare, Cell: to.Cell}
-	if spares := b.members[off]; b.spare != "" && len(spares) > 0 {
-		b.members[off] = spares[1:]
-		return spares[0], true
-	}
-	var givers []*Need
-	for _, giver := range b.parts {
-		if giver.Cell == to.Cell && giver.Pool != to.Pool && b.excess(giver) > 0 {
-			givers = append(givers, giver)
-		}
-	}
-	slices.SortStableFunc(givers, func(x, y *Need) int { return cmp.Compare(b.excess(y), b.excess(x)) })
-	for _, giver := range append(givers, b.richer(needy)...) {
-		if instance, ok := b.give(giver); ok {
-			return instance, true
-		}
-	}
-	return bbrmachine.Instance{}, false
-}
-
-// muchMore is how many times the share of what it wants a part must have that
-// gives an instance which it needs itself: a move takes time on both sides.
-const muchMore = 2
-
-// richer returns the parts of the cell that want instances themselves but have
-// much more of what they want, the richest first.
-func (b *balancing) richer(needy *Need) []*Need {
-	var richer []*Need
-	for _, part := range b.parts {
-		left := b.size[part.Part] - 1
-		if b.tier != tierRest || part.Cell != needy.Cell || b.excess(part) > 0 || left < b.least(part) {
-			continue
-		}
-		after := float64(left) / float64(b.want[part.Part])
-		if after >= muchMore*float64(b.size[needy.Part]+1)/float64(b.want[needy.Part]) {
-			richer = append(richer, part)
-		}
-	}
-	slices.SortStableFunc(richer, func(x, y *Need) int { return cmp.Compare(b.share(y), b.share(x)) })
-	return richer
-}
-
-// excess returns how many instances a part has more than it wants.
-func (b *balancing) excess(part *Need) int { return b.size[part.Part] - b.want[part.Part] }
-
-// give takes the next instance that the part can give away.
-func (b *balancing) give(part *Need) (bbrmachine.Instance, bool) {
-	for len(part.Give) > 0 {
-		life := part.Give[0]
-		part.Give = part.Give[1:]
-		members := b.members[part.Part]
-		at := slices.IndexFunc(members, func(instance bbrmachine.Instance) bool { return instance.Upstream == life })
-		if at >= 0 {
-			instance := members[at]
-			b.members[part.Part] = slices.Delete(slices.Clone(members), at, at+1)
-			return instance, true
-		}
-	}
-	return bbrmachine.Instance{}, false
-}
-
 func (b *balancing) move(instance bbrmachine.Instance, pool string) {
 	if from, known := b.planner.partOf(instance, instance.Pool); known {
 		b.size[from]--
--- /dev/null
+++ b/internal/fleet/bbrupkeep/division.go
@@ -0,0 +1,56 @@
+package bbrupkeep
+
+import (
+	"context"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/bluebellridge/bluebellridge/internal/fleet/bbrcell"
+	"github.com/bluebellridge/bluebellridge/internal/fleet/bbrclaim"
+	"github.com/bluebellridge/bluebellridge/internal/fleet/bbrmachine"
+	"github.com/bluebellridge/bluebellridge/internal/job/bbrrecord"
+	"github.com/bluebellridge/bluebellridge/internal/store/bbritem"
+)
+
+// divide gives racks that are new a cell. An owner may use their instances only
+// once that is stored.
+func (k *Keeper) divide(ctx context.Context, instances []bbrmachine.Instance) error {
+	if len(instances) == 0 {
+		return nil
+	}
+	stored, err := k.storedCells(ctx)
+	if err != nil {
+		return err
+	}
+	cells := stored.Divide(instances, bbrcell.Size(k.Strength(len(k.Pools()))))
+	if cells != stored {
+		_, err = k.Store.Commit(ctx, bbritem.Transaction{
+			Conditions: []bbritem.Condition{k.Held.Condition()},
+			Puts:       []bbritem.Put{{Key: bbrclaim.CellsKey, Value: bbrrecord.Encode(cells)}},
+		})
+		if err != nil {
+			return err
+		}
+	}
+	k.divided = cells
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.planner.Divided(cells)
+	return nil
+}
+
+// storedCells returns the division that the store has. Only the holder of the
+// duty changes it, so it is read once.
+func (k *Keeper) storedCells(ctx context.Context) (*bbrcell.Cells, error) {
+	if k.divided != nil {
+		return k.divided, nil
+	}
+	item, err := k.Store.Get(ctx, bbrclaim.CellsKey)
+	if errors.Is(err, bbritem.ErrNotFound) {
+		return nil, nil
+	}
+	if err != nil {
+		return nil, err
+	}
+	return bbrcell.Parse(item.Value)
+}
--- a/internal/fleet/bbrupkeep/keeper.go
+++ b/internal/fleet/bbrupkeep/keeper.go
@@ -2,10 +2,8 @@
 
 import (
 	"context"
-	"encoding/json"
 	"maps"
 	"slices"
-	"strings"
 	"sync"
 	"time"
 
@@ -18,7 +16,6 @@
 	"github.com/bluebellridge/bluebellridge/internal/fleet/bbrcell"
 	"github.com/bluebellridge/bluebellridge/internal/fleet/bbrclaim"
 	"github.com/bluebellridge/bluebellridge/internal/fleet/bbrmachine"
-	"github.com/bluebellridge/bluebellridge/internal/job/bbrledger"
 	"github.com/bluebellridge/bluebellridge/internal/job/bbrrecord"
 	"github.com/bluebellridge/bluebellridge/internal/job/bbrwork"
 	"github.com/bluebellridge/bluebellridge/internal/store/bbritem"
@@ -208,53 +205,6 @@
 	}
 }
 
-// readWaves learns of new waves.
-func (k *Keeper) readWaves(ctx context.Context, now time.Time) error {
-	if now.Sub(k.waveRead) < waveEvery {
-		return nil
-	}
-	items, _, err := k.Store.All(ctx, k.Waves.Prefix)
-	if err != nil {
-		return err
-	}
-	k.waveRead = now
-	for _, item := range items {
-		wave, err := k.Waves.Decode(item.Value)
-		if err != nil {
-			klog.InfoS("Wave unreadable", "key", item.Key, "revision", item.Revision, "reason", err.Error())
-			continue
-		}
-		if err := k.learn(ctx, wave, now); err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
-func (k *Keeper) learn(ctx context.Context, wave bbrmachine.Wave, now time.Time) error {
-	k.mu.Lock()
-	known := k.planner.Knows(wave.Number)
-	k.mu.Unlock()
-	if known {
-		return nil
-	}
-	record := WaveRecord{Began: now}
-	item, err := k.Store.Get(ctx, WaveKey(wave.Number))
-	if err != nil && !errors.Is(err, bbritem.ErrNotFound) {
-		return err
-	}
-	if err == nil {
-		if err := json.Unmarshal(item.Value, &record); err != nil {
-			return err
-		}
-	}
-	klog.InfoS("Wave known", "wave", wave.Number, "instances", len(wave.Instances), "done", len(record.Done), "within", wave.Within, "cap", wave.Cap)
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	k.planner.Wave(wave, record.Done, record.Began)
-	return nil
-}
-
 // list asks for the instances.
 func (k *Keeper) list(ctx context.Context, now time.Time) error {
 	k.mu.Lock()
@@ -281,85 +231,6 @@
 	return nil
 }
 
-// divide gives racks that are new a cell. An owner may use their instances only
-// once that is stored.
-func (k *Keeper) divide(ctx context.Context, instances []bbrmachine.Instance) error {
-	if len(instances) == 0 {
-		return nil
-	}
-	stored, err := k.storedCells(ctx)
-	if err != nil {
-		return err
-	}
-	cells := stored.Divide(instances, bbrcell.Size(k.Strength(len(k.Pools()))))
-	if cells != stored {
-		_, err = k.Store.Commit(ctx, bbritem.Transaction{
-			Conditions: []bbritem.Condition{k.Held.Condition()},
-			Puts:       []bbritem.Put{{Key: bbrclaim.CellsKey, Value: bbrrecord.Encode(cells)}},
-		})
-		if err != nil {
-			return err
-		}
-	}
-	k.divided = cells
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	k.planner.Divided(cells)
-	return nil
-}
-
-// storedCells returns the division that the store has. Only the holder of the
-// duty changes it, so it is read once.
-func (k *Keeper) storedCells(ctx context.Context) (*bbrcell.Cells, error) {
-	if k.divided != nil {
-		return k.divided, nil
-	}
-	item, err := k.Store.Get(ctx, bbrclaim.CellsKey)
-	if errors.Is(err, bbritem.ErrNotFound) {
-		return nil, nil
-	}
-	if err != nil {
-		return nil, err
-	}
-	return bbrcell.Parse(item.Value)
-}
-
-// readReports learns what the owners need, and which reserved upstreams they
-// have cleared.
-func (k *Keeper) readReports(ctx context.Context, now time.Time) error {
-	items, _, err := k.Store.All(ctx, bbrrecord.ReportPrefix)
-	if err != nil {
-		return err
-	}
-	clear(k.cleared)
-	clear(k.demands)
-	for _, item := range items {
-		var record bbrrecord.Report
-		if err := json.Unmarshal(item.Value, &record); err != nil {
-			return errors.Wrapf(err, "record %s", item.Key)
-		}
-		for _, id := range record.Cleared {
-			k.cleared[id] = slices.Contains(k.reserved, id)
-		}
-		shard, err := bbrwork.ParseShard(strings.TrimPrefix(item.Key, bbrrecord.ReportPrefix))
-		if err != nil {
-			return err
-		}
-		k.demands[shard] = reported{demand: record.Demand, at: record.At}
-	}
-	k.reportsRead = now
-	return nil
-}
-
-// reported is a demand with when its owner reported it.
-type reported struct {
-	demand bbrledger.Demand
-	at     time.Time
-}
-
-// reportFor is how long a report counts. Owners report more often than that.
-const reportFor = 4 * time.Second
-
 // Pool is a pool of instances.
 type Pool struct {
 	Name string
@@ -376,43 +247,6 @@
 	return ""
 }
 
-// needs returns what the owners ask for. Without a recent report of every owner
-// in a cell, nothing is moved there.
-func (k *Keeper) needs(pools []Pool, now time.Time) []Need {
-	var needs []Need
-	for cell := range k.divided.Count() {
-		if in, whole := k.needsOf(cell, pools, now); whole {
-			needs = append(needs, in...)
-		}
-	}
-	return needs
-}
-
-func (k *Keeper) needsOf(cell int, pools []Pool, now time.Time) (needs []Need, whole bool) {
-	for _, pool := range pools {
-		if pool.Spare {
-			continue
-		}
-		report := k.demands[bbrwork.Shard{Service: pool.Name, Cell: cell}]
-		recent := now.Sub(report.at) < reportFor
-		if !recent && k.Owned(pool.Name) {
-			return nil, false
-		}
-		var demand bbrledger.Demand
-		if recent {
-			demand = report.demand
-		}
-		needs = append(needs, Need{Part: Part{Pool: pool.Name, Cell: cell}, MilliCPU: demand.MilliCPU, Lasting: demand.Lasting, Whole: demand.Whole, Keep: demand.Keep, Give: demand.Give})
-	}
-	return needs, true
-}
-
-// isCleared tells whether an instance can be taken away: nothing runs in its
-// life, or no service's owner puts anything there.
-func (k *Keeper) isCleared(instance bbrmachine.Instance) bool {
-	return instance.Upstream == "" || k.cleared[instance.Upstream] || !k.Owned(instance.Pool)
-}
-
 // save stores what changed: the reservations, which owners follow, the progress
 // of waves and the operators' answers.
 func (k *Keeper) save(ctx context.Context) error {
--- /dev/null
+++ b/internal/fleet/bbrupkeep/knownwaves.go
@@ -0,0 +1,60 @@
+package bbrupkeep
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"k8s.io/klog/v2"
+
+	"github.com/bluebellridge/bluebellridge/internal/fleet/bbrmachine"
+	"github.com/bluebellridge/bluebellridge/internal/store/bbritem"
+)
+
+// readWaves learns of new waves.
+func (k *Keeper) readWaves(ctx context.Context, now time.Time) error {
+	if now.Sub(k.waveRead) < waveEvery {
+		return nil
+	}
+	items, _, err := k.Store.All(ctx, k.Waves.Prefix)
+	if err != nil {
+		return err
+	}
+	k.waveRead = now
+	for _, item := range items {
+		wave, err := k.Waves.Decode(item.Value)
+		if err != nil {
+			klog.InfoS("Wave unreadable", "key", item.Key, "revision", item.Revision, "reason", err.Error())
+			continue
+		}
+		if err := k.learn(ctx, wave, now); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (k *Keeper) learn(ctx context.Context, wave bbrmachine.Wave, now time.Time) error {
+	k.mu.Lock()
+	known := k.planner.Knows(wave.Number)
+	k.mu.Unlock()
+	if known {
+		return nil
+	}
+	record := WaveRecord{Began: now}
+	item, err := k.Store.Get(ctx, WaveKey(wave.Number))
+	if err != nil && !errors.Is(err, bbritem.ErrNotFound) {
+		return err
+	}
+	if err == nil {
+		if err := json.Unmarshal(item.Value, &record); err != nil {
+			return err
+		}
+	}
+	klog.InfoS("Wave known", "wave", wave.Number, "instances", len(wave.Instances), "done", len(record.Done), "within", wave.Within, "cap", wave.Cap)
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.planner.Wave(wave, record.Done, record.Began)
+	return nil
+}
--- /dev/null
+++ b/internal/fleet/bbrupkeep/reports.go
@@ -0,0 +1,89 @@
+package bbrupkeep
+
+import (
+	"context"
+	"encoding/json"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/bluebellridge/bluebellridge/internal/fleet/bbrmachine"
+	"github.com/bluebellridge/bluebellridge/internal/job/bbrledger"
+	"github.com/bluebellridge/bluebellridge/internal/job/bbrrecord"
+	"github.com/bluebellridge/bluebellridge/internal/job/bbrwork"
+)
+
+// readReports learns what the owners need, and which reserved upstreams they
+// have cleared.
+func (k *Keeper) readReports(ctx context.Context, now time.Time) error {
+	items, _, err := k.Store.All(ctx, bbrrecord.ReportPrefix)
+	if err != nil {
+		return err
+	}
+	clear(k.cleared)
+	clear(k.demands)
+	for _, item := range items {
+		var record bbrrecord.Report
+		if err := json.Unmarshal(item.Value, &record); err != nil {
+			return errors.Wrapf(err, "record %s", item.Key)
+		}
+		for _, id := range record.Cleared {
+			k.cleared[id] = slices.Contains(k.reserved, id)
+		}
+		shard, err := bbrwork.ParseShard(strings.TrimPrefix(item.Key, bbrrecord.ReportPrefix))
+		if err != nil {
+			return err
+		}
+		k.demands[shard] = reported{demand: record.Demand, at: record.At}
+	}
+	k.reportsRead = now
+	return nil
+}
+
+// reported is a demand with when its owner reported it.
+type reported struct {
+	demand bbrledger.Demand
+	at     time.Time
+}
+
+// reportFor is how long a report counts. Owners report more often than that.
+const reportFor = 4 * time.Second
+
+// needs returns what the owners ask for. Without a recent report of every owner
+// in a cell, nothing is moved there.
+func (k *Keeper) needs(pools []Pool, now time.Time) []Need {
+	var needs []Need
+	for cell := range k.divided.Count() {
+		if in, whole := k.needsOf(cell, pools, now); whole {
+			needs = append(needs, in...)
+		}
+	}
+	return needs
+}
+
+func (k *Keeper) needsOf(cell int, pools []Pool, now time.Time) (needs []Need, whole bool) {
+	for _, pool := range pools {
+		if pool.Spare {
+			continue
+		}
+		report := k.demands[bbrwork.Shard{Service: pool.Name, Cell: cell}]
+		recent := now.Sub(report.at) < reportFor
+		if !recent && k.Owned(pool.Name) {
+			return nil, false
+		}
+		var demand bbrledger.Demand
+		if recent {
+			demand = report.demand
+		}
+		needs = append(needs, Need{Part: Part{Pool: pool.Name, Cell: cell}, MilliCPU: demand.MilliCPU, Lasting: demand.Lasting, Whole: demand.Whole, Keep: demand.Keep, Give: demand.Give})
+	}
+	return needs, true
+}
+
+// isCleared tells whether an instance can be taken away: nothing runs in its
+// life, or no service's owner puts anything there.
+func (k *Keeper) isCleared(instance bbrmachine.Instance) bool {
+	return instance.Upstream == "" || k.cleared[instance.Upstream] || !k.Owned(instance.Pool)
+}
--- /dev/null
+++ b/internal/fleet/bbrupkeep/sizing.go
@@ -0,0 +1,91 @@
+package bbrupkeep
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/bluebellridge/bluebellridge/internal/fleet/bbrmachine"
+)
+
+// members returns the instances that are up, in no task and of no directive, by
+// part.
+func (p *Planner) members() map[Part][]bbrmachine.Instance {
+	members := make(map[Part][]bbrmachine.Instance)
+	for _, id := range slices.Sorted(maps.Keys(p.instances)) {
+		instance := p.instances[id]
+		_, directed := p.directives[id]
+		part, known := p.partOf(instance, instance.Pool)
+		if known && instance.Status == bbrmachine.StatusUp && p.tasks[id] == nil && !p.unsure[id] && !directed {
+			members[part] = append(members[part], instance)
+		}
+	}
+	return members
+}
+
+// sizes counts the instances that work or soon will, by part.
+func (p *Planner) sizes(registered func(life string) bool, now time.Time) map[Part]int {
+	sizes := make(map[Part]int)
+	for id, instance := range p.instances {
+		home := instance.Pool
+		if t := p.tasks[id]; t != nil {
+			// An instance that a wave takes is not there for a while.
+			home = t.pool
+		}
+		part, known := p.partOf(instance, home)
+		if known && home != "" && p.counts(instance, registered, now) {
+			sizes[part]++
+		}
+	}
+	return sizes
+}
+
+// rooms returns the processor room of an instance, by pool.
+func (p *Planner) rooms() map[string]int {
+	rooms := make(map[string]int)
+	for _, instance := range p.instances {
+		rooms[instance.Pool] = max(rooms[instance.Pool], instance.Room.MilliCPU)
+	}
+	return rooms
+}
+
+// settleIn is how long an instance that is not up and registered still counts:
+// it is on its way.
+const settleIn = 3 * time.Second
+
+func (p *Planner) counts(instance bbrmachine.Instance, registered func(life string) bool, now time.Time) bool {
+	if instance.Status == bbrmachine.StatusUp && registered(instance.Upstream) {
+		return true
+	}
+	return instance.Status != bbrmachine.StatusDown && now.Sub(p.standing[instance.ID].since) < settleIn
+}
+
+// setWants sets how many instances the parts want for the tier and those before.
+func (b *balancing) setWants() {
+	for _, part := range b.parts {
+		want := b.least(part)
+		if b.tier == tierRest {
+			want = max(want, b.instances(part, part.MilliCPU))
+		}
+		b.want[part.Part] = want
+	}
+}
+
+// instances returns how many instances of the part have the room.
+func (b *balancing) instances(part *Need, milliCPU int) int {
+	room := cmp.Or(b.rooms[part.Pool], defaultRoom)
+	return int(float64(milliCPU)/(fillShare*float64(room)) + 1)
+}
+
+// least returns how many instances a part has whatever others need.
+func (b *balancing) least(part *Need) int {
+	lasting := 0
+	if part.Lasting > 0 {
+		lasting = b.instances(part, part.Lasting)
+	}
+	return max(part.Keep, lasting) + reserve + part.Whole
+}
+
+// defaultRoom is taken for a pool without instances, in thousandths of a core.
+const defaultRoom = 16000
--- a/internal/job/bbrowner/orders.go
+++ b/internal/job/bbrowner/orders.go
@@ -35,34 +35,40 @@
 	}
 }
 
-// stopping carries out one stop.
-type stopping struct {
+// sending carries out one order whose answer brings only an error.
+type sending struct {
 	owner *Owner
-	order bbrledger.StopOrder
+	// kind names the order for the counters.
+	kind string
+	send func(ctx context.Context) error
+	// apply tells the ledger of the outcome.
+	apply func(err error, now time.Time)
 }
 
-func (s *stopping) run(ctx context.Context) {
-	o := s.owner
-	err := o.Orders.Stop(ctx, s.order.Upstream, s.order.Stop)
-	o.Metrics.Event("stop:" + reason(err))
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	o.ledger.Stopped(s.order, err, time.Now())
+func (s *sending) run(ctx context.Context) {
+	err := s.send(ctx)
+	s.owner.Metrics.Event(s.kind + ":" + reason(err))
+	s.owner.mu.Lock()
+	defer s.owner.mu.Unlock()
+	s.apply(err, time.Now())
 }
 
-// pacing carries out one pace.
-type pacing struct {
-	owner *Owner
-	order bbrledger.PaceOrder
+func (o *Owner) stop(order bbrledger.StopOrder) *sending {
+	return &sending{
+		owner: o,
+		kind:  "stop",
+		send:  func(ctx context.Context) error { return o.Orders.Stop(ctx, order.Upstream, order.Stop) },
+		apply: func(err error, now time.Time) { o.ledger.Stopped(order, err, now) },
+	}
 }
 
-func (p *pacing) run(ctx context.Context) {
-	o := p.owner
-	err := o.Orders.Pace(ctx, p.order.Upstream, p.order.Pace)
-	o.Metrics.Event("pace:" + reason(err))
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	o.ledger.Paced(p.order, err, time.Now())
+func (o *Owner) pace(order bbrledger.PaceOrder) *sending {
+	return &sending{
+		owner: o,
+		kind:  "pace",
+		send:  func(ctx context.Context) error { return o.Orders.Pace(ctx, order.Upstream, order.Pace) },
+		apply: func(err error, now time.Time) { o.ledger.Paced(order, err, now) },
+	}
 }
 
 // asking carries out one call to the advice service.
--- a/internal/job/bbrowner/owner.go
+++ b/internal/job/bbrowner/owner.go
@@ -218,7 +218,7 @@
 
 func (o *Owner) carryOut(ctx context.Context, plan bbrledger.Plan) {
 	for _, order := range plan.Stops {
-		s := &stopping{owner: o, order: order}
+		s := o.stop(order)
 		o.wg.Go(func() { s.run(ctx) })
 	}
 	for _, order := range plan.Starts {
@@ -226,7 +226,7 @@
 		o.wg.Go(func() { s.run(ctx) })
 	}
 	for _, order := range plan.Paces {
-		p := &pacing{owner: o, order: order}
+		p := o.pace(order)
 		o.wg.Go(func() { p.run(ctx) })
 	}
 	for _, order := range plan.Asks {
