job/bbrledger: upstreams are given away by how soon they are empty

Cause: an upstream that is reserved for a move is cleared when the last of its work units ends; 1.5 to 2 s of the 4 s from the reservation to the first start were that wait, and givers were chosen by the number of their work units.

--- a/internal/job/bbrledger/demand.go
+++ b/internal/job/bbrledger/demand.go
@@ -1,7 +1,6 @@
 package bbrledger
 
 import (
-	"cmp"
 	"slices"
 	"time"
 )
@@ -18,7 +17,7 @@
 	// Whole is how many more upstreams work units wait for that are so large that
 	// they fit beside no other work.
 	Whole int `json:"whole,omitempty"`
-	// Give has the upstreams that can be given away, the least busy first.
+	// Give has the upstreams that can be given away, the one that is empty soonest first.
 	Give []string `json:"give,omitempty"`
 }
 
@@ -63,7 +62,7 @@
 	}
 	demand.MilliCPU = demand.Lasting + int(max(open, arriving, l.arrivals.ahead(now)))
 	demand.Whole = l.wholeWanted(now)
-	demand.Give = l.giveable()
+	demand.Give = l.giveable(now)
 	return demand
 }
 
@@ -156,15 +155,20 @@
 	return longest
 }
 
-// giveable returns the upstreams without lasting work, the least busy first.
-func (l *Ledger) giveable() []string {
+// giveable returns the upstreams without lasting work, those first that are empty
+// soonest: an instance can be moved only then.
+func (l *Ledger) giveable(now time.Time) []string {
 	var list []*upstream
 	for _, up := range l.sortedUpstreams() {
 		if up.registered && !up.Draining && up.reserved.IsZero() && !up.serves() {
 			list = append(list, up)
 		}
 	}
-	slices.SortStableFunc(list, func(a, b *upstream) int { return cmp.Compare(len(a.runs), len(b.runs)) })
+	free := make(map[*upstream]time.Time, len(list))
+	for _, up := range list {
+		free[up] = up.emptyAt(now)
+	}
+	slices.SortStableFunc(list, func(a, b *upstream) int { return free[a].Compare(free[b]) })
 	ids := make([]string, len(list))
 	for i, up := range list {
 		ids[i] = up.ID
@@ -172,5 +176,16 @@
 	return ids
 }
 
+// emptyAt returns when the work that runs on the upstream has probably ended.
+func (up *upstream) emptyAt(now time.Time) time.Time {
+	at := now
+	for _, r := range up.runs {
+		if end := r.ordered.Add(r.unit.step.shape.Estimate); end.After(at) {
+			at = end
+		}
+	}
+	return at
+}
+
 // serves tells whether lasting work runs on the upstream.
 func (up *upstream) serves() bool { return up.lasting > 0 }
