--- a/scripts/experiment.sh
+++ b/scripts/experiment.sh
@@ -6,9 +6,10 @@
 #
 # BEFORE and AFTER are commits; "tree" is the work tree as it is. BEFORE may also
 # be a folder with the journal of plays that were made already. Entries of the
-# journal are copied into journal/, the journals of both, the table,
-# pairs.json and pairs.svg go to OUT
-# (default: a new folder under /tmp). JOBS plays run at once, three by default.
+# journal are copied into journal/, the journals of both, the table, pairs.json
+# and pairs.svg go to OUT (default: a new folder under /tmp). JOBS plays run at once, three by default.
+# With SWITCH_FILE and SWITCH, a file and a sed expression, the later build has the
+# expression applied; it must change the file.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 site=$(realpath "$1") before=$2 after=$3 days=$4 seeds=$5
@@ -28,6 +29,10 @@
   else
     git -C "$work/$1" checkout -q --detach "$(git rev-parse "$2")"
   fi
+  if [ "$1" = after ] && [ -n "${SWITCH_FILE:-}" ]; then
+    sed -E -i "$SWITCH" "$work/after/$SWITCH_FILE"
+    cmp -s "$SWITCH_FILE" "$work/after/$SWITCH_FILE" && { echo "$name: the expression changes nothing"; exit 1; }
+  fi
   rm -rf "$work/$1/journal"
   (cd "$work/$1" && "$bench" build >/dev/null)
 }
