fleet/bbrupkeep, job/bbrowner: an unreadable record stops neither the fleet duty nor an owner

Cause, found by reading for what similar systems were hit by: one malformed report failed every round of the fleet duty, so nothing moved and no wave went on; an unreadable sequence record would have kept a shard without an owner. Such a report is left out and logged once a change; such a sequence allows that any job began.

--- a/internal/fleet/bbrupkeep/keeper.go
+++ b/internal/fleet/bbrupkeep/keeper.go
@@ -67,6 +67,8 @@
 	// reports were last read.
 	demands     map[bbrwork.Shard]reported
 	reportsRead time.Time
+	// unreadable has the revisions of the reports that cannot be read.
+	unreadable map[string]bbritem.Revision
 	// divided is the newest division that was stored.
 	divided  *bbrcell.Cells
 	reserved []string
--- a/internal/fleet/bbrupkeep/keeper_test.go
+++ b/internal/fleet/bbrupkeep/keeper_test.go
@@ -82,20 +82,26 @@
 	return page
 }
 
-// TestRoundGoesOnWithWhatItHas holds that instances move to a pool that needs
-// them while one of the reads that a round makes gets no answer.
-func TestRoundGoesOnWithWhatItHas(t *testing.T) {
-	now := time.Now()
+// oneNeedyPool returns a fleet of idle instances, and the reports of a pool that
+// needs them and of the one that has them.
+func oneNeedyPool(now time.Time) ([]bbrmachine.Instance, map[bbrwork.Shard]bbrrecord.Report) {
 	var instances []bbrmachine.Instance
 	var given []string
 	for _, id := range []string{"m-1", "m-2", "m-3", "m-4", "m-5", "m-6", "m-7", "m-8"} {
 		instances = append(instances, bbrmachine.Instance{ID: id, Pool: givingPool, Status: bbrmachine.StatusUp, Upstream: "i-" + id, Room: bbrwork.Resources{MilliCPU: 16000}, Labels: []string{"a", "r-1"}})
 		given = append(given, "i-"+id)
 	}
-	reports := map[bbrwork.Shard]bbrrecord.Report{
+	return instances, map[bbrwork.Shard]bbrrecord.Report{
 		{Service: keptPool}:   {At: now, Demand: bbrledger.Demand{MilliCPU: 200000}},
 		{Service: givingPool}: {At: now, Cleared: given, Demand: bbrledger.Demand{Give: given}},
 	}
+}
+
+// TestRoundGoesOnWithWhatItHas holds that instances move to a pool that needs
+// them while one of the reads that a round makes gets no answer.
+func TestRoundGoesOnWithWhatItHas(t *testing.T) {
+	now := time.Now()
+	instances, reports := oneNeedyPool(now)
 	k := newKeeping(now, instances, reports)
 	k.lost[wavesPrefix] = true
 	for range 3 {
@@ -127,3 +133,48 @@
 	require.NoError(t, k.save(t.Context()))
 	require.Empty(t, k.cleared)
 }
+
+// TestOneUnreadableReportHidesNoOther holds that a report which cannot be read
+// does not keep the others from counting.
+func TestOneUnreadableReportHidesNoOther(t *testing.T) {
+	now := time.Now()
+	good := bbrwork.Shard{Service: keptPool}
+	k := newKeeping(now, nil, map[bbrwork.Shard]bbrrecord.Report{good: {At: now, Demand: bbrledger.Demand{MilliCPU: 5}}})
+	readable := k.Store.Range
+	k.Store.Range = func(ctx context.Context, prefix, after string) (bbritem.Page, error) {
+		page, err := readable(ctx, prefix, after)
+		bad := []bbritem.Item{
+			{Key: bbrrecord.ReportKey(bbrwork.Shard{Service: givingPool}), Value: []byte("{")},
+			{Key: bbrrecord.ReportPrefix + "press/x", Value: []byte("{}")},
+		}
+		page.Items = append(bad, page.Items...)
+		return page, err
+	}
+	require.NoError(t, k.readReports(t.Context(), now))
+	require.Equal(t, 5, k.demands[good].demand.MilliCPU)
+	require.Len(t, k.demands, 1)
+}
+
+// TestHolderThatWasPausedOrdersNothing holds that a holder whose claim ran out
+// while it recorded its orders sends none of them.
+func TestHolderThatWasPausedOrdersNothing(t *testing.T) {
+	now := time.Now()
+	instances, reports := oneNeedyPool(now)
+	for _, paused := range []bool{false, true} {
+		k := newKeeping(now, instances, reports)
+		confirmed := true
+		k.Keeper.Confirmed = func(time.Time) bool { return confirmed }
+		k.Store.Commit = func(_ context.Context, transaction bbritem.Transaction) (bbritem.Revision, error) {
+			if paused && transaction.Puts[0].Key == intentsKey {
+				confirmed = false
+			}
+			return 1, nil
+		}
+		k.intents.store = k.Store
+		for range 3 {
+			require.NoError(t, k.round(t.Context(), now))
+			k.wg.Wait()
+		}
+		require.Equal(t, paused, len(k.moved) == 0)
+	}
+}
--- a/internal/fleet/bbrupkeep/reports.go
+++ b/internal/fleet/bbrupkeep/reports.go
@@ -7,12 +7,13 @@
 	"strings"
 	"time"
 
-	"github.com/cockroachdb/errors"
+	"k8s.io/klog/v2"
 
 	"github.com/bluebellridge/bluebellridge/internal/fleet/bbrmachine"
 	"github.com/bluebellridge/bluebellridge/internal/job/bbrledger"
 	"github.com/bluebellridge/bluebellridge/internal/job/bbrrecord"
 	"github.com/bluebellridge/bluebellridge/internal/job/bbrwork"
+	"github.com/bluebellridge/bluebellridge/internal/store/bbritem"
 )
 
 // readReports learns what the owners need, and which reserved upstreams they
@@ -25,23 +26,39 @@
 	clear(k.cleared)
 	clear(k.demands)
 	for _, item := range items {
-		var record bbrrecord.Report
-		if err := json.Unmarshal(item.Value, &record); err != nil {
-			return errors.Wrapf(err, "record %s", item.Key)
+		shard, record, err := parseReport(item)
+		if err != nil {
+			k.tellUnreadable(item, err)
+			continue
 		}
 		for _, id := range record.Cleared {
 			k.cleared[id] = slices.Contains(k.reserved, id)
 		}
-		shard, err := bbrwork.ParseShard(strings.TrimPrefix(item.Key, bbrrecord.ReportPrefix))
-		if err != nil {
-			return err
-		}
 		k.demands[shard] = reported{demand: record.Demand, at: record.At}
 	}
 	k.reportsRead = now
 	return nil
 }
 
+func parseReport(item bbritem.Item) (shard bbrwork.Shard, record bbrrecord.Report, err error) {
+	if err := json.Unmarshal(item.Value, &record); err != nil {
+		return shard, record, err
+	}
+	shard, err = bbrwork.ParseShard(strings.TrimPrefix(item.Key, bbrrecord.ReportPrefix))
+	return shard, record, err
+}
+
+// tellUnreadable logs a report that cannot be read, once for each of its changes.
+func (k *Keeper) tellUnreadable(item bbritem.Item, reason error) {
+	if k.unreadable == nil {
+		k.unreadable = make(map[string]bbritem.Revision)
+	}
+	if k.unreadable[item.Key] != item.Revision {
+		k.unreadable[item.Key] = item.Revision
+		klog.InfoS("Report unreadable", "key", item.Key, "revision", item.Revision, "reason", reason.Error())
+	}
+}
+
 // reported is a demand with when its owner reported it.
 type reported struct {
 	demand bbrledger.Demand
--- a/internal/job/bbrowner/owner.go
+++ b/internal/job/bbrowner/owner.go
@@ -271,12 +271,6 @@
 	if err != nil && !fresh {
 		return 0, err
 	}
-	var record bbrrecord.Sequence
-	if !fresh {
-		if err := json.Unmarshal(sequence.Value, &record); err != nil {
-			return 0, errors.Wrapf(err, "record %s", sequence.Key)
-		}
-	}
 	progress, _, err := o.Store.All(ctx, bbrrecord.ProgressOf(o.Shard))
 	if err != nil {
 		return 0, err
@@ -308,7 +302,21 @@
 	o.reservation = reserved.Revision
 	o.ledger.Reserve(taken, time.Now())
 	o.accept(jobs, progress, time.Now())
-	o.ledger.Loaded(lives, record.Horizon, time.Now())
+	o.ledger.Loaded(lives, horizonOf(sequence), time.Now())
 	o.loaded = at
 	return at, nil
 }
+
+// horizonOf returns the horizon that an earlier owner stored; 0, which allows that
+// it began any job, where the record tells none.
+func horizonOf(sequence bbritem.Item) bbritem.Revision {
+	if len(sequence.Value) == 0 {
+		return 0
+	}
+	var record bbrrecord.Sequence
+	if err := json.Unmarshal(sequence.Value, &record); err != nil {
+		klog.ErrorS(err, "Sequence unreadable, any job may have begun", "key", sequence.Key, "revision", sequence.Revision)
+		return 0
+	}
+	return record.Horizon
+}
