fleet/bbrupkeep: what an earlier holder had done is not waited for

Seven instances had their maintenance under a holder that was replaced at 23.5 s; its successor ordered them again, was told that this is done, and waited 5 s each for a new life that does not come (26.9 to 31.98 s). Ruled out: the store and the list of instances answered all the while (listAge 134 ms). An order that is carried out takes an instance down at once, so one that a list asked for 1.5 s after the answer has as up in its old life was done before. TestSuccessorDoesNotWaitForWhatWasDoneBefore fails on the code before.

--- a/internal/fleet/bbrupkeep/planner.go
+++ b/internal/fleet/bbrupkeep/planner.go
@@ -128,15 +128,17 @@
 	if t.phase != phaseAway || !p.listed.After(t.ordered) {
 		return
 	}
-	back := instance.Upstream != t.life || p.listed.Sub(t.ordered) > 2*p.Away+lifeSlack
+	back := instance.Upstream != t.life || p.listed.Sub(t.ordered) > carriedOutBefore
 	if instance.Status == bbrmachine.StatusUp && back {
 		p.finish(t)
 	}
 }
 
-// lifeSlack is how long after twice its time away an instance that is up in its
-// old life counts as done: the order had been carried out before.
-const lifeSlack = time.Second
+// carriedOutBefore is how long after the answer an instance that is listed as up
+// in its old life counts as done: an order that is carried out takes the instance
+// down at once, so this one had been carried out before. It is above the age of a
+// list.
+const carriedOutBefore = 1500 * time.Millisecond
 
 func (p *Planner) finish(t *task) {
 	if w := p.waves[t.wave]; w != nil {
--- a/internal/fleet/bbrupkeep/planner_test.go
+++ b/internal/fleet/bbrupkeep/planner_test.go
@@ -105,6 +105,21 @@
 
 func always(bbrmachine.Instance) bool { return true }
 
+// TestSuccessorDoesNotWaitForWhatWasDoneBefore plays a wave whose instances had
+// their maintenance under an earlier holder that could not store it: the platform
+// answers that it is done, no new life comes, and the wave is completed well
+// within the time that another maintenance would take twice.
+func TestSuccessorDoesNotWaitForWhatWasDoneBefore(t *testing.T) {
+	f := newTestFleet(map[string]int{calm: 4})
+	p := NewPlanner(testAway)
+	p.Wave(bbrmachine.Wave{Number: 1, Instances: f.ids, Within: 20 * time.Second, Cap: 4}, nil, f.now.Add(-18*time.Second))
+	doneBefore := func(Order) Outcome { return OutcomeDone }
+	for end := f.now.Add(2 * testAway); f.now.Before(end); {
+		f.step(p, nil, always, doneBefore)
+	}
+	require.True(t, p.Progress()[0].Completed)
+}
+
 // ask makes a pool want so many instances.
 func ask(pool string, instances int) Need {
 	return Need{Part: Part{Pool: pool}, MilliCPU: int(fillShare*defaultRoom*float64(instances)) - defaultRoom/2}
