--- a/scripts/experiment.sh
+++ b/scripts/experiment.sh
@@ -69,6 +69,6 @@
 mkdir -p "$out/before" "$out/after"
 cp "$earlier"/*.json "$out/before/"
 cp "$work"/after/journal/*.json "$out/after/"
-cp -n "$out"/before/*.json "$out"/after/*.json journal/
+for side in $sides; do cp -rn "$work/$side/journal/." journal/; done
 go build -o bin/ ./cmd/bbrstandin
 bin/bbrstandin pairs --before "$out/before" --after "$out/after" --out "$out/pairs.json" --plot "$out/pairs.svg" | tee "$out/table.txt"
