request/bbrintake, platform/bbrwire: callers authenticate by a key of their organisation

Cause: the configuration's organisations, keys and public queues were not read.

A call to a queue that is not public is answered 401 (2026 keyMissing, 2027 keyUnknown) before its body is read. A job stores its organisation, and only callers of that one may query, cancel or resubmit it (2028 foreignJob). A job stays accepted when its key is taken away. A configuration with an ambiguous key, a nameless or duplicate organisation or a negative figure does not replace the present one. jobs.requireKeys keeps a configuration that lost its organisations from admitting everybody.

Tests: key_test.go and decode_test.go; with the check switched off TestCallersNeedAKey, TestCallersNeedAKeyWithoutOrganisations and TestJobsOfOtherOrganisations fail.

--- a/internal/base/bbrcode/code.go
+++ b/internal/base/bbrcode/code.go
@@ -45,6 +45,9 @@
 	StoreUnavailable  Code = 2023
 	TooLateToServe    Code = 2024
 	UnknownJob        Code = 2025
+	KeyMissing        Code = 2026
+	KeyUnknown        Code = 2027
+	ForeignJob        Code = 2028
 )
 
 // Codes of jobs.
@@ -149,6 +152,9 @@
 	StoreUnavailable: {Name: "storeAway", Status: 503, RetryAfter: retrySoon, Text: "The platform's store is unavailable; nothing was stored."},
 	TooLateToServe:   {Name: "tooLateToServe", Status: 429, RetryAfter: retrySoon, Text: "With the pool's present work the job would complete too late; nothing was stored."},
 	UnknownJob:       {Name: "unknownJob", Status: 410, Text: "No job with this ID is stored."},
+	KeyMissing:       {Name: "keyMissing", Status: 401, Text: "The queue needs a key of an organisation, and the request has none."},
+	KeyUnknown:       {Name: "keyUnknown", Status: 401, Text: "The key belongs to no organisation."},
+	ForeignJob:       {Name: "foreignJob", Status: 403, Text: "The job belongs to another organisation."},
 
 	Accepted:      {Name: "accepted", Outcome: OutcomeUnknown, Status: 200, Text: "The job is stored and will run."},
 	AlreadyStored: {Name: "alreadyStored", Outcome: OutcomeUnknown, Status: 200, Text: "The job was already stored."},
--- a/internal/config/bbrsettings/settings.go
+++ b/internal/config/bbrsettings/settings.go
@@ -56,6 +56,9 @@
 	MaintenanceDuration time.Duration `yaml:"upkeep"`
 	// StopTimeout is the maximum time that stopping a run takes.
 	StopTimeout time.Duration `yaml:"stop"`
+	// RequireKeys makes callers of queues that are not public authenticate by a key of
+	// their organisation, even if the operators' configuration has no organisations.
+	RequireKeys bool `yaml:"requireKeys"`
 }
 
 // Listen has the addresses that the process listens on. They are also the
--- a/internal/daemon/bbrserve/daemon.go
+++ b/internal/daemon/bbrserve/daemon.go
@@ -101,12 +101,14 @@
 		Codec: bbrintake.Codec{
 			DecodeSubmission: bbrwire.DecodeSubmission,
 			ValidID:          bbrwire.ValidJobID,
+			Key:              bbrwire.CallerKey,
 			Timeout:          bbrwire.CallerTimeout,
 			StateBody:        bbrwire.StateBody,
 			WaitingBody:      bbrwire.WaitingBody,
 		},
 		Metrics:      metrics,
 		MaxBodyBytes: settings.Limits.BodyBytes,
+		RequireKeys:  settings.Jobs.RequireKeys,
 	}
 	d.servers = []*bbrlistener.Listener{
 		bbrlistener.New(settings.Listen.Callers, d.handler.Router(), settings),
--- a/internal/job/bbrintake/acceptor.go
+++ b/internal/job/bbrintake/acceptor.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"encoding/json"
 	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"k8s.io/klog/v2"
 
 	"github.com/bluebellridge/bluebellridge/internal/base/bbrcode"
 	"github.com/bluebellridge/bluebellridge/internal/job/bbrrecord"
@@ -192,12 +194,22 @@
 }
 
 // conflictCode returns AlreadyStored for a job whose status is among the conflicting
-// items, and 0 for the other jobs of the batch.
+// items, ForeignJob if that is the job of another organisation, and 0 for the other jobs
+// of the batch.
 func conflictCode(conflict *bbrkv.Conflict, s *submission) bbrcode.Code {
-	if _, stored := conflict.Items[bbrrecord.StatusKey(s.job.ID)]; stored {
+	item, stored := conflict.Items[bbrrecord.StatusKey(s.job.ID)]
+	if !stored {
+		return 0
+	}
+	var status bbrrecord.Status
+	if err := json.Unmarshal(item.Value, &status); err != nil {
+		klog.ErrorS(err, "Failed to decode the status of a stored job", "key", item.Key, "revision", item.Revision)
 		return bbrcode.AlreadyStored
 	}
-	return 0
+	if (jobPlace{organisation: status.Organisation}).belongsToOther(s.job.Organisation) {
+		return bbrcode.ForeignJob
+	}
+	return bbrcode.AlreadyStored
 }
 
 func (w *writer) transaction() bbrkv.Transaction {
--- a/internal/job/bbrintake/handler.go
+++ b/internal/job/bbrintake/handler.go
@@ -24,6 +24,8 @@
 	// DecodeSubmission decodes a submitted job.
 	DecodeSubmission func(body []byte) (*bbrwork.Job, error)
 	ValidID          func(id string) bool
+	// Key returns the key with which the caller authenticates; empty if there is none.
+	Key func(header http.Header) string
 	// Timeout returns how long the caller waits, or fallback if the header does not say.
 	Timeout     func(header http.Header, fallback time.Duration) time.Duration
 	StateBody   func(state bbrwork.State) any
@@ -37,6 +39,9 @@
 	Metrics *bbrmetric.Set
 	// MaxBodyBytes bounds request bodies if the configuration does not.
 	MaxBodyBytes int64
+	// RequireKeys makes callers of queues that are not public authenticate even if the
+	// configuration has no organisations.
+	RequireKeys bool
 
 	stopping   atomic.Bool
 	inProgress atomic.Int64
@@ -79,6 +84,10 @@
 	deadline time.Time
 	// version is the version of the configuration in which the queue was found.
 	version int64
+	// organisation names the caller's organisation; empty if the queue is public.
+	organisation string
+	// unknownKey is the digest of a key that was refused, for the log.
+	unknownKey string
 }
 
 const (
@@ -112,12 +121,35 @@
 	if r.queue == nil {
 		return reply{code: bbrcode.UnknownQueue}
 	}
+	if code := h.authenticate(r, config); code != 0 {
+		return reply{code: code}
+	}
 	ctx, cancel := context.WithDeadline(r.Context(), r.deadline.Add(-answerMargin))
 	defer cancel()
 	r.Request = r.Request.WithContext(ctx)
 	return serve(r)
 }
 
+// authenticate finds the caller's organisation by its key. It returns the code of the
+// refusal, or 0 if the caller may use the queue.
+func (h *Handler) authenticate(r *request, config *bbrwork.Config) bbrcode.Code {
+	if r.queue.Public || config.Organisations == nil && !h.RequireKeys {
+		return 0
+	}
+	key := h.Codec.Key(r.Header)
+	if key == "" {
+		return bbrcode.KeyMissing
+	}
+	digest := bbrwork.DigestKey(key)
+	organisation := config.OrganisationOf(digest)
+	if organisation == nil {
+		r.unknownKey = digest.String()
+		return bbrcode.KeyUnknown
+	}
+	r.organisation = organisation.Name
+	return 0
+}
+
 func (h *Handler) submit(r *request) reply {
 	if !h.Codec.ValidID(r.id) {
 		return reply{code: bbrcode.BadJob, detail: "the ID must be 16 hexadecimal digits"}
@@ -130,6 +162,7 @@
 	if err != nil {
 		return reply{code: bbrcode.From(err, bbrcode.BadJob), detail: err.Error()}
 	}
+	job.Organisation = r.organisation
 	return reply{code: h.Intake.Submit(job, r.queue, r.id, r.deadline, r.now)}
 }
 
@@ -159,7 +192,7 @@
 	if !h.Codec.ValidID(r.id) {
 		return reply{code: bbrcode.UnknownJob}
 	}
-	state, code := h.Intake.State(r.Context(), r.queue, r.id, r.now)
+	state, code := h.Intake.State(r.Context(), r.queue, r.id, r.organisation, r.now)
 	return reply{code: code, body: h.Codec.StateBody(state)}
 }
 
@@ -167,7 +200,7 @@
 	if !h.Codec.ValidID(r.id) {
 		return reply{code: bbrcode.UnknownJob}
 	}
-	return reply{code: h.Intake.Cancel(r.Context(), r.id)}
+	return reply{code: h.Intake.Cancel(r.Context(), r.id, r.organisation)}
 }
 
 // refusal is the body of the answer to a request that is refused or fails.
@@ -182,6 +215,9 @@
 	if h.stopping.Load() {
 		w.Header().Set("Connection", "close")
 	}
+	if info.Status == http.StatusUnauthorized {
+		w.Header().Set("WWW-Authenticate", "Bearer")
+	}
 	if info.RetryAfter > 0 {
 		w.Header().Set("Retry-After", strconv.Itoa(int(math.Ceil(info.RetryAfter.Seconds()))))
 	}
@@ -214,6 +250,13 @@
 	if r.queue != nil {
 		queue = r.queue.Name
 	}
-	klog.InfoS("Answered", "job", r.id, "method", r.Method, "queue", queue, "config", r.version,
-		"code", int(code), "name", info.Name, "status", info.Status, "took", elapsed.Round(time.Millisecond))
+	fields := []any{"job", r.id, "method", r.Method, "queue", queue, "config", r.version,
+		"code", int(code), "name", info.Name, "status", info.Status, "took", elapsed.Round(time.Millisecond)}
+	if r.organisation != "" {
+		fields = append(fields, "organisation", r.organisation)
+	}
+	if r.unknownKey != "" {
+		fields = append(fields, "keyDigest", r.unknownKey)
+	}
+	klog.InfoS("Answered", fields...)
 }
--- a/internal/job/bbrintake/intake.go
+++ b/internal/job/bbrintake/intake.go
@@ -23,8 +23,8 @@
 	Config func() *bbrwork.Config
 	// Cells returns the division of the fleet into cells.
 	Cells func() *bbrcell.Cells
-	// Shards caches the shards of jobs.
-	Shards ShardCache
+	// Jobs caches the shards and the organisations of jobs.
+	Jobs JobCache
 	// QueryOwner queries the owner of the shard for the state of a job. It returns false
 	// if there is no owner or the owner does not know the state. QueryOwner is nil if
 	// owners cannot be queried.
@@ -50,19 +50,23 @@
 	if stored == 0 {
 		return code
 	}
-	i.Shards.Add(id, job.Shard())
+	i.Jobs.Add(id, jobPlace{shard: job.Shard(), organisation: job.Organisation})
 	if i.NotifyOwner != nil {
 		i.NotifyOwner(job, stored, now)
 	}
 	return code
 }
 
-// State returns the state of a job of the queue. It queries the job's owner first, as
-// that saves reads of the store. Only the store can tell that a job does not exist.
-func (i *Intake) State(ctx context.Context, queue *bbrwork.Queue, id string, now time.Time) (bbrwork.State, bbrcode.Code) {
-	locatedShard, located := i.Shards.Lookup(id, queue.Service, i.Cells().Count())
+// State returns the state of a job of the queue for a caller of the organisation. It
+// queries the job's owner first, as that saves reads of the store. Only the store can
+// tell that a job does not exist.
+func (i *Intake) State(ctx context.Context, queue *bbrwork.Queue, id, organisation string, now time.Time) (bbrwork.State, bbrcode.Code) {
+	place, located := i.locate(id, queue.Service)
 	if located {
-		if state, known := i.queryOwner(ctx, locatedShard, id, now); known {
+		if place.belongsToOther(organisation) {
+			return "", bbrcode.ForeignJob
+		}
+		if state, known := i.queryOwner(ctx, place.shard, id, now); known {
 			return state, bbrcode.StateReported
 		}
 	}
@@ -72,11 +76,16 @@
 		return "", bbrcode.UnknownJob
 	case err != nil:
 		return "", bbrcode.StoreUnavailable
-	case status.State != "":
+	}
+	stored := jobPlace{shard: status.Shard(), organisation: status.Organisation}
+	if stored.belongsToOther(organisation) {
+		return "", bbrcode.ForeignJob
+	}
+	if status.State != "" {
 		return status.State, bbrcode.StateReported
 	}
-	i.Shards.Add(id, status.Shard())
-	if shard := status.Shard(); !located || shard != locatedShard {
+	i.Jobs.Add(id, stored)
+	if shard := status.Shard(); !located || shard != place.shard {
 		if state, known := i.queryOwner(ctx, shard, id, now); known {
 			return state, bbrcode.StateReported
 		}
@@ -84,6 +93,16 @@
 	return i.activeState(ctx, status.Shard(), id)
 }
 
+// locate returns where a job of the service runs and whom it belongs to, as far as that
+// is known without a read of the store. A service with one shard is known to run all its
+// jobs there; where there are organisations, the store must tell whose job it is.
+func (i *Intake) locate(id, service string) (jobPlace, bool) {
+	if place, known := i.Jobs.Get(id); known {
+		return place, true
+	}
+	return jobPlace{shard: bbrwork.Shard{Service: service}}, i.Config().Organisations == nil && i.Cells().Count() == 1
+}
+
 // queryOwner returns the state of a job as the owner of the shard reports it.
 func (i *Intake) queryOwner(ctx context.Context, shard bbrwork.Shard, id string, now time.Time) (bbrwork.State, bool) {
 	if i.QueryOwner == nil {
@@ -116,10 +135,11 @@
 	}
 }
 
-// Cancel stores a cancellation request for a job.
-func (i *Intake) Cancel(ctx context.Context, id string) bbrcode.Code {
+// Cancel stores a cancellation request for a job at the request of a caller of the
+// organisation.
+func (i *Intake) Cancel(ctx context.Context, id, organisation string) bbrcode.Code {
 	for range cancelAttempts {
-		code, err := i.tryCancel(ctx, id)
+		code, err := i.tryCancel(ctx, id, organisation)
 		if err == nil {
 			return code
 		}
@@ -139,7 +159,7 @@
 
 // tryCancel makes one attempt to store a cancellation request. A job that has ended
 // needs none.
-func (i *Intake) tryCancel(ctx context.Context, id string) (bbrcode.Code, error) {
+func (i *Intake) tryCancel(ctx context.Context, id, organisation string) (bbrcode.Code, error) {
 	item, err := i.Store.Get(ctx, bbrrecord.StatusKey(id))
 	if errors.Is(err, bbrkv.ErrNotFound) {
 		return bbrcode.UnknownJob, nil
@@ -151,6 +171,9 @@
 	if err := json.Unmarshal(item.Value, &status); err != nil {
 		return 0, err
 	}
+	if place := (jobPlace{organisation: status.Organisation}); place.belongsToOther(organisation) {
+		return bbrcode.ForeignJob, nil
+	}
 	if status.State != "" {
 		return bbrcode.CancelStored, nil
 	}
--- a/internal/job/bbrintake/intake_test.go
+++ b/internal/job/bbrintake/intake_test.go
@@ -34,7 +34,8 @@
 		t.Run(test.name, func(t *testing.T) {
 			reads := 0
 			intake := &Intake{
-				Cells: func() *bbrcell.Cells { return nil },
+				Cells:  func() *bbrcell.Cells { return nil },
+				Config: func() *bbrwork.Config { return bbrwork.NewConfig(1, nil, nil, bbrwork.Limits{}) },
 				Store: &bbrkv.Store{Get: func(_ context.Context, key string) (bbrkv.Item, error) {
 					reads++
 					value, ok := ended[key]
@@ -48,7 +49,7 @@
 					return bbrwork.Running, test.known
 				},
 			}
-			state, code := intake.State(t.Context(), &bbrwork.Queue{Service: "press"}, test.job, time.Now())
+			state, code := intake.State(t.Context(), &bbrwork.Queue{Service: "press"}, test.job, "", time.Now())
 			require.Equal(t, test.code, code)
 			require.Equal(t, test.want, state)
 			require.Equal(t, test.reads, reads)
@@ -62,7 +63,8 @@
 	reads := 0
 	cells := &bbrcell.Cells{Sizes: []int{64, 64}}
 	intake := &Intake{
-		Cells: func() *bbrcell.Cells { return cells },
+		Cells:  func() *bbrcell.Cells { return cells },
+		Config: func() *bbrwork.Config { return bbrwork.NewConfig(1, nil, nil, bbrwork.Limits{}) },
 		Store: &bbrkv.Store{Get: func(_ context.Context, key string) (bbrkv.Item, error) {
 			reads++
 			require.Equal(t, bbrrecord.StatusKey("a"), key)
@@ -74,7 +76,7 @@
 		},
 	}
 	for range 3 {
-		state, code := intake.State(t.Context(), &bbrwork.Queue{Service: "press"}, "a", time.Now())
+		state, code := intake.State(t.Context(), &bbrwork.Queue{Service: "press"}, "a", "", time.Now())
 		require.Equal(t, bbrcode.StateReported, code)
 		require.Equal(t, bbrwork.Running, state)
 	}
--- a/internal/job/bbrrecord/record.go
+++ b/internal/job/bbrrecord/record.go
@@ -18,6 +18,8 @@
 	// Service and Cell identify the job's shard.
 	Service string `json:"service"`
 	Cell    int    `json:"cell,omitempty"`
+	// Organisation is the organisation that submitted the job; it may be empty.
+	Organisation string `json:"organisation,omitempty"`
 	// At is when the job ended, by the clock of its owner; before that, when it was
 	// accepted, by the clock of the accepting entry.
 	At time.Time `json:"at"`
@@ -25,7 +27,7 @@
 
 // StatusOf returns the status of a job that has not ended.
 func StatusOf(job *bbrwork.Job) Status {
-	return Status{Queue: job.Queue, Service: job.Service, Cell: job.Cell, At: job.Accepted}
+	return Status{Queue: job.Queue, Service: job.Service, Cell: job.Cell, Organisation: job.Organisation, At: job.Accepted}
 }
 
 // Ended returns the status of the job after it has ended in the state.
--- a/internal/job/bbrwork/config.go
+++ b/internal/job/bbrwork/config.go
@@ -22,8 +22,12 @@
 	Queues   map[string]*Queue
 	Services map[string]*Service
 	Limits   Limits
+	// Organisations has the organisations by name; nil if the configuration has none,
+	// so that callers need no keys.
+	Organisations map[string]*Organisation
 
 	byHost map[string][]*Queue
+	byKey  map[KeyDigest]*Organisation
 }
 
 // Limits bounds callers' requests.
--- a/internal/job/bbrwork/job.go
+++ b/internal/job/bbrwork/job.go
@@ -28,6 +28,9 @@
 	// Service names the pool whose upstreams run the job, as the queue was configured
 	// when the job was accepted.
 	Service string `json:"service"`
+	// Organisation is the organisation that submitted the job; empty if its queue is
+	// public or there are no organisations.
+	Organisation string `json:"organisation,omitempty"`
 	// Cell is the part of the fleet in which the job runs.
 	Cell int `json:"cell,omitempty"`
 	// Spec is passed to the upstreams as it is.
--- a/internal/job/bbrwork/queue.go
+++ b/internal/job/bbrwork/queue.go
@@ -18,6 +18,9 @@
 	Host    string
 	Prefix  string
 	Service string
+	// Public means that callers need no key. Jobs of public queues belong to no
+	// organisation.
+	Public bool
 	// Priority orders the work of a service; 0 is the highest.
 	Priority int
 	// Attempts is the number of failures after which a work unit is not run again; at
