job/bbrquota: an organisation's cap is held by shares of it in the store

A record for each organisation names each shard's share; an owner starts work only within its own, without a call. A share grows on three conditions of one transaction: the owner's claim, the record's revision, and the configuration's revision, so that nobody grows under a cap that was lowered. After a new configuration an owner starts nothing of an organisation until it has read the shares again; while they exceed the cap, idle parts are released at once and running work is left alone. What an earlier owner may have started on upstreams that have not answered counts as used. Work beyond a cap requests no instances.

Ways weighed: a first form kept shares as fractions of the cap, which follow a new cap by themselves. The model found it wrong: after a lower cap, one shard's runs exceed its fraction while another starts within its own, 9,000 of 5,500 in sum. A second form skipped the read where the cap was as before; wrong as well, since an owner may miss a configuration with a higher cap in between.

--- a/internal/config/bbrfollow/follower.go
+++ b/internal/config/bbrfollow/follower.go
@@ -125,6 +125,7 @@
 	if current := f.config.Load(); current != nil && current.Version >= config.Version {
 		return
 	}
+	config.StoreRevision = int64(item.Revision)
 	f.config.Store(config)
 	klog.InfoS("Configuration applied", "version", config.Version, "revision", item.Revision,
 		"queues", len(config.Queues), "services", len(config.Services))
--- a/internal/daemon/bbrserve/owners.go
+++ b/internal/daemon/bbrserve/owners.go
@@ -75,6 +75,13 @@
 	return names
 }
 
+// shardCount returns the number of shards that may have jobs.
+func (o *owners) shardCount() int {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return len(o.services) * o.daemon.directory.Cells().Count()
+}
+
 // addServices adds the services that may have jobs: those to which a queue is
 // routed, and those that are not spare, since queues may have been routed to them
 // before.
@@ -139,6 +146,8 @@
 		Config:     d.config.Config,
 		Registered: o.registeredUpstreams,
 		Reserved:   d.reservations.Reserved,
+		ConfigKey:  bbrwire.ConfigKey,
+		ShardCount: o.shardCount,
 	}
 	o.setRunning(shard, owner)
 	owner.Run(ctx)
--- a/internal/job/bbrowner/owner.go
+++ b/internal/job/bbrowner/owner.go
@@ -46,6 +46,11 @@
 	// Reserved returns the upstreams that are reserved for maintenance and moves, and
 	// the revision of the last change to them.
 	Reserved func() (map[string]bool, bbrkv.Revision)
+	// ConfigKey is the key of the configuration in the store.
+	ConfigKey string
+	// ShardCount returns how many shards share the caps of organisations; nil means
+	// that there is one.
+	ShardCount func() int
 
 	mu        sync.Mutex
 	scheduler *bbrscheduler.Scheduler
@@ -64,6 +69,9 @@
 	wg           sync.WaitGroup
 	wake         chan struct{}
 	flushNow     chan struct{}
+	// adjustShares wakes the quota keeper.
+	adjustShares chan struct{}
+	quota        *quotaKeeper
 	// nextStored is closed after the next transaction; nil while nothing waits for it.
 	nextStored chan struct{}
 	commits    commitState
@@ -90,6 +98,7 @@
 	defer o.cancelRun()
 	o.wake = make(chan struct{}, 1)
 	o.flushNow = make(chan struct{}, 1)
+	o.adjustShares = make(chan struct{}, 1)
 	o.renewers = make(map[string]*leaseRenewer)
 	start := time.Now()
 	loadedAt, ok := o.load(ctx, start)
@@ -102,6 +111,7 @@
 	o.wg.Go(func() { jobs.Run(ctx) })
 	o.wg.Go(func() { o.runCancellations(ctx) })
 	o.wg.Go(func() { o.runVerification(ctx) })
+	o.wg.Go(func() { o.quota.run(ctx) })
 	flushCtx, cancelFlush := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancelFlush()
 	var flushed sync.WaitGroup
@@ -163,12 +173,16 @@
 	urgent := o.scheduler.Urgent() || !slices.Equal(drained, o.drained)
 	o.drained = drained
 	notes, dropped := o.scheduler.Notes()
+	shareWanted := o.scheduler.QuotaWanted(o.shardCount(), now)
 	o.mu.Unlock()
 	o.logNotes(notes, dropped)
 	o.execute(ctx, plan)
 	if urgent {
 		signal(o.flushNow)
 	}
+	if shareWanted {
+		signal(o.adjustShares)
+	}
 }
 
 // refresh passes a new configuration, changed reservations and changed registrations
@@ -285,6 +299,10 @@
 	if err != nil {
 		return 0, err
 	}
+	shares, err := o.loadShares(ctx)
+	if err != nil {
+		return 0, err
+	}
 	jobs, revision, err := o.Store.ReadAll(ctx, bbrrecord.JobPrefixOf(o.Shard))
 	if err != nil {
 		return 0, err
@@ -297,6 +315,7 @@
 		o.configVersion = config.Version
 		o.scheduler.SetConfig(config)
 	}
+	o.quota = o.newQuotaKeeper(shares, time.Now())
 	o.reservedRevision = reserved.Revision
 	o.scheduler.SetReserved(reservedIDs, time.Now())
 	o.addJobs(jobs, progress, time.Now())
--- a/internal/job/bbrrecord/keys.go
+++ b/internal/job/bbrrecord/keys.go
@@ -1,6 +1,7 @@
 package bbrrecord
 
 import (
+	"net/url"
 	"strconv"
 	"strings"
 
@@ -16,7 +17,9 @@
 	// CancelPrefix is the prefix of the cancellation requests, by shard and job ID.
 	CancelPrefix = "bbr/cancel/"
 	// ReportPrefix is the prefix of the owners' reports, by shard.
-	ReportPrefix       = "bbr/report/"
+	ReportPrefix = "bbr/report/"
+	// SharesPrefix is the prefix of the shards' shares of caps, by organisation.
+	SharesPrefix       = "bbr/shares/"
 	sequencePrefix     = "bbr/sequence/"
 	progressPrefix     = "bbr/progress/"
 	incarnationsPrefix = "bbr/lives/"
@@ -61,6 +64,14 @@
 // work of the shard may run.
 func IncarnationsKey(shard bbrwork.Shard) string { return incarnationsPrefix + shard.String() }
 
+// SharesKey returns the key of the shards' shares of an organisation's cap.
+func SharesKey(organisation string) string { return SharesPrefix + url.PathEscape(organisation) }
+
+// OrganisationOf returns the organisation that SharesKey was called with.
+func OrganisationOf(sharesKey string) (string, error) {
+	return url.PathUnescape(strings.TrimPrefix(sharesKey, SharesPrefix))
+}
+
 // JobID returns the job ID at the end of the key of a job's record.
 func JobID(key string) string { return key[strings.LastIndexByte(key, '/')+1:] }
 
--- a/internal/job/bbrscheduler/demand.go
+++ b/internal/job/bbrscheduler/demand.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 )
@@ -49,29 +50,22 @@
 // arrivals count as a rate that continues.
 func (sched *Scheduler) Demand(now time.Time) Demand {
 	var demand Demand
-	open, arriving := 0.0, 0.0
+	rates := make(map[string]*workRate)
 	for _, j := range sched.jobs {
 		if j.finalState != "" || j.cancelled {
 			continue
 		}
+		rate := rates[j.Organisation]
+		if rate == nil {
+			rate = &workRate{}
+			rates[j.Organisation] = rate
+		}
 		for _, o := range j.occurrences {
 			demand.addLongRunning(o)
-			work := o.remainingWork()
-			if work == 0 || now.Before(j.Schedule.Due(o.number)) {
-				continue
-			}
-			deadline := j.objective(o)
-			if now.Add(o.remainingPath()).Before(deadline) {
-				open += work / max(minSlack, deadline.Sub(now)).Seconds()
-			} else {
-				open += work / overdueSpread.Seconds()
-			}
-			allowed := deadline.Sub(j.Accepted)
-			if window := max(minRecentWindow, time.Duration(recentShare*float64(allowed))); now.Sub(j.learnedAt) < window {
-				arriving += o.totalWork() / window.Seconds()
-			}
+			rate.add(j, o, now)
 		}
 	}
+	open, arriving := sched.sumRates(rates)
 	demand.MilliCPU = demand.LongRunningMilliCPU + int(max(open, arriving, sched.arrivals.forecast(now)))
 	wide := sched.wideWork(now)
 	demand.addExclusive(wide)
@@ -79,6 +73,45 @@
 	return demand
 }
 
+// workRate is the finite work of an organisation as a rate, in millicores.
+type workRate struct {
+	// open is the rate at which the open jobs must be worked off, and arriving the rate
+	// at which work like that of the recent jobs arrives.
+	open, arriving float64
+}
+
+// add adds the work of an occurrence of a job.
+func (rate *workRate) add(j *job, o *occurrence, now time.Time) {
+	work := o.remainingWork()
+	if work == 0 || now.Before(j.Schedule.Due(o.number)) {
+		return
+	}
+	deadline := j.objective(o)
+	if now.Add(o.remainingPath()).Before(deadline) {
+		rate.open += work / max(minSlack, deadline.Sub(now)).Seconds()
+	} else {
+		rate.open += work / overdueSpread.Seconds()
+	}
+	allowed := deadline.Sub(j.Accepted)
+	if window := max(minRecentWindow, time.Duration(recentShare*float64(allowed))); now.Sub(j.learnedAt) < window {
+		rate.arriving += o.totalWork() / window.Seconds()
+	}
+}
+
+// sumRates returns the sum of the rates. No organisation counts for more than its cap
+// lets it use.
+func (sched *Scheduler) sumRates(rates map[string]*workRate) (open, arriving float64) {
+	for organisation, rate := range rates {
+		limit := math.Inf(1)
+		if account := sched.accounts[organisation]; account != nil && account.Cap.MilliCPU > 0 {
+			limit = float64(account.Cap.MilliCPU)
+		}
+		open += min(limit, rate.open)
+		arriving += min(limit, rate.arriving)
+	}
+	return open, arriving
+}
+
 func (d *Demand) addLongRunning(o *occurrence) {
 	for _, s := range o.steps {
 		if !s.spec.LongRunning {
--- a/internal/job/bbrscheduler/gang.go
+++ b/internal/job/bbrscheduler/gang.go
@@ -24,6 +24,9 @@
 	if request, ok := p.sched.adviceRequest(s, p.usable, p.now); ok {
 		p.plan.AdviceRequests = append(p.plan.AdviceRequests, request)
 	}
+	if !p.withinCap(s, len(s.units)) {
+		return
+	}
 	for _, group := range p.placementGroups(s) {
 		if placement := p.placeGang(s, group); placement != nil {
 			shareCheckpoint(s)
--- a/internal/job/bbrscheduler/plan.go
+++ b/internal/job/bbrscheduler/plan.go
@@ -50,8 +50,10 @@
 	// doesNotFit has the allocations that fit on no usable upstream. It stays valid
 	// for the round, as free capacity only shrinks.
 	doesNotFit map[bbrwork.Resources]bool
-	// busy means that over half of the usable CPU capacity is in use.
+	// busy means that over half of the usable CPU capacity is in use, and free is what
+	// is free of the usable capacity.
 	busy bool
+	free bbrwork.Resources
 	plan Plan
 }
 
@@ -62,6 +64,7 @@
 	p := &planner{sched: sched, now: now, doesNotFit: make(map[bbrwork.Resources]bool), nearDataFits: make(map[*step]bool)}
 	p.planStops()
 	if confirmed {
+		p.beginQuota()
 		p.findUsable(sched.ensureRecorded)
 		p.planStarts()
 		p.planPaces()
@@ -114,6 +117,9 @@
 		if u.done || len(u.runs) > 0 || p.now.Before(u.notBefore) {
 			continue
 		}
+		if !p.withinCap(s, 1) {
+			return
+		}
 		up := p.chooseUpstream(u, nil)
 		if up == nil {
 			return
--- /dev/null
+++ b/internal/job/bbrscheduler/quota.go
@@ -0,0 +1,116 @@
+package bbrscheduler
+
+import (
+	"time"
+
+	"github.com/bluebellridge/bluebellridge/internal/job/bbrquota"
+	"github.com/bluebellridge/bluebellridge/internal/job/bbrwork"
+)
+
+// account returns the account of the job's organisation, or nil if the job belongs to
+// none.
+func (sched *Scheduler) account(j *job) *bbrquota.Account {
+	if j.Organisation == "" {
+		return nil
+	}
+	account := sched.accounts[j.Organisation]
+	if account == nil {
+		account = &bbrquota.Account{}
+		if organisation := sched.config.Organisations[j.Organisation]; organisation != nil {
+			account.SetCap(organisation.Cap)
+		}
+		sched.accounts[j.Organisation] = account
+	}
+	return account
+}
+
+// Accounts returns the accounts of the organisations that have had jobs in the shard.
+func (sched *Scheduler) Accounts() map[string]*bbrquota.Account { return sched.accounts }
+
+// Account returns the account of an organisation.
+func (sched *Scheduler) Account(organisation string) *bbrquota.Account {
+	return sched.account(&job{Job: &bbrwork.Job{Organisation: organisation}})
+}
+
+// ConfigRevision returns the store's revision of the configuration that the scheduler
+// applies.
+func (sched *Scheduler) ConfigRevision() int64 { return sched.config.StoreRevision }
+
+// applyCaps applies the caps of a configuration. An organisation that it does not have
+// keeps its last known cap.
+func (sched *Scheduler) applyCaps(config *bbrwork.Config) {
+	for name, account := range sched.accounts {
+		limit := account.Cap
+		if organisation := config.Organisations[name]; organisation != nil {
+			limit = organisation.Cap
+		}
+		account.SetCap(limit)
+	}
+}
+
+// QuotaWanted reports whether the shard needs a larger share of a cap, or can release
+// a part of one. shards is the number of shards that share the caps.
+func (sched *Scheduler) QuotaWanted(shards int, now time.Time) bool {
+	wanted := false
+	for _, account := range sched.accounts {
+		wanted = account.Wants(shards, now) || wanted
+	}
+	return wanted
+}
+
+// beginQuota prepares the accounts for a round of planning.
+func (p *planner) beginQuota() {
+	reserves := p.unlocatedUse()
+	for name, account := range p.sched.accounts {
+		account.BeginPlan(reserves[name])
+	}
+}
+
+// unlocatedUse returns, by organisation, what an earlier owner may have started on
+// upstreams that have not answered yet.
+func (p *planner) unlocatedUse() map[string]bbrwork.Resources {
+	if len(p.sched.accounts) == 0 || p.sched.EarlierWorkLocated(p.now) {
+		return nil
+	}
+	use := make(map[string]bbrwork.Resources)
+	for _, j := range p.sched.jobs {
+		if j.Organisation == "" || !p.mayHaveUnlocatedRuns(j) {
+			continue
+		}
+		for _, o := range j.occurrences {
+			for _, s := range o.steps {
+				if s.idleUnits > 0 && s.unitsLeft > 0 && s.runnable(p.now) {
+					use[j.Organisation] = use[j.Organisation].Plus(s.spec.Need.Times(s.idleUnits))
+				}
+			}
+		}
+	}
+	return use
+}
+
+// withinCap reports whether count work units of the step may start within the shard's
+// share of the organisation's cap. If not, it records what the step needs.
+func (p *planner) withinCap(s *step, count int) bool {
+	account := p.sched.account(s.job)
+	if account == nil || account.Allows(s.spec.Need.Times(count)) {
+		return true
+	}
+	startable := max(count, s.spec.Need.FitCount(p.free, s.idleUnits))
+	account.Block(s.spec.Need.Times(startable))
+	return false
+}
+
+// beyondCap reports whether the shard's share of the organisation's cap lacks room for
+// a work unit of the step. Unlike withinCap it records nothing.
+func (sched *Scheduler) beyondCap(s *step) bool {
+	account := sched.accounts[s.job.Organisation]
+	if account == nil {
+		return false
+	}
+	count := 1
+	if s.spec.Gang {
+		count = len(s.units)
+	}
+	copied := *account
+	return !copied.Allows(s.spec.Need.Times(count))
+}
--- a/internal/job/bbrscheduler/reason.go
+++ b/internal/job/bbrscheduler/reason.go
@@ -21,6 +21,9 @@
 	ReasonGangStillRuns Reason = "gangStillRuns"
 	// ReasonAttemptPaused: the next attempt follows after a pause.
 	ReasonAttemptPaused Reason = "attemptPaused"
+	// ReasonOrganisationCap: the shard has no share left of the cap of the job's
+	// organisation.
+	ReasonOrganisationCap Reason = "organisationCap"
 	// ReasonNoUsableUpstream: no upstream may take work.
 	ReasonNoUsableUpstream Reason = "noUsableUpstream"
 	// ReasonComesNext: the work unit fits on an upstream and starts next.
@@ -65,7 +68,7 @@
 
 // Reasons lists the reasons that an eligible work unit can have.
 var Reasons = [...]Reason{
-	ReasonClaimUnconfirmed, ReasonEarlierWorkUnlocated, ReasonBeyondHorizon, ReasonAttemptPaused, ReasonGangStillRuns, ReasonNoUsableUpstream, ReasonComesNext, ReasonGangPartlyFits,
+	ReasonClaimUnconfirmed, ReasonEarlierWorkUnlocated, ReasonBeyondHorizon, ReasonAttemptPaused, ReasonGangStillRuns, ReasonOrganisationCap, ReasonNoUsableUpstream, ReasonComesNext, ReasonGangPartlyFits,
 	ReasonFarFromData, ReasonTicketMissing, ReasonAdviceRefused, ReasonStartsInFlight, ReasonCapacityUsedByFiniteWork, ReasonCapacityForFew, ReasonMaxPerUpstream, ReasonCapacityFragmented, ReasonCapacityUsedByLongRunningWork,
 	ReasonTooLarge, ReasonLabelMissing, ReasonNotEvaluated,
 }
--- a/internal/job/bbrscheduler/runs.go
+++ b/internal/job/bbrscheduler/runs.go
@@ -18,6 +18,9 @@
 	u.step.job.started = true
 	up.runs[runKey{u.name(), number}] = r
 	up.used = up.used.Plus(r.allocation)
+	if account := sched.account(u.step.job); account != nil {
+		account.Used = account.Used.Plus(u.step.spec.Need)
+	}
 	if u.step.spec.LongRunning {
 		up.longRunning++
 		up.longRunningUsage = up.longRunningUsage.Plus(r.allocation)
@@ -44,6 +47,9 @@
 	}
 	delete(r.up.runs, runKey{u.name(), r.number})
 	r.up.used = r.up.used.Minus(r.allocation)
+	if account := sched.account(u.step.job); account != nil {
+		account.Used = account.Used.Minus(u.step.spec.Need)
+	}
 	if u.step.spec.LongRunning {
 		r.up.longRunning--
 		r.up.longRunningUsage = r.up.longRunningUsage.Minus(r.allocation)
--- a/internal/job/bbrscheduler/scheduler.go
+++ b/internal/job/bbrscheduler/scheduler.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/bluebellridge/bluebellridge/internal/job/bbrquota"
 	"github.com/bluebellridge/bluebellridge/internal/job/bbrwork"
 )
 
@@ -82,7 +83,9 @@
 	recorded, toRecord map[bbrwork.Incarnation]bool
 	// reserved has the IDs of the upstreams that are reserved for maintenance or a
 	// move.
-	reserved     map[string]bool
+	reserved map[string]bool
+	// accounts has the uses and shares of caps by organisation.
+	accounts     map[string]*bbrquota.Account
 	notes        []Note
 	notesDropped int
 }
@@ -108,6 +111,7 @@
 		endedIncarnations: make(map[bbrwork.Incarnation]bool),
 		recorded:          make(map[bbrwork.Incarnation]bool),
 		toRecord:          make(map[bbrwork.Incarnation]bool),
+		accounts:          make(map[string]*bbrquota.Account),
 	}
 }
 
@@ -121,6 +125,7 @@
 // known policy.
 func (sched *Scheduler) SetConfig(config *bbrwork.Config) {
 	sched.config = config
+	sched.applyCaps(config)
 	for _, job := range sched.jobs {
 		if queue := config.Queues[job.Queue]; queue != nil {
 			job.policy = queue.Policy()
--- a/internal/job/bbrscheduler/usable.go
+++ b/internal/job/bbrscheduler/usable.go
@@ -74,6 +74,7 @@
 	for _, up := range p.usable {
 		capacity, used = capacity.Plus(up.Capacity), used.Plus(up.used)
 	}
+	p.free = capacity.Minus(used)
 	p.busy = 2*used.MilliCPU > capacity.MilliCPU
 }
 
--- a/internal/job/bbrscheduler/wait.go
+++ b/internal/job/bbrscheduler/wait.go
@@ -76,6 +76,8 @@
 		w.reason = ReasonGangStillRuns
 	case p.now.Before(paused):
 		w.reason, w.latestEnd = ReasonAttemptPaused, paused
+	case p.sched.beyondCap(s):
+		w.reason = ReasonOrganisationCap
 	default:
 		w.blockers = p.countBlockers(s)
 		w.reason = w.blockers.reason(s)
--- a/internal/job/bbrscheduler/wait_test.go
+++ b/internal/job/bbrscheduler/wait_test.go
@@ -104,6 +104,11 @@
 			want: ReasonGangPartlyFits, confirmed: true, steps: []bbrwork.Step{gang(2)}, awaits: AwaitsCapacity, responsible: ResponsibleOwner, text: "1 of 2 members fit together, 2 once",
 			arrange: func(s *scene) { s.runOn("00000000000000c1", "i-1", wide.Need, false) },
 		},
+		{
+			want: ReasonOrganisationCap, confirmed: true, job: bbrwork.Job{Queue: "proofs", Organisation: limitedOrganisation}, awaits: AwaitsCapacity, responsible: ResponsibleOwner,
+			text:    "share of the cap of organisation " + limitedOrganisation,
+			arrange: func(s *scene) { s.applyCap(1) },
+		},
 		{
 			want: ReasonFarFromData, confirmed: true, awaits: AwaitsCapacity, responsible: ResponsibleOwner, text: "1 are far from the data",
 			steps: []bbrwork.Step{{Count: 1, Need: wide.Need, Estimate: 10 * time.Second, DataRack: "rack-2"}},
--- a/internal/job/bbrscheduler/waittext.go
+++ b/internal/job/bbrscheduler/waittext.go
@@ -26,6 +26,8 @@
 		return "it is tried again at " + w.latestEnd.UTC().Format(time.RFC3339Nano)
 	case ReasonGangStillRuns:
 		return fmt.Sprintf("%d of %d members of the gang still have runs", len(w.step.units)-w.step.idleUnits, len(w.step.units))
+	case ReasonOrganisationCap:
+		return fmt.Sprintf("the shard's share of the cap of organisation %s does not suffice for %s", w.step.job.Organisation, resourcesText(w.step.spec.Need))
 	default:
 		return w.blockers.describe(w.step, w.reason)
 	}
--- a/internal/job/bbrwork/config.go
+++ b/internal/job/bbrwork/config.go
@@ -18,7 +18,10 @@
 
 // Config is one version of the operators' configuration. It is immutable.
 type Config struct {
-	Version  int64
+	Version int64
+	// StoreRevision is the store's revision at which the configuration was written.
+	StoreRevision int64
+
 	Queues   map[string]*Queue
 	Services map[string]*Service
 	Limits   Limits
--- a/internal/job/bbrwork/resources.go
+++ b/internal/job/bbrwork/resources.go
@@ -24,6 +24,21 @@
 	return Resources{r.MilliCPU - other.MilliCPU, r.MemoryMB - other.MemoryMB, r.Accelerators - other.Accelerators}
 }
 
+// Min returns the smaller amount in each dimension.
+func (r Resources) Min(other Resources) Resources {
+	return Resources{min(r.MilliCPU, other.MilliCPU), min(r.MemoryMB, other.MemoryMB), min(r.Accelerators, other.Accelerators)}
+}
+
+// Max returns the larger amount in each dimension.
+func (r Resources) Max(other Resources) Resources {
+	return Resources{max(r.MilliCPU, other.MilliCPU), max(r.MemoryMB, other.MemoryMB), max(r.Accelerators, other.Accelerators)}
+}
+
+// DividedBy returns r divided by a positive number.
+func (r Resources) DividedBy(n int) Resources {
+	return Resources{r.MilliCPU / n, r.MemoryMB / n, r.Accelerators / n}
+}
+
 // Times returns n times r.
 func (r Resources) Times(n int) Resources {
 	return Resources{r.MilliCPU * n, r.MemoryMB * n, r.Accelerators * n}
