job/bbrquota: shares of a cap are divided ahead, and released when another shard waits

Each shard now keeps an idle share, half of the cap in all, taken before there is work. A share no longer shrinks by time: a shard whose work waits says so in the record, and the others, which watch the records, release what they do not need.

--- a/internal/job/bbrowner/owner.go
+++ b/internal/job/bbrowner/owner.go
@@ -112,6 +112,7 @@
 	o.wg.Go(func() { o.runCancellations(ctx) })
 	o.wg.Go(func() { o.runVerification(ctx) })
 	o.wg.Go(func() { o.quota.run(ctx) })
+	o.wg.Go(func() { o.quota.watch(ctx) })
 	flushCtx, cancelFlush := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancelFlush()
 	var flushed sync.WaitGroup
@@ -173,7 +174,7 @@
 	urgent := o.scheduler.Urgent() || !slices.Equal(drained, o.drained)
 	o.drained = drained
 	notes, dropped := o.scheduler.Notes()
-	shareWanted := o.scheduler.QuotaWanted(o.shardCount(), now)
+	shareWanted := o.scheduler.QuotaWanted(o.shardCount())
 	o.mu.Unlock()
 	o.logNotes(notes, dropped)
 	o.execute(ctx, plan)
--- a/internal/job/bbrowner/quotakeeper.go
+++ b/internal/job/bbrowner/quotakeeper.go
@@ -23,9 +23,14 @@
 	// quotaPause is the pause after a transaction, so that the next one changes the
 	// shares of several organisations.
 	quotaPause = 10 * time.Millisecond
-	// quotaRereadInterval is the time between two reads of a record in which no other
-	// shard has left anything of the cap.
+	// quotaRereadInterval is the time between two reads of a record while work waits for
+	// what other shards have.
 	quotaRereadInterval = 300 * time.Millisecond
+	// quotaWatchTimeout is how long a watch for shares lasts without events, and
+	// quotaReloadInterval the time between two reads of all shares. A watch that misses
+	// changes delays what work of another shard waits for by that long.
+	quotaWatchTimeout   = time.Second
+	quotaReloadInterval = 2 * time.Second
 	// maxShareChanges is the number of shares that one transaction changes: each needs
 	// a condition and a put; the claim and the configuration need a condition each.
 	maxShareChanges = (bbrkv.MaxTransactionSize - 2) / 2
@@ -43,7 +48,9 @@
 type shareChange struct {
 	organisation string
 	share        bbrwork.Resources
-	grows        bool
+	// grows means that the share becomes larger, and waits that work waits for an even
+	// larger one than the other shards leave.
+	grows, waits bool
 }
 
 // quotaKeeper changes the shard's shares of the caps of organisations as its work needs
@@ -73,7 +80,7 @@
 
 func (k *quotaKeeper) adjust(ctx context.Context) {
 	k.reread(ctx, time.Now())
-	changes, config := k.changes(time.Now())
+	changes, config := k.changes()
 	if len(changes) > 0 {
 		k.commit(ctx, changes, config)
 	}
@@ -90,7 +97,7 @@
 // changes returns the shares to change, at most as many as fit into a transaction, and
 // the store's revision of the configuration whose caps they obey. A share that becomes
 // smaller is lowered at once.
-func (k *quotaKeeper) changes(now time.Time) ([]shareChange, bbrkv.Revision) {
+func (k *quotaKeeper) changes() ([]shareChange, bbrkv.Revision) {
 	o := k.owner
 	shards := o.shardCount()
 	o.mu.Lock()
@@ -99,32 +106,31 @@
 	var changes []shareChange
 	for _, name := range slices.Sorted(maps.Keys(accounts)) {
 		account := accounts[name]
-		share := account.Target(shards, now)
-		if share == account.Held || len(changes) == maxShareChanges {
+		share, waits := account.Target(shards), account.Waits()
+		if share == account.Held && waits == k.records[name].Waiting[o.Shard.String()] || len(changes) == maxShareChanges {
 			continue
 		}
-		changes = append(changes, shareChange{organisation: name, share: share, grows: !share.Fits(account.Held)})
+		changes = append(changes, shareChange{organisation: name, share: share, grows: !share.Fits(account.Held), waits: waits})
 		account.Held = account.Held.Min(share)
 	}
 	return changes, bbrkv.Revision(o.scheduler.ConfigRevision())
 }
 
 // reread reads the shares of all organisations after a new configuration, and otherwise
-// those of organisations whose work is held up: other shards may have released parts.
+// those of organisations whose work waits, as the watch may miss changes.
 func (k *quotaKeeper) reread(ctx context.Context, now time.Time) {
 	o := k.owner
 	o.mu.Lock()
 	config := bbrkv.Revision(o.scheduler.ConfigRevision())
-	unverified, blocked := k.outdated(now)
+	unverified, waiting := k.outdated(now)
 	o.mu.Unlock()
 	var items []bbrkv.Item
 	var err error
 	switch {
 	case unverified:
 		items, err = o.loadShares(ctx)
-		blocked = nil
-	case len(blocked) > 0:
-		items, err = k.readEach(ctx, blocked)
+	case len(waiting) > 0:
+		items, err = k.readEach(ctx, waiting)
 	default:
 		return
 	}
@@ -145,17 +151,16 @@
 }
 
 // outdated reports whether the shares of an organisation were not read since the present
-// configuration was applied, and returns the organisations whose work is held up. The
-// caller holds the owner's lock.
-func (k *quotaKeeper) outdated(now time.Time) (unverified bool, blocked []string) {
-	shards := k.owner.shardCount()
+// configuration was applied, and returns the organisations whose work waits and that were
+// not read lately. The caller holds the owner's lock.
+func (k *quotaKeeper) outdated(now time.Time) (unverified bool, waiting []string) {
 	for name, account := range k.owner.scheduler.Accounts() {
 		unverified = unverified || !account.Verified
-		if account.Blocked() && now.Sub(k.records[name].readAt) > quotaRereadInterval && account.Target(shards, now) == account.Held {
-			blocked = append(blocked, name)
+		if account.Waits() && now.Sub(k.records[name].readAt) > quotaRereadInterval {
+			waiting = append(waiting, name)
 		}
 	}
-	return unverified, blocked
+	return unverified, waiting
 }
 
 // readEach reads the records of organisations.
@@ -198,19 +203,52 @@
 }
 
 // observe records what the store had about an organisation's shares when the
-// configuration of the given revision applied. The caller holds the owner's lock.
+// configuration of the given revision applied. An item that is older than what is known
+// is ignored. The caller holds the owner's lock.
 func (k *quotaKeeper) observe(organisation string, item bbrkv.Item, config bbrkv.Revision, now time.Time) {
+	if item.Revision < k.records[organisation].revision {
+		return
+	}
 	known := storedShares{revision: item.Revision, readAt: now}
+	account := k.owner.scheduler.Account(organisation)
 	if len(item.Value) > 0 {
 		if err := json.Unmarshal(item.Value, &known.Record); err != nil {
 			klog.ErrorS(err, "Failed to decode the shares of a cap, assuming that none is free", "key", item.Key, "revision", item.Revision)
-			known.Shares = map[string]bbrwork.Resources{"unknown": k.owner.scheduler.Account(organisation).Cap}
+			known.Shares = map[string]bbrwork.Resources{"unknown": account.Cap}
 		}
 	}
 	k.records[organisation] = known
-	account := k.owner.scheduler.Account(organisation)
-	account.Others = known.Others(k.owner.Shard.String())
-	account.Verified = config == bbrkv.Revision(k.owner.scheduler.ConfigRevision())
+	account.Others, account.OthersWait = known.Others(k.owner.Shard.String())
+	account.Verified = account.Verified || config == bbrkv.Revision(k.owner.scheduler.ConfigRevision())
+}
+
+// watch follows the shares until ctx ends, once there are organisations.
+func (k *quotaKeeper) watch(ctx context.Context) {
+	for ctx.Err() == nil && !k.hasAccounts() {
+		bbrpause.For(ctx, quotaInterval)
+	}
+	follower := bbrkv.Follower{Store: k.owner.Store, Prefix: bbrrecord.SharesPrefix, WatchTimeout: quotaWatchTimeout, ReloadInterval: quotaReloadInterval, OnSnapshot: k.observeSnapshot, OnChange: k.observeChange}
+	follower.Run(ctx)
+}
+
+func (k *quotaKeeper) hasAccounts() bool {
+	k.owner.mu.Lock()
+	defer k.owner.mu.Unlock()
+	return len(k.owner.scheduler.Accounts()) > 0
+}
+
+func (k *quotaKeeper) observeSnapshot(items []bbrkv.Item, now time.Time) {
+	for _, item := range items {
+		k.observeChange(item, now)
+	}
+}
+
+// observeChange records a change that the watch reports. The records are never removed.
+func (k *quotaKeeper) observeChange(item bbrkv.Item, now time.Time) {
+	k.owner.mu.Lock()
+	defer k.owner.mu.Unlock()
+	k.observeItem(item, unknownConfig, now)
+	signal(k.owner.adjustShares)
 }
 
 // commit stores the changes. A transaction whose answer was lost is sent again until the
@@ -254,7 +292,7 @@
 	for _, change := range changes {
 		known := k.records[change.organisation]
 		key := bbrrecord.SharesKey(change.organisation)
-		record := known.With(o.Shard.String(), change.share)
+		record := known.With(o.Shard.String(), change.share, change.waits)
 		records = append(records, record)
 		transaction.Conditions = append(transaction.Conditions, bbrkv.Condition{Key: key, Revision: known.revision})
 		transaction.Puts = append(transaction.Puts, bbrkv.Put{Key: key, Value: bbrrecord.Encode(record)})
--- a/internal/job/bbrquota/account.go
+++ b/internal/job/bbrquota/account.go
@@ -1,8 +1,6 @@
 package bbrquota
 
 import (
-	"time"
-
 	"github.com/bluebellridge/bluebellridge/internal/job/bbrwork"
 )
 
@@ -14,8 +12,10 @@
 	// Held is the shard's share of the cap that this owner may use. It never exceeds
 	// what the store has, nor what a release in flight will leave there.
 	Held bbrwork.Resources
-	// Others is what the other shards have together, as last read.
-	Others bbrwork.Resources
+	// Others is what the other shards have together, and OthersWait whether the work of
+	// one of them waits for a larger share, as last read.
+	Others     bbrwork.Resources
+	OthersWait bool
 	// Verified means that Others was read after the owner had applied the configuration
 	// that it applies now. Once Held and Others were within the cap at such a time, the
 	// shares stay within it.
@@ -29,20 +29,14 @@
 	blocked, reserve bbrwork.Resources
 	// lastNeed is what the last work unit needed for which the share was checked.
 	lastNeed bbrwork.Resources
-	// highAt is when the share was last needed in full, and usedAt when any of it was.
-	highAt, usedAt time.Time
 }
 
 const (
-	// releaseDelay is how long a part of a share must be idle before it is released.
-	releaseDelay = 1500 * time.Millisecond
-	// slack is the part of a share that may be idle, as a divisor: a share is larger
-	// than the use by 1/slack of it.
-	slack = 4
-	// idleRetention is how long a shard keeps its idle share after its last use.
-	idleRetention = 10 * time.Second
+	// growthSlack and releaseSlack are the parts of a share, as divisors, by which it
+	// exceeds the need after it has grown, and after parts of it were released.
+	growthSlack, releaseSlack = 2, 4
 	// idleParts is the divisor of a cap that gives all idle shares together.
-	idleParts = 4
+	idleParts = 2
 )
 
 // SetCap applies the cap of a new configuration. The shares have to be read again, even
@@ -62,7 +56,7 @@
 		return true
 	}
 	a.lastNeed = need
-	busy := a.Used.Plus(a.reserve)
+	busy := a.busy()
 	switch {
 	case !a.Verified || !within(busy.Plus(need), a.Held, a.Cap):
 		return false
@@ -73,6 +67,9 @@
 	}
 }
 
+// busy returns what runs or may run.
+func (a *Account) busy() bbrwork.Resources { return a.Used.Plus(a.reserve) }
+
 // exceeded reports whether the shares together exceed the cap.
 func (a *Account) exceeded() bool { return !within(a.Held.Plus(a.Others), a.Cap, a.Cap) }
 
@@ -82,31 +79,38 @@
 // Blocked reports whether work was held up by the share in the last plan.
 func (a *Account) Blocked() bool { return a.blocked != bbrwork.Resources{} }
 
-// Wants reports whether the account has to be looked at: its share should change, or
-// the shares have to be read before work can start. shards is the number of shards.
-func (a *Account) Wants(shards int, now time.Time) bool {
-	return a.Blocked() || a.Target(shards, now) != a.Held
+// Waits reports whether work waits for a larger share than the other shards leave.
+func (a *Account) Waits() bool {
+	return a.Blocked() && !within(a.busy().Plus(a.blocked), a.available(), a.Cap)
 }
 
-// Target returns the share that the shard should have. A share that does not suffice
-// grows by more than the need, so that it grows rarely. A share that has been idle in
-// part for releaseDelay shrinks to what is needed; while the shares exceed the cap, it
-// shrinks at once to what is in use.
-func (a *Account) Target(shards int, now time.Time) bbrwork.Resources {
-	busy := a.Used.Plus(a.reserve)
+// available returns the largest share that the other shards leave.
+func (a *Account) available() bbrwork.Resources {
+	return a.Cap.Minus(a.Others).Max(bbrwork.Resources{})
+}
+
+// Target returns the share that the shard should have; shards is the number of shards.
+// Each keeps an idle share, so that its work starts without a call to the store. A share
+// that does not suffice grows by more than the need, so that it grows rarely. While
+// another shard waits, or the shares exceed the cap, it shrinks to what is needed.
+func (a *Account) Target(shards int) bbrwork.Resources {
+	busy := a.busy()
 	need := busy.Plus(a.blocked)
-	if need != (bbrwork.Resources{}) {
-		a.usedAt = now
+	goal := need
+	if !a.OthersWait {
+		goal = need.Max(a.idleShare(shards))
 	}
 	switch {
 	case !bounded(a.Cap) || !a.Verified:
 		return a.Held
 	case a.exceeded():
 		return a.Held.Min(busy.Max(a.oversize(busy)))
-	case !within(need, a.Held, a.Cap):
-		return a.Held.Max(a.grown(need)).Max(a.oversize(busy))
+	case !within(goal, a.Held, a.Cap):
+		return a.Held.Max(a.grown(need).Max(goal).Min(a.available())).Max(a.oversize(busy))
+	case a.OthersWait:
+		return a.Held.Min(need.Plus(need.DividedBy(releaseSlack)))
 	default:
-		return a.shrunk(need, a.idleShare(shards, now), now)
+		return a.Held
 	}
 }
 
@@ -120,31 +124,20 @@
 	return bbrwork.Resources{}
 }
 
-// grown returns the share for a need, as far as the other shares leave it.
+// grown returns the share for a need, with slack if no other shard waits.
 func (a *Account) grown(need bbrwork.Resources) bbrwork.Resources {
-	available := a.Cap.Minus(a.Others).Max(bbrwork.Resources{})
-	rest := available.Minus(need).Max(bbrwork.Resources{})
-	return available.Min(need.Plus(need.Min(rest).DividedBy(slack)))
-}
-
-// shrunk returns what remains of a share that covers the need.
-func (a *Account) shrunk(need, idle bbrwork.Resources, now time.Time) bbrwork.Resources {
-	enough := need.Plus(need.DividedBy(slack)).Max(idle)
-	if within(a.Held, enough, a.Cap) || a.highAt.IsZero() {
-		a.highAt = now
-	}
-	if now.Sub(a.highAt) < releaseDelay {
-		return a.Held
+	if a.OthersWait {
+		return need
 	}
-	return a.Held.Min(enough)
+	rest := a.available().Minus(need).Max(bbrwork.Resources{})
+	return need.Plus(need.Min(rest).DividedBy(growthSlack))
 }
 
-// idleShare returns what the shard keeps while it needs less, so that its next work
-// starts without a call to the store. A part that is too small for a work unit would
-// only be missing elsewhere.
-func (a *Account) idleShare(shards int, now time.Time) bbrwork.Resources {
+// idleShare returns what the shard keeps while it needs less. A part that is too small
+// for a work unit would only be missing elsewhere.
+func (a *Account) idleShare(shards int) bbrwork.Resources {
 	share := a.Cap.DividedBy(idleParts * max(1, shards))
-	if now.Sub(a.usedAt) > idleRetention || !within(a.lastNeed, share, a.Cap) {
+	if !within(a.lastNeed, share, a.Cap) {
 		return bbrwork.Resources{}
 	}
 	return share
--- a/internal/job/bbrscheduler/quota.go
+++ b/internal/job/bbrscheduler/quota.go
@@ -1,8 +1,6 @@
 package bbrscheduler
 
 import (
-	"time"
-
 	"github.com/bluebellridge/bluebellridge/internal/job/bbrquota"
 	"github.com/bluebellridge/bluebellridge/internal/job/bbrwork"
 )
@@ -17,7 +15,7 @@
 	if account == nil {
 		account = &bbrquota.Account{}
 		if organisation := sched.config.Organisations[j.Organisation]; organisation != nil {
-			account.SetCap(organisation.Cap)
+			account.Cap = organisation.Cap
 		}
 		sched.accounts[j.Organisation] = account
 	}
@@ -39,6 +37,9 @@
 // applyCaps applies the caps of a configuration. An organisation that it does not have
 // keeps its last known cap.
 func (sched *Scheduler) applyCaps(config *bbrwork.Config) {
+	for name := range config.Organisations {
+		sched.Account(name)
+	}
 	for name, account := range sched.accounts {
 		limit := account.Cap
 		if organisation := config.Organisations[name]; organisation != nil {
@@ -50,12 +51,13 @@
 
 // QuotaWanted reports whether the shard needs a larger share of a cap, or can release
 // a part of one. shards is the number of shards that share the caps.
-func (sched *Scheduler) QuotaWanted(shards int, now time.Time) bool {
-	wanted := false
+func (sched *Scheduler) QuotaWanted(shards int) bool {
 	for _, account := range sched.accounts {
-		wanted = account.Wants(shards, now) || wanted
+		if account.Blocked() || account.Target(shards) != account.Held {
+			return true
+		}
 	}
-	return wanted
+	return false
 }
 
 // beginQuota prepares the accounts for a round of planning.
--- a/internal/job/bbrscheduler/quota_test.go
+++ b/internal/job/bbrscheduler/quota_test.go
@@ -57,7 +57,7 @@
 	w := s.sched.survey(s.now).wait(s.sched.jobs["00000000000000a1"].occurrences[0].steps[0], true)
 	require.Equal(t, ReasonOrganisationCap, w.reason)
 	require.Contains(t, w.String(), limitedOrganisation)
-	require.True(t, s.sched.QuotaWanted(1, s.now))
+	require.True(t, s.sched.QuotaWanted(1))
 
 	first := plan.Starts[0]
 	if first.Start.Unit.Job != "00000000000000a1" {
