--- a/internal/job/bbrowner/owner.go
+++ b/internal/job/bbrowner/owner.go
@@ -112,7 +112,6 @@
 	o.wg.Go(func() { o.runCancellations(ctx) })
 	o.wg.Go(func() { o.runVerification(ctx) })
 	o.wg.Go(func() { o.quota.run(ctx) })
-	o.wg.Go(func() { o.quota.watch(ctx) })
 	flushCtx, cancelFlush := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancelFlush()
 	var flushed sync.WaitGroup
--- a/internal/job/bbrowner/quotakeeper.go
+++ b/internal/job/bbrowner/quotakeeper.go
@@ -23,14 +23,11 @@
 	// quotaPause is the pause after a transaction, so that the next one changes the
 	// shares of several organisations.
 	quotaPause = 10 * time.Millisecond
-	// quotaRereadInterval is the time between two reads of a record while work waits for
-	// what other shards have.
-	quotaRereadInterval = 300 * time.Millisecond
-	// quotaWatchTimeout is how long a watch for shares lasts without events, and
-	// quotaReloadInterval the time between two reads of all shares. A watch that misses
-	// changes delays what work of another shard waits for by that long.
-	quotaWatchTimeout   = time.Second
-	quotaReloadInterval = 2 * time.Second
+	// quotaReadInterval is the time between two reads of all shares while the shard has
+	// idle parts, and quotaWaitInterval that between two reads of the shares of an
+	// organisation whose work waits.
+	quotaReadInterval = time.Second
+	quotaWaitInterval = 300 * time.Millisecond
 	// maxShareChanges is the number of shares that one transaction changes: each needs
 	// a condition and a put; the claim and the configuration need a condition each.
 	maxShareChanges = (bbrkv.MaxTransactionSize - 2) / 2
@@ -48,9 +45,10 @@
 type shareChange struct {
 	organisation string
 	share        bbrwork.Resources
-	// grows means that the share becomes larger, and waits that work waits for an even
-	// larger one than the other shards leave.
-	grows, waits bool
+	// grows means that the share becomes larger.
+	grows bool
+	// wait tells the other shards to release parts of theirs.
+	wait bbrquota.Wait
 }
 
 // quotaKeeper changes the shard's shares of the caps of organisations as its work needs
@@ -60,6 +58,8 @@
 	owner *Owner
 	// records has what is known of the records, by organisation.
 	records map[string]storedShares
+	// readAllAt is when all records were last read.
+	readAllAt time.Time
 }
 
 // run adjusts the shares until ctx ends.
@@ -80,7 +80,7 @@
 
 func (k *quotaKeeper) adjust(ctx context.Context) {
 	k.reread(ctx, time.Now())
-	changes, config := k.changes()
+	changes, config := k.changes(time.Now())
 	if len(changes) > 0 {
 		k.commit(ctx, changes, config)
 	}
@@ -97,7 +97,7 @@
 // changes returns the shares to change, at most as many as fit into a transaction, and
 // the store's revision of the configuration whose caps they obey. A share that becomes
 // smaller is lowered at once.
-func (k *quotaKeeper) changes() ([]shareChange, bbrkv.Revision) {
+func (k *quotaKeeper) changes(now time.Time) ([]shareChange, bbrkv.Revision) {
 	o := k.owner
 	shards := o.shardCount()
 	o.mu.Lock()
@@ -106,28 +106,29 @@
 	var changes []shareChange
 	for _, name := range slices.Sorted(maps.Keys(accounts)) {
 		account := accounts[name]
-		share, waits := account.Target(shards), account.Waits()
-		if share == account.Held && waits == k.records[name].Waiting[o.Shard.String()] || len(changes) == maxShareChanges {
+		share, wait := account.Target(shards), account.Wait(now)
+		if share == account.Held && wait == k.records[name].Waiting[o.Shard.String()] || len(changes) == maxShareChanges {
 			continue
 		}
-		changes = append(changes, shareChange{organisation: name, share: share, grows: !share.Fits(account.Held), waits: waits})
-		account.Held = account.Held.Min(share)
+		changes = append(changes, shareChange{organisation: name, share: share, grows: !share.Fits(account.Held), wait: wait})
+		account.Begin(share)
 	}
 	return changes, bbrkv.Revision(o.scheduler.ConfigRevision())
 }
 
-// reread reads the shares of all organisations after a new configuration, and otherwise
-// those of organisations whose work waits, as the watch may miss changes.
+// reread reads the shares of all organisations after a new configuration and, while the
+// shard has idle parts, from time to time: other shards may wait for them. Between these
+// reads it reads the shares of organisations whose work waits for what others release.
 func (k *quotaKeeper) reread(ctx context.Context, now time.Time) {
 	o := k.owner
 	o.mu.Lock()
 	config := bbrkv.Revision(o.scheduler.ConfigRevision())
-	unverified, waiting := k.outdated(now)
+	all, waiting := k.outdated(now)
 	o.mu.Unlock()
 	var items []bbrkv.Item
 	var err error
 	switch {
-	case unverified:
+	case all:
 		items, err = o.loadShares(ctx)
 	case len(waiting) > 0:
 		items, err = k.readEach(ctx, waiting)
@@ -140,7 +141,8 @@
 	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if unverified {
+	if all {
+		k.readAllAt = now
 		k.observeAll(items, config, now)
 	} else {
 		for _, item := range items {
@@ -150,17 +152,17 @@
 	o.requestPlan()
 }
 
-// outdated reports whether the shares of an organisation were not read since the present
-// configuration was applied, and returns the organisations whose work waits and that were
-// not read lately. The caller holds the owner's lock.
-func (k *quotaKeeper) outdated(now time.Time) (unverified bool, waiting []string) {
+// outdated reports whether the shares of all organisations have to be read, and returns
+// those of which only the own have to be. The caller holds the owner's lock.
+func (k *quotaKeeper) outdated(now time.Time) (all bool, waiting []string) {
+	old := now.Sub(k.readAllAt) > quotaReadInterval
 	for name, account := range k.owner.scheduler.Accounts() {
-		unverified = unverified || !account.Verified
-		if account.Waits() && now.Sub(k.records[name].readAt) > quotaRereadInterval {
+		all = all || !account.Verified || old && account.Idle()
+		if now.Sub(k.records[name].readAt) > quotaWaitInterval && account.Wait(now) != bbrquota.NoWait {
 			waiting = append(waiting, name)
 		}
 	}
-	return unverified, waiting
+	return all, waiting
 }
 
 // readEach reads the records of organisations.
@@ -222,35 +224,6 @@
 	account.Verified = account.Verified || config == bbrkv.Revision(k.owner.scheduler.ConfigRevision())
 }
 
-// watch follows the shares until ctx ends, once there are organisations.
-func (k *quotaKeeper) watch(ctx context.Context) {
-	for ctx.Err() == nil && !k.hasAccounts() {
-		bbrpause.For(ctx, quotaInterval)
-	}
-	follower := bbrkv.Follower{Store: k.owner.Store, Prefix: bbrrecord.SharesPrefix, WatchTimeout: quotaWatchTimeout, ReloadInterval: quotaReloadInterval, OnSnapshot: k.observeSnapshot, OnChange: k.observeChange}
-	follower.Run(ctx)
-}
-
-func (k *quotaKeeper) hasAccounts() bool {
-	k.owner.mu.Lock()
-	defer k.owner.mu.Unlock()
-	return len(k.owner.scheduler.Accounts()) > 0
-}
-
-func (k *quotaKeeper) observeSnapshot(items []bbrkv.Item, now time.Time) {
-	for _, item := range items {
-		k.observeChange(item, now)
-	}
-}
-
-// observeChange records a change that the watch reports. The records are never removed.
-func (k *quotaKeeper) observeChange(item bbrkv.Item, now time.Time) {
-	k.owner.mu.Lock()
-	defer k.owner.mu.Unlock()
-	k.observeItem(item, unknownConfig, now)
-	signal(k.owner.adjustShares)
-}
-
 // commit stores the changes. A transaction whose answer was lost is sent again until the
 // store settles whether it was applied: until then it could still take effect later.
 func (k *quotaKeeper) commit(ctx context.Context, changes []shareChange, config bbrkv.Revision) {
@@ -292,7 +265,7 @@
 	for _, change := range changes {
 		known := k.records[change.organisation]
 		key := bbrrecord.SharesKey(change.organisation)
-		record := known.With(o.Shard.String(), change.share, change.waits)
+		record := known.With(o.Shard.String(), change.share, change.wait)
 		records = append(records, record)
 		transaction.Conditions = append(transaction.Conditions, bbrkv.Condition{Key: key, Revision: known.revision})
 		transaction.Puts = append(transaction.Puts, bbrkv.Put{Key: key, Value: bbrrecord.Encode(record)})
--- a/internal/job/bbrquota/account.go
+++ b/internal/job/bbrquota/account.go
@@ -1,6 +1,8 @@
 package bbrquota
 
 import (
+	"time"
+
 	"github.com/bluebellridge/bluebellridge/internal/job/bbrwork"
 )
 
@@ -12,10 +14,10 @@
 	// Held is the shard's share of the cap that this owner may use. It never exceeds
 	// what the store has, nor what a release in flight will leave there.
 	Held bbrwork.Resources
-	// Others is what the other shards have together, and OthersWait whether the work of
-	// one of them waits for a larger share, as last read.
-	Others     bbrwork.Resources
-	OthersWait bool
+	// Others is what the other shards have together, as last read.
+	Others bbrwork.Resources
+	// OthersWait is the longest wait of another shard, as last read. It is acted on once.
+	OthersWait Wait
 	// Verified means that Others was read after the owner had applied the configuration
 	// that it applies now. Once Held and Others were within the cap at such a time, the
 	// shares stay within it.
@@ -29,6 +31,12 @@
 	blocked, reserve bbrwork.Resources
 	// lastNeed is what the last work unit needed for which the share was checked.
 	lastNeed bbrwork.Resources
+	// prepared means that the shard has had its idle share, and takes it again only when
+	// it needs it.
+	prepared bool
+	// waitingSince is when work began to wait for what other shards have; zero if none
+	// does.
+	waitingSince time.Time
 }
 
 const (
@@ -37,6 +45,9 @@
 	growthSlack, releaseSlack = 2, 4
 	// idleParts is the divisor of a cap that gives all idle shares together.
 	idleParts = 2
+	// longWait is how long work waits before the other shards should release all that is
+	// idle.
+	longWait = time.Second
 )
 
 // SetCap applies the cap of a new configuration. The shares have to be read again, even
@@ -73,15 +84,28 @@
 // exceeded reports whether the shares together exceed the cap.
 func (a *Account) exceeded() bool { return !within(a.Held.Plus(a.Others), a.Cap, a.Cap) }
 
-// Block records that work with the need could start with a larger share.
-func (a *Account) Block(need bbrwork.Resources) { a.blocked = a.blocked.Plus(need) }
+// Block records that work with the need could start with a larger share. free is what is
+// free on the upstreams: more could not start in any case.
+func (a *Account) Block(need, free bbrwork.Resources) {
+	a.blocked = a.blocked.Plus(need).Min(free.Max(bbrwork.Resources{}))
+}
 
 // Blocked reports whether work was held up by the share in the last plan.
 func (a *Account) Blocked() bool { return a.blocked != bbrwork.Resources{} }
 
-// Waits reports whether work waits for a larger share than the other shards leave.
-func (a *Account) Waits() bool {
-	return a.Blocked() && !within(a.busy().Plus(a.blocked), a.available(), a.Cap)
+// Wait returns whether and how work waits for a larger share than the other shards leave.
+func (a *Account) Wait(now time.Time) Wait {
+	switch {
+	case !a.Blocked() || !a.Verified || within(a.busy().Plus(a.blocked), a.available(), a.Cap):
+		a.waitingSince = time.Time{}
+		return NoWait
+	case a.waitingSince.IsZero():
+		a.waitingSince = now
+	}
+	if now.Sub(a.waitingSince) < longWait {
+		return WaitShort
+	}
+	return WaitLong
 }
 
 // available returns the largest share that the other shards leave.
@@ -92,28 +116,54 @@
 // Target returns the share that the shard should have; shards is the number of shards.
 // Each keeps an idle share, so that its work starts without a call to the store. A share
 // that does not suffice grows by more than the need, so that it grows rarely. While
-// another shard waits, or the shares exceed the cap, it shrinks to what is needed.
+// another shard waits, it shrinks; while the shares exceed the cap, it shrinks at once to
+// what is in use.
 func (a *Account) Target(shards int) bbrwork.Resources {
 	busy := a.busy()
 	need := busy.Plus(a.blocked)
 	goal := need
-	if !a.OthersWait {
+	if !a.prepared || !within(need, a.Held, a.Cap) {
 		goal = need.Max(a.idleShare(shards))
 	}
 	switch {
 	case !bounded(a.Cap) || !a.Verified:
 		return a.Held
 	case a.exceeded():
-		return a.Held.Min(busy.Max(a.oversize(busy)))
+		return a.Held.Min(busy).Max(a.oversize(busy))
 	case !within(goal, a.Held, a.Cap):
 		return a.Held.Max(a.grown(need).Max(goal).Min(a.available())).Max(a.oversize(busy))
-	case a.OthersWait:
-		return a.Held.Min(need.Plus(need.DividedBy(releaseSlack)))
+	default:
+		return a.afterRelease(need)
+	}
+}
+
+// afterRelease returns what remains of the share after a release for the waiting shards.
+func (a *Account) afterRelease(need bbrwork.Resources) bbrwork.Resources {
+	rest := need.Plus(need.DividedBy(releaseSlack))
+	switch a.OthersWait {
+	case WaitLong:
+		return a.Held.Min(rest)
+	case WaitShort:
+		return a.Held.Min(rest.Max(a.Held.DividedBy(2)))
 	default:
 		return a.Held
 	}
 }
 
+// Idle reports whether the shard has much more than it needs.
+func (a *Account) Idle() bool {
+	need := a.busy().Plus(a.blocked)
+	return bounded(a.Cap) && !within(a.Held, need.Plus(need), a.Cap)
+}
+
+// Begin records that a change of the share to the target is under way. A share that
+// becomes smaller may be used no longer, one that becomes larger not yet.
+func (a *Account) Begin(target bbrwork.Resources) {
+	a.prepared = a.prepared || !target.Fits(a.Held)
+	a.Held = a.Held.Min(target)
+	a.OthersWait = NoWait
+}
+
 // oversize returns the share for a blocked work unit that alone exceeds the cap, if
 // nothing else of the organisation runs or may run.
 func (a *Account) oversize(busy bbrwork.Resources) bbrwork.Resources {
@@ -126,7 +176,7 @@
 
 // grown returns the share for a need, with slack if no other shard waits.
 func (a *Account) grown(need bbrwork.Resources) bbrwork.Resources {
-	if a.OthersWait {
+	if a.OthersWait != NoWait {
 		return need
 	}
 	rest := a.available().Minus(need).Max(bbrwork.Resources{})
--- a/internal/job/bbrscheduler/quota.go
+++ b/internal/job/bbrscheduler/quota.go
@@ -97,8 +97,7 @@
 	if account == nil || account.Allows(s.spec.Need.Times(count)) {
 		return true
 	}
-	startable := max(count, s.spec.Need.FitCount(p.free, s.idleUnits))
-	account.Block(s.spec.Need.Times(startable))
+	account.Block(s.spec.Need.Times(max(count, s.idleUnits)), p.free)
 	return false
 }
 
