fleet/bbrclaim: an entry that the store alone turns away has its lease revoked by a peer

An entry that holds claims and that the store has not served for 0.9 s asks up to three peers; if the store has served one of them within 0.7 s, it gives its lease up (nothing is confirmed from then on) and asks that peer to revoke it. While the store serves nobody, claims are kept as before. Checks are counted, not time, so that a paused process does not take its pause for silence.

--- a/internal/daemon/bbrserve/daemon.go
+++ b/internal/daemon/bbrserve/daemon.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"net/netip"
 	"runtime/debug"
 	"sync"
 	"time"
@@ -71,15 +72,22 @@
 		debug.SetMemoryLimit(int64(memoryLimitShare * float64(settings.Limits.MemoryMB) * (1 << 20)))
 	}
 	debug.SetGCPercent(gcPercent)
+	session := &bbrclaim.Session{Entry: settings.Entry, Zone: settings.Zone, Incarnation: uuid.NewString(), MilliCPU: milliCPU(settings.Limits), PeerAddress: settings.Listen.Peers}
 	store := bbrkv.WithMetrics(bbrwire.NewStore(bbrwire.NewClient(maxConnsToStore, metrics.BodyBytes), settings.Platform.Address, metrics.Event),
-		func(call string, err error, took time.Duration) { metrics.StoreCall(call, bbrkv.Outcome(err), took) })
+		func(call string, err error, took time.Duration) {
+			metrics.StoreCall(call, bbrkv.Outcome(err), took)
+			if bbrkv.Served(err) {
+				session.RecordServed(time.Now())
+			}
+		})
+	session.Store = store
 	d := &daemon{
 		settings:     settings,
 		metrics:      metrics,
 		store:        store,
 		config:       &bbrfollow.Follower{Store: store, Key: bbrwire.ConfigKey, Decode: bbrwire.DecodeConfig, MaxApplyDelay: settings.Jobs.MaxConfigApplyDelay},
 		registry:     &bbrregistry.Registry{Decode: bbrwire.DecodeRegistration},
-		session:      &bbrclaim.Session{Store: store, Entry: settings.Entry, Zone: settings.Zone, Incarnation: uuid.NewString(), MilliCPU: milliCPU(settings.Limits), PeerAddress: settings.Listen.Peers},
+		session:      session,
 		directory:    &bbrclaim.Directory{},
 		reservations: &bbrclaim.Reservations{},
 		acceptor:     bbrintake.NewAcceptor(store),
@@ -178,7 +186,15 @@
 	if err != nil {
 		return err
 	}
-	server := &bbrinquiry.Server{JobState: d.owners.localState, JobExplanation: d.owners.localExplanation, AcceptHint: d.owners.acceptHint, PingEntry: d.queries.Ping}
+	server := &bbrinquiry.Server{JobState: d.owners.localState, JobExplanation: d.owners.localExplanation, AcceptHint: d.owners.acceptHint, PingEntry: d.queries.Ping, ServedAt: d.session.ServedAt, RevokeLease: d.store.Revoke}
+	handover := &bbrclaim.Handover{
+		Session:    d.session,
+		ClaimCount: d.claimer.Count,
+		Peers:      func() []netip.AddrPort { return d.directory.PeerAddresses(d.settings.Entry) },
+		AskServed:  d.queries.Served,
+		AskRevoke:  d.queries.Revoke,
+		Event:      d.metrics.Event,
+	}
 	detector := &bbrdetector.Detector{
 		Entry:           d.settings.Entry,
 		Directory:       d.directory,
@@ -188,6 +204,7 @@
 		Event:           d.metrics.Event,
 	}
 	d.sessionTasks.Go(func() { detector.Run(serveCtx) })
+	d.sessionTasks.Go(func() { handover.Run(serveCtx) })
 	d.sessionTasks.Go(func() {
 		err := server.Run(serveCtx, listener)
 		klog.InfoS("Stopped answering queries of other entries", "address", d.settings.Listen.Peers, "reason", bbrlog.ErrorText(err))
--- a/internal/fleet/bbrclaim/directory.go
+++ b/internal/fleet/bbrclaim/directory.go
@@ -201,6 +201,20 @@
 	return d.entryNames()
 }
 
+// PeerAddresses returns the peer addresses of the registered entries other than the one of
+// the name.
+func (d *Directory) PeerAddresses(except string) []netip.AddrPort {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var addresses []netip.AddrPort
+	for _, name := range d.entryNames() {
+		if record := d.entries[name]; name != except && record.PeerAddress.IsValid() {
+			addresses = append(addresses, record.PeerAddress)
+		}
+	}
+	return addresses
+}
+
 // MilliCPUAtRank returns the processor time, in thousandths of a core, of the
 // entry at the rank, counted from 1, when the entries are sorted by processor
 // time with the largest first. It returns that of the smallest entry if there
--- a/internal/fleet/bbrclaim/session.go
+++ b/internal/fleet/bbrclaim/session.go
@@ -64,6 +64,8 @@
 	confirmedAt time.Time
 	// answeredAt is when the store last answered a call of the session.
 	answeredAt time.Time
+	// servedAt is when the store last served any call of this entry.
+	servedAt time.Time
 	// closed is set by Close. A closed session has no confirmed lease.
 	closed bool
 }
@@ -93,6 +95,38 @@
 	return !s.answeredAt.IsZero() && now.Sub(s.answeredAt) < storeAnswerTTL
 }
 
+// RecordServed records that the store has served a call of this entry, whatever the call
+// was for.
+func (s *Session) RecordServed(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.servedAt = now
+}
+
+// ServedAt returns when the store last served a call of this entry.
+func (s *Session) ServedAt() time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.servedAt
+}
+
+// GiveUp gives up the lease, so that none of its claims is confirmed any more, and
+// returns it; 0 if there is none. The caller has to see to it that the lease is revoked.
+func (s *Session) GiveUp() bbrkv.Lease {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	lease := s.lease
+	s.lease, s.confirmedAt = 0, time.Time{}
+	return lease
+}
+
+// currentLease returns the lease; 0 if there is none.
+func (s *Session) currentLease() bbrkv.Lease {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.lease
+}
+
 // Confirmed reports whether the lease is the session's current one and is
 // confirmed at now.
 func (s *Session) Confirmed(lease bbrkv.Lease, now time.Time) bool {
@@ -112,10 +146,10 @@
 		err := s.round(ctx, now)
 		switch {
 		case err != nil && !failing && ctx.Err() == nil:
-			klog.InfoS("Dependency lost", "dependency", "store", "use", "session", "lease", s.lease, "reason", err.Error())
+			klog.InfoS("Dependency lost", "dependency", "store", "use", "session", "lease", s.currentLease(), "reason", err.Error())
 			failing = true
 		case err == nil && failing:
-			klog.InfoS("Dependency regained", "dependency", "store", "use", "session", "lease", s.lease)
+			klog.InfoS("Dependency regained", "dependency", "store", "use", "session", "lease", s.currentLease())
 			failing = false
 		}
 		if err != nil {
@@ -128,12 +162,13 @@
 
 // round renews the lease, or opens the session if there is no lease.
 func (s *Session) round(ctx context.Context, now time.Time) error {
-	if s.lease == 0 {
+	lease := s.currentLease()
+	if lease == 0 {
 		return s.open(ctx)
 	}
-	_, err := s.Store.Renew(ctx, s.lease)
+	_, err := s.Store.Renew(ctx, lease)
 	if errors.Is(err, bbrkv.ErrNotFound) {
-		klog.InfoS("Lease ended", "lease", s.lease)
+		klog.InfoS("Lease ended", "lease", lease)
 		s.setLease(0, 0, time.Time{})
 		return s.open(ctx)
 	}
@@ -141,8 +176,11 @@
 		return err
 	}
 	s.mu.Lock()
-	s.confirmedAt, s.answeredAt = now, time.Now()
-	s.mu.Unlock()
+	defer s.mu.Unlock()
+	s.answeredAt = time.Now()
+	if s.lease == lease {
+		s.confirmedAt = now
+	}
 	return nil
 }
 
--- a/internal/peer/bbrinquiry/client.go
+++ b/internal/peer/bbrinquiry/client.go
@@ -16,12 +16,15 @@
 	"github.com/bluebellridge/bluebellridge/internal/job/bbrowner"
 	"github.com/bluebellridge/bluebellridge/internal/job/bbrscheduler"
 	"github.com/bluebellridge/bluebellridge/internal/job/bbrwork"
+	"github.com/bluebellridge/bluebellridge/internal/store/bbrkv"
 )
 
 const (
 	// queryTimeout bounds a query. It is short because the caller still waits while
 	// the store is read after a failed query.
 	queryTimeout = 150 * time.Millisecond
+	// revokeTimeout bounds a request to revoke a lease, which takes a call to the store.
+	revokeTimeout = 400 * time.Millisecond
 	// failureBackoff is how long an entry is not queried after it did not answer.
 	failureBackoff = time.Second
 	// idleTimeout is how long an idle connection is kept.
@@ -90,6 +93,21 @@
 	return out.Reachability
 }
 
+// Served asks the entry how long ago the store last served it. The second result is false
+// if the entry does not answer in time.
+func (c *Client) Served(ctx context.Context, entry netip.AddrPort, now time.Time) (time.Duration, bool) {
+	var out ServedResponse
+	answered := c.query(ctx, entry, servedMethod, &PingMessage{}, &out, now)
+	return out.Age, answered
+}
+
+// Revoke asks the entry to revoke a lease of this one, and reports whether that was done.
+func (c *Client) Revoke(ctx context.Context, entry netip.AddrPort, lease bbrkv.Lease, now time.Time) bool {
+	var out RevokeResponse
+	err := c.invoke(ctx, entry, revokeMethod, &RevokeRequest{Lease: lease}, &out, revokeTimeout, now)
+	return err == nil && out.Revoked
+}
+
 // query makes a call unless the entry is in backoff, and reports whether it was
 // answered.
 func (c *Client) query(ctx context.Context, entry netip.AddrPort, method string, in, out drpc.Message, now time.Time) bool {
--- a/internal/peer/bbrinquiry/message.go
+++ b/internal/peer/bbrinquiry/message.go
@@ -10,6 +10,7 @@
 	"github.com/bluebellridge/bluebellridge/internal/fleet/bbrdetector"
 	"github.com/bluebellridge/bluebellridge/internal/job/bbrscheduler"
 	"github.com/bluebellridge/bluebellridge/internal/job/bbrwork"
+	"github.com/bluebellridge/bluebellridge/internal/store/bbrkv"
 )
 
 // JobRequest is a query about a job.
@@ -61,6 +62,22 @@
 	Reachability bbrdetector.Reachability `json:"opinion"`
 }
 
+// ServedResponse tells how long ago the store last served an entry.
+type ServedResponse struct {
+	Age time.Duration `json:"age"`
+}
+
+// RevokeRequest asks to revoke the lease of the asking entry, which the store does not
+// serve.
+type RevokeRequest struct {
+	Lease bbrkv.Lease `json:"lease"`
+}
+
+// RevokeResponse reports whether the lease was revoked.
+type RevokeResponse struct {
+	Revoked bool `json:"revoked"`
+}
+
 // jsonEncoding encodes messages as JSON.
 type jsonEncoding struct{}
 
--- a/internal/peer/bbrinquiry/server.go
+++ b/internal/peer/bbrinquiry/server.go
@@ -6,14 +6,17 @@
 	"net/netip"
 	"time"
 
+	"k8s.io/klog/v2"
 	"storj.io/drpc"
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcserver"
 
+	"github.com/bluebellridge/bluebellridge/internal/base/bbrlog"
 	"github.com/bluebellridge/bluebellridge/internal/fleet/bbrdetector"
 	"github.com/bluebellridge/bluebellridge/internal/job/bbrowner"
 	"github.com/bluebellridge/bluebellridge/internal/job/bbrscheduler"
 	"github.com/bluebellridge/bluebellridge/internal/job/bbrwork"
+	"github.com/bluebellridge/bluebellridge/internal/store/bbrkv"
 )
 
 const (
@@ -22,6 +25,8 @@
 	hintMethod         = "/bbrinquiry.Owner/Hint"
 	pingMethod         = "/bbrinquiry.Entry/Ping"
 	reachabilityMethod = "/bbrinquiry.Entry/Opinion"
+	servedMethod       = "/bbrinquiry.Entry/Served"
+	revokeMethod       = "/bbrinquiry.Entry/Revoke"
 )
 
 // StateFunc returns the state of a job of a shard that this entry owns; known is
@@ -46,6 +51,10 @@
 	JobExplanation ExplainFunc
 	AcceptHint     HintFunc
 	PingEntry      PingFunc
+	// ServedAt returns when the store last served this entry, and RevokeLease revokes a
+	// lease in the store.
+	ServedAt    func() time.Time
+	RevokeLease func(ctx context.Context, lease bbrkv.Lease) error
 }
 
 // Run serves the listener until ctx ends.
@@ -85,11 +94,23 @@
 	return &ReachabilityResponse{Reachability: bbrdetector.ReachabilityOf(s.PingEntry(ctx, in.About, in.Timeout, time.Now()))}, nil
 }
 
+// Served answers a query how long ago the store last served this entry.
+func (s *Server) Served(context.Context, *PingMessage) (*ServedResponse, error) {
+	return &ServedResponse{Age: time.Since(s.ServedAt())}, nil
+}
+
+// Revoke revokes the lease of an entry that the store does not serve.
+func (s *Server) Revoke(ctx context.Context, in *RevokeRequest) (*RevokeResponse, error) {
+	err := s.RevokeLease(ctx, in.Lease)
+	klog.InfoS("Revoked a lease at the request of its entry", "lease", in.Lease, "error", bbrlog.ErrorText(err))
+	return &RevokeResponse{Revoked: err == nil}, nil
+}
+
 // rpcDescription describes the server's methods to drpc.
 type rpcDescription struct{}
 
 // NumMethods implements drpc.Description.
-func (rpcDescription) NumMethods() int { return 5 }
+func (rpcDescription) NumMethods() int { return 7 }
 
 // Method implements drpc.Description.
 func (rpcDescription) Method(n int) (string, drpc.Encoding, drpc.Receiver, any, bool) {
@@ -119,6 +140,16 @@
 			return server.(*Server).Reachability(ctx, in.(*ReachabilityRequest))
 		}
 		return reachabilityMethod, jsonEncoding{}, receive, (*Server).Reachability, true
+	case 5:
+		receive := func(server any, ctx context.Context, in, _ any) (drpc.Message, error) {
+			return server.(*Server).Served(ctx, in.(*PingMessage))
+		}
+		return servedMethod, jsonEncoding{}, receive, (*Server).Served, true
+	case 6:
+		receive := func(server any, ctx context.Context, in, _ any) (drpc.Message, error) {
+			return server.(*Server).Revoke(ctx, in.(*RevokeRequest))
+		}
+		return revokeMethod, jsonEncoding{}, receive, (*Server).Revoke, true
 	default:
 		return "", nil, nil, nil, false
 	}
--- a/internal/store/bbrkv/store.go
+++ b/internal/store/bbrkv/store.go
@@ -133,6 +133,12 @@
 	return strings.Join(parts[:min(2, len(parts))], "/")
 }
 
+// Served reports whether a call with the error was served: the store answered it and did
+// not turn the caller away.
+func Served(err error) bool {
+	return !errors.Is(err, ErrRefused) && !errors.Is(err, ErrAnswerLost)
+}
+
 // Outcome returns the metric label for the outcome of a call.
 func Outcome(err error) string {
 	var conflict *Conflict
