--- a/internal/base/bbrmetric/set.go
+++ b/internal/base/bbrmetric/set.go
@@ -22,6 +22,7 @@
 	bodyBytes      *prometheus.CounterVec
 	slowWaits      *prometheus.CounterVec
 	oldestWaits    *prometheus.GaugeVec
+	organisations  *prometheus.GaugeVec
 	callDurations  *prometheus.HistogramVec
 	storeDurations *prometheus.HistogramVec
 }
@@ -50,7 +51,11 @@
 		Help:    "Time of calls to the platform's store by kind and outcome.",
 		Buckets: []float64{.005, .01, .02, .05, .1, .2, .5, 1, 2, 5},
 	}, []string{"call", "outcome"})
-	s.Registry.MustRegister(s.oldestWaits, s.callDurations, s.storeDurations)
+	s.organisations = prometheus.NewGaugeVec(prometheus.GaugeOpts{
+		Name: "bbr_organisation_millicores",
+		Help: "Processor capacity of an organisation in a shard: what its work uses, the share of its cap, and the whole cap.",
+	}, []string{"shard", "organisation", "amount"})
+	s.Registry.MustRegister(s.organisations, s.oldestWaits, s.callDurations, s.storeDurations)
 	return s
 }
 
@@ -110,6 +115,19 @@
 // reason.
 func (s *Set) ClearOldestWait(shard, reason string) { s.oldestWaits.DeleteLabelValues(shard, reason) }
 
+// SetOrganisation sets what an organisation uses in a shard, the shard's share of its
+// cap, and the cap, in thousandths of a core.
+func (s *Set) SetOrganisation(shard, organisation string, used, share, limit int) {
+	s.organisations.WithLabelValues(shard, organisation, "used").Set(float64(used))
+	s.organisations.WithLabelValues(shard, organisation, "share").Set(float64(share))
+	s.organisations.WithLabelValues(shard, organisation, "cap").Set(float64(limit))
+}
+
+// ClearOrganisations removes the gauges of a shard's organisations.
+func (s *Set) ClearOrganisations(shard string) {
+	s.organisations.DeletePartialMatch(prometheus.Labels{"shard": shard})
+}
+
 // Gauge registers a gauge that is read at each scrape.
 func (s *Set) Gauge(name, help string, read func() float64) {
 	s.Registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, read))
--- a/internal/job/bbrowner/load.go
+++ b/internal/job/bbrowner/load.go
@@ -1,6 +1,9 @@
 package bbrowner
 
 import (
+	"cmp"
+	"maps"
+	"slices"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -21,6 +24,7 @@
 	o.loadLoggedAt = now
 	load := o.scheduler.Load(o.Confirmed(now), now)
 	o.updateWaitMetrics(load.Waits)
+	o.updateOrganisationMetrics()
 	klog.InfoS("Load", append([]any{"shard", o.Shard, "token", o.Held.Token, "jobs", load.Jobs, "late", load.Late,
 		"upstreams", load.Upstreams, "reached", load.Reached, "reserved", load.Reserved, "suspect", load.Suspect, "silent", load.Silent, "usable", load.Usable,
 		"runs", load.Runs, "unconfirmed", load.Unconfirmed, "waitingUnits", load.Waits.Units,
@@ -53,3 +57,21 @@
 		}
 	}
 }
+
+// maxOrganisationMetrics bounds the organisations with metrics, those that use most.
+const maxOrganisationMetrics = 32
+
+// updateOrganisationMetrics updates the metrics of the organisations that use anything.
+// The caller holds the lock.
+func (o *Owner) updateOrganisationMetrics() {
+	accounts := o.scheduler.Accounts()
+	names := slices.SortedFunc(maps.Keys(accounts), func(a, b string) int {
+		return cmp.Or(cmp.Compare(accounts[b].Used.MilliCPU, accounts[a].Used.MilliCPU), cmp.Compare(a, b))
+	})
+	shard := o.Shard.String()
+	o.Metrics.ClearOrganisations(shard)
+	for _, name := range names[:min(len(names), maxOrganisationMetrics)] {
+		account := accounts[name]
+		o.Metrics.SetOrganisation(shard, name, account.Used.MilliCPU, account.Held.MilliCPU, account.Cap.MilliCPU)
+	}
+}
--- a/internal/job/bbrowner/owner.go
+++ b/internal/job/bbrowner/owner.go
@@ -122,6 +122,7 @@
 	cancelFlush()
 	flushed.Wait()
 	o.updateWaitMetrics(bbrscheduler.WaitSummary{})
+	o.Metrics.ClearOrganisations(o.Shard.String())
 	klog.InfoS("Owner stopped", "shard", o.Shard, "token", o.Held.Token)
 }
 
--- a/internal/operator/bbradmin/show.go
+++ b/internal/operator/bbradmin/show.go
@@ -33,6 +33,8 @@
 		return x.entries(), nil
 	case "queues":
 		return x.queues(), nil
+	case "organisations":
+		return x.organisations(ctx)
 	default:
 		return nil, wrongState(kind + " do not exist on the platform's fleet")
 	}
--- a/internal/operator/bbrlanguage/help.go
+++ b/internal/operator/bbrlanguage/help.go
@@ -2,7 +2,8 @@
 
 // Help is the description of the language that help prints.
 const Help = `show KIND [where FIELD = VALUE [and ...]]
-    KIND: instances, entries, pools, queues, services, teams, waves, permits, jobs
+    KIND: instances, entries, pools, queues, services, teams,
+          organisations, waves, permits, jobs
     show instances where pool = press and state != serving
 why instance NAME        the state of an instance, and what it waits for
 why queue NAME           what a queue waits for
