soak, standin/bbrfleet: organisations in the soak

One of eight callers belongs to an organisation whose cap lets 16 small work units run; the stand-in's upstreams report a start beyond it. Each configuration has a key of its own; at the end every entry must serve the newest and answer 401 to the one before.

--- a/internal/soak/bbrsoak/callers.go
+++ b/internal/soak/bbrsoak/callers.go
@@ -57,7 +57,11 @@
 	var wg sync.WaitGroup
 	for i := range callerCount {
 		each := &caller{callers: c, random: c.soak.random(uint64(100 + i))}
-		each.mayRunLong = (i+1)*longRunningUnits <= longRunningUnitsPer100*c.soak.UpstreamCount/100
+		each.key, each.limited = mainKey, i >= callerCount-limitedCallers
+		if each.limited {
+			each.key = limitedKey
+		}
+		each.mayRunLong = !each.limited && (i+1)*longRunningUnits <= longRunningUnitsPer100*c.soak.UpstreamCount/100
 		wg.Go(func() { each.run(ctx) })
 	}
 	wg.Wait()
@@ -68,6 +72,10 @@
 	*callers
 	random *rand.Rand
 	jobs   []*submittedJob
+	// key is the key of the caller's organisation. limited is set if that has a cap: the
+	// caller then submits small jobs only.
+	key     string
+	limited bool
 	// mayRunLong is set if the caller submits long-running jobs; longRunning is its
 	// current one.
 	mayRunLong  bool
@@ -80,7 +88,7 @@
 			c.replaceLongRunningJob(ctx)
 		}
 		job := c.newSmallJob()
-		if c.random.IntN(jobsPerLargeJob) == 0 {
+		if !c.limited && c.random.IntN(jobsPerLargeJob) == 0 {
 			job = c.newLargeJob()
 		}
 		c.submit(ctx, job)
@@ -93,6 +101,9 @@
 		}
 		time.Sleep(randomDuration(c.random, 20*time.Millisecond, 200*time.Millisecond))
 	}
+	if c.limited {
+		return
+	}
 	// The last job is large. It has to fit beside the long-running work that remains.
 	c.submit(context.WithoutCancel(ctx), c.newLargeJob())
 }
@@ -114,6 +125,9 @@
 	c.mu.Lock()
 	c.callers.jobs[job.id] = job
 	c.mu.Unlock()
+	if c.limited {
+		c.soak.fleet.LimitJob(job.id, limitedUnits)
+	}
 	for range 1 + c.random.IntN(maxAttempts) {
 		status, _ := c.call(ctx, http.MethodPost, c.entry(), job, body)
 		if status/100 == 2 {
@@ -170,15 +184,16 @@
 
 // call sends a request about a job. Status 0 means that no answer came.
 func (c *callers) call(ctx context.Context, method string, at *entry, job *submittedJob, body []byte) (int, []byte) {
-	return c.send(ctx, method, at, "/"+job.pool+"/"+job.id, body)
+	return c.send(ctx, method, at, "/"+job.pool+"/"+job.id, job.key, body)
 }
 
-func (c *callers) send(ctx context.Context, method string, at *entry, path string, body []byte) (int, []byte) {
+func (c *callers) send(ctx context.Context, method string, at *entry, path, key string, body []byte) (int, []byte) {
 	request, err := http.NewRequestWithContext(ctx, method, "http://"+at.callerAddress.String()+path, bytes.NewReader(body))
 	if err != nil {
 		return 0, nil
 	}
 	request.Host = "print.example"
+	request.Header.Set("Authorization", "Bearer "+key)
 	response, err := c.client.Do(request)
 	if err != nil {
 		return 0, nil
--- a/internal/soak/bbrsoak/checks.go
+++ b/internal/soak/bbrsoak/checks.go
@@ -72,15 +72,17 @@
 	}
 }
 
-// checkConfig checks that each entry serves the extra queue of the newest configuration
-// and not that of the previous one.
+// checkConfig checks that each entry serves the extra queue of the newest configuration to
+// a caller with a new key, but not the queue of the previous one, nor a caller with its
+// key.
 func (s *Soak) checkConfig(ctx context.Context) {
 	newest := s.callers.configCount
 	for _, e := range s.entries {
 		applied := func() bool {
-			status, _ := s.callers.send(ctx, http.MethodGet, e, "/"+extraQueue(newest)+"/", nil)
-			previous, _ := s.callers.send(ctx, http.MethodGet, e, "/"+extraQueue(newest-1)+"/", nil)
-			return status == http.StatusOK && previous == http.StatusNotFound
+			status, _ := s.callers.send(ctx, http.MethodGet, e, "/"+extraQueue(newest)+"/", rotatedKey(newest), nil)
+			previous, _ := s.callers.send(ctx, http.MethodGet, e, "/"+extraQueue(newest-1)+"/", mainKey, nil)
+			revoked, _ := s.callers.send(ctx, http.MethodGet, e, "/"+extraQueue(newest)+"/", rotatedKey(newest-1), nil)
+			return status == http.StatusOK && previous == http.StatusNotFound && revoked == http.StatusUnauthorized
 		}
 		if !s.eventually(readyTimeout, applied) {
 			s.callers.reportFault("entry %s has not applied configuration %d", e.name, newest)
--- a/internal/soak/bbrsoak/job.go
+++ b/internal/soak/bbrsoak/job.go
@@ -19,6 +19,8 @@
 	// caller replaces its long-running job.
 	jobsPerLargeJob       = 40
 	jobsPerLongRunningJob = 80
+	// smallMilliCPU is what a work unit of a small job needs, in thousandths of a core.
+	smallMilliCPU = 100
 	// A large work unit needs between minLargePercent and maxLargePercent of an
 	// upstream's memory or processor time.
 	minLargePercent, maxLargePercent = 60, 95
@@ -40,6 +42,8 @@
 	state     string
 	// stalled is set if a work unit of the job could run and did not.
 	stalled bool
+	// key is the key of the caller's organisation.
+	key string
 }
 
 // step is a step of a submitted job.
@@ -56,7 +60,7 @@
 // newJob returns a new job without steps.
 func (c *caller) newJob() *submittedJob {
 	duration := randomDuration(c.random, 20*time.Millisecond, 800*time.Millisecond).Round(time.Millisecond)
-	return &submittedJob{id: fmt.Sprintf("%016x", c.random.Uint64()), pool: pools[c.random.IntN(len(pools))], duration: duration}
+	return &submittedJob{id: fmt.Sprintf("%016x", c.random.Uint64()), pool: pools[c.random.IntN(len(pools))], duration: duration, key: c.key}
 }
 
 // newLongRunningJob returns a new long-running job.
@@ -86,7 +90,7 @@
 	random := c.random
 	job := c.newJob()
 	for range 1 + random.IntN(2) {
-		job.addStep(step{Count: 1 + random.IntN(3), MilliCPU: 100, MemoryMB: 100})
+		job.addStep(step{Count: 1 + random.IntN(3), MilliCPU: smallMilliCPU, MemoryMB: 100})
 	}
 	return job
 }
--- a/internal/soak/bbrsoak/soak.go
+++ b/internal/soak/bbrsoak/soak.go
@@ -211,8 +211,8 @@
 	for _, pool := range pools {
 		routes += route(pool, pool) + ","
 	}
-	return fmt.Appendf(nil, `{"version":%d,"routes":[%s%s],"services":[{"name":"press","max_conns":64,"rejects_overload":true},{"name":"proofs","max_conns":64,"rejects_overload":true},{"name":%q,"max_conns":64,"rejects_overload":true,"spare":true}],"limits":{"max_header_bytes":16384,"max_body_bytes":262144}}`,
-		version, routes, route(extraQueue(version), "press"), sparePool)
+	return fmt.Appendf(nil, `{"version":%d,"routes":[%s%s],"services":[{"name":"press","max_conns":64,"rejects_overload":true},{"name":"proofs","max_conns":64,"rejects_overload":true},{"name":%q,"max_conns":64,"rejects_overload":true,"spare":true}],"limits":{"max_header_bytes":16384,"max_body_bytes":262144},"tenants":%s}`,
+		version, routes, route(extraQueue(version), "press"), sparePool, encodeOrganisations(version))
 }
 
 func extraQueue(version int) string { return fmt.Sprintf("extra%d", version) }
--- a/internal/standin/bbrfleet/facts.go
+++ b/internal/standin/bbrfleet/facts.go
@@ -72,10 +72,43 @@
 		f.violations = append(f.violations, task+" started on "+on.name+" while it runs on "+other.name)
 	}
 	f.checkStepOrder(task)
+	f.checkUnitLimit(task)
 	unit.starts++
 	unit.lastStart, unit.runningOn[on] = now, true
 }
 
+// LimitJob makes the job one of those that together may run so many work units at the
+// same time.
+func (f *Fleet) LimitJob(job string, units int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.unitLimits[job] = units
+}
+
+// checkUnitLimit checks that a start does not exceed the limit of its job. The caller
+// holds mu.
+func (f *Fleet) checkUnitLimit(task string) {
+	limit, limited := f.unitLimits[jobOf(task)]
+	if !limited {
+		return
+	}
+	running := 1
+	for name, unit := range f.units {
+		if _, counted := f.unitLimits[jobOf(name)]; counted && name != task {
+			running += len(unit.runningOn)
+		}
+	}
+	if running > limit {
+		f.violations = append(f.violations, fmt.Sprintf("%s started as number %d of at most %d", task, running, limit))
+	}
+}
+
+// jobOf returns the job of a work unit.
+func jobOf(task string) string {
+	job, _, _ := strings.Cut(task, ".")
+	return job
+}
+
 // checkStepOrder checks that all known work units of the preceding step are done.
 // The steps of the stand-in's jobs depend on each other in sequence. The caller
 // holds mu.
