job/bbrscheduler: further silence does not postpone the verification of an upstream

A start without an answer set silentSince anew, so that an upstream that answered no start was verified late or never while starts went to it. The first silence counts now.

--- a/internal/job/bbrscheduler/runs.go
+++ b/internal/job/bbrscheduler/runs.go
@@ -42,9 +42,6 @@
 	if !u.done {
 		u.freedAt, u.slowCounted = now, false
 	}
-	if u.notWorkingSince.IsZero() {
-		u.notWorkingSince = now
-	}
 	delete(r.up.runs, runKey{u.name(), r.number})
 	r.up.used = r.up.used.Minus(r.allocation)
 	if account := sched.account(u.step.job); account != nil {
--- a/internal/job/bbrscheduler/startresult.go
+++ b/internal/job/bbrscheduler/startresult.go
@@ -59,8 +59,7 @@
 	switch {
 	case errors.Is(err, bbrorder.ErrAnswerLost):
 		r.phase = phaseUnknown
-		up.lostAnswers++
-		up.silentSince = now
+		up.recordSilence(now)
 		return
 	case errors.Is(err, bbrorder.ErrOtherIncarnation):
 		sched.endUpstream(up, "another life answers at its address", now)
@@ -70,8 +69,7 @@
 	case errors.Is(err, bbrorder.ErrStaleRun):
 		r.unit.lastRun += staleRunSkip
 	case errors.Is(err, bbrorder.ErrNotSent):
-		up.lostAnswers++
-		up.silentSince = now
+		up.recordSilence(now)
 	case errors.Is(err, bbrorder.ErrUnhealthy):
 		up.health.recordEnd(unhealthyOutcome, now)
 		up.fullUntil = now.Add(fullPause)
@@ -94,9 +92,7 @@
 		sched.endUpstream(up, "another life answers at its address", now)
 		return
 	}
-	up.lostAnswers++
-	if up.silentSince.IsZero() {
-		up.silentSince = now
+	if up.recordSilence(now) {
 		sched.note(now, "Upstream does not answer", "upstream", up.ID, "runs", len(up.runs), "leaseLeft", up.leaseEnd.Sub(now).Round(time.Millisecond), "reason", err.Error())
 	}
 }
--- a/internal/job/bbrscheduler/upstream.go
+++ b/internal/job/bbrscheduler/upstream.go
@@ -68,6 +68,17 @@
 	up.lostAnswers = 0
 }
 
+// recordSilence records a call that was not answered, and reports whether it is the first
+// since the upstream last answered.
+func (up *upstream) recordSilence(now time.Time) bool {
+	up.lostAnswers++
+	first := up.silentSince.IsZero()
+	if first {
+		up.silentSince = now
+	}
+	return first
+}
+
 // free returns the free capacity.
 func (up *upstream) free() bbrwork.Resources { return up.Capacity.Minus(up.used) }
 
