--- a/internal/job/bbrscheduler/demand.go
+++ b/internal/job/bbrscheduler/demand.go
@@ -133,7 +133,7 @@
 			continue
 		}
 		units := float64(s.idleUnits) + float64(s.unitsLeft-s.idleUnits)/2
-		work += units * float64(s.spec.Need.MilliCPU) * s.spec.Estimate.Seconds()
+		work += units * float64(s.spec.Need.MilliCPU) * s.runTime.Seconds()
 	}
 	return work
 }
@@ -143,7 +143,7 @@
 	work := 0.0
 	for _, s := range o.steps {
 		if !s.spec.LongRunning {
-			work += float64(len(s.units)*s.spec.Need.MilliCPU) * s.spec.Estimate.Seconds()
+			work += float64(len(s.units)*s.spec.Need.MilliCPU) * s.runTime.Seconds()
 		}
 	}
 	return work
@@ -199,14 +199,12 @@
 	return !wide.isNeeded(up)
 }
 
-// expectedEmptyAt returns the time by which all runs on the upstream have ended
-// according to their estimates, at least now.
+// expectedEmptyAt returns the time by which all runs on the upstream are expected to
+// have ended, at least now.
 func (up *upstream) expectedEmptyAt(now time.Time) time.Time {
 	at := now
 	for _, r := range up.runs {
-		if end := r.orderedAt.Add(r.unit.step.spec.Estimate); end.After(at) {
-			at = end
-		}
+		at = later(at, r.expectedEnd())
 	}
 	return at
 }
--- a/internal/job/bbrscheduler/job.go
+++ b/internal/job/bbrscheduler/job.go
@@ -21,7 +21,7 @@
 	finalState bbrwork.State
 	// mayHaveStoredProgress means that the store may hold progress of the job.
 	mayHaveStoredProgress bool
-	// criticalPath is the longest path of estimated work.
+	// criticalPath is the longest path of expected work.
 	criticalPath time.Duration
 	// learnedAt is when the scheduler learned of the job, and storedRevision the
 	// store's revision with which the job was written.
@@ -51,8 +51,11 @@
 	unitsLeft int
 	// idleUnits counts the work units that are not done and have no run.
 	idleUnits int
-	// remainingPath is the longest path of estimated work that begins with this
-	// step.
+	// runTime is how long a work unit of the step is expected to run, and learned
+	// means that a work unit of it has ended and told so.
+	runTime time.Duration
+	learned bool
+	// remainingPath is the longest path of expected work that begins with this step.
 	remainingPath time.Duration
 }
 
@@ -79,9 +82,6 @@
 	avoidUpstream string
 	// stalledRuns counts the runs that were stopped because they stalled.
 	stalledRuns int
-	// notWorkingSince is when the first run was dropped since the unit, if it is
-	// long-running, was last listed as working; zero if no run was dropped since.
-	notWorkingSince time.Time
 }
 
 // run is a run of a work unit, from the sending of the start until the end is
@@ -108,6 +108,9 @@
 	pacedAt    time.Time
 	stopSentAt time.Time
 	stopReason string
+	// fromStart means that this owner started the run, and without a checkpoint, so
+	// that its end tells how long the work unit runs.
+	fromStart bool
 }
 
 // phase is the state of a run.
@@ -123,23 +126,21 @@
 	phaseStopping
 )
 
-func newJob(in *bbrwork.Job, policy *bbrwork.Policy, storedRevision bbrkv.Revision, now time.Time) *job {
+// newJob returns a job. predict returns the expected run time of a step's work units.
+func newJob(in *bbrwork.Job, policy *bbrwork.Policy, storedRevision bbrkv.Revision, predict func(spec *bbrwork.Step) time.Duration, now time.Time) *job {
 	j := &job{Job: in, policy: policy, learnedAt: now, storedRevision: storedRevision}
-	paths := remainingPaths(in.Steps)
-	for i := range in.Steps {
-		j.criticalPath = max(j.criticalPath, paths[i])
-	}
 	for number := range in.Occurrences() {
-		j.occurrences = append(j.occurrences, newOccurrence(j, number, paths))
+		j.occurrences = append(j.occurrences, newOccurrence(j, number, predict))
 	}
+	j.updatePaths()
 	return j
 }
 
-func newOccurrence(j *job, number int, remainingPaths []time.Duration) *occurrence {
+func newOccurrence(j *job, number int, predict func(spec *bbrwork.Step) time.Duration) *occurrence {
 	o := &occurrence{number: number}
 	for i := range j.Steps {
 		spec := &j.Steps[i]
-		s := &step{job: j, spec: spec, occurrence: o, number: i, unitsLeft: spec.Count, idleUnits: spec.Count, remainingPath: remainingPaths[i]}
+		s := &step{job: j, spec: spec, occurrence: o, number: i, unitsLeft: spec.Count, idleUnits: spec.Count, runTime: predict(spec)}
 		for index := range spec.Count {
 			s.units = append(s.units, &unit{step: s, index: index})
 		}
@@ -149,17 +150,29 @@
 	return o
 }
 
-// remainingPaths returns, for each step, the longest path of estimates that begins
-// with it.
-func remainingPaths(steps []bbrwork.Step) []time.Duration {
-	paths := make([]time.Duration, len(steps))
-	for i := len(steps) - 1; i >= 0; i-- {
-		paths[i] += steps[i].Estimate
-		for _, earlier := range steps[i].DependsOn {
-			paths[earlier] = max(paths[earlier], paths[i])
+// updatePaths sets the remaining paths of all steps and the critical path.
+func (j *job) updatePaths() {
+	j.criticalPath = 0
+	for _, o := range j.occurrences {
+		o.updatePaths()
+		for _, s := range o.steps {
+			j.criticalPath = max(j.criticalPath, s.remainingPath)
+		}
+	}
+}
+
+// updatePaths sets the remaining path of each step.
+func (o *occurrence) updatePaths() {
+	for _, s := range o.steps {
+		s.remainingPath = 0
+	}
+	for i := len(o.steps) - 1; i >= 0; i-- {
+		s := o.steps[i]
+		s.remainingPath += s.runTime
+		for _, earlier := range s.spec.DependsOn {
+			o.steps[earlier].remainingPath = max(o.steps[earlier].remainingPath, s.remainingPath)
 		}
 	}
-	return paths
 }
 
 func (u *unit) name() bbrwork.Unit {
--- a/internal/job/bbrscheduler/listing.go
+++ b/internal/job/bbrscheduler/listing.go
@@ -52,6 +52,9 @@
 	}
 	r := up.runs[runKey{end.Unit, end.Run}]
 	if r != nil {
+		if end.Outcome == bbrwork.OutcomeDone {
+			sched.learnRunTime(r, now)
+		}
 		sched.dropRun(r, now)
 	}
 	u.lastRun = max(u.lastRun, end.Run)
@@ -181,9 +184,6 @@
 		r.unit.checkpoint = running.Checkpoint
 	}
 	r.applyProgress(running, now)
-	if r.unit.step.spec.LongRunning && r.percent == fullPercent {
-		r.unit.notWorkingSince = time.Time{}
-	}
 }
 
 const fullPercent = 100
--- /dev/null
+++ b/internal/job/bbrscheduler/runtime.go
@@ -0,0 +1,47 @@
+package bbrscheduler
+
+import (
+	"time"
+
+	"github.com/bluebellridge/bluebellridge/internal/job/bbrruntime"
+	"github.com/bluebellridge/bluebellridge/internal/job/bbrwork"
+)
+
+// runTimeOf returns how long a work unit of a queue's job is expected to run.
+func (sched *Scheduler) runTimeOf(queue string, spec *bbrwork.Step) time.Duration {
+	if spec.LongRunning {
+		return spec.Estimate
+	}
+	return sched.runTimes[queue].Predict(spec.Estimate)
+}
+
+// learnRunTime learns from a run that has ended as done. The first of a step tells how
+// long the others run, and what to expect of the queue's later jobs.
+func (sched *Scheduler) learnRunTime(r *run, now time.Time) {
+	s := r.unit.step
+	if !r.fromStart || s.learned || s.spec.LongRunning || s.spec.DataRack != "" && !r.up.HasLabel(s.spec.DataRack) {
+		return
+	}
+	taken := now.Sub(r.orderedAt)
+	predictor := sched.runTimes[s.job.Queue]
+	if predictor == nil {
+		predictor = &bbrruntime.Predictor{}
+		sched.runTimes[s.job.Queue] = predictor
+	}
+	predictor.Observe(s.spec.Estimate, taken)
+	s.learned, s.runTime = true, taken
+	s.job.updatePaths()
+}
+
+// minTellingPercent is the progress from which a run's own speed tells when it ends.
+const minTellingPercent = 5
+
+// expectedEnd returns when the run is expected to end: by its progress if that tells, and
+// otherwise by the expected run time of its step.
+func (r *run) expectedEnd() time.Time {
+	if !r.fromStart || r.percent < minTellingPercent {
+		return r.orderedAt.Add(r.unit.step.runTime)
+	}
+	elapsed := r.listedAt.Sub(r.orderedAt)
+	return r.orderedAt.Add(elapsed * fullPercent / time.Duration(r.percent))
+}
--- a/internal/job/bbrscheduler/scheduler.go
+++ b/internal/job/bbrscheduler/scheduler.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/bluebellridge/bluebellridge/internal/job/bbrquota"
+	"github.com/bluebellridge/bluebellridge/internal/job/bbrruntime"
 	"github.com/bluebellridge/bluebellridge/internal/job/bbrwork"
 )
 
@@ -85,7 +86,9 @@
 	// move.
 	reserved map[string]bool
 	// accounts has the uses and shares of caps by organisation.
-	accounts     map[string]*bbrquota.Account
+	accounts map[string]*bbrquota.Account
+	// runTimes predicts the run times of work units, by queue.
+	runTimes     map[string]*bbrruntime.Predictor
 	notes        []Note
 	notesDropped int
 }
@@ -112,6 +115,7 @@
 		recorded:          make(map[bbrwork.Incarnation]bool),
 		toRecord:          make(map[bbrwork.Incarnation]bool),
 		accounts:          make(map[string]*bbrquota.Account),
+		runTimes:          make(map[string]*bbrruntime.Predictor),
 	}
 }
 
--- a/internal/job/bbrscheduler/stalled.go
+++ b/internal/job/bbrscheduler/stalled.go
@@ -42,7 +42,7 @@
 	if spec.LongRunning || spec.BestEffort || spec.Gang || r.phase != phaseRunning || r.percent == 0 {
 		return false
 	}
-	limit := max(minStallTime, stallFactor*spec.Estimate) << min(u.stalledRuns, maxStallDoublings)
+	limit := max(minStallTime, stallFactor*max(spec.Estimate, u.step.runTime)) << min(u.stalledRuns, maxStallDoublings)
 	return r.stalledFor >= limit
 }
 
--- a/internal/job/bbrscheduler/store.go
+++ b/internal/job/bbrscheduler/store.go
@@ -224,7 +224,7 @@
 		return
 	}
 	policy := cmp.Or(sched.config.Queues[in.Queue].Policy(), in.Policy)
-	j := newJob(in, policy, storedRevision, now)
+	j := newJob(in, policy, storedRevision, func(spec *bbrwork.Step) time.Duration { return sched.runTimeOf(in.Queue, spec) }, now)
 	sched.jobs[in.ID] = j
 	sched.recordArrival(j, now)
 	if len(progress) == 0 {
--- a/internal/job/bbrscheduler/usable.go
+++ b/internal/job/bbrscheduler/usable.go
@@ -85,7 +85,7 @@
 	if !p.busy || !p.canEverRunNearData(s) {
 		return true
 	}
-	longer := time.Duration((p.sched.Timing.RemoteDataFactor - 1) * float64(s.spec.Estimate))
+	longer := time.Duration((p.sched.Timing.RemoteDataFactor - 1) * float64(s.runTime))
 	return p.now.Add(s.remainingPath + longer).Before(s.job.objective(s.occurrence))
 }
 
