--- a/internal/job/bbrscheduler/quota.go
+++ b/internal/job/bbrscheduler/quota.go
@@ -22,7 +22,8 @@
 	return account
 }
 
-// Accounts returns the accounts of the organisations that have had jobs in the shard.
+// Accounts returns the accounts of the organisations, by name: those of the configuration
+// and those of jobs.
 func (sched *Scheduler) Accounts() map[string]*bbrquota.Account { return sched.accounts }
 
 // Account returns the account of an organisation.
