--- a/internal/job/bbrintake/acceptor.go
+++ b/internal/job/bbrintake/acceptor.go
@@ -206,7 +206,7 @@
 		klog.ErrorS(err, "Failed to decode the status of a stored job", "key", item.Key, "revision", item.Revision)
 		return bbrcode.AlreadyStored
 	}
-	if (jobPlace{organisation: status.Organisation}).belongsToOther(s.job.Organisation) {
+	if belongsToOther(status.Organisation, s.job.Organisation) {
 		return bbrcode.ForeignJob
 	}
 	return bbrcode.AlreadyStored
--- a/internal/job/bbrintake/intake.go
+++ b/internal/job/bbrintake/intake.go
@@ -63,7 +63,7 @@
 func (i *Intake) State(ctx context.Context, queue *bbrwork.Queue, id, organisation string, now time.Time) (bbrwork.State, bbrcode.Code) {
 	place, located := i.locate(id, queue.Service)
 	if located {
-		if place.belongsToOther(organisation) {
+		if belongsToOther(place.organisation, organisation) {
 			return "", bbrcode.ForeignJob
 		}
 		if state, known := i.queryOwner(ctx, place.shard, id, now); known {
@@ -78,7 +78,7 @@
 		return "", bbrcode.StoreUnavailable
 	}
 	stored := jobPlace{shard: status.Shard(), organisation: status.Organisation}
-	if stored.belongsToOther(organisation) {
+	if belongsToOther(status.Organisation, organisation) {
 		return "", bbrcode.ForeignJob
 	}
 	if status.State != "" {
@@ -171,7 +171,7 @@
 	if err := json.Unmarshal(item.Value, &status); err != nil {
 		return 0, err
 	}
-	if place := (jobPlace{organisation: status.Organisation}); place.belongsToOther(organisation) {
+	if belongsToOther(status.Organisation, organisation) {
 		return bbrcode.ForeignJob, nil
 	}
 	if status.State != "" {
--- a/internal/job/bbrintake/jobcache.go
+++ b/internal/job/bbrintake/jobcache.go
@@ -19,10 +19,10 @@
 	organisation string
 }
 
-// belongsToOther reports whether the job belongs to an organisation other than the
+// belongsToOther reports whether a job of the organisation belongs to another one than the
 // caller's. Jobs of public queues belong to none.
-func (p jobPlace) belongsToOther(caller string) bool {
-	return p.organisation != "" && p.organisation != caller
+func belongsToOther(organisation, caller string) bool {
+	return organisation != "" && organisation != caller
 }
 
 // JobCache caches the places of jobs. The zero value is ready to use.
--- a/internal/job/bbrscheduler/horizon_test.go
+++ b/internal/job/bbrscheduler/horizon_test.go
@@ -141,3 +141,21 @@
 	}
 	return nil
 }
+
+// TestJobThatIsReadLateKeepsTheWait guards against a job that a successor learns of only
+// after it has loaded the shard and takes for a new one: the earlier owner may have started
+// it, so that it waits like the others.
+func TestJobThatIsReadLateKeepsTheWait(t *testing.T) {
+	s := newScene(t, false)
+	s.sched.FinishLoading([]bbrwork.Upstream{s.upstream("i-silent")}, 5, s.now)
+	s.register("i-1")
+	s.list("i-1")
+	s.advance(2 * loadPeriod)
+	s.acceptStored("00000000000000a1", 5)
+	s.acceptStored("00000000000000a2", 9)
+	require.Equal(t, map[string]int{"00000000000000a2": 1}, startedBy(s.plan()))
+	s.list("i-1")
+	s.advance(testTiming.Handover + leaseBound(testTiming.RunLease) + testTiming.StartTimeout)
+	s.list("i-1")
+	require.Contains(t, startedBy(s.plan()), "00000000000000a1")
+}
