--- a/internal/job/bbrscheduler/job.go
+++ b/internal/job/bbrscheduler/job.go
@@ -126,6 +126,11 @@
 	phaseStopping
 )
 
+var phaseNames = [...]string{"starting", "unknown", "running", "stopping"}
+
+// String returns the phase's name for logs.
+func (p phase) String() string { return phaseNames[p] }
+
 // newJob returns a job. predict returns the expected run time of a step's work units.
 func newJob(in *bbrwork.Job, policy *bbrwork.Policy, storedRevision bbrkv.Revision, predict func(spec *bbrwork.Step) time.Duration, now time.Time) *job {
 	j := &job{Job: in, policy: policy, learnedAt: now, storedRevision: storedRevision}
--- a/internal/job/bbrscheduler/upstream.go
+++ b/internal/job/bbrscheduler/upstream.go
@@ -188,7 +188,8 @@
 
 // endUpstream drops an incarnation with all its runs.
 func (sched *Scheduler) endUpstream(up *upstream, reason string, now time.Time) {
-	sched.note(now, "Upstream incarnation ended", "upstream", up.ID, "born", up.StartMillis, "reason", reason, "runs", len(up.runs))
+	sched.note(now, "Upstream incarnation ended", "upstream", up.ID, "born", up.StartMillis, "reason", reason, "runs", len(up.runs),
+		"reserved", !up.reservedAt.IsZero(), "draining", up.Draining, "youngest", describeLostRuns(up, now))
 	for _, r := range up.runs {
 		sched.dropRun(r, now)
 	}
