--- a/internal/job/bbrscheduler/simulation_test.go
+++ b/internal/job/bbrscheduler/simulation_test.go
@@ -24,6 +24,8 @@
 	// units is what really happened to each work unit.
 	units      map[bbrwork.Unit]*simUnit
 	violations []string
+	// crashing has the work units that crash each upstream on which they start.
+	crashing map[bbrwork.Unit]bool
 	// adviceRequests counts the requests to the advice service.
 	adviceRequests int
 }
@@ -56,6 +58,11 @@
 	// that had not expired since.
 	acknowledged bool
 	failed       int
+	// failedEnds counts all failed runs, acknowledged or not.
+	failedEnds int
+	// crashes counts the upstreams that crashed under the work unit, and
+	// startsAfterThirdCrash its starts after the third of them.
+	crashes, startsAfterThirdCrash int
 }
 
 type simRun struct {
@@ -80,6 +87,8 @@
 	// slowClock means that the clock runs 2% slow.
 	slowClock           bool
 	alive, disconnected bool
+	// crashAt is when the upstream crashes, by its clock; 0 if it does not.
+	crashAt time.Duration
 	token               int64
 	lease               time.Duration
 	runs                map[runKey]*simRun
@@ -94,6 +103,7 @@
 		now:       time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC),
 		upstreams: make(map[string]*simUpstream),
 		units:     make(map[bbrwork.Unit]*simUnit),
+		crashing:  make(map[bbrwork.Unit]bool),
 		store:     simStore{jobRevisions: make(map[string]bbrkv.Revision), jobs: make(map[string]*bbrwork.Job), progress: make(map[string][]byte), final: make(map[string]bbrwork.State)},
 	}
 	for i, id := range ids {
@@ -210,6 +220,10 @@
 	if !u.alive {
 		return
 	}
+	if u.crashAt > 0 && u.clock() >= u.crashAt {
+		u.crash()
+		return
+	}
 	// The lease also expires if nothing runs any more.
 	if u.lease > 0 && u.clock() > u.lease {
 		for _, end := range u.ends {
@@ -230,6 +244,27 @@
 	}
 }
 
+const (
+	// crashDelay is the time from the start of a crashing work unit to the crash, and
+	// restartDelay the time from there to the next incarnation.
+	crashDelay   = 20 * time.Millisecond
+	restartDelay = 2 * time.Second
+)
+
+// crash ends the incarnation with all its runs. The next one starts after
+// restartDelay under the same ID.
+func (u *simUpstream) crash() {
+	u.alive = false
+	for key := range u.runs {
+		u.sim.unit(key.unit).crashes++
+	}
+	u.sim.delayed = append(u.sim.delayed, delayedOrder{at: u.sim.now.Add(restartDelay), deliver: func() {
+		if u.sim.upstreams[u.registration.ID] == u {
+			u.sim.boot(u.registration.ID, u.slowClock)
+		}
+	}})
+}
+
 func (sim *simulation) stepSpec(name bbrwork.Unit) *bbrwork.Step {
 	return &sim.store.jobs[name.Job].Steps[name.Step]
 }
@@ -284,8 +319,11 @@
 	u.ended[run.unit] = max(u.ended[run.unit], run.number)
 	u.endCount++
 	u.ends = append(u.ends, &simEnd{RunEnd: bbrwork.RunEnd{Sequence: u.endCount, Unit: run.unit, Run: run.number, Outcome: outcome}, at: u.sim.now})
-	if outcome == bbrwork.OutcomeDone {
+	switch outcome {
+	case bbrwork.OutcomeDone:
 		u.sim.unit(run.unit).done = true
+	case bbrwork.OutcomeFailed:
+		u.sim.unit(run.unit).failedEnds++
 	}
 }
 
@@ -324,6 +362,9 @@
 	u.lease = max(u.lease, order.Start.Until)
 	u.runs[key] = &simRun{unit: order.Start.Unit, number: order.Start.Run, ends: u.clock() + length, outcome: outcome}
 	u.sim.unit(order.Start.Unit).lastStart = u.sim.now
+	if u.sim.crashing[order.Start.Unit] && u.crashAt == 0 {
+		u.crashAt = u.clock() + crashDelay
+	}
 	return nil
 }
 
@@ -341,6 +382,11 @@
 	if unit.acknowledged {
 		sim.violation("TWICE: %s starts after its successful end was acknowledged", name)
 	}
+	if sim.crashing[name] && unit.crashes >= 3 {
+		if unit.startsAfterThirdCrash++; unit.startsAfterThirdCrash >= 3 {
+			sim.violation("BUDGET: %s starts for the %d. time after three upstreams crashed under it", name, unit.startsAfterThirdCrash)
+		}
+	}
 	job := sim.store.jobs[name.Job]
 	if unit.failed >= 3 {
 		sim.violation("BUDGET: %s starts after %d failures", name, unit.failed)
@@ -496,6 +542,9 @@
 }
 
 func (sim *simulation) checkFinal(job *bbrwork.Job, state bbrwork.State) {
+	if state == bbrwork.Failed && !sim.hasCause(job) {
+		sim.violation("LOST: %s is given up although it could be done", job.ID)
+	}
 	if state != bbrwork.Completed {
 		return
 	}
@@ -509,3 +558,14 @@
 		}
 	}
 }
+
+// hasCause reports whether a work unit of the job has failed, or crashes upstreams
+// and has crashed two.
+func (sim *simulation) hasCause(job *bbrwork.Job) bool {
+	for name, unit := range sim.units {
+		if name.Job == job.ID && (unit.failedEnds > 0 || sim.crashing[name] && unit.crashes >= 2) {
+			return true
+		}
+	}
+	return false
+}
