job/bbrcrash, bbrscheduler: work that crashes its upstreams is isolated and given up

Cause: a run counted against a budget only if an upstream lived to list its end as failed. A run that ended with its incarnation was dropped (endUpstream, dropRun) and its unit was free at once.

Evidence: with the runs named at each end, the same unit is among the youngest runs each time, 12 to 38 ms after its start; ruled out: upstreams that crash by themselves, a lost count (one owner, and nothing was counted).

Now each run on a crashed incarnation counts for its unit, unless the end was ordered or part of an outage. Suspects start apart, then alone; a third crash, alone, or a fourth gives the job up with code 6004. The history is a stored record of its own, written before the next start.

Why it works: bystanders are freed by the same crash and shared the next ones; apart they end well, and a crash alone accuses nobody else.

--- a/internal/base/bbrcode/code.go
+++ b/internal/base/bbrcode/code.go
@@ -56,6 +56,8 @@
 	AlreadyStored Code = 6001
 	StateReported Code = 6002
 	CancelStored  Code = 6003
+	// CrashesUpstreams is the code of a job that has ended, in its record and the log.
+	CrashesUpstreams Code = 6004
 )
 
 // Codes of callers' requests that may or may not have run.
@@ -161,6 +163,8 @@
 	StateReported: {Name: "stateTold", Outcome: OutcomeUnknown, Status: 200, Text: "The state follows."},
 	CancelStored:  {Name: "cancelStored", Outcome: OutcomeUnknown, Status: 200, Text: "The cancellation is stored."},
 
+	CrashesUpstreams: {Name: "crashesUpstreams", Outcome: OutcomeUnknown, Status: 200, Text: "The job was given up, since upstreams crashed under one of its work units."},
+
 	StoreWriteUnknown: {Name: "storeUnsettled", Status: 504, RetryAfter: retrySoon, Text: "The store did not confirm whether the change was made; query or submit again with the same ID."},
 
 	UpstreamTimeout:        {Name: "upstreamSilent", Status: 504, Text: "The upstream did not answer before the deadline."},
--- a/internal/base/bbrmetric/set.go
+++ b/internal/base/bbrmetric/set.go
@@ -21,7 +21,9 @@
 	controlBytes   *prometheus.CounterVec
 	bodyBytes      *prometheus.CounterVec
 	slowWaits      *prometheus.CounterVec
+	crashVerdicts  *prometheus.CounterVec
 	oldestWaits    *prometheus.GaugeVec
+	suspects       *prometheus.GaugeVec
 	organisations  *prometheus.GaugeVec
 	callDurations  *prometheus.HistogramVec
 	storeDurations *prometheus.HistogramVec
@@ -37,6 +39,11 @@
 	s.controlBytes = s.newCounter("bbr_control_bytes_total", "Bytes of control connections.", "channel", "direction")
 	s.bodyBytes = s.newCounter("bbr_body_bytes_total", "Bytes of the bodies of calls to the platform and to upstreams.", "purpose", "direction")
 	s.slowWaits = s.newCounter("bbr_slow_waits_total", "Work units that waited over 3 s for a run, by reason.", "reason")
+	s.crashVerdicts = s.newCounter("bbr_crash_verdicts_total", "What crashes of upstreams meant for the work units that ran there.", "verdict")
+	s.suspects = prometheus.NewGaugeVec(prometheus.GaugeOpts{
+		Name: "bbr_crash_suspects",
+		Help: "Work units under which upstreams crashed and that are not cleared, and those of them that run alone, by shard.",
+	}, []string{"shard", "standing"})
 	s.oldestWaits = prometheus.NewGaugeVec(prometheus.GaugeOpts{
 		Name: "bbr_oldest_wait_seconds",
 		Help: "Time for which the oldest work unit that could run has had no run, by shard and reason.",
@@ -55,7 +62,7 @@
 		Name: "bbr_organisation_millicores",
 		Help: "Processor capacity of an organisation in a shard: what its work uses, the share of its cap, and the whole cap.",
 	}, []string{"shard", "organisation", "amount"})
-	s.Registry.MustRegister(s.organisations, s.oldestWaits, s.callDurations, s.storeDurations)
+	s.Registry.MustRegister(s.suspects, s.organisations, s.oldestWaits, s.callDurations, s.storeDurations)
 	return s
 }
 
@@ -105,6 +112,23 @@
 	s.slowWaits.WithLabelValues(reason).Add(float64(count))
 }
 
+// CrashVerdicts adds count verdicts about work units under which upstreams crashed.
+func (s *Set) CrashVerdicts(verdict string, count int) {
+	s.crashVerdicts.WithLabelValues(verdict).Add(float64(count))
+}
+
+// SetSuspects sets how many of the shard's work units are suspected of crashing upstreams,
+// and how many of these are isolated.
+func (s *Set) SetSuspects(shard string, all, isolated int) {
+	s.suspects.WithLabelValues(shard, "all").Set(float64(all))
+	s.suspects.WithLabelValues(shard, "isolated").Set(float64(isolated))
+}
+
+// ClearSuspects removes the gauges of a shard's suspects.
+func (s *Set) ClearSuspects(shard string) {
+	s.suspects.DeletePartialMatch(prometheus.Labels{"shard": shard})
+}
+
 // SetOldestWait sets how long the oldest of the shard's work units that wait for the
 // reason has waited for a run.
 func (s *Set) SetOldestWait(shard, reason string, waited time.Duration) {
--- /dev/null
+++ b/internal/job/bbrcrash/history.go
@@ -0,0 +1,133 @@
+package bbrcrash
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/bluebellridge/bluebellridge/internal/job/bbrwork"
+)
+
+// Crash is the end of an incarnation on which a work unit ran, as evidence against the
+// work unit.
+type Crash struct {
+	// Upstream and StartMillis identify the incarnation.
+	Upstream    string `json:"upstream"`
+	StartMillis int64  `json:"startMillis,omitempty"`
+	// Run is the number of the work unit's run there.
+	Run int       `json:"run"`
+	At  time.Time `json:"at"`
+	// AgeMillis is how long the run had lasted, in milliseconds.
+	AgeMillis int64 `json:"ageMillis"`
+	// Others counts the other runs that may have caused the crash.
+	Others int `json:"others,omitempty"`
+	// Youngest means that no run there was started noticeably later.
+	Youngest bool `json:"youngest,omitempty"`
+	// Certain means that the run was seen to have started, and the incarnation to have
+	// ended.
+	Certain bool `json:"certain,omitempty"`
+}
+
+// String returns a description for logs.
+func (c Crash) String() string {
+	return fmt.Sprintf("%s run %d after %d ms beside %d others", c.Upstream, c.Run, c.AgeMillis, c.Others)
+}
+
+// Trial is a run on an upstream that is reserved for it.
+type Trial struct {
+	Upstream    string `json:"upstream"`
+	StartMillis int64  `json:"startMillis,omitempty"`
+	Run         int    `json:"run"`
+}
+
+// On reports whether the trial is on the incarnation.
+func (t *Trial) On(incarnation bbrwork.Incarnation) bool {
+	return t != nil && t.Upstream == incarnation.ID && t.StartMillis == incarnation.StartMillis
+}
+
+// AssumedCrash returns the crash that the trial ended with if its incarnation ended and
+// nobody saw how.
+func (t *Trial) AssumedCrash(now time.Time) Crash {
+	return Crash{Upstream: t.Upstream, StartMillis: t.StartMillis, Run: t.Run, At: now, Others: 1, Youngest: true}
+}
+
+// History has the crashes of a work unit since it was last cleared, oldest first.
+type History []Crash
+
+// Standing is how a work unit with a history may be started.
+type Standing uint8
+
+var standingNames = [...]string{"clear", "apart", "isolated", "givenUp"}
+
+// String returns the standing's name for logs.
+func (s Standing) String() string { return standingNames[s] }
+
+// The standings, from the least suspect to the most.
+const (
+	// Clear: like any other work unit.
+	Clear Standing = iota
+	// Apart: not on an upstream with another suspect, so that a further crash tells
+	// them apart.
+	Apart
+	// Isolated: only on an upstream without other work that could crash it.
+	Isolated
+	// GivenUp: never again.
+	GivenUp
+)
+
+const (
+	// A work unit that was twice among the youngest runs of a crashed upstream is
+	// isolated: by chance this is rare. One that was among older runs, which is common
+	// near a crashing unit, takes a crash more.
+	isolatedAfterYoungest = 2
+	isolatedAfter         = 3
+	// givenUpAfterAlone is the number of crashes after which a work unit is given up
+	// if the last one happened while it was alone. givenUpAfter applies whatever else
+	// ran there; it leaves room for two crashes that were not counted, as no owner
+	// was there to see them.
+	givenUpAfterAlone = 3
+	givenUpAfter      = 4
+	// minCertain is the number of certain crashes without which no unit is given up
+	// after fewer than givenUpAfter crashes.
+	minCertain = 2
+)
+
+// Standing returns the standing of a work unit with the history.
+func (h History) Standing() Standing {
+	if len(h) == 0 {
+		return Clear
+	}
+	youngest, certain := h.counts()
+	alone := h[len(h)-1].Others == 0
+	switch {
+	case len(h) >= givenUpAfter, len(h) >= givenUpAfterAlone && alone && certain >= minCertain:
+		return GivenUp
+	case youngest >= isolatedAfterYoungest || len(h) >= isolatedAfter:
+		return Isolated
+	case youngest > 0 || len(h) > 1:
+		return Apart
+	default:
+		return Clear
+	}
+}
+
+func (h History) counts() (youngest, certain int) {
+	for _, crash := range h {
+		if crash.Youngest {
+			youngest++
+		}
+		if crash.Certain {
+			certain++
+		}
+	}
+	return youngest, certain
+}
+
+// String describes the crashes for logs and explanations.
+func (h History) String() string {
+	texts := make([]string, 0, len(h))
+	for _, crash := range h {
+		texts = append(texts, crash.String())
+	}
+	return strings.Join(texts, "; ")
+}
--- /dev/null
+++ b/internal/job/bbrcrash/history_test.go
@@ -0,0 +1,33 @@
+package bbrcrash
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+func TestStanding(t *testing.T) {
+	crash := func(others int, youngest, certain bool) Crash {
+		return Crash{Upstream: "i-1", Others: others, Youngest: youngest, Certain: certain}
+	}
+	bystander, suspect, alone := crash(9, false, true), crash(9, true, true), crash(0, true, true)
+	for _, test := range []struct {
+		name    string
+		history History
+		want    Standing
+	}{
+		{"no crash", nil, Clear},
+		{"among older runs", History{bystander}, Clear},
+		{"among the youngest runs", History{suspect}, Apart},
+		{"among older runs twice", History{bystander, bystander}, Apart},
+		{"among the youngest twice", History{suspect, suspect}, Isolated},
+		{"alone by chance, twice", History{alone, alone}, Isolated},
+		{"beside others three times", History{suspect, suspect, suspect}, Isolated},
+		{"third crash alone", History{suspect, suspect, alone}, GivenUp},
+		{"third crash alone, slow to crash", History{bystander, bystander, alone}, GivenUp},
+		{"third crash alone, one certain", History{crash(9, true, false), crash(9, true, false), alone}, Isolated},
+		{"four crashes beside others", History{bystander, bystander, bystander, bystander}, GivenUp},
+	} {
+		require.Equal(t, test.want, test.history.Standing(), test.name)
+	}
+}
--- a/internal/job/bbrowner/flusher.go
+++ b/internal/job/bbrowner/flusher.go
@@ -129,7 +129,7 @@
 		return false, err
 	}
 	f.applyStored(batch, o.commits.revision)
-	if batch.Recorded != nil || needsHorizon {
+	if batch.Recorded != nil || needsHorizon || batch.StoresCrashes() {
 		o.requestPlan()
 	}
 	return !complete, nil
@@ -213,10 +213,14 @@
 // entriesPerWrite returns the number of a transaction's entries for a write. For a job
 // that has ended, they are its status and the removal of its other records.
 func entriesPerWrite(write bbrscheduler.Write) int {
+	count := 1
+	if write.Crashes != nil || write.RemoveCrashes {
+		count++
+	}
 	if write.FinalState == "" {
-		return 1
+		return count
 	}
-	count := 2
+	count++
 	if write.HasProgress {
 		count++
 	}
@@ -247,11 +251,15 @@
 	for _, write := range batch.Writes {
 		addWrite(&transaction, write, now)
 	}
+	removable := bbrkv.MaxTransactionSize - len(transaction.Conditions) - len(transaction.Puts) - len(transaction.Removals)
+	stale := o.staleCrashKeys[:min(len(o.staleCrashKeys), max(0, removable))]
+	transaction.Removals = append(transaction.Removals, stale...)
 	revision, err := f.commitUntilKnown(ctx, transaction, commits.number)
 	if err != nil {
 		return err
 	}
 	commits.revision = revision
+	o.staleCrashKeys = o.staleCrashKeys[len(stale):]
 	if storeReport {
 		commits.waiting, commits.drained, commits.demand, commits.reportedAt = current.waiting, current.drained, current.demand, now
 	}
@@ -261,11 +269,19 @@
 // addWrite adds the entries for a write, as many as entriesPerWrite returns.
 func addWrite(transaction *bbrkv.Transaction, write bbrscheduler.Write, now time.Time) {
 	job := write.Job
+	crashesKey := bbrrecord.CrashesKey(job.Shard(), job.ID)
+	switch {
+	case write.Crashes != nil:
+		transaction.Puts = append(transaction.Puts, bbrkv.Put{Key: crashesKey, Value: write.Crashes})
+	case write.RemoveCrashes:
+		transaction.Removals = append(transaction.Removals, crashesKey)
+	}
 	if write.FinalState == "" {
 		transaction.Puts = append(transaction.Puts, bbrkv.Put{Key: bbrrecord.ProgressKey(job.Shard(), job.ID), Value: write.Progress})
 		return
 	}
 	ended := bbrrecord.StatusOf(job).Ended(write.FinalState, now)
+	ended.Code = write.Code
 	transaction.Puts = append(transaction.Puts, bbrkv.Put{Key: bbrrecord.StatusKey(job.ID), Value: bbrrecord.Encode(ended)})
 	transaction.Removals = append(transaction.Removals, bbrrecord.JobKey(job.Shard(), job.ID))
 	if write.HasProgress {
--- a/internal/job/bbrowner/jobs.go
+++ b/internal/job/bbrowner/jobs.go
@@ -31,6 +31,20 @@
 	}
 }
 
+// restoreCrashes restores the stored crash records, and marks those of jobs that are
+// not stored any more for removal. The caller holds the lock.
+func (o *Owner) restoreCrashes(items []bbrkv.Item, now time.Time) {
+	o.staleCrashKeys = nil
+	for _, item := range items {
+		if !o.scheduler.RestoreCrashes(bbrrecord.JobID(item.Key), item.Value, now) {
+			o.staleCrashKeys = append(o.staleCrashKeys, item.Key)
+		}
+	}
+	if len(o.staleCrashKeys) > 0 {
+		klog.InfoS("Crash records of ended jobs will be removed", "shard", o.Shard, "count", len(o.staleCrashKeys))
+	}
+}
+
 // jobsSnapshot adds the jobs that the store has.
 func (o *Owner) jobsSnapshot(items []bbrkv.Item, now time.Time) {
 	o.mu.Lock()
--- a/internal/job/bbrowner/load.go
+++ b/internal/job/bbrowner/load.go
@@ -25,6 +25,7 @@
 	load := o.scheduler.Load(o.Confirmed(now), now)
 	o.updateWaitMetrics(load.Waits)
 	o.updateOrganisationMetrics()
+	o.updateCrashMetrics()
 	klog.InfoS("Load", append([]any{"shard", o.Shard, "token", o.Held.Token, "jobs", load.Jobs, "late", load.Late,
 		"upstreams", load.Upstreams, "reached", load.Reached, "reserved", load.Reserved, "suspect", load.Suspect, "silent", load.Silent, "usable", load.Usable,
 		"runs", load.Runs, "unconfirmed", load.Unconfirmed, "waitingUnits", load.Waits.Units,
@@ -58,6 +59,18 @@
 	}
 }
 
+// updateCrashMetrics updates the metrics of work under which upstreams crashed. The
+// caller holds the lock.
+func (o *Owner) updateCrashMetrics() {
+	counts, before := o.scheduler.CrashCounts(), o.crashCounts
+	o.crashCounts = counts
+	o.Metrics.CrashVerdicts("accused", counts.Accused-before.Accused)
+	o.Metrics.CrashVerdicts("outage", counts.Outages-before.Outages)
+	o.Metrics.CrashVerdicts("cleared", counts.Cleared-before.Cleared)
+	o.Metrics.CrashVerdicts("givenUp", counts.GivenUp-before.GivenUp)
+	o.Metrics.SetSuspects(o.Shard.String(), counts.Suspects, counts.Isolated)
+}
+
 // maxOrganisationMetrics bounds the organisations with metrics, those that use most.
 const maxOrganisationMetrics = 32
 
--- a/internal/job/bbrowner/owner.go
+++ b/internal/job/bbrowner/owner.go
@@ -63,6 +63,8 @@
 	reservedRevision bbrkv.Revision
 	// drained has the reserved upstreams that were drained at the last plan.
 	drained []string
+	// crashCounts has the counts that the metrics have.
+	crashCounts bbrscheduler.CrashCounts
 	// loadLoggedAt is when the load was last logged.
 	loadLoggedAt time.Time
 	renewers     map[string]*leaseRenewer
@@ -75,6 +77,9 @@
 	// nextStored is closed after the next transaction; nil while nothing waits for it.
 	nextStored chan struct{}
 	commits    commitState
+	// staleCrashKeys has the keys of crash records whose jobs have ended under an
+	// owner that does not know such records. They are removed with later transactions.
+	staleCrashKeys []string
 	// cancelRun ends Run.
 	cancelRun context.CancelFunc
 }
@@ -123,6 +128,7 @@
 	flushed.Wait()
 	o.updateWaitMetrics(bbrscheduler.WaitSummary{})
 	o.Metrics.ClearOrganisations(o.Shard.String())
+	o.Metrics.ClearSuspects(o.Shard.String())
 	klog.InfoS("Owner stopped", "shard", o.Shard, "token", o.Held.Token)
 }
 
@@ -304,6 +310,10 @@
 	if err != nil {
 		return 0, err
 	}
+	crashes, _, err := o.Store.ReadAll(ctx, bbrrecord.CrashesPrefixOf(o.Shard))
+	if err != nil {
+		return 0, err
+	}
 	jobs, revision, err := o.Store.ReadAll(ctx, bbrrecord.JobPrefixOf(o.Shard))
 	if err != nil {
 		return 0, err
@@ -320,6 +330,7 @@
 	o.reservedRevision = reserved.Revision
 	o.scheduler.SetReserved(reservedIDs, time.Now())
 	o.addJobs(jobs, progress, time.Now())
+	o.restoreCrashes(crashes, time.Now())
 	o.scheduler.FinishLoading(recorded, storedHorizon(sequence), time.Now())
 	o.loadedRevision = revision
 	return revision, nil
--- a/internal/job/bbrrecord/keys.go
+++ b/internal/job/bbrrecord/keys.go
@@ -21,6 +21,7 @@
 	// SharesPrefix is the prefix of the shards' shares of caps, by organisation.
 	SharesPrefix       = "bbr/shares/"
 	sequencePrefix     = "bbr/sequence/"
+	crashesPrefix      = "bbr/crashes/"
 	progressPrefix     = "bbr/progress/"
 	incarnationsPrefix = "bbr/lives/"
 )
@@ -46,6 +47,12 @@
 // ProgressKey returns the key of a job's progress.
 func ProgressKey(shard bbrwork.Shard, id string) string { return ProgressPrefixOf(shard) + id }
 
+// CrashesPrefixOf returns the prefix of the crash records of a shard's jobs.
+func CrashesPrefixOf(shard bbrwork.Shard) string { return crashesPrefix + shard.String() + "/" }
+
+// CrashesKey returns the key of a job's crash record.
+func CrashesKey(shard bbrwork.Shard, id string) string { return CrashesPrefixOf(shard) + id }
+
 // SequenceKey returns the key of the sequence record of a shard. Every transaction of
 // the shard's owner writes it, on the condition that it has not changed since the
 // owner's last one: a transaction whose answer was lost cannot take effect after a
--- a/internal/job/bbrrecord/record.go
+++ b/internal/job/bbrrecord/record.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"time"
 
+	"github.com/bluebellridge/bluebellridge/internal/base/bbrcode"
 	"github.com/bluebellridge/bluebellridge/internal/job/bbrscheduler"
 	"github.com/bluebellridge/bluebellridge/internal/job/bbrwork"
 	"github.com/bluebellridge/bluebellridge/internal/store/bbrkv"
@@ -23,6 +24,8 @@
 	// At is when the job ended, by the clock of its owner; before that, when it was
 	// accepted, by the clock of the accepting entry.
 	At time.Time `json:"at"`
+	// Code says why the job ended; 0 if State says it.
+	Code bbrcode.Code `json:"code,omitempty"`
 }
 
 // StatusOf returns the status of a job that has not ended.
--- /dev/null
+++ b/internal/job/bbrscheduler/crashrecord.go
@@ -0,0 +1,111 @@
+package bbrscheduler
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/bluebellridge/bluebellridge/internal/job/bbrcrash"
+	"github.com/bluebellridge/bluebellridge/internal/job/bbrwork"
+)
+
+// markCrashesChanged records that the crash record of the job has to be stored.
+func (sched *Scheduler) markCrashesChanged(j *job) {
+	j.crashVersion++
+	sched.markChanged(j)
+}
+
+// crashesStored reports whether the store has the crash record as it is.
+func (j *job) crashesStored() bool { return j.crashVersion == j.storedCrashVersion }
+
+// crashRecord returns the crash record to store; nil if the job has no suspects.
+func (j *job) crashRecord() []byte {
+	var record bbrcrash.Record
+	for _, o := range j.occurrences {
+		for _, s := range o.steps {
+			for _, u := range s.units {
+				if len(u.crashes) > 0 {
+					record.Suspects = append(record.Suspects, bbrcrash.Suspect{Occurrence: o.number, Step: s.number, Index: u.index, Crashes: u.crashes, Trial: u.trial})
+				}
+			}
+		}
+	}
+	if len(record.Suspects) == 0 {
+		return nil
+	}
+	data, err := json.Marshal(record)
+	if err != nil {
+		panic(err) // Unreachable: strings, numbers and times can always be encoded.
+	}
+	return data
+}
+
+// RestoreCrashes restores the stored crash record of a job, and reports whether the
+// job is known. It is called before FinishLoading.
+func (sched *Scheduler) RestoreCrashes(id string, stored []byte, now time.Time) bool {
+	j := sched.jobs[id]
+	if j == nil {
+		return false
+	}
+	j.mayHaveStoredCrashes = true
+	var record bbrcrash.Record
+	if err := json.Unmarshal(stored, &record); err != nil {
+		sched.note(now, "Decoding of the stored crash record failed", "job", id, "reason", err.Error())
+		return true
+	}
+	for _, suspect := range record.Suspects {
+		u := j.findUnit(bbrwork.Unit{Job: id, Occurrence: suspect.Occurrence, Step: suspect.Step, Index: suspect.Index})
+		if u == nil || u.done || len(suspect.Crashes) == 0 {
+			continue
+		}
+		u.crashes, u.trial, u.trialInherited = suspect.Crashes, suspect.Trial, suspect.Trial != nil
+		sched.suspects[u] = true
+		sched.note(now, "Suspect inherited", "job", id, "unit", u.name().String(), "crashes", len(u.crashes), "standing", u.crashes.Standing(), "trial", suspect.Trial)
+	}
+	return true
+}
+
+// accuseInheritedTrials counts the end of an incarnation for the work units that an
+// earlier owner may have started alone there, and that this owner has not located.
+func (sched *Scheduler) accuseInheritedTrials(incarnation bbrwork.Incarnation, now time.Time) {
+	for u := range sched.suspects {
+		if u.trialInherited && u.trial.On(incarnation) {
+			sched.accuse(u, u.trial.AssumedCrash(now), now)
+		}
+	}
+}
+
+// accuseLostTrials does the same after loading for the trials on incarnations that no
+// owner has to look for any more.
+func (sched *Scheduler) accuseLostTrials(now time.Time) {
+	for u := range sched.suspects {
+		if u.trialInherited && sched.upstreams[u.trial.Upstream] == nil {
+			sched.accuse(u, u.trial.AssumedCrash(now), now)
+		}
+	}
+}
+
+// settleInheritedTrials settles the trials on an incarnation that has answered: its
+// listing shows them.
+func (sched *Scheduler) settleInheritedTrials(up *upstream) {
+	for u := range sched.suspects {
+		if !u.trialInherited || !u.trial.On(up.Incarnation) {
+			continue
+		}
+		u.trialInherited = false
+		if len(u.runs) > 0 && u.runs[0].up == up {
+			up.trialUnit = u
+			continue
+		}
+		u.trial = nil
+		sched.markCrashesChanged(u.step.job)
+	}
+}
+
+// dropSuspects removes the suspects of a job that is dropped.
+func (sched *Scheduler) dropSuspects(j *job) {
+	for u := range sched.suspects {
+		if u.step.job == j {
+			delete(sched.suspects, u)
+		}
+	}
+}
--- a/internal/job/bbrscheduler/explain.go
+++ b/internal/job/bbrscheduler/explain.go
@@ -39,6 +39,8 @@
 	// Suspect counts upstreams with repeated failures, which are used only if there
 	// are no others.
 	Suspect int `json:"suspect,omitempty"`
+	// Trial counts upstreams that are reserved for a suspect work unit.
+	Trial int `json:"trial,omitempty"`
 }
 
 func (p *planner) upstreamCounts() UpstreamCounts {
@@ -54,6 +56,7 @@
 		Silent:       p.excluded[excludedSilent],
 		Full:         p.excluded[excludedFull],
 		Suspect:      p.excluded[excludedSuspect],
+		Trial:        p.excluded[excludedTrial],
 	}
 }
 
--- a/internal/job/bbrscheduler/gang.go
+++ b/internal/job/bbrscheduler/gang.go
@@ -16,7 +16,7 @@
 	}
 	lastRun := 0
 	for _, u := range s.units {
-		if p.now.Before(u.notBefore) {
+		if p.now.Before(u.notBefore) || p.heldBack(u) {
 			return
 		}
 		lastRun = max(lastRun, u.lastRun)
--- a/internal/job/bbrscheduler/job.go
+++ b/internal/job/bbrscheduler/job.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/bluebellridge/bluebellridge/internal/base/bbrcode"
+	"github.com/bluebellridge/bluebellridge/internal/job/bbrcrash"
 	"github.com/bluebellridge/bluebellridge/internal/job/bbrwork"
 	"github.com/bluebellridge/bluebellridge/internal/store/bbrkv"
 )
@@ -21,6 +23,13 @@
 	finalState bbrwork.State
 	// mayHaveStoredProgress means that the store may hold progress of the job.
 	mayHaveStoredProgress bool
+	// endCode says why the job has ended; 0 if its final state says it.
+	endCode bbrcode.Code
+	// crashVersion increases with each change of the crash record, and
+	// storedCrashVersion is that of the record in the store. mayHaveStoredCrashes means
+	// that the store may hold one.
+	crashVersion, storedCrashVersion int
+	mayHaveStoredCrashes             bool
 	// criticalPath is the longest path of expected work.
 	criticalPath time.Duration
 	// learnedAt is when the scheduler learned of the job, and storedRevision the
@@ -80,6 +89,13 @@
 	// avoidUpstream is the ID of the upstream on which the work unit last failed or
 	// stalled.
 	avoidUpstream string
+	// crashes has the crashes of upstreams under the work unit since it was cleared.
+	crashes bbrcrash.History
+	// trial is the run alone for which an upstream is reserved; nil for none.
+	// trialInherited means that an earlier owner planned it and that this one does not
+	// know yet whether it took place.
+	trial          *bbrcrash.Trial
+	trialInherited bool
 	// stalledRuns counts the runs that were stopped because they stalled.
 	stalledRuns int
 }
@@ -108,6 +124,9 @@
 	pacedAt    time.Time
 	stopSentAt time.Time
 	stopReason string
+	// adopted means that an earlier owner started the run, so that its age is not
+	// known.
+	adopted bool
 	// fromStart means that this owner started the run, and without a checkpoint, so
 	// that its end tells how long the work unit runs.
 	fromStart bool
--- a/internal/job/bbrscheduler/listing.go
+++ b/internal/job/bbrscheduler/listing.go
@@ -23,8 +23,12 @@
 	}
 	up.recordClock(listing.Clock, now)
 	up.silentSince = time.Time{}
+	up.lapsedSuspects = nil
 	sched.applyEnds(up, listing.Ended, now)
 	sched.applyRunning(up, listing, sent, now)
+	if !up.reached {
+		sched.settleInheritedTrials(up)
+	}
 	up.reached = true
 	sched.markLocated(incarnation, now)
 }
@@ -80,6 +84,7 @@
 	changed := false
 	for _, member := range members {
 		changed = member.markDone() || changed
+		sched.clearHistory(member, now)
 	}
 	job := u.step.job
 	if !changed || job.finalState != "" {
@@ -123,7 +128,7 @@
 	}
 	job.finalState = state
 	sched.markChanged(job)
-	sched.note(now, "Job ended", "job", job.ID, "queue", job.Queue, "state", state, "reason", reason,
+	sched.note(now, "Job ended", "job", job.ID, "queue", job.Queue, "state", state, "reason", reason, "code", int(job.endCode),
 		"age", now.Sub(job.Accepted).Round(time.Millisecond))
 }
 
@@ -184,6 +189,9 @@
 		r.unit.checkpoint = running.Checkpoint
 	}
 	r.applyProgress(running, now)
+	if r.proven(now) {
+		sched.clearHistory(r.unit, now)
+	}
 }
 
 const fullPercent = 100
@@ -203,7 +211,7 @@
 	}
 	delete(up.orphans, key)
 	r := sched.addRun(u, key.number, up, now)
-	r.phase, r.confirmedAt = phaseRunning, now
+	r.phase, r.confirmedAt, r.adopted = phaseRunning, now, true
 	if u.step.spec.BestEffort {
 		r.pace = unknownPace
 	}
--- a/internal/job/bbrscheduler/plan.go
+++ b/internal/job/bbrscheduler/plan.go
@@ -54,7 +54,9 @@
 	// is free of the usable capacity.
 	busy bool
 	free bbrwork.Resources
-	plan Plan
+	// trials counts the upstreams that are reserved for trials.
+	trials int
+	plan   Plan
 }
 
 // Plan decides what to send now. While the owner's claim is not confirmed, it plans
@@ -65,7 +67,9 @@
 	p.planStops()
 	if confirmed {
 		p.beginQuota()
+		p.endTrials()
 		p.findUsable(sched.ensureRecorded)
+		p.planTrials()
 		p.planStarts()
 		p.planPaces()
 		p.planStallStops()
@@ -117,10 +121,16 @@
 		if u.done || len(u.runs) > 0 || p.now.Before(u.notBefore) {
 			continue
 		}
+		if p.heldBack(u) {
+			continue
+		}
 		if !p.withinCap(s, 1) {
 			return
 		}
-		up := p.chooseUpstream(u, nil)
+		up := p.chooseUpstream(u, p.keepApart(u))
+		if up == nil && u.suspected() {
+			continue
+		}
 		if up == nil {
 			return
 		}
@@ -211,6 +221,9 @@
 	if u.avoidUpstream != "" && (up.ID == u.avoidUpstream) != (best.ID == u.avoidUpstream) {
 		return best.ID == u.avoidUpstream
 	}
+	if u.suspected() && len(up.runs) != len(best.runs) {
+		return len(up.runs) < len(best.runs)
+	}
 	if spec.LongRunning {
 		return up.free().MilliCPU > best.free().MilliCPU
 	}
--- a/internal/job/bbrscheduler/reason.go
+++ b/internal/job/bbrscheduler/reason.go
@@ -21,6 +21,9 @@
 	ReasonGangStillRuns Reason = "gangStillRuns"
 	// ReasonAttemptPaused: the next attempt follows after a pause.
 	ReasonAttemptPaused Reason = "attemptPaused"
+	// ReasonCrashSuspect: upstreams crashed under the work unit; it waits until that is
+	// stored, or for an upstream where it can be tried apart from other work.
+	ReasonCrashSuspect Reason = "crashSuspect"
 	// ReasonOrganisationCap: the shard has no share left of the cap of the job's
 	// organisation.
 	ReasonOrganisationCap Reason = "organisationCap"
@@ -68,7 +71,7 @@
 
 // Reasons lists the reasons that an eligible work unit can have.
 var Reasons = [...]Reason{
-	ReasonClaimUnconfirmed, ReasonEarlierWorkUnlocated, ReasonBeyondHorizon, ReasonAttemptPaused, ReasonGangStillRuns, ReasonOrganisationCap, ReasonNoUsableUpstream, ReasonComesNext, ReasonGangPartlyFits,
+	ReasonClaimUnconfirmed, ReasonEarlierWorkUnlocated, ReasonBeyondHorizon, ReasonAttemptPaused, ReasonGangStillRuns, ReasonCrashSuspect, ReasonOrganisationCap, ReasonNoUsableUpstream, ReasonComesNext, ReasonGangPartlyFits,
 	ReasonFarFromData, ReasonTicketMissing, ReasonAdviceRefused, ReasonStartsInFlight, ReasonCapacityUsedByFiniteWork, ReasonCapacityForFew, ReasonMaxPerUpstream, ReasonCapacityFragmented, ReasonCapacityUsedByLongRunningWork,
 	ReasonTooLarge, ReasonLabelMissing, ReasonNotEvaluated,
 }
--- a/internal/job/bbrscheduler/scheduler.go
+++ b/internal/job/bbrscheduler/scheduler.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/bluebellridge/bluebellridge/internal/job/bbrcrash"
 	"github.com/bluebellridge/bluebellridge/internal/job/bbrquota"
 	"github.com/bluebellridge/bluebellridge/internal/job/bbrruntime"
 	"github.com/bluebellridge/bluebellridge/internal/job/bbrwork"
@@ -88,7 +89,13 @@
 	// accounts has the uses and shares of caps by organisation.
 	accounts map[string]*bbrquota.Account
 	// runTimes predicts the run times of work units, by queue.
-	runTimes     map[string]*bbrruntime.Predictor
+	runTimes map[string]*bbrruntime.Predictor
+	// suspects has the work units under which an upstream crashed and that have not
+	// been cleared.
+	suspects    map[*unit]bool
+	crashCounts CrashCounts
+	// failures are the recent ends of incarnations.
+	failures     []bbrcrash.Failure
 	notes        []Note
 	notesDropped int
 }
@@ -115,6 +122,7 @@
 		recorded:          make(map[bbrwork.Incarnation]bool),
 		toRecord:          make(map[bbrwork.Incarnation]bool),
 		accounts:          make(map[string]*bbrquota.Account),
+		suspects:          make(map[*unit]bool),
 		runTimes:          make(map[string]*bbrruntime.Predictor),
 	}
 }
--- a/internal/job/bbrscheduler/simulation_test.go
+++ b/internal/job/bbrscheduler/simulation_test.go
@@ -88,14 +88,14 @@
 	slowClock           bool
 	alive, disconnected bool
 	// crashAt is when the upstream crashes, by its clock; 0 if it does not.
-	crashAt time.Duration
-	token               int64
-	lease               time.Duration
-	runs                map[runKey]*simRun
-	ended               map[bbrwork.Unit]int
-	ends                []*simEnd
-	endCount            int64
-	acknowledged        int64
+	crashAt      time.Duration
+	token        int64
+	lease        time.Duration
+	runs         map[runKey]*simRun
+	ended        map[bbrwork.Unit]int
+	ends         []*simEnd
+	endCount     int64
+	acknowledged int64
 }
 
 func newSimulation(ids ...string) *simulation {
--- a/internal/job/bbrscheduler/store.go
+++ b/internal/job/bbrscheduler/store.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"github.com/bluebellridge/bluebellridge/internal/base/bbrcode"
 	"github.com/bluebellridge/bluebellridge/internal/job/bbrwork"
 	"github.com/bluebellridge/bluebellridge/internal/store/bbrkv"
 )
@@ -20,9 +21,15 @@
 	// HasProgress and HasCancel report, for a job that has ended, whether the store
 	// may hold progress of it and a request to cancel it.
 	HasProgress, HasCancel bool
+	// Crashes is the crash record to be stored; nil for no change. RemoveCrashes means
+	// that the store may hold one that has to be removed.
+	Crashes       []byte
+	RemoveCrashes bool
+	// Code says why the job has ended; 0 if its final state says it.
+	Code bbrcode.Code
 
-	job     *job
-	version int
+	job                   *job
+	version, crashVersion int
 }
 
 // Batch is what has to be stored, and which run ends may be acknowledged once all
@@ -41,6 +48,11 @@
 	acknowledgeable map[bbrwork.Incarnation]int64
 }
 
+// StoresCrashes reports whether the batch has a crash record, for which starts wait.
+func (b Batch) StoresCrashes() bool {
+	return slices.ContainsFunc(b.Writes, func(w Write) bool { return w.Crashes != nil })
+}
+
 // Complete reports whether the batch has all that has to be stored.
 func (b Batch) Complete() bool { return b.acknowledgeable != nil }
 
@@ -72,7 +84,16 @@
 }
 
 func (j *job) write() Write {
-	w := Write{Job: j.Job, FinalState: j.finalState, Progress: j.progress(), HasProgress: j.mayHaveStoredProgress, HasCancel: j.cancelled, job: j, version: j.version}
+	w := Write{Job: j.Job, FinalState: j.finalState, Progress: j.progress(), HasProgress: j.mayHaveStoredProgress, HasCancel: j.cancelled,
+		Code: j.endCode, job: j, version: j.version, crashVersion: j.crashVersion}
+	switch {
+	case j.finalState != "":
+		w.RemoveCrashes = j.mayHaveStoredCrashes
+	case !j.crashesStored():
+		w.Crashes = j.crashRecord()
+		w.RemoveCrashes = w.Crashes == nil && j.mayHaveStoredCrashes
+		j.mayHaveStoredCrashes = j.mayHaveStoredCrashes || w.Crashes != nil
+	}
 	// A transaction whose answer is lost may have stored the progress too.
 	j.mayHaveStoredProgress = j.mayHaveStoredProgress || j.finalState == ""
 	return w
@@ -81,7 +102,7 @@
 // Urgent reports whether a caller or a start waits for something to be stored.
 func (sched *Scheduler) Urgent() bool {
 	for _, j := range sched.dirty {
-		if j.finalState != "" {
+		if j.finalState != "" || !j.crashesStored() {
 			return true
 		}
 	}
@@ -153,6 +174,7 @@
 		if write.job.version == write.version {
 			delete(sched.dirty, write.job.ID)
 		}
+		write.job.storedCrashVersion = max(write.job.storedCrashVersion, write.crashVersion)
 		if write.FinalState != "" {
 			sched.endedWithRuns[write.job.ID] = write.job
 		}
@@ -178,6 +200,7 @@
 	for id, job := range sched.endedWithRuns {
 		if !job.hasRuns() {
 			sched.dropAdvice(job.Job)
+			sched.dropSuspects(job)
 			delete(sched.jobs, id)
 			delete(sched.endedWithRuns, id)
 			sched.endedJobs[id] = endedJob{at: now, state: job.finalState}
@@ -263,6 +286,7 @@
 		return
 	}
 	sched.horizon.inherit(inherited)
+	defer sched.accuseLostTrials(now)
 	for _, up := range recorded {
 		sched.RegisterUpstream(up, now)
 		sched.upstreams[up.ID].registered = false
--- /dev/null
+++ b/internal/job/bbrscheduler/trial.go
@@ -0,0 +1,202 @@
+package bbrscheduler
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/bluebellridge/bluebellridge/internal/job/bbrcrash"
+)
+
+const (
+	// apartPatience and trialPatience are how long a suspect waits for an upstream
+	// without other suspects, and an isolated one for an upstream of its own. After
+	// that it starts beside other work: a shard with too few upstreams must not keep
+	// it waiting without end.
+	apartPatience = 1500 * time.Millisecond
+	trialPatience = 5 * time.Second
+	// maxTrialShare is the part of the usable upstreams, one at least, that may be
+	// reserved for trials at the same time: one in maxTrialShare.
+	maxTrialShare = 3
+)
+
+// planTrials plans the starts of isolated work units, each on an upstream that is
+// reserved for it. The reservation is stored first, so that a successor knows what ran
+// there.
+func (p *planner) planTrials() {
+	for _, u := range p.isolatedUnits() {
+		up := p.sched.trialUpstream(u)
+		if up == nil {
+			up = p.reserveForTrial(u)
+		}
+		if up != nil && p.mayStartTrial(u, up) {
+			p.sched.note(p.now, "Suspect starts alone", "job", u.step.job.ID, "unit", u.name().String(), "upstream", up.ID, "run", u.lastRun+1, "crashes", u.crashes.String())
+			p.planStart(u, u.lastRun+1, up)
+		}
+	}
+}
+
+// endTrials releases the upstreams whose trial has ended or cannot take place, so that
+// they are usable in this round.
+func (p *planner) endTrials() {
+	p.trials = 0
+	for _, up := range p.sched.sortedUpstreams() {
+		u := up.trialUnit
+		switch {
+		case u == nil:
+		case u.needsTrial(up) && p.mayHoldTrial(up):
+			p.trials++
+		default:
+			up.trialUnit = nil
+			if u.trial.On(up.Incarnation) {
+				u.trial = nil
+				p.sched.markCrashesChanged(u.step.job)
+			}
+		}
+	}
+}
+
+// needsTrial reports whether the upstream that is reserved for the work unit is still
+// needed: the work unit waits, or runs there.
+func (u *unit) needsTrial(up *upstream) bool {
+	j := u.step.job
+	if j.finalState != "" || j.cancelled || u.done || u.crashes.Standing() != bbrcrash.Isolated {
+		return false
+	}
+	return len(u.runs) == 0 || len(u.runs) == 1 && u.runs[0].up == up
+}
+
+// mayHoldTrial reports whether the upstream can still serve its trial.
+func (p *planner) mayHoldTrial(up *upstream) bool {
+	if len(up.trialUnit.runs) > 0 {
+		return true
+	}
+	return up.registered && !up.Draining && up.reservedAt.IsZero() && up.lostAnswers < maxLostAnswers && p.now.Sub(up.trialSince) < trialPatience
+}
+
+// isolatedUnits returns the idle work units that may start only alone, the longest
+// waiting first.
+func (p *planner) isolatedUnits() []*unit {
+	var units []*unit
+	for u := range p.sched.suspects {
+		if u.crashes.Standing() == bbrcrash.Isolated && !u.step.spec.Gang && u.idle() && p.mayTry(u) {
+			units = append(units, u)
+		}
+	}
+	slices.SortFunc(units, func(a, b *unit) int {
+		return cmp.Or(a.freedAt.Compare(b.freedAt), cmp.Compare(a.name().String(), b.name().String()))
+	})
+	return units
+}
+
+// mayTry reports whether the work unit may be started as far as its job is concerned.
+func (p *planner) mayTry(u *unit) bool {
+	j := u.step.job
+	if j.finalState != "" || j.cancelled || p.mayHaveUnlocatedRuns(j) || !p.sched.mayStart(j) {
+		return false
+	}
+	return u.step.runnable(p.now) && !p.now.Before(u.notBefore) && !p.trialOverdue(u)
+}
+
+// trialOverdue reports whether the work unit has waited too long for an upstream of
+// its own.
+func (p *planner) trialOverdue(u *unit) bool {
+	return p.now.Sub(u.eligibleSince(u.step.runnableSince())) >= trialPatience
+}
+
+// trialUpstream returns the upstream that is reserved for the work unit, or nil.
+func (sched *Scheduler) trialUpstream(u *unit) *upstream {
+	if u.trial == nil {
+		return nil
+	}
+	if up := sched.upstreams[u.trial.Upstream]; up != nil && up.trialUnit == u {
+		return up
+	}
+	return nil
+}
+
+// reserveForTrial reserves an upstream for the work unit: one on which nothing runs, or
+// else the one with the least work. It returns nil if there is none.
+func (p *planner) reserveForTrial(u *unit) *upstream {
+	if p.trials >= max(1, len(p.usable)/maxTrialShare) {
+		return nil
+	}
+	var best *upstream
+	for _, up := range p.usable {
+		if p.suitsTrial(u, up) && (best == nil || quieter(up, best)) {
+			best = up
+		}
+	}
+	if best == nil {
+		return nil
+	}
+	p.trials++
+	p.usable = slices.DeleteFunc(slices.Clone(p.usable), func(up *upstream) bool { return up == best })
+	best.trialUnit, best.trialSince = u, p.now
+	u.trial, u.trialInherited = &bbrcrash.Trial{Upstream: best.ID, StartMillis: best.StartMillis, Run: u.lastRun + 1}, false
+	p.sched.markCrashesChanged(u.step.job)
+	return best
+}
+
+// suitsTrial reports whether the work unit can run on the upstream once finite work
+// has ended there.
+func (p *planner) suitsTrial(u *unit, up *upstream) bool {
+	s := u.step
+	if s.spec.DataRack != "" && !up.HasLabel(s.spec.DataRack) && !p.mayRunFarFromData(s) {
+		return false
+	}
+	return !s.atUpstreamLimit(up) && p.sched.canEverFit(s, up)
+}
+
+// quieter reports whether less would be lost with upstream a than with b.
+func quieter(a, b *upstream) bool {
+	if a.longRunning != b.longRunning {
+		return a.longRunning < b.longRunning
+	}
+	return len(a.runs) < len(b.runs)
+}
+
+// mayStartTrial reports whether the work unit can start now on the upstream that is
+// reserved for it.
+func (p *planner) mayStartTrial(u *unit, up *upstream) bool {
+	if !u.step.job.crashesStored() || p.exclusionOf(up) != notExcluded || !p.withinCap(u.step, 1) || !p.mayRun(u, up) {
+		return false
+	}
+	for _, r := range up.runs {
+		if !r.proven(p.now) {
+			return false
+		}
+	}
+	return true
+}
+
+// heldBack reports whether a work unit may not be started beside other work now: its
+// crashes have to be stored first, or it has to be tried alone.
+func (p *planner) heldBack(u *unit) bool {
+	if len(u.crashes) == 0 {
+		return false
+	}
+	return !u.step.job.crashesStored() || u.crashes.Standing() == bbrcrash.Isolated && !u.step.spec.Gang && !p.trialOverdue(u)
+}
+
+// suspected reports whether the work unit is to be kept apart from other suspects.
+func (u *unit) suspected() bool { return u.crashes.Standing() >= bbrcrash.Apart }
+
+// keepApart returns the condition that an upstream has to fulfil for the work unit
+// besides those for all work; nil for none.
+func (p *planner) keepApart(u *unit) func(up *upstream) bool {
+	if !u.suspected() || p.now.Sub(u.eligibleSince(u.step.runnableSince())) >= apartPatience {
+		return nil
+	}
+	return func(up *upstream) bool { return !up.hasSuspects(u, p.now) }
+}
+
+// hasSuspects reports whether a suspect other than u runs on the upstream.
+func (up *upstream) hasSuspects(u *unit, now time.Time) bool {
+	for _, r := range up.runs {
+		if r.unit != u && r.unit.suspected() && !r.proven(now) {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/job/bbrscheduler/upstream.go
+++ b/internal/job/bbrscheduler/upstream.go
@@ -48,6 +48,13 @@
 	// lapsedRuns has the runs that were dropped when the lease expired. Their ends
 	// no longer count.
 	lapsedRuns map[runKey]bool
+	// lapsedSuspects has the runs that were dropped when the lease expired, until the
+	// upstream answers again. It may have crashed under them.
+	lapsedSuspects []*run
+	// trialUnit is the work unit for which the upstream is reserved; nil for none.
+	// trialSince is when it was.
+	trialUnit  *unit
+	trialSince time.Time
 	// orphans has the listed runs of unknown jobs.
 	orphans map[runKey]*orphan
 }
@@ -190,6 +197,7 @@
 func (sched *Scheduler) endUpstream(up *upstream, reason string, now time.Time) {
 	sched.note(now, "Upstream incarnation ended", "upstream", up.ID, "born", up.StartMillis, "reason", reason, "runs", len(up.runs),
 		"reserved", !up.reservedAt.IsZero(), "draining", up.Draining, "youngest", describeLostRuns(up, now))
+	sched.recordCrash(up, now)
 	for _, r := range up.runs {
 		sched.dropRun(r, now)
 	}
@@ -232,6 +240,7 @@
 	for _, up := range sched.sortedUpstreams() {
 		if !up.registered && !up.reached {
 			sched.note(now, "Upstream dropped", "upstream", up.ID, "reason", "unregistered and never reached")
+			sched.accuseInheritedTrials(up.Incarnation, now)
 			sched.removeUpstream(up.ID)
 		}
 	}
@@ -259,6 +268,7 @@
 	}
 	for key, r := range up.runs {
 		up.lapsedRuns[key] = true
+		up.lapsedSuspects = append(up.lapsedSuspects, r)
 		sched.dropRun(r, now)
 	}
 	up.leaseEnd = time.Time{}
--- a/internal/job/bbrscheduler/usable.go
+++ b/internal/job/bbrscheduler/usable.go
@@ -20,6 +20,7 @@
 	excludedFull
 	excludedUnrecorded
 	excludedSuspect
+	excludedTrial
 	// exclusionCount is the number of exclusions.
 	exclusionCount
 )
@@ -59,6 +60,9 @@
 		if (reason == notExcluded || reason == excludedSuspect) && !isRecorded(up) {
 			reason = excludedUnrecorded
 		}
+		if reason == notExcluded && up.trialUnit != nil {
+			reason = excludedTrial
+		}
 		switch reason {
 		case excludedSuspect:
 			suspects = append(suspects, up)
--- a/internal/job/bbrscheduler/wait.go
+++ b/internal/job/bbrscheduler/wait.go
@@ -1,6 +1,7 @@
 package bbrscheduler
 
 import (
+	"slices"
 	"time"
 
 	"github.com/bluebellridge/bluebellridge/internal/job/bbrwork"
@@ -76,6 +77,8 @@
 		w.reason = ReasonGangStillRuns
 	case p.now.Before(paused):
 		w.reason, w.latestEnd = ReasonAttemptPaused, paused
+	case s.waitsAsSuspect(w.unit):
+		w.reason = ReasonCrashSuspect
 	case p.sched.beyondCap(s):
 		w.reason = ReasonOrganisationCap
 	default:
@@ -112,6 +115,15 @@
 	return until
 }
 
+// waitsAsSuspect reports whether the work unit, or a member of its gang, has a history
+// of crashes that delays its start.
+func (s *step) waitsAsSuspect(u *unit) bool {
+	if !s.spec.Gang {
+		return u.suspected() || len(u.crashes) > 0 && !s.job.crashesStored()
+	}
+	return !s.job.crashesStored() && slices.ContainsFunc(s.units, func(member *unit) bool { return len(member.crashes) > 0 })
+}
+
 // idle reports whether the work unit is not done and has no run.
 func (u *unit) idle() bool { return !u.done && len(u.runs) == 0 }
 
--- a/internal/job/bbrscheduler/wait_test.go
+++ b/internal/job/bbrscheduler/wait_test.go
@@ -175,6 +175,14 @@
 			want: ReasonTooLarge, confirmed: true, steps: []bbrwork.Step{{Count: 1, Need: bbrwork.Resources{MemoryMB: 9000, Accelerators: 1}}},
 			awaits: AwaitsUpstream, responsible: ResponsibleFleetLeader, text: "2 lack free capacity for 0 millicores and 9000 MB and 1 accelerators; it does not fit on an empty upstream",
 		},
+		{
+			want: ReasonCrashSuspect, confirmed: true, awaits: AwaitsCapacity, responsible: ResponsibleOwner,
+			text: "it waits to be tried apart from other work, since upstreams crashed under it: i-1 run 1 after 1 ms beside 0 others",
+			arrange: func(s *scene) {
+				s.answerStarts(s.plan(), nil)
+				s.sched.EndIncarnation(s.upstream("i-1").Incarnation, "crashed", s.now)
+			},
+		},
 		{want: ReasonLabelMissing, confirmed: true, steps: []bbrwork.Step{{Count: 1, Label: "b"}}, awaits: AwaitsUpstream, responsible: ResponsibleFleetLeader, text: "2 lack the label b"},
 	}
 	covered := map[Reason]bool{ReasonNotEvaluated: true, ReasonNotDue: true, ReasonEarlierSteps: true}
--- a/internal/job/bbrscheduler/waittext.go
+++ b/internal/job/bbrscheduler/waittext.go
@@ -28,6 +28,8 @@
 		return fmt.Sprintf("%d of %d members of the gang still have runs", len(w.step.units)-w.step.idleUnits, len(w.step.units))
 	case ReasonOrganisationCap:
 		return fmt.Sprintf("the shard's share of the cap of organisation %s does not suffice for %s", w.step.job.Organisation, resourcesText(w.step.spec.Need))
+	case ReasonCrashSuspect:
+		return fmt.Sprintf("it waits to be tried apart from other work, since upstreams crashed under it: %s", w.unit.crashes)
 	default:
 		return w.blockers.describe(w.step, w.reason)
 	}
