job/bbrscheduler: an outage does not acquit work that had just begun

Cause: after a takeover several crashing units start in the same moment, their upstreams fall silent within a second, and idle instances that end in the same zone counted as failures too. That was taken for an outage ('accusing no work unit' 12 and 6 times), and two crashes were not counted.

Failures now need work that may have caused them, runs that had begun 250 ms before are accused in an outage too, and finite work waits 12 s for an upstream of its own.

--- a/internal/job/bbrscheduler/crash.go
+++ b/internal/job/bbrscheduler/crash.go
@@ -16,6 +16,8 @@
 	// may be to count as equally young: starts that were sent together arrive, and
 	// are answered, at different times.
 	cohortSpan = 100 * time.Millisecond
+	// promptAge is the age up to which a run is accused of a crash even in an outage.
+	promptAge = 250 * time.Millisecond
 	// failureRetention is how long failures of upstreams are kept to recognize outages.
 	failureRetention = 5 * time.Second
 )
@@ -23,7 +25,7 @@
 // CrashCounts counts what crashes of upstreams led to since the owner started.
 type CrashCounts struct {
 	// Accused counts crashes by the work units under which they happened, Outages the
-	// crashes that accused nobody, Cleared the suspects that ended well, and GivenUp
+	// crashes that were part of an outage, Cleared the suspects that ended well, and GivenUp
 	// the jobs that were given up.
 	Accused, Outages, Cleared, GivenUp int
 	// Suspects counts the present suspects, and Isolated those of them that run or
@@ -47,25 +49,30 @@
 }
 
 // recordCrash counts the end of an incarnation for the work units that may have caused
-// it. An end that this system ordered or announced, or that is part of an outage,
-// accuses none.
+// it. An end that this system ordered, or that was announced, accuses none, and one that
+// is part of an outage only those that had just begun: crashing units may be several, and
+// after a takeover they start together.
 func (sched *Scheduler) recordCrash(up *upstream, now time.Time) {
 	if !up.reservedAt.IsZero() || up.Draining {
 		return
 	}
+	sched.accuseInheritedTrials(up.Incarnation, now)
+	suspects := up.crashSuspects(now)
+	if len(suspects) == 0 {
+		return
+	}
 	failure := bbrcrash.Failure{At: up.failedAt(now), Rack: up.Rack(), Zone: up.Zone}
 	outage := sched.isOutage(up, failure, now)
 	sched.keepFailure(failure, now)
-	suspects := up.crashSuspects(now)
 	if outage {
 		sched.crashCounts.Outages++
-		sched.note(now, "Upstream ended in an outage, accusing no work unit", "upstream", up.ID, "rack", failure.Rack, "zone", failure.Zone, "runs", len(suspects))
-		return
+		sched.note(now, "Upstream ended in an outage, accusing only runs that had just begun", "upstream", up.ID, "rack", failure.Rack, "zone", failure.Zone, "runs", len(suspects))
 	}
 	for _, r := range suspects {
-		sched.accuse(r.unit, r.crash(suspects, now), now)
+		if crash := r.crash(suspects, now); !outage || crash.Youngest && r.age(now) <= promptAge {
+			sched.accuse(r.unit, crash, now)
+		}
 	}
-	sched.accuseInheritedTrials(up.Incarnation, now)
 }
 
 // failedAt returns when the upstream fell silent, or now if it has not.
@@ -164,7 +171,7 @@
 	for _, other := range sched.upstreams {
 		switch {
 		case other == up:
-		case !other.silentSince.IsZero():
+		case !other.silentSince.IsZero() && len(other.runs) > 0:
 			failures = append(failures, bbrcrash.Failure{At: other.silentSince, Rack: other.Rack(), Zone: other.Zone})
 		case other.registered:
 			if other.Rack() == failure.Rack {
--- a/internal/job/bbrscheduler/trial.go
+++ b/internal/job/bbrscheduler/trial.go
@@ -10,11 +10,16 @@
 
 const (
 	// apartPatience and trialPatience are how long a suspect waits for an upstream
-	// without other suspects, and an isolated one for an upstream of its own. After
-	// that it starts beside other work: a shard with too few upstreams must not keep
-	// it waiting without end.
-	apartPatience = 1500 * time.Millisecond
-	trialPatience = 5 * time.Second
+	// without other suspects, and an isolated one for an upstream of its own;
+	// longRunningTrialPatience is the latter for long-running work. After that it starts
+	// beside other work: a shard with too few upstreams must not keep it waiting without
+	// end.
+	apartPatience            = 1500 * time.Millisecond
+	trialPatience            = 12 * time.Second
+	longRunningTrialPatience = 4 * time.Second
+	// maxTrialReservation is how long an upstream stays reserved until the work unit
+	// starts on it.
+	maxTrialReservation = 4 * time.Second
 	// maxTrialShare is the part of the usable upstreams, one at least, that may be
 	// reserved for trials at the same time: one in maxTrialShare.
 	maxTrialShare = 3
@@ -71,7 +76,7 @@
 	if len(up.trialUnit.runs) > 0 {
 		return true
 	}
-	return up.registered && !up.Draining && up.reservedAt.IsZero() && up.lostAnswers < maxLostAnswers && p.now.Sub(up.trialSince) < trialPatience
+	return up.registered && !up.Draining && up.reservedAt.IsZero() && up.lostAnswers < maxLostAnswers && p.now.Sub(up.trialSince) < maxTrialReservation
 }
 
 // isolatedUnits returns the idle work units that may start only alone, the longest
@@ -101,7 +106,11 @@
 // trialOverdue reports whether the work unit has waited too long for an upstream of
 // its own.
 func (p *planner) trialOverdue(u *unit) bool {
-	return p.now.Sub(u.eligibleSince(u.step.runnableSince())) >= trialPatience
+	patience := trialPatience
+	if u.step.spec.LongRunning {
+		patience = longRunningTrialPatience
+	}
+	return p.now.Sub(u.eligibleSince(u.step.runnableSince())) >= patience
 }
 
 // trialUpstream returns the upstream that is reserved for the work unit, or nil.
