--- a/internal/job/bbrscheduler/crash_test.go
+++ b/internal/job/bbrscheduler/crash_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/bluebellridge/bluebellridge/internal/job/bbrorder"
 	"github.com/bluebellridge/bluebellridge/internal/job/bbrwork"
 )
 
@@ -83,3 +84,122 @@
 	day.rounds(time.Minute)
 	day.requireOutcomes(t)
 }
+
+// unit returns the crashing work unit of a job as the present owner knows it.
+func (day *crashDay) unit(job string) *unit {
+	return day.owner.sched.jobs[job].findUnit(bbrwork.Unit{Job: job})
+}
+
+// roundsUntil plays rounds until the condition holds.
+func (day *crashDay) roundsUntil(t *testing.T, condition func() bool) {
+	for range 400 {
+		if condition() {
+			return
+		}
+		day.round()
+	}
+	require.Fail(t, "the condition never held")
+}
+
+// takeOver replaces the owner by one that knows only what is stored.
+func (day *crashDay) takeOver() {
+	day.owner.stopped = true
+	day.owner = day.sim.claim()
+}
+
+func TestCrashesCountAcrossTakeovers(t *testing.T) {
+	day := newCrashDay(t)
+	id := day.accept(1, true)
+	for crashes := 1; crashes < 3; crashes++ {
+		day.roundsUntil(t, func() bool { return len(day.unit(id).crashes) == crashes })
+		day.takeOver()
+		require.Len(t, day.unit(id).crashes, crashes)
+	}
+	day.rounds(time.Minute)
+	day.requireOutcomes(t)
+	require.Equal(t, 3, day.sim.unit(bbrwork.Unit{Job: id}).crashes)
+}
+
+func TestCrashIsStoredBeforeTheNextStart(t *testing.T) {
+	day := newCrashDay(t)
+	id := day.accept(1, true)
+	sched := day.owner.sched
+	day.roundsUntil(t, func() bool { return day.sim.unit(bbrwork.Unit{Job: id}).crashes == 1 })
+	sched.EndIncarnation(day.unit(id).runs[0].up.Incarnation, "the platform lists it no more", day.sim.now)
+	require.Len(t, day.unit(id).crashes, 1)
+	require.Empty(t, sched.Plan(true, day.sim.now).Starts)
+	require.True(t, sched.Urgent())
+	day.owner.flush()
+	require.Len(t, sched.Plan(true, day.sim.now).Starts, 1)
+}
+
+func TestSuccessorCountsCrashThatEndedATrial(t *testing.T) {
+	day := newCrashDay(t)
+	id := day.accept(1, true)
+	day.roundsUntil(t, func() bool { return len(day.unit(id).crashes) == 2 })
+	day.roundsUntil(t, func() bool { return day.sim.unit(bbrwork.Unit{Job: id}).crashes == 3 })
+	require.Len(t, day.unit(id).crashes, 2, "the owner has not noticed the crash")
+	day.takeOver()
+	day.roundsUntil(t, func() bool { return len(day.unit(id).crashes) == 3 })
+	day.rounds(time.Minute)
+	day.requireOutcomes(t)
+	require.Equal(t, 4, day.sim.unit(bbrwork.Unit{Job: id}).crashes)
+}
+
+func TestCrashHistorySurvivesOwnerThatDoesNotKnowIt(t *testing.T) {
+	day := newCrashDay(t)
+	id := day.accept(2, true)
+	day.roundsUntil(t, func() bool { return len(day.unit(id).crashes) == 2 })
+	crashes := day.sim.store.crashes
+	day.sim.store.crashes = nil
+	day.takeOver()
+	require.Empty(t, day.unit(id).crashes)
+	// An owner of an earlier build rewrites the progress and leaves the crash record.
+	day.roundsUntil(t, func() bool { return day.owner.sched.jobs[id].findUnit(bbrwork.Unit{Job: id, Index: 1}).done })
+	day.sim.store.crashes = crashes
+	day.takeOver()
+	require.GreaterOrEqual(t, len(day.unit(id).crashes), 2)
+	day.rounds(time.Minute)
+	day.requireOutcomes(t)
+}
+
+func TestOrderedEndsAccuseNobody(t *testing.T) {
+	for _, ordered := range []func(up *upstream){
+		func(up *upstream) { up.reservedAt = up.clockAt },
+		func(up *upstream) { up.Draining = true },
+	} {
+		s := newScene(t, true, "i-1")
+		s.accept(testJob, unitStep(2))
+		s.answerStarts(s.plan(), nil)
+		ordered(s.sched.upstreams["i-1"])
+		s.sched.EndIncarnation(s.upstream("i-1").Incarnation, "moved", s.now)
+		require.Empty(t, s.sched.suspects)
+	}
+}
+
+func TestOutageAccusesOnlyWorkThatHadJustBegun(t *testing.T) {
+	s := newScene(t, true, "i-1", "i-2", "i-3")
+	s.accept(testJob, unitStep(12))
+	s.answerStarts(s.plan(), nil)
+	s.advance(time.Second)
+	for _, id := range []string{"i-1", "i-2", "i-3"} {
+		s.sched.ApplyRenewalFailure(s.upstream(id).Incarnation, bbrorder.ErrAnswerLost, s.now)
+	}
+	for _, id := range []string{"i-1", "i-2", "i-3"} {
+		s.sched.EndIncarnation(s.upstream(id).Incarnation, "without power", s.now)
+	}
+	require.Empty(t, s.sched.suspects)
+	require.Positive(t, s.sched.CrashCounts().Outages)
+}
+
+func TestLongRunningWorkThatHasProvenItselfIsNotAccused(t *testing.T) {
+	s := newScene(t, true, "i-1")
+	step := unitStep(1)
+	step.LongRunning = true
+	s.accept(testJob, step)
+	s.answerStarts(s.plan(), nil)
+	s.listRunning("i-1", []bbrwork.Run{{Unit: unitName(0), Number: 1, Percent: fullPercent}})
+	s.advance(provenAfter)
+	s.sched.EndIncarnation(s.upstream("i-1").Incarnation, "crashed", s.now)
+	require.Empty(t, s.sched.suspects)
+}
