job/bbrscheduler, bbrwork: a malformed record does not end one owner after the other

A stored job whose steps depend on steps that do not exist, or a crash record with a negative number, ended the process (index out of range), and its successor on the same record. Such jobs are now ignored with a log line, such suspects left out.

--- a/internal/job/bbrscheduler/job.go
+++ b/internal/job/bbrscheduler/job.go
@@ -205,7 +205,7 @@
 
 // findUnit returns the work unit of a name, or nil.
 func (j *job) findUnit(name bbrwork.Unit) *unit {
-	if name.Occurrence >= len(j.occurrences) {
+	if min(name.Occurrence, name.Step, name.Index) < 0 || name.Occurrence >= len(j.occurrences) {
 		return nil
 	}
 	o := j.occurrences[name.Occurrence]
--- a/internal/job/bbrscheduler/store.go
+++ b/internal/job/bbrscheduler/store.go
@@ -240,12 +240,17 @@
 }
 
 // AddJob adds a job with the revision at which it was stored and its stored
-// progress, which may be empty. A known job is left unchanged.
+// progress, which may be empty. A known job is left unchanged, and a malformed one is
+// ignored: an owner that ended on it would take each of its successors along.
 func (sched *Scheduler) AddJob(in *bbrwork.Job, storedRevision bbrkv.Revision, progress []byte, now time.Time) {
 	sched.horizon.observe(storedRevision)
 	if _, ended := sched.endedJobs[in.ID]; ended || sched.jobs[in.ID] != nil || in.Shard() != sched.Shard {
 		return
 	}
+	if err := in.Validate(); err != nil {
+		sched.note(now, "Ignoring malformed job", "job", in.ID, "reason", err.Error())
+		return
+	}
 	policy := cmp.Or(sched.config.Queues[in.Queue].Policy(), in.Policy)
 	j := newJob(in, policy, storedRevision, func(spec *bbrwork.Step) time.Duration { return sched.runTimeOf(in.Queue, spec) }, now)
 	sched.jobs[in.ID] = j
--- a/internal/job/bbrwork/job.go
+++ b/internal/job/bbrwork/job.go
@@ -1,6 +1,10 @@
 package bbrwork
 
-import "time"
+import (
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
 
 // Schedule repeats the steps of a job. A zero Count means that they run once,
 // without delay.
@@ -44,6 +48,23 @@
 	Policy *Policy `json:"terms,omitempty"`
 }
 
+// Validate returns an error if the job cannot be run as it is: its record was damaged,
+// or not written by an entry.
+func (j *Job) Validate() error {
+	for i := range j.Steps {
+		step := &j.Steps[i]
+		if step.Count < 1 {
+			return errors.Newf("steps[%d] has %d work units", i, step.Count)
+		}
+		for _, earlier := range step.DependsOn {
+			if earlier < 0 || earlier >= i {
+				return errors.Newf("steps[%d] depends on %d, which is not an earlier step", i, earlier)
+			}
+		}
+	}
+	return nil
+}
+
 // Shard returns the shard that runs the job.
 func (j *Job) Shard() Shard { return Shard{Service: j.Service, Cell: j.Cell} }
 
