job/bbrscheduler, bbrcrash: suspects are spread, and harmless ones do not queue for isolation

Cause: suspects that had waited 1.5 s for an upstream without others were then packed onto one upstream, up to 37, and one crash isolated all of them; isolated units waited up to 12 s in a queue of a third of the upstreams.

A suspect goes where the fewest others are, without waiting; with two crashes it waits 1 s for an upstream of its own; only an isolated unit is given up for a crash alone.

--- a/internal/job/bbrscheduler/plan.go
+++ b/internal/job/bbrscheduler/plan.go
@@ -128,10 +128,7 @@
 		if !p.withinCap(s, 1) {
 			return
 		}
-		up := p.chooseUpstream(u, p.keepApart(u))
-		if up == nil && u.suspected() {
-			continue
-		}
+		up := p.chooseUpstream(u, nil)
 		if up == nil {
 			return
 		}
@@ -214,6 +211,8 @@
 // would disturb it, and then onto the fullest upstreams. This leaves the other
 // upstreams empty when another pool has a demand burst, so that they can be moved
 // without waiting for work to end.
+//
+// A suspect is spread: it goes where the fewest other suspects and the fewest runs are.
 func (p *planner) better(u *unit, up, best *upstream) bool {
 	spec := u.step.spec
 	if spec.DataRack != "" && up.HasLabel(spec.DataRack) != best.HasLabel(spec.DataRack) {
@@ -222,8 +221,10 @@
 	if u.avoidUpstream != "" && (up.ID == u.avoidUpstream) != (best.ID == u.avoidUpstream) {
 		return best.ID == u.avoidUpstream
 	}
-	if u.suspected() && len(up.runs) != len(best.runs) {
-		return len(up.runs) < len(best.runs)
+	if u.suspected() {
+		if less, equal := u.lessHarmful(up, best); !equal {
+			return less
+		}
 	}
 	if spec.LongRunning {
 		return up.free().MilliCPU > best.free().MilliCPU
--- a/internal/job/bbrscheduler/reason.go
+++ b/internal/job/bbrscheduler/reason.go
@@ -22,7 +22,7 @@
 	// ReasonAttemptPaused: the next attempt follows after a pause.
 	ReasonAttemptPaused Reason = "attemptPaused"
 	// ReasonCrashSuspect: upstreams crashed under the work unit; it waits until that is
-	// stored, or for an upstream where it can be tried apart from other work.
+	// stored, or for an upstream where it can be tried alone.
 	ReasonCrashSuspect Reason = "crashSuspect"
 	// ReasonOrganisationCap: the shard has no share left of the cap of the job's
 	// organisation.
--- a/internal/job/bbrscheduler/wait.go
+++ b/internal/job/bbrscheduler/wait.go
@@ -77,7 +77,7 @@
 		w.reason = ReasonGangStillRuns
 	case p.now.Before(paused):
 		w.reason, w.latestEnd = ReasonAttemptPaused, paused
-	case s.waitsAsSuspect(w.unit):
+	case p.waitsAsSuspect(s, w.unit):
 		w.reason = ReasonCrashSuspect
 	case p.sched.beyondCap(s):
 		w.reason = ReasonOrganisationCap
@@ -117,11 +117,11 @@
 
 // waitsAsSuspect reports whether the work unit, or a member of its gang, has a history
 // of crashes that delays its start.
-func (s *step) waitsAsSuspect(u *unit) bool {
+func (p *planner) waitsAsSuspect(s *step, u *unit) bool {
 	if !s.spec.Gang {
-		return u.suspected() || len(u.crashes) > 0 && !s.job.crashesStored()
+		return p.heldBack(u)
 	}
-	return !s.job.crashesStored() && slices.ContainsFunc(s.units, func(member *unit) bool { return len(member.crashes) > 0 })
+	return slices.ContainsFunc(s.units, p.heldBack)
 }
 
 // idle reports whether the work unit is not done and has no run.
--- a/internal/job/bbrscheduler/waittext.go
+++ b/internal/job/bbrscheduler/waittext.go
@@ -29,7 +29,7 @@
 	case ReasonOrganisationCap:
 		return fmt.Sprintf("the shard's share of the cap of organisation %s does not suffice for %s", w.step.job.Organisation, resourcesText(w.step.spec.Need))
 	case ReasonCrashSuspect:
-		return fmt.Sprintf("it waits to be tried apart from other work, since upstreams crashed under it: %s", w.unit.crashes)
+		return fmt.Sprintf("it waits to be tried alone, since upstreams crashed under it: %s", w.unit.crashes)
 	default:
 		return w.blockers.describe(w.step, w.reason)
 	}
--- a/internal/soak/bbrsoak/callers.go
+++ b/internal/soak/bbrsoak/callers.go
@@ -90,6 +90,8 @@
 		job := c.newSmallJob()
 		if !c.limited && c.random.IntN(jobsPerLargeJob) == 0 {
 			job = c.newLargeJob()
+		} else if !c.limited && c.random.IntN(jobsPerCrashingJob) == 0 {
+			job = c.newCrashingJob()
 		}
 		c.submit(ctx, job)
 		if len(c.jobs) > 0 {
@@ -125,6 +127,7 @@
 	c.mu.Lock()
 	c.callers.jobs[job.id] = job
 	c.mu.Unlock()
+	c.soak.fleet.DeclareJob(job.id, job.needs())
 	if c.limited {
 		c.soak.fleet.LimitJob(job.id, limitedUnits)
 	}
@@ -171,7 +174,13 @@
 	case "pending", "running":
 		return
 	case "failed":
-		c.reportFault("job %s is reported as failed", job.id)
+		if !job.crashing {
+			c.reportFault("job %s is reported as failed", job.id)
+		}
+	case "completed":
+		if job.crashing {
+			c.reportFault("job %s is reported as completed, but crashes its upstreams", job.id)
+		}
 	case "cancelled":
 		if !job.cancelled {
 			c.reportFault("job %s is reported as cancelled, but its caller did not cancel it", job.id)
--- a/internal/soak/bbrsoak/faults.go
+++ b/internal/soak/bbrsoak/faults.go
@@ -66,7 +66,7 @@
 
 func (injector *faultInjector) draw() *event {
 	duration := randomDuration(injector.random, minEventDuration, maxEventDuration)
-	kinds := []func(duration time.Duration) *event{injector.kill, injector.terminate, injector.freeze, injector.sendHangup, injector.storeFault, injector.storeFault, injector.compactStore, injector.storePathFault, injector.upstreamPathFault, injector.upstreamPathFault, injector.crashUpstream, injector.changeConfig, injector.startWave}
+	kinds := []func(duration time.Duration) *event{injector.kill, injector.terminate, injector.freeze, injector.sendHangup, injector.storeFault, injector.storeFault, injector.compactStore, injector.storePathFault, injector.upstreamPathFault, injector.upstreamPathFault, injector.crashUpstream, injector.reduceCapacity, injector.changeConfig, injector.startWave}
 	e := kinds[injector.random.IntN(len(kinds))](duration)
 	e.duration = duration
 	return e
@@ -153,6 +153,17 @@
 	return &event{name: fmt.Sprintf("crash of upstream %d", number), begin: func() { injector.soak.fleet.Crash(number) }}
 }
 
+// reduceCapacity takes a part of an upstream's capacity away for a while.
+func (injector *faultInjector) reduceCapacity(time.Duration) *event {
+	number := injector.random.IntN(len(injector.soak.upstreamRelays))
+	missing := 10 + injector.random.IntN(85)
+	return &event{
+		name:  fmt.Sprintf("upstream %d lacks %d%% of its capacity", number, missing),
+		begin: func() { injector.soak.fleet.ReduceCapacity(number, missing) },
+		end:   func() { injector.soak.fleet.ReduceCapacity(number, 0) },
+	}
+}
+
 func (injector *faultInjector) changeConfig(time.Duration) *event {
 	injector.configCount++
 	version := injector.configCount
@@ -175,6 +186,9 @@
 // endFaults reverts all faults and lets stopped processes continue.
 func (s *Soak) endFaults() {
 	s.fleet.SetCallFaults(bbrfleet.CallFaults{})
+	for number := range s.upstreamRelays {
+		s.fleet.ReduceCapacity(number, 0)
+	}
 	for _, w := range s.upstreamRelays {
 		repair(w)
 	}
--- a/internal/soak/bbrsoak/job.go
+++ b/internal/soak/bbrsoak/job.go
@@ -19,6 +19,8 @@
 	// caller replaces its long-running job.
 	jobsPerLargeJob       = 40
 	jobsPerLongRunningJob = 80
+	// One in jobsPerCrashingJob jobs crashes its upstreams.
+	jobsPerCrashingJob = 60
 	// smallMilliCPU is what a work unit of a small job needs, in thousandths of a core.
 	smallMilliCPU = 100
 	// A large work unit needs between minLargePercent and maxLargePercent of an
@@ -33,7 +35,9 @@
 	// steps run one after the other.
 	steps       []step
 	longRunning bool
-	accepted    bool
+	// crashing is set if the job's work unit crashes each upstream on which it starts.
+	crashing bool
+	accepted bool
 	// outcomeUnknown is set if an attempt to submit the job had no definite answer, so
 	// that the job may be stored.
 	outcomeUnknown bool
@@ -85,6 +89,14 @@
 	return job
 }
 
+// newCrashingJob returns a job of one work unit that crashes its upstreams.
+func (c *caller) newCrashingJob() *submittedJob {
+	job := c.newJob()
+	job.crashing = true
+	job.addStep(step{Count: 1, MilliCPU: smallMilliCPU, MemoryMB: 100})
+	return job
+}
+
 // newSmallJob returns a new job of small work units.
 func (c *caller) newSmallJob() *submittedJob {
 	random := c.random
@@ -105,16 +117,29 @@
 }
 
 func (j *submittedJob) body() []byte {
+	spec := j.duration.String()
+	if j.crashing {
+		spec = bbrfleet.CrashSpec
+	}
 	body, err := json.Marshal(struct {
 		Spec  string `json:"spec"`
 		Steps []step `json:"steps"`
-	}{j.duration.String(), j.steps})
+	}{spec, j.steps})
 	if err != nil {
 		panic(err) // It has no values that cannot be encoded.
 	}
 	return body
 }
 
+// needs returns what the work units of each step need.
+func (j *submittedJob) needs() []bbrfleet.Amount {
+	var needs []bbrfleet.Amount
+	for _, s := range j.steps {
+		needs = append(needs, bbrfleet.Amount{MilliCPU: s.MilliCPU, MemoryMB: s.MemoryMB})
+	}
+	return needs
+}
+
 // nextStep returns the first step that is not done and its work units that are not done.
 func (j *submittedJob) nextStep(done func(task string) bool) (next step, tasks []string) {
 	for number, s := range j.steps {
--- a/internal/soak/bbrsoak/stallmonitor.go
+++ b/internal/soak/bbrsoak/stallmonitor.go
@@ -57,7 +57,8 @@
 	defer c.mu.Unlock()
 	pools, running := c.poolUsage(upstreams)
 	for _, job := range c.jobs {
-		if job.accepted && !job.cancelled && job.state == "" && !job.stalled {
+		// The runs of a crashing job are too short to be seen.
+		if job.accepted && !job.crashing && !job.cancelled && job.state == "" && !job.stalled {
 			m.checkJob(job, pools[job.pool], running, done, now)
 		}
 	}
--- a/internal/standin/bbrfleet/facts.go
+++ b/internal/standin/bbrfleet/facts.go
@@ -23,8 +23,11 @@
 
 // unitRecord is what the upstreams saw of a work unit.
 type unitRecord struct {
-	starts    int
-	lastStart time.Time
+	starts int
+	// crashes counts the upstreams that crashed under the work unit, and
+	// startsAfterCrashes its starts after the third of them.
+	crashes, startsAfterCrashes int
+	lastStart                   time.Time
 	// runningOn has the workers that run it at present.
 	runningOn map[*worker]bool
 	done      bool
--- a/internal/standin/bbrfleet/fleet.go
+++ b/internal/standin/bbrfleet/fleet.go
@@ -32,6 +32,8 @@
 	// unitLimits has the jobs that belong together: all of them may run so many work
 	// units at the same time.
 	unitLimits map[string]int
+	// needs has what the work units of each step of declared jobs need.
+	needs map[string][]Amount
 	// violations describes the violations of the execution guarantees.
 	violations []string
 	// interrupted names the runs that a planned move or maintenance ended.
@@ -60,7 +62,7 @@
 // New returns a fleet whose upstreams execute work until ctx ends. Their HTTP
 // servers run until the process exits.
 func New(ctx context.Context, config Config) *Fleet {
-	f := &Fleet{ctx: ctx, maintenanceDone: make(map[string]bool), units: make(map[string]*unitRecord), unitLimits: make(map[string]int)}
+	f := &Fleet{ctx: ctx, maintenanceDone: make(map[string]bool), units: make(map[string]*unitRecord), unitLimits: make(map[string]int), needs: make(map[string][]Amount)}
 	for i, address := range config.Workers {
 		w := &worker{
 			fleet: f, name: fmt.Sprintf("m-%d", i+1), address: config.registeredAddress(i).String(),
--- a/internal/standin/bbrfleet/worker.go
+++ b/internal/standin/bbrfleet/worker.go
@@ -19,8 +19,13 @@
 
 	mu   sync.Mutex
 	pool string
-	// state is the machine's state in the list of machines: up, moving or upkeep.
+	// state is the machine's state in the list of machines: up, moving, upkeep or down.
 	state string
+	// missingPercent is the percentage of the capacity that is missing since reducedAt.
+	missingPercent int
+	reducedAt      time.Time
+	// crashAt is when the incarnation crashes; zero if it does not.
+	crashAt time.Time
 	// id is the instance ID of the incarnation.
 	id string
 	// startMillis is when the incarnation started, in milliseconds since 1970.
@@ -96,7 +101,7 @@
 	w.startMillis, w.startTime, w.state = now.UnixMilli(), now, "up"
 	w.fencingToken, w.leaseEndMillis, w.acknowledged, w.lastEnd = 0, 0, 0, 0
 	w.running, w.highestRun, w.ends = make(map[string]*activeRun), make(map[string]int), nil
-	w.changed = make(chan struct{})
+	w.changed, w.crashAt = make(chan struct{}), time.Time{}
 }
 
 func (w *worker) handler() http.Handler {
@@ -129,6 +134,10 @@
 func (w *worker) tick(now time.Time) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if w.state == "up" && !w.crashAt.IsZero() && now.After(w.crashAt) {
+		w.crash()
+		return
+	}
 	leaseEnded := w.clockMillis(now) > w.leaseEndMillis
 	if leaseEnded {
 		for _, end := range w.ends {
@@ -161,6 +170,8 @@
 // holds mu.
 func (w *worker) checkCall(r *http.Request, call workerCall) (int, string) {
 	switch {
+	case w.state == stateDown:
+		panic(http.ErrAbortHandler) // It closes the connection without an answer.
 	case w.state != "up":
 		return http.StatusServiceUnavailable, ""
 	case r.Header.Get("Bluebellridge-Target-Instance") != w.id:
@@ -212,6 +223,11 @@
 	if call.Spec == PoisonSpec {
 		outcome = "failed"
 	}
+	if call.Spec == CrashSpec {
+		w.fleet.checkCrashes(call.Task)
+		w.crashAt = now.Add(crashDelay)
+	}
+	w.fleet.checkCapacity(call.Task, w, now)
 	w.fleet.recordStart(call.Task, w, now)
 	w.running[call.Task] = &activeRun{task: call.Task, run: call.Run, endTime: now.Add(duration), outcome: outcome}
 	return http.StatusOK, ""
