--- a/internal/job/bbrscheduler/trial.go
+++ b/internal/job/bbrscheduler/trial.go
@@ -77,8 +77,9 @@
 	return up.registered && !up.Draining && up.reservedAt.IsZero() && up.lostAnswers < maxLostAnswers && now.Sub(up.trialSince) < maxTrialReservation
 }
 
-// isolatedUnits returns the idle work units that may start only alone, the longest
-// waiting first.
+// isolatedUnits returns the idle work units that may start only alone: those with the
+// most crashes first, as they cannot start beside other work soon, and among equals the
+// longest waiting first.
 func (p *planner) isolatedUnits() []*unit {
 	var units []*unit
 	for u := range p.sched.suspects {
@@ -87,7 +88,7 @@
 		}
 	}
 	slices.SortFunc(units, func(a, b *unit) int {
-		return cmp.Or(a.freedAt.Compare(b.freedAt), cmp.Compare(a.name().String(), b.name().String()))
+		return cmp.Or(cmp.Compare(len(b.crashes), len(a.crashes)), a.freedAt.Compare(b.freedAt), cmp.Compare(a.name().String(), b.name().String()))
 	})
 	return units
 }
