--- a/internal/soak/bbrsoak/entry.go
+++ b/internal/soak/bbrsoak/entry.go
@@ -29,6 +29,8 @@
 
 	mu      sync.Mutex
 	process *os.Process
+	// starts counts the starts of the process.
+	starts int
 	// exited is closed when the process has exited.
 	exited chan struct{}
 }
@@ -59,7 +61,7 @@
 		return err
 	}
 	defer log.Close()
-	command := exec.Command(e.soak.DaemonPath, "run", e.settingsPath)
+	command := exec.Command(e.program(), "run", e.settingsPath)
 	command.Stdout, command.Stderr = log, log
 	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := command.Start(); err != nil {
@@ -68,11 +70,38 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.process, e.exited = command.Process, make(chan struct{})
+	e.starts++
 	w := &processWaiter{command: command, exited: e.exited}
 	go w.run()
 	return nil
 }
 
+// program returns the program of the next start.
+func (e *entry) program() string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if older := e.soak.OlderDaemonPath; older != "" && e.starts%2 == 0 && !e.soak.upgraded.Load() {
+		return older
+	}
+	return e.soak.DaemonPath
+}
+
+// completeUpgrade restarts the entries one after the other with the present build, if
+// there is an older one.
+func (s *Soak) completeUpgrade() {
+	if s.OlderDaemonPath == "" {
+		return
+	}
+	s.upgraded.Store(true)
+	for _, e := range s.entries {
+		e.signal(syscall.SIGTERM)
+		if err := e.startAfterExit(0); err != nil {
+			s.callers.reportFault("entry %s does not restart: %v", e.name, err)
+		}
+		s.eventually(readyTimeout, e.ready)
+	}
+}
+
 // processWaiter waits for a process to exit.
 type processWaiter struct {
 	command *exec.Cmd
--- a/internal/soak/bbrsoak/job.go
+++ b/internal/soak/bbrsoak/job.go
@@ -20,7 +20,7 @@
 	jobsPerLargeJob       = 40
 	jobsPerLongRunningJob = 80
 	// One in jobsPerCrashingJob jobs crashes its upstreams.
-	jobsPerCrashingJob = 60
+	jobsPerCrashingJob = 200
 	// smallMilliCPU is what a work unit of a small job needs, in thousandths of a core.
 	smallMilliCPU = 100
 	// A large work unit needs between minLargePercent and maxLargePercent of an
--- a/internal/soak/bbrsoak/soak.go
+++ b/internal/soak/bbrsoak/soak.go
@@ -26,9 +26,14 @@
 	// Duration is how long faults are injected.
 	Duration time.Duration
 	// DaemonPath is the file name of the entries' program.
-	DaemonPath    string
-	EntryCount    int
-	UpstreamCount int
+	DaemonPath string
+	// OlderDaemonPath is the program of an earlier build; empty for none. All entries
+	// begin with it, and every second start of an entry uses it until the faults end. Then
+	// all entries get the present build. Starts of work that crashes its upstreams are not
+	// limited in such runs, as the earlier build may not limit them.
+	OlderDaemonPath string
+	EntryCount      int
+	UpstreamCount   int
 	// CheckDelays makes work that waits too long count as a violation, too. This checks
 	// speed, and is meant for a machine that is not busy.
 	CheckDelays bool
@@ -41,7 +46,9 @@
 	// upstreamRelays are the relays in front of the upstreams.
 	upstreamRelays []*bbrrelay.Relay
 	callers        *callers
-	wg             sync.WaitGroup
+	// upgraded is set once all starts use the present build.
+	upgraded atomic.Bool
+	wg       sync.WaitGroup
 }
 
 // pools are the pools with queues; sparePool has the instances that are switched off.
@@ -80,6 +87,7 @@
 	s.wg.Go(func() { s.callers.run(callersCtx) })
 	s.injectFaults(ctx)
 	s.endFaults()
+	s.completeUpgrade()
 	s.checkWaves()
 	monitorCtx, stopMonitor := context.WithCancel(ctx)
 	monitor := newStallMonitor(s)
@@ -116,6 +124,7 @@
 		setup.Workers = append(setup.Workers, upstream)
 		setup.RegisteredAddresses = append(setup.RegisteredAddresses, address)
 	}
+	setup.UnlimitedCrashes = s.OlderDaemonPath != ""
 	s.fleet = bbrfleet.New(ctx, setup)
 	store, err := startServer(s.fleet.Handler())
 	if err != nil {
--- a/internal/standin/bbrfleet/fleet.go
+++ b/internal/standin/bbrfleet/fleet.go
@@ -31,7 +31,8 @@
 	units map[string]*unitRecord
 	// unitLimits has the jobs that belong together: all of them may run so many work
 	// units at the same time.
-	unitLimits map[string]int
+	unitLimits       map[string]int
+	unlimitedCrashes bool
 	// needs has what the work units of each step of declared jobs need.
 	needs map[string][]Amount
 	// violations describes the violations of the execution guarantees.
@@ -50,6 +51,9 @@
 	// RegisteredAddresses has the addresses under which the first upstreams register,
 	// such as those of relays; the others register the address of Workers.
 	RegisteredAddresses []netip.AddrPort
+	// UnlimitedCrashes means that starts of work units that crash their upstreams are
+	// not checked.
+	UnlimitedCrashes bool
 }
 
 func (c *Config) registeredAddress(number int) netip.AddrPort {
@@ -62,7 +66,7 @@
 // New returns a fleet whose upstreams execute work until ctx ends. Their HTTP
 // servers run until the process exits.
 func New(ctx context.Context, config Config) *Fleet {
-	f := &Fleet{ctx: ctx, maintenanceDone: make(map[string]bool), units: make(map[string]*unitRecord), unitLimits: make(map[string]int), needs: make(map[string][]Amount)}
+	f := &Fleet{ctx: ctx, maintenanceDone: make(map[string]bool), units: make(map[string]*unitRecord), unitLimits: make(map[string]int), needs: make(map[string][]Amount), unlimitedCrashes: config.UnlimitedCrashes}
 	for i, address := range config.Workers {
 		w := &worker{
 			fleet: f, name: fmt.Sprintf("m-%d", i+1), address: config.registeredAddress(i).String(),
