--- a/internal/job/bbrcrash/history.go
+++ b/internal/job/bbrcrash/history.go
@@ -17,8 +17,8 @@
 	// Run is the number of the work unit's run there.
 	Run int       `json:"run"`
 	At  time.Time `json:"at"`
-	// AgeMillis is how long the run had lasted, in milliseconds.
-	AgeMillis int64 `json:"ageMillis"`
+	// Age is how long the run had lasted.
+	Age time.Duration `json:"age"`
 	// Others counts the other runs that may have caused the crash.
 	Others int `json:"others,omitempty"`
 	// Youngest means that no run there was started noticeably later.
@@ -30,7 +30,7 @@
 
 // String returns a description for logs.
 func (c Crash) String() string {
-	return fmt.Sprintf("%s run %d after %d ms beside %d others", c.Upstream, c.Run, c.AgeMillis, c.Others)
+	return fmt.Sprintf("%s run %d after %d ms beside %d others", c.Upstream, c.Run, c.Age.Milliseconds(), c.Others)
 }
 
 // Trial is a run on an upstream that is reserved for it.
--- a/internal/job/bbrscheduler/crash.go
+++ b/internal/job/bbrscheduler/crash.go
@@ -109,7 +109,7 @@
 func (r *run) crash(suspects []*run, now time.Time) bbrcrash.Crash {
 	age := r.age(now)
 	crash := bbrcrash.Crash{
-		Upstream: r.up.ID, StartMillis: r.up.StartMillis, Run: r.number, At: now, AgeMillis: age.Milliseconds(),
+		Upstream: r.up.ID, StartMillis: r.up.StartMillis, Run: r.number, At: now, Age: age,
 		Youngest: !r.adopted, Certain: !r.confirmedAt.IsZero(),
 	}
 	for _, other := range suspects {
@@ -124,19 +124,22 @@
 	return crash
 }
 
-// accuse adds a crash to the history of a work unit, and gives its job up if the
-// history suffices.
+// accuse adds a crash to the history of a work unit whose job has not ended, and gives
+// the job up if the history suffices.
 func (sched *Scheduler) accuse(u *unit, crash bbrcrash.Crash, now time.Time) {
+	job := u.step.job
+	if job.finalState != "" {
+		return
+	}
 	u.crashes = append(u.crashes, crash)
 	u.trial, u.trialInherited = nil, false
 	sched.suspects[u] = true
 	sched.crashCounts.Accused++
-	sched.markCrashesChanged(u.step.job)
+	sched.markCrashesChanged(job)
 	standing := u.crashes.Standing()
 	if standing == bbrcrash.Clear {
 		return
 	}
-	job := u.step.job
 	sched.note(now, "Upstream crashed under a suspect", "job", job.ID, "unit", u.name().String(), "crash", crash.String(), "crashes", len(u.crashes), "standing", standing)
 	if standing == bbrcrash.GivenUp {
 		sched.crashCounts.GivenUp++
