job/bbrscheduler: an isolated unit that starts beside others is stored first, too

Cause: only a start alone was stored before it was sent, not that of a unit that had waited too long for an upstream of its own. Now the record names the upstream of either, and a successor counts its end. A reservation ends when its unit has waited too long. TestStartBesideOthersAfterCrashesIsStoredFirst.

--- a/internal/job/bbrscheduler/crash_test.go
+++ b/internal/job/bbrscheduler/crash_test.go
@@ -232,3 +232,21 @@
 // givenUpBound is the number of crashes within which a unit has to be given up: three,
 // and fewer than three starts after them.
 const givenUpBound = 5
+
+func TestStartBesideOthersAfterCrashesIsStoredFirst(t *testing.T) {
+	s := newScene(t, true, "i-1")
+	s.accept("00000000000000c1", unitStep(1))
+	s.answerStarts(s.plan(), nil)
+	s.accept(testJob, unitStep(1))
+	record := `{"suspects":[{"crashes":[{"upstream":"i-8","youngest":true,"certain":true,"others":3},{"upstream":"i-9","youngest":true,"certain":true,"others":3}]}]}`
+	require.True(t, s.sched.RestoreCrashes(testJob, []byte(record), s.now))
+	require.Empty(t, s.plan().Starts, "it waits for an upstream of its own")
+	s.advance(spreadPatience)
+	require.Empty(t, s.sched.Plan(true, s.now).Starts, "the reservation ends")
+	s.store()
+	require.Empty(t, s.sched.Plan(true, s.now).Starts)
+	writes := s.store()
+	require.Len(t, writes, 1)
+	require.Contains(t, string(writes[0].Crashes), `"trial":{"upstream":"i-1"`)
+	require.Len(t, s.sched.Plan(true, s.now).Starts, 1)
+}
--- a/internal/job/bbrscheduler/plan.go
+++ b/internal/job/bbrscheduler/plan.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/bluebellridge/bluebellridge/internal/job/bbrcrash"
 	"github.com/bluebellridge/bluebellridge/internal/job/bbrorder"
 	"github.com/bluebellridge/bluebellridge/internal/job/bbrwork"
 )
@@ -128,6 +129,12 @@
 		if !p.withinCap(s, 1) {
 			return
 		}
+		if u.crashes.Standing() == bbrcrash.Isolated {
+			if up := p.announcedUpstream(u); up != nil {
+				p.planStart(u, u.lastRun+1, up)
+			}
+			continue
+		}
 		up := p.chooseUpstream(u, nil)
 		if up == nil {
 			return
--- a/internal/job/bbrscheduler/trial.go
+++ b/internal/job/bbrscheduler/trial.go
@@ -74,7 +74,10 @@
 	if len(up.trialUnit.runs) > 0 {
 		return true
 	}
-	return up.registered && !up.Draining && up.reservedAt.IsZero() && up.lostAnswers < maxLostAnswers && now.Sub(up.trialSince) < maxTrialReservation
+	if up.trialUnit.trialOverdue(now) || now.Sub(up.trialSince) >= maxTrialReservation {
+		return false
+	}
+	return up.registered && !up.Draining && up.reservedAt.IsZero() && up.lostAnswers < maxLostAnswers
 }
 
 // isolatedUnits returns the idle work units that may start only alone: those with the
@@ -99,12 +102,12 @@
 	if j.finalState != "" || j.cancelled || p.mayHaveUnlocatedRuns(j) || !p.sched.mayStart(j) {
 		return false
 	}
-	return u.step.runnable(p.now) && !p.now.Before(u.notBefore) && !p.trialOverdue(u)
+	return u.step.runnable(p.now) && !p.now.Before(u.notBefore) && !u.trialOverdue(p.now)
 }
 
 // trialOverdue reports whether the work unit has waited too long for an upstream of
 // its own.
-func (p *planner) trialOverdue(u *unit) bool {
+func (u *unit) trialOverdue(now time.Time) bool {
 	patience := spreadPatience
 	switch {
 	case len(u.crashes) >= aloneFrom && u.step.spec.LongRunning:
@@ -112,7 +115,7 @@
 	case len(u.crashes) >= aloneFrom:
 		patience = alonePatience
 	}
-	return p.now.Sub(u.eligibleSince(u.step.runnableSince())) >= patience
+	return now.Sub(u.eligibleSince(u.step.runnableSince())) >= patience
 }
 
 // trialUpstream returns the upstream that is reserved for the work unit, or nil.
@@ -187,7 +190,23 @@
 	if len(u.crashes) == 0 {
 		return false
 	}
-	return !u.step.job.crashesStored() || u.crashes.Standing() == bbrcrash.Isolated && !u.step.spec.Gang && !p.trialOverdue(u)
+	return !u.step.job.crashesStored() || u.crashes.Standing() == bbrcrash.Isolated && !u.step.spec.Gang && !u.trialOverdue(p.now)
+}
+
+// announcedUpstream returns the upstream on which an isolated work unit that has waited
+// too long may start beside other work, or nil if there is none yet: the store has to
+// have the start first, as for a trial.
+func (p *planner) announcedUpstream(u *unit) *upstream {
+	for _, up := range p.usable {
+		if u.trial.On(up.Incarnation) && p.mayRun(u, up) {
+			return up
+		}
+	}
+	if up := p.chooseUpstream(u, nil); up != nil {
+		u.trial, u.trialInherited = &bbrcrash.Trial{Upstream: up.ID, StartMillis: up.StartMillis, Run: u.lastRun + 1}, false
+		p.sched.markCrashesChanged(u.step.job)
+	}
+	return nil
 }
 
 // suspected reports whether the work unit is to be spread away from other suspects.
