job/bbrscheduler: one lost answer long before a crash does not acquit what started since

An upstream counted as silent from the first lost answer to the next listing, and a run that was started in between as sent to an upstream that had crashed already.

The time of a failure is now that of the first of the answers lost in a row, which any answer ends.

--- a/internal/job/bbrscheduler/crash.go
+++ b/internal/job/bbrscheduler/crash.go
@@ -75,12 +75,14 @@
 	}
 }
 
-// failedAt returns when the upstream fell silent, or now if it has not.
+// failedAt returns since when the upstream has given no answer at all, or now if its
+// last one was not lost. A single answer that was lost before does not count: the
+// upstream may have crashed much later.
 func (up *upstream) failedAt(now time.Time) time.Time {
-	if up.silentSince.IsZero() {
+	if up.lostSince.IsZero() {
 		return now
 	}
-	return up.silentSince
+	return up.lostSince
 }
 
 // crashSuspects returns the runs that may have caused a crash of the upstream, the
@@ -90,7 +92,7 @@
 	var suspects []*run
 	for _, r := range append(runsByAge(up), up.lapsedSuspects...) {
 		u := r.unit
-		sentTooLate := !up.silentSince.IsZero() && !r.orderedAt.Before(up.silentSince)
+		sentTooLate := !up.lostSince.IsZero() && !r.orderedAt.Before(up.lostSince)
 		if !u.done && u.step.job.finalState == "" && !sentTooLate && !r.proven(up.failedAt(now)) {
 			suspects = append(suspects, r)
 		}
@@ -174,8 +176,8 @@
 	for _, other := range sched.upstreams {
 		switch {
 		case other == up:
-		case !other.silentSince.IsZero() && len(other.runs) > 0:
-			failures = append(failures, bbrcrash.Failure{At: other.silentSince, Rack: other.Rack(), Zone: other.Zone})
+		case !other.lostSince.IsZero() && len(other.runs) > 0:
+			failures = append(failures, bbrcrash.Failure{At: other.lostSince, Rack: other.Rack(), Zone: other.Zone})
 		case other.registered:
 			if other.Rack() == failure.Rack {
 				sameRack++
--- a/internal/job/bbrscheduler/lostruns.go
+++ b/internal/job/bbrscheduler/lostruns.go
@@ -33,10 +33,11 @@
 	return runs
 }
 
-// age returns how long the run has lasted at now, or until its upstream fell silent.
+// age returns how long the run has lasted at now, or until its upstream gave no answer
+// any more.
 func (r *run) age(now time.Time) time.Duration {
-	if silent := r.up.silentSince; silent.After(r.orderedAt) {
-		now = silent
+	if lost := r.up.lostSince; lost.After(r.orderedAt) {
+		now = lost
 	}
 	return now.Sub(r.orderedAt)
 }
--- a/internal/job/bbrscheduler/upstream.go
+++ b/internal/job/bbrscheduler/upstream.go
@@ -43,8 +43,10 @@
 	// lostAnswers counts the consecutive lost answers. silentSince is when the first
 	// renewal since the last listing failed, or a later start got no answer; zero
 	// if neither happened.
+	// lostSince is when the first of the consecutive answers was lost.
 	lostAnswers int
 	silentSince time.Time
+	lostSince   time.Time
 	// lapsedRuns has the runs that were dropped when the lease expired. Their ends
 	// no longer count.
 	lapsedRuns map[runKey]bool
@@ -72,13 +74,16 @@
 // time of the reading.
 func (up *upstream) recordClock(clock time.Duration, now time.Time) {
 	up.clock, up.clockAt = clock, now
-	up.lostAnswers = 0
+	up.lostAnswers, up.lostSince = 0, time.Time{}
 }
 
 // recordSilence records a call that was not answered, and reports whether it is the first
 // since the upstream last answered.
 func (up *upstream) recordSilence(now time.Time) bool {
 	up.lostAnswers++
+	if up.lostSince.IsZero() {
+		up.lostSince = now
+	}
 	first := up.silentSince.IsZero()
 	if first {
 		up.silentSince = now
