job/bbrcrash: harmless work among many crashes is not given up for their number

Two long-running jobs of harmless work were shown as failed, and their other units stopped beyond the availability budget.

Cause: the fourth crash gave a unit up whatever ran beside it. These had crashes at ages of 634, 45, 1694 and 20 ms, and of 2946, 1694, 2507 and 2 ms.

A unit is given up beside others only if it was among the youngest runs four times.

--- a/internal/job/bbrcrash/history.go
+++ b/internal/job/bbrcrash/history.go
@@ -80,12 +80,13 @@
 	// near a crashing unit, takes a crash more.
 	isolatedAfterYoungest = 2
 	isolatedAfter         = 3
-	// givenUpAfter is the number of crashes after which a work unit is given up whatever
-	// else ran there. One that was isolated is given up earlier, after a crash while it
-	// was alone.
-	givenUpAfter = 4
+	// A work unit that was isolated is given up after a crash while it was alone.
+	// givenUpAfterYoungest is the number of crashes beside others after which it is given
+	// up if it was among the youngest runs each time: harmless work near crashing work,
+	// long-running work above all, sees as many crashes, but at any age.
+	givenUpAfterYoungest = 4
 	// minCertain is the number of certain crashes without which no unit is given up
-	// after fewer than givenUpAfter crashes.
+	// for a crash alone.
 	minCertain = 2
 )
 
@@ -97,7 +98,7 @@
 	earlier, last := h[:len(h)-1], h[len(h)-1]
 	youngest, certain := h.counts()
 	switch {
-	case len(h) >= givenUpAfter, earlier.isolates() && last.Others == 0 && certain >= minCertain:
+	case youngest >= givenUpAfterYoungest, earlier.isolates() && last.Others == 0 && certain >= minCertain:
 		return GivenUp
 	case h.isolates():
 		return Isolated
