job/bbrscheduler: the start of every suspect is stored first, not only of isolated ones

Six starts under three owners: 18.946; 27.594, 28.141; 31.349, 32.804, 34.981 s.

Cause, by the starts: an owner ended after the crash of run 19 and before it was stored, as one had after run 1; the next one went on with one crash. With two lost, and the third one not alone, that is one start too many. The start of a suspect is now announced in the store from the first counted crash on, so that only crashes before that can be lost.

TestSuccessorCountsCrashUnderASuspect failed before. TestCrashIsStoredBeforeTheNextStart is stricter: the start needs two transactions, one with the crash and one with its place.

--- a/internal/job/bbrscheduler/crash_test.go
+++ b/internal/job/bbrscheduler/crash_test.go
@@ -135,6 +135,8 @@
 	require.Empty(t, sched.Plan(true, day.sim.now).Starts)
 	require.True(t, sched.Urgent())
 	day.owner.flush()
+	require.Empty(t, sched.Plan(true, day.sim.now).Starts, "the store has the crash, but not where the next start is to be")
+	day.owner.flush()
 	require.Len(t, sched.Plan(true, day.sim.now).Starts, 1)
 }
 
@@ -250,3 +252,14 @@
 	require.Contains(t, string(writes[0].Crashes), `"trial":{"upstream":"i-1"`)
 	require.Len(t, s.sched.Plan(true, s.now).Starts, 1)
 }
+
+func TestSuccessorCountsCrashUnderASuspect(t *testing.T) {
+	day := newCrashDay(t)
+	id := day.accept(1, true)
+	day.roundsUntil(t, func() bool { return len(day.unit(id).crashes) == 1 })
+	day.roundsUntil(t, func() bool { return day.sim.unit(bbrwork.Unit{Job: id}).crashes == 2 })
+	require.Len(t, day.unit(id).crashes, 1, "the owner has not noticed the crash")
+	day.takeOver()
+	day.roundsUntil(t, func() bool { return len(day.unit(id).crashes) == 2 })
+	require.Equal(t, 2, day.sim.unit(bbrwork.Unit{Job: id}).crashes)
+}
--- a/internal/job/bbrscheduler/plan.go
+++ b/internal/job/bbrscheduler/plan.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"github.com/bluebellridge/bluebellridge/internal/job/bbrcrash"
 	"github.com/bluebellridge/bluebellridge/internal/job/bbrorder"
 	"github.com/bluebellridge/bluebellridge/internal/job/bbrwork"
 )
@@ -129,7 +128,7 @@
 		if !p.withinCap(s, 1) {
 			return
 		}
-		if u.crashes.Standing() == bbrcrash.Isolated {
+		if u.suspected() {
 			if up := p.announcedUpstream(u); up != nil {
 				p.planStart(u, u.lastRun+1, up)
 			}
--- a/internal/job/bbrscheduler/trial.go
+++ b/internal/job/bbrscheduler/trial.go
@@ -193,9 +193,9 @@
 	return !u.step.job.crashesStored() || u.crashes.Standing() == bbrcrash.Isolated && !u.step.spec.Gang && !u.trialOverdue(p.now)
 }
 
-// announcedUpstream returns the upstream on which an isolated work unit that has waited
-// too long may start beside other work, or nil if there is none yet: the store has to
-// have the start first, as for a trial.
+// announcedUpstream returns the upstream on which a suspect may start beside other work,
+// or nil if there is none yet: the store has to have the start first, as for a trial, so
+// that a successor knows where the suspect ran.
 func (p *planner) announcedUpstream(u *unit) *upstream {
 	for _, up := range p.usable {
 		if u.trial.On(up.Incarnation) && p.mayRun(u, up) {
