--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -54,7 +54,7 @@
 }
 
 // runReborn: an idle minion crashes, starts again a second later under its id, and registers
-// at once; then a job comes.
+// at once; then some jobs come.
 func runReborn(folder, program, record string, trouble bool) ([]string, error) {
 	w, err := newWorld(folder, program, record, 8, 3)
 	if err != nil {
@@ -64,7 +64,11 @@
 	if err := w.startAll(); err != nil {
 		return nil, err
 	}
-	const rounds = 10
+	const (
+		rounds       = 10
+		jobsPerRound = 4
+		betweenJobs  = 60 * time.Millisecond
+	)
 	for round := range rounds {
 		m := w.minions[round%len(w.minions)]
 		if trouble {
@@ -77,11 +81,18 @@
 			}
 			w.log.note("minion %s starts again under its id", m.id)
 		}
-		j := &job{id: w.newID(), steps: []step{{Count: 48, CPU: 4000, MemMB: 4000, EstimateMs: 2000}}, duration: 2 * time.Second}
-		if !w.submit(j, round) {
-			return nil, fmt.Errorf("the job was not accepted")
+		var jobs []*job
+		for n := range jobsPerRound {
+			j := &job{id: w.newID(), steps: []step{{Count: 24, CPU: 2000, MemMB: 2000, EstimateMs: 2000}}, duration: 2 * time.Second}
+			if !w.submit(j, n) {
+				return nil, fmt.Errorf("a job was not accepted")
+			}
+			jobs = append(jobs, j)
+			time.Sleep(betweenJobs)
+		}
+		for n, j := range jobs {
+			waitFor(10*time.Second, func() bool { return w.state(j.id, n) == "completed" })
 		}
-		waitFor(20*time.Second, func() bool { return w.state(j.id, round) == "completed" })
 		time.Sleep(2 * time.Second)
 		if len(w.log.twice()) > 0 {
 			break
@@ -137,6 +148,13 @@
 		}
 	}
 	time.Sleep(finish)
+	used := 0
+	for _, m := range w.minions {
+		used += m.used()
+	}
+	if 2*used >= headroomCPU*len(w.minions) {
+		return nil, fmt.Errorf("half of the capacity is in use")
+	}
 	var violations []string
 	states := map[string]int{}
 	for i, j := range jobs {
@@ -150,10 +168,6 @@
 			violations = append(violations, fmt.Sprintf("LOST: job %s was accepted at %.3f and had nothing running for %s", j.id, w.log.seconds(accepted[j.id]), waited))
 		}
 	}
-	used := 0
-	for _, m := range w.minions {
-		used += m.runs()
-	}
-	w.log.note("%d s after the end of the traffic: %d jobs by state: %v; work units that run on all minions: %d", int(finish.Seconds()), len(jobs), states, used)
+	w.log.note("%d s after the end of the traffic: %d jobs by state: %v; %d thousandths of a core in use on %d minions", int(finish.Seconds()), len(jobs), states, used, len(w.minions))
 	return w.finish(violations), nil
 }
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -24,6 +24,7 @@
 	"ends":   runEnds,
 	"reborn": runReborn,
 	"repeat": runRepeat,
+	"due":    runDue,
 }
 
 func main() { os.Exit(run()) }
--- a/review/standin/minion.go
+++ b/review/standin/minion.go
@@ -356,6 +356,17 @@
 	return len(m.ends)
 }
 
+// used returns the CPU that the runs take, in thousandths of a core.
+func (m *minion) used() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	cpu := 0
+	for _, r := range m.running {
+		cpu += r.work.cpu
+	}
+	return cpu
+}
+
 func (m *minion) runs() int {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/review/standin/world.go
+++ b/review/standin/world.go
@@ -49,6 +49,9 @@
 	front    string
 	ready    string
 	settings string
+	// platform and machines are the addresses of the store and of the list of machines.
+	platform string
+	machines string
 	cmd      *exec.Cmd
 	done     chan struct{}
 	starts   int
@@ -60,7 +63,7 @@
 		return nil, err
 	}
 	w := &world{log: log, store: newStore(log), program: program, folder: folder, works: map[string]work{}}
-	w.configure()
+	w.writeConfig()
 	w.guard()
 	for n := range minions {
 		m := newMinion(w, n, service)
@@ -99,8 +102,8 @@
 	}()
 }
 
-// configure writes the operator's configuration.
-func (w *world) configure() {
+// writeConfig writes the operator's configuration.
+func (w *world) writeConfig() {
 	w.store.write("op/config", map[string]any{
 		"version": 3,
 		"routes": []map[string]any{{
@@ -162,23 +165,27 @@
 `
 
 func (w *world) newEntry(n int, machines string) (*entry, error) {
-	e := &entry{world: w, name: fmt.Sprintf("edge-%d", n+1), zone: zones[n%len(zones)]}
+	platform, err := serveOn(w.store.handler(fmt.Sprintf("edge-%d", n+1)))
+	if err != nil {
+		return nil, err
+	}
+	return &entry{world: w, name: fmt.Sprintf("edge-%d", n+1), zone: zones[n%len(zones)], platform: platform, machines: machines}, nil
+}
+
+// configure writes the settings with addresses whose ports are free.
+func (e *entry) configure() error {
 	var addresses []any
 	for range 4 {
 		address, err := freeAddress()
 		if err != nil {
-			return nil, err
+			return err
 		}
 		addresses = append(addresses, address)
 	}
 	e.front, e.ready = addresses[0].(string), addresses[1].(string)
-	platform, err := serveOn(w.store.handler(e.name))
-	if err != nil {
-		return nil, err
-	}
-	e.settings = filepath.Join(w.folder, e.name+".yaml")
-	text := fmt.Sprintf(settings, append(append([]any{e.name, e.zone}, addresses...), platform, machines)...)
-	return e, os.WriteFile(e.settings, []byte(text), 0o600)
+	e.settings = filepath.Join(e.world.folder, e.name+".yaml")
+	text := fmt.Sprintf(settings, append(append([]any{e.name, e.zone}, addresses...), e.platform, e.machines)...)
+	return os.WriteFile(e.settings, []byte(text), 0o600)
 }
 
 // start runs the process with the command of the deploy file.
@@ -227,20 +234,40 @@
 	return resp.StatusCode == http.StatusOK
 }
 
-// startAll starts all entries and waits until they are ready.
-func (w *world) startAll() error {
-	for _, e := range w.entries {
+// firstStart starts the process and waits until it is ready. Another process may take one of
+// its ports before it does; then it gets others.
+func (e *entry) firstStart() error {
+	for range 5 {
+		if err := e.configure(); err != nil {
+			return err
+		}
 		if err := e.start(); err != nil {
 			return err
 		}
+		waitFor(10*time.Second, func() bool { return e.isReady() || !e.running() })
+		if e.running() && e.isReady() {
+			return nil
+		}
+		_ = e.cmd.Process.Kill()
+		<-e.done
 	}
+	return fmt.Errorf("%s does not get ready", e.name)
+}
+
+// startAll starts all entries at about the same time and waits until they are ready.
+func (w *world) startAll() error {
+	results := make(chan error, len(w.entries))
 	for _, e := range w.entries {
-		if !waitFor(20*time.Second, e.isReady) {
-			return fmt.Errorf("%s does not get ready", e.name)
+		go func() { results <- e.firstStart() }()
+	}
+	var failed error
+	for range w.entries {
+		if err := <-results; err != nil {
+			failed = err
 		}
 	}
 	time.Sleep(3 * time.Second)
-	return nil
+	return failed
 }
 
 // stopAll ends all processes that the case started.
