--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -16,15 +16,19 @@
 	exitNotShown = 2
 )
 
+// recorded bounds the violations that the record names.
+const recorded = 30
+
 // limit bounds a case.
 const limit = 115 * time.Second
 
 // cases by name. A case returns the violations of its rule.
 var cases = map[string]func(folder, program, record string, trouble bool) ([]string, error){
-	"ends":   runEnds,
-	"reborn": runReborn,
-	"repeat": runRepeat,
-	"due":    runDue,
+	"ends":    runEnds,
+	"reborn":  runReborn,
+	"repeat":  runRepeat,
+	"due":     runDue,
+	"monthly": runMonthly,
 }
 
 func main() { os.Exit(run()) }
@@ -63,7 +67,7 @@
 // finish ends the entries, writes the violations to the record and returns them.
 func (w *world) finish(violations []string) []string {
 	w.stopAll()
-	for _, v := range violations {
+	for _, v := range violations[:min(len(violations), recorded)] {
 		w.log.note("%s", v)
 	}
 	w.log.note("%d violations", len(violations))
