review: case 5, a work unit that crashes minions is started too often across takeovers

A crash under a first start is recorded only when the incarnation is known to be gone; an owner that is killed before that leaves no trace of it.

--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -24,11 +24,11 @@
 
 // cases by name. A case returns the violations of its rule.
 var cases = map[string]func(folder, program, record string, trouble bool) ([]string, error){
-	"ends":    runEnds,
-	"reborn":  runReborn,
-	"repeat":  runRepeat,
-	"due":     runDue,
-	"monthly": runMonthly,
+	"ends":   runEnds,
+	"reborn": runReborn,
+	"repeat": runRepeat,
+	"due":    runDue,
+	"deadly": runDeadly,
 }
 
 func main() { os.Exit(run()) }
--- a/review/standin/minion.go
+++ b/review/standin/minion.go
@@ -27,6 +27,8 @@
 type work struct {
 	cpu, memMB int
 	duration   time.Duration
+	// deadly means that the work unit crashes each minion that starts it.
+	deadly bool
 	// until is when all work units of the job end; zero if each runs for duration.
 	until time.Time
 }
@@ -125,6 +127,12 @@
 	return m.up && m.born.Equal(born)
 }
 
+func (m *minion) isUp() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.up
+}
+
 func (m *minion) heartbeats(born time.Time) {
 	for range time.Tick(heartbeat) {
 		if !m.alive(born) {
@@ -274,6 +282,10 @@
 		endsAt = unit.until
 	}
 	record := m.world.log.started(o.Task, o.Run, m, o.Fence, known)
+	m.world.ordered(o.Fence)
+	if unit.deadly {
+		time.AfterFunc(deadlyAfter, func() { m.world.crashUnder(m, record) })
+	}
 	m.running[o.Task] = &activeRun{task: o.Task, run: o.Run, work: unit, started: now, endsAt: endsAt, record: record}
 	return http.StatusOK, ""
 }
--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -69,6 +69,8 @@
 	changed  chan struct{}
 	writes   bucket
 	reads    bucket
+	// writers has the entry that wrote each revision.
+	writers map[int64]string
 	// lastConditional names the entry that last wrote under a condition.
 	lastConditional string
 	// rejected counts transactions that exceeded a limit of the store.
@@ -78,7 +80,7 @@
 
 func newStore(log *recorder) *store {
 	s := &store{
-		items: map[string]item{}, leases: map[int64]*storeLease{}, revision: 1, changed: make(chan struct{}), log: log,
+		items: map[string]item{}, leases: map[int64]*storeLease{}, writers: map[int64]string{}, revision: 1, changed: make(chan struct{}), log: log,
 		writes: bucket{rate: writesPerSec}, reads: bucket{rate: readsPerSec},
 	}
 	go s.expireLoop()
@@ -319,6 +321,7 @@
 		s.lastConditional = entry
 	}
 	s.revision++
+	s.writers[s.revision] = entry
 	for _, p := range t.Puts {
 		s.put(p.Key, p.Value, p.Lease)
 	}
@@ -329,6 +332,14 @@
 	reply(w, http.StatusOK, map[string]any{"revision": s.revision})
 }
 
+// writerOf returns the entry that wrote the revision. A fence number is the revision with
+// which its holder became one.
+func (s *store) writerOf(revision int64) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.writers[revision]
+}
+
 // lastConditionalWriter returns the entry that last wrote under a condition.
 func (s *store) lastConditionalWriter() string {
 	s.mu.Lock()
--- a/review/standin/world.go
+++ b/review/standin/world.go
@@ -39,6 +39,10 @@
 	mu    sync.Mutex
 	works map[string]work
 	next  int
+	// lastFence is that of the last start that a minion carried out.
+	lastFence int64
+	// crashed is called after a minion has crashed under a deadly work unit.
+	crashed func(record *startRecord)
 }
 
 // entry is one process of the system.
@@ -54,7 +58,8 @@
 	machines string
 	cmd      *exec.Cmd
 	done     chan struct{}
-	starts   int
+	// startedAt is when the process was last started.
+	startedAt time.Time
 }
 
 func newWorld(folder, program, record string, minions, entries int) (*world, error) {
@@ -190,7 +195,7 @@
 
 // start runs the process with the command of the deploy file.
 func (e *entry) start() error {
-	e.starts++
+	e.startedAt = time.Now()
 	out, err := os.OpenFile(filepath.Join(e.world.folder, e.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return err
@@ -312,6 +317,7 @@
 	id       string
 	steps    []step
 	duration time.Duration
+	deadly   bool
 	until    time.Time
 	runCount int
 	first    time.Time
@@ -383,7 +389,7 @@
 // submit hands a job in and reports whether it was accepted.
 func (w *world) submit(j *job, first int) bool {
 	w.mu.Lock()
-	w.works[j.id] = work{cpu: j.steps[0].CPU, memMB: j.steps[0].MemMB, duration: j.duration, until: j.until}
+	w.works[j.id] = work{cpu: j.steps[0].CPU, memMB: j.steps[0].MemMB, duration: j.duration, until: j.until, deadly: j.deadly}
 	w.mu.Unlock()
 	body := map[string]any{"spec": "edition", "steps": j.steps}
 	if j.runCount > 0 {
