job/bbrscheduler: runs belong to an upstream's ID until its new incarnation has answered

Cause: a listing or registration with another start time ended all runs of the upstream, also those that the new incarnation had been sent and listed. On the same path: deadlines by the earlier clock give the new incarnation the longest lease, the owner counted a shorter one; an idle upstream was sent the acknowledgement of its earlier incarnation; unanswered starts were forgotten; an earlier start time was ignored for good; a list of instances ended starts that were sent after it had been requested.

Ruled out: overtaking answers (renewals are sequential).

Now a registration only announces a restart, and the listing of the new incarnation decides. TestWorkThatMayRunCountsForTheCap had the bound of the shorter lease for 'has certainly ended', which is wrong for a restarted upstream; it now has that of the longest one.

--- a/internal/daemon/bbrserve/owners.go
+++ b/internal/daemon/bbrserve/owners.go
@@ -136,6 +136,7 @@
 		Metrics:          d.metrics,
 		Timing: bbrscheduler.Timing{
 			RunLease:         min(maxRunLease, jobs.RunLease),
+			MaxRunLease:      jobs.RunLease,
 			StartTimeout:     startTimeout,
 			Handover:         bbrclaim.ConfirmationTTL,
 			StopTimeout:      jobs.StopTimeout,
--- a/internal/fleet/bbrmaintenance/model_test.go
+++ b/internal/fleet/bbrmaintenance/model_test.go
@@ -34,6 +34,7 @@
 
 var modelTiming = bbrscheduler.Timing{
 	RunLease:         4500 * time.Millisecond,
+	MaxRunLease:      6 * time.Second,
 	StartTimeout:     1500 * time.Millisecond,
 	Handover:         2200 * time.Millisecond,
 	StopTimeout:      900 * time.Millisecond,
--- a/internal/job/bbrscheduler/job.go
+++ b/internal/job/bbrscheduler/job.go
@@ -111,8 +111,12 @@
 	// orderedAt is when the start was sent. confirmedAt is when the start was
 	// answered or the run first listed, and later when a stop was answered.
 	orderedAt, confirmedAt time.Time
-	// startDeadline is the deadline of the start by the upstream's clock.
-	startDeadline time.Duration
+	// startDeadline is the deadline of the start by the upstream's clock, and
+	// earliestAnswer the earliest clock that the upstream can have in its answer.
+	startDeadline, earliestAnswer time.Duration
+	// moved means that the start was meant for an earlier incarnation of the upstream,
+	// whose clock startDeadline refers to.
+	moved bool
 	// percent and tailLatency are as last listed, at listedAt.
 	percent     int
 	tailLatency time.Duration
--- a/internal/job/bbrscheduler/listing.go
+++ b/internal/job/bbrscheduler/listing.go
@@ -1,6 +1,7 @@
 package bbrscheduler
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -11,16 +12,20 @@
 // at the time sent.
 func (sched *Scheduler) ApplyListing(incarnation bbrwork.Incarnation, listing *bbrwork.Listing, sent, now time.Time) {
 	up := sched.upstreams[incarnation.ID]
-	if up == nil || up.StartMillis != incarnation.StartMillis {
+	if up == nil || !up.isTarget(incarnation) {
 		return
 	}
-	if listing.StartMillis != 0 && up.StartMillis != 0 && listing.StartMillis != up.StartMillis {
-		sched.endUpstream(up, "reborn", now)
-		return
-	}
-	if listing.StartMillis != 0 {
-		up.StartMillis = listing.StartMillis
-	}
+	startMillis := cmp.Or(listing.StartMillis, incarnation.StartMillis)
+	switch {
+	case up.StartMillis == 0:
+		up.StartMillis = startMillis
+	case startMillis != up.StartMillis:
+		up = sched.restartUpstream(up, startMillis, listing, sent, now)
+	case up.target().Incarnation == incarnation:
+		// The known incarnation is alive: what announced another one was outdated.
+		up.announced = nil
+	}
+	up.restartSuspected, up.idled = false, false
 	up.recordClock(listing.Clock, now)
 	up.silentSince = time.Time{}
 	up.lapsedSuspects = nil
@@ -31,6 +36,7 @@
 	}
 	up.reached = true
 	sched.markLocated(incarnation, now)
+	sched.markLocated(up.Incarnation, now)
 }
 
 func (sched *Scheduler) applyEnds(up *upstream, ends []bbrwork.RunEnd, now time.Time) {
@@ -167,7 +173,7 @@
 	case phaseRunning, phaseStopping:
 		return !r.confirmedAt.IsZero() && r.confirmedAt.Before(sent)
 	case phaseUnknown:
-		return clock > r.startDeadline
+		return !r.moved && clock > r.startDeadline
 	default:
 		return false
 	}
@@ -216,7 +222,7 @@
 		r.pace = unknownPace
 	}
 	if up.leaseEnd.IsZero() {
-		up.leaseEnd = now.Add(leaseBound(sched.Timing.RunLease))
+		up.leaseEnd = now.Add(leaseBound(sched.Timing.MaxRunLease))
 	}
 	return r
 }
--- a/internal/job/bbrscheduler/plan.go
+++ b/internal/job/bbrscheduler/plan.go
@@ -246,7 +246,7 @@
 	ticket, _ := sched.ticketFor(u.step, up, p.now)
 	r := sched.addRun(u, run, up, p.now)
 	r.fromStart = u.checkpoint == ""
-	r.startDeadline = up.clockNow(p.now) + sched.Timing.StartTimeout
+	r.startDeadline, r.earliestAnswer = up.clockNow(p.now)+sched.Timing.StartTimeout, up.earliestClock(p.now)
 	if end := p.now.Add(leaseBound(sched.Timing.StartTimeout) + time.Duration(clockError*float64(p.now.Sub(up.clockAt)))); end.After(up.leaseEnd) {
 		up.leaseEnd = end
 	}
--- a/internal/job/bbrscheduler/property_test.go
+++ b/internal/job/bbrscheduler/property_test.go
@@ -182,10 +182,16 @@
 	}
 }
 
-func (d *driver) plan(*rapid.T) { d.planBy(d.owner()) }
+func (d *driver) plan(*rapid.T) {
+	o := d.owner()
+	d.register(o)
+	d.planBy(o)
+}
+
+// planUninformed plans before the owner learns of changes of the registrations.
+func (d *driver) planUninformed(*rapid.T) { d.planBy(d.owner()) }
 
 func (d *driver) planBy(o *simOwner) {
-	d.register(o)
 	plan := d.decide(o, o.confirmed())
 	d.checkGangs(plan.Starts)
 	d.requestAdvice(o, plan.AdviceRequests)
@@ -326,6 +332,12 @@
 	d.sim.boot(up.registration.ID, up.slowClock)
 }
 
+// rebootUnnoticed restarts an upstream and plans before the owner learns of it.
+func (d *driver) rebootUnnoticed(t *rapid.T) {
+	d.reboot(t)
+	d.planUninformed(t)
+}
+
 // resize lets the capacity of an upstream shrink, also below what runs there, or grow
 // again.
 func (d *driver) resize(*rapid.T) {
@@ -429,6 +441,7 @@
 			"accept":   d.acceptJob,
 			"plan":     d.plan,
 			"planMore": d.plan,
+			"planLate": d.planUninformed,
 			"hold":     d.renew,
 			"holdMore": d.renew,
 			"holdMost": d.renew,
@@ -441,6 +454,7 @@
 			"kill":     d.kill,
 			"cut":      d.toggleConnection,
 			"reboot":   d.reboot,
+			"rebootIt": d.rebootUnnoticed,
 			"resize":   d.resize,
 			"cancel":   d.cancel,
 			"":         d.check,
--- a/internal/job/bbrscheduler/quota_test.go
+++ b/internal/job/bbrscheduler/quota_test.go
@@ -81,7 +81,7 @@
 	s.acceptOf("00000000000000a3", "", 9, 1)
 	require.Equal(t, map[string]int{"00000000000000a3": 1}, startedBy(s.plan()))
 
-	s.advance(testTiming.Handover + leaseBound(testTiming.RunLease) + testTiming.StartTimeout)
+	s.advance(testTiming.Handover + leaseBound(testTiming.MaxRunLease) + testTiming.StartTimeout)
 	require.Equal(t, map[string]int{"00000000000000a1": 2}, startedBy(s.plan()), "the earlier owner's work has certainly ended")
 }
 
--- /dev/null
+++ b/internal/job/bbrscheduler/restart.go
@@ -0,0 +1,138 @@
+package bbrscheduler
+
+import (
+	"time"
+
+	"github.com/bluebellridge/bluebellridge/internal/job/bbrwork"
+)
+
+// An upstream may restart under its ID: the new incarnation has no runs and has seen
+// no fencing token, and its clock and the numbers of its ends begin anew. Until this
+// owner learns of it, the new incarnation receives and carries out orders that are
+// meant for the earlier one. So the runs of an upstream belong to its ID, until a
+// listing of the new incarnation shows which of them ended with the earlier one.
+
+// announceRestart records that the store lists another incarnation than the known one.
+func (sched *Scheduler) announceRestart(up *upstream, in bbrwork.Upstream, now time.Time) {
+	if up.announced != nil && up.announced.Incarnation == in.Incarnation {
+		up.announced = &in
+		return
+	}
+	// An incarnation that was not learned from a registration may be newer than this
+	// one: registrations are read late.
+	up.announcedLater = up.registered || in.StartMillis > up.StartMillis
+	up.announced, up.announcedAt = &in, now
+	if !up.announcedLater {
+		return
+	}
+	if len(up.runs) == 0 && !sched.unlocated[up.Incarnation] {
+		sched.endUpstream(up, "restarted", now)
+		return
+	}
+	sched.note(now, "Upstream announces a restart", "upstream", up.ID, "born", up.StartMillis, "announced", in.StartMillis, "runs", len(up.runs))
+	sched.boundRestartedLease(up, now)
+}
+
+// target returns the upstream as it is to be asked for its runs.
+func (up *upstream) target() bbrwork.Upstream {
+	if up.announced != nil && up.announcedLater {
+		return *up.announced
+	}
+	return up.Upstream
+}
+
+// isTarget reports whether a renewal for the incarnation was meant for this upstream.
+func (up *upstream) isTarget(incarnation bbrwork.Incarnation) bool {
+	return incarnation == up.Incarnation || up.announced != nil && incarnation == up.announced.Incarnation
+}
+
+// suspectRestart records that an answer had an earlier clock than the known
+// incarnation can have. Nothing is started until a listing shows who answers.
+func (sched *Scheduler) suspectRestart(up *upstream, now time.Time) {
+	if !up.restartSuspected {
+		sched.note(now, "Upstream's clock went back", "upstream", up.ID, "born", up.StartMillis, "runs", len(up.runs))
+	}
+	up.restartSuspected = true
+	up.clockAt = time.Time{}
+	sched.boundRestartedLease(up, now)
+}
+
+// boundRestartedLease extends the lease to the longest that upstreams allow. Deadlines
+// by the clock of an earlier incarnation are far in the future for its successor.
+func (sched *Scheduler) boundRestartedLease(up *upstream, now time.Time) {
+	if end := now.Add(leaseBound(sched.Timing.MaxRunLease)); len(up.runs) > 0 && end.After(up.leaseEnd) {
+		up.leaseEnd = end
+	}
+}
+
+// identified reports whether nothing suggests that another incarnation than the known
+// one answers.
+func (up *upstream) identified() bool { return up.announced == nil && !up.restartSuspected }
+
+// maySendAcknowledgement reports whether the next renewal certainly reaches the
+// incarnation whose ends it acknowledges. Another one would forget ends that nobody
+// has read.
+func (up *upstream) maySendAcknowledgement() bool {
+	return up.identified() && up.lostAnswers == 0 && !up.idled
+}
+
+// restartUpstream replaces the known incarnation by the one that answered with the
+// listing, requested at the time sent. Runs in the listing continue there, and starts
+// that were not answered before may still take effect there; all others have ended
+// with the known incarnation.
+func (sched *Scheduler) restartUpstream(old *upstream, startMillis int64, listing *bbrwork.Listing, sent, now time.Time) *upstream {
+	next := &upstream{Upstream: old.Upstream, runs: make(map[runKey]*run), reservedAt: old.reservedAt}
+	next.StartMillis = startMillis
+	if announced := old.announced; announced != nil && announced.StartMillis == startMillis {
+		next.Upstream, next.registered = *announced, true
+	} else {
+		next.announced, next.announcedLater, next.announcedAt = announced, old.announcedLater, old.announcedAt
+	}
+	old.announced = nil
+	for _, key := range listedRuns(listing) {
+		if r := old.runs[key]; r != nil {
+			r.moveTo(next)
+		}
+	}
+	sched.recordEnd(old, "restarted", now)
+	for _, r := range old.runs {
+		if r.mayTakeEffect(sent) {
+			r.moveTo(next)
+		}
+	}
+	sched.dropUpstream(old, now)
+	delete(sched.endedIncarnations, next.Incarnation)
+	sched.addUpstream(next, next.ID)
+	sched.boundRestartedLease(next, now)
+	return next
+}
+
+// listedRuns returns the runs that the listing names, also those that have ended.
+func listedRuns(listing *bbrwork.Listing) []runKey {
+	keys := make([]runKey, 0, len(listing.Running)+len(listing.Ended))
+	for _, running := range listing.Running {
+		keys = append(keys, runKey{running.Unit, running.Number})
+	}
+	for _, end := range listing.Ended {
+		keys = append(keys, runKey{end.Unit, end.Run})
+	}
+	return keys
+}
+
+// mayTakeEffect reports whether the start of a run may still be carried out after a
+// listing that was requested at the time sent.
+func (r *run) mayTakeEffect(sent time.Time) bool {
+	switch r.phase {
+	case phaseStarting, phaseUnknown:
+		return true
+	default:
+		return r.listedAt.IsZero() && !r.confirmedAt.Before(sent)
+	}
+}
+
+// moveTo moves the run to a later incarnation of its upstream.
+func (r *run) moveTo(next *upstream) {
+	r.up.release(r)
+	r.up, r.moved = next, true
+	next.allocate(r)
+}
--- a/internal/job/bbrscheduler/runs.go
+++ b/internal/job/bbrscheduler/runs.go
@@ -16,16 +16,31 @@
 	u.runs = append(u.runs, r)
 	u.lastRun = max(u.lastRun, number)
 	u.step.job.started = true
-	up.runs[runKey{u.name(), number}] = r
-	up.used = up.used.Plus(r.allocation)
+	up.allocate(r)
 	if account := sched.account(u.step.job); account != nil {
 		account.Used = account.Used.Plus(u.step.spec.Need)
 	}
-	if u.step.spec.LongRunning {
+	return r
+}
+
+// allocate adds a run to the upstream with the resources that it takes.
+func (up *upstream) allocate(r *run) {
+	up.runs[r.key()] = r
+	up.used = up.used.Plus(r.allocation)
+	if r.unit.step.spec.LongRunning {
 		up.longRunning++
 		up.longRunningUsage = up.longRunningUsage.Plus(r.allocation)
 	}
-	return r
+}
+
+// release removes a run from the upstream and frees its resources.
+func (up *upstream) release(r *run) {
+	delete(up.runs, r.key())
+	up.used = up.used.Minus(r.allocation)
+	if r.unit.step.spec.LongRunning {
+		up.longRunning--
+		up.longRunningUsage = up.longRunningUsage.Minus(r.allocation)
+	}
 }
 
 // dropRun removes a run that has certainly ended, and frees its resources.
@@ -42,15 +57,10 @@
 	if !u.done {
 		u.freedAt, u.slowCounted = now, false
 	}
-	delete(r.up.runs, runKey{u.name(), r.number})
-	r.up.used = r.up.used.Minus(r.allocation)
+	r.up.release(r)
 	if account := sched.account(u.step.job); account != nil {
 		account.Used = account.Used.Minus(u.step.spec.Need)
 	}
-	if u.step.spec.LongRunning {
-		r.up.longRunning--
-		r.up.longRunningUsage = r.up.longRunningUsage.Minus(r.allocation)
-	}
 }
 
 // runKey identifies a run on an upstream.
@@ -59,6 +69,8 @@
 	number int
 }
 
+func (r *run) key() runKey { return runKey{r.unit.name(), r.number} }
+
 // markChanged records that the job has to be stored.
 func (sched *Scheduler) markChanged(j *job) {
 	j.version++
--- a/internal/job/bbrscheduler/scheduler.go
+++ b/internal/job/bbrscheduler/scheduler.go
@@ -15,8 +15,10 @@
 // Timing has the durations with which the scheduler works.
 type Timing struct {
 	// RunLease is the length of the lease that a renewal grants to the runs on an
-	// upstream. It is at most what upstreams allow.
+	// upstream.
 	RunLease time.Duration
+	// MaxRunLease is the longest lease that upstreams allow, at least RunLease.
+	MaxRunLease time.Duration
 	// StartTimeout bounds the time that a start may be in transit.
 	StartTimeout time.Duration
 	// Handover is how long an earlier owner may still consider its claim valid
@@ -112,7 +114,7 @@
 		upstreams:         make(map[string]*upstream),
 		endedWithRuns:     make(map[string]*job),
 		claimedAt:         now,
-		earlierLeasesEnd:  now.Add(timing.Handover + leaseBound(timing.RunLease) + timing.StartTimeout),
+		earlierLeasesEnd:  now.Add(timing.Handover + leaseBound(timing.MaxRunLease) + timing.StartTimeout),
 		firstOwner:        firstOwner,
 		unlocated:         make(map[bbrwork.Incarnation]bool),
 		dirty:             make(map[string]*job),
@@ -179,7 +181,12 @@
 	sched.sorted = nil
 }
 
-func (sched *Scheduler) removeUpstream(id string) {
-	delete(sched.upstreams, id)
+// removeUpstream removes an upstream. Another incarnation that it announced takes its
+// place.
+func (sched *Scheduler) removeUpstream(up *upstream, now time.Time) {
+	delete(sched.upstreams, up.ID)
 	sched.sorted = nil
+	if up.announced != nil {
+		sched.RegisterUpstream(*up.announced, now)
+	}
 }
--- a/internal/job/bbrscheduler/scheduler_test.go
+++ b/internal/job/bbrscheduler/scheduler_test.go
@@ -15,6 +15,7 @@
 
 var testTiming = Timing{
 	RunLease:         4500 * time.Millisecond,
+	MaxRunLease:      6 * time.Second,
 	StartTimeout:     1500 * time.Millisecond,
 	Handover:         2200 * time.Millisecond,
 	StopTimeout:      900 * time.Millisecond,
--- a/internal/job/bbrscheduler/simulation_test.go
+++ b/internal/job/bbrscheduler/simulation_test.go
@@ -339,12 +339,18 @@
 	}
 }
 
-// checkFence applies the fencing token of an order.
+// extendLease extends the lease of the runs, at most by the longest that is allowed.
+func (u *simUpstream) extendLease(until time.Duration) {
+	u.lease = max(u.lease, min(until, u.clock()+testTiming.MaxRunLease))
+}
+
+// checkFence applies the fencing token of an order. Orders name an upstream by its ID
+// alone: those for an earlier incarnation are carried out.
 func (u *simUpstream) checkFence(incarnation bbrwork.Incarnation, token int64) error {
 	switch {
 	case !u.alive:
 		return bbrorder.ErrAnswerLost
-	case incarnation != u.registration.Incarnation:
+	case incarnation.ID != u.registration.ID:
 		return bbrorder.ErrOtherIncarnation
 	case token < u.token:
 		return bbrorder.ErrFenced
@@ -364,14 +370,14 @@
 	case order.Start.Until < u.clock():
 		return bbrorder.ErrExpired
 	case order.Start.Run <= u.ended[order.Start.Unit]:
-		u.lease = max(u.lease, order.Start.Until)
+		u.extendLease(order.Start.Until)
 		return bbrorder.ErrStaleRun
 	case !u.acceptsTicket(order.Start):
 		return bbrorder.ErrTicketRejected
 	}
 	u.sim.checkStart(order.Start.Unit, u)
 	u.checkUpstream(order.Start.Unit)
-	u.lease = max(u.lease, order.Start.Until)
+	u.extendLease(order.Start.Until)
 	u.runs[key] = &simRun{unit: order.Start.Unit, number: order.Start.Run, ends: u.clock() + length, outcome: outcome}
 	u.sim.unit(order.Start.Unit).lastStart = u.sim.now
 	if u.sim.crashing[order.Start.Unit] && u.crashAt == 0 {
@@ -473,7 +479,7 @@
 	if err := u.checkFence(incarnation, renewal.Token); err != nil {
 		return bbrwork.Listing{}, err
 	}
-	u.lease = max(u.lease, renewal.Until)
+	u.extendLease(renewal.Until)
 	u.acknowledgeEnds(renewal.Acknowledged)
 	listing := bbrwork.Listing{Clock: u.clock(), StartMillis: u.registration.StartMillis}
 	for _, run := range u.sorted() {
--- a/internal/job/bbrscheduler/startresult.go
+++ b/internal/job/bbrscheduler/startresult.go
@@ -26,14 +26,14 @@
 // 0 if the answer has none.
 func (sched *Scheduler) ApplyStartResult(order StartOrder, clock time.Duration, err error, now time.Time) {
 	up := sched.upstreams[order.Upstream.ID]
-	if up == nil || up.StartMillis != order.Upstream.StartMillis {
+	if up == nil {
 		return
 	}
-	up.startsInFlight--
-	if clock != 0 {
-		up.recordClock(clock, now)
-	}
 	r := up.runs[runKey{order.Start.Unit, order.Start.Run}]
+	if up.StartMillis == order.Upstream.StartMillis {
+		up.startsInFlight--
+		sched.applyStartClock(up, r, clock, now)
+	}
 	if r == nil {
 		return
 	}
@@ -54,14 +54,27 @@
 	sched.startFailed(r, err, now)
 }
 
+// applyStartClock applies the upstream's clock in the answer to the start of a run. An
+// upstream that may have restarted tells its clock only with its next listing.
+func (sched *Scheduler) applyStartClock(up *upstream, r *run, clock time.Duration, now time.Time) {
+	switch {
+	case clock == 0 || up.restartSuspected:
+	case r != nil && clock < r.earliestAnswer:
+		sched.suspectRestart(up, now)
+	default:
+		up.recordClock(clock, now)
+	}
+}
+
 func (sched *Scheduler) startFailed(r *run, err error, now time.Time) {
 	up := r.up
 	switch {
 	case errors.Is(err, bbrorder.ErrAnswerLost):
 		r.phase = phaseUnknown
 		up.recordSilence(now)
+		sched.boundRestartedLease(up, now)
 		return
-	case errors.Is(err, bbrorder.ErrOtherIncarnation):
+	case errors.Is(err, bbrorder.ErrOtherIncarnation) && !r.moved:
 		sched.endUpstream(up, "another life answers at its address", now)
 		return
 	case errors.Is(err, bbrorder.ErrNoCapacity):
@@ -85,10 +98,14 @@
 // ApplyRenewalFailure applies a failed lease renewal for the incarnation.
 func (sched *Scheduler) ApplyRenewalFailure(incarnation bbrwork.Incarnation, err error, now time.Time) {
 	up := sched.upstreams[incarnation.ID]
-	if up == nil || up.StartMillis != incarnation.StartMillis {
+	if up == nil || !up.isTarget(incarnation) {
 		return
 	}
 	if errors.Is(err, bbrorder.ErrOtherIncarnation) {
+		if up.announced != nil && up.announced.Incarnation == incarnation {
+			up.announced = nil
+			sched.endedIncarnations[incarnation] = true
+		}
 		sched.endUpstream(up, "another life answers at its address", now)
 		return
 	}
--- a/internal/job/bbrscheduler/stops.go
+++ b/internal/job/bbrscheduler/stops.go
@@ -44,6 +44,8 @@
 		return "second run"
 	case r.stopReason != "":
 		return r.stopReason
+	case r.moved && r.phase == phaseUnknown:
+		return "the upstream restarted and may still start it"
 	case r.up.Draining && u.step.spec.LongRunning && r.phase == phaseRunning:
 		return "upstream drains"
 	case !r.up.reservedAt.IsZero() && r.phase == phaseRunning && sched.shouldEvacuate(r, now):
--- a/internal/job/bbrscheduler/upstream.go
+++ b/internal/job/bbrscheduler/upstream.go
@@ -59,6 +59,17 @@
 	trialSince time.Time
 	// orphans has the listed runs of unknown jobs.
 	orphans map[runKey]*orphan
+	// announced is the registration of another incarnation under the same ID, since
+	// announcedAt; nil for none. announcedLater means that it is certainly later than
+	// the known one.
+	announced      *bbrwork.Upstream
+	announcedLater bool
+	announcedAt    time.Time
+	// restartSuspected means that an answer had an earlier clock than possible. It is
+	// false again after the next listing.
+	restartSuspected bool
+	// idled means that no renewal was needed since the last listing.
+	idled bool
 }
 
 // clockKnown reports whether the upstream's clock is known.
@@ -70,6 +81,11 @@
 	return up.clock + now.Sub(up.clockAt)
 }
 
+// earliestClock returns the earliest clock that the upstream can have now.
+func (up *upstream) earliestClock(now time.Time) time.Duration {
+	return up.clockNow(now) - time.Duration(clockError*float64(now.Sub(up.clockAt))) - clockMargin
+}
+
 // recordClock records the upstream's clock, with the arrival of the answer as the
 // time of the reading.
 func (up *upstream) recordClock(clock time.Duration, now time.Time) {
@@ -102,19 +118,15 @@
 
 func (up *upstream) capacity() bbrwork.Resources { return up.Capacity }
 
-// RegisterUpstream records that the store lists an upstream. A newer incarnation
-// under the same ID ends everything that ran in the earlier one.
+// RegisterUpstream records that the store lists an upstream.
 func (sched *Scheduler) RegisterUpstream(in bbrwork.Upstream, now time.Time) {
 	if sched.endedIncarnations[in.Incarnation] {
 		return
 	}
 	known := sched.upstreams[in.ID]
 	if known != nil && known.StartMillis != in.StartMillis && known.StartMillis != 0 {
-		if in.StartMillis < known.StartMillis {
-			return
-		}
-		sched.endUpstream(known, "reborn", now)
-		known = nil
+		sched.announceRestart(known, in, now)
+		return
 	}
 	if known == nil {
 		known = &upstream{runs: make(map[runKey]*run)}
@@ -136,9 +148,9 @@
 	if up == nil {
 		return
 	}
-	up.registered, up.unregisteredAt = false, now
+	up.registered, up.unregisteredAt, up.announced = false, now, nil
 	if len(up.runs) == 0 && up.reached && len(up.lapsedRuns) == 0 {
-		sched.removeUpstream(id)
+		sched.removeUpstream(up, now)
 	}
 }
 
@@ -186,11 +198,15 @@
 
 // Unverified returns the incarnations whose existence matters and is in doubt:
 // those recorded by an earlier owner that do not answer this one, and silent ones
-// with runs.
+// with runs. Incarnations that received orders, or announced a restart, at now or
+// later are left out.
 func (sched *Scheduler) Unverified(now time.Time) []bbrwork.Incarnation {
 	var incarnations []bbrwork.Incarnation
 	for _, up := range sched.sortedUpstreams() {
-		silent := len(up.runs) > 0 && !up.silentSince.IsZero() && now.Sub(up.silentSince) > verifyAfter
+		if !up.announcedAt.Before(now) || up.orderedSince(now) {
+			continue
+		}
+		silent := len(up.runs) > 0 && up.silentFor(now) > verifyAfter
 		if silent || sched.unlocated[up.Incarnation] && up.lostAnswers > 0 {
 			incarnations = append(incarnations, up.Incarnation)
 		}
@@ -198,17 +214,45 @@
 	return incarnations
 }
 
-// endUpstream drops an incarnation with all its runs.
+// silentFor returns how long the upstream has been silent.
+func (up *upstream) silentFor(now time.Time) time.Duration {
+	if up.silentSince.IsZero() {
+		return 0
+	}
+	return now.Sub(up.silentSince)
+}
+
+// orderedSince reports whether a start was sent at the time or later.
+func (up *upstream) orderedSince(at time.Time) bool {
+	for _, r := range up.runs {
+		if !r.adopted && !r.orderedAt.Before(at) {
+			return true
+		}
+	}
+	return false
+}
+
+// endUpstream drops an incarnation that has ended with all its runs.
 func (sched *Scheduler) endUpstream(up *upstream, reason string, now time.Time) {
+	sched.recordEnd(up, reason, now)
+	sched.dropUpstream(up, now)
+}
+
+// recordEnd records that an incarnation has ended, and what may have caused it.
+func (sched *Scheduler) recordEnd(up *upstream, reason string, now time.Time) {
 	sched.note(now, "Upstream incarnation ended", "upstream", up.ID, "born", up.StartMillis, "reason", reason, "runs", len(up.runs),
 		"reserved", !up.reservedAt.IsZero(), "draining", up.Draining, "youngest", describeLostRuns(up, now))
 	sched.recordCrash(up, now)
+}
+
+// dropUpstream drops an incarnation that has ended, with the runs that it has left.
+func (sched *Scheduler) dropUpstream(up *upstream, now time.Time) {
 	for _, r := range up.runs {
 		sched.dropRun(r, now)
 	}
-	sched.removeUpstream(up.ID)
 	sched.endedIncarnations[up.Incarnation] = true
 	sched.markLocated(up.Incarnation, now)
+	sched.removeUpstream(up, now)
 }
 
 // markLocated records that the runs of an incarnation are known.
@@ -246,7 +290,7 @@
 		if !up.registered && !up.reached {
 			sched.note(now, "Upstream dropped", "upstream", up.ID, "reason", "unregistered and never reached")
 			sched.accuseInheritedTrials(up.Incarnation, now)
-			sched.removeUpstream(up.ID)
+			sched.removeUpstream(up, now)
 		}
 	}
 }
@@ -256,9 +300,9 @@
 const unregisteredRetention = time.Minute
 
 func (sched *Scheduler) forgetUnregistered(now time.Time) {
-	for id, up := range sched.upstreams {
+	for _, up := range sched.upstreams {
 		if !up.registered && up.reached && len(up.runs) == 0 && now.Sub(up.unregisteredAt) > unregisteredRetention {
-			sched.removeUpstream(id)
+			sched.removeUpstream(up, now)
 		}
 	}
 }
@@ -277,6 +321,9 @@
 		sched.dropRun(r, now)
 	}
 	up.leaseEnd = time.Time{}
+	if up.announced != nil && up.announcedLater {
+		sched.endUpstream(up, "restarted", now)
+	}
 }
 
 // RenewalPlan is the content of a lease renewal for an upstream.
@@ -302,15 +349,22 @@
 		return RenewalPlan{}, false
 	}
 	plan := RenewalPlan{
-		Upstream:     up.Upstream,
-		Acknowledged: up.acknowledged,
-		HasOrphans:   len(up.orphans) > 0,
-		Idle:         len(up.runs) == 0 && len(up.orphans) == 0 && !sched.unlocated[up.Incarnation] && (!up.registered || up.acknowledged == up.applied && up.reached && up.lostAnswers == 0),
-		HasRuns:      len(up.runs) > 0,
-	}
-	// An upstream that does not answer is only queried: every extension that may
-	// reach it would postpone the time from which its work can start elsewhere.
-	if up.clockKnown() && confirmed && len(up.runs) > 0 && up.lostAnswers == 0 {
+		Upstream:   up.target(),
+		HasOrphans: len(up.orphans) > 0,
+		Idle:       len(up.runs) == 0 && len(up.orphans) == 0 && !sched.unlocated[up.Incarnation] && up.identified() && (!up.registered || up.acknowledged == up.applied && up.reached && up.lostAnswers == 0),
+		HasRuns:    len(up.runs) > 0,
+	}
+	if plan.Idle {
+		up.idled = true
+		return plan, true
+	}
+	if up.maySendAcknowledgement() {
+		plan.Acknowledged = up.acknowledged
+	}
+	// An upstream that does not answer, or may have restarted, is only queried: every
+	// extension that may reach it would postpone the time from which its work can start
+	// elsewhere.
+	if up.clockKnown() && confirmed && len(up.runs) > 0 && up.lostAnswers == 0 && up.identified() {
 		plan.LeaseUntil = up.clockNow(now) + sched.Timing.RunLease
 		sched.extendLease(up, now)
 	}
--- a/internal/job/bbrscheduler/usable.go
+++ b/internal/job/bbrscheduler/usable.go
@@ -35,11 +35,11 @@
 		return excludedDraining
 	case !up.reservedAt.IsZero():
 		return excludedReserved
-	case !up.reached || !up.clockKnown():
+	case !up.reached || !up.clockKnown() || !up.identified():
 		return excludedUnreached
 	case len(up.orphans) > 0:
 		return excludedOrphans
-	case up.lostAnswers >= maxLostAnswers:
+	case up.lostAnswers >= maxLostAnswers || up.silentFor(p.now) > verifyAfter:
 		return excludedSilent
 	case p.now.Before(up.fullUntil):
 		return excludedFull
