--- a/internal/job/bbrintake/acceptor.go
+++ b/internal/job/bbrintake/acceptor.go
@@ -32,6 +32,8 @@
 // submission is a job that waits to be stored.
 type submission struct {
 	job *bbrwork.Job
+	// record is the job's value in the store.
+	record []byte
 	// deadline is the end of the caller's timeout.
 	deadline time.Time
 	// result receives the code of the answer.
@@ -56,7 +58,12 @@
 // Accept stores the job. It returns the code of the answer and, if known, the revision
 // at which the job was stored, otherwise 0. The caller's timeout ends at deadline.
 func (a *Acceptor) Accept(job *bbrwork.Job, deadline time.Time) (bbrcode.Code, bbrkv.Revision) {
-	s := &submission{job: job, deadline: deadline, result: make(chan bbrcode.Code, 1)}
+	record, err := bbrrecord.EncodeJob(job)
+	if err != nil {
+		klog.InfoS("Refusing a job that cannot be encoded", "job", job.ID, "reason", err.Error())
+		return bbrcode.BadJob, 0
+	}
+	s := &submission{job: job, record: record, deadline: deadline, result: make(chan bbrcode.Code, 1)}
 	select {
 	case a.waiting <- s:
 	default:
@@ -218,7 +225,7 @@
 		transaction.Conditions = append(transaction.Conditions, bbrkv.Condition{Key: bbrrecord.StatusKey(s.job.ID)})
 		transaction.Puts = append(transaction.Puts,
 			bbrkv.Put{Key: bbrrecord.StatusKey(s.job.ID), Value: bbrrecord.Encode(bbrrecord.StatusOf(s.job))},
-			bbrkv.Put{Key: bbrrecord.JobKey(s.job.Shard(), s.job.ID), Value: bbrrecord.Encode(s.job)})
+			bbrkv.Put{Key: bbrrecord.JobKey(s.job.Shard(), s.job.ID), Value: s.record})
 	}
 	return transaction
 }
--- a/internal/job/bbrintake/acceptor_test.go
+++ b/internal/job/bbrintake/acceptor_test.go
@@ -124,3 +124,13 @@
 	require.Equal(t, []bbrcode.Code{bbrcode.StoreWriteUnknown}, codes)
 	require.Less(t, elapsed, 2*unknownTimeout)
 }
+
+// TestJobThatCannotBeEncodedIsRefused guards against an entry that ends on a job with a
+// due time after the year 9999, and takes others down when its client tries again there.
+func TestJobThatCannotBeEncodedIsRefused(t *testing.T) {
+	store := &scriptedStore{keys: make(map[string]bool)}
+	acceptor := NewAcceptor(&bbrkv.Store{Commit: store.commit})
+	due := bbrwork.Schedule{Count: 1, First: time.UnixMilli(1_780_000_000_000_000)}
+	code, _ := acceptor.Accept(&bbrwork.Job{ID: "00000000000000a1", Schedule: due}, time.Now().Add(time.Second))
+	require.Equal(t, bbrcode.BadJob, code)
+}
--- a/internal/job/bbrrecord/record.go
+++ b/internal/job/bbrrecord/record.go
@@ -65,11 +65,16 @@
 	Demand bbrscheduler.Demand `json:"demand"`
 }
 
-// Encode returns the record's value in the store.
+// EncodeJob returns the job's value in the store. It returns an error if the job has a
+// value that cannot be encoded, such as a time after the year 9999.
+func EncodeJob(job *bbrwork.Job) ([]byte, error) { return json.Marshal(job) }
+
+// Encode returns the record's value in the store. Jobs are encoded with EncodeJob, as
+// their values come from callers.
 func Encode(record any) []byte {
 	data, err := json.Marshal(record)
 	if err != nil {
-		panic(err) // All types in records can be encoded.
+		panic(err) // Unreachable: the entry itself sets all values of records.
 	}
 	return data
 }
