job/bbrscheduler: the progress of a job fits the store's largest value

Cause: progress had an entry for each occurrence, begun or not, a takeover stored a run number for each work unit, nothing bounded the value, and a refusal that can't end was repeated silently.

Now what has not begun is left out, and long progress has a compact form (one bit a work unit), so that values fit by construction; checkpoints and failures that find no room are left out with a log line. Crash records and job records are bounded too, the bound is the setting platform.valueBytes. Earlier builds read the form that they know, unless that would take more than half of the largest value. A negative occurrence in a stored record no longer ends its reader.

TestProgressOfScheduledJobFitsTheStore fails before.

--- a/internal/config/bbrsettings/parse.go
+++ b/internal/config/bbrsettings/parse.go
@@ -13,6 +13,7 @@
 	minFence       = 3 * time.Second
 	maxDuration    = time.Hour
 	minTokenLength = 16
+	minValueBytes  = 64 << 10
 	maxInProgress  = 100_000
 	maxBodyBytes   = 16 << 20
 	maxKeys        = 1_000_000
@@ -71,6 +72,7 @@
 		c.address(s.Listen.Metrics, "listen.metrics")
 		c.address(s.Platform.Address, "platform.address")
 		c.address(s.Platform.Instances, "platform.machines")
+		c.size(int64(s.Platform.MaxValueBytes), minValueBytes, 1<<30, "platform.valueBytes")
 		c.require(!s.Listen.Peers.Addr().IsUnspecified(), bbrcode.SettingsInvalid, "listen.peers", "must be an address that the other entries can reach")
 		c.jobs(s.Jobs)
 	default:
--- a/internal/config/bbrsettings/settings.go
+++ b/internal/config/bbrsettings/settings.go
@@ -88,6 +88,8 @@
 	// Timeout limits each call.
 	Timeout  time.Duration `yaml:"timeout"`
 	Protocol Protocol      `yaml:"protocol"`
+	// MaxValueBytes is the size of the largest value that the platform's store takes.
+	MaxValueBytes int `yaml:"valueBytes"`
 	// Instances and Advice are the addresses of the services that only the fleet
 	// protocol uses.
 	Instances netip.AddrPort `yaml:"machines"`
@@ -146,7 +148,7 @@
 // Default returns the default settings.
 func Default() Settings {
 	return Settings{
-		Platform: Platform{Timeout: 2 * time.Second, Protocol: ProtocolOwn},
+		Platform: Platform{Timeout: 2 * time.Second, Protocol: ProtocolOwn, MaxValueBytes: 1 << 20},
 		Limits: Limits{
 			HeaderBytes:     32 << 10,
 			BodyBytes:       1 << 20,
--- a/internal/daemon/bbrserve/daemon.go
+++ b/internal/daemon/bbrserve/daemon.go
@@ -80,6 +80,7 @@
 				session.RecordServed(time.Now())
 			}
 		})
+	store.MaxValueBytes = settings.Platform.MaxValueBytes
 	session.Store = store
 	d := &daemon{
 		settings:     settings,
--- a/internal/job/bbrintake/acceptor.go
+++ b/internal/job/bbrintake/acceptor.go
@@ -63,6 +63,10 @@
 		klog.InfoS("Refusing a job that cannot be encoded", "job", job.ID, "reason", err.Error())
 		return bbrcode.BadJob, 0
 	}
+	if limit := a.Store.MaxValueBytes; limit > 0 && len(record) > limit {
+		klog.InfoS("Refusing a job that exceeds the store's largest value", "job", job.ID, "bytes", len(record), "limit", limit)
+		return bbrcode.BadJob, 0
+	}
 	s := &submission{job: job, record: record, deadline: deadline, result: make(chan bbrcode.Code, 1)}
 	select {
 	case a.waiting <- s:
--- a/internal/job/bbrowner/flusher.go
+++ b/internal/job/bbrowner/flusher.go
@@ -311,6 +311,9 @@
 			answerLost = true
 		case !answerLost:
 			f.owner.Metrics.Event("flush:refused")
+			if errors.Is(err, bbrkv.ErrInvalid) {
+				klog.ErrorS(err, "The store rejects a transaction as invalid", "shard", f.owner.Shard, "token", f.owner.Held.Token, "puts", len(transaction.Puts), "removals", len(transaction.Removals), "largest", largestValue(transaction))
+			}
 			return 0, err
 		}
 		f.owner.Metrics.Event("flush:unsettled")
@@ -321,6 +324,15 @@
 	}
 }
 
+// largestValue returns the size of the transaction's largest value.
+func largestValue(transaction bbrkv.Transaction) int {
+	largest := 0
+	for _, put := range transaction.Puts {
+		largest = max(largest, len(put.Value))
+	}
+	return largest
+}
+
 // resolveConflict decides what a conflict means: that an earlier attempt whose answer
 // was lost was committed, or that another owner has the shard.
 func (f *flusher) resolveConflict(conflict *bbrkv.Conflict, number int64, answerLost bool) (bbrkv.Revision, error) {
--- a/internal/job/bbrowner/owner.go
+++ b/internal/job/bbrowner/owner.go
@@ -322,6 +322,7 @@
 	defer o.mu.Unlock()
 	o.commits.revision = sequence.Revision
 	o.scheduler = bbrscheduler.New(o.Shard, int64(o.Held.Token), o.Timing, firstOwner, start)
+	o.scheduler.MaxValueBytes = o.Store.MaxValueBytes
 	if config := o.Config(); config != nil {
 		o.configVersion = config.Version
 		o.scheduler.SetConfig(config)
--- a/internal/job/bbrscheduler/crashrecord.go
+++ b/internal/job/bbrscheduler/crashrecord.go
@@ -1,7 +1,9 @@
 package bbrscheduler
 
 import (
+	"cmp"
 	"encoding/json"
+	"slices"
 	"time"
 
 	"github.com/bluebellridge/bluebellridge/internal/job/bbrcrash"
@@ -17,8 +19,9 @@
 // crashesStored reports whether the store has the crash record as it is.
 func (j *job) crashesStored() bool { return j.crashVersion == j.storedCrashVersion }
 
-// crashRecord returns the crash record to store; nil if the job has no suspects.
-func (j *job) crashRecord() []byte {
+// crashRecord returns the crash record to store, at most maxBytes long; nil if the job
+// has no suspects. If it is too long, the suspects with the fewest crashes are left out.
+func (j *job) crashRecord(maxBytes int) []byte {
 	var record bbrcrash.Record
 	for _, o := range j.occurrences {
 		for _, s := range o.steps {
@@ -32,6 +35,19 @@
 	if len(record.Suspects) == 0 {
 		return nil
 	}
+	data := encodeCrashRecord(record)
+	if len(data) <= maxBytes {
+		return data
+	}
+	slices.SortStableFunc(record.Suspects, func(a, b bbrcrash.Suspect) int { return cmp.Compare(len(b.Crashes), len(a.Crashes)) })
+	for len(data) > maxBytes && len(record.Suspects) > 1 {
+		record.Suspects = record.Suspects[:len(record.Suspects)/2]
+		data = encodeCrashRecord(record)
+	}
+	return data
+}
+
+func encodeCrashRecord(record bbrcrash.Record) []byte {
 	data, err := json.Marshal(record)
 	if err != nil {
 		panic(err) // Unreachable: strings, numbers and times can always be encoded.
--- a/internal/job/bbrscheduler/progress.go
+++ b/internal/job/bbrscheduler/progress.go
@@ -5,9 +5,13 @@
 	"time"
 )
 
-// Progress is the stored progress of a job.
+// Progress is the stored progress of a job. Occurrences of which nothing has begun are
+// left out.
 type Progress struct {
 	Occurrences map[int][]StepProgress `json:"occurrences"`
+	// Compact is set instead of Occurrences if these would take too much room. Earlier
+	// versions do not know it.
+	Compact *CompactProgress `json:"compact,omitempty"`
 }
 
 // StepProgress is the progress of one step in one occurrence.
@@ -21,18 +25,70 @@
 	Checkpoints map[int]string `json:"checkpoints,omitempty"`
 }
 
-func (j *job) progress() []byte {
-	if j.finalState != "" {
-		return nil
+// CompactProgress is the progress of a job with many work units, which are numbered
+// over all occurrences and steps.
+type CompactProgress struct {
+	// Done has one bit for each work unit.
+	Done []byte `json:"done"`
+	// LastRun is the highest known run number of any work unit.
+	LastRun     int            `json:"last,omitempty"`
+	FailedRuns  map[int][]int  `json:"failed,omitempty"`
+	Checkpoints map[int]string `json:"checkpoints,omitempty"`
+}
+
+const (
+	// defaultMaxValueBytes bounds a value in the store if no other bound is set.
+	defaultMaxValueBytes = 1 << 20
+	// fullFormShare is the part of the largest value, one in fullFormShare, up to which
+	// progress is stored in the form that earlier versions know.
+	fullFormShare = 2
+)
+
+// maxValueBytes returns the size of the largest value that the store takes.
+func (sched *Scheduler) maxValueBytes() int {
+	if sched.MaxValueBytes > 0 {
+		return sched.MaxValueBytes
 	}
-	progress := Progress{Occurrences: make(map[int][]StepProgress)}
-	for _, o := range j.occurrences {
-		var steps []StepProgress
-		for _, s := range o.steps {
-			steps = append(steps, s.progress())
+	return defaultMaxValueBytes
+}
+
+// progress returns the progress to store of a job that has not ended, at most maxBytes
+// long. dropped is the number of checkpoints and failures that found no room.
+func (j *job) progress(maxBytes int) (data []byte, dropped int) {
+	if j.fullFormEstimate() <= maxBytes {
+		data = encodeProgress(Progress{Occurrences: j.occurrencesProgress()})
+		if len(data) <= maxBytes/fullFormShare {
+			return data, 0
+		}
+	}
+	compact := j.compactProgress()
+	data = encodeProgress(Progress{Compact: compact})
+	if len(data) > maxBytes {
+		// Work repeats without its checkpoints, but is not lost.
+		dropped += len(compact.Checkpoints)
+		compact.Checkpoints = nil
+		data = encodeProgress(Progress{Compact: compact})
+	}
+	for len(data) > maxBytes && len(compact.FailedRuns) > 0 {
+		dropped += dropHalf(compact.FailedRuns)
+		data = encodeProgress(Progress{Compact: compact})
+	}
+	return data, dropped
+}
+
+// dropHalf removes every second entry, and returns how many it removed.
+func dropHalf(runs map[int][]int) int {
+	before := len(runs)
+	drop := false
+	for n := range runs {
+		if drop = !drop; drop {
+			delete(runs, n)
 		}
-		progress.Occurrences[o.number] = steps
 	}
+	return before - len(runs)
+}
+
+func encodeProgress(progress Progress) []byte {
 	data, err := json.Marshal(progress)
 	if err != nil {
 		panic(err) // Unreachable: maps, slices and numbers can always be encoded.
@@ -40,14 +96,56 @@
 	return data
 }
 
+// bytesPerStep is the least that a step takes in StepProgress.
+const bytesPerStep = 16
+
+// fullFormEstimate returns a lower bound of the size of the job's progress in
+// StepProgress, so that much of it need not be encoded in vain.
+func (j *job) fullFormEstimate() int {
+	size := 0
+	for _, o := range j.occurrences {
+		if o.begun() {
+			size += bytesPerStep * len(o.steps)
+		}
+	}
+	return size
+}
+
+func (j *job) occurrencesProgress() map[int][]StepProgress {
+	occurrences := make(map[int][]StepProgress)
+	for _, o := range j.occurrences {
+		if !o.begun() {
+			continue
+		}
+		steps := make([]StepProgress, 0, len(o.steps))
+		for _, s := range o.steps {
+			steps = append(steps, s.progress())
+		}
+		occurrences[o.number] = steps
+	}
+	return occurrences
+}
+
+// begun reports whether there is anything to store of the occurrence.
+func (o *occurrence) begun() bool {
+	for _, s := range o.steps {
+		for _, u := range s.units {
+			if u.done || u.lastRun > 0 {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 func (s *step) progress() StepProgress {
 	p := StepProgress{FailedRuns: make(map[int][]int), LastRuns: make(map[int]int), Checkpoints: make(map[int]string)}
 	for i, u := range s.units {
 		if u.done {
 			if p.Done == nil {
-				p.Done = make([]byte, (len(s.units)+7)/8)
+				p.Done = make([]byte, bitsetSize(len(s.units)))
 			}
-			p.Done[i/8] |= 1 << (i % 8)
+			setBit(p.Done, i)
 			continue
 		}
 		if u.lastRun > 0 {
@@ -63,26 +161,73 @@
 	return p
 }
 
+func (j *job) compactProgress() *CompactProgress {
+	p := &CompactProgress{Done: make([]byte, bitsetSize(j.unitCount())), FailedRuns: make(map[int][]int), Checkpoints: make(map[int]string)}
+	j.eachUnit(func(n int, u *unit) {
+		p.LastRun = max(p.LastRun, u.lastRun)
+		if u.done {
+			setBit(p.Done, n)
+			return
+		}
+		if len(u.failedRuns) > 0 {
+			p.FailedRuns[n] = u.failedRuns
+		}
+		if u.checkpoint != "" {
+			p.Checkpoints[n] = u.checkpoint
+		}
+	})
+	return p
+}
+
+// eachUnit visits the work units in the order of occurrences and steps.
+func (j *job) eachUnit(visit func(n int, u *unit)) {
+	n := 0
+	for _, o := range j.occurrences {
+		for _, s := range o.steps {
+			for _, u := range s.units {
+				visit(n, u)
+				n++
+			}
+		}
+	}
+}
+
+func (j *job) unitCount() int {
+	count := 0
+	for i := range j.Steps {
+		count += j.Steps[i].Count
+	}
+	return count * len(j.occurrences)
+}
+
+func bitsetSize(bits int) int          { return (bits + 7) / 8 }
+func setBit(bitset []byte, i int)      { bitset[i/8] |= 1 << (i % 8) }
+func hasBit(bitset []byte, i int) bool { return i/8 < len(bitset) && bitset[i/8]&(1<<(i%8)) != 0 }
+
 func (j *job) restore(stored *Progress, now time.Time) {
 	for number, steps := range stored.Occurrences {
-		if number >= len(j.occurrences) || len(steps) != len(j.Steps) {
+		if number < 0 || number >= len(j.occurrences) || len(steps) != len(j.Steps) {
 			continue
 		}
 		for i, s := range j.occurrences[number].steps {
-			s.restore(&steps[i], now)
+			for index, u := range s.units {
+				p := &steps[i]
+				u.restore(hasBit(p.Done, index), p.LastRuns[index], p.FailedRuns[index], p.Checkpoints[index], now)
+			}
 		}
 	}
+	if p := stored.Compact; p != nil {
+		j.eachUnit(func(n int, u *unit) {
+			u.restore(hasBit(p.Done, n), p.LastRun, p.FailedRuns[n], p.Checkpoints[n], now)
+		})
+	}
 }
 
-func (s *step) restore(stored *StepProgress, now time.Time) {
-	for i, u := range s.units {
-		u.failedRuns = stored.FailedRuns[i]
-		u.lastRun = stored.LastRuns[i]
-		u.checkpoint = stored.Checkpoints[i]
-		if i/8 < len(stored.Done) && stored.Done[i/8]&(1<<(i%8)) != 0 {
-			u.markDone()
-			u.freedAt = now
-			s.job.started = true
-		}
+func (u *unit) restore(done bool, lastRun int, failedRuns []int, checkpoint string, now time.Time) {
+	u.lastRun, u.failedRuns, u.checkpoint = lastRun, failedRuns, checkpoint
+	if done {
+		u.markDone()
+		u.freedAt = now
+		u.step.job.started = true
 	}
 }
--- a/internal/job/bbrscheduler/scheduler.go
+++ b/internal/job/bbrscheduler/scheduler.go
@@ -48,6 +48,9 @@
 	// Token is the fencing token of all orders.
 	Token  int64
 	Timing Timing
+	// MaxValueBytes is the size of the largest value that the store takes; 0 for
+	// defaultMaxValueBytes.
+	MaxValueBytes int
 
 	config    *bbrwork.Config
 	jobs      map[string]*job
--- a/internal/job/bbrscheduler/store.go
+++ b/internal/job/bbrscheduler/store.go
@@ -70,7 +70,7 @@
 		return cmp.Compare(len(sched.dirty[b].finalState), len(sched.dirty[a].finalState))
 	})
 	for _, id := range ids[:min(len(ids), limit)] {
-		batch.Writes = append(batch.Writes, sched.dirty[id].write())
+		batch.Writes = append(batch.Writes, sched.write(sched.dirty[id], now))
 	}
 	if len(ids) <= limit {
 		batch.acknowledgeable = make(map[bbrwork.Incarnation]int64)
@@ -83,14 +83,22 @@
 	return batch
 }
 
-func (j *job) write() Write {
-	w := Write{Job: j.Job, FinalState: j.finalState, Progress: j.progress(), HasProgress: j.mayHaveStoredProgress, HasCancel: j.cancelled,
+// write returns what has to be stored of a job.
+func (sched *Scheduler) write(j *job, now time.Time) Write {
+	w := Write{Job: j.Job, FinalState: j.finalState, HasProgress: j.mayHaveStoredProgress, HasCancel: j.cancelled,
 		Code: j.endCode, job: j, version: j.version, crashVersion: j.crashVersion}
+	if j.finalState == "" {
+		dropped := 0
+		w.Progress, dropped = j.progress(sched.maxValueBytes())
+		if dropped > 0 {
+			sched.note(now, "Progress stored without all checkpoints and failures, which exceed the largest value", "job", j.ID, "left out", dropped, "bytes", len(w.Progress))
+		}
+	}
 	switch {
 	case j.finalState != "":
 		w.RemoveCrashes = j.mayHaveStoredCrashes
 	case !j.crashesStored():
-		w.Crashes = j.crashRecord()
+		w.Crashes = j.crashRecord(sched.maxValueBytes())
 		w.RemoveCrashes = w.Crashes == nil && j.mayHaveStoredCrashes
 		j.mayHaveStoredCrashes = j.mayHaveStoredCrashes || w.Crashes != nil
 	}
@@ -298,12 +306,23 @@
 		sched.unlocated[up.Incarnation] = true
 	}
 	for _, job := range sched.jobs {
-		for _, o := range job.occurrences {
-			for _, s := range o.steps {
-				for _, u := range s.units {
-					u.lastRun += runNumberGap
-				}
+		job.skipRunNumbers(now)
+	}
+}
+
+// skipRunNumbers skips the run numbers that an earlier owner may have used.
+func (j *job) skipRunNumbers(now time.Time) {
+	for _, o := range j.occurrences {
+		if j.Schedule.Due(o.number).After(now.Add(maxClockDifference)) {
+			continue
+		}
+		for _, s := range o.steps {
+			for _, u := range s.units {
+				u.lastRun += runNumberGap
 			}
 		}
 	}
 }
+
+// maxClockDifference is how far the clock of an earlier owner may have been ahead.
+const maxClockDifference = time.Minute
--- a/internal/store/bbrkv/store.go
+++ b/internal/store/bbrkv/store.go
@@ -102,6 +102,9 @@
 	Grant  func(ctx context.Context, ttl time.Duration) (Lease, time.Duration, error)
 	Renew  func(ctx context.Context, lease Lease) (time.Duration, error)
 	Revoke func(ctx context.Context, lease Lease) error
+	// MaxValueBytes is the size of the largest value that the store takes; 0 if it is
+	// not known.
+	MaxValueBytes int
 }
 
 // ReadAll returns all items under a prefix and a revision. A watch that starts
