job/bbrscheduler: a successor reads all ends of an upstream before it starts earlier work

Cause: the first listing marked the upstream as reached and its earlier work as located. Ruled out: runs in the listing, which are complete; ordinary listings, where a full page drops no runs.

Now an upstream is reached once a listing has fewer ends than fit. One that answers is read to the end also after the earlier leases have expired. The same holds for the first listing of a restarted upstream.

--- a/internal/job/bbrscheduler/listing.go
+++ b/internal/job/bbrscheduler/listing.go
@@ -31,6 +31,10 @@
 	up.lapsedSuspects = nil
 	sched.applyEnds(up, listing.Ended, now)
 	sched.applyRunning(up, listing, sent, now)
+	up.partlyListed = listing.MayBeContinued()
+	if up.partlyListed {
+		return
+	}
 	if !up.reached {
 		sched.settleInheritedTrials(up)
 	}
@@ -150,7 +154,7 @@
 			delete(up.orphans, key)
 		}
 	}
-	if len(listing.Ended) >= maxListedEnds {
+	if listing.MayBeContinued() {
 		return
 	}
 	for key, r := range up.runs {
@@ -161,10 +165,6 @@
 	}
 }
 
-// maxListedEnds is the number of ends that an upstream lists at once. A listing
-// with as many may be followed by more.
-const maxListedEnds = 500
-
 // hasEnded reports whether a run that is missing from a listing does not run and
 // never will. A start that was answered before the listing was requested must be in
 // it; a start whose answer was lost can still take effect until its deadline.
--- /dev/null
+++ b/internal/job/bbrscheduler/partlylisted_test.go
@@ -0,0 +1,88 @@
+package bbrscheduler
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/bluebellridge/bluebellridge/internal/job/bbrorder"
+	"github.com/bluebellridge/bluebellridge/internal/job/bbrwork"
+)
+
+// manyUnits is a number of ends that takes three listings.
+const manyUnits = 1200
+
+// newSuccessorScene is a scene in which a successor knows of one recorded upstream and of a
+// job with many work units, all of which have ended there.
+func newSuccessorScene(t *testing.T) *scene {
+	s := newScene(t, false)
+	s.accept(testJob, unitStep(manyUnits))
+	s.sched.FinishLoading([]bbrwork.Upstream{s.upstream("i-1")}, 5, s.now)
+	s.register("i-1")
+	s.register("i-2")
+	s.list("i-2")
+	return s
+}
+
+// listEnds delivers the listing that answers the renewal that is due: the first ends that
+// are not acknowledged.
+func (s *scene) listEnds(id string) {
+	renewal, known := s.sched.PlanRenewal(id, true, s.now)
+	require.True(s, known)
+	require.False(s, renewal.Idle)
+	var ends []bbrwork.RunEnd
+	for n := int(renewal.Acknowledged); n < min(manyUnits, int(renewal.Acknowledged)+500); n++ {
+		ends = append(ends, bbrwork.RunEnd{Sequence: int64(n + 1), Unit: unitName(n), Run: 1, Outcome: bbrwork.OutcomeDone})
+	}
+	s.list(id, ends...)
+}
+
+// TestSuccessorReadsAllEndsBeforeItStarts guards against a successor that takes the first
+// ends of an upstream for all of them, and starts work again that is done.
+func TestSuccessorReadsAllEndsBeforeItStarts(t *testing.T) {
+	s := newSuccessorScene(t)
+	for range 2 {
+		s.listEnds("i-1")
+		require.Empty(t, s.plan().Starts)
+	}
+	s.listEnds("i-1")
+	require.Empty(t, s.plan().Starts)
+	s.store()
+	state, _ := s.sched.State(testJob)
+	require.Equal(t, bbrwork.Completed, state)
+}
+
+// TestSuccessorWaitsForEndsBeyondEarlierLeases checks that an upstream which answers is
+// read to the end even if that takes longer than the leases of the earlier owner, and
+// given up once it falls silent.
+func TestSuccessorWaitsForEndsBeyondEarlierLeases(t *testing.T) {
+	s := newSuccessorScene(t)
+	s.listEnds("i-1")
+	s.advance(s.sched.earlierLeasesEnd.Sub(s.now) + time.Second)
+	require.Empty(t, s.plan().Starts)
+	for range maxLostAnswers {
+		s.sched.ApplyRenewalFailure(s.upstream("i-1").Incarnation, bbrorder.ErrAnswerLost, s.now)
+	}
+	require.NotEmpty(t, s.plan().Starts)
+}
+
+// TestRestartedUpstreamWithManyEndsKeepsItsRuns checks the same for the first listing of a
+// restarted upstream: a run that it does not name may be named by the next one.
+func TestRestartedUpstreamWithManyEndsKeepsItsRuns(t *testing.T) {
+	s := newRestartedScene(t)
+	s.answerStart(nil)
+	s.advance(time.Millisecond)
+	others := make([]bbrwork.RunEnd, 500)
+	for i := range others {
+		others[i] = bbrwork.RunEnd{Sequence: int64(i + 1), Unit: bbrwork.Unit{Job: "00000000000000ff", Index: i}, Run: 1, Outcome: bbrwork.OutcomeDone}
+	}
+	s.listAgain(nil, others...)
+	s.requireNoStart()
+	s.store()
+	s.listAgain(nil, bbrwork.RunEnd{Sequence: 501, Unit: s.order.Start.Unit, Run: s.order.Start.Run, Outcome: bbrwork.OutcomeDone})
+	s.requireNoStart()
+	s.store()
+	state, _ := s.sched.State(testJob)
+	require.Equal(t, bbrwork.Completed, state)
+}
--- a/internal/job/bbrscheduler/restart.go
+++ b/internal/job/bbrscheduler/restart.go
@@ -96,7 +96,7 @@
 	}
 	sched.recordEnd(old, "restarted", now)
 	for _, r := range old.runs {
-		if r.mayTakeEffect(sent) {
+		if r.mayTakeEffect(sent) || listing.MayBeContinued() && r.listedAt.IsZero() {
 			r.moveTo(next)
 		}
 	}
--- a/internal/job/bbrscheduler/scheduler.go
+++ b/internal/job/bbrscheduler/scheduler.go
@@ -153,7 +153,15 @@
 // EarlierWorkLocated reports whether all work of earlier owners is either located
 // or has certainly ended.
 func (sched *Scheduler) EarlierWorkLocated(now time.Time) bool {
-	return len(sched.unlocated) == 0 || now.After(sched.earlierLeasesEnd)
+	if !now.After(sched.earlierLeasesEnd) {
+		return len(sched.unlocated) == 0
+	}
+	for incarnation := range sched.unlocated {
+		if sched.readsEnds(incarnation) {
+			return false
+		}
+	}
+	return true
 }
 
 // JobCount returns the number of known jobs whose end is not stored.
--- a/internal/job/bbrscheduler/upstream.go
+++ b/internal/job/bbrscheduler/upstream.go
@@ -17,10 +17,13 @@
 	// if it is not. Nothing new is started on a reserved upstream.
 	reservedAt time.Time
 	// reached means that the upstream has answered under this owner's fencing
-	// token.
+	// token, and that all its ends were read.
 	reached bool
-	runs    map[runKey]*run
-	used    bbrwork.Resources
+	// partlyListed means that the last listing may be continued: how further runs ended
+	// is not known yet.
+	partlyListed bool
+	runs         map[runKey]*run
+	used         bbrwork.Resources
 	// clock is the upstream's clock as of clockAt.
 	clock   time.Duration
 	clockAt time.Time
@@ -281,11 +284,20 @@
 	}
 }
 
-// giveUpUnlocated gives up the incarnations that never answered: what an earlier
+// giveUpUnlocated gives up the incarnations that do not answer: what an earlier
 // owner started there has ended with its lease.
 func (sched *Scheduler) giveUpUnlocated(now time.Time) {
-	sched.note(now, "All leases of earlier owners expired", "unreached", len(sched.unlocated))
-	clear(sched.unlocated)
+	silent := 0
+	for incarnation := range sched.unlocated {
+		if !sched.readsEnds(incarnation) {
+			delete(sched.unlocated, incarnation)
+			silent++
+		}
+	}
+	if silent == 0 {
+		return
+	}
+	sched.note(now, "All leases of earlier owners expired", "unreached", silent, "reading", len(sched.unlocated))
 	for _, up := range sched.sortedUpstreams() {
 		if !up.registered && !up.reached {
 			sched.note(now, "Upstream dropped", "upstream", up.ID, "reason", "unregistered and never reached")
@@ -295,6 +307,13 @@
 	}
 }
 
+// readsEnds reports whether the incarnation answers and has further ends, so that it is
+// only a matter of time until it is known how the earlier owner's runs ended there.
+func (sched *Scheduler) readsEnds(incarnation bbrwork.Incarnation) bool {
+	up := sched.upstreams[incarnation.ID]
+	return up != nil && up.Incarnation == incarnation && up.partlyListed && up.lostAnswers < maxLostAnswers
+}
+
 // unregisteredRetention is how long an upstream that the store no longer lists is
 // remembered: the same incarnation may return, with run ends that no longer count.
 const unregisteredRetention = time.Minute
--- a/internal/job/bbrwork/run.go
+++ b/internal/job/bbrwork/run.go
@@ -58,6 +58,13 @@
 	// StartMillis identifies the incarnation that answered.
 	StartMillis int64
 	Running     []Run
-	// Ended has the ends that are not acknowledged yet, at most 500.
+	// Ended has the ends that are not acknowledged yet, at most maxListedEnds.
 	Ended []RunEnd
 }
+
+// maxListedEnds is the number of ends that an upstream lists at once.
+const maxListedEnds = 500
+
+// MayBeContinued reports whether the upstream may have more ends than it listed. It lists
+// them once these are acknowledged.
+func (l *Listing) MayBeContinued() bool { return len(l.Ended) >= maxListedEnds }
