fleet/bbrclaim: each owner has a fencing token of its own, and a list ends only claims that it could have

Cause: claims are read anew after a compaction or an outage of the store; one that is made while that list is on its way is not in it, and counted as ended for good. A claim that the store lists for this process was continued under its old token, so that orders of the earlier owner which are still on their way are not fenced off.

Ruled out: the ways to take a living upstream for ended; none of their log lines is there.

Now a list ends only claims created up to the revision as of which it was read, an event only those before it, and a claim whose token an owner has used is removed and made anew. An owner that ends late no longer hides its successor in the same process.

--- a/internal/config/bbrfollow/follower.go
+++ b/internal/config/bbrfollow/follower.go
@@ -95,7 +95,7 @@
 	klog.InfoS("Dependency lost", "dependency", "store", "use", "configuration", "version", version, "reason", err.Error())
 }
 
-func (f *Follower) snapshot(items []bbrkv.Item, now time.Time) {
+func (f *Follower) snapshot(items []bbrkv.Item, _ bbrkv.Revision, now time.Time) {
 	for _, item := range items {
 		f.change(item, now)
 	}
--- a/internal/daemon/bbrserve/owners.go
+++ b/internal/daemon/bbrserve/owners.go
@@ -152,7 +152,7 @@
 	}
 	o.setRunning(shard, owner)
 	owner.Run(ctx)
-	o.setRunning(shard, nil)
+	o.clearRunning(shard, owner)
 }
 
 // registeredUpstreams returns the registered upstreams of a shard and their
@@ -167,6 +167,15 @@
 	o.running[shard] = owner
 }
 
+// clearRunning forgets the owner of a shard, unless a later one runs already.
+func (o *owners) clearRunning(shard bbrwork.Shard, owner *bbrowner.Owner) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.running[shard] == owner {
+		delete(o.running, shard)
+	}
+}
+
 // localState returns the state of a job if this entry owns its shard.
 func (o *owners) localState(shard bbrwork.Shard, job string) (bbrwork.State, bool) {
 	owner := o.runningOwner(shard)
--- a/internal/fleet/bbrclaim/claimer.go
+++ b/internal/fleet/bbrclaim/claimer.go
@@ -43,7 +43,10 @@
 	mu sync.Mutex
 	// active contains the held claims by name.
 	active map[string]*activeClaim
-	wg     sync.WaitGroup
+	// usedTokens contains, by name, the newest token with which an owner was started.
+	// Its orders may still be on their way, and only a newer token fences them off.
+	usedTokens map[string]bbrkv.Revision
+	wg         sync.WaitGroup
 }
 
 // activeClaim is a held claim and its running owner.
@@ -80,7 +83,7 @@
 			continue
 		}
 		if existing, ok := c.Directory.Owner(name); ok && existing.Incarnation == c.Session.Incarnation && existing.Lease == lease.ID {
-			c.startOwner(ctx, HeldClaim{Name: name, Token: existing.Revision, Lease: lease.ID})
+			c.startOrRenounce(ctx, HeldClaim{Name: name, Token: existing.Revision, Lease: lease.ID})
 		}
 	}
 	for _, name := range c.Directory.DueClaims(names, c.Session.Entry, now) {
@@ -148,7 +151,36 @@
 		}
 	}
 	c.Directory.RecordOwnClaim(name, Claim{Entry: c.Session.Entry, Incarnation: c.Session.Incarnation, Revision: token, Lease: lease.ID})
-	c.startOwner(ctx, HeldClaim{Name: name, Token: token, Lease: lease.ID})
+	c.startOrRenounce(ctx, HeldClaim{Name: name, Token: token, Lease: lease.ID})
+}
+
+// startOrRenounce starts the owner for a claim that the store lists, unless an owner has
+// used its token already. Then it removes the claim, so that the name is claimed anew
+// under a newer token, by this entry or another.
+func (c *Claimer) startOrRenounce(ctx context.Context, held HeldClaim) {
+	if held.Token > c.usedToken(held.Name) {
+		c.startOwner(ctx, held)
+		return
+	}
+	_, err := c.Session.Store.Commit(ctx, bbrkv.Transaction{
+		Conditions: []bbrkv.Condition{held.Condition()},
+		Removals:   []string{ClaimKey(held.Name)},
+	})
+	var conflict *bbrkv.Conflict
+	if err != nil && !errors.As(err, &conflict) {
+		klog.InfoS("Failed to remove a claim whose owner has ended, will retry", "claim", held.Name, "token", held.Token, "reason", err.Error())
+		return
+	}
+	klog.InfoS("Removed a claim whose owner has ended", "claim", held.Name, "token", held.Token, "conflict", conflict != nil)
+	c.Directory.RecordOwnEnd(held.Name, held.Token, time.Now())
+}
+
+// usedToken returns the newest token with which an owner of the name was started; 0 if
+// none was.
+func (c *Claimer) usedToken(name string) bbrkv.Revision {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.usedTokens[name]
 }
 
 // errOwned means that the name has another owner.
@@ -176,8 +208,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.active == nil {
-		c.active = make(map[string]*activeClaim)
+		c.active, c.usedTokens = make(map[string]*activeClaim), make(map[string]bbrkv.Revision)
 	}
+	c.usedTokens[held.Name] = held.Token
 	claim := &activeClaim{HeldClaim: held, cancel: cancel, runOwner: c.RunOwner}
 	c.active[held.Name] = claim
 	c.wg.Go(func() { claim.run(ctx) })
--- a/internal/fleet/bbrclaim/directory.go
+++ b/internal/fleet/bbrclaim/directory.go
@@ -53,9 +53,10 @@
 	revisions map[string]bbrkv.Revision
 }
 
-// Snapshot replaces the entries and claims by the listed ones. Claims that are
-// no longer listed, or were created anew, have ended.
-func (d *Directory) Snapshot(items []bbrkv.Item, now time.Time) {
+// Snapshot replaces the entries and claims by those listed as of a revision. Claims that
+// are no longer listed, or were created anew, have ended. A claim of this entry that was
+// created after the revision is kept: it was recorded while the list was read.
+func (d *Directory) Snapshot(items []bbrkv.Item, asOf bbrkv.Revision, now time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	previous := d.claims
@@ -66,7 +67,12 @@
 		d.apply(item, now)
 	}
 	for name, claim := range previous {
-		if d.claims[name].Revision != claim.Revision {
+		listed := d.claims[name].Revision
+		switch {
+		case listed == claim.Revision:
+		case listed < claim.Revision && claim.Revision > asOf:
+			d.claims[name] = claim
+		default:
 			d.recordEnd(name, claim.Revision, now)
 		}
 	}
@@ -111,12 +117,15 @@
 	var record claimRecord
 	if item.Deleted || json.Unmarshal(item.Value, &record) != nil {
 		d.recordEnd(name, item.Revision, now)
-		if claim, ok := d.claims[name]; ok {
+		if claim, ok := d.claims[name]; ok && claim.Revision < item.Revision {
 			klog.InfoS("Claim ended", "claim", name, "entry", claim.Entry, "token", claim.Revision, "revision", item.Revision)
+			delete(d.claims, name)
 		}
-		delete(d.claims, name)
 		return
 	}
+	if d.claims[name].Revision > item.Created {
+		return // A recorded claim of this entry is newer than this event.
+	}
 	d.claims[name] = Claim{Entry: record.Entry, Incarnation: record.Incarnation, Revision: item.Created, Lease: item.Lease}
 }
 
@@ -335,6 +344,16 @@
 	return p.registered > other.registered
 }
 
+// RecordOwnEnd records that this entry has removed its claim with the token.
+func (d *Directory) RecordOwnEnd(name string, token bbrkv.Revision, now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.recordEnd(name, token, now)
+	if d.claims[name].Revision == token {
+		delete(d.claims, name)
+	}
+}
+
 // RecordOwnClaim records a claim of this entry before the watch reports it, so
 // that it counts when the next name is ranked.
 func (d *Directory) RecordOwnClaim(name string, claim Claim) {
--- a/internal/fleet/bbrclaim/reservations.go
+++ b/internal/fleet/bbrclaim/reservations.go
@@ -22,7 +22,7 @@
 }
 
 // Snapshot applies the listed items. An empty list clears the reservations.
-func (r *Reservations) Snapshot(items []bbrkv.Item, now time.Time) {
+func (r *Reservations) Snapshot(items []bbrkv.Item, _ bbrkv.Revision, now time.Time) {
 	if len(items) == 0 {
 		r.set(nil, 0)
 	}
--- a/internal/fleet/bbrregistry/registry.go
+++ b/internal/fleet/bbrregistry/registry.go
@@ -39,7 +39,7 @@
 }
 
 // Snapshot replaces the registrations by the listed ones.
-func (r *Registry) Snapshot(items []bbrkv.Item, now time.Time) {
+func (r *Registry) Snapshot(items []bbrkv.Item, _ bbrkv.Revision, now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	listed := make(map[string]bool, len(items))
--- a/internal/job/bbrowner/jobs.go
+++ b/internal/job/bbrowner/jobs.go
@@ -46,7 +46,7 @@
 }
 
 // jobsSnapshot adds the jobs that the store has.
-func (o *Owner) jobsSnapshot(items []bbrkv.Item, now time.Time) {
+func (o *Owner) jobsSnapshot(items []bbrkv.Item, _ bbrkv.Revision, now time.Time) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.addJobs(items, nil, now)
@@ -59,7 +59,7 @@
 	if item.Deleted {
 		return
 	}
-	o.jobsSnapshot([]bbrkv.Item{item}, now)
+	o.jobsSnapshot([]bbrkv.Item{item}, item.Revision, now)
 }
 
 // loadRecorded reads the upstreams on which, as an earlier owner recorded, work of
--- a/internal/job/bbrscheduler/simulation_test.go
+++ b/internal/job/bbrscheduler/simulation_test.go
@@ -525,6 +525,8 @@
 	// holds the claim.
 	believesUntil time.Time
 	stopped       bool
+	// informedAt is when the owner last learned of the registrations.
+	informedAt time.Time
 }
 
 // claim creates a new owner. The earlier one may act for a while longer.
--- a/internal/store/bbrkv/follower.go
+++ b/internal/store/bbrkv/follower.go
@@ -36,9 +36,9 @@
 	// that ends without events is assumed to have missed some, and all items are
 	// reread. If it is nil, changes are not expected.
 	ExpectChanges func() bool
-	// OnSnapshot is called with all items under the prefix: other items no longer
-	// exist.
-	OnSnapshot func(items []Item, now time.Time)
+	// OnSnapshot is called with all items under the prefix, read from the revision asOf
+	// on: others did not exist at asOf.
+	OnSnapshot func(items []Item, asOf Revision, now time.Time)
 	// OnChange is called for each event. After a snapshot, these may include events
 	// that are older than the state in the snapshot.
 	OnChange func(item Item, now time.Time)
@@ -96,7 +96,7 @@
 	if err != nil {
 		return err
 	}
-	f.OnSnapshot(items, time.Now())
+	f.OnSnapshot(items, asOf, time.Now())
 	f.notifyAnswer(now)
 	f.revision, f.loadedAt = asOf, now
 	return nil
