job/bbrwork: occurrences beyond 292 years are not started at once

Cause: Schedule.Due multiplied occurrence and interval as durations, which overflow after 292 years. Now seconds and the rest are multiplied apart, and due times end with the year 9999.

--- a/internal/job/bbrwork/job.go
+++ b/internal/job/bbrwork/job.go
@@ -21,9 +21,19 @@
 	if s.Count == 0 {
 		return time.Time{}
 	}
-	return s.First.Add(time.Duration(occurrence) * s.Every)
+	// The product of occurrence and interval may exceed the longest duration.
+	seconds := int64(occurrence) * int64(s.Every/time.Second)
+	rest := time.Duration(occurrence) * (s.Every % time.Second)
+	due := time.Unix(s.First.Unix()+seconds, int64(s.First.Nanosecond())).Add(rest)
+	if due.After(latestDue) {
+		return latestDue
+	}
+	return due
 }
 
+// latestDue is the latest due time, the latest time that can be encoded.
+var latestDue = time.Date(9999, time.December, 31, 23, 59, 59, 0, time.UTC)
+
 // Job is an accepted job. It is immutable.
 type Job struct {
 	// ID consists of 16 hexadecimal digits and is chosen by the submitter.
