job/bbrscheduler: a crash that its owner did not live to record is presumed by the successor

Cause: a crash is recorded 0.3 to 0.7 s after it, and only starts of suspects are stored before they are sent, so that a successor knew nothing of a first start.

A successor that finds a recorded incarnation ended now presumes a crash under the due work units that run nowhere. That neither convicts nor isolates; it has the next start stored first. The ends of four trials of which the owners saw one suffice to give a work unit up.

--- a/internal/job/bbrcrash/history.go
+++ b/internal/job/bbrcrash/history.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"time"
 
@@ -26,6 +27,9 @@
 	// Certain means that the run was seen to have started, and the incarnation to have
 	// ended.
 	Certain bool `json:"certain,omitempty"`
+	// Presumed means that it is not known whether the work unit ran there: an earlier
+	// owner may have started it.
+	Presumed bool `json:"presumed,omitempty"`
 }
 
 // String returns a description for logs.
@@ -54,6 +58,13 @@
 // History has the crashes of a work unit since it was last cleared, oldest first.
 type History []Crash
 
+// Has reports whether the history has the end of the incarnation.
+func (h History) Has(incarnation bbrwork.Incarnation) bool {
+	return slices.ContainsFunc(h, func(c Crash) bool {
+		return c.Upstream == incarnation.ID && c.StartMillis == incarnation.StartMillis
+	})
+}
+
 // Standing is how a work unit with a history may be started.
 type Standing uint8
 
@@ -85,24 +96,26 @@
 	// up if it was among the youngest runs each time: harmless work near crashing work,
 	// long-running work above all, sees as many crashes, but at any age.
 	givenUpAfterYoungest = 4
-	// minCertain is the number of certain crashes without which no unit is given up
-	// for a crash alone.
-	minCertain = 2
+	// No unit is given up for a crash alone without minCertain certain crashes, or
+	// enoughUncertain ones of which some were not seen by an owner.
+	minCertain      = 2
+	enoughUncertain = 4
 )
 
-// Standing returns the standing of a work unit with the history.
+// Standing returns the standing of a work unit with the history. Presumed crashes only
+// set the work unit apart, so that its next start is stored.
 func (h History) Standing() Standing {
 	if len(h) == 0 {
 		return Clear
 	}
 	earlier, last := h[:len(h)-1], h[len(h)-1]
-	youngest, certain := h.counts()
+	c := h.counts()
 	switch {
-	case youngest >= givenUpAfterYoungest, earlier.isolates() && last.Others == 0 && certain >= minCertain:
+	case c.youngest >= givenUpAfterYoungest, earlier.isolates() && last.provesAlone() && c.suffices():
 		return GivenUp
 	case h.isolates():
 		return Isolated
-	case youngest > 0 || len(h) > 1:
+	case c.youngest > 0 || len(h) > 1 || c.presumed > 0:
 		return Apart
 	default:
 		return Clear
@@ -111,20 +124,38 @@
 
 // isolates reports whether the history suffices to isolate the work unit.
 func (h History) isolates() bool {
-	youngest, _ := h.counts()
-	return youngest >= isolatedAfterYoungest || len(h) >= isolatedAfter
+	c := h.counts()
+	return c.youngest >= isolatedAfterYoungest || c.known >= isolatedAfter
 }
 
-func (h History) counts() (youngest, certain int) {
+// provesAlone reports whether nothing else can have caused the crash.
+func (c Crash) provesAlone() bool { return c.Others == 0 && !c.Presumed }
+
+// counts has the numbers of crashes by what is known of them.
+type counts struct {
+	// known are those that are not presumed.
+	known, presumed, youngest, certain int
+}
+
+// suffices reports whether the crashes suffice to give a work unit up after one alone.
+func (c counts) suffices() bool { return c.certain >= minCertain || c.known >= enoughUncertain }
+
+func (h History) counts() counts {
+	var c counts
 	for _, crash := range h {
+		if crash.Presumed {
+			c.presumed++
+			continue
+		}
+		c.known++
 		if crash.Youngest {
-			youngest++
+			c.youngest++
 		}
 		if crash.Certain {
-			certain++
+			c.certain++
 		}
 	}
-	return youngest, certain
+	return c
 }
 
 // String describes the crashes for logs and explanations.
--- a/internal/job/bbrcrash/history_test.go
+++ b/internal/job/bbrcrash/history_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 )
@@ -10,6 +11,8 @@
 	crash := func(others int, youngest, certain bool) Crash {
 		return Crash{Upstream: "i-1", Others: others, Youngest: youngest, Certain: certain}
 	}
+	presumed := Crash{Upstream: "i-1", Presumed: true}
+	unseen := (&Trial{Upstream: "i-1"}).AssumedCrash(time.Unix(0, 0))
 	bystander, suspect, alone := crash(9, false, true), crash(9, true, true), crash(0, true, true)
 	for _, test := range []struct {
 		name    string
@@ -28,6 +31,13 @@
 		{"fourth crash alone, slow to crash", History{bystander, bystander, bystander, alone}, GivenUp},
 		{"third crash alone, one certain", History{crash(9, true, false), crash(9, true, false), alone}, Isolated},
 		{"four crashes beside others, each time among the youngest", History{suspect, suspect, suspect, suspect}, GivenUp},
+		{"presumed once", History{presumed}, Apart},
+		{"presumed many times", History{presumed, presumed, presumed, presumed, presumed}, Apart},
+		{"presumed, then alone by chance", History{presumed, presumed, alone}, Apart},
+		{"presumed, then trials that nobody saw end", History{presumed, unseen, unseen}, Isolated},
+		{"trials that nobody saw end, then alone", History{presumed, unseen, unseen, alone}, Isolated},
+		{"the same, once more", History{presumed, unseen, unseen, alone, alone}, GivenUp},
+		{"three trials that nobody saw end, then alone", History{presumed, unseen, unseen, unseen, alone}, GivenUp},
 		{"many crashes beside others at any age", History{bystander, suspect, bystander, suspect, bystander, suspect}, Isolated},
 	} {
 		require.Equal(t, test.want, test.history.Standing(), test.name)
--- a/internal/job/bbrscheduler/crash_test.go
+++ b/internal/job/bbrscheduler/crash_test.go
@@ -125,6 +125,24 @@
 	require.Equal(t, 3, day.sim.unit(bbrwork.Unit{Job: id}).crashes)
 }
 
+// TestCrashesUnderOwnersThatEndCount guards against a work unit that is started again and
+// again, since its owner ends after each crash before it learns of that.
+func TestCrashesUnderOwnersThatEndCount(t *testing.T) {
+	for takeovers := range 5 {
+		day := newCrashDay(t)
+		id := day.accept(1, true)
+		name := bbrwork.Unit{Job: id}
+		day.accept(3, false)
+		for crashes := 1; crashes <= takeovers; crashes++ {
+			day.roundsUntil(t, func() bool { return day.sim.unit(name).crashes == crashes })
+			day.takeOver()
+		}
+		day.rounds(time.Minute)
+		day.requireOutcomes(t)
+		require.LessOrEqual(t, day.sim.unit(name).crashes, 5, "%d takeovers: three starts after the third crash", takeovers)
+	}
+}
+
 func TestCrashIsStoredBeforeTheNextStart(t *testing.T) {
 	day := newCrashDay(t)
 	id := day.accept(1, true)
--- a/internal/job/bbrscheduler/plan.go
+++ b/internal/job/bbrscheduler/plan.go
@@ -64,6 +64,7 @@
 // only the stops of runs that should not continue.
 func (sched *Scheduler) Plan(confirmed bool, now time.Time) Plan {
 	sched.ExpireLeases(now)
+	sched.accuseUnlocated(now)
 	sched.endTrials(now)
 	p := &planner{sched: sched, now: now, doesNotFit: make(map[bbrwork.Resources]bool), nearDataFits: make(map[*step]bool)}
 	p.planStops()
--- a/internal/job/bbrscheduler/scheduler.go
+++ b/internal/job/bbrscheduler/scheduler.go
@@ -99,6 +99,9 @@
 	// been cleared.
 	suspects    map[*unit]bool
 	crashCounts CrashCounts
+	// lostUnlocated are the ends of incarnations on which an earlier owner may have
+	// started work that is not known.
+	lostUnlocated []unlocatedEnd
 	// failures are the recent ends of incarnations.
 	failures     []bbrcrash.Failure
 	notes        []Note
--- a/internal/job/bbrscheduler/upstream.go
+++ b/internal/job/bbrscheduler/upstream.go
@@ -245,6 +245,9 @@
 func (sched *Scheduler) recordEnd(up *upstream, reason string, now time.Time) {
 	sched.note(now, "Upstream incarnation ended", "upstream", up.ID, "born", up.StartMillis, "reason", reason, "runs", len(up.runs),
 		"reserved", !up.reservedAt.IsZero(), "draining", up.Draining, "youngest", describeLostRuns(up, now))
+	if sched.unlocated[up.Incarnation] {
+		sched.recordUnlocatedEnd(up, now)
+	}
 	sched.recordCrash(up, now)
 }
 
