soak, standin: upstreams restart under their IDs

The stand-in also caps the lease that a start extends, as renewals did, and lists 500 ends at a time.

--- a/internal/soak/bbrsoak/faults.go
+++ b/internal/soak/bbrsoak/faults.go
@@ -66,7 +66,7 @@
 
 func (injector *faultInjector) draw() *event {
 	duration := randomDuration(injector.random, minEventDuration, maxEventDuration)
-	kinds := []func(duration time.Duration) *event{injector.kill, injector.terminate, injector.freeze, injector.sendHangup, injector.storeFault, injector.storeFault, injector.compactStore, injector.storePathFault, injector.upstreamPathFault, injector.upstreamPathFault, injector.crashUpstream, injector.reduceCapacity, injector.changeConfig, injector.startWave}
+	kinds := []func(duration time.Duration) *event{injector.kill, injector.terminate, injector.freeze, injector.sendHangup, injector.storeFault, injector.storeFault, injector.compactStore, injector.storePathFault, injector.upstreamPathFault, injector.upstreamPathFault, injector.crashUpstream, injector.restartUpstream, injector.reduceCapacity, injector.changeConfig, injector.startWave}
 	e := kinds[injector.random.IntN(len(kinds))](duration)
 	e.duration = duration
 	return e
@@ -153,6 +153,22 @@
 	return &event{name: fmt.Sprintf("crash of upstream %d", number), begin: func() { injector.soak.fleet.Crash(number) }}
 }
 
+// restartUpstream restarts an upstream under its ID, several times in a row.
+func (injector *faultInjector) restartUpstream(time.Duration) *event {
+	number := injector.random.IntN(len(injector.soak.upstreamRelays))
+	return &event{name: fmt.Sprintf("upstream %d restarts under its ID", number), begin: func() {
+		for range upstreamRestarts {
+			injector.soak.fleet.Restart(number)
+			time.Sleep(upstreamRestartPause)
+		}
+	}}
+}
+
+const (
+	upstreamRestarts     = 4
+	upstreamRestartPause = 700 * time.Millisecond
+)
+
 // reduceCapacity takes a part of an upstream's capacity away for a while.
 func (injector *faultInjector) reduceCapacity(time.Duration) *event {
 	number := injector.random.IntN(len(injector.soak.upstreamRelays))
--- a/internal/standin/bbrfleet/fleet.go
+++ b/internal/standin/bbrfleet/fleet.go
@@ -176,8 +176,19 @@
 	if w.state != "up" {
 		return
 	}
-	for task := range w.running {
-		f.recordEnd(task, w, false)
-	}
+	w.dropRuns()
 	w.boot(time.Now())
 }
+
+// Restart lets an upstream crash and start again at once under its ID. Its registration
+// follows up to registrationInterval later.
+func (f *Fleet) Restart(number int) {
+	w := f.workers[number%len(f.workers)]
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.state != "up" {
+		return
+	}
+	w.dropRuns()
+	w.restart(time.Now())
+}
--- a/internal/standin/bbrfleet/registrar.go
+++ b/internal/standin/bbrfleet/registrar.go
@@ -15,6 +15,7 @@
 // registration identifies the content of a registration. ID is empty if there is none.
 type registration struct {
 	id             string
+	startMillis    int64
 	missingPercent int
 }
 
@@ -40,7 +41,7 @@
 		w.mu.Lock()
 		var current registration
 		if w.state == "up" {
-			current = registration{id: w.id, missingPercent: w.missingPercent}
+			current = registration{id: w.id, startMillis: w.startMillis, missingPercent: w.missingPercent}
 		}
 		value, _ := json.Marshal(map[string]any{
 			"service": w.pool, "address": w.address, "zone": "a", "capacity": 8, "state": "ready", "born": w.startMillis,
--- a/internal/standin/bbrfleet/worker.go
+++ b/internal/standin/bbrfleet/worker.go
@@ -95,9 +95,21 @@
 // tickInterval is the interval at which a worker ends runs that are due.
 const tickInterval = 20 * time.Millisecond
 
-// boot starts a new incarnation. The caller holds mu.
+// dropRuns ends all runs without a trace in the worker. The caller holds mu.
+func (w *worker) dropRuns() {
+	for task := range w.running {
+		w.fleet.recordEnd(task, w, false)
+	}
+}
+
+// boot starts a new incarnation under a new ID. The caller holds mu.
 func (w *worker) boot(now time.Time) {
 	w.id = w.fleet.nextID()
+	w.restart(now)
+}
+
+// restart starts a new incarnation under the present ID. The caller holds mu.
+func (w *worker) restart(now time.Time) {
 	w.startMillis, w.startTime, w.state = now.UnixMilli(), now, "up"
 	w.fencingToken, w.leaseEndMillis, w.acknowledged, w.lastEnd = 0, 0, 0, 0
 	w.running, w.highestRun, w.ends = make(map[string]*activeRun), make(map[string]int), nil
@@ -211,7 +223,7 @@
 	if call.LeaseEndMillis < w.clockMillis(now) {
 		return http.StatusConflict, "late"
 	}
-	w.leaseEndMillis = max(w.leaseEndMillis, call.LeaseEndMillis)
+	w.extendLease(call.LeaseEndMillis, now)
 	if call.Run <= w.highestRun[call.Task] {
 		return http.StatusConflict, "old"
 	}
@@ -298,23 +310,30 @@
 		return status, body, nil
 	}
 	if first {
-		w.leaseEndMillis = max(w.leaseEndMillis, min(call.LeaseEndMillis, w.clockMillis(now)+maxLease.Milliseconds()))
+		w.extendLease(call.LeaseEndMillis, now)
 		w.acknowledge(call.LastSeen)
 	}
 	for _, run := range w.running {
 		body.Running = append(body.Running, []any{run.task, run.run, "", fullPercent, 0})
 	}
 	for _, end := range w.ends {
-		if end.sequence > w.acknowledged {
+		if end.sequence > w.acknowledged && len(body.Finished) < maxListedEnds {
 			body.Finished = append(body.Finished, end.row())
 		}
 	}
 	return http.StatusOK, body, w.changed
 }
 
+// extendLease extends the run lease, at most to maxLease from now. The caller holds mu.
+func (w *worker) extendLease(untilMillis int64, now time.Time) {
+	w.leaseEndMillis = max(w.leaseEndMillis, min(untilMillis, w.clockMillis(now)+maxLease.Milliseconds()))
+}
+
 const (
-	// maxLease bounds the run lease, counted from the renewal.
+	// maxLease bounds the run lease, counted from the call that extends it.
 	maxLease = 6 * time.Second
+	// maxListedEnds is the number of ends in one answer.
+	maxListedEnds = 500
 	// fullPercent is the pace that is reported for every run.
 	fullPercent = 100
 )
