--- a/internal/job/bbrscheduler/restart_test.go
+++ b/internal/job/bbrscheduler/restart_test.go
@@ -103,6 +103,7 @@
 			s.requireNoStart()
 			learn(s)
 			s.requireNoStart()
+			require.Empty(t, s.sched.suspects, "the work unit has not seen an upstream crash")
 			s.sched.RegisterUpstream(s.again, s.now)
 			s.listAgain(nil, bbrwork.RunEnd{Sequence: 1, Unit: s.order.Start.Unit, Run: s.order.Start.Run, Outcome: bbrwork.OutcomeDone})
 			s.requireNoStart()
