job/bbrscheduler: upstream.go is split by concept

Renewals, the expiry of leases and the end of incarnations have files of their own; code is moved, not changed.

--- /dev/null
+++ b/internal/job/bbrscheduler/leaseexpiry.go
@@ -0,0 +1,83 @@
+package bbrscheduler
+
+import (
+	"time"
+
+	"github.com/bluebellridge/bluebellridge/internal/job/bbrwork"
+)
+
+// ExpireLeases drops the runs on silent upstreams whose lease has certainly ended.
+// An upstream that answers lists how its runs ended, even if this owner was late to
+// renew the lease.
+func (sched *Scheduler) ExpireLeases(now time.Time) {
+	for _, up := range sched.sortedUpstreams() {
+		if len(up.runs) > 0 && up.lostAnswers > 0 && !up.leaseEnd.IsZero() && now.After(up.leaseEnd) {
+			sched.expireRuns(up, now)
+		}
+	}
+	sched.forgetUnregistered(now)
+	if len(sched.unlocated) > 0 && now.After(sched.earlierLeasesEnd) {
+		sched.giveUpUnlocated(now)
+	}
+}
+
+// giveUpUnlocated gives up the incarnations that do not answer: what an earlier
+// owner started there has ended with its lease.
+func (sched *Scheduler) giveUpUnlocated(now time.Time) {
+	silent := 0
+	for incarnation := range sched.unlocated {
+		if !sched.readsEnds(incarnation) {
+			delete(sched.unlocated, incarnation)
+			silent++
+		}
+	}
+	if silent == 0 {
+		return
+	}
+	sched.note(now, "All leases of earlier owners expired", "unreached", silent, "reading", len(sched.unlocated))
+	for _, up := range sched.sortedUpstreams() {
+		if !up.registered && !up.reached {
+			sched.note(now, "Upstream dropped", "upstream", up.ID, "reason", "unregistered and never reached")
+			sched.accuseInheritedTrials(up.Incarnation, now)
+			sched.removeUpstream(up, now)
+		}
+	}
+}
+
+// readsEnds reports whether the incarnation answers and has further ends, so that it is
+// only a matter of time until it is known how the earlier owner's runs ended there.
+func (sched *Scheduler) readsEnds(incarnation bbrwork.Incarnation) bool {
+	up := sched.upstreams[incarnation.ID]
+	return up != nil && up.Incarnation == incarnation && up.partlyListed && up.lostAnswers < maxLostAnswers
+}
+
+// unregisteredRetention is how long an upstream that the store no longer lists is
+// remembered: the same incarnation may return, with run ends that no longer count.
+const unregisteredRetention = time.Minute
+
+func (sched *Scheduler) forgetUnregistered(now time.Time) {
+	for _, up := range sched.upstreams {
+		if !up.registered && up.reached && len(up.runs) == 0 && now.Sub(up.unregisteredAt) > unregisteredRetention {
+			sched.removeUpstream(up, now)
+		}
+	}
+}
+
+// expireRuns drops the runs on an upstream whose lease ended without renewal. The
+// upstream may return and list ends from before. They no longer count, since the
+// work units may be running elsewhere.
+func (sched *Scheduler) expireRuns(up *upstream, now time.Time) {
+	sched.note(now, "Run lease of upstream expired", "upstream", up.ID, "runs", len(up.runs), "lostAnswers", up.lostAnswers)
+	if up.lapsedRuns == nil {
+		up.lapsedRuns = make(map[runKey]bool)
+	}
+	for key, r := range up.runs {
+		up.lapsedRuns[key] = true
+		up.lapsedSuspects = append(up.lapsedSuspects, r)
+		sched.dropRun(r, now)
+	}
+	up.leaseEnd = time.Time{}
+	if up.announced != nil && up.announcedLater {
+		sched.endUpstream(up, "restarted", now)
+	}
+}
--- /dev/null
+++ b/internal/job/bbrscheduler/renewal.go
@@ -0,0 +1,68 @@
+package bbrscheduler
+
+import (
+	"time"
+
+	"github.com/bluebellridge/bluebellridge/internal/job/bbrwork"
+)
+
+// RenewalPlan is the content of a lease renewal for an upstream.
+type RenewalPlan struct {
+	Upstream bbrwork.Upstream
+	// LeaseUntil is 0 if the upstream's clock is not known yet, or if its lease
+	// must not be extended.
+	LeaseUntil   time.Duration
+	Acknowledged int64
+	// Idle means that nothing runs and no run end has to be acknowledged.
+	Idle bool
+	// HasRuns means that work runs or may run on the upstream.
+	HasRuns bool
+	// HasOrphans means that the upstream lists runs of unknown jobs.
+	HasOrphans bool
+}
+
+// PlanRenewal returns the renewal to send to an upstream, and false if the upstream
+// is unknown. confirmed reports whether the owner's claim is confirmed.
+func (sched *Scheduler) PlanRenewal(id string, confirmed bool, now time.Time) (RenewalPlan, bool) {
+	up := sched.upstreams[id]
+	if up == nil {
+		return RenewalPlan{}, false
+	}
+	plan := RenewalPlan{
+		Upstream:   up.target(),
+		HasOrphans: len(up.orphans) > 0,
+		Idle:       len(up.runs) == 0 && len(up.orphans) == 0 && !sched.unlocated[up.Incarnation] && up.identified() && (!up.registered || up.acknowledged == up.applied && up.reached && up.lostAnswers == 0),
+		HasRuns:    len(up.runs) > 0,
+	}
+	if plan.Idle {
+		up.idled = true
+		return plan, true
+	}
+	if up.maySendAcknowledgement() {
+		plan.Acknowledged = up.acknowledged
+	}
+	// An upstream that does not answer, or may have restarted, is only queried: every
+	// extension that may reach it would postpone the time from which its work can start
+	// elsewhere.
+	if up.clockKnown() && confirmed && len(up.runs) > 0 && up.lostAnswers == 0 && up.identified() {
+		plan.LeaseUntil = up.clockNow(now) + sched.Timing.RunLease
+		sched.extendLease(up, now)
+	}
+	return plan, true
+}
+
+// extendLease records that a renewal sent now keeps the runs on the upstream alive
+// for RunLease.
+func (sched *Scheduler) extendLease(up *upstream, now time.Time) {
+	leaseEnd := now.Add(leaseBound(sched.Timing.RunLease) + time.Duration(clockError*float64(now.Sub(up.clockAt))))
+	if leaseEnd.After(up.leaseEnd) {
+		up.leaseEnd = leaseEnd
+	}
+}
+
+// HasUnacknowledgedEnds reports whether run ends of the upstream are not stored
+// yet.
+func (sched *Scheduler) HasUnacknowledgedEnds(id string) bool {
+	up := sched.upstreams[id]
+	return up != nil && up.acknowledged < up.applied
+}
