--- a/internal/job/bbrscheduler/restart_test.go
+++ b/internal/job/bbrscheduler/restart_test.go
@@ -202,3 +202,27 @@
 	require.Len(t, s.plan().Starts, 1)
 	require.Empty(t, s.sched.Unverified(s.now.Add(-time.Millisecond)))
 }
+
+// TestSuccessorAdoptsRunOnRestartedUpstream guards against a successor that starts work
+// elsewhere which an upstream runs that restarted since the earlier owner recorded it.
+func TestSuccessorAdoptsRunOnRestartedUpstream(t *testing.T) {
+	for _, registeredFirst := range []bool{false, true} {
+		s := newScene(t, false, "i-2")
+		s.accept(testJob, unitStep(1))
+		s.sched.FinishLoading([]bbrwork.Upstream{s.upstream("i-1")}, 5, s.now)
+		again := s.upstream("i-1")
+		again.StartMillis = 2000
+		if registeredFirst {
+			s.sched.RegisterUpstream(again, s.now)
+		}
+		require.Empty(t, s.plan().Starts)
+		renewal, known := s.sched.PlanRenewal("i-1", true, s.now)
+		require.True(t, known)
+		listing := bbrwork.Listing{Clock: time.Second, StartMillis: 2000, Running: []bbrwork.Run{{Unit: unitName(0), Number: 1}}}
+		s.sched.ApplyListing(renewal.Upstream.Incarnation, &listing, s.now, s.now.Add(time.Millisecond))
+		s.advance(time.Minute)
+		for range 3 {
+			require.Empty(t, s.plan().Starts)
+		}
+	}
+}
