job/bbrscheduler: a start that another incarnation refused is no crash

Cause: 421 to a start ended the incarnation with that start among the runs that may have crashed it, though 421 says that it was not carried out. Ruled out: a crash under these runs; each was 'starting' as the answer came.

The start is dropped before the incarnation ends. TestStartRefusedByAnotherIncarnationIsNoCrash fails before.

--- a/internal/job/bbrscheduler/crash_test.go
+++ b/internal/job/bbrscheduler/crash_test.go
@@ -188,6 +188,23 @@
 	day.requireOutcomes(t)
 }
 
+// TestStartRefusedByAnotherIncarnationIsNoCrash guards against giving harmless work up
+// because of starts that upstreams refused which had ended before: their addresses belong
+// to others now.
+func TestStartRefusedByAnotherIncarnationIsNoCrash(t *testing.T) {
+	s := newScene(t, true, "i-1", "i-2", "i-3", "i-4", "i-5", "i-6")
+	s.accept(testJob, unitStep(1))
+	for range 5 {
+		plan := s.plan()
+		require.Len(t, plan.Starts, 1)
+		s.answerStarts(plan, bbrorder.ErrOtherIncarnation)
+		require.Empty(t, s.sched.suspects)
+		require.NotContains(t, s.sched.upstreams, plan.Starts[0].Upstream.ID)
+		s.advance(startRetryDelay)
+	}
+	require.Len(t, s.plan().Starts, 1)
+}
+
 func TestOrderedEndsAccuseNobody(t *testing.T) {
 	for _, ordered := range []func(up *upstream){
 		func(up *upstream) { up.reservedAt = up.clockAt },
--- a/internal/job/bbrscheduler/startresult.go
+++ b/internal/job/bbrscheduler/startresult.go
@@ -75,6 +75,8 @@
 		sched.boundRestartedLease(up, now)
 		return
 	case errors.Is(err, bbrorder.ErrOtherIncarnation) && !r.moved:
+		// The start was not carried out, so that the upstream did not end under it.
+		sched.dropRun(r, now)
 		sched.endUpstream(up, "another life answers at its address", now)
 		return
 	case errors.Is(err, bbrorder.ErrNoCapacity):
