--- a/internal/job/bbrcrash/history.go
+++ b/internal/job/bbrcrash/history.go
@@ -97,7 +97,7 @@
 	// long-running work above all, sees as many crashes, but at any age.
 	givenUpAfterYoungest = 4
 	// No unit is given up for a crash alone without minCertain certain crashes, or
-	// enoughUncertain ones of which some were not seen by an owner.
+	// enoughUncertain ones of which the last is certain.
 	minCertain      = 2
 	enoughUncertain = 4
 )
@@ -111,7 +111,7 @@
 	earlier, last := h[:len(h)-1], h[len(h)-1]
 	c := h.counts()
 	switch {
-	case c.youngest >= givenUpAfterYoungest, earlier.isolates() && last.provesAlone() && c.suffices():
+	case c.youngest >= givenUpAfterYoungest, earlier.isolates() && last.provesAlone() && c.suffice(last):
 		return GivenUp
 	case h.isolates():
 		return Isolated
@@ -137,8 +137,11 @@
 	known, presumed, youngest, certain int
 }
 
-// suffices reports whether the crashes suffice to give a work unit up after one alone.
-func (c counts) suffices() bool { return c.certain >= minCertain || c.known >= enoughUncertain }
+// suffice reports whether the crashes suffice to give a work unit up after the last one,
+// which was alone.
+func (c counts) suffice(last Crash) bool {
+	return c.certain >= minCertain || last.Certain && c.known >= enoughUncertain
+}
 
 func (h History) counts() counts {
 	var c counts
--- a/internal/job/bbrcrash/history_test.go
+++ b/internal/job/bbrcrash/history_test.go
@@ -38,6 +38,7 @@
 		{"trials that nobody saw end, then alone", History{presumed, unseen, unseen, alone}, Isolated},
 		{"the same, once more", History{presumed, unseen, unseen, alone, alone}, GivenUp},
 		{"three trials that nobody saw end, then alone", History{presumed, unseen, unseen, unseen, alone}, GivenUp},
+		{"starts that were never answered", History{bystander, crash(1, true, false), crash(0, true, false), crash(0, false, false)}, Isolated},
 		{"many crashes beside others at any age", History{bystander, suspect, bystander, suspect, bystander, suspect}, Isolated},
 	} {
 		require.Equal(t, test.want, test.history.Standing(), test.name)
