--- a/internal/standin/bbrfleet/fleet.go
+++ b/internal/standin/bbrfleet/fleet.go
@@ -169,20 +169,14 @@
 
 // Crash ends the incarnation of an upstream and all its runs, and starts another.
 // It does nothing while the machine is down.
-func (f *Fleet) Crash(number int) {
-	w := f.workers[number%len(f.workers)]
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if w.state != "up" {
-		return
-	}
-	w.dropRuns()
-	w.boot(time.Now())
-}
+func (f *Fleet) Crash(number int) { f.endIncarnation(number, (*worker).boot) }
 
-// Restart lets an upstream crash and start again at once under its ID. Its registration
+// Restart does the same, but the next incarnation has the same ID. Its registration
 // follows up to registrationInterval later.
-func (f *Fleet) Restart(number int) {
+func (f *Fleet) Restart(number int) { f.endIncarnation(number, (*worker).restart) }
+
+// endIncarnation ends the incarnation of an upstream, and begins the next one.
+func (f *Fleet) endIncarnation(number int, begin func(w *worker, now time.Time)) {
 	w := f.workers[number%len(f.workers)]
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -190,5 +184,5 @@
 		return
 	}
 	w.dropRuns()
-	w.restart(time.Now())
+	begin(w, time.Now())
 }
