--- a/internal/job/bbrscheduler/restart.go
+++ b/internal/job/bbrscheduler/restart.go
@@ -30,7 +30,7 @@
 		return
 	}
 	sched.note(now, "Upstream announces a restart", "upstream", up.ID, "born", up.StartMillis, "announced", in.StartMillis, "runs", len(up.runs))
-	sched.boundRestartedLease(up, now)
+	sched.extendToMaxLease(up, now)
 }
 
 // target returns the upstream as it is to be asked for its runs.
@@ -54,12 +54,13 @@
 	}
 	up.restartSuspected = true
 	up.clockAt = time.Time{}
-	sched.boundRestartedLease(up, now)
+	sched.extendToMaxLease(up, now)
 }
 
-// boundRestartedLease extends the lease to the longest that upstreams allow. Deadlines
-// by the clock of an earlier incarnation are far in the future for its successor.
-func (sched *Scheduler) boundRestartedLease(up *upstream, now time.Time) {
+// extendToMaxLease extends the lease to the longest that upstreams allow. An incarnation
+// that this owner may not know grants it, since deadlines by the clock of an earlier one
+// are far in its future.
+func (sched *Scheduler) extendToMaxLease(up *upstream, now time.Time) {
 	if end := now.Add(leaseBound(sched.Timing.MaxRunLease)); len(up.runs) > 0 && end.After(up.leaseEnd) {
 		up.leaseEnd = end
 	}
@@ -86,6 +87,7 @@
 	if announced := old.announced; announced != nil && announced.StartMillis == startMillis {
 		next.Upstream, next.registered = *announced, true
 	} else {
+		next.unregisteredAt = now
 		next.announced, next.announcedLater, next.announcedAt = announced, old.announcedLater, old.announcedAt
 	}
 	old.announced = nil
@@ -103,7 +105,7 @@
 	sched.dropUpstream(old, now)
 	delete(sched.endedIncarnations, next.Incarnation)
 	sched.addUpstream(next, next.ID)
-	sched.boundRestartedLease(next, now)
+	sched.extendToMaxLease(next, now)
 	return next
 }
 
--- a/internal/job/bbrscheduler/restart_test.go
+++ b/internal/job/bbrscheduler/restart_test.go
@@ -188,6 +188,18 @@
 	require.Len(t, s.plan().Starts, 1)
 }
 
+// TestRestartedUpstreamThatIsNotRegisteredYetIsKept guards against forgetting an upstream,
+// and which of its ends were read, between its first listing and its registration.
+func TestRestartedUpstreamThatIsNotRegisteredYetIsKept(t *testing.T) {
+	s := newRestartedScene(t)
+	s.answerStart(nil)
+	s.listAgain(nil, bbrwork.RunEnd{Sequence: 1, Unit: s.order.Start.Unit, Run: s.order.Start.Run, Outcome: bbrwork.OutcomeDone})
+	s.plan()
+	require.Contains(t, s.sched.upstreams, s.again.ID)
+	s.sched.RegisterUpstream(s.again, s.now)
+	require.EqualValues(t, 1, s.sched.upstreams[s.again.ID].applied)
+}
+
 // TestOutdatedListDoesNotEndRestartedUpstream guards against taking a start for ended
 // that was sent after the platform's list was requested.
 func TestOutdatedListDoesNotEndRestartedUpstream(t *testing.T) {
--- a/internal/job/bbrscheduler/startresult.go
+++ b/internal/job/bbrscheduler/startresult.go
@@ -72,7 +72,7 @@
 	case errors.Is(err, bbrorder.ErrAnswerLost):
 		r.phase = phaseUnknown
 		up.recordSilence(now)
-		sched.boundRestartedLease(up, now)
+		sched.extendToMaxLease(up, now)
 		return
 	case errors.Is(err, bbrorder.ErrOtherIncarnation) && !r.moved:
 		// The start was not carried out, so that the upstream did not end under it.
--- a/internal/job/bbrscheduler/unlocatedcrash.go
+++ b/internal/job/bbrscheduler/unlocatedcrash.go
@@ -16,8 +16,8 @@
 // work that is not known.
 type unlocatedEnd struct {
 	incarnation bbrwork.Incarnation
-	failure     bbrcrash.Failure
-	outage      bool
+	// outage means that the upstream ended together with its rack or zone.
+	outage bool
 }
 
 // maxPresumed bounds the work units that are presumed to have run on ended incarnations.
@@ -33,7 +33,7 @@
 	failure := bbrcrash.Failure{At: up.failedAt(now), Rack: up.Rack(), Zone: up.Zone}
 	outage := sched.isOutage(up, failure, now)
 	sched.keepFailure(failure, now)
-	sched.lostUnlocated = append(sched.lostUnlocated, unlocatedEnd{up.Incarnation, failure, outage})
+	sched.lostUnlocated = append(sched.lostUnlocated, unlocatedEnd{up.Incarnation, outage})
 }
 
 // accuseUnlocated adds a presumed crash to the work units that an earlier owner may have
--- a/internal/job/bbrwork/job.go
+++ b/internal/job/bbrwork/job.go
@@ -25,14 +25,14 @@
 	seconds := int64(occurrence) * int64(s.Every/time.Second)
 	rest := time.Duration(occurrence) * (s.Every % time.Second)
 	due := time.Unix(s.First.Unix()+seconds, int64(s.First.Nanosecond())).Add(rest)
-	if due.After(latestDue) {
-		return latestDue
+	if due.After(LatestDue) {
+		return LatestDue
 	}
 	return due
 }
 
-// latestDue is the latest due time, the latest time that can be encoded.
-var latestDue = time.Date(9999, time.December, 31, 23, 59, 59, 0, time.UTC)
+// LatestDue is the latest due time, the latest time that can be encoded as text.
+var LatestDue = time.Date(9999, time.December, 31, 23, 59, 59, 0, time.UTC)
 
 // Job is an accepted job. It is immutable.
 type Job struct {
--- a/internal/job/bbrwork/job_test.go
+++ b/internal/job/bbrwork/job_test.go
@@ -23,5 +23,5 @@
 	require.Equal(t, 3012, previous.Year())
 	// Earlier versions stored intervals whose occurrences are due after the year 9999.
 	endless := Schedule{Count: 100_000, First: first, Every: math.MaxInt64}
-	require.Equal(t, latestDue, endless.Due(99_999))
+	require.Equal(t, LatestDue, endless.Due(99_999))
 }
