job/bbrintake: copies of a job in one batch are stored one after the other

Two copies of a job that reach an entry within 3 ms were put into one transaction. Its condition, that the ID is not stored, held for both, so that copies for different cells became two jobs. The second copy now waits for the first one's transaction.

--- a/internal/job/bbrintake/acceptor.go
+++ b/internal/job/bbrintake/acceptor.go
@@ -128,8 +128,29 @@
 func (w *writer) run(ctx context.Context) {
 	defer func() { <-w.slots }()
 	for len(w.batch) > 0 {
-		w.attempt(ctx, time.Now())
+		first, duplicates := splitDuplicates(w.batch)
+		w.batch, w.answerLost = first, false
+		for len(w.batch) > 0 {
+			w.attempt(ctx, time.Now())
+		}
+		w.batch = duplicates
+	}
+}
+
+// splitDuplicates returns the first submission of each ID, and the others. In one
+// transaction, the condition that an ID is not stored would hold for all of them, and copies
+// for different cells would become several jobs.
+func splitDuplicates(batch []*submission) (first, duplicates []*submission) {
+	seen := make(map[string]bool, len(batch))
+	for _, s := range batch {
+		if seen[s.job.ID] {
+			duplicates = append(duplicates, s)
+			continue
+		}
+		seen[s.job.ID] = true
+		first = append(first, s)
 	}
+	return first, duplicates
 }
 
 // attempt commits the rest of the batch and answers the submissions whose outcome is
