fleet/bbrcell, fleet/bbrclaim: balance by capacity (jobs.balanceByCapacity)

Cause: jobs went to cells by the sizes at the division of the fleet, whatever their pool has there; shards went to entries by processor time alone; an owner that lacked processor time kept its shards.

Change: entries exchange the room of shards with hints and their answers, and move the jobs of cells with less room to others in proportion; entries are ranked by the smaller of processor time and link (limits.bandwidthMbps); an owner whose planning rounds are late for 4 s releases its claim, at most once a minute for each shard. Off by default.

--- a/internal/base/bbrmetric/set.go
+++ b/internal/base/bbrmetric/set.go
@@ -22,6 +22,10 @@
 	bodyBytes      *prometheus.CounterVec
 	slowWaits      *prometheus.CounterVec
 	crashVerdicts  *prometheus.CounterVec
+	cellChoices    *prometheus.CounterVec
+	handovers      *prometheus.CounterVec
+	roomMilliCPU   *prometheus.GaugeVec
+	roomDrain      *prometheus.GaugeVec
 	oldestWaits    *prometheus.GaugeVec
 	suspects       *prometheus.GaugeVec
 	organisations  *prometheus.GaugeVec
@@ -40,6 +44,10 @@
 	s.bodyBytes = s.newCounter("bbr_body_bytes_total", "Bytes of the bodies of calls to the platform and to upstreams.", "purpose", "direction")
 	s.slowWaits = s.newCounter("bbr_slow_waits_total", "Work units that waited over 3 s for a run, by reason.", "reason")
 	s.crashVerdicts = s.newCounter("bbr_crash_verdicts_total", "What crashes of upstreams meant for the work units that ran there.", "verdict")
+	s.cellChoices = s.newCounter("bbr_cell_choices_total", "Jobs by the reason for the choice of their cell, with jobs.balanceByCapacity.", "reason")
+	s.handovers = s.newCounter("bbr_handovers_total", "Hand-overs that this entry began while running, by cause.", "cause")
+	s.roomMilliCPU = s.newGauge("bbr_room_millicores", "Usable processor capacity of a shard for finite work, with jobs.balanceByCapacity.", "shard")
+	s.roomDrain = s.newGauge("bbr_room_drain_seconds", "Time that a shard's usable capacity needs for its open finite work, with jobs.balanceByCapacity.", "shard")
 	s.suspects = prometheus.NewGaugeVec(prometheus.GaugeOpts{
 		Name: "bbr_crash_suspects",
 		Help: "Work units under which upstreams crashed and that are not cleared, and those of them that run alone, by shard.",
@@ -87,6 +95,31 @@
 	return counter
 }
 
+func (s *Set) newGauge(name, help string, labels ...string) *prometheus.GaugeVec {
+	gauge := prometheus.NewGaugeVec(prometheus.GaugeOpts{Name: name, Help: help}, labels)
+	s.Registry.MustRegister(gauge)
+	return gauge
+}
+
+// CellChoice counts a job by the reason for the choice of its cell.
+func (s *Set) CellChoice(reason string) { s.cellChoices.WithLabelValues(reason).Inc() }
+
+// Handover counts a hand-over by its cause.
+func (s *Set) Handover(cause string) { s.handovers.WithLabelValues(cause).Inc() }
+
+// SetRoom sets a shard's usable capacity, in thousandths of a core, and how long that needs
+// for the open work.
+func (s *Set) SetRoom(shard string, milliCPU int, drain time.Duration) {
+	s.roomMilliCPU.WithLabelValues(shard).Set(float64(milliCPU))
+	s.roomDrain.WithLabelValues(shard).Set(drain.Seconds())
+}
+
+// ClearRoom removes the gauges of a shard's room.
+func (s *Set) ClearRoom(shard string) {
+	s.roomMilliCPU.DeleteLabelValues(shard)
+	s.roomDrain.DeleteLabelValues(shard)
+}
+
 // Answer counts a final answer, and a refusal unless the work ran.
 func (s *Set) Answer(code bbrcode.Code) {
 	info := code.Info()
--- a/internal/config/bbrsettings/parse.go
+++ b/internal/config/bbrsettings/parse.go
@@ -17,6 +17,7 @@
 	maxInProgress  = 100_000
 	maxBodyBytes   = 16 << 20
 	maxKeys        = 1_000_000
+	maxBandwidth   = 1_000_000
 )
 
 // checker collects errors with their positions in the file.
@@ -75,6 +76,7 @@
 		c.size(int64(s.Platform.MaxValueBytes), minValueBytes, 1<<30, "platform.valueBytes")
 		c.require(!s.Listen.Peers.Addr().IsUnspecified(), bbrcode.SettingsInvalid, "listen.peers", "must be an address that the other entries can reach")
 		c.jobs(s.Jobs)
+		c.require(!s.Jobs.BalanceByCapacity || s.Listen.Peers.IsValid(), bbrcode.SettingsInvalid, "jobs.balanceByCapacity", "needs listen.peers, as entries learn the room of cells from one another")
 	default:
 		c.require(false, bbrcode.SettingsInvalid, "platform.protocol", "must be %s or %s", ProtocolOwn, ProtocolFleet)
 	}
@@ -103,6 +105,7 @@
 	c.size(l.KeptAnswerBytes, 0, 1<<30, "limits.keptAnswerBytes")
 	c.require(l.CPUShare > 0 && l.CPUCores > 0, bbrcode.SettingsInvalid, "limits", "cpuShare and cpuCores must be above 0")
 	c.size(int64(l.MemoryMB), 0, 1<<20, "limits.memoryMB")
+	c.size(int64(l.BandwidthMbps), 0, maxBandwidth, "limits.bandwidthMbps")
 }
 
 func (c *checker) size(value, minimum, maximum int64, path string) {
--- a/internal/config/bbrsettings/settings.go
+++ b/internal/config/bbrsettings/settings.go
@@ -59,6 +59,9 @@
 	// RequireKeys makes callers of queues that are not public authenticate by a key of
 	// their organisation, even if the operators' configuration has no organisations.
 	RequireKeys bool `yaml:"requireKeys"`
+	// BalanceByCapacity assigns jobs to cells by room and shards to entries by processor
+	// time and link, and makes slow owners hand over.
+	BalanceByCapacity bool `yaml:"balanceByCapacity"`
 }
 
 // Listen has the addresses that the process listens on. They are also the
@@ -114,6 +117,9 @@
 	KeptAnswerBytes int64 `yaml:"keptAnswerBytes"`
 	// MemoryMB is the memory that the process may use; 0 means no limit.
 	MemoryMB int `yaml:"memoryMB"`
+	// BandwidthMbps is the link of the process in megabits per second; 0 if it is unknown.
+	// It is used only with jobs.balanceByCapacity.
+	BandwidthMbps int `yaml:"bandwidthMbps"`
 	// CPUShare is the share of CPUCores that the process may use. Entries with more
 	// processor time take over services first.
 	CPUShare float64 `yaml:"cpuShare"`
--- a/internal/daemon/bbrcommand/check_test.go
+++ b/internal/daemon/bbrcommand/check_test.go
@@ -4,10 +4,12 @@
 	"bytes"
 	"os"
 	"path/filepath"
+	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/bluebellridge/bluebellridge/internal/base/bbrcode"
 	"github.com/bluebellridge/bluebellridge/internal/config/bbrsettings"
 	"github.com/bluebellridge/bluebellridge/internal/operator/bbrapi"
 )
@@ -51,6 +53,23 @@
 	}, lines)
 }
 
+// TestBalanceByCapacityNeedsPeers guards against an entry whose jobs are balanced by room
+// that it cannot learn, and against links that are no numbers of megabits.
+func TestBalanceByCapacityNeedsPeers(t *testing.T) {
+	valid := "entry: a\nzone: z\nlisten: {callers: 10.0.0.1:1, readiness: 10.0.0.1:2, metrics: 10.0.0.1:3, peers: 10.0.0.1:4}\n" +
+		"platform: {protocol: fleet, address: 10.0.0.2:1, machines: 10.0.0.2:2}\n" +
+		"limits: {bandwidthMbps: 10}\njobs: {balanceByCapacity: true}\n"
+	settings, faults := bbrsettings.Parse([]byte(valid))
+	require.Empty(t, faults)
+	require.True(t, settings.Jobs.BalanceByCapacity)
+	require.Equal(t, 10, settings.Limits.BandwidthMbps)
+	for replaced, by := range map[string]string{", peers: 10.0.0.1:4": "", "bandwidthMbps: 10": "bandwidthMbps: -1", "balanceByCapacity: true": "balanceByCapacity: 2"} {
+		_, faults = bbrsettings.Parse([]byte(strings.Replace(valid, replaced, by, 1)))
+		require.Len(t, faults, 1, by)
+		require.Equal(t, bbrcode.SettingsInvalid, faults[0].Code)
+	}
+}
+
 // FuzzSettings checks that no input makes the parsers of settings and configuration
 // panic.
 func FuzzSettings(f *testing.F) {
--- a/internal/daemon/bbrserve/daemon.go
+++ b/internal/daemon/bbrserve/daemon.go
@@ -119,6 +119,9 @@
 		MaxBodyBytes: settings.Limits.BodyBytes,
 		RequireKeys:  settings.Jobs.RequireKeys,
 	}
+	if settings.Jobs.BalanceByCapacity {
+		d.balanceByCapacity()
+	}
 	d.servers = []*bbrlistener.Listener{
 		bbrlistener.New(settings.Listen.Callers, d.handler.Router(), settings),
 		bbrlistener.New(settings.Listen.Readiness, http.HandlerFunc(d.serveReady), settings),
@@ -187,14 +190,14 @@
 	if err != nil {
 		return err
 	}
-	server := &bbrinquiry.Server{JobState: d.owners.localState, JobExplanation: d.owners.localExplanation, AcceptHint: d.owners.acceptHint, PingEntry: d.queries.Ping, ServedAt: d.session.ServedAt, RevokeLease: d.store.Revoke}
+	server := &bbrinquiry.Server{JobState: d.owners.localState, JobExplanation: d.owners.localExplanation, AcceptHint: d.owners.acceptHint, PingEntry: d.queries.Ping, ServedAt: d.session.ServedAt, RevokeLease: d.store.Revoke, Rooms: d.queries.Rooms}
 	handover := &bbrclaim.Handover{
 		Session:    d.session,
 		ClaimCount: d.claimer.Count,
 		Peers:      func() []netip.AddrPort { return d.directory.PeerAddresses(d.settings.Entry) },
 		AskServed:  d.queries.Served,
 		AskRevoke:  d.queries.Revoke,
-		Event:      d.metrics.Event,
+		Event:      d.countHandover,
 	}
 	detector := &bbrdetector.Detector{
 		Entry:           d.settings.Entry,
@@ -213,6 +216,15 @@
 	return nil
 }
 
+// countHandover counts an event of the hand-over of all claims of an entry that the store
+// does not serve.
+func (d *daemon) countHandover(event string) {
+	d.metrics.Event(event)
+	if event == bbrclaim.HandoverBegun {
+		d.metrics.Handover("unserved")
+	}
+}
+
 // stop hands over to other entries: it reports the entry as not ready to the load
 // balancer, releases the claims, and serves callers for as long as the balancer may
 // still send requests.
--- a/internal/daemon/bbrserve/owners.go
+++ b/internal/daemon/bbrserve/owners.go
@@ -10,6 +10,7 @@
 
 	"k8s.io/klog/v2"
 
+	"github.com/bluebellridge/bluebellridge/internal/fleet/bbrcell"
 	"github.com/bluebellridge/bluebellridge/internal/fleet/bbrclaim"
 	"github.com/bluebellridge/bluebellridge/internal/fleet/bbrmachine"
 	"github.com/bluebellridge/bluebellridge/internal/fleet/bbrmaintenance"
@@ -38,6 +39,8 @@
 	// running contains the owners that run at this entry, by shard; the value is
 	// nil after the owner has ended.
 	running map[bbrwork.Shard]*bbrowner.Owner
+	// rooms has the rooms of shards at this and other entries.
+	rooms bbrcell.RoomDirectory
 	// hintSlots contains an element for each hint in flight.
 	hintSlots chan struct{}
 }
@@ -149,6 +152,11 @@
 		Reserved:   d.reservations.Reserved,
 		ConfigKey:  bbrwire.ConfigKey,
 		ShardCount: o.shardCount,
+
+		PublishRoom: jobs.BalanceByCapacity,
+	}
+	if relief := d.claimer.Relief; relief != nil {
+		owner.HandOver = func(ownedSince, now time.Time) bool { return relief.HandOver(held.Name, ownedSince, now) }
 	}
 	o.setRunning(shard, owner)
 	owner.Run(ctx)
--- a/internal/fleet/bbrcell/cells.go
+++ b/internal/fleet/bbrcell/cells.go
@@ -65,26 +65,39 @@
 // instances for such jobs. A job whose data is on a rack goes to the rack's cell, and any
 // other job to a cell that its ID selects. homeCell counts modulo the number of cells.
 func (c *Cells) ChooseForJob(job *bbrwork.Job, homeCell int) int {
+	cell, _, _ := c.choose(job, homeCell)
+	return cell
+}
+
+// choose returns the cell for a new job and why it is that one. If the job's ID selects the
+// cell, it also returns the cells from which that was selected.
+func (c *Cells) choose(job *bbrwork.Job, homeCell int) (cell int, candidates []int, reason Reason) {
 	if c.Count() == 1 {
-		return 0
+		return 0, nil, ReasonOnlyCell
 	}
-	candidates := c.candidates(job)
+	candidates = c.candidates(job)
 	if homeCell %= c.Count(); needsManyUpstreams(job) && slices.Contains(candidates, homeCell) {
-		return homeCell
+		return homeCell, nil, ReasonManyUpstreams
 	}
 	if cell, known := c.CellOf(mainDataRack(job)); known && slices.Contains(candidates, cell) {
-		return cell
+		return cell, nil, ReasonData
 	}
-	return c.pickByID(job.ID, candidates)
+	return c.pickByID(job.ID, candidates), candidates, ReasonEvenRoom
 }
 
-// candidates returns the cells that have all labels that the job's steps require, or all
-// cells if none has.
-func (c *Cells) candidates(job *bbrwork.Job) []int {
+// all returns all cells, in order.
+func (c *Cells) all() []int {
 	all := make([]int, c.Count())
 	for cell := range all {
 		all[cell] = cell
 	}
+	return all
+}
+
+// candidates returns the cells that have all labels that the job's steps require, or all
+// cells if none has.
+func (c *Cells) candidates(job *bbrwork.Job) []int {
+	all := c.all()
 	candidates := slices.Clone(all)
 	for i := range job.Steps {
 		if label := job.Steps[i].Label; label != "" {
@@ -155,3 +168,20 @@
 	}
 	return cells[len(cells)-1]
 }
+
+// fractionOf returns a number in [0, 1) that depends on the ID only, and not on the cell
+// that the ID selects.
+func fractionOf(id string) float64 {
+	const (
+		multiplier    = 0xff51afd7ed558ccd // From the finalizer of MurmurHash3.
+		shift         = 33
+		fractionBits  = 53
+		discardedBits = 64 - fractionBits
+	)
+	hash := fnv.New64a()
+	hash.Write([]byte(id)) // A hash never returns an error.
+	mixed := hash.Sum64()
+	mixed = (mixed ^ mixed>>shift) * multiplier
+	mixed ^= mixed >> shift
+	return float64(mixed>>discardedBits) / (1 << fractionBits)
+}
--- a/internal/fleet/bbrclaim/claimer.go
+++ b/internal/fleet/bbrclaim/claimer.go
@@ -39,6 +39,9 @@
 	// RunOwner acts as the owner for the claim. Its ctx ends when the claim is
 	// lost or Run's ctx ends.
 	RunOwner func(ctx context.Context, held HeldClaim)
+	// Relief has the shards that this entry handed over because it is slow. It is nil if
+	// owners keep their claims.
+	Relief *Relief
 
 	mu sync.Mutex
 	// active contains the held claims by name.
@@ -87,7 +90,7 @@
 		}
 	}
 	for _, name := range c.Directory.DueClaims(names, c.Session.Entry, now) {
-		if ctx.Err() == nil && !c.holds(name) {
+		if ctx.Err() == nil && !c.holds(name) && !c.Relief.leaves(name, now) {
 			c.claim(ctx, name, lease)
 		}
 	}
--- a/internal/fleet/bbrclaim/directory.go
+++ b/internal/fleet/bbrclaim/directory.go
@@ -34,6 +34,10 @@
 // registered entries, the claims, the operators' directives and the division of
 // the fleet into cells.
 type Directory struct {
+	// UseBandwidth ranks entries by their links as well as by their processor time. It must
+	// not change.
+	UseBandwidth bool
+
 	mu      sync.Mutex
 	entries map[string]entryRecord
 	claims  map[string]Claim
@@ -261,10 +265,7 @@
 	if len(unowned) == 0 {
 		return nil
 	}
-	claimCounts := make(map[string]int)
-	for _, claim := range d.claims {
-		claimCounts[claim.Entry]++
-	}
+	claimCounts := d.claimCounts()
 	var due []string
 	for _, name := range unowned {
 		rank, first := d.rank(entry, claimCounts)
@@ -322,22 +323,27 @@
 }
 
 func (d *Directory) preferenceOf(entry string, claimCounts map[string]int) preference {
-	return preference{claims: claimCounts[entry], milliCPU: max(1, d.entries[entry].MilliCPU), registered: d.revisions[entryPrefix+entry]}
+	record := d.entries[entry]
+	if !d.UseBandwidth {
+		record.BandwidthMbps = 0
+	}
+	return preference{claims: claimCounts[entry], capacity: carryingCapacity(record.MilliCPU, record.BandwidthMbps), registered: d.revisions[entryPrefix+entry]}
 }
 
-// preference orders entries for a claim. An entry that would have more processor
-// time per claim comes first; among equals, the one that registered last does,
+// preference orders entries for a claim. An entry that would have more capacity
+// per claim comes first; among equals, the one that registered last does,
 // because in a rolling restart it is the least likely to be stopped again soon.
 type preference struct {
-	claims, milliCPU int
+	// capacity is in thousandths of a core.
+	claims, capacity int
 	// registered is the revision of the entry's registration.
 	registered bbrkv.Revision
 }
 
 // precedes reports whether p is preferred to the other.
 func (p preference) precedes(other preference) bool {
-	// Compares milliCPU/(claims+1) without a division.
-	share, otherShare := p.milliCPU*(other.claims+1), other.milliCPU*(p.claims+1)
+	// Compares capacity/(claims+1) without a division.
+	share, otherShare := p.capacity*(other.claims+1), other.capacity*(p.claims+1)
 	if share != otherShare {
 		return share > otherShare
 	}
--- a/internal/fleet/bbrclaim/handover.go
+++ b/internal/fleet/bbrclaim/handover.go
@@ -27,6 +27,9 @@
 	maxAskedPeers = 3
 )
 
+// HandoverBegun is the event that the claims are given up.
+const HandoverBegun = "handover:begun"
+
 // Handover gives up the claims of an entry that the store no longer serves while it
 // serves other entries: another entry revokes its lease, so that successors need not wait
 // until the lease expires. While the store serves nobody, the claims are kept.
@@ -87,7 +90,7 @@
 			return
 		}
 		klog.InfoS("Gave up all claims, as the store serves other entries only", "lease", lease, "claims", h.ClaimCount(), "servedAt", h.Session.ServedAt(), "peer", peer)
-		h.Event("handover:begun")
+		h.Event(HandoverBegun)
 		h.revoke(ctx, lease, peers[i:])
 		return
 	}
--- /dev/null
+++ b/internal/fleet/bbrclaim/lateness.go
@@ -0,0 +1,46 @@
+package bbrclaim
+
+import "time"
+
+const (
+	// lateFactor is the number of intervals between the beginnings of two rounds from which
+	// the second is late. A round that begins on time may wait for the one before it and
+	// for the pause after it.
+	lateFactor = 3
+	// maxLatePause bounds what one pause counts for, so that a process that was paused once
+	// is not taken for a slow one.
+	maxLatePause = time.Second
+	// maxLateness is the time for which rounds must be late. Shorter times are bursts of
+	// work, which a hand-over would prolong: a takeover takes up to ConfirmationTTL.
+	maxLateness = 4 * time.Second
+)
+
+// Lateness is a measure of how late the regular rounds of a task are, by the monotonic clock
+// of this process. Time with late rounds adds to it, and time with rounds in time reduces
+// it. The zero value is ready to use.
+type Lateness struct {
+	previous time.Time
+	late     time.Duration
+}
+
+// Record records that a round begins, one interval or less after the previous one if it is
+// in time. It reports whether the rounds have been late for long enough to hand over.
+func (l *Lateness) Record(now time.Time, interval time.Duration) bool {
+	if previous := l.previous; !previous.IsZero() {
+		pause := now.Sub(previous)
+		if pause > lateFactor*interval {
+			l.late += min(pause, maxLatePause)
+		} else {
+			l.late = max(0, l.late-pause)
+		}
+	}
+	l.previous = now
+	return l.late >= maxLateness
+}
+
+// Reset begins the measure anew, and returns what it was.
+func (l *Lateness) Reset() time.Duration {
+	late := l.late
+	l.late = 0
+	return late
+}
--- /dev/null
+++ b/internal/fleet/bbrclaim/relief.go
@@ -0,0 +1,140 @@
+package bbrclaim
+
+import (
+	"sync"
+	"time"
+
+	"k8s.io/klog/v2"
+)
+
+const (
+	// minOwnedTime is how long an owner keeps a shard at least before it hands over because
+	// it is slow. It bounds the hand-overs of a shard for all entries together, as a new
+	// owner waits too.
+	minOwnedTime = time.Minute
+	// handOverPause is how long no claim must have ended, as far as the entry knows, before
+	// it hands over. A hand-over shows its effect on the entry's other shards first, and
+	// entries that are all slow do not pass their shards around at the same time.
+	handOverPause = 10 * time.Second
+	// deferral is how long an entry leaves a shard that it handed over to others. The next
+	// one in rank claims it after claimStagger, and 59 others could fail before.
+	deferral = 15 * time.Second
+)
+
+// Relief decides which owners of an entry hand over their shards because they are slow. It
+// keeps the entry from claiming such a shard again.
+type Relief struct {
+	Entry     string
+	Directory *Directory
+	// Count counts a decision.
+	Count func(decision Decision)
+
+	mu sync.Mutex
+	// lastAt is when the entry last handed a shard over.
+	lastAt time.Time
+	// until has the shards that were handed over and the times until which the entry leaves
+	// them to others.
+	until map[string]time.Time
+}
+
+// Decision is a decision about an owner whose planning rounds are late.
+type Decision string
+
+// Decisions: a hand-over, or the reason for which the shard is kept.
+const (
+	HandOverLate     Decision = "late"
+	KeptRecent       Decision = "recentOwner"
+	KeptAfterAnother Decision = "afterAnother"
+	KeptNoSpare      Decision = "noSpareEntry"
+)
+
+// HandOver reports whether the slow owner of the name, which it has owned since a time, is
+// to release its claim now.
+func (r *Relief) HandOver(name string, ownedSince, now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	decision := decideHandOver(now.Sub(ownedSince), now.Sub(r.Directory.lastEnd(r.lastAt)), r.Directory.hasSpareEntry(r.Entry))
+	r.Count(decision)
+	if decision != HandOverLate {
+		klog.InfoS("Keeping a shard although its planning rounds are late", "claim", name, "reason", decision)
+		return false
+	}
+	r.lastAt = now
+	if r.until == nil {
+		r.until = make(map[string]time.Time)
+	}
+	r.until[name] = now.Add(deferral)
+	return true
+}
+
+// lastEnd returns when a claim was last seen to have ended, at least the given time.
+func (d *Directory) lastEnd(at time.Time) time.Time {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, ended := range d.endedAt {
+		if ended.After(at) {
+			at = ended
+		}
+	}
+	return at
+}
+
+// decideHandOver decides about a slow owner, by how long it has had the shard and how long
+// ago a claim of any entry ended.
+func decideHandOver(owned, sinceLast time.Duration, spareEntry bool) Decision {
+	switch {
+	case owned < minOwnedTime:
+		return KeptRecent
+	case sinceLast < handOverPause:
+		return KeptAfterAnother
+	case !spareEntry:
+		return KeptNoSpare
+	default:
+		return HandOverLate
+	}
+}
+
+// leaves reports whether the entry leaves the name to others: it has handed it over lately,
+// and another entry can take it. A nil Relief leaves none.
+func (r *Relief) leaves(name string, now time.Time) bool {
+	if r == nil {
+		return false
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	until, handedOver := r.until[name]
+	if handedOver && !now.Before(until) {
+		delete(r.until, name)
+	}
+	return handedOver && now.Before(until) && r.Directory.hasSpareEntry(r.Entry)
+}
+
+// spareShare is the least capacity for each claim that a successor must have with one claim
+// more, as a part of what the slow entry has now. Entries with as many claims for their
+// capacity as the slow one have it with any number of claims.
+const spareShare = 0.5
+
+// hasSpareEntry reports whether another entry has capacity for one more claim.
+func (d *Directory) hasSpareEntry(entry string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	claimCounts := d.claimCounts()
+	own := d.preferenceOf(entry, claimCounts)
+	needed := spareShare * float64(own.capacity) / float64(max(1, own.claims))
+	for name := range d.entries {
+		other := d.preferenceOf(name, claimCounts)
+		if name != entry && float64(other.capacity)/float64(other.claims+1) >= needed {
+			return true
+		}
+	}
+	return false
+}
+
+// claimCounts returns the number of claims of each entry. The caller holds the lock.
+func (d *Directory) claimCounts() map[string]int {
+	counts := make(map[string]int)
+	for _, claim := range d.claims {
+		counts[claim.Entry]++
+	}
+	return counts
+}
--- /dev/null
+++ b/internal/fleet/bbrclaim/relief_test.go
@@ -0,0 +1,255 @@
+package bbrclaim
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/bluebellridge/bluebellridge/internal/store/bbrkv"
+)
+
+const roundInterval = 100 * time.Millisecond
+
+// TestLatenessNeedsSecondsOfLateRounds guards against a hand-over after one long pause or a
+// short burst of work.
+func TestLatenessNeedsSecondsOfLateRounds(t *testing.T) {
+	tests := []struct {
+		name string
+		// pause returns the pause after each round.
+		pause func(round int) time.Duration
+		late  bool
+	}{
+		{name: "in time", pause: func(int) time.Duration { return roundInterval }},
+		{name: "woken early", pause: func(int) time.Duration { return 10 * time.Millisecond }},
+		{name: "the process was paused", pause: func(round int) time.Duration {
+			if round == 10 {
+				return time.Minute
+			}
+			return roundInterval
+		}},
+		{name: "every fifth round late", pause: func(round int) time.Duration {
+			if round%5 == 0 {
+				return 350 * time.Millisecond
+			}
+			return roundInterval
+		}},
+		{name: "a burst", pause: func(round int) time.Duration {
+			if round < 6 {
+				return 600 * time.Millisecond
+			}
+			return roundInterval
+		}},
+		{name: "slow", pause: func(int) time.Duration { return 400 * time.Millisecond }, late: true},
+		{name: "mostly slow", pause: func(round int) time.Duration { return time.Duration(100+400*(round%2)) * time.Millisecond }, late: true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			var lateness Lateness
+			now, late := time.Unix(1000, 0), false
+			for round := range 200 {
+				late = lateness.Record(now, roundInterval) || late
+				now = now.Add(test.pause(round))
+			}
+			require.Equal(t, test.late, late)
+		})
+	}
+}
+
+func TestHandOverIsBounded(t *testing.T) {
+	require.Equal(t, KeptRecent, decideHandOver(minOwnedTime-1, time.Hour, true))
+	require.Equal(t, KeptAfterAnother, decideHandOver(minOwnedTime, handOverPause-1, true))
+	require.Equal(t, KeptNoSpare, decideHandOver(minOwnedTime, handOverPause, false))
+	require.Equal(t, HandOverLate, decideHandOver(minOwnedTime, handOverPause, true))
+}
+
+// TestHandOverWaitsForOthers guards against entries that are all slow and release all their
+// shards within a short time.
+func TestHandOverWaitsForOthers(t *testing.T) {
+	now, d := time.Unix(1000, 0), &Directory{}
+	d.Snapshot([]bbrkv.Item{
+		registered(t, "e0", 1, entryRecord{Entry: "e0", MilliCPU: 400}),
+		registered(t, "e1", 2, entryRecord{Entry: "e1", MilliCPU: 400}),
+		{Key: ClaimKey("press/1"), Revision: 3, Created: 3, Value: marshal(t, claimRecord{Entry: "e1"})},
+	}, 3, now)
+	d.Change(bbrkv.Item{Key: ClaimKey("press/1"), Revision: 4, Deleted: true}, now)
+	r := &Relief{Entry: "e0", Directory: d, Count: func(Decision) {}}
+	since := now.Add(-time.Hour)
+	require.False(t, r.HandOver("press/0", since, now.Add(handOverPause-1)), "another entry's claim has just ended")
+	require.True(t, r.HandOver("press/0", since, now.Add(handOverPause)))
+	require.False(t, r.HandOver("press/2", since, now.Add(2*handOverPause-1)), "this entry has just handed over")
+	require.True(t, r.HandOver("press/2", since, now.Add(2*handOverPause)))
+}
+
+// TestSpareEntry checks which entries count as able to take a shard over.
+func TestSpareEntry(t *testing.T) {
+	tests := []struct {
+		name string
+		// milliCPU and claims are those of the slow entry and of the other one.
+		milliCPU, claims [2]int
+		want             bool
+	}{
+		{name: "alone", milliCPU: [2]int{800, 0}, claims: [2]int{2, 0}},
+		{name: "idle", milliCPU: [2]int{800, 800}, claims: [2]int{2, 0}, want: true},
+		{name: "as many claims", milliCPU: [2]int{400, 400}, claims: [2]int{2, 2}, want: true},
+		{name: "many more claims", milliCPU: [2]int{400, 400}, claims: [2]int{1, 4}},
+		{name: "small", milliCPU: [2]int{800, 192}, claims: [2]int{1, 0}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			now, d := time.Unix(1000, 0), &Directory{}
+			d.Snapshot(nil, 0, now)
+			for i, milliCPU := range test.milliCPU {
+				name := fmt.Sprintf("e%d", i)
+				if milliCPU > 0 {
+					d.Change(registered(t, name, 1, entryRecord{Entry: name, MilliCPU: milliCPU}), now)
+				}
+				for claim := range test.claims[i] {
+					d.RecordOwnClaim(fmt.Sprintf("press/%d%d", i, claim), Claim{Entry: name, Revision: 3})
+				}
+			}
+			require.Equal(t, test.want, d.hasSpareEntry("e0"))
+		})
+	}
+}
+
+// slowFleet is a fleet of entries that claim shards from one store.
+type slowFleet struct {
+	store    *claimStore
+	claimers []*Claimer
+	// slow has the entries whose owners' rounds are late.
+	slow map[string]bool
+
+	mu sync.Mutex
+	// owners has the entries that owned each shard, in order.
+	owners map[string][]string
+}
+
+func newSlowFleet(t *testing.T, entries int, enabled bool) *slowFleet {
+	fleet := &slowFleet{store: &claimStore{revision: 10, items: make(map[string]bbrkv.Item)}, slow: make(map[string]bool), owners: make(map[string][]string)}
+	for i := range entries {
+		name := fmt.Sprintf("e%d", i)
+		session := &Session{Store: &bbrkv.Store{Commit: fleet.store.commit}, Entry: name, Incarnation: name}
+		revision := bbrkv.Revision(i + 1)
+		fleet.store.items[session.Key()] = bbrkv.Item{Key: session.Key(), Revision: revision, Created: revision, Value: marshal(t, entryRecord{Entry: name, Incarnation: name, MilliCPU: 400})}
+		session.setLease(bbrkv.Lease(i+1), revision, time.Now().Add(time.Hour))
+		c := &Claimer{Session: session, Directory: &Directory{}, Names: func() []string { return []string{"press/0", "press/1", "press/2", "press/3"} }}
+		if enabled {
+			c.Relief = &Relief{Entry: name, Directory: c.Directory, Count: func(Decision) {}}
+		}
+		c.RunOwner = func(ctx context.Context, held HeldClaim) { fleet.own(ctx, c, held) }
+		fleet.claimers = append(fleet.claimers, c)
+	}
+	return fleet
+}
+
+// own plans as an owner does: its rounds are late while its entry is slow.
+func (f *slowFleet) own(ctx context.Context, c *Claimer, held HeldClaim) {
+	defer c.Release(held)
+	since := time.Now()
+	f.mu.Lock()
+	f.owners[held.Name] = append(f.owners[held.Name], c.Session.Entry)
+	f.mu.Unlock()
+	var lateness Lateness
+	for ctx.Err() == nil {
+		if c.Relief != nil && lateness.Record(time.Now(), roundInterval) {
+			lateness.Reset()
+			if c.Relief.HandOver(held.Name, since, time.Now()) {
+				return
+			}
+		}
+		f.mu.Lock()
+		pause := roundInterval
+		if f.slow[c.Session.Entry] {
+			pause = 500 * time.Millisecond
+		}
+		f.mu.Unlock()
+		time.Sleep(pause)
+	}
+}
+
+// play runs the claimers for some time.
+func (f *slowFleet) play(ctx context.Context, length time.Duration) {
+	for end := time.Now().Add(length); time.Now().Before(end); time.Sleep(claimInterval) {
+		for _, c := range f.claimers {
+			f.store.mu.Lock()
+			revision := f.store.revision
+			f.store.mu.Unlock()
+			c.Directory.Snapshot(f.store.list(), revision, time.Now())
+			c.round(ctx, time.Now())
+			synctest.Wait()
+		}
+	}
+}
+
+// handOvers returns how often each shard has changed its owner.
+func (f *slowFleet) handOvers() map[string]int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	counts := make(map[string]int)
+	for name, owners := range f.owners {
+		if len(owners) > 1 {
+			counts[name] = len(owners) - 1
+		}
+	}
+	return counts
+}
+
+// playSlowFleet runs a fleet whose named entries are slow after a while.
+func playSlowFleet(t *testing.T, entries int, enabled bool, length time.Duration, slow ...string) *slowFleet {
+	var fleet *slowFleet
+	synctest.Test(t, func(t *testing.T) {
+		fleet = newSlowFleet(t, entries, enabled)
+		ctx, cancel := context.WithCancel(t.Context())
+		fleet.play(ctx, 2*time.Minute)
+		require.Len(t, fleet.owners, 4)
+		require.Empty(t, fleet.handOvers(), "nothing moves while no entry is slow")
+		fleet.mu.Lock()
+		for _, entry := range slow {
+			fleet.slow[entry] = true
+		}
+		fleet.mu.Unlock()
+		fleet.play(ctx, length)
+		for _, c := range fleet.claimers {
+			require.LessOrEqual(t, c.Count(), 4)
+		}
+		cancel()
+		for _, c := range fleet.claimers {
+			c.wg.Wait()
+		}
+	})
+	return fleet
+}
+
+// TestSlowOwnerHandsOverOnce guards against a shard that stays with an entry that cannot keep
+// up with it, and against a shard that returns to it or moves on from its new owner.
+func TestSlowOwnerHandsOverOnce(t *testing.T) {
+	require.Empty(t, playSlowFleet(t, 4, false, 30*time.Second, "e1").handOvers(), "disabled")
+
+	fleet := playSlowFleet(t, 4, true, 5*time.Minute, "e1")
+	counts := fleet.handOvers()
+	require.Len(t, counts, 1, "the slow entry had one shard")
+	for name, owners := range fleet.owners {
+		require.LessOrEqual(t, len(owners), 2, name)
+		require.False(t, len(owners) == 2 && (owners[0] != "e1" || owners[1] == "e1"), "%s: %v", name, owners)
+	}
+}
+
+// TestShardsDoNotCirculateInSlowFleet guards against shards that move from one slow entry to
+// another all the time.
+func TestShardsDoNotCirculateInSlowFleet(t *testing.T) {
+	const minutes = 3
+	fleet := playSlowFleet(t, 4, true, minutes*time.Minute, "e0", "e1", "e2", "e3")
+	for name, count := range fleet.handOvers() {
+		require.LessOrEqual(t, count, minutes, name)
+	}
+}
+
+// TestOnlyEntryKeepsItsShards guards against shards without an owner.
+func TestOnlyEntryKeepsItsShards(t *testing.T) {
+	require.Empty(t, playSlowFleet(t, 1, true, 2*time.Minute, "e0").handOvers())
+}
--- a/internal/fleet/bbrclaim/session.go
+++ b/internal/fleet/bbrclaim/session.go
@@ -39,6 +39,9 @@
 	Lease bbrkv.Lease `json:"lease"`
 	// MilliCPU is the processor time of the entry, in thousandths of a core.
 	MilliCPU int `json:"milliCPU"`
+	// BandwidthMbps is the entry's link, in megabits per second; 0 if it is unknown or the
+	// entry has an earlier build.
+	BandwidthMbps int `json:"bandwidthMbps,omitempty"`
 	// PeerAddress is where the entry answers queries of other entries; invalid if
 	// it answers none.
 	PeerAddress netip.AddrPort `json:"peers"`
@@ -51,6 +54,8 @@
 	Entry, Zone, Incarnation string
 	// MilliCPU is the processor time of the process, in thousandths of a core.
 	MilliCPU int
+	// BandwidthMbps is the link of the process, in megabits per second; 0 if it is unknown.
+	BandwidthMbps int
 	// PeerAddress is where the entry answers queries of other entries; invalid if
 	// it answers none.
 	PeerAddress netip.AddrPort
@@ -202,7 +207,7 @@
 	if err != nil {
 		return err
 	}
-	record, err := json.Marshal(entryRecord{Entry: s.Entry, Zone: s.Zone, Incarnation: s.Incarnation, Lease: lease, MilliCPU: s.MilliCPU, PeerAddress: s.PeerAddress})
+	record, err := json.Marshal(entryRecord{Entry: s.Entry, Zone: s.Zone, Incarnation: s.Incarnation, Lease: lease, MilliCPU: s.MilliCPU, BandwidthMbps: s.BandwidthMbps, PeerAddress: s.PeerAddress})
 	if err != nil {
 		return err
 	}
--- a/internal/job/bbrintake/intake.go
+++ b/internal/job/bbrintake/intake.go
@@ -23,6 +23,9 @@
 	Config func() *bbrwork.Config
 	// Cells returns the division of the fleet into cells.
 	Cells func() *bbrcell.Cells
+	// ChooseCell returns the cell for a new job of a service whose home cell is homeCell,
+	// modulo the number of cells; nil for the choice by bbrcell.Cells alone.
+	ChooseCell func(cells *bbrcell.Cells, job *bbrwork.Job, homeCell int, now time.Time) int
 	// Jobs caches the shards and the organisations of jobs.
 	Jobs JobCache
 	// QueryOwner queries the owner of the shard for the state of a job. It returns false
@@ -45,7 +48,7 @@
 	}
 	job.ID, job.Queue, job.Service, job.Accepted = id, queue.Name, queue.Service, now.Round(0)
 	job.Policy = queue.Policy()
-	job.Cell = i.Cells().ChooseForJob(job, i.Config().ServiceIndex(queue.Service))
+	job.Cell = i.chooseCell(job, now)
 	code, stored := i.Acceptor.Accept(job, deadline)
 	if stored == 0 {
 		return code
@@ -57,6 +60,15 @@
 	return code
 }
 
+// chooseCell returns the cell for a new job.
+func (i *Intake) chooseCell(job *bbrwork.Job, now time.Time) int {
+	cells, homeCell := i.Cells(), i.Config().ServiceIndex(job.Service)
+	if i.ChooseCell == nil {
+		return cells.ChooseForJob(job, homeCell)
+	}
+	return i.ChooseCell(cells, job, homeCell, now)
+}
+
 // State returns the state of a job of the queue for a caller of the organisation. It
 // queries the job's owner first, as that saves reads of the store. Only the store can
 // tell that a job does not exist.
--- a/internal/job/bbrowner/owner.go
+++ b/internal/job/bbrowner/owner.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -51,6 +52,11 @@
 	// ShardCount returns how many shards share the caps of organisations; nil means
 	// that there is one.
 	ShardCount func() int
+	// PublishRoom makes the owner determine the shard's room.
+	PublishRoom bool
+	// HandOver reports whether the owner is to release its claim now, as its planning
+	// rounds are late. It is nil if owners keep their claims.
+	HandOver func(ownedSince, now time.Time) bool
 
 	mu        sync.Mutex
 	scheduler *bbrscheduler.Scheduler
@@ -65,6 +71,13 @@
 	drained []string
 	// crashCounts has the counts that the metrics have.
 	crashCounts bbrscheduler.CrashCounts
+	// room is the room as of the last determination, which began at roomUpdatedAt.
+	room          atomic.Pointer[publishedRoom]
+	roomUpdatedAt time.Time
+	// lateness is how late the planning rounds are. It is used by loop only.
+	lateness bbrclaim.Lateness
+	// startedAt is when Run began.
+	startedAt time.Time
 	// loadLoggedAt is when the load was last logged.
 	loadLoggedAt time.Time
 	renewers     map[string]*leaseRenewer
@@ -106,6 +119,7 @@
 	o.adjustShares = make(chan struct{}, 1)
 	o.renewers = make(map[string]*leaseRenewer)
 	start := time.Now()
+	o.startedAt = start
 	loadedAt, ok := o.load(ctx, start)
 	if !ok {
 		return
@@ -129,6 +143,7 @@
 	o.updateWaitMetrics(bbrscheduler.WaitSummary{})
 	o.Metrics.ClearOrganisations(o.Shard.String())
 	o.Metrics.ClearSuspects(o.Shard.String())
+	o.Metrics.ClearRoom(o.Shard.String())
 	klog.InfoS("Owner stopped", "shard", o.Shard, "token", o.Held.Token)
 }
 
@@ -140,12 +155,16 @@
 // collected. It delays the start of jobs.
 const jobEventDelay = 30 * time.Millisecond
 
-// loop plans until ctx ends.
+// loop plans until ctx ends or the owner hands over.
 func (o *Owner) loop(ctx context.Context) {
 	timer := time.NewTicker(planInterval)
 	defer timer.Stop()
 	for {
 		start := time.Now()
+		if o.mustHandOver(start) {
+			o.cancelRun()
+			return
+		}
 		o.planOnce(ctx, start)
 		pause := min(maxPlanPause, minPlanPause+planPauseFactor*time.Since(start))
 		select {
@@ -176,6 +195,7 @@
 	plan := o.scheduler.Plan(o.Confirmed(now), now)
 	o.startRenewers(ctx)
 	o.logLoad(now)
+	o.updateRoom(now)
 	drained := o.scheduler.Drained(now)
 	urgent := o.scheduler.Urgent() || !slices.Equal(drained, o.drained)
 	o.drained = drained
--- a/internal/job/bbrscheduler/overload_test.go
+++ b/internal/job/bbrscheduler/overload_test.go
@@ -42,8 +42,12 @@
 )
 
 func newOverload(t *testing.T, seed uint64, trustEstimates bool) *overload {
+	return newOverloadOn(t, seed, trustEstimates, "i-1", "i-2", "i-3", "i-4", "i-5", "i-6")
+}
+
+func newOverloadOn(t *testing.T, seed uint64, trustEstimates bool, upstreams ...string) *overload {
 	o := &overload{
-		random: rand.New(rand.NewPCG(seed, 0)), upstreams: []string{"i-1", "i-2", "i-3", "i-4", "i-5", "i-6"}, trustEstimates: trustEstimates,
+		random: rand.New(rand.NewPCG(seed, 0)), upstreams: upstreams, trustEstimates: trustEstimates,
 		runTimes: make(map[string]time.Duration), accepted: make(map[string]time.Time), ends: make(map[int][]StartOrder), sequences: make(map[string]int64),
 	}
 	o.scene = newScene(t, true, o.upstreams...)
--- a/internal/peer/bbrinquiry/client.go
+++ b/internal/peer/bbrinquiry/client.go
@@ -37,6 +37,9 @@
 
 // Client sends queries to other entries.
 type Client struct {
+	// Rooms is nil if the entry takes no part in the exchange of rooms.
+	Rooms *RoomExchange
+
 	pool *drpcpool.Pool[netip.AddrPort, drpcpool.Conn]
 
 	mu sync.Mutex
@@ -73,7 +76,14 @@
 // owner there accepted it.
 func (c *Client) Hint(ctx context.Context, entry netip.AddrPort, hint bbrowner.Hint, now time.Time) bool {
 	var out HintResponse
-	return c.query(ctx, entry, hintMethod, &hint, &out, now) && out.Accepted
+	sent := time.Now()
+	in := &HintRequest{Hint: hint, Rooms: c.Rooms.known(hint.Job.Service, sent)}
+	if !c.query(ctx, entry, hintMethod, in, &out, now) {
+		return false
+	}
+	// Ages count from before the answer was made, so that they are not underestimated.
+	c.Rooms.learn(hint.Job.Service, out.Rooms, sent)
+	return out.Accepted
 }
 
 // Ping returns an error if the entry does not answer within the timeout. It calls the
--- a/internal/peer/bbrinquiry/message.go
+++ b/internal/peer/bbrinquiry/message.go
@@ -44,6 +44,8 @@
 // HintResponse reports whether the owner accepted the hint.
 type HintResponse struct {
 	Accepted bool `json:"taken"`
+	// Rooms has the rooms of the service's cells that the owner's entry knows.
+	Rooms []roomMessage `json:"rooms,omitempty"`
 }
 
 // PingMessage is the request and the response of a ping.
--- a/internal/peer/bbrinquiry/server.go
+++ b/internal/peer/bbrinquiry/server.go
@@ -51,6 +51,8 @@
 	JobExplanation ExplainFunc
 	AcceptHint     HintFunc
 	PingEntry      PingFunc
+	// Rooms is nil if the entry takes no part in the exchange of rooms.
+	Rooms *RoomExchange
 	// ServedAt returns when the store last served this entry, and RevokeLease revokes a
 	// lease in the store.
 	ServedAt    func() time.Time
@@ -79,8 +81,15 @@
 }
 
 // Hint accepts a notification of a job that another entry has just stored.
-func (s *Server) Hint(_ context.Context, in *bbrowner.Hint) (*HintResponse, error) {
-	return &HintResponse{Accepted: s.AcceptHint(*in)}, nil
+func (s *Server) Hint(_ context.Context, in *HintRequest) (*HintResponse, error) {
+	out := &HintResponse{Accepted: s.AcceptHint(in.Hint)}
+	if in.Job != nil {
+		now := time.Now()
+		// A hint has been under way for at most queryTimeout.
+		s.Rooms.learn(in.Job.Service, in.Rooms, now.Add(-queryTimeout))
+		out.Rooms = s.Rooms.known(in.Job.Service, now)
+	}
+	return out, nil
 }
 
 // Ping answers a ping.
@@ -127,7 +136,7 @@
 		return explainMethod, jsonEncoding{}, receive, (*Server).Explain, true
 	case 2:
 		receive := func(server any, ctx context.Context, in, _ any) (drpc.Message, error) {
-			return server.(*Server).Hint(ctx, in.(*bbrowner.Hint))
+			return server.(*Server).Hint(ctx, in.(*HintRequest))
 		}
 		return hintMethod, jsonEncoding{}, receive, (*Server).Hint, true
 	case 3:
