--- a/internal/config/bbrsettings/parse.go
+++ b/internal/config/bbrsettings/parse.go
@@ -105,7 +105,7 @@
 	c.size(l.KeptAnswerBytes, 0, 1<<30, "limits.keptAnswerBytes")
 	c.require(l.CPUShare > 0 && l.CPUCores > 0, bbrcode.SettingsInvalid, "limits", "cpuShare and cpuCores must be above 0")
 	c.size(int64(l.MemoryMB), 0, 1<<20, "limits.memoryMB")
-	c.size(int64(l.BandwidthMbps), 0, maxBandwidth, "limits.bandwidthMbps")
+	c.require(l.BandwidthMbps >= 0 && l.BandwidthMbps <= maxBandwidth, bbrcode.SettingsInvalid, "limits.bandwidthMbps", "%g is not from 0 to %d", l.BandwidthMbps, int(maxBandwidth))
 }
 
 func (c *checker) size(value, minimum, maximum int64, path string) {
--- a/internal/config/bbrsettings/settings.go
+++ b/internal/config/bbrsettings/settings.go
@@ -119,7 +119,7 @@
 	MemoryMB int `yaml:"memoryMB"`
 	// BandwidthMbps is the link of the process in megabits per second; 0 if it is unknown.
 	// It is used only with jobs.balanceByCapacity.
-	BandwidthMbps int `yaml:"bandwidthMbps"`
+	BandwidthMbps float64 `yaml:"bandwidthMbps"`
 	// CPUShare is the share of CPUCores that the process may use. Entries with more
 	// processor time take over services first.
 	CPUShare float64 `yaml:"cpuShare"`
--- a/internal/daemon/bbrcommand/check_test.go
+++ b/internal/daemon/bbrcommand/check_test.go
@@ -62,7 +62,7 @@
 	settings, faults := bbrsettings.Parse([]byte(valid))
 	require.Empty(t, faults)
 	require.True(t, settings.Jobs.BalanceByCapacity)
-	require.Equal(t, 10, settings.Limits.BandwidthMbps)
+	require.InDelta(t, 10, settings.Limits.BandwidthMbps, 0)
 	for replaced, by := range map[string]string{", peers: 10.0.0.1:4": "", "bandwidthMbps: 10": "bandwidthMbps: -1", "balanceByCapacity: true": "balanceByCapacity: 2"} {
 		_, faults = bbrsettings.Parse([]byte(strings.Replace(valid, replaced, by, 1)))
 		require.Len(t, faults, 1, by)
--- a/internal/daemon/bbrserve/rooms.go
+++ b/internal/daemon/bbrserve/rooms.go
@@ -1,6 +1,7 @@
 package bbrserve
 
 import (
+	"math"
 	"time"
 
 	"github.com/bluebellridge/bluebellridge/internal/fleet/bbrcell"
@@ -11,7 +12,7 @@
 
 // balanceByCapacity connects the parts that jobs.balanceByCapacity enables.
 func (d *daemon) balanceByCapacity() {
-	d.session.BandwidthMbps = d.settings.Limits.BandwidthMbps
+	d.session.BandwidthMbps = int(math.Ceil(d.settings.Limits.BandwidthMbps))
 	d.directory.UseBandwidth = true
 	d.claimer.Relief = &bbrclaim.Relief{Entry: d.settings.Entry, Directory: d.directory, Count: d.countLateOwner}
 	d.queries.Rooms = &bbrinquiry.RoomExchange{Known: d.owners.knownRooms, Learn: d.owners.learnRooms}
--- a/internal/fleet/bbrclaim/capacity.go
+++ b/internal/fleet/bbrclaim/capacity.go
@@ -2,9 +2,8 @@
 
 const (
 	// shardMilliCPU and shardMbps are the processor time, in thousandths of a core, and the
-	// link, in megabits per second, that the owner of a full-size shard needs. The busiest
-	// owner of a measured day sent and received 7.2 Mbit/s (docs/CAPACITY.md); the link has
-	// twice that, since the entry's callers use it as well.
+	// link, in megabits per second, that the owner of a full-size shard needs. Half of the
+	// link is for the entry's callers.
 	shardMilliCPU = 400
 	shardMbps     = 16
 )
