--- a/internal/daemon/bbrserve/daemon.go
+++ b/internal/daemon/bbrserve/daemon.go
@@ -23,6 +23,7 @@
 	"github.com/bluebellridge/bluebellridge/internal/fleet/bbrdetector"
 	"github.com/bluebellridge/bluebellridge/internal/fleet/bbrregistry"
 	"github.com/bluebellridge/bluebellridge/internal/job/bbrintake"
+	"github.com/bluebellridge/bluebellridge/internal/job/bbrwork"
 	"github.com/bluebellridge/bluebellridge/internal/peer/bbrinquiry"
 	"github.com/bluebellridge/bluebellridge/internal/store/bbrkv"
 	"github.com/bluebellridge/bluebellridge/platform/bbrwire"
@@ -106,6 +107,7 @@
 			StoreAvailable: d.session.StoreAnswers,
 			QueryOwner:     d.owners.queryState,
 			NotifyOwner:    d.owners.notifyOwner,
+			OwnerToken:     d.ownerToken,
 		},
 		Codec: bbrintake.Codec{
 			DecodeSubmission: bbrwire.DecodeSubmission,
@@ -139,6 +141,12 @@
 	return int(limits.CPUShare * limits.CPUCores * thousandths)
 }
 
+// ownerToken returns the token of the shard's owner, and false if the store lists none.
+func (d *daemon) ownerToken(shard bbrwork.Shard) (bbrkv.Revision, bool) {
+	claim, owned := d.directory.Owner(shard.String())
+	return claim.Revision, owned
+}
+
 func (d *daemon) serveReady(w http.ResponseWriter, _ *http.Request) {
 	if !d.handler.Ready(time.Now()) {
 		w.WriteHeader(http.StatusServiceUnavailable)
--- a/internal/job/bbrintake/intake.go
+++ b/internal/job/bbrintake/intake.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"k8s.io/klog/v2"
 
 	"github.com/bluebellridge/bluebellridge/internal/base/bbrcode"
 	"github.com/bluebellridge/bluebellridge/internal/fleet/bbrcell"
@@ -36,6 +35,9 @@
 	// was stored at the revision. Without it, the owner learns of the job from the store,
 	// a little later. It may be nil.
 	NotifyOwner func(job *bbrwork.Job, stored bbrkv.Revision, now time.Time)
+	// OwnerToken returns the token of the shard's owner, and false if it has none. If it is
+	// nil, the reports of all shards are trusted.
+	OwnerToken func(shard bbrwork.Shard) (bbrkv.Revision, bool)
 	// StoreAvailable reports whether the store has answered recently.
 	StoreAvailable func(now time.Time) bool
 }
@@ -195,22 +197,3 @@
 	})
 	return bbrcode.CancelStored, err
 }
-
-// Waiting returns how many jobs of the queue have not started anything, by the last
-// reports of the owners of the service's shards.
-func (i *Intake) Waiting(ctx context.Context, queue *bbrwork.Queue) (int, bbrcode.Code) {
-	items, _, err := i.Store.ReadAll(ctx, bbrrecord.ReportPrefixOf(queue.Service))
-	if err != nil {
-		return 0, bbrcode.StoreUnavailable
-	}
-	waiting := 0
-	for _, item := range items {
-		var record bbrrecord.Report
-		if err := json.Unmarshal(item.Value, &record); err != nil {
-			klog.ErrorS(err, "Failed to decode the report of an owner", "key", item.Key, "revision", item.Revision)
-			return 0, bbrcode.StoreUnavailable
-		}
-		waiting += record.Waiting[queue.Name]
-	}
-	return waiting, bbrcode.StateReported
-}
