job/bbrreservation, job/bbrscheduler: reservations for wide work and bounded preemption

Wide jobs starve behind small ones that fill each gap, and urgent work waits behind running work. A gang or a work unit that needs most of an upstream now reserves the upstreams on which it will fit first; other work starts there only if it ends before that time or leaves the reserved capacity free. Disabled unless Scheduler.ReserveCapacity is set.

--- a/internal/job/bbrscheduler/demand.go
+++ b/internal/job/bbrscheduler/demand.go
@@ -186,11 +186,12 @@
 }
 
 // mayRelease reports whether the upstream can be released: it answers, runs neither
-// long-running work nor work that fits nowhere else, and is not reserved for a suspect.
+// long-running work nor work that fits nowhere else, and is reserved neither for a suspect nor
+// for wide work.
 // While work of an earlier owner is not located, only an empty upstream that cannot have
 // any is released, since it is not known what fits elsewhere.
 func (sched *Scheduler) mayRelease(up *upstream, wide *wideWork, now time.Time) bool {
-	if !up.registered || up.Draining || !up.reservedAt.IsZero() || up.lostAnswers > 0 || up.hasLongRunning() || up.trialUnit != nil {
+	if !up.registered || up.Draining || !up.reservedAt.IsZero() || up.lostAnswers > 0 || up.hasLongRunning() || up.trialUnit != nil || up.hold != nil {
 		return false
 	}
 	if !sched.EarlierWorkLocated(now) {
--- a/internal/job/bbrscheduler/gang.go
+++ b/internal/job/bbrscheduler/gang.go
@@ -101,7 +101,7 @@
 		if _, ok := p.sched.ticketFor(s, up, p.now); !ok {
 			continue
 		}
-		for range min(s.fitCount(up.free()), len(s.units)-len(placement)) {
+		for range min(s.fitCount(p.freeFor(s, up)), len(s.units)-len(placement)) {
 			placement = append(placement, up)
 		}
 	}
--- a/internal/job/bbrscheduler/job.go
+++ b/internal/job/bbrscheduler/job.go
@@ -66,6 +66,10 @@
 	learned bool
 	// remainingPath is the longest path of expected work that begins with this step.
 	remainingPath time.Duration
+	// reservation is the capacity that is reserved for the step; nil for none.
+	// reserveAfter is when it may be considered again.
+	reservation  *reservation
+	reserveAfter time.Time
 }
 
 // unit is the state of a work unit.
@@ -98,6 +102,8 @@
 	trialInherited bool
 	// stalledRuns counts the runs that were stopped because they stalled.
 	stalledRuns int
+	// preempted means that a run was stopped for more urgent work.
+	preempted bool
 }
 
 // run is a run of a work unit, from the sending of the start until the end is
@@ -123,6 +129,9 @@
 	listedAt    time.Time
 	// stalledFor is how long the run has been listed without a rise of percent.
 	stalledFor time.Duration
+	// checkpointedAt is when a listing last had a newer checkpoint than the one before;
+	// zero for never.
+	checkpointedAt time.Time
 	// pace is the CPU throttle that was last ordered, in percent of full speed.
 	pace       int
 	pacedAt    time.Time
--- a/internal/job/bbrscheduler/listing.go
+++ b/internal/job/bbrscheduler/listing.go
@@ -192,6 +192,9 @@
 		r.confirmedAt = now
 	}
 	if running.Checkpoint != "" {
+		if running.Checkpoint != r.unit.checkpoint && !r.listedAt.IsZero() {
+			r.checkpointedAt = now
+		}
 		r.unit.checkpoint = running.Checkpoint
 	}
 	r.applyProgress(running, now)
--- a/internal/job/bbrscheduler/plan.go
+++ b/internal/job/bbrscheduler/plan.go
@@ -47,8 +47,8 @@
 	// nearDataFits reports, by step, whether an upstream on the rack of its data
 	// can ever take a unit of it.
 	nearDataFits map[*step]bool
-	// doesNotFit has the allocations that fit on no usable upstream. It stays valid
-	// for the round, as free capacity only shrinks.
+	// doesNotFit has the allocations that fit on no usable upstream without reserved
+	// capacity. It stays valid for the round, as free capacity only shrinks.
 	doesNotFit map[bbrwork.Resources]bool
 	// busy means that over half of the usable CPU capacity is in use, and free is what
 	// is free of the usable capacity; an upstream whose capacity shrank below what runs
@@ -57,7 +57,8 @@
 	free bbrwork.Resources
 	// trials counts the upstreams that are reserved for trials.
 	trials int
-	plan   Plan
+	reserver
+	plan Plan
 }
 
 // Plan decides what to send now. While the owner's claim is not confirmed, it plans
@@ -66,13 +67,16 @@
 	sched.ExpireLeases(now)
 	sched.accuseUnlocated(now)
 	sched.endTrials(now)
+	sched.endReservations(now)
 	p := &planner{sched: sched, now: now, doesNotFit: make(map[bbrwork.Resources]bool), nearDataFits: make(map[*step]bool)}
 	p.planStops()
 	if confirmed {
 		p.beginQuota()
 		p.findUsable(sched.ensureRecorded)
 		p.planTrials()
+		p.beginReservations()
 		p.planStarts()
+		p.planReservations()
 		p.planPaces()
 		p.planStallStops()
 	}
@@ -148,15 +152,15 @@
 func (p *planner) fitsAnywhere(s *step) bool {
 	need := s.spec.Allocation()
 	if p.doesNotFit[need] {
-		return false
+		return p.fitsOnHeld(s)
 	}
 	for _, up := range p.usable {
-		if need.Fits(up.free()) {
+		if up.hold == nil && need.Fits(up.free()) {
 			return true
 		}
 	}
 	p.doesNotFit[need] = true
-	return false
+	return p.fitsOnHeld(s)
 }
 
 // chooseUpstream returns the best upstream for a work unit, or nil. fits is a
@@ -176,7 +180,7 @@
 
 func (p *planner) mayRun(u *unit, up *upstream) bool {
 	s := u.step
-	if up.startsInFlight >= maxStartsInFlight || !s.spec.Allocation().Fits(up.free()) || !up.HasLabel(s.spec.Label) {
+	if up.startsInFlight >= maxStartsInFlight || !s.spec.Allocation().Fits(p.freeFor(s, up)) || !up.HasLabel(s.spec.Label) {
 		return false
 	}
 	if up.Draining {
--- a/internal/job/bbrscheduler/property_test.go
+++ b/internal/job/bbrscheduler/property_test.go
@@ -25,7 +25,10 @@
 	constraints bool
 	// crashes adds work units that crash their upstreams.
 	crashes bool
-	jobs    int
+	// reservations lets owners reserve capacity and preempt, and adds jobs of a queue with
+	// a lower rank.
+	reservations bool
+	jobs         int
 	// delayedAnswers are listings in transit to their owners.
 	delayedAnswers []delayedAnswer
 }
@@ -110,6 +113,9 @@
 		due := time.Duration(rapid.IntRange(-10, 30).Draw(d.T, "due")) * 100 * time.Millisecond
 		job.Schedule = bbrwork.Schedule{Count: 2, First: d.sim.now.Add(due), Every: 500 * time.Millisecond}
 	}
+	if d.reservations && rapid.Bool().Draw(d.T, "lower rank") {
+		job.Queue = "inserts"
+	}
 	if d.crashes && rapid.IntRange(0, 2).Draw(d.T, "crashes") == 0 {
 		d.sim.crashing[bbrwork.Unit{Job: id}] = true
 	}
@@ -227,6 +233,7 @@
 	now := d.sim.now
 	o.sched.ExpireLeases(now)
 	o.sched.endTrials(now)
+	o.sched.endReservations(now)
 	before := o.sched.waitReasons(confirmed, now)
 	plan := o.sched.Plan(confirmed, now)
 	for _, order := range plan.Starts {
@@ -441,10 +448,17 @@
 	testUnderFailures(t, driver{crashes: true})
 }
 
+// TestReservationsUnderFailures does the same with owners that reserve capacity and
+// preempt: neither may break a guarantee, or keep work from ending.
+func TestReservationsUnderFailures(t *testing.T) {
+	testUnderFailures(t, driver{constraints: true, reservations: true})
+}
+
 // testUnderFailures draws the actions with the options of a driver.
 func testUnderFailures(t *testing.T, options driver) {
 	rapid.Check(t, func(t *rapid.T) {
-		d := &driver{T: t, sim: newSimulation("i-1", "i-2", "i-3"), constraints: options.constraints, crashes: options.crashes}
+		d := &driver{T: t, sim: newSimulation("i-1", "i-2", "i-3"), constraints: options.constraints, crashes: options.crashes, reservations: options.reservations}
+		d.sim.reservations = options.reservations
 		d.sim.claim()
 		// Several names of one action increase its weight.
 		t.Repeat(map[string]func(*rapid.T){
--- a/internal/job/bbrscheduler/reason.go
+++ b/internal/job/bbrscheduler/reason.go
@@ -44,6 +44,12 @@
 	// ReasonStartsInFlight: the upstreams with free capacity have the maximum of
 	// starts in flight.
 	ReasonStartsInFlight Reason = "startsOnTheirWay"
+	// ReasonReservationHeld: capacity is reserved for the step and becomes free when
+	// finite work ends.
+	ReasonReservationHeld Reason = "reservationHeld"
+	// ReasonCapacityReserved: the upstreams with free capacity keep it for wide or
+	// urgent work.
+	ReasonCapacityReserved Reason = "capacityReserved"
 	// ReasonCapacityUsedByFiniteWork: an upstream has the capacity once finite work
 	// has ended.
 	ReasonCapacityUsedByFiniteWork Reason = "roomOfEndingWork"
@@ -72,7 +78,7 @@
 // Reasons lists the reasons that an eligible work unit can have.
 var Reasons = [...]Reason{
 	ReasonClaimUnconfirmed, ReasonEarlierWorkUnlocated, ReasonBeyondHorizon, ReasonAttemptPaused, ReasonGangStillRuns, ReasonCrashSuspect, ReasonOrganisationCap, ReasonNoUsableUpstream, ReasonComesNext, ReasonGangPartlyFits,
-	ReasonFarFromData, ReasonTicketMissing, ReasonAdviceRefused, ReasonStartsInFlight, ReasonCapacityUsedByFiniteWork, ReasonCapacityForFew, ReasonMaxPerUpstream, ReasonCapacityFragmented, ReasonCapacityUsedByLongRunningWork,
+	ReasonFarFromData, ReasonTicketMissing, ReasonAdviceRefused, ReasonStartsInFlight, ReasonReservationHeld, ReasonCapacityReserved, ReasonCapacityUsedByFiniteWork, ReasonCapacityForFew, ReasonMaxPerUpstream, ReasonCapacityFragmented, ReasonCapacityUsedByLongRunningWork,
 	ReasonTooLarge, ReasonLabelMissing, ReasonNotEvaluated,
 }
 
--- /dev/null
+++ b/internal/job/bbrscheduler/reservation_test.go
@@ -0,0 +1,369 @@
+package bbrscheduler
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/bluebellridge/bluebellridge/internal/job/bbrreservation"
+	"github.com/bluebellridge/bluebellridge/internal/job/bbrwork"
+)
+
+// newReservingScene returns a scene whose owner reserves capacity.
+func newReservingScene(t *testing.T, upstreams ...string) *scene {
+	s := newScene(t, true, upstreams...)
+	s.sched.ReserveCapacity = true
+	s.sched.SetConfig(bbrwork.NewConfig(2, rankedQueues, nil, bbrwork.Limits{}))
+	s.plan()
+	return s
+}
+
+// wideUnit is a work unit that needs most of an upstream.
+func wideUnit(estimate time.Duration) bbrwork.Step {
+	return bbrwork.Step{Count: 1, Need: bbrwork.Resources{MilliCPU: 3000, MemoryMB: 100}, Estimate: estimate}
+}
+
+// smallStep is a work unit of which four fit on an upstream.
+func smallStep(estimate time.Duration) bbrwork.Step {
+	step := unitStep(1)
+	step.Estimate = estimate
+	return step
+}
+
+// fill lets work with the estimate run on all of an upstream's capacity.
+func (s *scene) fill(up string, first int, estimate time.Duration) {
+	for i := range 4 {
+		s.accept(jobID(first+i), smallStep(estimate))
+		r := s.sched.addRun(s.unit(jobID(first+i), 0), 1, s.sched.upstreams[up], s.now)
+		r.phase, r.confirmedAt = phaseRunning, s.now
+	}
+}
+
+// endRun ends the first run of a job as done.
+func (s *scene) endRun(id string) {
+	r := s.unit(id, 0).runs[0]
+	up := r.up
+	var running []bbrwork.Run
+	for key := range up.runs {
+		if key != r.key() {
+			running = append(running, bbrwork.Run{Unit: key.unit, Number: key.number})
+		}
+	}
+	s.listRunning(up.ID, running, bbrwork.RunEnd{Sequence: up.applied + 1, Unit: r.unit.name(), Run: r.number, Outcome: bbrwork.OutcomeDone})
+}
+
+func (s *scene) endedBy(cause bbrreservation.Cause) int {
+	return s.sched.ReservationCounts().Ended[cause]
+}
+
+// startedJobs plans, answers the starts, and returns their jobs.
+func (s *scene) startedJobs() []string {
+	var ids []string
+	plan := s.plan()
+	for _, order := range plan.Starts {
+		ids = append(ids, order.Start.Unit.Job)
+	}
+	s.answerStarts(plan, nil)
+	return ids
+}
+
+// TestReservedCapacityIsLeftFree guards against small work that takes each gap of the
+// upstream on which wide work will fit first, and against a reservation that holds back
+// work which it must not.
+func TestReservedCapacityIsLeftFree(t *testing.T) {
+	const second, third = "00000000000000b2", "00000000000000b3"
+	tests := []struct {
+		name   string
+		step   bbrwork.Step
+		queue  string
+		starts bool
+	}{
+		{name: "small work that outlasts the reserved time", step: smallStep(500 * time.Millisecond)},
+		{name: "work that may outlast it as estimates are wrong", step: smallStep(320 * time.Millisecond)},
+		{name: "work that ends before it", step: smallStep(200 * time.Millisecond), starts: true},
+		{name: "lower rank", step: smallStep(500 * time.Millisecond), queue: "inserts"},
+		{name: "long-running work", step: bbrwork.Step{Count: 1, Need: bbrwork.Resources{MilliCPU: 1000, MemoryMB: 100}, LongRunning: true}, starts: true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			s := newReservingScene(t, "i-1")
+			s.fill("i-1", 1, 800*time.Millisecond)
+			s.accept(testJob, wideUnit(time.Second))
+			require.Empty(t, s.startedJobs())
+			s.advance(50 * time.Millisecond)
+			s.endRun(jobID(1))
+			queue := test.queue
+			if queue == "" {
+				queue = "proofs"
+			}
+			s.sched.AddJob(&bbrwork.Job{ID: second, Queue: queue, Service: "press", Spec: "x", Steps: []bbrwork.Step{test.step}, Accepted: s.now}, 0, nil, s.now)
+			if test.starts {
+				require.Equal(t, []string{second}, s.startedJobs())
+				return
+			}
+			// One small unit fits beside the wide one at the reserved time.
+			require.Equal(t, []string{second}, s.startedJobs())
+			s.endRun(jobID(2))
+			s.accept(third, test.step)
+			require.Empty(t, s.startedJobs(), "a second one does not")
+			s.endRun(jobID(3))
+			s.endRun(jobID(4))
+			require.Equal(t, []string{testJob}, s.startedJobs())
+			s.plan()
+			require.Equal(t, 1, s.endedBy(bbrreservation.CauseStarted))
+		})
+	}
+}
+
+// TestMoreUrgentWorkIsNotHeldBack guards against a reservation that delays work with a
+// better priority.
+func TestMoreUrgentWorkIsNotHeldBack(t *testing.T) {
+	s := newReservingScene(t, "i-1")
+	s.fill("i-1", 1, 800*time.Millisecond)
+	s.sched.AddJob(&bbrwork.Job{ID: testJob, Queue: "inserts", Service: "press", Spec: "x", Steps: []bbrwork.Step{wideUnit(time.Second)}, Accepted: s.now}, 0, nil, s.now)
+	require.Empty(t, s.startedJobs())
+	require.Equal(t, 1, s.sched.ReservationCounts().Active)
+	s.endRun(jobID(1))
+	s.endRun(jobID(2))
+	s.accept("00000000000000b2", unitStep(2))
+	require.Len(t, s.startedJobs(), 2)
+}
+
+// TestGangReserves guards against a gang that starves because its members never fit at the
+// same time.
+func TestGangReserves(t *testing.T) {
+	s := newReservingScene(t, "i-1", "i-2")
+	s.fill("i-1", 1, 600*time.Millisecond)
+	s.fill("i-2", 5, 800*time.Millisecond)
+	gang := unitStep(8)
+	gang.Gang = true
+	s.accept(testJob, gang)
+	require.Empty(t, s.startedJobs())
+	require.Equal(t, 2, s.sched.ReservationCounts().HeldUpstreams)
+	for number := range 8 {
+		s.endRun(jobID(number + 1))
+		s.accept(jobID(number+20), smallStep(time.Second))
+		if number < 7 {
+			require.Empty(t, s.startedJobs())
+		}
+	}
+	starts := s.startedJobs()
+	require.Len(t, starts, 8, "the whole gang starts")
+	require.NotContains(t, starts, jobID(20))
+}
+
+// TestReservationEndsWhenEstimatesAreWrong guards against a reservation that keeps
+// capacity idle while a run takes seven times as long as expected.
+func TestReservationEndsWhenEstimatesAreWrong(t *testing.T) {
+	s := newReservingScene(t, "i-1")
+	s.fill("i-1", 1, 400*time.Millisecond)
+	s.accept(testJob, wideUnit(4*time.Second))
+	s.plan()
+	require.Equal(t, 1, s.sched.ReservationCounts().Active)
+	for i := range 2 {
+		s.endRun(jobID(i + 1))
+	}
+	madeAt := s.now
+	for number := 20; s.endedBy(bbrreservation.CauseOverdue) == 0; number++ {
+		require.Less(t, s.now.Sub(madeAt), bbrreservation.MaxLife, "the reservation lasts beyond its bound")
+		s.keepRunning("i-1")
+		s.plan()
+		s.advance(20 * time.Millisecond)
+	}
+	s.accept("00000000000000b2", unitStep(2))
+	require.Len(t, s.startedJobs(), 2, "the capacity is free for other work")
+	s.advance(bbrreservation.Rest / 2)
+	s.keepRunning("i-1")
+	s.plan()
+	require.Zero(t, s.sched.ReservationCounts().Active, "the work rests before it reserves again")
+	s.advance(bbrreservation.Rest)
+	s.keepRunning("i-1")
+	s.plan()
+	s.advance(200 * time.Millisecond)
+	s.keepRunning("i-1")
+}
+
+// keepRunning lists all runs of an upstream.
+func (s *scene) keepRunning(id string) {
+	var running []bbrwork.Run
+	for key := range s.sched.upstreams[id].runs {
+		running = append(running, bbrwork.Run{Unit: key.unit, Number: key.number})
+	}
+	s.listRunning(id, running)
+}
+
+// TestLostUpstreamEndsReservation guards against work that waits for capacity on an
+// upstream that is gone.
+func TestLostUpstreamEndsReservation(t *testing.T) {
+	s := newReservingScene(t, "i-1", "i-2")
+	s.fill("i-1", 1, 400*time.Millisecond)
+	s.fill("i-2", 5, 1400*time.Millisecond)
+	s.accept(testJob, wideUnit(3*time.Second))
+	s.plan()
+	require.NotNil(t, s.sched.upstreams["i-1"].hold)
+	s.sched.EndIncarnation(s.upstream("i-1").Incarnation, "the platform lists it no more", s.now)
+	s.plan()
+	require.Equal(t, 1, s.endedBy(bbrreservation.CauseUpstreamLost))
+	require.Zero(t, s.sched.ReservationCounts().Active)
+	s.advance(bbrreservation.Rest)
+	s.keepRunning("i-2")
+	s.plan()
+	require.NotNil(t, s.sched.upstreams["i-2"].hold, "the work reserves elsewhere")
+}
+
+// TestReservedUpstreamIsNotRequestedTwice guards against a shard that reserves an upstream
+// for wide work and also requests another one for it, or offers the reserved one.
+func TestReservedUpstreamIsNotRequestedTwice(t *testing.T) {
+	s := newReservingScene(t, "i-1", "i-2")
+	s.fill("i-1", 1, 800*time.Millisecond)
+	s.startLongRunning(longRunningJob, 1, bbrwork.Resources{MilliCPU: 3500, MemoryMB: 100})
+	s.accept(testJob, wideUnit(time.Second))
+	before := s.targetSize()
+	s.plan()
+	require.Equal(t, 1, s.sched.ReservationCounts().Active)
+	require.Less(t, s.targetSize(), before)
+	require.NotContains(t, s.sched.Demand(s.now).Releasable, "i-1")
+}
+
+// wideLoad is a stream of small jobs that fills a shard, and wide jobs among them.
+type wideLoad struct {
+	*overload
+	// rate is the number of small jobs a second.
+	rate      float64
+	wide      map[string]time.Time
+	wideStart map[string]time.Duration
+	// longestHeld is the longest time for which a reservation held an upstream.
+	longestHeld time.Duration
+	smallInTime int
+	wideInTime  int
+}
+
+const (
+	wideInterval = 600 * time.Millisecond
+	wideRunTime  = time.Second
+)
+
+func newWideLoad(t *testing.T, seed uint64, rate float64, reserve bool) *wideLoad {
+	l := &wideLoad{rate: rate, overload: newOverload(t, seed, false), wide: make(map[string]time.Time), wideStart: make(map[string]time.Duration)}
+	l.sched.ReserveCapacity = reserve
+	return l
+}
+
+func (l *wideLoad) play() {
+	arrivals := 0.0
+	for tick := range int(overloadLength / overloadTick) {
+		l.now = l.start.Add(time.Duration(tick) * overloadTick)
+		for arrivals += l.rate * overloadTick.Seconds(); arrivals >= 1; arrivals-- {
+			l.acceptJob()
+			if id := fmt.Sprintf("%016x", len(l.runTimes)); l.random.Float64() < 0.03 {
+				l.runTimes[id] *= 7
+			}
+		}
+		if at := time.Duration(tick) * overloadTick; at%wideInterval == 0 {
+			id := fmt.Sprintf("%016x", len(l.runTimes)+1)
+			l.runTimes[id], l.accepted[id], l.wide[id] = wideRunTime, l.now, l.now
+			l.accept(id, wideUnit(wideRunTime))
+		}
+		l.endRuns(tick)
+		l.startRuns(tick)
+		l.observe()
+	}
+	l.smallInTime = l.inTime - l.wideInTime
+}
+
+// observe records the starts of wide jobs and how long capacity is held.
+func (l *wideLoad) observe() {
+	for id, accepted := range l.wide {
+		if _, seen := l.wideStart[id]; !seen && l.sched.jobs[id] != nil && l.sched.jobs[id].started {
+			l.wideStart[id] = l.now.Sub(accepted)
+			if end := l.now.Add(wideRunTime); end.Sub(accepted) <= 1600*time.Millisecond+600*time.Millisecond && end.Before(l.start.Add(overloadLength)) {
+				l.wideInTime++
+			}
+		}
+	}
+	for _, up := range l.sched.upstreams {
+		if up.hold != nil {
+			l.longestHeld = max(l.longestHeld, l.now.Sub(up.hold.reservation.MadeAt))
+		}
+	}
+}
+
+// TestWideWorkDoesNotStarve plays loads that leave gaps for small work only, with estimates
+// that are off by a factor of 2.5 and one small job in thirty that takes seven times as
+// long. It guards against wide jobs that miss their objectives behind small ones, against
+// reservations that cost more callers than they serve, and against capacity that is held
+// beyond the bound.
+func TestWideWorkDoesNotStarve(t *testing.T) {
+	const seeds = 8
+	tests := []struct {
+		name string
+		rate float64
+		// minGain is the least ratio of wide callers in time with and without reservations,
+		// and maxCost the largest share of small ones that it may cost.
+		minGain, maxCost float64
+	}{
+		// The jobs take about 108% of the capacity.
+		{name: "almost full", rate: 4, minGain: 1.1, maxCost: 0.05},
+		// The jobs take about 130%: what wide work gets, small work loses.
+		{name: "overload", rate: 5, minGain: 1.8, maxCost: 0.18},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			var wide, small [2]int
+			jobs := 0
+			for seed := range uint64(seeds) {
+				for i, reserve := range []bool{false, true} {
+					l := newWideLoad(t, seed, test.rate, reserve)
+					l.play()
+					wide[i], small[i] = wide[i]+l.wideInTime, small[i]+l.smallInTime
+					require.LessOrEqual(t, l.longestHeld, bbrreservation.MaxLife+overloadTick)
+					jobs += len(l.runTimes)
+				}
+			}
+			t.Logf("wide callers in time: %d without reservations, %d with; small: %d, %d; of %d", wide[0], wide[1], small[0], small[1], jobs/2)
+			require.GreaterOrEqual(t, float64(wide[1]), test.minGain*float64(wide[0]))
+			require.GreaterOrEqual(t, float64(small[1]), (1-test.maxCost)*float64(small[0]))
+			require.Greater(t, wide[1]+small[1], wide[0]+small[0])
+		})
+	}
+}
+
+// TestSmallWorkIsDelayedWithinBound guards against reservations that follow each other so
+// closely that small work waits for longer than the life of one and the run of its work.
+// Three small units always run where four fit, so that no wide one ever does without a
+// reservation.
+func TestSmallWorkIsDelayedWithinBound(t *testing.T) {
+	const runTime, interval, wideTime = 900 * time.Millisecond, 300 * time.Millisecond, 600 * time.Millisecond
+	s := newReservingScene(t, "i-1")
+	ends, accepted := make(map[string]time.Time), make(map[string]time.Time)
+	wideStarted, number := 0, 1
+	for next := s.now; s.now.Sub(s.start) < 12*time.Second; s.advance(10 * time.Millisecond) {
+		for ; !s.now.Before(next); next = next.Add(interval) {
+			id := jobID(number)
+			number++
+			accepted[id] = s.now
+			s.accept(id, smallStep(runTime))
+			if number%20 == 10 {
+				s.accept(fmt.Sprintf("%015xb", number), wideUnit(wideTime))
+			}
+		}
+		for id, end := range ends {
+			if !s.now.Before(end) {
+				delete(ends, id)
+				s.endRun(id)
+			}
+		}
+		for _, id := range s.startedJobs() {
+			ends[id] = s.now.Add(runTime)
+			if at, small := accepted[id]; small {
+				require.LessOrEqual(t, s.now.Sub(at), bbrreservation.MaxLife+wideTime)
+			} else {
+				ends[id] = s.now.Add(wideTime)
+				wideStarted++
+			}
+		}
+	}
+	require.Equal(t, 2, wideStarted)
+}
--- a/internal/job/bbrscheduler/scheduler.go
+++ b/internal/job/bbrscheduler/scheduler.go
@@ -8,6 +8,7 @@
 
 	"github.com/bluebellridge/bluebellridge/internal/job/bbrcrash"
 	"github.com/bluebellridge/bluebellridge/internal/job/bbrquota"
+	"github.com/bluebellridge/bluebellridge/internal/job/bbrreservation"
 	"github.com/bluebellridge/bluebellridge/internal/job/bbrruntime"
 	"github.com/bluebellridge/bluebellridge/internal/job/bbrwork"
 )
@@ -51,6 +52,9 @@
 	// MaxValueBytes is the size of the largest value that the store takes; 0 for
 	// defaultMaxValueBytes.
 	MaxValueBytes int
+	// ReserveCapacity means that wide work may reserve capacity, and that urgent work may
+	// have other work stopped.
+	ReserveCapacity bool
 
 	config    *bbrwork.Config
 	jobs      map[string]*job
@@ -103,9 +107,17 @@
 	// started work that is not known.
 	lostUnlocated []unlocatedEnd
 	// failures are the recent ends of incarnations.
-	failures     []bbrcrash.Failure
-	notes        []Note
-	notesDropped int
+	failures []bbrcrash.Failure
+	// reservations are the present reservations, the earliest made first.
+	reservations []*reservation
+	// reservationsEnded counts the others by cause, preempted the runs that were stopped
+	// for urgent work, and discarded their processor time.
+	reservationsEnded map[bbrreservation.Cause]int
+	preempted         int
+	discarded         time.Duration
+	stopBudget        bbrreservation.StopBudget
+	notes             []Note
+	notesDropped      int
 }
 
 // New returns a Scheduler without jobs for a claim that began now. firstOwner means
@@ -132,6 +144,7 @@
 		accounts:          make(map[string]*bbrquota.Account),
 		suspects:          make(map[*unit]bool),
 		runTimes:          make(map[string]*bbrruntime.Predictor),
+		reservationsEnded: make(map[bbrreservation.Cause]int),
 	}
 }
 
--- a/internal/job/bbrscheduler/simulation_test.go
+++ b/internal/job/bbrscheduler/simulation_test.go
@@ -28,6 +28,8 @@
 	violations []string
 	// crashing has the work units that crash each upstream on which they start.
 	crashing map[bbrwork.Unit]bool
+	// reservations lets owners reserve capacity and preempt.
+	reservations bool
 	// adviceRequests counts the requests to the advice service.
 	adviceRequests int
 }
@@ -128,6 +130,14 @@
 	{Name: "plates", Service: "press", Attempts: 3, Stretch: 1.6, Advice: &bbrwork.Advice{TicketTTL: ticketTTL}},
 }
 
+// rankedQueues are these queues and one with a lower rank, with objectives that preempting
+// work can meet.
+var rankedQueues = []*bbrwork.Queue{
+	{Name: "proofs", Service: "press", Attempts: 3, Stretch: 1.6, Objective: time.Second},
+	{Name: "plates", Service: "press", Attempts: 3, Stretch: 1.6, Objective: time.Second, Advice: &bbrwork.Advice{TicketTTL: ticketTTL}},
+	{Name: "inserts", Service: "press", Priority: 2, Attempts: 3, Stretch: 1.6, Objective: 2 * time.Second},
+}
+
 const ticketTTL = 2 * time.Second
 
 // labelsOf returns the labels of an upstream: every second upstream is of one kind,
@@ -540,6 +550,10 @@
 	o := &simOwner{sim: sim, token: sim.store.token}
 	o.sched = New(bbrwork.Shard{Service: "press"}, o.token, testTiming, !sim.store.written, sim.now)
 	o.sched.SetConfig(bbrwork.NewConfig(1, testQueues, nil, bbrwork.Limits{}))
+	if sim.reservations {
+		o.sched.ReserveCapacity = true
+		o.sched.SetConfig(bbrwork.NewConfig(1, rankedQueues, nil, bbrwork.Limits{}))
+	}
 	for _, id := range slices.Sorted(maps.Keys(sim.store.jobs)) {
 		o.addJob(id)
 	}
--- a/internal/job/bbrscheduler/upstream.go
+++ b/internal/job/bbrscheduler/upstream.go
@@ -60,6 +60,8 @@
 	// trialSince is when it was.
 	trialUnit  *unit
 	trialSince time.Time
+	// hold is the reserved capacity; nil for none.
+	hold *hold
 	// orphans has the listed runs of unknown jobs.
 	orphans map[runKey]*orphan
 	// announced is the registration of another incarnation under the same ID, since
--- a/internal/job/bbrscheduler/wait.go
+++ b/internal/job/bbrscheduler/wait.go
@@ -29,8 +29,8 @@
 	total, usable, noLabel int
 	// noCapacity counts the upstreams without enough free capacity, and finiteWork
 	// those of them that lack it only until finite work has ended.
-	noCapacity, finiteWork                                                int
-	atStepLimit, atStartLimit, noTicket, adviceRefused, farFromData, fits int
+	noCapacity, finiteWork                                                          int
+	reserved, atStepLimit, atStartLimit, noTicket, adviceRefused, farFromData, fits int
 	// capacityLeft is the capacity beside long-running work on the upstreams with
 	// the label, and largestLeft the part of it on the upstream with the most
 	// memory left.
@@ -84,6 +84,9 @@
 	default:
 		w.blockers = p.countBlockers(s)
 		w.reason = w.blockers.reason(s)
+		if s.reservation != nil && w.reason != ReasonComesNext {
+			w.reason = ReasonReservationHeld
+		}
 	}
 	return w
 }
@@ -170,7 +173,7 @@
 	}
 	count.concurrent, count.concurrentOnEmpty = p.concurrentUnits(s, (*upstream).besideLongRunning), p.concurrentUnits(s, (*upstream).capacity)
 	if s.spec.Gang {
-		count.membersFit = p.fittingMembers(s, (*upstream).free)
+		count.membersFit = p.fittingMembers(s, func(up *upstream) bbrwork.Resources { return p.freeFor(s, up) })
 		count.membersFitLater = p.fittingMembers(s, (*upstream).besideLongRunning)
 	}
 	return count
@@ -185,6 +188,8 @@
 		if need.Fits(left) {
 			count.finiteWork++
 		}
+	case !need.Fits(p.freeFor(s, up)):
+		count.reserved++
 	case s.spec.MaxPerUpstream > 0 && s.runsOn(up) >= s.spec.MaxPerUpstream:
 		count.atStepLimit++
 	case up.startsInFlight >= maxStartsInFlight:
@@ -249,6 +254,8 @@
 		return ReasonTicketMissing
 	case c.atStartLimit > 0:
 		return ReasonStartsInFlight
+	case c.reserved > 0:
+		return ReasonCapacityReserved
 	case c.finiteWork > 0 && 2*c.concurrent < c.concurrentOnEmpty:
 		return ReasonCapacityForFew
 	case c.finiteWork > 0:
--- a/internal/job/bbrscheduler/wait_test.go
+++ b/internal/job/bbrscheduler/wait_test.go
@@ -142,6 +142,28 @@
 				s.runOn("00000000000000c2", "i-2", wide.Need, false)
 			},
 		},
+		{
+			want: ReasonReservationHeld, confirmed: true, steps: []bbrwork.Step{wide}, awaits: AwaitsCapacity, responsible: ResponsibleOwner, text: "capacity on 1 upstreams is reserved for it from 2026-01-02T03:04:06",
+			arrange: func(s *scene) {
+				s.sched.ReserveCapacity = true
+				s.runOn("00000000000000c1", "i-1", wide.Need, true)
+				s.runOn("00000000000000c2", "i-2", wide.Need, false)
+				s.plan()
+			},
+		},
+		{
+			want: ReasonCapacityReserved, confirmed: true, awaits: AwaitsCapacity, responsible: ResponsibleOwner, text: "1 keep their free capacity for wide or urgent work",
+			steps: []bbrwork.Step{{Count: 1, Need: bbrwork.Resources{MilliCPU: 100, MemoryMB: 4000}, Estimate: time.Second}},
+			arrange: func(s *scene) {
+				s.sched.ReserveCapacity = true
+				s.runOn("00000000000000c1", "i-1", wide.Need, true)
+				s.runOn("00000000000000c2", "i-2", bbrwork.Resources{MemoryMB: 3500}, false)
+				s.accept("00000000000000c3", wide)
+				s.sched.jobs[testJob].Schedule = bbrwork.Schedule{Count: 1, First: s.now.Add(5 * time.Millisecond)}
+				s.plan()
+				s.advance(5 * time.Millisecond)
+			},
+		},
 		{
 			want: ReasonCapacityForFew, confirmed: true, awaits: AwaitsCapacity, responsible: ResponsibleFleetLeader, text: "beside long-running work 1 of 3 fit at once, on empty upstreams 3",
 			steps: []bbrwork.Step{{Count: 3, Need: bbrwork.Resources{MilliCPU: 1000, MemoryMB: 4000}, Estimate: time.Second}},
--- a/internal/job/bbrscheduler/waittext.go
+++ b/internal/job/bbrscheduler/waittext.go
@@ -30,6 +30,9 @@
 		return fmt.Sprintf("the shard's share of the cap of organisation %s does not suffice for %s", w.step.job.Organisation, resourcesText(w.step.spec.Need))
 	case ReasonCrashSuspect:
 		return fmt.Sprintf("it waits to be tried alone, since upstreams crashed under it: %s", w.unit.crashes)
+	case ReasonReservationHeld:
+		return fmt.Sprintf("capacity on %d upstreams is reserved for it from %s; %s",
+			len(w.step.reservation.holds), w.step.reservation.At.UTC().Format(time.RFC3339Nano), w.blockers.describe(w.step, w.reason))
 	default:
 		return w.blockers.describe(w.step, w.reason)
 	}
@@ -44,6 +47,7 @@
 		{c.noLabel, "lack the label " + s.spec.Label},
 		{c.noCapacity, "lack free capacity for " + resourcesText(s.spec.Allocation())},
 		{c.finiteWork, "of these only until finite work has ended"},
+		{c.reserved, "keep their free capacity for wide or urgent work"},
 		{c.atStepLimit, "run as many units of the step as they may"},
 		{c.atStartLimit, "have as many starts in flight as they may"},
 		{c.adviceRefused, "are refused by the advice service"},
--- a/internal/job/bbrscheduler/widework.go
+++ b/internal/job/bbrscheduler/widework.go
@@ -134,7 +134,7 @@
 	if !w.hasLongRunning && !w.fillsUpstream(s) && w.anySuitable(need) {
 		return
 	}
-	toPlace := s.unitsToPlace()
+	toPlace := s.unitsToPlace() - s.heldUnits()
 	need.unitCount = toPlace - w.countBesideLongRunning(need, toPlace)
 	if need.unitCount <= 0 {
 		return
