--- a/internal/job/bbrscheduler/preempt.go
+++ b/internal/job/bbrscheduler/preempt.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/bluebellridge/bluebellridge/internal/job/bbrreservation"
+	"github.com/bluebellridge/bluebellridge/internal/job/bbrwork"
 )
 
 const reasonPreempted = "preempted by more urgent work"
@@ -20,9 +21,19 @@
 	return policy != nil && policy.Priority < p.lowestPriority && !s.spec.Gang
 }
 
+// preemption is the stops for the work units of a step.
+type preemption struct {
+	*reservation
+	// gain is the processor time of one of the work units, and discarded what all stops
+	// discard, in millicore-seconds.
+	gain, discarded float64
+	victims         []*run
+}
+
 // preempt stops runs for those of the step's idle work units that would otherwise miss
 // the objective and can still meet it, and reserves the capacity. It reports whether it
-// stopped any.
+// stopped any: it does so only if all these work units get capacity, as otherwise the job
+// would not be in time.
 func (p *planner) preempt(c candidate, need bbrreservation.Need) bool {
 	s, readyAt := c.step, p.now.Add(p.sched.Timing.StopTimeout/stopTimeShare)
 	latest := c.objective.Add(-s.remainingPath)
@@ -31,33 +42,36 @@
 	}
 	suits := func(i int) bool { return p.suitsReservation(s, p.usable[i], p.usable) }
 	missing := need.Count - p.ends().FitUntil(need, suits, latest)
-	r := &reservation{Reservation: bbrreservation.Reservation{MadeAt: p.now, At: readyAt}, step: s}
+	if missing == 0 || missing > p.sched.stopBudget.Left(p.now) {
+		return false
+	}
+	stops := &preemption{
+		reservation: &reservation{Reservation: bbrreservation.Reservation{MadeAt: p.now, At: readyAt}, step: s},
+		gain:        float64(s.spec.Need.MilliCPU) * s.runTime.Seconds(),
+	}
 	for range missing {
-		if !bbrreservation.MayHold(len(p.sched.reservations), p.sched.heldUpstreams(), len(r.holds)+1, len(p.usable)) || !p.preemptFor(r) {
-			break
+		if !p.extend(stops) {
+			stops.withdraw()
+			return false
 		}
 	}
-	if len(r.holds) == 0 {
-		return false
-	}
-	p.addReservation(r)
+	p.carryOut(stops)
 	return true
 }
 
-// preemptFor stops the runs for one work unit of the reservation's step where that
-// discards least, and reserves the capacity there.
-func (p *planner) preemptFor(r *reservation) bool {
-	s := r.step
-	gain := float64(s.spec.Need.MilliCPU) * s.runTime.Seconds()
-	left := p.sched.stopBudget.Left(p.now)
+// extend adds the stops for one more work unit where they discard least, and reports
+// whether it could.
+func (p *planner) extend(stops *preemption) bool {
+	left := p.sched.stopBudget.Left(p.now) - len(stops.victims)
 	var best *upstream
 	var bestRuns []*run
 	bestDiscarded := 0.0
 	for _, up := range p.usable {
-		if !p.suitsReservation(s, up, p.usable) {
+		free, ok := p.freeBesideStops(up, stops.reservation)
+		if !ok {
 			continue
 		}
-		runs, discarded, ok := p.victimsOn(up, s, gain, left)
+		runs, discarded, ok := p.victimsOn(up, stops, free, left)
 		if ok && (best == nil || discarded < bestDiscarded) {
 			best, bestRuns, bestDiscarded = up, runs, discarded
 		}
@@ -65,24 +79,66 @@
 	if best == nil {
 		return false
 	}
+	if best.hold == nil {
+		if !bbrreservation.MayHold(len(p.sched.reservations), p.sched.heldUpstreams(), len(stops.holds)+1, len(p.usable)) {
+			return false
+		}
+		stops.add(best, 0)
+	}
+	best.hold.units++
 	for _, victim := range bestRuns {
-		victim.stopReason, victim.unit.preempted = reasonPreempted, true
+		victim.stopReason = reasonPreempted
+	}
+	stops.victims, stops.discarded = append(stops.victims, bestRuns...), stops.discarded+bestDiscarded
+	return true
+}
+
+// withdraw takes back stops that were not carried out.
+func (stops *preemption) withdraw() {
+	for _, h := range stops.holds {
+		h.up.hold = nil
+	}
+	for _, victim := range stops.victims {
+		victim.stopReason = ""
+	}
+}
+
+// carryOut plans the stops and reserves the capacity.
+func (p *planner) carryOut(stops *preemption) {
+	for _, victim := range stops.victims {
+		victim.unit.preempted = true
 		p.planStop(victim, reasonPreempted)
 	}
-	p.sched.stopBudget.Spend(len(bestRuns), p.now)
-	p.sched.preempted += len(bestRuns)
-	discarded := time.Duration(bestDiscarded / 1000 * float64(time.Second))
+	p.sched.stopBudget.Spend(len(stops.victims), p.now)
+	p.sched.preempted += len(stops.victims)
+	discarded := time.Duration(stops.discarded / 1000 * float64(time.Second))
 	p.sched.discarded += discarded
-	r.add(best, 1)
-	p.sched.note(p.now, "Work preempted", "job", s.job.ID, "step", s.number, "occurrence", s.occurrence.number, "upstream", best.ID, "stops", len(bestRuns),
-		"discarded", discarded.Round(time.Millisecond), "gains", time.Duration(gain/1000*float64(time.Second)).Round(time.Millisecond))
-	return true
+	s := stops.step
+	p.sched.note(p.now, "Work preempted", "job", s.job.ID, "step", s.number, "occurrence", s.occurrence.number, "firstOn", stops.holds[0].up.ID,
+		"stops", len(stops.victims), "discarded", discarded.Round(time.Millisecond))
+	p.addReservation(stops.reservation)
+}
+
+// freeBesideStops returns the capacity that is free for one more work unit of the
+// reservation's step, beside those for which runs are being stopped there. It returns false
+// if the upstream does not suit the step.
+func (p *planner) freeBesideStops(up *upstream, r *reservation) (bbrwork.Resources, bool) {
+	if up.hold == nil || up.hold.reservation != r {
+		return up.free(), p.suitsReservation(r.step, up, p.usable)
+	}
+	free := up.free().Minus(r.step.spec.Allocation().Times(up.hold.units))
+	for _, other := range up.runs {
+		if other.stopReason == reasonPreempted {
+			free = free.Plus(other.allocation)
+		}
+	}
+	return free, r.step.spec.MaxPerUpstream == 0
 }
 
-// victimsOn returns the runs on an upstream to stop for a work unit of the step, and the
-// processor time that this discards, in millicore-seconds.
-func (p *planner) victimsOn(up *upstream, s *step, gain float64, maxStops int) (runs []*run, discarded float64, ok bool) {
-	candidates := slices.DeleteFunc(runsByAge(up), func(r *run) bool { return !r.mayPreempt(s.job.policy.Priority) })
+// victimsOn returns the runs on an upstream with the given free capacity to stop for a
+// further work unit, and the processor time that this discards, in millicore-seconds.
+func (p *planner) victimsOn(up *upstream, stops *preemption, free bbrwork.Resources, maxStops int) (runs []*run, discarded float64, ok bool) {
+	candidates := slices.DeleteFunc(runsByAge(up), func(r *run) bool { return !r.mayPreempt(stops.step.job.policy.Priority) })
 	if len(candidates) == 0 {
 		return nil, 0, false
 	}
@@ -90,7 +146,7 @@
 	for i, r := range candidates {
 		victims[i] = bbrreservation.Victim{Index: i, Frees: r.allocation, Discarded: r.discarded(p.now)}
 	}
-	chosen, discarded, ok := bbrreservation.ChooseVictims(s.spec.Allocation(), up.free(), victims, gain, maxStops)
+	chosen, discarded, ok := bbrreservation.ChooseVictims(stops.step.spec.Allocation(), free, victims, stops.gain, maxStops)
 	for _, victim := range chosen {
 		runs = append(runs, candidates[victim.Index])
 	}
