--- a/internal/base/bbrmetric/set.go
+++ b/internal/base/bbrmetric/set.go
@@ -14,19 +14,23 @@
 type Set struct {
 	Registry *prometheus.Registry
 
-	answers        *prometheus.CounterVec
-	refusals       *prometheus.CounterVec
-	retries        *prometheus.CounterVec
-	events         *prometheus.CounterVec
-	controlBytes   *prometheus.CounterVec
-	bodyBytes      *prometheus.CounterVec
-	slowWaits      *prometheus.CounterVec
-	crashVerdicts  *prometheus.CounterVec
-	oldestWaits    *prometheus.GaugeVec
-	suspects       *prometheus.GaugeVec
-	organisations  *prometheus.GaugeVec
-	callDurations  *prometheus.HistogramVec
-	storeDurations *prometheus.HistogramVec
+	answers         *prometheus.CounterVec
+	refusals        *prometheus.CounterVec
+	retries         *prometheus.CounterVec
+	events          *prometheus.CounterVec
+	controlBytes    *prometheus.CounterVec
+	bodyBytes       *prometheus.CounterVec
+	slowWaits       *prometheus.CounterVec
+	crashVerdicts   *prometheus.CounterVec
+	reservationEnds *prometheus.CounterVec
+	preemptions     *prometheus.CounterVec
+	preemptedTime   *prometheus.CounterVec
+	oldestWaits     *prometheus.GaugeVec
+	suspects        *prometheus.GaugeVec
+	reservations    *prometheus.GaugeVec
+	organisations   *prometheus.GaugeVec
+	callDurations   *prometheus.HistogramVec
+	storeDurations  *prometheus.HistogramVec
 }
 
 // New returns a set that is registered with a new registry.
@@ -40,6 +44,13 @@
 	s.bodyBytes = s.newCounter("bbr_body_bytes_total", "Bytes of the bodies of calls to the platform and to upstreams.", "purpose", "direction")
 	s.slowWaits = s.newCounter("bbr_slow_waits_total", "Work units that waited over 3 s for a run, by reason.", "reason")
 	s.crashVerdicts = s.newCounter("bbr_crash_verdicts_total", "What crashes of upstreams meant for the work units that ran there.", "verdict")
+	s.reservationEnds = s.newCounter("bbr_reservations_ended_total", "Reservations of capacity for wide or urgent work that ended, by cause.", "cause")
+	s.preemptions = s.newCounter("bbr_preemptions_total", "Runs that were stopped for more urgent work.")
+	s.preemptedTime = s.newCounter("bbr_preempted_core_seconds_total", "Processor time since their last checkpoints of the runs that were stopped for more urgent work.")
+	s.reservations = prometheus.NewGaugeVec(prometheus.GaugeOpts{
+		Name: "bbr_reservations",
+		Help: "Reservations of capacity for wide or urgent work, and the upstreams that they hold, by shard.",
+	}, []string{"shard", "amount"})
 	s.suspects = prometheus.NewGaugeVec(prometheus.GaugeOpts{
 		Name: "bbr_crash_suspects",
 		Help: "Work units under which upstreams crashed and that are not cleared, and those of them that run alone, by shard.",
@@ -62,7 +73,7 @@
 		Name: "bbr_organisation_millicores",
 		Help: "Processor capacity of an organisation in a shard: what its work uses, the share of its cap, and the whole cap.",
 	}, []string{"shard", "organisation", "amount"})
-	s.Registry.MustRegister(s.suspects, s.organisations, s.oldestWaits, s.callDurations, s.storeDurations)
+	s.Registry.MustRegister(s.suspects, s.reservations, s.organisations, s.oldestWaits, s.callDurations, s.storeDurations)
 	return s
 }
 
@@ -129,6 +140,30 @@
 	s.suspects.DeletePartialMatch(prometheus.Labels{"shard": shard})
 }
 
+// ReservationsEnded adds count reservations that ended for the cause.
+func (s *Set) ReservationsEnded(cause string, count int) {
+	s.reservationEnds.WithLabelValues(cause).Add(float64(count))
+}
+
+// Preemptions adds count runs that were stopped for more urgent work, and the processor
+// time that this discarded.
+func (s *Set) Preemptions(count int, discarded time.Duration) {
+	s.preemptions.WithLabelValues().Add(float64(count))
+	s.preemptedTime.WithLabelValues().Add(discarded.Seconds())
+}
+
+// SetReservations sets how many reservations a shard has, and how many upstreams they
+// hold.
+func (s *Set) SetReservations(shard string, active, upstreams int) {
+	s.reservations.WithLabelValues(shard, "reservations").Set(float64(active))
+	s.reservations.WithLabelValues(shard, "upstreams").Set(float64(upstreams))
+}
+
+// ClearReservations removes the gauges of a shard's reservations.
+func (s *Set) ClearReservations(shard string) {
+	s.reservations.DeletePartialMatch(prometheus.Labels{"shard": shard})
+}
+
 // SetOldestWait sets how long the oldest of the shard's work units that wait for the
 // reason has waited for a run.
 func (s *Set) SetOldestWait(shard, reason string, waited time.Duration) {
--- a/internal/config/bbrsettings/parse.go
+++ b/internal/config/bbrsettings/parse.go
@@ -59,6 +59,7 @@
 func (c *checker) protocol(s Settings) {
 	switch s.Platform.Protocol {
 	case ProtocolOwn:
+		c.require(!s.Jobs.Reservations, bbrcode.SettingsInvalid, "jobs.reservations", "needs platform.protocol %s", ProtocolFleet)
 		c.address(s.Listen.Operators, "listen.operators")
 		c.address(s.Listen.Peers, "listen.peers")
 		c.address(s.Platform.Address, "platform.address")
--- a/internal/config/bbrsettings/settings.go
+++ b/internal/config/bbrsettings/settings.go
@@ -59,6 +59,9 @@
 	// RequireKeys makes callers of queues that are not public authenticate by a key of
 	// their organisation, even if the operators' configuration has no organisations.
 	RequireKeys bool `yaml:"requireKeys"`
+	// Reservations lets wide work reserve capacity, and urgent work preempt work of
+	// queues with a higher priority number.
+	Reservations bool `yaml:"reservations"`
 }
 
 // Listen has the addresses that the process listens on. They are also the
--- a/internal/daemon/bbrcommand/check_test.go
+++ b/internal/daemon/bbrcommand/check_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"os"
 	"path/filepath"
+	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -51,6 +52,25 @@
 	}, lines)
 }
 
+// TestReservationsNeedFleetProtocol guards against a setting that is accepted and then has
+// no effect, or that is not a bool.
+func TestReservationsNeedFleetProtocol(t *testing.T) {
+	for _, test := range []struct{ text, want string }{
+		{"jobs: {reservations: true}", "5003 settingsInvalid at line 1, column 8: jobs.reservations: needs platform.protocol fleet"},
+		{"platform: {protocol: fleet}\njobs: {reservations: 2}", `5003 settingsInvalid at line 2, column 22: jobs.reservations: "2" is not a bool`},
+		{"platform: {protocol: fleet}\njobs: {reservations: true}", ""},
+	} {
+		_, faults := bbrsettings.Parse([]byte(test.text))
+		var got string
+		for _, fault := range faults {
+			if strings.Contains(fault.Error(), "jobs.") {
+				got += fault.Error()
+			}
+		}
+		require.Equal(t, test.want, got)
+	}
+}
+
 // FuzzSettings checks that no input makes the parsers of settings and configuration
 // panic.
 func FuzzSettings(f *testing.F) {
--- a/internal/job/bbrowner/load.go
+++ b/internal/job/bbrowner/load.go
@@ -8,6 +8,7 @@
 
 	"k8s.io/klog/v2"
 
+	"github.com/bluebellridge/bluebellridge/internal/job/bbrreservation"
 	"github.com/bluebellridge/bluebellridge/internal/job/bbrscheduler"
 )
 
@@ -26,6 +27,7 @@
 	o.updateWaitMetrics(load.Waits)
 	o.updateOrganisationMetrics()
 	o.updateCrashMetrics()
+	o.updateReservationMetrics()
 	klog.InfoS("Load", append([]any{"shard", o.Shard, "token", o.Held.Token, "jobs", load.Jobs, "late", load.Late,
 		"upstreams", load.Upstreams, "reached", load.Reached, "reserved", load.Reserved, "suspect", load.Suspect, "silent", load.Silent, "usable", load.Usable,
 		"runs", load.Runs, "unconfirmed", load.Unconfirmed, "waitingUnits", load.Waits.Units,
@@ -71,6 +73,21 @@
 	o.Metrics.SetSuspects(o.Shard.String(), counts.Suspects, counts.Isolated)
 }
 
+// updateReservationMetrics updates the metrics of reservations and preemptions. The caller
+// holds the lock.
+func (o *Owner) updateReservationMetrics() {
+	if !o.ReserveCapacity {
+		return
+	}
+	counts, before := o.scheduler.ReservationCounts(), o.reservationCounts
+	o.reservationCounts = counts
+	for _, cause := range bbrreservation.Causes {
+		o.Metrics.ReservationsEnded(string(cause), counts.Ended[cause]-before.Ended[cause])
+	}
+	o.Metrics.Preemptions(counts.Preempted-before.Preempted, counts.Discarded-before.Discarded)
+	o.Metrics.SetReservations(o.Shard.String(), counts.Active, counts.HeldUpstreams)
+}
+
 // maxOrganisationMetrics bounds the organisations with metrics, those that use most.
 const maxOrganisationMetrics = 32
 
--- a/internal/job/bbrowner/load_test.go
+++ b/internal/job/bbrowner/load_test.go
@@ -52,3 +52,32 @@
 	o.updateWaitMetrics(bbrscheduler.WaitSummary{})
 	require.Empty(t, valuesByReason(t, o.Metrics, "bbr_oldest_wait_seconds"))
 }
+
+// TestReservationMetrics checks that reservations are counted once each, and that the gauge
+// has the present ones.
+func TestReservationMetrics(t *testing.T) {
+	now := time.Unix(1000, 0)
+	o := &Owner{Shard: bbrwork.Shard{Service: "press"}, Metrics: bbrmetric.New(), Confirmed: func(time.Time) bool { return true }, ReserveCapacity: true}
+	o.scheduler = bbrscheduler.New(o.Shard, 7, bbrscheduler.Timing{}, true, now)
+	o.scheduler.ReserveCapacity = o.ReserveCapacity
+	up := bbrwork.Upstream{Incarnation: bbrwork.Incarnation{ID: "i-1", StartMillis: 1}, Service: "press", Capacity: bbrwork.Resources{MilliCPU: 4000}}
+	o.scheduler.RegisterUpstream(up, now)
+	o.scheduler.ApplyListing(up.Incarnation, &bbrwork.Listing{Clock: time.Second, StartMillis: 1}, now, now)
+	for i, need := range []int{2000, 3000} {
+		step := bbrwork.Step{Count: 1, Need: bbrwork.Resources{MilliCPU: need}, Estimate: time.Second}
+		o.scheduler.AddJob(&bbrwork.Job{ID: string(rune('a' + i)), Service: "press", Steps: []bbrwork.Step{step}, Accepted: now}, 0, nil, now)
+		o.scheduler.Plan(true, now)
+		o.scheduler.ApplyStored(o.scheduler.Batch(10, now), 1, now)
+		o.scheduler.Plan(true, now)
+	}
+	o.logLoad(now.Add(time.Millisecond))
+	require.Equal(t, map[string]float64{"reservations": 1, "upstreams": 1}, valuesByReason(t, o.Metrics, "bbr_reservations"))
+	o.scheduler.Cancel("b", now)
+	o.scheduler.Plan(true, now)
+	for range 2 {
+		now = now.Add(2 * time.Second)
+		o.logLoad(now)
+	}
+	require.Equal(t, map[string]float64{"reservations": 0, "upstreams": 0}, valuesByReason(t, o.Metrics, "bbr_reservations"))
+	require.Equal(t, 1.0, valuesByReason(t, o.Metrics, "bbr_reservations_ended_total")["gone"])
+}
--- a/internal/job/bbrowner/owner.go
+++ b/internal/job/bbrowner/owner.go
@@ -51,6 +51,9 @@
 	// ShardCount returns how many shards share the caps of organisations; nil means
 	// that there is one.
 	ShardCount func() int
+	// ReserveCapacity means that wide work may reserve capacity, and that urgent work may
+	// preempt.
+	ReserveCapacity bool
 
 	mu        sync.Mutex
 	scheduler *bbrscheduler.Scheduler
@@ -65,6 +68,8 @@
 	drained []string
 	// crashCounts has the counts that the metrics have.
 	crashCounts bbrscheduler.CrashCounts
+	// reservationCounts has the same of reservations.
+	reservationCounts bbrscheduler.ReservationCounts
 	// loadLoggedAt is when the load was last logged.
 	loadLoggedAt time.Time
 	renewers     map[string]*leaseRenewer
@@ -129,6 +134,7 @@
 	o.updateWaitMetrics(bbrscheduler.WaitSummary{})
 	o.Metrics.ClearOrganisations(o.Shard.String())
 	o.Metrics.ClearSuspects(o.Shard.String())
+	o.Metrics.ClearReservations(o.Shard.String())
 	klog.InfoS("Owner stopped", "shard", o.Shard, "token", o.Held.Token)
 }
 
@@ -323,6 +329,7 @@
 	o.commits.revision = sequence.Revision
 	o.scheduler = bbrscheduler.New(o.Shard, int64(o.Held.Token), o.Timing, firstOwner, start)
 	o.scheduler.MaxValueBytes = o.Store.MaxValueBytes
+	o.scheduler.ReserveCapacity = o.ReserveCapacity
 	if config := o.Config(); config != nil {
 		o.configVersion = config.Version
 		o.scheduler.SetConfig(config)
