--- a/internal/job/bbrscheduler/preempt.go
+++ b/internal/job/bbrscheduler/preempt.go
@@ -1,6 +1,7 @@
 package bbrscheduler
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -15,7 +16,7 @@
 const stopTimeShare = 2
 
 // isUrgent reports whether work of other queues may be stopped for the step: it is not a
-// gang, and there are queues with a higher priority number.
+// gang, and work with a higher priority number has started.
 func (p *planner) isUrgent(s *step) bool {
 	policy := s.job.policy
 	return policy != nil && policy.Priority < p.lowestPriority && !s.spec.Gang
@@ -138,10 +139,17 @@
 // victimsOn returns the runs on an upstream with the given free capacity to stop for a
 // further work unit, and the processor time that this discards, in millicore-seconds.
 func (p *planner) victimsOn(up *upstream, stops *preemption, free bbrwork.Resources, maxStops int) (runs []*run, discarded float64, ok bool) {
-	candidates := slices.DeleteFunc(runsByAge(up), func(r *run) bool { return !r.mayPreempt(stops.step.job.policy.Priority) })
-	if len(candidates) == 0 {
+	var candidates []*run
+	most := free
+	for _, r := range up.runs {
+		if r.mayPreempt(stops.step.job.policy.Priority) {
+			candidates, most = append(candidates, r), most.Plus(r.allocation)
+		}
+	}
+	if !stops.step.spec.Allocation().Fits(most) {
 		return nil, 0, false
 	}
+	slices.SortFunc(candidates, compareRuns)
 	victims := make([]bbrreservation.Victim, len(candidates))
 	for i, r := range candidates {
 		victims[i] = bbrreservation.Victim{Index: i, Frees: r.allocation, Discarded: r.discarded(p.now)}
@@ -180,3 +188,11 @@
 func (r *run) discarded(now time.Time) float64 {
 	return float64(r.unit.step.spec.Need.MilliCPU) * now.Sub(later(r.orderedAt, r.checkpointedAt)).Seconds()
 }
+
+// compareRuns orders runs by age and name, so that decisions are reproducible.
+func compareRuns(a, b *run) int {
+	if order := a.orderedAt.Compare(b.orderedAt); order != 0 {
+		return order
+	}
+	return cmp.Compare(a.unit.name().String(), b.unit.name().String())
+}
--- a/internal/job/bbrscheduler/preempt_test.go
+++ b/internal/job/bbrscheduler/preempt_test.go
@@ -82,6 +82,56 @@
 	require.False(t, victim.runs[0].mayPreempt(0), "a work unit is preempted once at most")
 }
 
+// TestLostPreemptionIsRepeated guards against a stop that is sent once only, or that frees
+// capacity before the end of the run is listed.
+func TestLostPreemptionIsRepeated(t *testing.T) {
+	s := newPreemptingScene(t)
+	s.accept(testJob, unitStep(1))
+	stopped := s.stopsOf()
+	require.Len(t, stopped, 1)
+	s.keepRunning("i-1")
+	require.Empty(t, s.stopsOf(), "one stop is in flight")
+	s.advance(stopRetryInterval)
+	s.keepRunning("i-1")
+	plan := s.plan()
+	require.Empty(t, plan.Starts)
+	require.Len(t, plan.Stops, 1)
+	require.Equal(t, stopped[0].unit.name(), plan.Stops[0].Stop.Unit)
+	require.Equal(t, 1, s.sched.ReservationCounts().Preempted, "it counts once")
+}
+
+// TestSuccessorReservesAnew guards against reservations that a takeover needs to know: a
+// successor, to which nothing was stored of them, makes its own.
+func TestSuccessorReservesAnew(t *testing.T) {
+	s := newReservingScene(t, "i-1")
+	s.fill("i-1", 1, 800*time.Millisecond)
+	s.accept(testJob, wideUnit(2*time.Second))
+	s.plan()
+	require.Equal(t, 1, s.sched.ReservationCounts().Active)
+	stored := make(map[string]Write)
+	for _, write := range s.store() {
+		stored[write.Job.ID] = write
+	}
+	running := s.sched.upstreams["i-1"].runs
+	earlier := s.sched
+	s.sched = New(earlier.Shard, 17, testTiming, false, s.now)
+	s.sched.ReserveCapacity = true
+	s.sched.SetConfig(bbrwork.NewConfig(2, rankedQueues, nil, bbrwork.Limits{}))
+	for id, j := range earlier.jobs {
+		s.sched.AddJob(j.Job, 0, stored[id].Progress, s.now)
+	}
+	s.sched.FinishLoading([]bbrwork.Upstream{s.upstream("i-1")}, 0, s.now)
+	s.register("i-1")
+	var listed []bbrwork.Run
+	for key := range running {
+		listed = append(listed, bbrwork.Run{Unit: key.unit, Number: key.number})
+	}
+	s.listRunning("i-1", listed)
+	s.plan()
+	require.Equal(t, 1, s.sched.ReservationCounts().Active)
+	require.NotNil(t, s.sched.upstreams["i-1"].hold)
+}
+
 // TestWideUrgentWorkPreempts guards against stops of which a part of the capacity goes to
 // other work before the rest has ended.
 func TestWideUrgentWorkPreempts(t *testing.T) {
--- a/internal/job/bbrscheduler/reservation.go
+++ b/internal/job/bbrscheduler/reservation.go
@@ -43,7 +43,7 @@
 	// first.
 	considered []candidate
 	// largest is the largest usable capacity, and lowestPriority the highest priority
-	// number of a queue.
+	// number of the jobs that have started.
 	largest        bbrwork.Resources
 	lowestPriority int
 	forecast       *bbrreservation.Forecast
@@ -57,9 +57,9 @@
 	for _, up := range p.usable {
 		p.largest = p.largest.Max(up.Capacity)
 	}
-	for _, queue := range p.sched.config.Queues {
-		if queue.Service == p.sched.Shard.Service {
-			p.lowestPriority = max(p.lowestPriority, queue.Priority)
+	for _, j := range p.sched.jobs {
+		if j.started && j.policy != nil {
+			p.lowestPriority = max(p.lowestPriority, j.policy.Priority)
 		}
 	}
 }
@@ -72,7 +72,7 @@
 
 // consider adds a step that has idle work units to those that may reserve or preempt.
 func (p *planner) consider(s *step, objective time.Time) {
-	if !p.sched.ReserveCapacity || s.spec.LongRunning || s.reservation != nil || p.now.Before(s.reserveAfter) || !p.isWide(s) && !p.isUrgent(s) {
+	if !p.sched.ReserveCapacity || len(p.usable) == 0 || s.spec.LongRunning || s.reservation != nil || p.now.Before(s.reserveAfter) || !p.isWide(s) && !p.isUrgent(s) {
 		return
 	}
 	c := p.rank(s, objective)
