--- a/internal/job/bbrscheduler/overload_test.go
+++ b/internal/job/bbrscheduler/overload_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -23,12 +24,16 @@
 	runTimes map[string]time.Duration
 	accepted map[string]time.Time
 	// ends has the runs by the tick in which they end.
-	ends      map[int][]StartOrder
+	ends map[int][]StartOrder
+	// stopped has the runs that end because they are stopped.
+	stopped   map[runKey]bool
 	sequences map[string]int64
 	// trustEstimates makes the owner learn nothing.
 	trustEstimates bool
 	// inTime counts the jobs whose callers got their result within the objective.
 	inTime int
+	// ages are the ages of the completed jobs.
+	ages map[string]time.Duration
 }
 
 const (
@@ -45,6 +50,7 @@
 	o := &overload{
 		random: rand.New(rand.NewPCG(seed, 0)), upstreams: []string{"i-1", "i-2", "i-3", "i-4", "i-5", "i-6"}, trustEstimates: trustEstimates,
 		runTimes: make(map[string]time.Duration), accepted: make(map[string]time.Time), ends: make(map[int][]StartOrder), sequences: make(map[string]int64),
+		stopped: make(map[runKey]bool), ages: make(map[string]time.Duration),
 	}
 	o.scene = newScene(t, true, o.upstreams...)
 	o.now = o.start
@@ -76,6 +82,7 @@
 	plan := o.sched.Plan(true, o.now)
 	o.sched.ApplyStored(o.sched.Batch(1000, o.now), 1, o.now)
 	o.answerStarts(plan, nil)
+	o.stopRuns(plan.Stops, tick)
 	for _, start := range plan.Starts {
 		at := tick + int(o.runTimes[start.Start.Unit.Job]/overloadTick)
 		o.ends[at] = append(o.ends[at], start)
@@ -97,7 +104,11 @@
 		id := start.Upstream.ID
 		o.sequences[id]++
 		gone[runKey{start.Start.Unit, start.Start.Run}] = true
-		ended[id] = append(ended[id], bbrwork.RunEnd{Sequence: o.sequences[id], Unit: start.Start.Unit, Run: start.Start.Run, Outcome: bbrwork.OutcomeDone})
+		outcome := bbrwork.OutcomeDone
+		if o.stopped[runKey{start.Start.Unit, start.Start.Run}] {
+			outcome = bbrwork.OutcomeStopped
+		}
+		ended[id] = append(ended[id], bbrwork.RunEnd{Sequence: o.sequences[id], Unit: start.Start.Unit, Run: start.Start.Run, Outcome: outcome})
 	}
 	for _, id := range o.upstreams {
 		_, renewed := o.sched.PlanRenewal(id, true, o.now)
@@ -113,6 +124,7 @@
 	for id, accepted := range o.accepted {
 		if job := o.sched.jobs[id]; job != nil && job.finalState == bbrwork.Completed {
 			delete(o.accepted, id)
+			o.ages[id] = o.now.Sub(accepted)
 			if o.now.Sub(accepted) <= time.Duration(1.6*float64(o.runTimes[id]))+600*time.Millisecond {
 				o.inTime++
 			}
@@ -120,6 +132,27 @@
 	}
 }
 
+// overloadStopTicks is how long a stop takes, in ticks.
+const overloadStopTicks = 10
+
+// stopRuns carries out stops of runs that would end later.
+func (o *overload) stopRuns(stops []StopOrder, tick int) {
+	for _, stop := range stops {
+		o.sched.ApplyStopResult(stop, nil, o.now)
+		key := runKey{stop.Stop.Unit, stop.Stop.Run}
+		for at, starts := range o.ends {
+			i := slices.IndexFunc(starts, func(start StartOrder) bool { return key == runKey{start.Start.Unit, start.Start.Run} })
+			if i < 0 || at <= tick+overloadStopTicks {
+				continue
+			}
+			o.stopped[key] = true
+			o.ends[tick+overloadStopTicks] = append(o.ends[tick+overloadStopTicks], starts[i])
+			o.ends[at] = slices.Delete(starts, i, i+1)
+			break
+		}
+	}
+}
+
 // TestLearnedRunTimesCostNoCallers plays a demand burst in which estimates are off by a
 // factor of 2.5, and guards against learned run times that leave fewer callers with a
 // result in time than the estimates do: a wrong prediction drops work that could be in
