--- a/internal/job/bbrscheduler/preempt.go
+++ b/internal/job/bbrscheduler/preempt.go
@@ -43,7 +43,7 @@
 	}
 	suits := func(i int) bool { return p.suitsReservation(s, p.usable[i], p.usable) }
 	missing := need.Count - p.ends().FitUntil(need, suits, latest)
-	if missing == 0 || missing > p.sched.stopBudget.Left(p.now) {
+	if missing == 0 || missing > p.sched.stopBudget.Left(p.now) || !p.sched.capAllows(s, missing) {
 		return false
 	}
 	stops := &preemption{
@@ -122,8 +122,11 @@
 
 // freeBesideStops returns the capacity that is free for one more work unit of the
 // reservation's step, beside those for which runs are being stopped there. It returns false
-// if the upstream does not suit the step.
+// if the upstream does not suit the step, or if the advice service may refuse it.
 func (p *planner) freeBesideStops(up *upstream, r *reservation) (bbrwork.Resources, bool) {
+	if !p.sched.hasTicket(r.step, up, p.now) {
+		return bbrwork.Resources{}, false
+	}
 	if up.hold == nil || up.hold.reservation != r {
 		return up.free(), p.suitsReservation(r.step, up, p.usable)
 	}
--- a/internal/job/bbrscheduler/preempt_test.go
+++ b/internal/job/bbrscheduler/preempt_test.go
@@ -157,6 +157,13 @@
 		{name: "nothing forbids it", urgent: unitStep(1), stops: 1},
 		{name: "as many as wait", urgent: unitStep(2), stops: 2},
 		{name: "not all of the job would get capacity", urgent: unitStep(5)},
+		{name: "within the cap", urgent: unitStep(2), stops: 2, arrange: func(s *scene) { s.capUrgent(2000) }},
+		{name: "the cap lacks room for all", urgent: unitStep(2), arrange: func(s *scene) { s.capUrgent(1500) }},
+		{name: "the advice service may refuse the upstream", urgent: unitStep(1), arrange: func(s *scene) {
+			policy := *s.sched.jobs[testJob].policy
+			policy.RequiresAdvice = true
+			s.sched.jobs[testJob].policy = &policy
+		}},
 		{name: "it discards more than it gains", urgent: smallStep(190 * time.Millisecond)},
 		{name: "the work can no longer be in time", urgent: unitStep(1), arrange: func(s *scene) {
 			s.sched.jobs[testJob].Accepted = s.now.Add(-1300 * time.Millisecond)
@@ -193,6 +200,12 @@
 	}
 }
 
+// capUrgent gives the urgent job to an organisation with a cap.
+func (s *scene) capUrgent(milliCPU int) {
+	s.sched.jobs[testJob].Organisation = limitedOrganisation
+	s.applyCap(milliCPU)
+}
+
 // eachVictim visits the work units of a lower rank.
 func (s *scene) eachVictim(visit func(u *unit)) {
 	for number := range 4 {
--- a/internal/job/bbrscheduler/property_test.go
+++ b/internal/job/bbrscheduler/property_test.go
@@ -12,6 +12,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/bluebellridge/bluebellridge/internal/job/bbrorder"
+	"github.com/bluebellridge/bluebellridge/internal/job/bbrreservation"
 	"github.com/bluebellridge/bluebellridge/internal/job/bbrwork"
 	"github.com/bluebellridge/bluebellridge/internal/store/bbrkv"
 )
@@ -247,6 +248,7 @@
 			d.sim.violation("REASON: %s starts although the wait reason of its step is %q", order.Start.Unit, reason)
 		}
 	}
+	d.checkReservations(o, plan.Stops)
 	for step, reason := range o.sched.waitReasons(confirmed, now) {
 		if confirmed && reason == ReasonComesNext {
 			d.sim.violation("REASON: %s comes next but is not in the plan", step)
@@ -255,6 +257,26 @@
 	return plan
 }
 
+// checkReservations records reservations that last beyond their bound, and stops for
+// preemption of work that must not be stopped.
+func (d *driver) checkReservations(o *simOwner, stops []StopOrder) {
+	for _, r := range o.sched.reservations {
+		if held := d.sim.now.Sub(r.MadeAt); held > bbrreservation.MaxLife {
+			d.sim.violation("HELD: capacity is reserved for job %s for %v", r.step.job.ID, held)
+		}
+	}
+	for _, order := range stops {
+		r := o.sched.upstreams[order.Upstream.ID].runs[runKey{order.Stop.Unit, order.Stop.Run}]
+		if r == nil || r.stopReason != reasonPreempted || !r.stopSentAt.Equal(d.sim.now) {
+			continue
+		}
+		u := r.unit
+		if u.step.spec.Gang || u.step.spec.LongRunning || u.step.job.policy.Priority == 0 || len(u.runs) != 1 || u.step.job.finalState != "" {
+			d.sim.violation("PREEMPTED: %s run %d", u.name(), r.number)
+		}
+	}
+}
+
 // register applies the store's list of upstreams to the owner.
 func (d *driver) register(o *simOwner) {
 	o.informedAt = d.sim.now
--- a/internal/job/bbrscheduler/quota.go
+++ b/internal/job/bbrscheduler/quota.go
@@ -105,14 +105,20 @@
 // beyondCap reports whether the shard's share of the organisation's cap lacks room for
 // a work unit of the step. Unlike withinCap it records nothing.
 func (sched *Scheduler) beyondCap(s *step) bool {
-	account := sched.accounts[s.job.Organisation]
-	if account == nil {
-		return false
-	}
 	count := 1
 	if s.spec.Gang {
 		count = len(s.units)
 	}
+	return !sched.capAllows(s, count)
+}
+
+// capAllows reports whether count work units of the step may start within the shard's
+// share of the organisation's cap. Unlike withinCap it records nothing.
+func (sched *Scheduler) capAllows(s *step, count int) bool {
+	account := sched.accounts[s.job.Organisation]
+	if account == nil {
+		return true
+	}
 	copied := *account
-	return !copied.Allows(s.spec.Need.Times(count))
+	return copied.Allows(s.spec.Need.Times(count))
 }
