--- /dev/null
+++ b/internal/job/bbrscheduler/reservationrules_test.go
@@ -0,0 +1,89 @@
+package bbrscheduler
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/bluebellridge/bluebellridge/internal/job/bbrcrash"
+	"github.com/bluebellridge/bluebellridge/internal/job/bbrwork"
+)
+
+// TestReservationsYield guards against reservations that hold back work which they must not,
+// and against work that ignores them. Half of the only upstream becomes free while a wide
+// job has a reservation, beside which one small work unit fits.
+func TestReservationsYield(t *testing.T) {
+	const other = "00000000000000b2"
+	large := bbrwork.Step{Count: 1, Need: bbrwork.Resources{MilliCPU: 2000, MemoryMB: 100}, Estimate: time.Second}
+	gang := unitStep(2)
+	gang.Gang = true
+	longRunning := large
+	longRunning.LongRunning = true
+	tests := []struct {
+		name string
+		// late is by how much earlier the wide job was accepted.
+		late   time.Duration
+		step   bbrwork.Step
+		starts int
+	}{
+		{name: "other work waits", step: large},
+		{name: "a gang waits", step: gang},
+		{name: "long-running work does not", step: longRunning, starts: 1},
+		{name: "work that can be in time does not wait for work that cannot", late: 1500 * time.Millisecond, step: large, starts: 1},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			s := newReservingScene(t, "i-1")
+			s.fill("i-1", 1, 800*time.Millisecond)
+			s.accept(testJob, wideUnit(time.Second))
+			s.sched.jobs[testJob].Accepted = s.now.Add(-test.late)
+			s.plan()
+			require.Equal(t, 1, s.sched.ReservationCounts().Active)
+			s.endRun(jobID(1))
+			s.endRun(jobID(2))
+			s.accept(other, test.step)
+			require.Len(t, s.startedJobs(), test.starts)
+		})
+	}
+}
+
+// TestHeldUpstreamIsNotReleased guards against an upstream that is given to another pool as
+// soon as it is empty enough for the wide work for which it is held.
+func TestHeldUpstreamIsNotReleased(t *testing.T) {
+	s := newReservingScene(t, "i-1", "i-2")
+	s.fill("i-1", 1, 800*time.Millisecond)
+	s.fill("i-2", 5, 1200*time.Millisecond)
+	s.accept(testJob, wideUnit(time.Second))
+	s.plan()
+	require.NotNil(t, s.sched.upstreams["i-1"].hold)
+	require.Equal(t, []string{"i-2"}, s.sched.Demand(s.now).Releasable)
+}
+
+// TestLateWorkReservesLast guards against work that can no longer be in time and that holds
+// capacity while work that can be in time waits for some.
+func TestLateWorkReservesLast(t *testing.T) {
+	for _, inTimeWaits := range []bool{false, true} {
+		s := newReservingScene(t, "i-1")
+		s.fill("i-1", 1, 800*time.Millisecond)
+		s.accept(testJob, wideUnit(time.Second))
+		s.sched.jobs[testJob].Accepted = s.now.Add(-1500 * time.Millisecond)
+		if inTimeWaits {
+			// It does not fit within the time for which capacity is reserved ahead.
+			s.accept("00000000000000b2", bbrwork.Step{Count: 1, Need: bbrwork.Resources{MilliCPU: 5000}, Estimate: time.Second})
+		}
+		s.plan()
+		require.Equal(t, inTimeWaits, s.sched.ReservationCounts().Active == 0)
+	}
+}
+
+// TestSuspectDoesNotReserve guards against an upstream that is held for a work unit that
+// waits for a trial, for which upstreams are reserved already.
+func TestSuspectDoesNotReserve(t *testing.T) {
+	s := newReservingScene(t, "i-1")
+	s.fill("i-1", 1, 800*time.Millisecond)
+	s.accept(testJob, wideUnit(time.Second))
+	s.unit(testJob, 0).crashes = bbrcrash.History{{Upstream: "i-9"}}
+	s.plan()
+	require.Zero(t, s.sched.ReservationCounts().Active)
+}
