--- a/internal/job/bbrscheduler/reservationrules_test.go
+++ b/internal/job/bbrscheduler/reservationrules_test.go
@@ -36,7 +36,9 @@
 		t.Run(test.name, func(t *testing.T) {
 			s := newReservingScene(t, "i-1")
 			s.fill("i-1", 1, 800*time.Millisecond)
-			s.accept(testJob, wideUnit(time.Second))
+			wide := wideUnit(time.Second)
+			wide.Need.MemoryMB = 5000
+			s.accept(testJob, wide)
 			s.sched.jobs[testJob].Accepted = s.now.Add(-test.late)
 			s.plan()
 			require.Equal(t, 1, s.sched.ReservationCounts().Active)
