--- a/internal/job/bbrscheduler/reservationrules_test.go
+++ b/internal/job/bbrscheduler/reservationrules_test.go
@@ -20,6 +20,7 @@
 	gang.Gang = true
 	longRunning := large
 	longRunning.LongRunning = true
+	bestEffort := bbrwork.Step{Count: 1, Need: bbrwork.Resources{MemoryMB: 4000}, LongRunning: true, BestEffort: true}
 	tests := []struct {
 		name string
 		// late is by how much earlier the wide job was accepted.
@@ -30,6 +31,7 @@
 		{name: "other work waits", step: large},
 		{name: "a gang waits", step: gang},
 		{name: "long-running work does not", step: longRunning, starts: 1},
+		{name: "best-effort long-running work does not", step: bestEffort, starts: 1},
 		{name: "work that can be in time does not wait for work that cannot", late: 1500 * time.Millisecond, step: large, starts: 1},
 	}
 	for _, test := range tests {
