--- a/internal/job/bbrscheduler/reservationrules_test.go
+++ b/internal/job/bbrscheduler/reservationrules_test.go
@@ -20,7 +20,7 @@
 	gang.Gang = true
 	longRunning := large
 	longRunning.LongRunning = true
-	bestEffort := bbrwork.Step{Count: 1, Need: bbrwork.Resources{MemoryMB: 4000}, LongRunning: true, BestEffort: true}
+	bestEffort := bbrwork.Step{Count: 1, Need: bbrwork.Resources{MemoryMB: 4000}, Estimate: time.Second, LongRunning: true, BestEffort: true}
 	tests := []struct {
 		name string
 		// late is by how much earlier the wide job was accepted.
