--- a/internal/job/bbrscheduler/rank.go
+++ b/internal/job/bbrscheduler/rank.go
@@ -40,7 +40,7 @@
 func (p *planner) appendSteps(job *job, o *occurrence, list []candidate) []candidate {
 	objective := job.objective(o)
 	for _, s := range o.steps {
-		if s.idleUnits == 0 || s.unitsLeft == 0 || !s.runnable(p.now) {
+		if s.idleUnits <= 0 || s.unitsLeft <= 0 || !s.runnable(p.now) {
 			continue
 		}
 		p.consider(s, objective)
