--- a/internal/base/bbrmetric/set.go
+++ b/internal/base/bbrmetric/set.go
@@ -14,23 +14,27 @@
 type Set struct {
 	Registry *prometheus.Registry
 
-	answers        *prometheus.CounterVec
-	refusals       *prometheus.CounterVec
-	retries        *prometheus.CounterVec
-	events         *prometheus.CounterVec
-	controlBytes   *prometheus.CounterVec
-	bodyBytes      *prometheus.CounterVec
-	slowWaits      *prometheus.CounterVec
-	crashVerdicts  *prometheus.CounterVec
-	cellChoices    *prometheus.CounterVec
-	handovers      *prometheus.CounterVec
-	roomMilliCPU   *prometheus.GaugeVec
-	roomDrain      *prometheus.GaugeVec
-	oldestWaits    *prometheus.GaugeVec
-	suspects       *prometheus.GaugeVec
-	organisations  *prometheus.GaugeVec
-	callDurations  *prometheus.HistogramVec
-	storeDurations *prometheus.HistogramVec
+	answers         *prometheus.CounterVec
+	refusals        *prometheus.CounterVec
+	retries         *prometheus.CounterVec
+	events          *prometheus.CounterVec
+	controlBytes    *prometheus.CounterVec
+	bodyBytes       *prometheus.CounterVec
+	slowWaits       *prometheus.CounterVec
+	crashVerdicts   *prometheus.CounterVec
+	cellChoices     *prometheus.CounterVec
+	handovers       *prometheus.CounterVec
+	roomMilliCPU    *prometheus.GaugeVec
+	roomDrain       *prometheus.GaugeVec
+	oldestWaits     *prometheus.GaugeVec
+	suspects        *prometheus.GaugeVec
+	organisations   *prometheus.GaugeVec
+	callDurations   *prometheus.HistogramVec
+	storeDurations  *prometheus.HistogramVec
+	reservationEnds *prometheus.CounterVec
+	preemptions     *prometheus.CounterVec
+	preemptedTime   *prometheus.CounterVec
+	reservations    *prometheus.GaugeVec
 }
 
 // New returns a set that is registered with a new registry.
@@ -48,6 +52,13 @@
 	s.handovers = s.newCounter("bbr_handovers_total", "Hand-overs that this entry began while running, by cause.", "cause")
 	s.roomMilliCPU = s.newGauge("bbr_room_millicores", "Usable processor capacity of a shard for finite work, with jobs.balanceByCapacity.", "shard")
 	s.roomDrain = s.newGauge("bbr_room_drain_seconds", "Time that a shard's usable capacity needs for its open finite work, with jobs.balanceByCapacity.", "shard")
+	s.reservationEnds = s.newCounter("bbr_reservations_ended_total", "Reservations of capacity for wide or urgent work that ended, by cause.", "cause")
+	s.preemptions = s.newCounter("bbr_preemptions_total", "Runs that were stopped for more urgent work.")
+	s.preemptedTime = s.newCounter("bbr_preempted_core_seconds_total", "Processor time since their last checkpoints of the runs that were stopped for more urgent work.")
+	s.reservations = prometheus.NewGaugeVec(prometheus.GaugeOpts{
+		Name: "bbr_reservations",
+		Help: "Reservations of capacity for wide or urgent work, and the upstreams that they hold, by shard.",
+	}, []string{"shard", "amount"})
 	s.suspects = prometheus.NewGaugeVec(prometheus.GaugeOpts{
 		Name: "bbr_crash_suspects",
 		Help: "Work units under which upstreams crashed and that are not cleared, and those of them that run alone, by shard.",
@@ -70,7 +81,7 @@
 		Name: "bbr_organisation_millicores",
 		Help: "Processor capacity of an organisation in a shard: what its work uses, the share of its cap, and the whole cap.",
 	}, []string{"shard", "organisation", "amount"})
-	s.Registry.MustRegister(s.suspects, s.organisations, s.oldestWaits, s.callDurations, s.storeDurations)
+	s.Registry.MustRegister(s.suspects, s.reservations, s.organisations, s.oldestWaits, s.callDurations, s.storeDurations)
 	return s
 }
 
@@ -162,6 +173,30 @@
 	s.suspects.DeletePartialMatch(prometheus.Labels{"shard": shard})
 }
 
+// ReservationsEnded adds count reservations that ended for the cause.
+func (s *Set) ReservationsEnded(cause string, count int) {
+	s.reservationEnds.WithLabelValues(cause).Add(float64(count))
+}
+
+// Preemptions adds count runs that were stopped for more urgent work, and the processor
+// time that this discarded.
+func (s *Set) Preemptions(count int, discarded time.Duration) {
+	s.preemptions.WithLabelValues().Add(float64(count))
+	s.preemptedTime.WithLabelValues().Add(discarded.Seconds())
+}
+
+// SetReservations sets how many reservations a shard has, and how many upstreams they
+// hold.
+func (s *Set) SetReservations(shard string, active, upstreams int) {
+	s.reservations.WithLabelValues(shard, "reservations").Set(float64(active))
+	s.reservations.WithLabelValues(shard, "upstreams").Set(float64(upstreams))
+}
+
+// ClearReservations removes the gauges of a shard's reservations.
+func (s *Set) ClearReservations(shard string) {
+	s.reservations.DeletePartialMatch(prometheus.Labels{"shard": shard})
+}
+
 // SetOldestWait sets how long the oldest of the shard's work units that wait for the
 // reason has waited for a run.
 func (s *Set) SetOldestWait(shard, reason string, waited time.Duration) {
--- a/internal/config/bbrsettings/settings.go
+++ b/internal/config/bbrsettings/settings.go
@@ -62,6 +62,9 @@
 	// BalanceByCapacity assigns jobs to cells by room and shards to entries by processor
 	// time and link, and makes slow owners hand over.
 	BalanceByCapacity bool `yaml:"balanceByCapacity"`
+	// Reservations lets wide work reserve capacity, and urgent work preempt work of
+	// queues with a higher priority number.
+	Reservations bool `yaml:"reservations"`
 }
 
 // Listen has the addresses that the process listens on. They are also the
--- a/internal/daemon/bbrserve/owners.go
+++ b/internal/daemon/bbrserve/owners.go
@@ -153,7 +153,8 @@
 		ConfigKey:  bbrwire.ConfigKey,
 		ShardCount: o.shardCount,
 
-		PublishRoom: jobs.BalanceByCapacity,
+		PublishRoom:     jobs.BalanceByCapacity,
+		ReserveCapacity: jobs.Reservations,
 	}
 	if relief := d.claimer.Relief; relief != nil {
 		owner.HandOver = func(ownedSince, now time.Time) bool { return relief.HandOver(held.Name, ownedSince, now) }
--- a/internal/job/bbrowner/owner.go
+++ b/internal/job/bbrowner/owner.go
@@ -57,6 +57,9 @@
 	// HandOver reports whether the owner is to release its claim now, as its planning
 	// rounds are late. It is nil if owners keep their claims.
 	HandOver func(ownedSince, now time.Time) bool
+	// ReserveCapacity means that wide work may reserve capacity, and that urgent work may
+	// preempt.
+	ReserveCapacity bool
 
 	mu        sync.Mutex
 	scheduler *bbrscheduler.Scheduler
@@ -78,6 +81,8 @@
 	lateness bbrclaim.Lateness
 	// startedAt is when Run began.
 	startedAt time.Time
+	// reservationCounts has the same of reservations.
+	reservationCounts bbrscheduler.ReservationCounts
 	// loadLoggedAt is when the load was last logged.
 	loadLoggedAt time.Time
 	renewers     map[string]*leaseRenewer
@@ -144,6 +149,7 @@
 	o.Metrics.ClearOrganisations(o.Shard.String())
 	o.Metrics.ClearSuspects(o.Shard.String())
 	o.Metrics.ClearRoom(o.Shard.String())
+	o.Metrics.ClearReservations(o.Shard.String())
 	klog.InfoS("Owner stopped", "shard", o.Shard, "token", o.Held.Token)
 }
 
@@ -343,6 +349,7 @@
 	o.commits.revision = sequence.Revision
 	o.scheduler = bbrscheduler.New(o.Shard, int64(o.Held.Token), o.Timing, firstOwner, start)
 	o.scheduler.MaxValueBytes = o.Store.MaxValueBytes
+	o.scheduler.ReserveCapacity = o.ReserveCapacity
 	if config := o.Config(); config != nil {
 		o.configVersion = config.Version
 		o.scheduler.SetConfig(config)
--- a/internal/job/bbrscheduler/property_test.go
+++ b/internal/job/bbrscheduler/property_test.go
@@ -12,6 +12,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/bluebellridge/bluebellridge/internal/job/bbrorder"
+	"github.com/bluebellridge/bluebellridge/internal/job/bbrreservation"
 	"github.com/bluebellridge/bluebellridge/internal/job/bbrwork"
 	"github.com/bluebellridge/bluebellridge/internal/store/bbrkv"
 )
@@ -25,7 +26,10 @@
 	constraints bool
 	// crashes adds work units that crash their upstreams.
 	crashes bool
-	jobs    int
+	// reservations lets owners reserve capacity and preempt, and adds jobs of a queue with
+	// a lower rank.
+	reservations bool
+	jobs         int
 	// delayedAnswers are listings in transit to their owners.
 	delayedAnswers []delayedAnswer
 }
@@ -110,6 +114,9 @@
 		due := time.Duration(rapid.IntRange(-10, 30).Draw(d.T, "due")) * 100 * time.Millisecond
 		job.Schedule = bbrwork.Schedule{Count: 2, First: d.sim.now.Add(due), Every: 500 * time.Millisecond}
 	}
+	if d.reservations && rapid.Bool().Draw(d.T, "lower rank") {
+		job.Queue = "inserts"
+	}
 	if d.crashes && rapid.IntRange(0, 2).Draw(d.T, "crashes") == 0 {
 		d.sim.crashing[bbrwork.Unit{Job: id}] = true
 	}
@@ -227,6 +234,7 @@
 	now := d.sim.now
 	o.sched.ExpireLeases(now)
 	o.sched.endTrials(now)
+	o.sched.endReservations(now)
 	before := o.sched.waitReasons(confirmed, now)
 	plan := o.sched.Plan(confirmed, now)
 	for _, order := range plan.Starts {
@@ -240,6 +248,7 @@
 			d.sim.violation("REASON: %s starts although the wait reason of its step is %q", order.Start.Unit, reason)
 		}
 	}
+	d.checkReservations(o, plan.Stops)
 	for step, reason := range o.sched.waitReasons(confirmed, now) {
 		if confirmed && reason == ReasonComesNext {
 			d.sim.violation("REASON: %s comes next but is not in the plan", step)
@@ -248,6 +257,26 @@
 	return plan
 }
 
+// checkReservations records reservations that last beyond their bound, and stops for
+// preemption of work that must not be stopped.
+func (d *driver) checkReservations(o *simOwner, stops []StopOrder) {
+	for _, r := range o.sched.reservations {
+		if held := d.sim.now.Sub(r.MadeAt); held > bbrreservation.MaxLife {
+			d.sim.violation("HELD: capacity is reserved for job %s for %v", r.step.job.ID, held)
+		}
+	}
+	for _, order := range stops {
+		r := o.sched.upstreams[order.Upstream.ID].runs[runKey{order.Stop.Unit, order.Stop.Run}]
+		if r == nil || r.stopReason != reasonPreempted || !r.stopSentAt.Equal(d.sim.now) {
+			continue
+		}
+		u := r.unit
+		if u.step.spec.Gang || u.step.spec.LongRunning || u.step.job.policy.Priority == 0 || len(u.runs) != 1 || u.step.job.finalState != "" {
+			d.sim.violation("PREEMPTED: %s run %d", u.name(), r.number)
+		}
+	}
+}
+
 // register applies the store's list of upstreams to the owner.
 func (d *driver) register(o *simOwner) {
 	o.informedAt = d.sim.now
@@ -441,10 +470,17 @@
 	testUnderFailures(t, driver{crashes: true})
 }
 
+// TestReservationsUnderFailures does the same with owners that reserve capacity and
+// preempt: neither may break a guarantee, or keep work from ending.
+func TestReservationsUnderFailures(t *testing.T) {
+	testUnderFailures(t, driver{constraints: true, reservations: true})
+}
+
 // testUnderFailures draws the actions with the options of a driver.
 func testUnderFailures(t *testing.T, options driver) {
 	rapid.Check(t, func(t *rapid.T) {
-		d := &driver{T: t, sim: newSimulation("i-1", "i-2", "i-3"), constraints: options.constraints, crashes: options.crashes}
+		d := &driver{T: t, sim: newSimulation("i-1", "i-2", "i-3"), constraints: options.constraints, crashes: options.crashes, reservations: options.reservations}
+		d.sim.reservations = options.reservations
 		d.sim.claim()
 		// Several names of one action increase its weight.
 		t.Repeat(map[string]func(*rapid.T){
