job/bbrscheduler: interfering images are kept apart where there is room

Among the upstreams on which a work unit may start now, planner.better prefers the one on which found pairs do the least harm, after data, failures and suspects and before packing. Work never waits for it. Without the setting nothing is observed or decided.

The load without interference starts the same work in the same places.

--- a/internal/job/bbrscheduler/job.go
+++ b/internal/job/bbrscheduler/job.go
@@ -5,6 +5,7 @@
 
 	"github.com/bluebellridge/bluebellridge/internal/base/bbrcode"
 	"github.com/bluebellridge/bluebellridge/internal/job/bbrcrash"
+	"github.com/bluebellridge/bluebellridge/internal/job/bbrinterference"
 	"github.com/bluebellridge/bluebellridge/internal/job/bbrwork"
 	"github.com/bluebellridge/bluebellridge/internal/store/bbrkv"
 )
@@ -66,6 +67,8 @@
 	learned bool
 	// remainingPath is the longest path of expected work that begins with this step.
 	remainingPath time.Duration
+	// siblings has the run times of the ended work units; nil if they are not observed.
+	siblings *bbrinterference.Siblings
 }
 
 // unit is the state of a work unit.
@@ -134,6 +137,8 @@
 	// fromStart means that this owner started the run, and without a checkpoint, so
 	// that its end tells how long the work unit runs.
 	fromStart bool
+	// observed is nil if the run's image is not considered.
+	observed *observation
 }
 
 // phase is the state of a run.
--- a/internal/job/bbrscheduler/listing.go
+++ b/internal/job/bbrscheduler/listing.go
@@ -67,6 +67,7 @@
 	r := up.runs[runKey{end.Unit, end.Run}]
 	if r != nil {
 		if end.Outcome == bbrwork.OutcomeDone {
+			sched.observeEnd(r, now)
 			sched.learnRunTime(r, now)
 		}
 		sched.dropRun(r, now)
@@ -195,6 +196,7 @@
 		r.unit.checkpoint = running.Checkpoint
 	}
 	r.applyProgress(running, now)
+	sched.observeLatency(r, now)
 	if r.proven(now) {
 		sched.clearHistory(r.unit, now)
 	}
--- a/internal/job/bbrscheduler/pace.go
+++ b/internal/job/bbrscheduler/pace.go
@@ -65,6 +65,7 @@
 		return
 	}
 	r.pace, r.pacedAt = pace, p.now
+	r.observePace(p.now)
 	p.plan.Paces = append(p.plan.Paces, PaceOrder{Upstream: r.up.Upstream, Pace: bbrorder.Pace{
 		Unit: r.unit.name(), Run: r.number, Percent: pace, Token: p.sched.Token,
 	}})
@@ -94,6 +95,7 @@
 	}
 	if r := up.runs[runKey{order.Pace.Unit, order.Pace.Run}]; r != nil {
 		r.pace, r.pacedAt = unknownPace, time.Time{}
+		r.observePace(now)
 		sched.note(now, "Pace order failed", "unit", order.Pace.Unit.String(), "upstream", up.ID, "percent", order.Pace.Percent, "reason", err.Error())
 	}
 }
--- a/internal/job/bbrscheduler/plan.go
+++ b/internal/job/bbrscheduler/plan.go
@@ -66,6 +66,7 @@
 	sched.ExpireLeases(now)
 	sched.accuseUnlocated(now)
 	sched.endTrials(now)
+	sched.updateInterference(now)
 	p := &planner{sched: sched, now: now, doesNotFit: make(map[bbrwork.Resources]bool), nearDataFits: make(map[*step]bool)}
 	p.planStops()
 	if confirmed {
@@ -220,6 +221,7 @@
 // without waiting for work to end.
 //
 // A suspect is spread: it goes where the fewest other suspects and the fewest runs are.
+// Before it is spread or packed, work is kept apart from images that interfere with its own.
 func (p *planner) better(u *unit, up, best *upstream) bool {
 	spec := u.step.spec
 	if spec.DataRack != "" && up.HasLabel(spec.DataRack) != best.HasLabel(spec.DataRack) {
@@ -233,6 +235,9 @@
 			return less
 		}
 	}
+	if less, equal := p.sched.lessInterference(u, up, best); !equal {
+		return less
+	}
 	if spec.LongRunning {
 		return up.free().MilliCPU > best.free().MilliCPU
 	}
@@ -245,6 +250,7 @@
 func (p *planner) planStart(u *unit, run int, up *upstream) {
 	sched := p.sched
 	ticket, _ := sched.ticketFor(u.step, up, p.now)
+	p.countSeparation(u.step.spec, up)
 	r := sched.addRun(u, run, up, p.now)
 	r.fromStart = u.checkpoint == ""
 	r.startDeadline, r.earliestAnswer = up.clockNow(p.now)+sched.Timing.StartTimeout, up.earliestClock(p.now)
--- a/internal/job/bbrscheduler/runs.go
+++ b/internal/job/bbrscheduler/runs.go
@@ -17,6 +17,7 @@
 	u.lastRun = max(u.lastRun, number)
 	u.step.job.started = true
 	up.allocate(r)
+	sched.observeStart(r, now)
 	if account := sched.account(u.step.job); account != nil {
 		account.Used = account.Used.Plus(u.step.spec.Need)
 	}
@@ -58,6 +59,7 @@
 		u.freedAt, u.slowCounted = now, false
 	}
 	r.up.release(r)
+	sched.observeDrop(r, now)
 	if account := sched.account(u.step.job); account != nil {
 		account.Used = account.Used.Minus(u.step.spec.Need)
 	}
--- a/internal/job/bbrscheduler/scheduler.go
+++ b/internal/job/bbrscheduler/scheduler.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/bluebellridge/bluebellridge/internal/job/bbrcrash"
+	"github.com/bluebellridge/bluebellridge/internal/job/bbrinterference"
 	"github.com/bluebellridge/bluebellridge/internal/job/bbrquota"
 	"github.com/bluebellridge/bluebellridge/internal/job/bbrruntime"
 	"github.com/bluebellridge/bluebellridge/internal/job/bbrwork"
@@ -103,9 +104,13 @@
 	// started work that is not known.
 	lostUnlocated []unlocatedEnd
 	// failures are the recent ends of incarnations.
-	failures     []bbrcrash.Failure
-	notes        []Note
-	notesDropped int
+	failures []bbrcrash.Failure
+	// interference has the evidence on images that slow each other down; nil if they are
+	// not to be kept apart.
+	interference     *bbrinterference.Tracker
+	separationCounts SeparationCounts
+	notes            []Note
+	notesDropped     int
 }
 
 // New returns a Scheduler without jobs for a claim that began now. firstOwner means
--- a/internal/job/bbrscheduler/store.go
+++ b/internal/job/bbrscheduler/store.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/bluebellridge/bluebellridge/internal/base/bbrcode"
+	"github.com/bluebellridge/bluebellridge/internal/job/bbrinterference"
 	"github.com/bluebellridge/bluebellridge/internal/job/bbrwork"
 	"github.com/bluebellridge/bluebellridge/internal/store/bbrkv"
 )
@@ -43,6 +44,9 @@
 	// stored. It is 0, which gives a successor no bound, while earlier work is not
 	// located and the horizon of earlier owners is unknown.
 	Horizon bbrkv.Revision
+	// Interference is to be stored with the rest, but is no reason to store; nil for no
+	// change.
+	Interference *bbrinterference.Record
 	// acknowledgeable has the run ends that may be acknowledged; nil if writes are
 	// left out.
 	acknowledgeable map[bbrwork.Incarnation]int64
@@ -58,7 +62,7 @@
 
 // Head returns the batch with only its first n writes.
 func (b Batch) Head(n int) Batch {
-	return Batch{Writes: b.Writes[:n], Recorded: b.Recorded, Horizon: b.Horizon}
+	return Batch{Writes: b.Writes[:n], Recorded: b.Recorded, Horizon: b.Horizon, Interference: b.Interference}
 }
 
 // Batch returns what has to be stored now, with at most limit jobs.
@@ -79,6 +83,7 @@
 		}
 	}
 	batch.Recorded = sched.upstreamsToRecord()
+	batch.Interference = sched.interferenceToStore(now)
 	batch.Horizon = sched.horizon.next(sched.EarlierWorkLocated(now))
 	return batch
 }
@@ -177,6 +182,9 @@
 	if revision != 0 {
 		sched.horizon.observe(revision)
 		sched.horizon.advance(batch.Horizon)
+		if batch.Interference != nil {
+			sched.interference.RecordStored(*batch.Interference)
+		}
 	}
 	for _, write := range batch.Writes {
 		if write.job.version == write.version {
--- a/internal/job/bbrscheduler/upstream.go
+++ b/internal/job/bbrscheduler/upstream.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/bluebellridge/bluebellridge/internal/job/bbrinterference"
 	"github.com/bluebellridge/bluebellridge/internal/job/bbrwork"
 )
 
@@ -73,6 +74,8 @@
 	restartSuspected bool
 	// idled means that no renewal was needed since the last listing.
 	idled bool
+	// site has the images on the upstream; nil if they are not considered.
+	site *bbrinterference.Site
 }
 
 // clockKnown reports whether the upstream's clock is known.
--- a/internal/job/bbrwork/step.go
+++ b/internal/job/bbrwork/step.go
@@ -29,7 +29,7 @@
 	AllowDuplicates bool `json:"duplicates,omitempty"`
 	// LongRunning work units run until the job is cancelled.
 	LongRunning bool `json:"lasting,omitempty"`
-	// Image is the image that the submitter named; scheduling does not depend on it.
+	// Image is the image that the submitter named; work units of one image behave alike.
 	Image string `json:"image,omitempty"`
 	// LatencyTarget bounds the tail latency of a serving work unit; 0 for no bound.
 	LatencyTarget time.Duration `json:"target,omitempty"`
