--- a/internal/base/bbrmetric/set.go
+++ b/internal/base/bbrmetric/set.go
@@ -22,8 +22,10 @@
 	bodyBytes      *prometheus.CounterVec
 	slowWaits      *prometheus.CounterVec
 	crashVerdicts  *prometheus.CounterVec
+	separations    *prometheus.CounterVec
 	oldestWaits    *prometheus.GaugeVec
 	suspects       *prometheus.GaugeVec
+	interfering    *prometheus.GaugeVec
 	organisations  *prometheus.GaugeVec
 	callDurations  *prometheus.HistogramVec
 	storeDurations *prometheus.HistogramVec
@@ -40,6 +42,11 @@
 	s.bodyBytes = s.newCounter("bbr_body_bytes_total", "Bytes of the bodies of calls to the platform and to upstreams.", "purpose", "direction")
 	s.slowWaits = s.newCounter("bbr_slow_waits_total", "Work units that waited over 3 s for a run, by reason.", "reason")
 	s.crashVerdicts = s.newCounter("bbr_crash_verdicts_total", "What crashes of upstreams meant for the work units that ran there.", "verdict")
+	s.separations = s.newCounter("bbr_separations_total", "Starts of work units whose image interferes with another one: on an upstream without the other one, or beside it.", "result")
+	s.interfering = prometheus.NewGaugeVec(prometheus.GaugeOpts{
+		Name: "bbr_interfering_pairs",
+		Help: "Pairs of images that were found to slow each other down, by shard.",
+	}, []string{"shard"})
 	s.suspects = prometheus.NewGaugeVec(prometheus.GaugeOpts{
 		Name: "bbr_crash_suspects",
 		Help: "Work units under which upstreams crashed and that are not cleared, and those of them that run alone, by shard.",
@@ -62,7 +69,7 @@
 		Name: "bbr_organisation_millicores",
 		Help: "Processor capacity of an organisation in a shard: what its work uses, the share of its cap, and the whole cap.",
 	}, []string{"shard", "organisation", "amount"})
-	s.Registry.MustRegister(s.suspects, s.organisations, s.oldestWaits, s.callDurations, s.storeDurations)
+	s.Registry.MustRegister(s.suspects, s.interfering, s.organisations, s.oldestWaits, s.callDurations, s.storeDurations)
 	return s
 }
 
@@ -129,6 +136,19 @@
 	s.suspects.DeletePartialMatch(prometheus.Labels{"shard": shard})
 }
 
+// Separations adds count starts of work units whose image interferes with another one.
+func (s *Set) Separations(result string, count int) {
+	s.separations.WithLabelValues(result).Add(float64(count))
+}
+
+// SetInterferingPairs sets how many pairs of images are found in a shard.
+func (s *Set) SetInterferingPairs(shard string, pairs int) {
+	s.interfering.WithLabelValues(shard).Set(float64(pairs))
+}
+
+// ClearInterferingPairs removes the gauge of a shard's interfering pairs.
+func (s *Set) ClearInterferingPairs(shard string) { s.interfering.DeleteLabelValues(shard) }
+
 // SetOldestWait sets how long the oldest of the shard's work units that wait for the
 // reason has waited for a run.
 func (s *Set) SetOldestWait(shard, reason string, waited time.Duration) {
--- a/internal/config/bbrsettings/settings.go
+++ b/internal/config/bbrsettings/settings.go
@@ -59,6 +59,8 @@
 	// RequireKeys makes callers of queues that are not public authenticate by a key of
 	// their organisation, even if the operators' configuration has no organisations.
 	RequireKeys bool `yaml:"requireKeys"`
+	// SeparateInterfering keeps work units apart whose images slow each other down.
+	SeparateInterfering bool `yaml:"separateInterfering"`
 }
 
 // Listen has the addresses that the process listens on. They are also the
--- a/internal/daemon/bbrserve/owners.go
+++ b/internal/daemon/bbrserve/owners.go
@@ -149,6 +149,8 @@
 		Reserved:   d.reservations.Reserved,
 		ConfigKey:  bbrwire.ConfigKey,
 		ShardCount: o.shardCount,
+
+		SeparateInterfering: jobs.SeparateInterfering,
 	}
 	o.setRunning(shard, owner)
 	owner.Run(ctx)
--- a/internal/job/bbrowner/flusher.go
+++ b/internal/job/bbrowner/flusher.go
@@ -27,7 +27,8 @@
 	// finalFlushTimeout bounds the time for storing after the owner's end.
 	finalFlushTimeout = time.Second
 	// fixedEntries is the number of a transaction's entries besides those of jobs: two
-	// conditions, the sequence, and possibly the recorded upstreams and the report.
+	// conditions, the sequence, and possibly the recorded upstreams and the report. The
+	// record of interfering images is one more in the transactions that have it.
 	fixedEntries = 5
 	maxWrites    = bbrkv.MaxTransactionSize - fixedEntries
 )
@@ -201,6 +202,9 @@
 // whether the result has all that there is to store.
 func fitTransaction(batch bbrscheduler.Batch) (bbrscheduler.Batch, bool) {
 	count := fixedEntries
+	if batch.Interference != nil {
+		count++
+	}
 	for i, write := range batch.Writes {
 		count += entriesPerWrite(write)
 		if count > bbrkv.MaxTransactionSize {
@@ -248,6 +252,9 @@
 	if batch.Recorded != nil {
 		transaction.Puts = append(transaction.Puts, bbrkv.Put{Key: bbrrecord.IncarnationsKey(o.Shard), Value: bbrrecord.Encode(batch.Recorded)})
 	}
+	if batch.Interference != nil {
+		transaction.Puts = append(transaction.Puts, bbrkv.Put{Key: bbrrecord.InterferenceKey(o.Shard), Value: bbrrecord.Encode(batch.Interference)})
+	}
 	for _, write := range batch.Writes {
 		addWrite(&transaction, write, now)
 	}
--- a/internal/job/bbrowner/load.go
+++ b/internal/job/bbrowner/load.go
@@ -26,6 +26,7 @@
 	o.updateWaitMetrics(load.Waits)
 	o.updateOrganisationMetrics()
 	o.updateCrashMetrics()
+	o.updateSeparationMetrics()
 	klog.InfoS("Load", append([]any{"shard", o.Shard, "token", o.Held.Token, "jobs", load.Jobs, "late", load.Late,
 		"upstreams", load.Upstreams, "reached", load.Reached, "reserved", load.Reserved, "suspect", load.Suspect, "silent", load.Silent, "usable", load.Usable,
 		"runs", load.Runs, "unconfirmed", load.Unconfirmed, "waitingUnits", load.Waits.Units,
--- a/internal/job/bbrowner/owner.go
+++ b/internal/job/bbrowner/owner.go
@@ -51,6 +51,8 @@
 	// ShardCount returns how many shards share the caps of organisations; nil means
 	// that there is one.
 	ShardCount func() int
+	// SeparateInterfering means that images that slow each other down are kept apart.
+	SeparateInterfering bool
 
 	mu        sync.Mutex
 	scheduler *bbrscheduler.Scheduler
@@ -65,6 +67,8 @@
 	drained []string
 	// crashCounts has the counts that the metrics have.
 	crashCounts bbrscheduler.CrashCounts
+	// separationCounts has the counts that the metrics have.
+	separationCounts bbrscheduler.SeparationCounts
 	// loadLoggedAt is when the load was last logged.
 	loadLoggedAt time.Time
 	renewers     map[string]*leaseRenewer
@@ -129,6 +133,7 @@
 	o.updateWaitMetrics(bbrscheduler.WaitSummary{})
 	o.Metrics.ClearOrganisations(o.Shard.String())
 	o.Metrics.ClearSuspects(o.Shard.String())
+	o.Metrics.ClearInterferingPairs(o.Shard.String())
 	klog.InfoS("Owner stopped", "shard", o.Shard, "token", o.Held.Token)
 }
 
@@ -314,6 +319,7 @@
 	if err != nil {
 		return 0, err
 	}
+	interference := o.loadInterference(ctx)
 	jobs, revision, err := o.Store.ReadAll(ctx, bbrrecord.JobPrefixOf(o.Shard))
 	if err != nil {
 		return 0, err
@@ -323,6 +329,9 @@
 	o.commits.revision = sequence.Revision
 	o.scheduler = bbrscheduler.New(o.Shard, int64(o.Held.Token), o.Timing, firstOwner, start)
 	o.scheduler.MaxValueBytes = o.Store.MaxValueBytes
+	if o.SeparateInterfering {
+		o.scheduler.SeparateInterfering(interference, time.Now())
+	}
 	if config := o.Config(); config != nil {
 		o.configVersion = config.Version
 		o.scheduler.SetConfig(config)
--- a/internal/job/bbrrecord/keys.go
+++ b/internal/job/bbrrecord/keys.go
@@ -19,7 +19,9 @@
 	// ReportPrefix is the prefix of the owners' reports, by shard.
 	ReportPrefix = "bbr/report/"
 	// SharesPrefix is the prefix of the shards' shares of caps, by organisation.
-	SharesPrefix       = "bbr/shares/"
+	SharesPrefix = "bbr/shares/"
+	// InterferencePrefix is the prefix of the images that slow each other down, by shard.
+	InterferencePrefix = "bbr/interference/"
 	sequencePrefix     = "bbr/sequence/"
 	crashesPrefix      = "bbr/crashes/"
 	progressPrefix     = "bbr/progress/"
@@ -71,6 +73,10 @@
 // work of the shard may run.
 func IncarnationsKey(shard bbrwork.Shard) string { return incarnationsPrefix + shard.String() }
 
+// InterferenceKey returns the key of the images that slow each other down on the shard's
+// upstreams. Its value is a bbrinterference.Record.
+func InterferenceKey(shard bbrwork.Shard) string { return InterferencePrefix + shard.String() }
+
 // SharesKey returns the key of the shards' shares of an organisation's cap.
 func SharesKey(organisation string) string { return SharesPrefix + url.PathEscape(organisation) }
 
--- a/internal/operator/bbradmin/show.go
+++ b/internal/operator/bbradmin/show.go
@@ -35,6 +35,8 @@
 		return x.queues(), nil
 	case "organisations":
 		return x.organisations(ctx)
+	case "interference":
+		return x.interference(ctx, now)
 	default:
 		return nil, wrongState(kind + " do not exist on the platform's fleet")
 	}
--- a/internal/operator/bbrlanguage/command.go
+++ b/internal/operator/bbrlanguage/command.go
@@ -30,7 +30,7 @@
 
 // Show lists the items of one kind.
 type Show struct {
-	Kind    string   `parser:"@('instances'|'entries'|'pools'|'queues'|'services'|'teams'|'organisations'|'waves'|'permits'|'jobs')"`
+	Kind    string   `parser:"@('instances'|'entries'|'pools'|'queues'|'services'|'teams'|'organisations'|'waves'|'permits'|'jobs'|'interference')"`
 	Filters []Filter `parser:"('where' @@ ('and' @@)*)?"`
 }
 
--- a/internal/operator/bbrlanguage/help.go
+++ b/internal/operator/bbrlanguage/help.go
@@ -3,7 +3,7 @@
 // Help is the description of the language that help prints.
 const Help = `show KIND [where FIELD = VALUE [and ...]]
     KIND: instances, entries, pools, queues, services, teams,
-          organisations, waves, permits, jobs
+          organisations, waves, permits, jobs, interference
     show instances where pool = press and state != serving
 why instance NAME        the state of an instance, and what it waits for
 why queue NAME           what a queue waits for
