--- a/internal/base/bbrmetric/set.go
+++ b/internal/base/bbrmetric/set.go
@@ -35,6 +35,8 @@
 	preemptions     *prometheus.CounterVec
 	preemptedTime   *prometheus.CounterVec
 	reservations    *prometheus.GaugeVec
+	separations     *prometheus.CounterVec
+	interfering     *prometheus.GaugeVec
 }
 
 // New returns a set that is registered with a new registry.
@@ -55,10 +57,9 @@
 	s.reservationEnds = s.newCounter("bbr_reservations_ended_total", "Reservations of capacity for wide or urgent work that ended, by cause.", "cause")
 	s.preemptions = s.newCounter("bbr_preemptions_total", "Runs that were stopped for more urgent work.")
 	s.preemptedTime = s.newCounter("bbr_preempted_core_seconds_total", "Processor time since their last checkpoints of the runs that were stopped for more urgent work.")
-	s.reservations = prometheus.NewGaugeVec(prometheus.GaugeOpts{
-		Name: "bbr_reservations",
-		Help: "Reservations of capacity for wide or urgent work, and the upstreams that they hold, by shard.",
-	}, []string{"shard", "amount"})
+	s.reservations = s.newGauge("bbr_reservations", "Reservations of capacity for wide or urgent work, and the upstreams that they hold, by shard.", "shard", "amount")
+	s.separations = s.newCounter("bbr_separations_total", "Starts of work units whose image interferes with another one: on an upstream without the other one, or beside it.", "result")
+	s.interfering = s.newGauge("bbr_interfering_pairs", "Pairs of images that were found to slow each other down, by shard.", "shard")
 	s.suspects = prometheus.NewGaugeVec(prometheus.GaugeOpts{
 		Name: "bbr_crash_suspects",
 		Help: "Work units under which upstreams crashed and that are not cleared, and those of them that run alone, by shard.",
@@ -81,7 +82,7 @@
 		Name: "bbr_organisation_millicores",
 		Help: "Processor capacity of an organisation in a shard: what its work uses, the share of its cap, and the whole cap.",
 	}, []string{"shard", "organisation", "amount"})
-	s.Registry.MustRegister(s.suspects, s.reservations, s.organisations, s.oldestWaits, s.callDurations, s.storeDurations)
+	s.Registry.MustRegister(s.suspects, s.organisations, s.oldestWaits, s.callDurations, s.storeDurations)
 	return s
 }
 
@@ -197,6 +198,19 @@
 	s.reservations.DeletePartialMatch(prometheus.Labels{"shard": shard})
 }
 
+// Separations adds count starts of work units whose image interferes with another one.
+func (s *Set) Separations(result string, count int) {
+	s.separations.WithLabelValues(result).Add(float64(count))
+}
+
+// SetInterferingPairs sets how many pairs of images are found in a shard.
+func (s *Set) SetInterferingPairs(shard string, pairs int) {
+	s.interfering.WithLabelValues(shard).Set(float64(pairs))
+}
+
+// ClearInterferingPairs removes the gauge of a shard's interfering pairs.
+func (s *Set) ClearInterferingPairs(shard string) { s.interfering.DeleteLabelValues(shard) }
+
 // SetOldestWait sets how long the oldest of the shard's work units that wait for the
 // reason has waited for a run.
 func (s *Set) SetOldestWait(shard, reason string, waited time.Duration) {
--- a/internal/config/bbrsettings/settings.go
+++ b/internal/config/bbrsettings/settings.go
@@ -65,6 +65,8 @@
 	// Reservations lets wide work reserve capacity, and urgent work preempt work of
 	// queues with a higher priority number.
 	Reservations bool `yaml:"reservations"`
+	// SeparateInterfering keeps work units apart whose images slow each other down.
+	SeparateInterfering bool `yaml:"separateInterfering"`
 }
 
 // Listen has the addresses that the process listens on. They are also the
--- a/internal/daemon/bbrserve/owners.go
+++ b/internal/daemon/bbrserve/owners.go
@@ -153,8 +153,9 @@
 		ConfigKey:  bbrwire.ConfigKey,
 		ShardCount: o.shardCount,
 
-		PublishRoom:     jobs.BalanceByCapacity,
-		ReserveCapacity: jobs.Reservations,
+		PublishRoom:         jobs.BalanceByCapacity,
+		ReserveCapacity:     jobs.Reservations,
+		SeparateInterfering: jobs.SeparateInterfering,
 	}
 	if relief := d.claimer.Relief; relief != nil {
 		owner.HandOver = func(ownedSince, now time.Time) bool { return relief.HandOver(held.Name, ownedSince, now) }
--- a/internal/job/bbrowner/owner.go
+++ b/internal/job/bbrowner/owner.go
@@ -60,6 +60,8 @@
 	// ReserveCapacity means that wide work may reserve capacity, and that urgent work may
 	// preempt.
 	ReserveCapacity bool
+	// SeparateInterfering means that images that slow each other down are kept apart.
+	SeparateInterfering bool
 
 	mu        sync.Mutex
 	scheduler *bbrscheduler.Scheduler
@@ -83,6 +85,8 @@
 	startedAt time.Time
 	// reservationCounts has the same of reservations.
 	reservationCounts bbrscheduler.ReservationCounts
+	// separationCounts has the counts that the metrics have.
+	separationCounts bbrscheduler.SeparationCounts
 	// loadLoggedAt is when the load was last logged.
 	loadLoggedAt time.Time
 	renewers     map[string]*leaseRenewer
@@ -150,6 +154,7 @@
 	o.Metrics.ClearSuspects(o.Shard.String())
 	o.Metrics.ClearRoom(o.Shard.String())
 	o.Metrics.ClearReservations(o.Shard.String())
+	o.Metrics.ClearInterferingPairs(o.Shard.String())
 	klog.InfoS("Owner stopped", "shard", o.Shard, "token", o.Held.Token)
 }
 
@@ -340,6 +345,7 @@
 	if err != nil {
 		return 0, err
 	}
+	interference := o.loadInterference(ctx)
 	jobs, revision, err := o.Store.ReadAll(ctx, bbrrecord.JobPrefixOf(o.Shard))
 	if err != nil {
 		return 0, err
@@ -350,6 +356,9 @@
 	o.scheduler = bbrscheduler.New(o.Shard, int64(o.Held.Token), o.Timing, firstOwner, start)
 	o.scheduler.MaxValueBytes = o.Store.MaxValueBytes
 	o.scheduler.ReserveCapacity = o.ReserveCapacity
+	if o.SeparateInterfering {
+		o.scheduler.SeparateInterfering(interference, time.Now())
+	}
 	if config := o.Config(); config != nil {
 		o.configVersion = config.Version
 		o.scheduler.SetConfig(config)
--- a/internal/job/bbrscheduler/job.go
+++ b/internal/job/bbrscheduler/job.go
@@ -5,6 +5,7 @@
 
 	"github.com/bluebellridge/bluebellridge/internal/base/bbrcode"
 	"github.com/bluebellridge/bluebellridge/internal/job/bbrcrash"
+	"github.com/bluebellridge/bluebellridge/internal/job/bbrinterference"
 	"github.com/bluebellridge/bluebellridge/internal/job/bbrwork"
 	"github.com/bluebellridge/bluebellridge/internal/store/bbrkv"
 )
@@ -70,6 +71,8 @@
 	// reserveAfter is when it may be considered again.
 	reservation  *reservation
 	reserveAfter time.Time
+	// siblings has the run times of the ended work units; nil if they are not observed.
+	siblings *bbrinterference.Siblings
 }
 
 // unit is the state of a work unit.
@@ -143,6 +146,8 @@
 	// fromStart means that this owner started the run, and without a checkpoint, so
 	// that its end tells how long the work unit runs.
 	fromStart bool
+	// observed is nil if the run's image is not considered.
+	observed *observation
 }
 
 // phase is the state of a run.
--- a/internal/job/bbrscheduler/scheduler.go
+++ b/internal/job/bbrscheduler/scheduler.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/bluebellridge/bluebellridge/internal/job/bbrcrash"
+	"github.com/bluebellridge/bluebellridge/internal/job/bbrinterference"
 	"github.com/bluebellridge/bluebellridge/internal/job/bbrquota"
 	"github.com/bluebellridge/bluebellridge/internal/job/bbrreservation"
 	"github.com/bluebellridge/bluebellridge/internal/job/bbrruntime"
@@ -118,6 +119,10 @@
 	stopBudget        bbrreservation.StopBudget
 	notes             []Note
 	notesDropped      int
+	// interference has the evidence on images that slow each other down; nil if they are
+	// not to be kept apart.
+	interference     *bbrinterference.Tracker
+	separationCounts SeparationCounts
 }
 
 // New returns a Scheduler without jobs for a claim that began now. firstOwner means
