job/bbrfairshare: organisations share short capacity by weight

An organisation that sends several times its usual load took the capacity of a shard from all others, and jobs were accepted that completed when they were of no value. weight had no effect.

With jobs.fairShares (off by default), the owner divides the capacity of a shard by weighted max-min while it is short, orders finite work by what its organisation uses of its share, and tells entries with the answers to hints how long new jobs will wait. Entries refuse with 2029 and a Retry-After from the backlog.

--- a/internal/base/bbrcode/code.go
+++ b/internal/base/bbrcode/code.go
@@ -48,6 +48,7 @@
 	KeyMissing        Code = 2026
 	KeyUnknown        Code = 2027
 	ForeignJob        Code = 2028
+	BeyondShare       Code = 2029
 )
 
 // Codes of jobs.
@@ -157,6 +158,7 @@
 	KeyMissing:       {Name: "keyMissing", Status: 401, Text: "The queue needs a key of an organisation, and the request has none."},
 	KeyUnknown:       {Name: "keyUnknown", Status: 401, Text: "The key belongs to no organisation."},
 	ForeignJob:       {Name: "foreignJob", Status: 403, Text: "The job belongs to another organisation."},
+	BeyondShare:      {Name: "beyondShare", Status: 429, RetryAfter: retrySoon, Text: "The organisation's earlier jobs need its fair share for so long that the job would complete too late; nothing was stored. Retry-After says when they will be done."},
 
 	Accepted:      {Name: "accepted", Outcome: OutcomeUnknown, Status: 200, Text: "The job is stored and will run."},
 	AlreadyStored: {Name: "alreadyStored", Outcome: OutcomeUnknown, Status: 200, Text: "The job was already stored."},
--- a/internal/base/bbrmetric/set.go
+++ b/internal/base/bbrmetric/set.go
@@ -25,6 +25,7 @@
 	oldestWaits    *prometheus.GaugeVec
 	suspects       *prometheus.GaugeVec
 	organisations  *prometheus.GaugeVec
+	shares         *prometheus.GaugeVec
 	callDurations  *prometheus.HistogramVec
 	storeDurations *prometheus.HistogramVec
 }
@@ -62,7 +63,11 @@
 		Name: "bbr_organisation_millicores",
 		Help: "Processor capacity of an organisation in a shard: what its work uses, the share of its cap, and the whole cap.",
 	}, []string{"shard", "organisation", "amount"})
-	s.Registry.MustRegister(s.suspects, s.organisations, s.oldestWaits, s.callDurations, s.storeDurations)
+	s.shares = prometheus.NewGaugeVec(prometheus.GaugeOpts{
+		Name: "bbr_organisation_share",
+		Help: "Dominant share of an organisation in a shard whose capacity is short: what counts as used, the fair share, and what waits.",
+	}, []string{"shard", "organisation", "amount"})
+	s.Registry.MustRegister(s.suspects, s.shares, s.organisations, s.oldestWaits, s.callDurations, s.storeDurations)
 	return s
 }
 
@@ -147,9 +152,18 @@
 	s.organisations.WithLabelValues(shard, organisation, "cap").Set(float64(limit))
 }
 
+// SetShare sets the part of a shard's capacity that counts as used by an organisation, its
+// fair share, and the part that its waiting work needs.
+func (s *Set) SetShare(shard, organisation string, used, fair, waiting float64) {
+	s.shares.WithLabelValues(shard, organisation, "used").Set(used)
+	s.shares.WithLabelValues(shard, organisation, "fair").Set(fair)
+	s.shares.WithLabelValues(shard, organisation, "waiting").Set(waiting)
+}
+
 // ClearOrganisations removes the gauges of a shard's organisations.
 func (s *Set) ClearOrganisations(shard string) {
 	s.organisations.DeletePartialMatch(prometheus.Labels{"shard": shard})
+	s.shares.DeletePartialMatch(prometheus.Labels{"shard": shard})
 }
 
 // Gauge registers a gauge that is read at each scrape.
--- a/internal/config/bbrsettings/parse.go
+++ b/internal/config/bbrsettings/parse.go
@@ -64,6 +64,7 @@
 		c.address(s.Platform.Address, "platform.address")
 		c.require(!s.Listen.Peers.Addr().IsUnspecified(), bbrcode.SettingsInvalid, "listen.peers", "must be an address that the other entries can reach")
 		c.token(s)
+		c.require(!s.Jobs.FairShares, bbrcode.SettingsInvalid, "jobs.fairShares", "needs the protocol %s", ProtocolFleet)
 	case ProtocolFleet:
 		if s.Listen.Operators.IsValid() {
 			c.token(s)
--- /dev/null
+++ b/internal/config/bbrsettings/parse_test.go
@@ -0,0 +1,37 @@
+package bbrsettings
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/bluebellridge/bluebellridge/internal/base/bbrcode"
+)
+
+// TestFairSharesNeedTheFleetProtocol guards against a setting that is accepted and has no
+// effect, or has one that was not asked for.
+func TestFairSharesNeedTheFleetProtocol(t *testing.T) {
+	tests := []struct {
+		name, settings string
+		enabled        bool
+		invalid        string
+	}{
+		{name: "off by default", settings: "platform: {protocol: fleet}\n"},
+		{name: "on", settings: "platform: {protocol: fleet}\njobs:\n  fairShares: true\n", enabled: true},
+		{name: "protocol without jobs", settings: "platform: {protocol: own}\njobs:\n  fairShares: true\n", enabled: true, invalid: "line 3, column 3: jobs.fairShares"},
+		{name: "not a boolean", settings: "platform: {protocol: fleet}\njobs:\n  fairShares: 3\n", invalid: "line 3, column 15: jobs.fairShares"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			settings, errs := Parse([]byte(test.settings))
+			require.Equal(t, test.enabled, settings.Jobs.FairShares)
+			invalid := ""
+			for _, err := range errs {
+				if err.Code == bbrcode.SettingsInvalid {
+					invalid = err.Place
+				}
+			}
+			require.Equal(t, test.invalid, invalid)
+		})
+	}
+}
--- a/internal/config/bbrsettings/settings.go
+++ b/internal/config/bbrsettings/settings.go
@@ -59,6 +59,9 @@
 	// RequireKeys makes callers of queues that are not public authenticate by a key of
 	// their organisation, even if the operators' configuration has no organisations.
 	RequireKeys bool `yaml:"requireKeys"`
+	// FairShares makes organisations share the capacity of a shard by their weights
+	// while it is short.
+	FairShares bool `yaml:"fairShares"`
 }
 
 // Listen has the addresses that the process listens on. They are also the
--- a/internal/daemon/bbrserve/daemon.go
+++ b/internal/daemon/bbrserve/daemon.go
@@ -119,6 +119,9 @@
 		MaxBodyBytes: settings.Limits.BodyBytes,
 		RequireKeys:  settings.Jobs.RequireKeys,
 	}
+	if settings.Jobs.FairShares {
+		d.handler.Intake.ExpectedWait = d.owners.expectedWait
+	}
 	d.servers = []*bbrlistener.Listener{
 		bbrlistener.New(settings.Listen.Callers, d.handler.Router(), settings),
 		bbrlistener.New(settings.Listen.Readiness, http.HandlerFunc(d.serveReady), settings),
--- a/internal/daemon/bbrserve/hints.go
+++ b/internal/daemon/bbrserve/hints.go
@@ -4,8 +4,10 @@
 	"context"
 	"time"
 
+	"github.com/bluebellridge/bluebellridge/internal/job/bbrfairshare"
 	"github.com/bluebellridge/bluebellridge/internal/job/bbrowner"
 	"github.com/bluebellridge/bluebellridge/internal/job/bbrwork"
+	"github.com/bluebellridge/bluebellridge/internal/peer/bbrinquiry"
 	"github.com/bluebellridge/bluebellridge/internal/store/bbrkv"
 )
 
@@ -21,7 +23,8 @@
 		return
 	}
 	hint := bbrowner.NewHint(claim, job, stored)
-	if o.acceptHint(hint) {
+	if answer := o.acceptHint(hint); answer.Accepted {
+		o.recordWaits(hint, answer, time.Now())
 		o.daemon.metrics.Event("hint:here")
 		return
 	}
@@ -34,14 +37,36 @@
 	}
 }
 
-// acceptHint passes a hint to the owner that runs at this entry, and reports
-// whether that owner accepted it.
-func (o *owners) acceptHint(hint bbrowner.Hint) bool {
+// acceptHint passes a hint to the owner that runs at this entry, and returns that owner's
+// answer.
+func (o *owners) acceptHint(hint bbrowner.Hint) bbrinquiry.HintResponse {
 	if hint.Job == nil {
-		return false
+		return bbrinquiry.HintResponse{}
 	}
 	owner := o.runningOwner(hint.Job.Shard())
-	return owner != nil && owner.AcceptHint(hint, time.Now())
+	now := time.Now()
+	if owner == nil || !owner.AcceptHint(hint, now) {
+		return bbrinquiry.HintResponse{}
+	}
+	return bbrinquiry.HintResponse{Accepted: true, Waits: owner.ExpectedWaits(now)}
+}
+
+// recordWaits records what the owner that accepted the hint expects for new jobs, as of
+// the time at which the hint was sent.
+func (o *owners) recordWaits(hint bbrowner.Hint, answer bbrinquiry.HintResponse, sent time.Time) {
+	if o.daemon.settings.Jobs.FairShares {
+		o.waits.Record(hint.Job.Shard(), hint.Token, answer.Waits, sent)
+	}
+}
+
+// expectedWait returns what the present owner of the shard expects for a new job; false if
+// that is not known.
+func (o *owners) expectedWait(shard bbrwork.Shard, organisation, queue string, now time.Time) (bbrfairshare.Wait, bool) {
+	claim, owned := o.daemon.directory.Owner(shard.String())
+	if !owned {
+		return bbrfairshare.Wait{}, false
+	}
+	return o.waits.Get(shard, claim.Revision, organisation, queue, now)
 }
 
 // hintSender sends one hint to another entry.
@@ -57,8 +82,9 @@
 	if !ok {
 		return
 	}
-	outcome := "hint:notTaken"
-	if d.queries.Hint(context.Background(), address, sender.hint, now) {
+	outcome, sent := "hint:notTaken", time.Now()
+	if answer, answered := d.queries.Hint(context.Background(), address, sender.hint, now); answered && answer.Accepted {
+		sender.owners.recordWaits(sender.hint, answer, sent)
 		outcome = "hint:taken"
 	}
 	d.metrics.Event(outcome)
--- a/internal/daemon/bbrserve/owners.go
+++ b/internal/daemon/bbrserve/owners.go
@@ -14,6 +14,7 @@
 	"github.com/bluebellridge/bluebellridge/internal/fleet/bbrmachine"
 	"github.com/bluebellridge/bluebellridge/internal/fleet/bbrmaintenance"
 	"github.com/bluebellridge/bluebellridge/internal/fleet/bbrregistry"
+	"github.com/bluebellridge/bluebellridge/internal/job/bbrintake"
 	"github.com/bluebellridge/bluebellridge/internal/job/bbrorder"
 	"github.com/bluebellridge/bluebellridge/internal/job/bbrowner"
 	"github.com/bluebellridge/bluebellridge/internal/job/bbrscheduler"
@@ -40,6 +41,8 @@
 	running map[bbrwork.Shard]*bbrowner.Owner
 	// hintSlots contains an element for each hint in flight.
 	hintSlots chan struct{}
+	// waits is what owners told about new jobs.
+	waits bbrintake.WaitCache
 }
 
 func newOwners(d *daemon) *owners {
@@ -149,6 +152,7 @@
 		Reserved:   d.reservations.Reserved,
 		ConfigKey:  bbrwire.ConfigKey,
 		ShardCount: o.shardCount,
+		FairShares: jobs.FairShares,
 	}
 	o.setRunning(shard, owner)
 	owner.Run(ctx)
--- /dev/null
+++ b/internal/job/bbrintake/fairshare.go
@@ -0,0 +1,96 @@
+package bbrintake
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"k8s.io/klog/v2"
+
+	"github.com/bluebellridge/bluebellridge/internal/job/bbrfairshare"
+	"github.com/bluebellridge/bluebellridge/internal/job/bbrwork"
+	"github.com/bluebellridge/bluebellridge/internal/store/bbrkv"
+)
+
+// waitTTL is how long what an owner told is used. Afterwards a job is accepted again, and
+// the answer to its hint tells anew.
+const waitTTL = time.Second
+
+// waitKey identifies the jobs for which a wait is expected.
+type waitKey struct{ organisation, queue string }
+
+// toldWaits is what an owner told about new jobs of its shard.
+type toldWaits struct {
+	// owner is the fencing token of the owner.
+	owner bbrkv.Revision
+	// at is when the entry asked.
+	at    time.Time
+	waits map[waitKey]bbrfairshare.Wait
+}
+
+// WaitCache caches what owners told about new jobs, by shard. The zero value is ready to
+// use.
+type WaitCache struct {
+	mu     sync.Mutex
+	shards map[bbrwork.Shard]toldWaits
+}
+
+// Record records the waits that the owner with the token expects, as of the time at which
+// the entry asked. Organisations that are left out have no wait.
+func (c *WaitCache) Record(shard bbrwork.Shard, owner bbrkv.Revision, waits []bbrfairshare.Wait, asked time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if known, ok := c.shards[shard]; ok && (owner < known.owner || owner == known.owner && asked.Before(known.at)) {
+		return
+	}
+	if len(waits) == 0 {
+		delete(c.shards, shard)
+		return
+	}
+	told := toldWaits{owner: owner, at: asked, waits: make(map[waitKey]bbrfairshare.Wait, len(waits))}
+	for _, wait := range waits {
+		told.waits[waitKey{wait.Organisation, wait.Queue}] = wait
+	}
+	if c.shards == nil {
+		c.shards = make(map[bbrwork.Shard]toldWaits)
+	}
+	c.shards[shard] = told
+}
+
+// Get returns the wait that the owner with the token expects for a new job; false if it
+// told none in the last second.
+func (c *WaitCache) Get(shard bbrwork.Shard, owner bbrkv.Revision, organisation, queue string, now time.Time) (bbrfairshare.Wait, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	told, ok := c.shards[shard]
+	if !ok || told.owner != owner || now.Sub(told.at) > waitTTL {
+		return bbrfairshare.Wait{}, false
+	}
+	wait, ok := told.waits[waitKey{organisation, queue}]
+	return wait, ok
+}
+
+// refuseBeyondShare decides whether to refuse a job whose organisation's backlog is too
+// long, and returns when the caller should retry. A job that may be stored already, by an
+// earlier submission, is not refused: a refusal means that it never runs.
+func (i *Intake) refuseBeyondShare(ctx context.Context, job *bbrwork.Job, queue *bbrwork.Queue, now time.Time) (time.Duration, bool) {
+	if i.ExpectedWait == nil || job.Organisation == "" || job.LongRunning() || job.Schedule.Count > 0 {
+		return 0, false
+	}
+	wait, known := i.ExpectedWait(job.Shard(), job.Organisation, queue.Name, now)
+	if !known {
+		return 0, false
+	}
+	path := job.CriticalPath()
+	retryAfter, refused := wait.Refuse(path, queue.Stretch, queue.Objective)
+	if !refused {
+		return 0, false
+	}
+	if _, err := i.readStatus(ctx, job.ID); !errors.Is(err, bbrkv.ErrNotFound) {
+		return 0, false
+	}
+	klog.InfoS("Refusing a job of an organisation whose backlog is too long", "job", job.ID, "organisation", job.Organisation, "queue", queue.Name,
+		"shard", job.Shard(), "wait", wait.Expected, "path", path, "usualPath", wait.Path, "beyond", wait.Beyond, "retryAfter", retryAfter)
+	return retryAfter, true
+}
--- a/internal/job/bbrintake/handler.go
+++ b/internal/job/bbrintake/handler.go
@@ -71,6 +71,8 @@
 	body any
 	// detail explains a refusal; empty for the code's own text.
 	detail string
+	// retryAfter replaces the code's own time for a retry; 0 for that.
+	retryAfter time.Duration
 }
 
 // request is a caller's request and the queue that it addresses.
@@ -163,7 +165,8 @@
 		return reply{code: bbrcode.From(err, bbrcode.BadJob), detail: err.Error()}
 	}
 	job.Organisation = r.organisation
-	return reply{code: h.Intake.Submit(job, r.queue, r.id, r.deadline, r.now)}
+	code, retryAfter := h.Intake.Submit(r.Context(), job, r.queue, r.id, r.deadline, r.now)
+	return reply{code: code, retryAfter: retryAfter}
 }
 
 // read returns the request's body; the code is 0 if that succeeds.
@@ -218,8 +221,8 @@
 	if info.Status == http.StatusUnauthorized {
 		w.Header().Set("WWW-Authenticate", "Bearer")
 	}
-	if info.RetryAfter > 0 {
-		w.Header().Set("Retry-After", strconv.Itoa(int(math.Ceil(info.RetryAfter.Seconds()))))
+	if retryAfter := cmp.Or(answer.retryAfter, info.RetryAfter); retryAfter > 0 {
+		w.Header().Set("Retry-After", strconv.Itoa(int(math.Ceil(retryAfter.Seconds()))))
 	}
 	success := info.Status < http.StatusMultipleChoices
 	body := answer.body
--- a/internal/job/bbrintake/intake.go
+++ b/internal/job/bbrintake/intake.go
@@ -10,6 +10,7 @@
 
 	"github.com/bluebellridge/bluebellridge/internal/base/bbrcode"
 	"github.com/bluebellridge/bluebellridge/internal/fleet/bbrcell"
+	"github.com/bluebellridge/bluebellridge/internal/job/bbrfairshare"
 	"github.com/bluebellridge/bluebellridge/internal/job/bbrrecord"
 	"github.com/bluebellridge/bluebellridge/internal/job/bbrwork"
 	"github.com/bluebellridge/bluebellridge/internal/store/bbrkv"
@@ -33,28 +34,36 @@
 	// was stored at the revision. Without it, the owner learns of the job from the store,
 	// a little later. It may be nil.
 	NotifyOwner func(job *bbrwork.Job, stored bbrkv.Revision, now time.Time)
+	// ExpectedWait returns what the owner of the shard has lately told about new jobs of
+	// the organisation in the queue; false if nothing is known. It is nil if organisations
+	// do not share the capacity by weight.
+	ExpectedWait func(shard bbrwork.Shard, organisation, queue string, now time.Time) (bbrfairshare.Wait, bool)
 	// StoreAvailable reports whether the store has answered recently.
 	StoreAvailable func(now time.Time) bool
 }
 
 // Submit stores a job of the queue and notifies its owner. The caller's timeout ends
-// at deadline.
-func (i *Intake) Submit(job *bbrwork.Job, queue *bbrwork.Queue, id string, deadline, now time.Time) bbrcode.Code {
+// at deadline. retryAfter is when a refused caller should retry; 0 for the code's own
+// time.
+func (i *Intake) Submit(ctx context.Context, job *bbrwork.Job, queue *bbrwork.Queue, id string, deadline, now time.Time) (answer bbrcode.Code, retryAfter time.Duration) {
 	if !i.StoreAvailable(now) {
-		return bbrcode.StoreUnavailable
+		return bbrcode.StoreUnavailable, 0
 	}
 	job.ID, job.Queue, job.Service, job.Accepted = id, queue.Name, queue.Service, now.Round(0)
 	job.Policy = queue.Policy()
 	job.Cell = i.Cells().ChooseForJob(job, i.Config().ServiceIndex(queue.Service))
+	if retryAfter, refused := i.refuseBeyondShare(ctx, job, queue, now); refused {
+		return bbrcode.BeyondShare, retryAfter
+	}
 	code, stored := i.Acceptor.Accept(job, deadline)
 	if stored == 0 {
-		return code
+		return code, 0
 	}
 	i.Jobs.Add(id, jobPlace{shard: job.Shard(), organisation: job.Organisation})
 	if i.NotifyOwner != nil {
 		i.NotifyOwner(job, stored, now)
 	}
-	return code
+	return code, 0
 }
 
 // State returns the state of a job of the queue for a caller of the organisation. It
--- a/internal/job/bbrowner/flusher.go
+++ b/internal/job/bbrowner/flusher.go
@@ -52,6 +52,7 @@
 	waiting map[string]int
 	drained []string
 	demand  bbrscheduler.Demand
+	beyond  []bbrscheduler.OrganisationShare
 }
 
 // flusher stores the changes of the scheduler's state. It continues for a short time
@@ -141,6 +142,8 @@
 	// maxReleasable bounds the releasable upstreams in a report; the next report
 	// has others.
 	maxReleasable = 16
+	// maxReportedShares bounds the organisations beyond their shares in a report.
+	maxReportedShares = 8
 )
 
 // currentReport returns the report, at most reportCacheTTL old. The caller holds the
@@ -149,6 +152,7 @@
 	if scheduler := f.owner.scheduler; now.Sub(f.reportedAt) > reportCacheTTL {
 		f.lastReport = report{waiting: scheduler.WaitingByQueue(now), drained: scheduler.Drained(now), demand: scheduler.Demand(now)}
 		f.lastReport.demand.Releasable = f.lastReport.demand.Releasable[:min(maxReleasable, len(f.lastReport.demand.Releasable))]
+		f.lastReport.beyond = slices.DeleteFunc(scheduler.Shares(maxReportedShares), func(share bbrscheduler.OrganisationShare) bool { return !share.Beyond })
 		f.reportedAt = now
 	}
 	return f.lastReport
@@ -242,7 +246,7 @@
 		Puts:       []bbrkv.Put{{Key: key, Value: bbrrecord.Encode(record)}},
 	}
 	if storeReport {
-		stored := bbrrecord.Report{Waiting: current.waiting, Drained: current.drained, Demand: current.demand, At: now}
+		stored := bbrrecord.Report{Waiting: current.waiting, Drained: current.drained, Demand: current.demand, Beyond: current.beyond, At: now}
 		transaction.Puts = append(transaction.Puts, bbrkv.Put{Key: bbrrecord.ReportKey(o.Shard), Value: bbrrecord.Encode(stored)})
 	}
 	if batch.Recorded != nil {
--- a/internal/job/bbrowner/hint.go
+++ b/internal/job/bbrowner/hint.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/bluebellridge/bluebellridge/internal/fleet/bbrclaim"
+	"github.com/bluebellridge/bluebellridge/internal/job/bbrfairshare"
 	"github.com/bluebellridge/bluebellridge/internal/job/bbrwork"
 	"github.com/bluebellridge/bluebellridge/internal/store/bbrkv"
 )
@@ -32,6 +33,17 @@
 	return true
 }
 
+// ExpectedWaits returns what is expected for new jobs while the shard's capacity is
+// short. An owner without a confirmed claim tells nothing.
+func (o *Owner) ExpectedWaits(now time.Time) []bbrfairshare.Wait {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.scheduler == nil || !o.Confirmed(now) {
+		return nil
+	}
+	return o.scheduler.ExpectedWaits(now)
+}
+
 // NewHint returns the hint for the owner of a claim.
 func NewHint(claim bbrclaim.Claim, job *bbrwork.Job, stored bbrkv.Revision) Hint {
 	return Hint{Job: job, Stored: stored, Token: claim.Revision}
--- a/internal/job/bbrowner/load.go
+++ b/internal/job/bbrowner/load.go
@@ -87,4 +87,7 @@
 		account := accounts[name]
 		o.Metrics.SetOrganisation(shard, name, account.Used.MilliCPU, account.Held.MilliCPU, account.Cap.MilliCPU)
 	}
+	for _, share := range o.scheduler.Shares(maxOrganisationMetrics) {
+		o.Metrics.SetShare(shard, share.Organisation, share.Used, share.Fair, max(0, share.Wanted-share.Used))
+	}
 }
--- a/internal/job/bbrowner/owner.go
+++ b/internal/job/bbrowner/owner.go
@@ -36,6 +36,8 @@
 	ListIncarnations ListIncarnationsFunc
 	Metrics          *bbrmetric.Set
 	Timing           bbrscheduler.Timing
+	// FairShares makes organisations share the capacity by weight while it is short.
+	FairShares bool
 	// Confirmed reports whether the claim's lease is certainly valid at now.
 	Confirmed func(now time.Time) bool
 	// Config returns the configuration in force.
@@ -323,6 +325,7 @@
 	o.commits.revision = sequence.Revision
 	o.scheduler = bbrscheduler.New(o.Shard, int64(o.Held.Token), o.Timing, firstOwner, start)
 	o.scheduler.MaxValueBytes = o.Store.MaxValueBytes
+	o.scheduler.FairShares = o.FairShares
 	if config := o.Config(); config != nil {
 		o.configVersion = config.Version
 		o.scheduler.SetConfig(config)
--- a/internal/job/bbrrecord/record.go
+++ b/internal/job/bbrrecord/record.go
@@ -63,6 +63,9 @@
 	Drained []string `json:"cleared,omitempty"`
 	// Demand is the capacity that the shard requests from the fleet.
 	Demand bbrscheduler.Demand `json:"demand"`
+	// Beyond has organisations that are beyond their share of the shard. It is
+	// information for operators: a change of it alone causes no report.
+	Beyond []bbrscheduler.OrganisationShare `json:"beyond,omitempty"`
 }
 
 // EncodeJob returns the job's value in the store. It returns an error if the job has a
--- a/internal/job/bbrscheduler/job.go
+++ b/internal/job/bbrscheduler/job.go
@@ -18,6 +18,9 @@
 	// started means that a run of the job was started.
 	started   bool
 	cancelled bool
+	// begunInShare means that this owner started the first run of the job when its
+	// organisation was within its share.
+	begunInShare bool
 	// finalState is the state in which the job has ended; it is reported to callers
 	// only once it is stored.
 	finalState bbrwork.State
--- a/internal/job/bbrscheduler/plan.go
+++ b/internal/job/bbrscheduler/plan.go
@@ -1,6 +1,7 @@
 package bbrscheduler
 
 import (
+	"slices"
 	"time"
 
 	"github.com/bluebellridge/bluebellridge/internal/job/bbrorder"
@@ -57,7 +58,11 @@
 	free bbrwork.Resources
 	// trials counts the upstreams that are reserved for trials.
 	trials int
-	plan   Plan
+	// sharing means that organisations share the capacity by weight, and waiting is what
+	// their work units without a run need.
+	sharing bool
+	waiting bbrwork.Resources
+	plan    Plan
 }
 
 // Plan decides what to send now. While the owner's claim is not confirmed, it plans
@@ -72,6 +77,7 @@
 		p.beginQuota()
 		p.findUsable(sched.ensureRecorded)
 		p.planTrials()
+		p.beginShares()
 		p.planStarts()
 		p.planPaces()
 		p.planStallStops()
@@ -90,17 +96,49 @@
 }
 
 func (p *planner) planStarts() {
-	for _, c := range p.candidates() {
-		before := len(p.plan.Starts)
-		if c.step.spec.Gang {
-			p.startGang(c.step)
-		} else {
-			p.startStep(c.step)
+	list := p.candidates()
+	for len(list) > 0 {
+		next := slices.IndexFunc(list, func(c candidate) bool { return c.tier != list[0].tier })
+		if next < 0 {
+			next = len(list)
 		}
-		p.noteStarts(c, p.plan.Starts[before:])
+		p.startTier(list[:next])
+		list = list[next:]
 	}
 }
 
+// startTier starts work of one tier. Work whose organisation has got a later rank on the
+// way waits for the work of the others.
+func (p *planner) startTier(list []candidate) {
+	var later []candidate
+	for rank := list[0].shareRank; len(list) > 0; rank++ {
+		later = later[:0]
+		for _, c := range list {
+			if c.shareRank = max(c.shareRank, p.rankInShare(c)); c.shareRank > rank {
+				later = append(later, c)
+				continue
+			}
+			p.startCandidate(c)
+		}
+		list, later = later, list[:0]
+		slices.SortFunc(list, compareCandidates)
+	}
+}
+
+func (p *planner) startCandidate(c candidate) {
+	before := len(p.plan.Starts)
+	if c.step.spec.Gang {
+		p.startGang(c.step)
+	} else {
+		p.startStep(c.step)
+	}
+	starts := p.plan.Starts[before:]
+	if c.shareRank < rankBeyond && c.unstarted > 0 && len(starts) > 0 {
+		c.step.job.begunInShare = true
+	}
+	p.noteStarts(c, starts)
+}
+
 // noteStarts logs the starts of a step and the rank by which they were decided.
 func (p *planner) noteStarts(c candidate, starts []StartOrder) {
 	if len(starts) == 0 {
--- a/internal/job/bbrscheduler/rank.go
+++ b/internal/job/bbrscheduler/rank.go
@@ -12,8 +12,12 @@
 	// tier is 0 for long-running work that is not best-effort, 1 for long-running
 	// best-effort work and finite work that can meet its objective, and 2 for other
 	// finite work.
-	tier     int
-	priority int
+	tier int
+	// member is the organisation in whose share the work has to fit; nil if it is not
+	// subject to shares.
+	member    *shareMember
+	shareRank shareRank
+	priority  int
 	// unstarted is 1 if nothing of the job has run, and 0 otherwise: jobs that have
 	// started are finished first.
 	unstarted int
@@ -33,6 +37,10 @@
 			list = p.appendSteps(job, o, list)
 		}
 	}
+	p.divideShares()
+	for i := range list {
+		list[i].shareRank = p.rankInShare(list[i])
+	}
 	slices.SortFunc(list, compareCandidates)
 	return list
 }
@@ -40,8 +48,11 @@
 func (p *planner) appendSteps(job *job, o *occurrence, list []candidate) []candidate {
 	objective := job.objective(o)
 	for _, s := range o.steps {
-		if s.idleUnits > 0 && s.unitsLeft > 0 && s.runnable(p.now) && p.mayFit(s) {
-			list = append(list, p.rank(s, objective))
+		if s.idleUnits > 0 && s.unitsLeft > 0 && s.runnable(p.now) {
+			p.awaitShare(s)
+			if p.mayFit(s) {
+				list = append(list, p.rank(s, objective))
+			}
 		}
 	}
 	return list
@@ -57,12 +68,12 @@
 const unstartedMargin = 200 * time.Millisecond
 
 func compareCandidates(a, b candidate) int {
-	return cmp.Or(cmp.Compare(a.tier, b.tier), cmp.Compare(a.priority, b.priority), cmp.Compare(a.unstarted, b.unstarted), a.objective.Compare(b.objective),
+	return cmp.Or(cmp.Compare(a.tier, b.tier), cmp.Compare(a.shareRank, b.shareRank), cmp.Compare(a.priority, b.priority), cmp.Compare(a.unstarted, b.unstarted), a.objective.Compare(b.objective),
 		cmp.Compare(a.step.job.ID, b.step.job.ID), cmp.Compare(a.step.occurrence.number, b.step.occurrence.number), cmp.Compare(a.step.number, b.step.number))
 }
 
 func (p *planner) rank(s *step, objective time.Time) candidate {
-	c := candidate{step: s, tier: 1, objective: objective}
+	c := candidate{step: s, tier: 1, member: p.memberOf(s), objective: objective}
 	if !s.job.started {
 		c.unstarted = 1
 	}
--- a/internal/job/bbrscheduler/runs.go
+++ b/internal/job/bbrscheduler/runs.go
@@ -20,6 +20,7 @@
 	if account := sched.account(u.step.job); account != nil {
 		account.Used = account.Used.Plus(u.step.spec.Need)
 	}
+	sched.countShare(u.step, false, now)
 	return r
 }
 
@@ -61,6 +62,7 @@
 	if account := sched.account(u.step.job); account != nil {
 		account.Used = account.Used.Minus(u.step.spec.Need)
 	}
+	sched.countShare(u.step, true, now)
 }
 
 // runKey identifies a run on an upstream.
--- a/internal/job/bbrscheduler/scheduler.go
+++ b/internal/job/bbrscheduler/scheduler.go
@@ -51,6 +51,9 @@
 	// MaxValueBytes is the size of the largest value that the store takes; 0 for
 	// defaultMaxValueBytes.
 	MaxValueBytes int
+	// FairShares makes organisations share the capacity by weight while it is short. It
+	// is set before jobs are added.
+	FairShares bool
 
 	config    *bbrwork.Config
 	jobs      map[string]*job
@@ -93,6 +96,7 @@
 	reserved map[string]bool
 	// accounts has the uses and shares of caps by organisation.
 	accounts map[string]*bbrquota.Account
+	fair     fairShares
 	// runTimes predicts the run times of work units, by queue.
 	runTimes map[string]*bbrruntime.Predictor
 	// suspects has the work units under which an upstream crashed and that have not
@@ -146,6 +150,7 @@
 func (sched *Scheduler) SetConfig(config *bbrwork.Config) {
 	sched.config = config
 	sched.applyCaps(config)
+	sched.fair.setWeights(config)
 	for _, job := range sched.jobs {
 		if queue := config.Queues[job.Queue]; queue != nil {
 			job.policy = queue.Policy()
--- a/internal/job/bbrwork/job.go
+++ b/internal/job/bbrwork/job.go
@@ -91,6 +91,20 @@
 	return false
 }
 
+// CriticalPath returns the longest path of estimated work through the steps.
+func (j *Job) CriticalPath() time.Duration {
+	ends := make([]time.Duration, len(j.Steps))
+	longest := time.Duration(0)
+	for i := range j.Steps {
+		for _, earlier := range j.Steps[i].DependsOn {
+			ends[i] = max(ends[i], ends[earlier])
+		}
+		ends[i] += j.Steps[i].Estimate
+		longest = max(longest, ends[i])
+	}
+	return longest
+}
+
 // State is the state of a job as callers see it.
 type State string
 
--- a/internal/peer/bbrinquiry/client.go
+++ b/internal/peer/bbrinquiry/client.go
@@ -69,11 +69,12 @@
 	return out.Explanation, answered && out.Known
 }
 
-// Hint notifies the entry of a job that has just been stored, and reports whether the
-// owner there accepted it.
-func (c *Client) Hint(ctx context.Context, entry netip.AddrPort, hint bbrowner.Hint, now time.Time) bool {
+// Hint notifies the entry of a job that has just been stored, and returns the answer of
+// the owner there; false if it does not answer in time.
+func (c *Client) Hint(ctx context.Context, entry netip.AddrPort, hint bbrowner.Hint, now time.Time) (HintResponse, bool) {
 	var out HintResponse
-	return c.query(ctx, entry, hintMethod, &hint, &out, now) && out.Accepted
+	answered := c.query(ctx, entry, hintMethod, &hint, &out, now)
+	return out, answered
 }
 
 // Ping returns an error if the entry does not answer within the timeout. It calls the
--- a/internal/peer/bbrinquiry/client_test.go
+++ b/internal/peer/bbrinquiry/client_test.go
@@ -10,6 +10,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/bluebellridge/bluebellridge/internal/fleet/bbrdetector"
+	"github.com/bluebellridge/bluebellridge/internal/job/bbrfairshare"
 	"github.com/bluebellridge/bluebellridge/internal/job/bbrowner"
 	"github.com/bluebellridge/bluebellridge/internal/job/bbrscheduler"
 	"github.com/bluebellridge/bluebellridge/internal/job/bbrwork"
@@ -33,8 +34,8 @@
 		return bbrwork.Running, shard == pressShard && job == "known"
 	}, JobExplanation: func(_ bbrwork.Shard, job string) (bbrscheduler.Explanation, bool) {
 		return bbrscheduler.Explanation{Queue: "proofs"}, job == "known"
-	}, AcceptHint: func(hint bbrowner.Hint) bool {
-		return hint.Job.Spec == "x" && hint.Stored == 8
+	}, AcceptHint: func(hint bbrowner.Hint) HintResponse {
+		return HintResponse{Accepted: hint.Job.Spec == "x" && hint.Stored == 8}
 	}}
 	go func() { _ = server.Run(t.Context(), listener) }()
 	client := NewClient()
@@ -48,7 +49,9 @@
 		explanation, known := client.Explain(t.Context(), address, pressShard, "known", time.Now())
 		require.True(t, known)
 		require.Equal(t, "proofs", explanation.Queue)
-		require.True(t, client.Hint(t.Context(), address, bbrowner.Hint{Job: &bbrwork.Job{Spec: "x"}, Stored: 8}, time.Now()))
+		response, answered := client.Hint(t.Context(), address, bbrowner.Hint{Job: &bbrwork.Job{Spec: "x"}, Stored: 8}, time.Now())
+		require.True(t, answered)
+		require.True(t, response.Accepted)
 	}
 }
 
@@ -91,3 +94,35 @@
 	require.Equal(t, bbrdetector.Unreachable, client.Reachability(t.Context(), address, silentAddress, pingTimeout, time.Now()))
 	require.ErrorIs(t, client.Ping(t.Context(), silentAddress, pingTimeout, time.Now()), syscall.ECONNREFUSED)
 }
+
+// TestHintAnswerOfAnEarlierBuild guards against an entry that takes the answer of an owner
+// of an earlier build, which tells no waits, for a refusal or a failure, and against waits
+// that are lost on the way.
+func TestHintAnswerOfAnEarlierBuild(t *testing.T) {
+	var response HintResponse
+	require.NoError(t, jsonEncoding{}.Unmarshal([]byte(`{"taken":true}`), &response))
+	require.Equal(t, HintResponse{Accepted: true}, response)
+	data, err := jsonEncoding{}.Marshal(&response)
+	require.NoError(t, err)
+	require.JSONEq(t, `{"taken":true}`, string(data))
+
+	listener, address := listen(t)
+	waits := []bbrfairshare.Wait{{Organisation: "press", Queue: "proofs", Expected: time.Second, Path: time.Minute, Beyond: true}}
+	server := &Server{AcceptHint: func(bbrowner.Hint) HintResponse { return HintResponse{Accepted: true, Waits: waits} }}
+	go func() { _ = server.Run(t.Context(), listener) }()
+	client := NewClient()
+	defer client.Close()
+	response, answered := client.Hint(t.Context(), address, bbrowner.Hint{Job: &bbrwork.Job{}}, time.Now())
+	require.True(t, answered)
+	require.Equal(t, waits, response.Waits)
+}
+
+// TestNoAnswerToAHint guards against an answer made up for an owner that does not respond.
+func TestNoAnswerToAHint(t *testing.T) {
+	_, address := listen(t)
+	client := NewClient()
+	defer client.Close()
+	response, answered := client.Hint(t.Context(), address, bbrowner.Hint{Job: &bbrwork.Job{}}, time.Now())
+	require.False(t, answered)
+	require.Empty(t, response)
+}
--- a/internal/peer/bbrinquiry/message.go
+++ b/internal/peer/bbrinquiry/message.go
@@ -8,6 +8,7 @@
 	"storj.io/drpc"
 
 	"github.com/bluebellridge/bluebellridge/internal/fleet/bbrdetector"
+	"github.com/bluebellridge/bluebellridge/internal/job/bbrfairshare"
 	"github.com/bluebellridge/bluebellridge/internal/job/bbrscheduler"
 	"github.com/bluebellridge/bluebellridge/internal/job/bbrwork"
 	"github.com/bluebellridge/bluebellridge/internal/store/bbrkv"
@@ -44,6 +45,10 @@
 // HintResponse reports whether the owner accepted the hint.
 type HintResponse struct {
 	Accepted bool `json:"taken"`
+	// Waits is what the owner expects for new jobs of the organisations that want more
+	// than their share. It is missing while the capacity suffices, and in answers of
+	// earlier builds.
+	Waits []bbrfairshare.Wait `json:"waits,omitempty"`
 }
 
 // PingMessage is the request and the response of a ping.
--- a/internal/peer/bbrinquiry/server.go
+++ b/internal/peer/bbrinquiry/server.go
@@ -37,9 +37,8 @@
 // entry owns; known is false if there is none.
 type ExplainFunc func(shard bbrwork.Shard, job string) (explanation bbrscheduler.Explanation, known bool)
 
-// HintFunc passes a hint to an owner at this entry, and reports whether the owner
-// accepted it.
-type HintFunc func(hint bbrowner.Hint) bool
+// HintFunc passes a hint to an owner at this entry and returns the owner's answer.
+type HintFunc func(hint bbrowner.Hint) HintResponse
 
 // PingFunc returns an error if the entry at the address does not answer within the
 // timeout.
@@ -80,7 +79,8 @@
 
 // Hint accepts a notification of a job that another entry has just stored.
 func (s *Server) Hint(_ context.Context, in *bbrowner.Hint) (*HintResponse, error) {
-	return &HintResponse{Accepted: s.AcceptHint(*in)}, nil
+	response := s.AcceptHint(*in)
+	return &response, nil
 }
 
 // Ping answers a ping.
