--- a/internal/base/bbrmetric/set.go
+++ b/internal/base/bbrmetric/set.go
@@ -37,6 +37,7 @@
 	reservations    *prometheus.GaugeVec
 	separations     *prometheus.CounterVec
 	interfering     *prometheus.GaugeVec
+	shares          *prometheus.GaugeVec
 }
 
 // New returns a set that is registered with a new registry.
@@ -82,6 +83,7 @@
 		Name: "bbr_organisation_millicores",
 		Help: "Processor capacity of an organisation in a shard: what its work uses, the share of its cap, and the whole cap.",
 	}, []string{"shard", "organisation", "amount"})
+	s.shares = s.newGauge("bbr_organisation_share", "Dominant share of an organisation in a shard whose capacity is short: what counts as used, the fair share, and what waits.", "shard", "organisation", "amount")
 	s.Registry.MustRegister(s.suspects, s.organisations, s.oldestWaits, s.callDurations, s.storeDurations)
 	return s
 }
@@ -229,9 +231,18 @@
 	s.organisations.WithLabelValues(shard, organisation, "cap").Set(float64(limit))
 }
 
+// SetShare sets the part of a shard's capacity that counts as used by an organisation, its
+// fair share, and the part that its waiting work needs.
+func (s *Set) SetShare(shard, organisation string, used, fair, waiting float64) {
+	s.shares.WithLabelValues(shard, organisation, "used").Set(used)
+	s.shares.WithLabelValues(shard, organisation, "fair").Set(fair)
+	s.shares.WithLabelValues(shard, organisation, "waiting").Set(waiting)
+}
+
 // ClearOrganisations removes the gauges of a shard's organisations.
 func (s *Set) ClearOrganisations(shard string) {
 	s.organisations.DeletePartialMatch(prometheus.Labels{"shard": shard})
+	s.shares.DeletePartialMatch(prometheus.Labels{"shard": shard})
 }
 
 // Gauge registers a gauge that is read at each scrape.
--- a/internal/config/bbrsettings/parse.go
+++ b/internal/config/bbrsettings/parse.go
@@ -60,13 +60,14 @@
 func (c *checker) protocol(s Settings) {
 	switch s.Platform.Protocol {
 	case ProtocolOwn:
-		c.require(!s.Jobs.Reservations, bbrcode.SettingsInvalid, "jobs.reservations", "needs platform.protocol %s", ProtocolFleet)
 		c.address(s.Listen.Operators, "listen.operators")
 		c.address(s.Listen.Peers, "listen.peers")
 		c.address(s.Platform.Address, "platform.address")
 		c.require(!s.Listen.Peers.Addr().IsUnspecified(), bbrcode.SettingsInvalid, "listen.peers", "must be an address that the other entries can reach")
 		c.token(s)
+		c.require(!s.Jobs.Reservations, bbrcode.SettingsInvalid, "jobs.reservations", "needs platform.protocol %s", ProtocolFleet)
 		c.require(!s.Jobs.SeparateInterfering, bbrcode.SettingsInvalid, "jobs.separateInterfering", "needs platform.protocol %s", ProtocolFleet)
+		c.require(!s.Jobs.FairShares, bbrcode.SettingsInvalid, "jobs.fairShares", "needs platform.protocol %s", ProtocolFleet)
 	case ProtocolFleet:
 		if s.Listen.Operators.IsValid() {
 			c.token(s)
--- a/internal/config/bbrsettings/settings.go
+++ b/internal/config/bbrsettings/settings.go
@@ -67,6 +67,9 @@
 	Reservations bool `yaml:"reservations"`
 	// SeparateInterfering keeps work units apart whose images slow each other down.
 	SeparateInterfering bool `yaml:"separateInterfering"`
+	// FairShares makes organisations share the capacity of a shard by their weights
+	// while it is short.
+	FairShares bool `yaml:"fairShares"`
 }
 
 // Listen has the addresses that the process listens on. They are also the
--- a/internal/daemon/bbrserve/daemon.go
+++ b/internal/daemon/bbrserve/daemon.go
@@ -124,6 +124,9 @@
 	if settings.Jobs.BalanceByCapacity {
 		d.balanceByCapacity()
 	}
+	if settings.Jobs.FairShares {
+		d.handler.Intake.ExpectedWait = d.owners.expectedWait
+	}
 	d.servers = []*bbrlistener.Listener{
 		bbrlistener.New(settings.Listen.Callers, d.handler.Router(), settings),
 		bbrlistener.New(settings.Listen.Readiness, http.HandlerFunc(d.serveReady), settings),
--- a/internal/daemon/bbrserve/owners.go
+++ b/internal/daemon/bbrserve/owners.go
@@ -15,6 +15,7 @@
 	"github.com/bluebellridge/bluebellridge/internal/fleet/bbrmachine"
 	"github.com/bluebellridge/bluebellridge/internal/fleet/bbrmaintenance"
 	"github.com/bluebellridge/bluebellridge/internal/fleet/bbrregistry"
+	"github.com/bluebellridge/bluebellridge/internal/job/bbrintake"
 	"github.com/bluebellridge/bluebellridge/internal/job/bbrorder"
 	"github.com/bluebellridge/bluebellridge/internal/job/bbrowner"
 	"github.com/bluebellridge/bluebellridge/internal/job/bbrscheduler"
@@ -43,6 +44,8 @@
 	rooms bbrcell.RoomDirectory
 	// hintSlots contains an element for each hint in flight.
 	hintSlots chan struct{}
+	// waits is what owners told about new jobs.
+	waits bbrintake.WaitCache
 }
 
 func newOwners(d *daemon) *owners {
@@ -154,6 +157,7 @@
 		ShardCount: o.shardCount,
 
 		PublishRoom:         jobs.BalanceByCapacity,
+		FairShares:          jobs.FairShares,
 		ReserveCapacity:     jobs.Reservations,
 		SeparateInterfering: jobs.SeparateInterfering,
 	}
--- a/internal/job/bbrintake/cell_test.go
+++ b/internal/job/bbrintake/cell_test.go
@@ -51,7 +51,7 @@
 			for i := range copies {
 				wg.Go(func() {
 					now := time.Now()
-					codes[i] = intakes[i%entries].Submit(&bbrwork.Job{Steps: []bbrwork.Step{{Count: 1}}}, &bbrwork.Queue{Service: "press"}, firstID, now.Add(3*time.Second), now)
+					codes[i], _ = intakes[i%entries].Submit(ctx, &bbrwork.Job{Steps: []bbrwork.Step{{Count: 1}}}, &bbrwork.Queue{Service: "press"}, firstID, now.Add(3*time.Second), now)
 				})
 			}
 			wg.Wait()
--- a/internal/job/bbrowner/owner.go
+++ b/internal/job/bbrowner/owner.go
@@ -37,6 +37,8 @@
 	ListIncarnations ListIncarnationsFunc
 	Metrics          *bbrmetric.Set
 	Timing           bbrscheduler.Timing
+	// FairShares makes organisations share the capacity by weight while it is short.
+	FairShares bool
 	// Confirmed reports whether the claim's lease is certainly valid at now.
 	Confirmed func(now time.Time) bool
 	// Config returns the configuration in force.
@@ -359,6 +361,7 @@
 	if o.SeparateInterfering {
 		o.scheduler.SeparateInterfering(interference, time.Now())
 	}
+	o.scheduler.FairShares = o.FairShares
 	if config := o.Config(); config != nil {
 		o.configVersion = config.Version
 		o.scheduler.SetConfig(config)
--- a/internal/job/bbrscheduler/scheduler.go
+++ b/internal/job/bbrscheduler/scheduler.go
@@ -56,6 +56,9 @@
 	// ReserveCapacity means that wide work may reserve capacity, and that urgent work may
 	// have other work stopped.
 	ReserveCapacity bool
+	// FairShares makes organisations share the capacity by weight while it is short. It
+	// is set before jobs are added.
+	FairShares bool
 
 	config    *bbrwork.Config
 	jobs      map[string]*job
@@ -98,6 +101,7 @@
 	reserved map[string]bool
 	// accounts has the uses and shares of caps by organisation.
 	accounts map[string]*bbrquota.Account
+	fair     fairShares
 	// runTimes predicts the run times of work units, by queue.
 	runTimes map[string]*bbrruntime.Predictor
 	// suspects has the work units under which an upstream crashed and that have not
@@ -164,6 +168,7 @@
 func (sched *Scheduler) SetConfig(config *bbrwork.Config) {
 	sched.config = config
 	sched.applyCaps(config)
+	sched.fair.setWeights(config)
 	for _, job := range sched.jobs {
 		if queue := config.Queues[job.Queue]; queue != nil {
 			job.policy = queue.Policy()
--- a/internal/peer/bbrinquiry/client.go
+++ b/internal/peer/bbrinquiry/client.go
@@ -72,18 +72,18 @@
 	return out.Explanation, answered && out.Known
 }
 
-// Hint notifies the entry of a job that has just been stored, and reports whether the
-// owner there accepted it.
-func (c *Client) Hint(ctx context.Context, entry netip.AddrPort, hint bbrowner.Hint, now time.Time) bool {
+// Hint notifies the entry of a job that has just been stored, and returns the answer of
+// the owner there; false if it does not answer in time.
+func (c *Client) Hint(ctx context.Context, entry netip.AddrPort, hint bbrowner.Hint, now time.Time) (HintResponse, bool) {
 	var out HintResponse
 	sent := time.Now()
 	in := &HintRequest{Hint: hint, Rooms: c.Rooms.known(hint.Job.Service, sent)}
 	if !c.query(ctx, entry, hintMethod, in, &out, now) {
-		return false
+		return HintResponse{}, false
 	}
 	// Ages count from before the answer was made, so that they are not underestimated.
 	c.Rooms.learn(hint.Job.Service, out.Rooms, sent)
-	return out.Accepted
+	return out, true
 }
 
 // Ping returns an error if the entry does not answer within the timeout. It calls the
--- a/internal/peer/bbrinquiry/rooms_test.go
+++ b/internal/peer/bbrinquiry/rooms_test.go
@@ -41,7 +41,7 @@
 			owner.Learn("press", []bbrcell.Room{{Cell: 1, MilliCPU: 4000, Drain: 1500 * time.Millisecond}}, 2, now)
 			owner.Learn("bindery", []bbrcell.Room{{Cell: 1}}, 2, now)
 			sender.Learn("press", []bbrcell.Room{{Cell: 0, MilliCPU: 8000}}, 2, now)
-			server := &Server{AcceptHint: func(bbrowner.Hint) bool { return true }}
+			server := &Server{AcceptHint: func(bbrowner.Hint) HintResponse { return HintResponse{Accepted: true} }}
 			client := NewClient()
 			defer client.Close()
 			if test.withServer {
@@ -52,7 +52,8 @@
 			}
 			go func() { _ = server.Run(t.Context(), listener) }()
 			require.Eventually(t, func() bool {
-				return client.Hint(t.Context(), address, bbrowner.Hint{Job: &bbrwork.Job{Service: "press"}, Stored: 8}, time.Now())
+				response, answered := client.Hint(t.Context(), address, bbrowner.Hint{Job: &bbrwork.Job{Service: "press"}, Stored: 8}, time.Now())
+				return answered && response.Accepted
 			}, 10*time.Second, time.Millisecond)
 			both := 1
 			if test.withServer && test.withSend {
