--- a/Makefile
+++ b/Makefile
@@ -25,9 +25,13 @@
 known_red = $(shell sed -n 's/^ *test: *\(Test[A-Za-z0-9_]*\)$$/\1/p' KNOWN-RED.txt 2>/dev/null | paste -sd '|')
 skip = $(if $(known_red),-skip '^($(known_red))$$')
 
+# This package measures memory and descriptors of processes, and runs apart from others.
+apart = $(shell go list ./internal/soak/bbrabuse)
+
 unit: build
-	go test $(skip) $(filter-out $(properties),$(shell go list ./...))
+	go test $(skip) $(filter-out $(properties) $(apart),$(shell go list ./...))
 	go test $(skip) $(properties) -rapid.seed=$(RAPID_SEED) -rapid.checks=$(RAPID_CHECKS) -rapid.steps=40 -rapid.nofailfile
+	go test -p 1 $(skip) $(apart)
 
 # Measures the control cost of idle entries at several sizes.
 capacity: build
