daemon/bbrlimit: limits of clients on all listeners

All listeners now bound their connections (the one that has waited for its client the longest is displaced), the bytes of bodies in flight (charged as they arrive, with what a job takes until it is stored; 503 with code 2030), the time for a body and for reading a response, and the header fields (431 with code 2031). A body that no handler asks for is not read, and its connection is closed. The decoder of submissions bounds entries, fields and levels before it allocates. Encrypted listeners offer HTTP/1.1 only, as HTTP/2 has many requests in progress on a connection, and an unreadable certificate ends the start instead of being logged.

--- a/internal/base/bbrcode/code.go
+++ b/internal/base/bbrcode/code.go
@@ -48,6 +48,8 @@
 	KeyMissing        Code = 2026
 	KeyUnknown        Code = 2027
 	ForeignJob        Code = 2028
+	TooManyBytes      Code = 2030
+	HeaderTooLarge    Code = 2031
 )
 
 // Codes of jobs.
@@ -157,6 +159,8 @@
 	KeyMissing:       {Name: "keyMissing", Status: 401, Text: "The queue needs a key of an organisation, and the request has none."},
 	KeyUnknown:       {Name: "keyUnknown", Status: 401, Text: "The key belongs to no organisation."},
 	ForeignJob:       {Name: "foreignJob", Status: 403, Text: "The job belongs to another organisation."},
+	TooManyBytes:     {Name: "tooManyBytes", Status: 503, RetryAfter: retrySoon, Text: "This entry holds as many bytes of requests as its memory allows."},
+	HeaderTooLarge:   {Name: "headerTooLarge", Status: 431, Text: "The request has too many header fields."},
 
 	Accepted:      {Name: "accepted", Outcome: OutcomeUnknown, Status: 200, Text: "The job is stored and will run."},
 	AlreadyStored: {Name: "alreadyStored", Outcome: OutcomeUnknown, Status: 200, Text: "The job was already stored."},
--- a/internal/base/bbrmetric/set.go
+++ b/internal/base/bbrmetric/set.go
@@ -22,6 +22,8 @@
 	bodyBytes      *prometheus.CounterVec
 	slowWaits      *prometheus.CounterVec
 	crashVerdicts  *prometheus.CounterVec
+	clientsClosed  *prometheus.CounterVec
+	connections    *prometheus.GaugeVec
 	oldestWaits    *prometheus.GaugeVec
 	suspects       *prometheus.GaugeVec
 	organisations  *prometheus.GaugeVec
@@ -40,6 +42,11 @@
 	s.bodyBytes = s.newCounter("bbr_body_bytes_total", "Bytes of the bodies of calls to the platform and to upstreams.", "purpose", "direction")
 	s.slowWaits = s.newCounter("bbr_slow_waits_total", "Work units that waited over 3 s for a run, by reason.", "reason")
 	s.crashVerdicts = s.newCounter("bbr_crash_verdicts_total", "What crashes of upstreams meant for the work units that ran there.", "verdict")
+	s.clientsClosed = s.newCounter("bbr_client_closes_total", "Connections of clients that are closed because of a limit, by listener and reason.", "listener", "reason")
+	s.connections = prometheus.NewGaugeVec(prometheus.GaugeOpts{
+		Name: "bbr_client_connections",
+		Help: "Open connections of clients by listener.",
+	}, []string{"listener"})
 	s.suspects = prometheus.NewGaugeVec(prometheus.GaugeOpts{
 		Name: "bbr_crash_suspects",
 		Help: "Work units under which upstreams crashed and that are not cleared, and those of them that run alone, by shard.",
@@ -62,7 +69,7 @@
 		Name: "bbr_organisation_millicores",
 		Help: "Processor capacity of an organisation in a shard: what its work uses, the share of its cap, and the whole cap.",
 	}, []string{"shard", "organisation", "amount"})
-	s.Registry.MustRegister(s.suspects, s.organisations, s.oldestWaits, s.callDurations, s.storeDurations)
+	s.Registry.MustRegister(s.connections, s.suspects, s.organisations, s.oldestWaits, s.callDurations, s.storeDurations)
 	return s
 }
 
@@ -101,6 +108,16 @@
 	s.refusals.WithLabelValues(strconv.Itoa(int(code)), code.String()).Inc()
 }
 
+// ClientClosed counts a client's connection that is closed because of a limit.
+func (s *Set) ClientClosed(listener, reason string) {
+	s.clientsClosed.WithLabelValues(listener, reason).Inc()
+}
+
+// SetConnections sets how many connections of clients a listener has.
+func (s *Set) SetConnections(listener string, count int) {
+	s.connections.WithLabelValues(listener).Set(float64(count))
+}
+
 // Retry counts a further attempt.
 func (s *Set) Retry(reason string) { s.retries.WithLabelValues(reason).Inc() }
 
--- a/internal/config/bbrsettings/parse.go
+++ b/internal/config/bbrsettings/parse.go
@@ -17,6 +17,9 @@
 	maxInProgress  = 100_000
 	maxBodyBytes   = 16 << 20
 	maxKeys        = 1_000_000
+	// minDescriptors leaves some for connections beside those reserved for files.
+	minDescriptors  = 400
+	minHeaderFields = 16
 )
 
 // checker collects errors with their positions in the file.
@@ -103,6 +106,12 @@
 	c.size(l.KeptAnswerBytes, 0, 1<<30, "limits.keptAnswerBytes")
 	c.require(l.CPUShare > 0 && l.CPUCores > 0, bbrcode.SettingsInvalid, "limits", "cpuShare and cpuCores must be above 0")
 	c.size(int64(l.MemoryMB), 0, 1<<20, "limits.memoryMB")
+	c.require(l.Descriptors == 0 || l.Descriptors >= minDescriptors && l.Descriptors <= 1<<20, bbrcode.SettingsInvalid,
+		"limits.descriptors", "%d is neither 0 nor from %d to %d", l.Descriptors, minDescriptors, 1<<20)
+	c.size(int64(l.Connections), 0, 1<<20, "limits.connections")
+	c.size(l.BytesInFlight, 0, 1<<40, "limits.bytesInFlight")
+	c.size(int64(l.HeaderFields), minHeaderFields, 10_000, "limits.headerFields")
+	c.size(l.MinTransferRate, 1, 1<<30, "limits.minTransferRate")
 }
 
 func (c *checker) size(value, minimum, maximum int64, path string) {
@@ -118,6 +127,7 @@
 	c.duration(s.Timing.ReadBody, time.Second, "timing.readBody")
 	c.duration(s.Timing.Write, time.Second, "timing.write")
 	c.duration(s.Timing.Idle, time.Second, "timing.idle")
+	c.duration(s.Timing.Stall, time.Second, "timing.stall")
 	c.duration(s.Shutdown.BalancerLag, 0, "shutdown.balancerLag")
 	c.duration(s.Shutdown.Grace, time.Second, "shutdown.grace")
 }
--- a/internal/config/bbrsettings/settings.go
+++ b/internal/config/bbrsettings/settings.go
@@ -114,6 +114,19 @@
 	KeptAnswerBytes int64 `yaml:"keptAnswerBytes"`
 	// MemoryMB is the memory that the process may use; 0 means no limit.
 	MemoryMB int `yaml:"memoryMB"`
+	// Descriptors is how many files and connections the process may have open; 0 means
+	// unknown.
+	Descriptors int `yaml:"descriptors"`
+	// Connections bounds the connections of callers, and BytesInFlight the bytes of
+	// requests that are held at once. If they are 0, they follow from the memory and the
+	// descriptors.
+	Connections   int   `yaml:"connections"`
+	BytesInFlight int64 `yaml:"bytesInFlight"`
+	// HeaderFields is the maximum number of header fields of a request.
+	HeaderFields int `yaml:"headerFields"`
+	// MinTransferRate is the rate, in bytes per second, below which the transfer of a
+	// body or of a response is given up.
+	MinTransferRate int64 `yaml:"minTransferRate"`
 	// CPUShare is the share of CPUCores that the process may use. Entries with more
 	// processor time take over services first.
 	CPUShare float64 `yaml:"cpuShare"`
@@ -134,6 +147,8 @@
 	ReadBody   time.Duration `yaml:"readBody"`
 	Write      time.Duration `yaml:"write"`
 	Idle       time.Duration `yaml:"idle"`
+	// Stall is the longest pause within a request's body.
+	Stall time.Duration `yaml:"stall"`
 }
 
 // Shutdown has the settings of a graceful shutdown.
@@ -155,6 +170,8 @@
 			InProgress:      2000,
 			Keys:            20_000,
 			KeptAnswerBytes: 8 << 20,
+			HeaderFields:    100,
+			MinTransferRate: 8 << 10,
 			CPUShare:        1,
 			CPUCores:        1,
 		},
@@ -166,6 +183,7 @@
 			ReadBody:     30 * time.Second,
 			Write:        time.Minute,
 			Idle:         time.Minute,
+			Stall:        10 * time.Second,
 		},
 		Shutdown: Shutdown{BalancerLag: 2 * time.Second, Grace: time.Minute},
 		Jobs: Jobs{
--- a/internal/daemon/bbrcore/plugin.go
+++ b/internal/daemon/bbrcore/plugin.go
@@ -15,6 +15,7 @@
 	"github.com/bluebellridge/bluebellridge/internal/config/bbrsettings"
 	"github.com/bluebellridge/bluebellridge/internal/daemon/bbrentry"
 	"github.com/bluebellridge/bluebellridge/internal/daemon/bbrkernel"
+	"github.com/bluebellridge/bluebellridge/internal/daemon/bbrlimit"
 	"github.com/bluebellridge/bluebellridge/internal/fleet/bbrwithdrawal"
 	"github.com/bluebellridge/bluebellridge/internal/peer/bbrlink"
 	"github.com/bluebellridge/bluebellridge/internal/platform/bbrlist"
@@ -27,6 +28,7 @@
 		Stage: bbrkernel.StageCore,
 		Option: fx.Provide(
 			bbrmetric.New,
+			bbrlimit.New,
 			newState,
 			newAdapter,
 			(*bbrstore.Adapter).Store,
--- a/internal/daemon/bbrlistener/listener.go
+++ b/internal/daemon/bbrlistener/listener.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"net"
 	"net/http"
 	"net/netip"
@@ -11,26 +12,32 @@
 	"k8s.io/klog/v2"
 
 	"github.com/bluebellridge/bluebellridge/internal/config/bbrsettings"
+	"github.com/bluebellridge/bluebellridge/internal/daemon/bbrlimit"
 )
 
 // Listener is an HTTP server.
 type Listener struct {
 	server http.Server
+	limits *bbrlimit.Limits
+	kind   bbrlimit.Kind
 	tls    bbrsettings.TLS
 	wg     sync.WaitGroup
 }
 
 // New returns a listener that is not started.
-func New(address netip.AddrPort, handler http.Handler, settings bbrsettings.Settings) *Listener {
+func New(kind bbrlimit.Kind, address netip.AddrPort, handler http.Handler, settings bbrsettings.Settings, limits *bbrlimit.Limits) *Listener {
 	return &Listener{
 		server: http.Server{
 			Addr:              address.String(),
-			Handler:           handler,
+			Handler:           limits.Handler(handler),
+			ConnContext:       bbrlimit.ConnContext,
 			ReadHeaderTimeout: settings.Timing.ReadHeader,
 			IdleTimeout:       settings.Timing.Idle,
 			MaxHeaderBytes:    settings.Limits.HeaderBytes,
 		},
-		tls: settings.Listen.TLS,
+		limits: limits,
+		kind:   kind,
+		tls:    settings.Listen.TLS,
 	}
 }
 
@@ -41,18 +48,22 @@
 	if err != nil {
 		return err
 	}
-	l.wg.Go(func() { l.run(listener) })
+	if l.tls.Certificate != "" {
+		certificate, err := tls.LoadX509KeyPair(l.tls.Certificate, l.tls.Key)
+		if err != nil {
+			_ = listener.Close()
+			return err
+		}
+		// The limits apply to what was decrypted. HTTP/2 is not offered, as it has many
+		// requests in progress on one connection.
+		listener = tls.NewListener(listener, &tls.Config{Certificates: []tls.Certificate{certificate}, NextProtos: []string{"http/1.1"}})
+	}
+	l.wg.Go(func() { l.run(l.limits.Listener(l.kind, listener)) })
 	return nil
 }
 
 func (l *Listener) run(listener net.Listener) {
-	var err error
-	if l.tls.Certificate == "" {
-		err = l.server.Serve(listener)
-	} else {
-		err = l.server.ServeTLS(listener, l.tls.Certificate, l.tls.Key)
-	}
-	if !errors.Is(err, http.ErrServerClosed) {
+	if err := l.server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 		klog.ErrorS(err, "Listener failed", "address", l.server.Addr)
 	}
 }
--- a/internal/daemon/bbrserve/daemon.go
+++ b/internal/daemon/bbrserve/daemon.go
@@ -18,6 +18,7 @@
 	"github.com/bluebellridge/bluebellridge/internal/base/bbrpause"
 	"github.com/bluebellridge/bluebellridge/internal/config/bbrfollow"
 	"github.com/bluebellridge/bluebellridge/internal/config/bbrsettings"
+	"github.com/bluebellridge/bluebellridge/internal/daemon/bbrlimit"
 	"github.com/bluebellridge/bluebellridge/internal/daemon/bbrlistener"
 	"github.com/bluebellridge/bluebellridge/internal/fleet/bbrclaim"
 	"github.com/bluebellridge/bluebellridge/internal/fleet/bbrdetector"
@@ -44,6 +45,7 @@
 // daemon contains the parts of an entry that runs jobs.
 type daemon struct {
 	settings  bbrsettings.Settings
+	limits    *bbrlimit.Limits
 	metrics   *bbrmetric.Set
 	store     *bbrkv.Store
 	config    *bbrfollow.Follower
@@ -67,7 +69,7 @@
 	ownerTasks, sessionTasks    sync.WaitGroup
 }
 
-func newDaemon(settings bbrsettings.Settings, metrics *bbrmetric.Set) *daemon {
+func newDaemon(settings bbrsettings.Settings, metrics *bbrmetric.Set, limits *bbrlimit.Limits) *daemon {
 	if settings.Limits.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(memoryLimitShare * float64(settings.Limits.MemoryMB) * (1 << 20)))
 	}
@@ -84,6 +86,7 @@
 	session.Store = store
 	d := &daemon{
 		settings:     settings,
+		limits:       limits,
 		metrics:      metrics,
 		store:        store,
 		config:       &bbrfollow.Follower{Store: store, Key: bbrwire.ConfigKey, Decode: bbrwire.DecodeConfig, MaxApplyDelay: settings.Jobs.MaxConfigApplyDelay},
@@ -108,6 +111,7 @@
 			NotifyOwner:    d.owners.notifyOwner,
 		},
 		Codec: bbrintake.Codec{
+			SubmissionBytes:  bbrwire.SubmissionBytes,
 			DecodeSubmission: bbrwire.DecodeSubmission,
 			ValidID:          bbrwire.ValidJobID,
 			Key:              bbrwire.CallerKey,
@@ -120,9 +124,9 @@
 		RequireKeys:  settings.Jobs.RequireKeys,
 	}
 	d.servers = []*bbrlistener.Listener{
-		bbrlistener.New(settings.Listen.Callers, d.handler.Router(), settings),
-		bbrlistener.New(settings.Listen.Readiness, http.HandlerFunc(d.serveReady), settings),
-		bbrlistener.New(settings.Listen.Metrics, promhttp.HandlerFor(metrics.Registry, promhttp.HandlerOpts{}), settings),
+		bbrlistener.New(bbrlimit.Callers, settings.Listen.Callers, d.handler.Router(), settings, limits),
+		bbrlistener.New(bbrlimit.Readiness, settings.Listen.Readiness, http.HandlerFunc(d.serveReady), settings, limits),
+		bbrlistener.New(bbrlimit.Metrics, settings.Listen.Metrics, promhttp.HandlerFor(metrics.Registry, promhttp.HandlerOpts{}), settings, limits),
 	}
 	if operators := d.operatorListener(); operators != nil {
 		d.servers = append(d.servers, operators)
@@ -207,7 +211,7 @@
 	d.sessionTasks.Go(func() { detector.Run(serveCtx) })
 	d.sessionTasks.Go(func() { handover.Run(serveCtx) })
 	d.sessionTasks.Go(func() {
-		err := server.Run(serveCtx, listener)
+		err := server.Run(serveCtx, d.limits.Listener(bbrlimit.Peers, listener))
 		klog.InfoS("Stopped answering queries of other entries", "address", d.settings.Listen.Peers, "reason", bbrlog.ErrorText(err))
 	})
 	return nil
--- a/internal/daemon/bbrserve/operators.go
+++ b/internal/daemon/bbrserve/operators.go
@@ -1,6 +1,7 @@
 package bbrserve
 
 import (
+	"github.com/bluebellridge/bluebellridge/internal/daemon/bbrlimit"
 	"github.com/bluebellridge/bluebellridge/internal/daemon/bbrlistener"
 	"github.com/bluebellridge/bluebellridge/internal/operator/bbradmin"
 	"github.com/bluebellridge/bluebellridge/internal/operator/bbrapi"
@@ -23,5 +24,5 @@
 		WavePrefix: bbrwire.WavePrefix,
 		DecodeWave: bbrwire.DecodeWave,
 	}
-	return bbrlistener.New(d.settings.Listen.Operators, bbrapi.CommandHandler(d.settings.Operators.Token, d.metrics, executor.Execute), d.settings)
+	return bbrlistener.New(bbrlimit.Operators, d.settings.Listen.Operators, bbrapi.CommandHandler(d.settings.Operators.Token, d.metrics, executor.Execute), d.settings, d.limits)
 }
--- a/internal/daemon/bbrserve/plugin.go
+++ b/internal/daemon/bbrserve/plugin.go
@@ -6,6 +6,7 @@
 	"github.com/bluebellridge/bluebellridge/internal/base/bbrmetric"
 	"github.com/bluebellridge/bluebellridge/internal/config/bbrsettings"
 	"github.com/bluebellridge/bluebellridge/internal/daemon/bbrkernel"
+	"github.com/bluebellridge/bluebellridge/internal/daemon/bbrlimit"
 )
 
 func init() {
@@ -13,7 +14,7 @@
 		Name:     "serve",
 		Stage:    bbrkernel.StageCore,
 		Protocol: bbrsettings.ProtocolFleet,
-		Option:   fx.Options(fx.Provide(bbrmetric.New, newDaemon), fx.Invoke(startStop)),
+		Option:   fx.Options(fx.Provide(bbrmetric.New, bbrlimit.New, newDaemon), fx.Invoke(startStop)),
 	})
 }
 
--- a/internal/job/bbrintake/handler.go
+++ b/internal/job/bbrintake/handler.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"context"
 	"encoding/json"
-	"io"
 	"math"
 	"net/http"
 	"strconv"
@@ -16,11 +15,16 @@
 
 	"github.com/bluebellridge/bluebellridge/internal/base/bbrcode"
 	"github.com/bluebellridge/bluebellridge/internal/base/bbrmetric"
+	"github.com/bluebellridge/bluebellridge/internal/daemon/bbrlimit"
 	"github.com/bluebellridge/bluebellridge/internal/job/bbrwork"
 )
 
 // Codec decodes the requests of callers and encodes the answers to them.
 type Codec struct {
+	// SubmissionBytes returns how many bytes a submitted job takes until it is stored, or
+	// an error if it has too many entries or levels. It allocates nothing for them. It is
+	// nil if that is not bounded.
+	SubmissionBytes func(body []byte) (int64, error)
 	// DecodeSubmission decodes a submitted job.
 	DecodeSubmission func(body []byte) (*bbrwork.Job, error)
 	ValidID          func(id string) bool
@@ -158,7 +162,7 @@
 	if code != 0 {
 		return reply{code: code}
 	}
-	job, err := h.Codec.DecodeSubmission(body)
+	job, err := h.decode(r, body)
 	if err != nil {
 		return reply{code: bbrcode.From(err, bbrcode.BadJob), detail: err.Error()}
 	}
@@ -166,15 +170,33 @@
 	return reply{code: h.Intake.Submit(job, r.queue, r.id, r.deadline, r.now)}
 }
 
+// decode decodes a job. What it takes until it is stored is charged first.
+func (h *Handler) decode(r *request, body []byte) (*bbrwork.Job, error) {
+	if h.Codec.SubmissionBytes != nil {
+		size, err := h.Codec.SubmissionBytes(body)
+		if err != nil {
+			return nil, err
+		}
+		if err := bbrlimit.Charge(r.Request, size); err != nil {
+			return nil, err
+		}
+	}
+	return h.Codec.DecodeSubmission(body)
+}
+
 // read returns the request's body; the code is 0 if that succeeds.
 func (h *Handler) read(r *request) ([]byte, bbrcode.Code) {
 	limit := h.MaxBodyBytes
 	if config := h.Intake.Config(); config.Limits.BodyBytes > 0 {
 		limit = int64(config.Limits.BodyBytes)
 	}
-	body, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
+	if r.ContentLength > limit {
+		return nil, bbrcode.BodyTooLarge
+	}
+	bbrlimit.SetDeadline(r.Request, r.deadline)
+	body, err := bbrlimit.ReadAll(r.Body, r.ContentLength, limit)
 	if err != nil {
-		return nil, bbrcode.BodyIncomplete
+		return nil, bbrcode.From(err, bbrcode.BodyIncomplete)
 	}
 	if int64(len(body)) > limit {
 		return nil, bbrcode.BodyTooLarge
--- a/internal/operator/bbrapi/plugin.go
+++ b/internal/operator/bbrapi/plugin.go
@@ -7,6 +7,7 @@
 	"github.com/bluebellridge/bluebellridge/internal/config/bbrsettings"
 	"github.com/bluebellridge/bluebellridge/internal/daemon/bbrentry"
 	"github.com/bluebellridge/bluebellridge/internal/daemon/bbrkernel"
+	"github.com/bluebellridge/bluebellridge/internal/daemon/bbrlimit"
 	"github.com/bluebellridge/bluebellridge/internal/daemon/bbrlistener"
 	"github.com/bluebellridge/bluebellridge/internal/fleet/bbrwithdrawal"
 	"github.com/bluebellridge/bluebellridge/internal/peer/bbrlink"
@@ -26,8 +27,8 @@
 	return &Executor{State: state, Store: store, Client: client, Withdrawer: withdrawer, Metrics: metrics}
 }
 
-func start(lifecycle fx.Lifecycle, settings bbrsettings.Settings, executor *Executor, server *bbrlink.Server) {
+func start(lifecycle fx.Lifecycle, settings bbrsettings.Settings, limits *bbrlimit.Limits, executor *Executor, server *bbrlink.Server) {
 	server.SetCommandHandler(executor.ExecuteLocal)
-	listener := bbrlistener.New(settings.Listen.Operators, executor.Handler(settings.Operators.Token), settings)
+	listener := bbrlistener.New(bbrlimit.Operators, settings.Listen.Operators, executor.Handler(settings.Operators.Token), settings, limits)
 	lifecycle.Append(fx.StartStopHook(listener.Start, listener.Stop))
 }
--- a/internal/peer/bbrinquiry/server.go
+++ b/internal/peer/bbrinquiry/server.go
@@ -8,8 +8,10 @@
 
 	"k8s.io/klog/v2"
 	"storj.io/drpc"
+	"storj.io/drpc/drpcmanager"
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcserver"
+	"storj.io/drpc/drpcwire"
 
 	"github.com/bluebellridge/bluebellridge/internal/base/bbrlog"
 	"github.com/bluebellridge/bluebellridge/internal/fleet/bbrdetector"
@@ -29,6 +31,10 @@
 	revokeMethod       = "/bbrinquiry.Entry/Revoke"
 )
 
+// maxMessageBytes is more than the largest query, which is the hint of a job of the largest
+// legal size.
+const maxMessageBytes = 2 << 20
+
 // StateFunc returns the state of a job of a shard that this entry owns; known is
 // false if the entry does not own the shard or does not know the job.
 type StateFunc func(shard bbrwork.Shard, job string) (state bbrwork.State, known bool)
@@ -63,7 +69,8 @@
 	if err := router.Register(s, rpcDescription{}); err != nil {
 		return err
 	}
-	return drpcserver.New(router).Serve(ctx, listener)
+	options := drpcserver.Options{Manager: drpcmanager.Options{Reader: drpcwire.ReaderOptions{MaximumBufferSize: maxMessageBytes}}}
+	return drpcserver.NewWithOptions(router, options).Serve(ctx, listener)
 }
 
 // State answers a query for the state of a job.
--- a/internal/peer/bbrlink/plugin.go
+++ b/internal/peer/bbrlink/plugin.go
@@ -13,6 +13,7 @@
 	"github.com/bluebellridge/bluebellridge/internal/config/bbrsettings"
 	"github.com/bluebellridge/bluebellridge/internal/daemon/bbrentry"
 	"github.com/bluebellridge/bluebellridge/internal/daemon/bbrkernel"
+	"github.com/bluebellridge/bluebellridge/internal/daemon/bbrlimit"
 )
 
 func init() {
@@ -21,8 +22,8 @@
 		Stage: bbrkernel.StagePeer,
 		Option: fx.Options(
 			fx.Provide(newServer),
-			fx.Invoke(func(lifecycle fx.Lifecycle, settings bbrsettings.Settings, metrics *bbrmetric.Set, server *Server) {
-				l := &peerListener{server: server, settings: settings, meter: bbrtraffic.New(metrics, bbrtraffic.Peer)}
+			fx.Invoke(func(lifecycle fx.Lifecycle, settings bbrsettings.Settings, metrics *bbrmetric.Set, limits *bbrlimit.Limits, server *Server) {
+				l := &peerListener{server: server, settings: settings, limits: limits, meter: bbrtraffic.New(metrics, bbrtraffic.Peer)}
 				lifecycle.Append(fx.StartStopHook(l.start, l.stop))
 			}),
 		),
@@ -37,6 +38,7 @@
 type peerListener struct {
 	server   *Server
 	settings bbrsettings.Settings
+	limits   *bbrlimit.Limits
 	meter    *bbrtraffic.Meter
 	cancel   context.CancelFunc
 	wg       sync.WaitGroup
@@ -50,7 +52,7 @@
 	}
 	runCtx, cancel := context.WithCancel(context.Background())
 	l.cancel = cancel
-	l.wg.Go(func() { l.run(runCtx, l.meter.WrapListener(listener)) })
+	l.wg.Go(func() { l.run(runCtx, l.limits.Listener(bbrlimit.Peers, l.meter.WrapListener(listener))) })
 	return nil
 }
 
--- a/internal/request/bbrgateway/plugin.go
+++ b/internal/request/bbrgateway/plugin.go
@@ -13,6 +13,7 @@
 	"github.com/bluebellridge/bluebellridge/internal/config/bbrsettings"
 	"github.com/bluebellridge/bluebellridge/internal/daemon/bbrentry"
 	"github.com/bluebellridge/bluebellridge/internal/daemon/bbrkernel"
+	"github.com/bluebellridge/bluebellridge/internal/daemon/bbrlimit"
 	"github.com/bluebellridge/bluebellridge/internal/daemon/bbrlistener"
 	"github.com/bluebellridge/bluebellridge/internal/peer/bbrlink"
 	"github.com/bluebellridge/bluebellridge/internal/platform/bbrstore"
@@ -58,9 +59,9 @@
 	return g
 }
 
-func start(lifecycle fx.Lifecycle, settings bbrsettings.Settings, gateway *Gateway, server *bbrlink.Server) {
+func start(lifecycle fx.Lifecycle, settings bbrsettings.Settings, limits *bbrlimit.Limits, gateway *Gateway, server *bbrlink.Server) {
 	server.SetForwardHandler(gateway.ServeForwarded)
-	listener := bbrlistener.New(settings.Listen.Callers, gateway.Handler(), settings)
+	listener := bbrlistener.New(bbrlimit.Callers, settings.Listen.Callers, gateway.Handler(), settings, limits)
 	lifecycle.Append(fx.StartStopHook(listener.Start, func(ctx context.Context) error {
 		return gateway.shutDown(ctx, settings.Shutdown, listener)
 	}))
--- a/internal/request/bbrjob/job.go
+++ b/internal/request/bbrjob/job.go
@@ -1,7 +1,6 @@
 package bbrjob
 
 import (
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -11,6 +10,7 @@
 
 	"github.com/bluebellridge/bluebellridge/internal/base/bbrcode"
 	"github.com/bluebellridge/bluebellridge/internal/config/bbrrevision"
+	"github.com/bluebellridge/bluebellridge/internal/daemon/bbrlimit"
 )
 
 // Header fields of requests.
@@ -106,13 +106,15 @@
 	if r.ContentLength > maxBody {
 		return nil, bbrcode.Errorf(bbrcode.BodyTooLarge, "body", "the body has %d bytes; at most %d are accepted", r.ContentLength, maxBody)
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(nil, r.Body, maxBody))
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return nil, bbrcode.Errorf(bbrcode.BodyTooLarge, "body", "at most %d bytes are accepted", maxBody)
-	}
-	if err != nil {
+	body, err := bbrlimit.ReadAll(r.Body, r.ContentLength, maxBody)
+	var coded *bbrcode.Error
+	switch {
+	case errors.As(err, &coded):
+		return nil, err
+	case err != nil:
 		return nil, bbrcode.Errorf(bbrcode.BodyIncomplete, "body", "%v", err)
+	case int64(len(body)) > maxBody:
+		return nil, bbrcode.Errorf(bbrcode.BodyTooLarge, "body", "at most %d bytes are accepted", maxBody)
 	}
 	return body, nil
 }
