--- a/internal/base/bbrcode/code.go
+++ b/internal/base/bbrcode/code.go
@@ -49,6 +49,8 @@
 	KeyUnknown        Code = 2027
 	ForeignJob        Code = 2028
 	BeyondShare       Code = 2029
+	TooManyBytes      Code = 2030
+	HeaderTooLarge    Code = 2031
 )
 
 // Codes of jobs.
@@ -159,6 +161,8 @@
 	KeyUnknown:       {Name: "keyUnknown", Status: 401, Text: "The key belongs to no organisation."},
 	ForeignJob:       {Name: "foreignJob", Status: 403, Text: "The job belongs to another organisation."},
 	BeyondShare:      {Name: "beyondShare", Status: 429, RetryAfter: retrySoon, Text: "The organisation's earlier jobs need its fair share for so long that the job would complete too late; nothing was stored. Retry-After says when they will be done."},
+	TooManyBytes:     {Name: "tooManyBytes", Status: 503, RetryAfter: retrySoon, Text: "This entry holds as many bytes of requests as its memory allows."},
+	HeaderTooLarge:   {Name: "headerTooLarge", Status: 431, Text: "The request has too many header fields."},
 
 	Accepted:      {Name: "accepted", Outcome: OutcomeUnknown, Status: 200, Text: "The job is stored and will run."},
 	AlreadyStored: {Name: "alreadyStored", Outcome: OutcomeUnknown, Status: 200, Text: "The job was already stored."},
--- a/internal/base/bbrmetric/set.go
+++ b/internal/base/bbrmetric/set.go
@@ -38,6 +38,8 @@
 	separations     *prometheus.CounterVec
 	interfering     *prometheus.GaugeVec
 	shares          *prometheus.GaugeVec
+	clientsClosed   *prometheus.CounterVec
+	connections     *prometheus.GaugeVec
 }
 
 // New returns a set that is registered with a new registry.
@@ -61,6 +63,8 @@
 	s.reservations = s.newGauge("bbr_reservations", "Reservations of capacity for wide or urgent work, and the upstreams that they hold, by shard.", "shard", "amount")
 	s.separations = s.newCounter("bbr_separations_total", "Starts of work units whose image interferes with another one: on an upstream without the other one, or beside it.", "result")
 	s.interfering = s.newGauge("bbr_interfering_pairs", "Pairs of images that were found to slow each other down, by shard.", "shard")
+	s.clientsClosed = s.newCounter("bbr_client_closes_total", "Connections of clients that are closed because of a limit, by listener and reason.", "listener", "reason")
+	s.connections = s.newGauge("bbr_client_connections", "Open connections of clients by listener.", "listener")
 	s.suspects = prometheus.NewGaugeVec(prometheus.GaugeOpts{
 		Name: "bbr_crash_suspects",
 		Help: "Work units under which upstreams crashed and that are not cleared, and those of them that run alone, by shard.",
@@ -148,6 +152,16 @@
 	s.refusals.WithLabelValues(strconv.Itoa(int(code)), code.String()).Inc()
 }
 
+// ClientClosed counts a client's connection that is closed because of a limit.
+func (s *Set) ClientClosed(listener, reason string) {
+	s.clientsClosed.WithLabelValues(listener, reason).Inc()
+}
+
+// SetConnections sets how many connections of clients a listener has.
+func (s *Set) SetConnections(listener string, count int) {
+	s.connections.WithLabelValues(listener).Set(float64(count))
+}
+
 // Retry counts a further attempt.
 func (s *Set) Retry(reason string) { s.retries.WithLabelValues(reason).Inc() }
 
--- a/internal/daemon/bbrserve/rooms_test.go
+++ b/internal/daemon/bbrserve/rooms_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/bluebellridge/bluebellridge/internal/base/bbrmetric"
 	"github.com/bluebellridge/bluebellridge/internal/config/bbrsettings"
+	"github.com/bluebellridge/bluebellridge/internal/daemon/bbrlimit"
 	"github.com/bluebellridge/bluebellridge/internal/fleet/bbrcell"
 	"github.com/bluebellridge/bluebellridge/internal/fleet/bbrclaim"
 	"github.com/bluebellridge/bluebellridge/internal/job/bbrwork"
@@ -25,11 +26,16 @@
 	return settings
 }
 
+func newTestDaemon(settings bbrsettings.Settings) *daemon {
+	metrics := bbrmetric.New()
+	return newDaemon(settings, metrics, bbrlimit.New(settings, metrics))
+}
+
 // TestBalanceByCapacityIsOffByDefault guards against parts of the setting that act without
 // it: an entry must choose cells, register, rank and keep claims as before.
 func TestBalanceByCapacityIsOffByDefault(t *testing.T) {
 	require.False(t, bbrsettings.Default().Jobs.BalanceByCapacity)
-	d := newDaemon(balanceSettings(false), bbrmetric.New())
+	d := newTestDaemon(balanceSettings(false))
 	require.Nil(t, d.handler.Intake.ChooseCell)
 	require.Nil(t, d.queries.Rooms)
 	require.Nil(t, d.claimer.Relief)
@@ -40,7 +46,7 @@
 // TestCellsAreChosenByLearnedRoom checks the parts together: rooms from other entries change
 // the choice of the intake, and are passed on.
 func TestCellsAreChosenByLearnedRoom(t *testing.T) {
-	d := newDaemon(balanceSettings(true), bbrmetric.New())
+	d := newTestDaemon(balanceSettings(true))
 	require.NotNil(t, d.claimer.Relief)
 	require.True(t, d.directory.UseBandwidth)
 	require.Equal(t, 50, d.session.BandwidthMbps)
