--- a/internal/soak/bbrsoak/entry.go
+++ b/internal/soak/bbrsoak/entry.go
@@ -51,9 +51,16 @@
 	e.callerAddress, e.readinessAddress = addresses[0], addresses[1]
 	text := fmt.Sprintf("entry: %s\nzone: a\nlisten: {callers: %q, readiness: %q, metrics: %q, peers: %q}\nplatform: {protocol: fleet, address: %q, machines: %q}\nshutdown: {balancerLag: 300ms, grace: 2s}\n",
 		name, addresses[0], addresses[1], addresses[2], addresses[3], relayAddress, relayAddress)
+	if s.optionalParts() {
+		text += "jobs: {fairShares: true, separateInterfering: true, reservations: true, balanceByCapacity: true}\n"
+	}
 	return e, os.WriteFile(e.settingsPath, []byte(text), 0o644)
 }
 
+// optionalParts reports whether the entries run the parts that are off by default: with
+// every odd seed, unless an earlier build, which does not know their settings, takes part.
+func (s *Soak) optionalParts() bool { return s.Seed%2 == 1 && s.OlderDaemonPath == "" }
+
 // start starts the process.
 func (e *entry) start() error {
 	log, err := e.soak.openLog(e.name)
--- a/internal/soak/bbrsoak/job.go
+++ b/internal/soak/bbrsoak/job.go
@@ -59,6 +59,8 @@
 	LongRunning    bool  `json:"long_running,omitempty"`
 	MaxUnavailable int   `json:"may_miss,omitempty"`
 	DependsOn      []int `json:"after,omitempty"`
+	// Image names what the work units run; it stands for their kind of job.
+	Image string `json:"image,omitempty"`
 }
 
 // newJob returns a new job without steps.
@@ -71,7 +73,7 @@
 func (c *caller) newLongRunningJob() *submittedJob {
 	job := c.newJob()
 	job.duration, job.longRunning = longRunningDuration, true
-	job.addStep(step{Count: longRunningUnits, MilliCPU: 100 + c.random.IntN(500), MemoryMB: 1000 + c.random.IntN(5000), LongRunning: true, MaxUnavailable: 1})
+	job.addStep(step{Count: longRunningUnits, MilliCPU: 100 + c.random.IntN(500), MemoryMB: 1000 + c.random.IntN(5000), LongRunning: true, MaxUnavailable: 1, Image: "longRunning"})
 	return job
 }
 
@@ -79,7 +81,7 @@
 func (c *caller) newLargeJob() *submittedJob {
 	random := c.random
 	job := c.newJob()
-	large := step{Count: 1 + random.IntN(2), MilliCPU: 500, MemoryMB: 100}
+	large := step{Count: 1 + random.IntN(2), MilliCPU: 500, MemoryMB: 100, Image: "large"}
 	if share := minLargePercent + random.IntN(maxLargePercent-minLargePercent); random.IntN(4) > 0 {
 		large.MemoryMB = bbrfleet.CapacityMB * share / 100
 	} else {
@@ -93,7 +95,7 @@
 func (c *caller) newCrashingJob() *submittedJob {
 	job := c.newJob()
 	job.crashing = true
-	job.addStep(step{Count: 1, MilliCPU: smallMilliCPU, MemoryMB: 100})
+	job.addStep(step{Count: 1, MilliCPU: smallMilliCPU, MemoryMB: 100, Image: "small"})
 	return job
 }
 
@@ -102,7 +104,7 @@
 	random := c.random
 	job := c.newJob()
 	for range 1 + random.IntN(2) {
-		job.addStep(step{Count: 1 + random.IntN(3), MilliCPU: smallMilliCPU, MemoryMB: 100})
+		job.addStep(step{Count: 1 + random.IntN(3), MilliCPU: smallMilliCPU, MemoryMB: 100, Image: "small"})
 	}
 	return job
 }
