--- a/internal/config/bbrsettings/parse.go
+++ b/internal/config/bbrsettings/parse.go
@@ -94,6 +94,7 @@
 
 func (c *checker) jobs(j Jobs) {
 	c.duration(j.RunLease, time.Second, "jobs.hold")
+	c.require(j.FairShares || !j.RefuseBeyondShare, bbrcode.SettingsInvalid, "jobs.refuseBeyondShare", "needs jobs.fairShares")
 	c.duration(j.RecoveryTime, time.Millisecond, "jobs.notice")
 	c.duration(j.EndedJobRetention, time.Second, "jobs.keepEnded")
 	c.duration(j.LeadershipLease, 0, "jobs.dutyLease")
--- a/internal/config/bbrsettings/settings.go
+++ b/internal/config/bbrsettings/settings.go
@@ -70,6 +70,9 @@
 	// FairShares makes organisations share the capacity of a shard by their weights
 	// while it is short.
 	FairShares bool `yaml:"fairShares"`
+	// RefuseBeyondShare refuses jobs of an organisation whose backlog is too long for its
+	// fair share. It needs FairShares.
+	RefuseBeyondShare bool `yaml:"refuseBeyondShare"`
 }
 
 // Listen has the addresses that the process listens on. They are also the
--- a/internal/daemon/bbrserve/daemon.go
+++ b/internal/daemon/bbrserve/daemon.go
@@ -128,7 +128,7 @@
 	if settings.Jobs.BalanceByCapacity {
 		d.balanceByCapacity()
 	}
-	if settings.Jobs.FairShares {
+	if settings.Jobs.RefuseBeyondShare {
 		d.handler.Intake.ExpectedWait = d.owners.expectedWait
 	}
 	d.servers = []*bbrlistener.Listener{
--- a/internal/daemon/bbrserve/hints.go
+++ b/internal/daemon/bbrserve/hints.go
@@ -54,7 +54,7 @@
 // recordWaits records what the owner that accepted the hint expects for new jobs, as of
 // the time at which the hint was sent.
 func (o *owners) recordWaits(hint bbrowner.Hint, answer bbrinquiry.HintResponse, sent time.Time) {
-	if o.daemon.settings.Jobs.FairShares {
+	if o.daemon.settings.Jobs.RefuseBeyondShare {
 		o.waits.Record(hint.Job.Shard(), hint.Token, answer.Waits, sent)
 	}
 }
--- a/internal/daemon/bbrserve/hints_test.go
+++ b/internal/daemon/bbrserve/hints_test.go
@@ -21,7 +21,7 @@
 	for _, enabled := range []bool{true, false} {
 		shard, now := bbrwork.Shard{Service: "press"}, time.Now()
 		directory := &bbrclaim.Directory{}
-		owners := &owners{daemon: &daemon{directory: directory, settings: bbrsettings.Settings{Jobs: bbrsettings.Jobs{FairShares: enabled}}}}
+		owners := &owners{daemon: &daemon{directory: directory, settings: bbrsettings.Settings{Jobs: bbrsettings.Jobs{RefuseBeyondShare: enabled}}}}
 		known := func() bool {
 			_, known := owners.expectedWait(shard, "press", "proofs", now)
 			return known
--- a/internal/job/bbrscheduler/fairshare.go
+++ b/internal/job/bbrscheduler/fairshare.go
@@ -205,39 +205,23 @@
 type shareRank int
 
 const (
-	// rankFarWithin is the rank of work of organisations that use less than half of their
-	// share, and of jobs that began within the share.
-	rankFarWithin shareRank = iota
 	// rankWithin is also the rank of work that is not subject to shares, and of all work
 	// while the capacity suffices.
-	rankWithin
+	rankWithin shareRank = iota
 	rankBeyond
 )
 
-// farWithin is the part of the share up to which an organisation is far within it. One whose
-// backlog keeps it at its share has earlier objectives than one whose job has just arrived;
-// in one rank, all of them would wait until they are nearly late.
-const farWithin = 0.5
-
 // rankInShare returns the rank of the candidate's work by what its organisation uses now.
-// Work of a job that began within the share stays first: to finish such a job serves more
-// callers than to begin another.
+// Work of a job that began within the share stays within it: to finish such a job serves
+// more callers than to begin another.
 func (p *planner) rankInShare(c candidate) shareRank {
-	switch {
-	case c.member == nil || p.sched.fair.capacity == bbrwork.Resources{}:
+	if c.member == nil || c.step.job.begunInShare || p.sched.fair.capacity == (bbrwork.Resources{}) {
 		return rankWithin
-	case c.step.job.begunInShare:
-		return rankFarWithin
 	}
-	used := bbrfairshare.Dominant(c.member.use.Counted(p.now), p.sched.fair.capacity)
-	switch {
-	case c.member.share.Beyond(used):
+	if c.member.share.Beyond(bbrfairshare.Dominant(c.member.use.Counted(p.now), p.sched.fair.capacity)) {
 		return rankBeyond
-	case c.member.share.Beyond(used / farWithin):
-		return rankWithin
-	default:
-		return rankFarWithin
 	}
+	return rankWithin
 }
 
 // OrganisationShare is an organisation's share of the shard, as parts of the capacity
