job/bbrreservation: forecasts do not depend on the order of the runs

Ends at the same time on the same upstream were in the order of a map, so that the same state could lead to different places. They are ordered by what they free as well.

--- a/internal/job/bbrreservation/forecast.go
+++ b/internal/job/bbrreservation/forecast.go
@@ -47,10 +47,17 @@
 // NewForecast returns the forecast for upstreams with the given free capacity on which
 // runs are expected to end. It sorts ends.
 func NewForecast(now time.Time, free []bbrwork.Resources, ends []End) *Forecast {
-	slices.SortFunc(ends, func(a, b End) int { return cmp.Or(a.At.Compare(b.At), cmp.Compare(a.Upstream, b.Upstream)) })
+	slices.SortFunc(ends, compareEnds)
 	return &Forecast{now: now, free: free, ends: ends}
 }
 
+// compareEnds orders ends by time. Ends that differ are never equal, so that the places do
+// not depend on the order in which the runs are listed.
+func compareEnds(a, b End) int {
+	return cmp.Or(a.At.Compare(b.At), cmp.Compare(a.Upstream, b.Upstream), cmp.Compare(a.Freed.MilliCPU, b.Freed.MilliCPU),
+		cmp.Compare(a.Freed.MemoryMB, b.Freed.MemoryMB), cmp.Compare(a.Freed.Accelerators, b.Freed.Accelerators))
+}
+
 // Place is where work units of a need will fit.
 type Place struct {
 	// Upstream is the upstream's index in the forecast.
