job/bbrintake: what would become of a submission, without storing it

Preview uses the functions that decide about submissions and about cells; they were split where they also stored or counted. The decisions are unchanged.

--- a/internal/fleet/bbrcell/cells.go
+++ b/internal/fleet/bbrcell/cells.go
@@ -69,6 +69,15 @@
 	return cell
 }
 
+// PreviewForJob returns the cell that ChooseForJob does, and why it is that one.
+func (c *Cells) PreviewForJob(job *bbrwork.Job, homeCell int) (int, Reason) {
+	cell, _, reason := c.choose(job, homeCell)
+	if reason == ReasonEvenRoom {
+		reason = ReasonID
+	}
+	return cell, reason
+}
+
 // choose returns the cell for a new job and why it is that one. If the job's ID selects the
 // cell, it also returns the cells from which that was selected.
 func (c *Cells) choose(job *bbrwork.Job, homeCell int) (cell int, candidates []int, reason Reason) {
--- a/internal/fleet/bbrcell/room.go
+++ b/internal/fleet/bbrcell/room.go
@@ -46,6 +46,8 @@
 	ReasonManyUpstreams Reason = "manyUpstreams"
 	// ReasonData: the cell has the job's data.
 	ReasonData Reason = "data"
+	// ReasonID: the job's ID selects the cell, as the entry does not balance by room.
+	ReasonID Reason = "jobID"
 	// ReasonUnknownRoom: the job's ID selects the cell, as the room of fewer than two cells
 	// is known.
 	ReasonUnknownRoom Reason = "unknownRoom"
--- a/internal/fleet/bbrcell/roomdirectory.go
+++ b/internal/fleet/bbrcell/roomdirectory.go
@@ -65,25 +65,52 @@
 func (d *RoomDirectory) Choose(cells *Cells, job *bbrwork.Job, homeCell int, now time.Time) (int, Reason) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	choice := d.choose(cells, job, homeCell, now)
+	if service := d.services[job.Service]; service != nil && choice.balanced != service.balanced {
+		service.balanced = choice.balanced
+		klog.InfoS("Balancing of jobs by room changed", "service", job.Service, "balanced", choice.balanced, "imbalance", choice.imbalance, "known", choice.known, "cells", cells.Count())
+	}
+	return choice.cell, choice.reason
+}
+
+// Preview returns what Choose would, and changes nothing.
+func (d *RoomDirectory) Preview(cells *Cells, job *bbrwork.Job, homeCell int, now time.Time) (int, Reason) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	choice := d.choose(cells, job, homeCell, now)
+	return choice.cell, choice.reason
+}
+
+// choice is the choice of a cell, and whether the jobs of the service are balanced by room
+// with it.
+type choice struct {
+	cell      int
+	reason    Reason
+	balanced  bool
+	imbalance float64
+	// known is the number of cells whose room is known.
+	known int
+}
+
+// choose chooses the cell for a new job. The caller holds the lock.
+func (d *RoomDirectory) choose(cells *Cells, job *bbrwork.Job, homeCell int, now time.Time) choice {
 	rooms := d.fresh(job.Service, now)
 	if len(rooms) < minKnownRooms {
 		cell, _, reason := cells.choose(job, homeCell)
 		if reason == ReasonEvenRoom {
 			reason = ReasonUnknownRoom
 		}
-		return cell, reason
+		service := d.services[job.Service]
+		return choice{cell: cell, reason: reason, balanced: service != nil && service.balanced, known: len(rooms)}
 	}
-	service := d.services[job.Service]
-	balanced, imbalance := cells.Balance(service.balanced, rooms)
-	if balanced != service.balanced {
-		service.balanced = balanced
-		klog.InfoS("Balancing of jobs by room changed", "service", job.Service, "balanced", balanced, "imbalance", imbalance, "known", len(rooms), "cells", cells.Count())
-	}
-	if !balanced {
-		cell, _, reason := cells.choose(job, homeCell)
-		return cell, reason
+	made := choice{known: len(rooms)}
+	made.balanced, made.imbalance = cells.Balance(d.services[job.Service].balanced, rooms)
+	if made.balanced {
+		made.cell, made.reason = cells.ChooseByRoom(job, homeCell, rooms)
+	} else {
+		made.cell, _, made.reason = cells.choose(job, homeCell)
 	}
-	return cells.ChooseByRoom(job, homeCell, rooms)
+	return made
 }
 
 // service returns the rooms of a service, which it adds if there are none. The caller holds
--- a/internal/job/bbrintake/acceptor.go
+++ b/internal/job/bbrintake/acceptor.go
@@ -58,13 +58,13 @@
 // Accept stores the job. It returns the code of the answer and, if known, the revision
 // at which the job was stored, otherwise 0. The caller's timeout ends at deadline.
 func (a *Acceptor) Accept(job *bbrwork.Job, deadline time.Time) (bbrcode.Code, bbrkv.Revision) {
-	record, err := bbrrecord.EncodeJob(job)
-	if err != nil {
-		klog.InfoS("Refusing a job that cannot be encoded", "job", job.ID, "reason", err.Error())
+	record, err := a.encode(job)
+	switch {
+	case errors.Is(err, errRecordTooLarge):
+		klog.InfoS("Refusing a job that exceeds the store's largest value", "job", job.ID, "bytes", len(record), "limit", a.Store.MaxValueBytes)
 		return bbrcode.BadJob, 0
-	}
-	if limit := a.Store.MaxValueBytes; limit > 0 && len(record) > limit {
-		klog.InfoS("Refusing a job that exceeds the store's largest value", "job", job.ID, "bytes", len(record), "limit", limit)
+	case err != nil:
+		klog.InfoS("Refusing a job that cannot be encoded", "job", job.ID, "reason", err.Error())
 		return bbrcode.BadJob, 0
 	}
 	s := &submission{job: job, record: record, deadline: deadline, result: make(chan bbrcode.Code, 1)}
@@ -77,6 +77,24 @@
 	return code, s.stored
 }
 
+var errRecordTooLarge = errors.New("the job's record exceeds the store's largest value")
+
+// encode returns the job's value in the store. The error is errRecordTooLarge if the store
+// does not take a value of that size.
+func (a *Acceptor) encode(job *bbrwork.Job) ([]byte, error) {
+	record, err := bbrrecord.EncodeJob(job)
+	if err != nil {
+		return nil, err
+	}
+	if limit := a.Store.MaxValueBytes; limit > 0 && len(record) > limit {
+		return record, errRecordTooLarge
+	}
+	return record, nil
+}
+
+// full reports whether a job would be refused, as too many wait to be stored.
+func (a *Acceptor) full() bool { return len(a.waiting) == cap(a.waiting) }
+
 // Run stores jobs until ctx ends.
 func (a *Acceptor) Run(ctx context.Context) {
 	slots := make(chan struct{}, maxTransactionsInFlight)
@@ -238,7 +256,12 @@
 		klog.ErrorS(err, "Failed to decode the status of a stored job", "key", item.Key, "revision", item.Revision)
 		return bbrcode.AlreadyStored
 	}
-	if belongsToOther(status.Organisation, s.job.Organisation) {
+	return storedCode(status, s.job)
+}
+
+// storedCode returns the code for a job whose ID is stored already.
+func storedCode(status bbrrecord.Status, job *bbrwork.Job) bbrcode.Code {
+	if belongsToOther(status.Organisation, job.Organisation) {
 		return bbrcode.ForeignJob
 	}
 	return bbrcode.AlreadyStored
--- a/internal/job/bbrintake/handler.go
+++ b/internal/job/bbrintake/handler.go
@@ -130,10 +130,15 @@
 	return serve(r)
 }
 
+// needsKey reports whether callers of the queue have to authenticate.
+func (h *Handler) needsKey(queue *bbrwork.Queue, config *bbrwork.Config) bool {
+	return !queue.Public && (config.Organisations != nil || h.RequireKeys)
+}
+
 // authenticate finds the caller's organisation by its key. It returns the code of the
 // refusal, or 0 if the caller may use the queue.
 func (h *Handler) authenticate(r *request, config *bbrwork.Config) bbrcode.Code {
-	if r.queue.Public || config.Organisations == nil && !h.RequireKeys {
+	if !h.needsKey(r.queue, config) {
 		return 0
 	}
 	key := h.Codec.Key(r.Header)
@@ -168,10 +173,7 @@
 
 // read returns the request's body; the code is 0 if that succeeds.
 func (h *Handler) read(r *request) ([]byte, bbrcode.Code) {
-	limit := h.MaxBodyBytes
-	if config := h.Intake.Config(); config.Limits.BodyBytes > 0 {
-		limit = int64(config.Limits.BodyBytes)
-	}
+	limit := h.bodyLimit(h.Intake.Config())
 	body, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
 	if err != nil {
 		return nil, bbrcode.BodyIncomplete
@@ -182,6 +184,14 @@
 	return body, 0
 }
 
+// bodyLimit returns the size of the largest body that is accepted, in bytes.
+func (h *Handler) bodyLimit(config *bbrwork.Config) int64 {
+	if config.Limits.BodyBytes > 0 {
+		return int64(config.Limits.BodyBytes)
+	}
+	return h.MaxBodyBytes
+}
+
 // query returns the state of a job or, for a path without an ID, how many jobs of the
 // queue are waiting.
 func (h *Handler) query(r *request) reply {
--- a/internal/job/bbrintake/intake.go
+++ b/internal/job/bbrintake/intake.go
@@ -25,6 +25,9 @@
 	// ChooseCell returns the cell for a new job of a service whose home cell is homeCell,
 	// modulo the number of cells; nil for the choice by bbrcell.Cells alone.
 	ChooseCell func(cells *bbrcell.Cells, job *bbrwork.Job, homeCell int, now time.Time) int
+	// PreviewCell returns the cell that ChooseCell would, and why, without counting the
+	// choice; nil if ChooseCell is.
+	PreviewCell func(cells *bbrcell.Cells, job *bbrwork.Job, homeCell int, now time.Time) (int, bbrcell.Reason)
 	// Jobs caches the shards and the organisations of jobs.
 	Jobs JobCache
 	// QueryOwner queries the owner of the shard for the state of a job. It returns false
@@ -48,8 +51,7 @@
 	if !i.StoreAvailable(now) {
 		return bbrcode.StoreUnavailable
 	}
-	job.ID, job.Queue, job.Service, job.Accepted = id, queue.Name, queue.Service, now.Round(0)
-	job.Policy = queue.Policy()
+	assign(job, queue, id, now)
 	job.Cell = i.chooseCell(job, now)
 	code, stored := i.Acceptor.Accept(job, deadline)
 	if stored == 0 {
@@ -62,6 +64,12 @@
 	return code
 }
 
+// assign sets what a job gets from its queue and its acceptance, except its cell.
+func assign(job *bbrwork.Job, queue *bbrwork.Queue, id string, now time.Time) {
+	job.ID, job.Queue, job.Service, job.Accepted = id, queue.Name, queue.Service, now.Round(0)
+	job.Policy = queue.Policy()
+}
+
 // chooseCell returns the cell for a new job.
 func (i *Intake) chooseCell(job *bbrwork.Job, now time.Time) int {
 	cells, homeCell := i.Cells(), i.Config().ServiceIndex(job.Service)
--- a/internal/job/bbrowner/state.go
+++ b/internal/job/bbrowner/state.go
@@ -18,6 +18,17 @@
 	return o.scheduler.Explain(id, o.Confirmed(now), now)
 }
 
+// Place returns where a job that is not stored would start now. It returns false if the
+// shard cannot run it or nothing is loaded yet.
+func (o *Owner) Place(job *bbrwork.Job, now time.Time) (bbrscheduler.Placement, bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.scheduler == nil {
+		return bbrscheduler.Placement{}, false
+	}
+	return o.scheduler.Place(job, o.Confirmed(now), now)
+}
+
 // State returns the state of a job for callers, and whether it is known. While the
 // claim is not confirmed, another owner may have continued the job, so that only a
 // final state counts as known.
--- a/internal/job/bbrowner/state_test.go
+++ b/internal/job/bbrowner/state_test.go
@@ -37,3 +37,18 @@
 	require.True(t, known)
 	require.Equal(t, bbrwork.Pending, state)
 }
+
+// TestPlaceBeforeLoading checks that an owner that has not loaded its shard gives no answer,
+// and that one whose claim is not confirmed says that nothing would start.
+func TestPlaceBeforeLoading(t *testing.T) {
+	now := time.Unix(1000, 0)
+	o := &Owner{Confirmed: func(time.Time) bool { return false }}
+	job := &bbrwork.Job{ID: "a", Service: "press", Steps: []bbrwork.Step{{Count: 1}}}
+	_, known := o.Place(job, now)
+	require.False(t, known)
+	o.scheduler = bbrscheduler.New(bbrwork.Shard{Service: "press"}, 7, bbrscheduler.Timing{}, true, now)
+	placement, known := o.Place(job, now)
+	require.True(t, known)
+	require.Equal(t, bbrscheduler.ReasonClaimUnconfirmed, placement.Steps[0].Reason)
+	require.Zero(t, o.scheduler.JobCount())
+}
