--- a/internal/peer/bbrinquiry/server.go
+++ b/internal/peer/bbrinquiry/server.go
@@ -49,6 +49,7 @@
 type Server struct {
 	JobState       StateFunc
 	JobExplanation ExplainFunc
+	JobPlacement   PlaceFunc
 	AcceptHint     HintFunc
 	PingEntry      PingFunc
 	// Rooms is nil if the entry takes no part in the exchange of rooms.
@@ -119,7 +120,7 @@
 type rpcDescription struct{}
 
 // NumMethods implements drpc.Description.
-func (rpcDescription) NumMethods() int { return 7 }
+func (rpcDescription) NumMethods() int { return 8 }
 
 // Method implements drpc.Description.
 func (rpcDescription) Method(n int) (string, drpc.Encoding, drpc.Receiver, any, bool) {
@@ -159,6 +160,11 @@
 			return server.(*Server).Revoke(ctx, in.(*RevokeRequest))
 		}
 		return revokeMethod, jsonEncoding{}, receive, (*Server).Revoke, true
+	case 7:
+		receive := func(server any, ctx context.Context, in, _ any) (drpc.Message, error) {
+			return server.(*Server).Place(ctx, in.(*PlaceRequest))
+		}
+		return placeMethod, jsonEncoding{}, receive, (*Server).Place, true
 	default:
 		return "", nil, nil, nil, false
 	}
