operator: explain tells where a job or request would go now

The client reads the file that the command names and sends it. On the platform's fleet the asked entry answers for intake and cell, and the shard's owner for the placement; in the own protocol the entry names the instance that bbrroute would choose.

--- a/internal/daemon/bbrserve/operators.go
+++ b/internal/daemon/bbrserve/operators.go
@@ -20,6 +20,8 @@
 		Metrics:    d.metrics,
 		Config:     d.config.Config,
 		Explain:    d.owners.queryExplanation,
+		Preview:    d.handler.Preview,
+		Place:      d.owners.queryPlacement,
 		WavePrefix: bbrwire.WavePrefix,
 		DecodeWave: bbrwire.DecodeWave,
 	}
--- a/internal/daemon/bbrserve/owners.go
+++ b/internal/daemon/bbrserve/owners.go
@@ -20,6 +20,7 @@
 	"github.com/bluebellridge/bluebellridge/internal/job/bbrscheduler"
 	"github.com/bluebellridge/bluebellridge/internal/job/bbrsweeper"
 	"github.com/bluebellridge/bluebellridge/internal/job/bbrwork"
+	"github.com/bluebellridge/bluebellridge/internal/peer/bbrinquiry"
 	"github.com/bluebellridge/bluebellridge/platform/bbrwire"
 )
 
@@ -243,6 +244,28 @@
 	return o.daemon.queries.Explain(ctx, address, shard, job, now)
 }
 
+// localPlacement returns where a job would start if this entry owns its shard.
+func (o *owners) localPlacement(job *bbrwork.Job) (bbrscheduler.Placement, bool) {
+	owner := o.runningOwner(job.Shard())
+	if owner == nil {
+		return bbrscheduler.Placement{}, false
+	}
+	return owner.Place(job, time.Now())
+}
+
+// queryPlacement returns where a job would start from the shard's owner, at this or
+// another entry.
+func (o *owners) queryPlacement(ctx context.Context, job *bbrwork.Job, now time.Time) (bbrscheduler.Placement, error) {
+	if placement, known := o.localPlacement(job); known {
+		return placement, nil
+	}
+	address, ok := o.remoteAddress(job.Shard())
+	if !ok {
+		return bbrscheduler.Placement{}, bbrinquiry.ErrNotOwner
+	}
+	return o.daemon.queries.Place(ctx, address, job, now)
+}
+
 // upIncarnations returns the incarnations of the instances that are not down.
 func (o *owners) upIncarnations(ctx context.Context) (map[string]bool, error) {
 	instances, err := o.fleet.List(ctx)
--- a/internal/daemon/bbrserve/rooms.go
+++ b/internal/daemon/bbrserve/rooms.go
@@ -17,6 +17,7 @@
 	d.claimer.Relief = &bbrclaim.Relief{Entry: d.settings.Entry, Directory: d.directory, Count: d.countLateOwner}
 	d.queries.Rooms = &bbrinquiry.RoomExchange{Known: d.owners.knownRooms, Learn: d.owners.learnRooms}
 	d.handler.Intake.ChooseCell = d.owners.chooseCell
+	d.handler.Intake.PreviewCell = d.owners.previewCell
 }
 
 // countLateOwner counts a decision about an owner whose planning rounds are late.
@@ -36,6 +37,12 @@
 	return cell
 }
 
+// previewCell returns the cell that chooseCell would, and why.
+func (o *owners) previewCell(cells *bbrcell.Cells, job *bbrwork.Job, homeCell int, now time.Time) (int, bbrcell.Reason) {
+	o.learnLocalRooms(job.Service, now)
+	return o.rooms.Preview(cells, job, homeCell, now)
+}
+
 // learnRooms adds the rooms of a service's cells that another entry knew at the time.
 func (o *owners) learnRooms(service string, rooms []bbrcell.Room, at time.Time) {
 	o.rooms.Learn(service, rooms, o.daemon.directory.Cells().Count(), at)
--- a/internal/operator/bbradmin/executor.go
+++ b/internal/operator/bbradmin/executor.go
@@ -8,6 +8,7 @@
 	"github.com/bluebellridge/bluebellridge/internal/base/bbrmetric"
 	"github.com/bluebellridge/bluebellridge/internal/fleet/bbrclaim"
 	"github.com/bluebellridge/bluebellridge/internal/fleet/bbrmachine"
+	"github.com/bluebellridge/bluebellridge/internal/job/bbrintake"
 	"github.com/bluebellridge/bluebellridge/internal/job/bbrscheduler"
 	"github.com/bluebellridge/bluebellridge/internal/job/bbrwork"
 	"github.com/bluebellridge/bluebellridge/internal/operator/bbrapi"
@@ -26,6 +27,11 @@
 	// Explain queries the owner of a shard for the state of a job; known is false if
 	// the owner does not know the job or does not answer.
 	Explain func(ctx context.Context, shard bbrwork.Shard, job string, now time.Time) (explanation bbrscheduler.Explanation, known bool)
+	// Preview returns what would become of a job if it were submitted to this entry.
+	Preview func(ctx context.Context, in bbrintake.PreviewRequest, now time.Time) (*bbrintake.Preview, error)
+	// Place queries the owner of the job's shard where the job would start. The error says
+	// why there is no answer.
+	Place func(ctx context.Context, job *bbrwork.Job, now time.Time) (bbrscheduler.Placement, error)
 	// WavePrefix is the key prefix of the waves that operators request, and
 	// DecodeWave decodes one.
 	WavePrefix string
@@ -54,6 +60,8 @@
 		return x.show(ctx, command.Show, now)
 	case command.Why != nil:
 		return x.why(ctx, command.Why, now)
+	case command.Explain != nil:
+		return x.explain(ctx, command.Explain, request.Body, now)
 	case command.Drain != nil:
 		return x.drain(ctx, command.Drain, request.DryRun, now)
 	case command.Move != nil:
--- a/internal/operator/bbrapi/executor.go
+++ b/internal/operator/bbrapi/executor.go
@@ -73,6 +73,8 @@
 		return x.show(ctx, c.Show)
 	case c.Why != nil:
 		return x.why(ctx, c.Why)
+	case c.Explain != nil:
+		return x.explain(c.Explain, time.Now())
 	case c.Set != nil:
 		return x.set(ctx, c.Set, request)
 	case c.Assign != nil:
--- a/internal/operator/bbrapi/result.go
+++ b/internal/operator/bbrapi/result.go
@@ -8,6 +8,8 @@
 	// Operation is an idempotency key. If it is empty, the entry generates one.
 	Operation string `json:"operation,omitempty"`
 	DryRun    bool   `json:"dryRun,omitempty"`
+	// Body is the content of the file that the command names.
+	Body []byte `json:"body,omitempty"`
 }
 
 // Result is the answer to a command.
--- a/internal/operator/bbrclient/client.go
+++ b/internal/operator/bbrclient/client.go
@@ -14,10 +14,17 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/bluebellridge/bluebellridge/internal/base/bbrcode"
 	"github.com/bluebellridge/bluebellridge/internal/operator/bbrapi"
+	"github.com/bluebellridge/bluebellridge/internal/operator/bbrlanguage"
 )
 
-const maxResponseBytes = 64 << 20
+const (
+	maxResponseBytes = 64 << 20
+	// maxFileBytes bounds the file that is sent with a command. Encoded as base64 it stays
+	// within what an entry reads of a request.
+	maxFileBytes = 512 << 10
+)
 
 type client struct {
 	arguments arguments
@@ -44,13 +51,40 @@
 }
 
 func (c *client) run(ctx context.Context, line string) (bbrapi.Result, error) {
-	body, err := json.Marshal(bbrapi.Request{Line: line, Operation: c.arguments.Operation, DryRun: c.arguments.DryRun})
+	file, err := readFile(line)
+	if err != nil {
+		return bbrapi.ErrorResult(err), nil
+	}
+	body, err := json.Marshal(bbrapi.Request{Line: line, Operation: c.arguments.Operation, DryRun: c.arguments.DryRun, Body: file})
 	if err != nil {
 		return bbrapi.Result{}, err
 	}
 	return c.call(ctx, http.MethodPost, bbrapi.CommandPath, body)
 }
 
+// readFile returns the content of the file that a command names; nil if it names none.
+// The entry reports a command that cannot be parsed.
+func readFile(line string) ([]byte, error) {
+	command, err := bbrlanguage.Parse(line)
+	if err != nil || command.Explain == nil || command.Explain.File == "" {
+		return nil, nil
+	}
+	file, err := os.Open(command.Explain.File)
+	if err != nil {
+		return nil, bbrcode.Errorf(bbrcode.Syntax, "file", "%v", err)
+	}
+	defer file.Close()
+	data, err := io.ReadAll(io.LimitReader(file, maxFileBytes+1))
+	switch {
+	case err != nil:
+		return nil, bbrcode.Errorf(bbrcode.Syntax, "file", "%v", err)
+	case len(data) == 0 || len(data) > maxFileBytes:
+		return nil, bbrcode.Errorf(bbrcode.Syntax, "file", "%s must have 1 to %d bytes", command.Explain.File, maxFileBytes)
+	default:
+		return data, nil
+	}
+}
+
 func (c *client) apply(ctx context.Context, config []byte) (bbrapi.Result, error) {
 	query := url.Values{"dryRun": {strconv.FormatBool(c.arguments.DryRun)}, "operation": {c.arguments.Operation}}
 	return c.call(ctx, http.MethodPut, bbrapi.ConfigPath+"?"+query.Encode(), config)
--- a/internal/operator/bbrlanguage/command.go
+++ b/internal/operator/bbrlanguage/command.go
@@ -16,6 +16,7 @@
 type Command struct {
 	Show    *Show    `parser:"  'show' @@"`
 	Why     *Why     `parser:"| 'why' @@"`
+	Explain *Explain `parser:"| 'explain' @@"`
 	Drain   *Target  `parser:"| 'drain' @@"`
 	Reboot  *Target  `parser:"| 'reboot' @@"`
 	Move    *Move    `parser:"| 'move' @@"`
@@ -66,6 +67,15 @@
 	Name string `parser:"@Word"`
 }
 
+// Explain asks where a job would go now. Queue is the name of a queue, or a host and path.
+// File names a file with the job's body, which the client reads and sends.
+type Explain struct {
+	Queue        string `parser:"@(Word|String)"`
+	Job          string `parser:"('job' @Word)?"`
+	Organisation string `parser:"('organisation' @(Word|String))?"`
+	File         string `parser:"('file' @(Word|String))?"`
+}
+
 // Target is the instance of a drain or reboot, with the operator's reason.
 type Target struct {
 	Instance string `parser:"@Word"`
@@ -116,7 +126,7 @@
 
 var commandLexer = lexer.MustSimple([]lexer.SimpleRule{
 	{Name: "String", Pattern: `"[^"]*"`},
-	{Name: "Word", Pattern: `[A-Za-z0-9_][A-Za-z0-9_.:/\-]*`},
+	{Name: "Word", Pattern: `[A-Za-z0-9_./][A-Za-z0-9_.:/\-]*`},
 	{Name: "Operator", Pattern: `!=|=`},
 	{Name: "Space", Pattern: `\s+`},
 })
--- a/internal/operator/bbrlanguage/command_test.go
+++ b/internal/operator/bbrlanguage/command_test.go
@@ -21,6 +21,22 @@
 	require.Equal(t, "w1", command.Resume.Wave)
 }
 
+func TestParseExplain(t *testing.T) {
+	for line, expected := range map[string]*Explain{
+		"explain q-press":                         {Queue: "q-press"},
+		"explain print.example:80/press/00a1":     {Queue: "print.example:80/press/00a1"},
+		`explain "q press" file "my job.json"`:    {Queue: "q press", File: "my job.json"},
+		"explain q-press job 00a1 file /tmp/j.js": {Queue: "q-press", Job: "00a1", File: "/tmp/j.js"},
+		"explain q organisation o file ../j.json": {Queue: "q", Organisation: "o", File: "../j.json"},
+	} {
+		command, err := Parse(line)
+		require.NoError(t, err, line)
+		require.Equal(t, expected, command.Explain, line)
+	}
+	_, err := Parse("explain")
+	require.Error(t, err)
+}
+
 func TestParseErrorsIncludeColumn(t *testing.T) {
 	for line, expected := range map[string]string{
 		"":                     "4001 syntax at column 1: expected a command",
--- a/internal/operator/bbrlanguage/help.go
+++ b/internal/operator/bbrlanguage/help.go
@@ -8,6 +8,12 @@
 why instance NAME        the state of an instance, and what it waits for
 why queue NAME           what a queue waits for
 why job ID               progress of a job, and what its work units wait for
+explain QUEUE [job ID] [organisation NAME] [file FILE]
+                         where a job or request would go now, and why;
+                         nothing is sent or stored
+    explain q-press file job.json
+    QUEUE: the name of a queue, or the host and path of a submission
+    FILE: the body of a submission
 drain NAME [for REASON]  take an instance out of service
     drain i-12 for "fan noise"
 resume NAME              return a drained instance to service
--- a/internal/request/bbrroute/acquire.go
+++ b/internal/request/bbrroute/acquire.go
@@ -19,10 +19,10 @@
 // they are more than half of the pool: a pool that fails as a whole is not
 // ejected as a whole.
 func (p *Pool) Acquire(criteria Criteria, now time.Time) *Target {
-	if !criteria.Urgent && p.FreeSlots() <= p.urgentReserve() {
+	if !p.mayAcquire(criteria) {
 		return nil
 	}
-	skipEjected := p.countEjected(now)*2 <= len(p.Targets)
+	skipEjected := p.skipsEjected(now)
 	for {
 		best := p.leastLoaded(criteria, skipEjected, now)
 		if best == nil || best.Slot.Acquire() {
@@ -31,6 +31,22 @@
 	}
 }
 
+// Preview returns the instance of which Acquire would take a slot, and takes none.
+func (p *Pool) Preview(criteria Criteria, now time.Time) *Target {
+	if !p.mayAcquire(criteria) {
+		return nil
+	}
+	return p.leastLoaded(criteria, p.skipsEjected(now), now)
+}
+
+// mayAcquire reports whether the request may use one of the slots that are free.
+func (p *Pool) mayAcquire(criteria Criteria) bool {
+	return criteria.Urgent || p.FreeSlots() > p.urgentReserve()
+}
+
+// skipsEjected reports whether ejected instances are skipped.
+func (p *Pool) skipsEjected(now time.Time) bool { return p.countEjected(now)*2 <= len(p.Targets) }
+
 // leastLoaded returns the instance with the lowest penalty among those with a
 // free slot, or nil.
 func (p *Pool) leastLoaded(criteria Criteria, skipEjected bool, now time.Time) *Target {
