--- a/internal/job/bbrscheduler/interference.go
+++ b/internal/job/bbrscheduler/interference.go
@@ -54,7 +54,7 @@
 
 // observeStart records that a run was added to its upstream.
 func (sched *Scheduler) observeStart(r *run, now time.Time) {
-	if sched.interference == nil {
+	if sched.interference == nil || sched.trial {
 		return
 	}
 	image := sched.interference.Begin(r.unit.step.spec.Image, now)
--- a/internal/job/bbrscheduler/scheduler.go
+++ b/internal/job/bbrscheduler/scheduler.go
@@ -102,6 +102,9 @@
 	// accounts has the uses and shares of caps by organisation.
 	accounts map[string]*bbrquota.Account
 	fair     fairShares
+	// trial means that the scheduler is a copy on which starts are only tried
+	// (placement.go).
+	trial bool
 	// runTimes predicts the run times of work units, by queue.
 	runTimes map[string]*bbrruntime.Predictor
 	// suspects has the work units under which an upstream crashed and that have not
