--- a/internal/base/bbrmetric/set.go
+++ b/internal/base/bbrmetric/set.go
@@ -53,7 +53,7 @@
 	s.bodyBytes = s.newCounter("bbr_body_bytes_total", "Bytes of the bodies of calls to the platform and to upstreams.", "purpose", "direction")
 	s.slowWaits = s.newCounter("bbr_slow_waits_total", "Work units that waited over 3 s for a run, by reason.", "reason")
 	s.crashVerdicts = s.newCounter("bbr_crash_verdicts_total", "What crashes of upstreams meant for the work units that ran there.", "verdict")
-	s.cellChoices = s.newCounter("bbr_cell_choices_total", "Jobs by the reason for the choice of their cell, with jobs.balanceByCapacity.", "reason")
+	s.cellChoices = s.newCounter("bbr_cell_choices_total", "Jobs for which the entry chose a cell, with jobs.balanceByCapacity, by the reason for the choice.", "reason")
 	s.handovers = s.newCounter("bbr_handovers_total", "Hand-overs that this entry began while running, by cause.", "cause")
 	s.roomMilliCPU = s.newGauge("bbr_room_millicores", "Usable processor capacity of a shard for finite work, with jobs.balanceByCapacity.", "shard")
 	s.roomDrain = s.newGauge("bbr_room_drain_seconds", "Time that a shard's usable capacity needs for its open finite work, with jobs.balanceByCapacity.", "shard")
--- a/internal/config/bbrsettings/parse.go
+++ b/internal/config/bbrsettings/parse.go
@@ -63,14 +63,12 @@
 func (c *checker) protocol(s Settings) {
 	switch s.Platform.Protocol {
 	case ProtocolOwn:
+		c.withoutJobs(s.Jobs)
 		c.address(s.Listen.Operators, "listen.operators")
 		c.address(s.Listen.Peers, "listen.peers")
 		c.address(s.Platform.Address, "platform.address")
 		c.require(!s.Listen.Peers.Addr().IsUnspecified(), bbrcode.SettingsInvalid, "listen.peers", "must be an address that the other entries can reach")
 		c.token(s)
-		c.require(!s.Jobs.Reservations, bbrcode.SettingsInvalid, "jobs.reservations", "needs platform.protocol %s", ProtocolFleet)
-		c.require(!s.Jobs.SeparateInterfering, bbrcode.SettingsInvalid, "jobs.separateInterfering", "needs platform.protocol %s", ProtocolFleet)
-		c.require(!s.Jobs.FairShares, bbrcode.SettingsInvalid, "jobs.fairShares", "needs platform.protocol %s", ProtocolFleet)
 	case ProtocolFleet:
 		if s.Listen.Operators.IsValid() {
 			c.token(s)
@@ -88,6 +86,22 @@
 	}
 }
 
+// withoutJobs checks that no part that only the fleet protocol has is enabled.
+func (c *checker) withoutJobs(j Jobs) {
+	for _, part := range []struct {
+		path    string
+		enabled bool
+	}{
+		{"jobs.reservations", j.Reservations},
+		{"jobs.separateInterfering", j.SeparateInterfering},
+		{"jobs.fairShares", j.FairShares},
+		{"jobs.refuseBeyondShare", j.RefuseBeyondShare},
+		{"jobs.balanceByCapacity", j.BalanceByCapacity},
+	} {
+		c.require(!part.enabled, bbrcode.SettingsInvalid, part.path, "needs platform.protocol %s", ProtocolFleet)
+	}
+}
+
 func (c *checker) token(s Settings) {
 	c.require(len(s.Operators.Token) >= minTokenLength, bbrcode.SettingsMissing, "operators.token", "must have at least %d characters", minTokenLength)
 }
--- a/internal/config/bbrsettings/parse_test.go
+++ b/internal/config/bbrsettings/parse_test.go
@@ -38,6 +38,7 @@
 		{name: "off by default", settings: "platform: {protocol: fleet}\n"},
 		{name: "on", settings: "platform: {protocol: fleet}\njobs:\n  fairShares: true\n", enabled: true},
 		{name: "protocol without jobs", settings: "platform: {protocol: own}\njobs:\n  fairShares: true\n", enabled: true, invalid: "line 3, column 3: jobs.fairShares"},
+		{name: "balance without jobs", settings: "platform: {protocol: own}\njobs:\n  balanceByCapacity: true\n", invalid: "line 3, column 3: jobs.balanceByCapacity"},
 		{name: "refusals without shares", settings: "platform: {protocol: fleet}\njobs:\n  refuseBeyondShare: true\n", invalid: "line 3, column 3: jobs.refuseBeyondShare"},
 		{name: "not a boolean", settings: "platform: {protocol: fleet}\njobs:\n  fairShares: 3\n", invalid: "line 3, column 15: jobs.fairShares"},
 	}
--- a/internal/fleet/bbrclaim/relief.go
+++ b/internal/fleet/bbrclaim/relief.go
@@ -16,8 +16,8 @@
 	// it hands over. A hand-over shows its effect on the entry's other shards first, and
 	// entries that are all slow do not pass their shards around at the same time.
 	handOverPause = 10 * time.Second
-	// deferral is how long an entry leaves a shard that it handed over to others. The next
-	// one in rank claims it after claimStagger, and 59 others could fail before.
+	// deferral is how long an entry leaves a shard that it handed over to others. It is many
+	// times claimStagger, so that several of them can attempt the claim.
 	deferral = 15 * time.Second
 )
 
--- a/internal/job/bbrintake/intake.go
+++ b/internal/job/bbrintake/intake.go
@@ -43,8 +43,8 @@
 	// nil, the reports of all shards are trusted.
 	OwnerToken func(shard bbrwork.Shard) (bbrkv.Revision, bool)
 	// ExpectedWait returns what the owner of the shard has lately told about new jobs of
-	// the organisation in the queue; false if nothing is known. It is nil if organisations
-	// do not share the capacity by weight.
+	// the organisation in the queue; false if nothing is known. It is nil unless jobs
+	// are refused by share.
 	ExpectedWait func(shard bbrwork.Shard, organisation, queue string, now time.Time) (bbrfairshare.Wait, bool)
 	// StoreAvailable reports whether the store has answered recently.
 	StoreAvailable func(now time.Time) bool
--- a/internal/job/bbrowner/owner.go
+++ b/internal/job/bbrowner/owner.go
@@ -37,8 +37,6 @@
 	ListIncarnations ListIncarnationsFunc
 	Metrics          *bbrmetric.Set
 	Timing           bbrscheduler.Timing
-	// FairShares makes organisations share the capacity by weight while it is short.
-	FairShares bool
 	// Confirmed reports whether the claim's lease is certainly valid at now.
 	Confirmed func(now time.Time) bool
 	// Config returns the configuration in force.
@@ -59,6 +57,8 @@
 	// HandOver reports whether the owner is to release its claim now, as its planning
 	// rounds are late. It is nil if owners keep their claims.
 	HandOver func(ownedSince, now time.Time) bool
+	// FairShares makes organisations share the capacity by weight while it is short.
+	FairShares bool
 	// ReserveCapacity means that wide work may reserve capacity, and that urgent work may
 	// preempt.
 	ReserveCapacity bool
@@ -76,8 +76,10 @@
 	reservedRevision bbrkv.Revision
 	// drained has the reserved upstreams that were drained at the last plan.
 	drained []string
-	// crashCounts has the counts that the metrics have.
-	crashCounts bbrscheduler.CrashCounts
+	// crashCounts, reservationCounts and separationCounts are what the metrics have already.
+	crashCounts       bbrscheduler.CrashCounts
+	reservationCounts bbrscheduler.ReservationCounts
+	separationCounts  bbrscheduler.SeparationCounts
 	// room is the room as of the last determination, which began at roomUpdatedAt.
 	room          atomic.Pointer[publishedRoom]
 	roomUpdatedAt time.Time
@@ -85,10 +87,6 @@
 	lateness bbrclaim.Lateness
 	// startedAt is when Run began.
 	startedAt time.Time
-	// reservationCounts has the same of reservations.
-	reservationCounts bbrscheduler.ReservationCounts
-	// separationCounts has the counts that the metrics have.
-	separationCounts bbrscheduler.SeparationCounts
 	// loadLoggedAt is when the load was last logged.
 	loadLoggedAt time.Time
 	renewers     map[string]*leaseRenewer
