--- a/internal/config/bbrsettings/settings.go
+++ b/internal/config/bbrsettings/settings.go
@@ -104,6 +104,9 @@
 	Protocol Protocol      `yaml:"protocol"`
 	// MaxValueBytes is the size of the largest value that the platform's store takes.
 	MaxValueBytes int `yaml:"valueBytes"`
+	// Features are the platform's names of the rules that are in force for the deployment.
+	// The platform's adapter knows which parts they ask for.
+	Features []string `yaml:"features"`
 	// Instances and Advice are the addresses of the services that only the fleet
 	// protocol uses.
 	Instances netip.AddrPort `yaml:"machines"`
--- a/internal/daemon/bbrserve/daemon.go
+++ b/internal/daemon/bbrserve/daemon.go
@@ -75,6 +75,7 @@
 		debug.SetMemoryLimit(int64(memoryLimitShare * float64(settings.Limits.MemoryMB) * (1 << 20)))
 	}
 	debug.SetGCPercent(gcPercent)
+	settings.Jobs.FairShares = settings.Jobs.FairShares || bbrwire.SharesByWeight(settings.Platform.Features)
 	session := &bbrclaim.Session{Entry: settings.Entry, Zone: settings.Zone, Incarnation: uuid.NewString(), MilliCPU: milliCPU(settings.Limits), PeerAddress: settings.Listen.Peers}
 	store := bbrkv.WithMetrics(bbrwire.NewStore(bbrwire.NewClient(maxConnsToStore, metrics.BodyBytes), settings.Platform.Address, metrics.Event),
 		func(call string, err error, took time.Duration) {
