daemon/bbrlimit: no charge for a message after its connection is closed

Cause: Conn.Close released the charge of the connection's message once. A concurrent read that already had its bytes could charge them after that, and the budget for messages leaked.

Change: the message has a closed state under its lock, set by Conn.Close.

Evidence: TestClosedConnectionChargesNoMessage failed before the change and passes with it.

--- a/internal/daemon/bbrlimit/conn.go
+++ b/internal/daemon/bbrlimit/conn.go
@@ -46,7 +46,7 @@
 	c.close.Do(func() {
 		c.closeErr = c.Conn.Close()
 		c.listener.remove(c)
-		c.message.release()
+		c.message.close()
 	})
 	return c.closeErr
 }
--- a/internal/daemon/bbrlimit/limits_test.go
+++ b/internal/daemon/bbrlimit/limits_test.go
@@ -294,3 +294,30 @@
 	require.ErrorIs(t, exchange(1<<20, false), errMessageBudget)
 	require.NoError(t, exchange(freeMessageBytes, true))
 }
+
+// closingConn is a connection that is closed by another goroutine while bytes are read.
+type closingConn struct {
+	net.Conn
+	close func()
+}
+
+func (c *closingConn) Read(p []byte) (int, error) {
+	c.close()
+	return len(p), nil
+}
+
+// TestClosedConnectionChargesNoMessage guards against a budget that leaks when a connection
+// of another entry is closed between the read of its bytes and their charge.
+func TestClosedConnectionChargesNoMessage(t *testing.T) {
+	limits := New(bbrsettings.Default(), bbrmetric.New())
+	inner, other := net.Pipe()
+	defer other.Close()
+	closing := &closingConn{Conn: inner}
+	conn := newConn(closing, limits.Listener(Peers, nil))
+	closing.close = func() { _ = conn.Close() }
+	n, err := conn.Read(make([]byte, 1<<20))
+	require.Zero(t, n)
+	require.Zero(t, limits.messages.held.Load())
+	require.ErrorIs(t, err, net.ErrClosed)
+	require.Empty(t, limits.log.last, "the end of the connection is counted as a refusal")
+}
--- a/internal/daemon/bbrlimit/message.go
+++ b/internal/daemon/bbrlimit/message.go
@@ -1,6 +1,7 @@
 package bbrlimit
 
 import (
+	"net"
 	"sync"
 	"time"
 
@@ -18,15 +19,24 @@
 	mu     sync.Mutex
 	bytes  int64
 	charge charge
+	// closed means that nothing is charged any more, since the connection is closed.
+	closed bool
 }
 
-// add charges n bytes more. It returns false if they exceed the budget.
-func (m *message) add(n int) bool {
+// add charges n bytes more. It fails if they exceed the budget, or with net.ErrClosed if
+// the connection is closed.
+func (m *message) add(n int) error {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if m.closed {
+		return net.ErrClosed
+	}
 	before := max(0, m.bytes-freeMessageBytes)
 	m.bytes += int64(n)
-	return m.charge.add(max(0, m.bytes-freeMessageBytes) - before)
+	if !m.charge.add(max(0, m.bytes-freeMessageBytes) - before) {
+		return errMessageBudget
+	}
+	return nil
 }
 
 func (m *message) release() {
@@ -36,6 +46,14 @@
 	m.charge.release()
 }
 
+// close releases the message for good. A read may still be under way.
+func (m *message) close() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.closed = true
+	m.charge.release()
+}
+
 func (m *message) incomplete() bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -73,9 +91,11 @@
 	}
 	c.progress.Store(time.Now().UnixNano())
 	c.busy.Store(true)
-	if !c.message.add(n) {
-		c.listener.limits.count(c.listener.kind, reasonBudget)
-		return 0, errMessageBudget
+	if addErr := c.message.add(n); addErr != nil {
+		if errors.Is(addErr, errMessageBudget) {
+			c.count(reasonBudget)
+		}
+		return 0, addErr
 	}
 	return n, err
 }
