daemon/bbrlimit: a refused charge closes the connection

Cause: Charge refused with 2030 after the whole body was read, and the body stayed complete, so that the connection was kept, unlike with other refusals for the budget.

Change: Charge refuses the body as its reads do.

Evidence: TestRefusedChargeClosesTheConnection failed before the change and passes with it.

--- a/internal/daemon/bbrlimit/body.go
+++ b/internal/daemon/bbrlimit/body.go
@@ -121,12 +121,11 @@
 }
 
 // Charge charges n bytes more for the request, until it has been served. It returns an
-// error if they exceed the budget.
+// error, and the connection will be closed, if they exceed the budget.
 func Charge(r *http.Request, n int64) error {
 	body, ok := r.Body.(*Body)
 	if !ok || body.charge.add(n) {
 		return nil
 	}
-	body.conn.count(reasonBudget)
-	return bbrcode.Errorf(bbrcode.TooManyBytes, "body", "")
+	return body.refuse()
 }
--- a/internal/daemon/bbrlimit/limits_test.go
+++ b/internal/daemon/bbrlimit/limits_test.go
@@ -139,6 +139,24 @@
 	s.requireNothingHeld(t)
 }
 
+// TestRefusedChargeClosesTheConnection guards against a client that keeps its connection
+// after a refusal for which its whole body was read.
+func TestRefusedChargeClosesTheConnection(t *testing.T) {
+	s := startServer(t, nil, func(w http.ResponseWriter, r *http.Request) {
+		_, err := ReadAll(r.Body, r.ContentLength, 1<<20)
+		if err == nil {
+			err = Charge(r, 9<<20)
+		}
+		w.WriteHeader(bbrcode.From(err, bbrcode.BodyIncomplete).Info().Status)
+	})
+	conn := s.dial(t)
+	response, _ := send(t, conn, "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\n\r\nabc")
+	require.Equal(t, bbrcode.TooManyBytes.Info().Status, response.StatusCode)
+	require.True(t, response.Close)
+	requireClosed(t, conn)
+	s.requireNothingHeld(t)
+}
+
 // TestBodyThatIsNotAskedForIsNotRead guards against waiting for a body that the handler
 // does not need, of declared and of unknown length, and with an answer that is too large
 // to be buffered.
