daemon/bbrlimit: repeated header fields are counted

Cause: for a head that arrived with the end of the preceding request, the handler compared the number of different names with limits.headerFields, so that repeated names were missed.

Change: it sums the values of all names. The test has its former case and one with the same name.

Evidence: TestPipelinedHeaderFieldsAreRefused/same failed before the change and passes with it.

--- a/internal/daemon/bbrlimit/handler.go
+++ b/internal/daemon/bbrlimit/handler.go
@@ -33,7 +33,7 @@
 	conn.beginRequest()
 	defer conn.finishRequest()
 	next := h.next
-	if len(r.Header) > h.limits.settings.Limits.HeaderFields {
+	if fieldCount(r.Header) > h.limits.settings.Limits.HeaderFields {
 		// The fields that arrived with the end of the preceding request were not counted.
 		next = refusal(bbrcode.HeaderTooLarge)
 		conn.count(reasonHeaderFields)
@@ -51,6 +51,15 @@
 	next.ServeHTTP(w, r)
 }
 
+// fieldCount returns how many fields a head has. A name can occur repeatedly.
+func fieldCount(header http.Header) int {
+	count := 0
+	for _, values := range header {
+		count += len(values)
+	}
+	return count
+}
+
 // refusal answers every request with a code, and closes its connection.
 type refusal bbrcode.Code
 
--- a/internal/daemon/bbrlimit/limits_test.go
+++ b/internal/daemon/bbrlimit/limits_test.go
@@ -261,15 +261,22 @@
 }
 
 // TestPipelinedHeaderFieldsAreRefused guards against heads of many fields that arrive with
-// the end of another request.
+// the end of another request, with different names or the same one.
 func TestPipelinedHeaderFieldsAreRefused(t *testing.T) {
-	s := startServer(t, func(s *bbrsettings.Settings) { s.Limits.HeaderFields = 20 }, readBody)
-	conn := s.dial(t)
-	var fields strings.Builder
+	var different strings.Builder
 	for i := range 30 {
-		fmt.Fprintf(&fields, "a%d:\r\n", i)
+		fmt.Fprintf(&different, "a%d:\r\n", i)
+	}
+	s := startServer(t, func(s *bbrsettings.Settings) { s.Limits.HeaderFields = 20 }, readBody)
+	for name, fields := range map[string]string{"different": different.String(), "same": strings.Repeat("a:\r\n", 30)} {
+		t.Run(name, func(t *testing.T) { requirePipelinedRefused(t, s.dial(t), fields) })
 	}
-	_, err := io.WriteString(conn, "GET / HTTP/1.1\r\nHost: x\r\n\r\nGET / HTTP/1.1\r\nHost: x\r\n"+fields.String()+"\r\n")
+}
+
+// requirePipelinedRefused sends two requests at once, and requires that only the second,
+// which has the fields, is refused.
+func requirePipelinedRefused(t *testing.T, conn net.Conn, fields string) {
+	_, err := io.WriteString(conn, "GET / HTTP/1.1\r\nHost: x\r\n\r\nGET / HTTP/1.1\r\nHost: x\r\n"+fields+"\r\n")
 	require.NoError(t, err)
 	answers := bufio.NewReader(conn)
 	response, err := http.ReadResponse(answers, nil)
