peer/bbrinquiry: the largest message follows from the settings

Cause: the server refused messages beyond 2 MB, while limits.bodyBytes can be 16 MB, so that the hint of a legal job could be refused.

Change: bbrlimit.MaxMessageBytes derives the bound from the settings. The budget for messages is derived from it too, and keeps its size (2 MB and two bodies) but for rounding. The server gets the bound as a field, whose zero value means the bound of the default settings, 3 MB. A message whose text is mostly characters that JSON escapes can still exceed the bound.

--- a/internal/daemon/bbrlimit/sizes.go
+++ b/internal/daemon/bbrlimit/sizes.go
@@ -22,9 +22,8 @@
 	minConnections  = 16
 	// minBodyBytes is enough for the largest legal job with what it is decoded into.
 	minBodyBytes = 8 << 20
-	// minPeerBytes, with two bodies of the largest size, is enough for one message of the
-	// largest size.
-	minPeerBytes = 2 << 20
+	// messageOverhead is what a message of another entry takes beside a job's body.
+	messageOverhead = 3 << 19
 )
 
 // Kind is the kind of a listener.
@@ -51,6 +50,12 @@
 	connections          map[Kind]int
 }
 
+// MaxMessageBytes returns the size of the largest message of another entry. That is a job
+// of the largest legal size, whose encoding can be longer than its body was.
+func MaxMessageBytes(limits *bbrsettings.Limits) int64 {
+	return messageOverhead + limits.BodyBytes + limits.BodyBytes/2
+}
+
 // newSizes derives the limits. The process may have openFiles descriptors if the
 // settings do not say how many.
 func newSizes(settings *bbrsettings.Settings, openFiles int) sizes {
@@ -69,7 +74,10 @@
 	if memory > 0 && settings.Platform.Protocol == bbrsettings.ProtocolFleet {
 		s.peerBytes = memory / fleetPeerMemoryShare
 	}
-	s.peerBytes = max(s.peerBytes, minPeerBytes+2*limits.BodyBytes)
+	// One message of the largest size is always admitted: newBudget leaves three quarters
+	// to what is large.
+	largest := MaxMessageBytes(limits)
+	s.peerBytes = max(s.peerBytes, largest+largest/3)
 	descriptors := limits.Descriptors
 	if descriptors == 0 {
 		descriptors = openFiles
--- a/internal/daemon/bbrlimit/sizes_test.go
+++ b/internal/daemon/bbrlimit/sizes_test.go
@@ -43,3 +43,16 @@
 	require.Equal(t, 77, s.connections[Callers])
 	require.Equal(t, int64(99<<20), s.bodyBytes)
 }
+
+// TestLargestMessageIsAdmitted guards against a budget in which no message of the largest
+// size has room.
+func TestLargestMessageIsAdmitted(t *testing.T) {
+	for _, bodyBytes := range []int64{1, 1000, 1 << 20, 16<<20 - 1, 16 << 20} {
+		for _, memoryMB := range []int{0, 16, 184} {
+			settings := bbrsettings.Default()
+			settings.Limits.BodyBytes, settings.Limits.MemoryMB, settings.Platform.Protocol = bodyBytes, memoryMB, bbrsettings.ProtocolFleet
+			m := message{charge: charge{budget: newBudget(newSizes(&settings, 4200).peerBytes)}}
+			require.NoError(t, m.add(int(MaxMessageBytes(&settings.Limits))))
+		}
+	}
+}
--- a/internal/daemon/bbrserve/daemon.go
+++ b/internal/daemon/bbrserve/daemon.go
@@ -205,7 +205,7 @@
 	if err != nil {
 		return err
 	}
-	server := &bbrinquiry.Server{JobState: d.owners.localState, JobExplanation: d.owners.localExplanation, JobPlacement: d.owners.localPlacement, AcceptHint: d.owners.acceptHint, PingEntry: d.queries.Ping, ServedAt: d.session.ServedAt, RevokeLease: d.store.Revoke, Rooms: d.queries.Rooms}
+	server := &bbrinquiry.Server{JobState: d.owners.localState, JobExplanation: d.owners.localExplanation, JobPlacement: d.owners.localPlacement, AcceptHint: d.owners.acceptHint, PingEntry: d.queries.Ping, ServedAt: d.session.ServedAt, RevokeLease: d.store.Revoke, Rooms: d.queries.Rooms, MaxMessageBytes: bbrlimit.MaxMessageBytes(&d.settings.Limits)}
 	handover := &bbrclaim.Handover{
 		Session:    d.session,
 		ClaimCount: d.claimer.Count,
--- a/internal/peer/bbrinquiry/server.go
+++ b/internal/peer/bbrinquiry/server.go
@@ -1,6 +1,7 @@
 package bbrinquiry
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"net/netip"
@@ -31,9 +32,8 @@
 	revokeMethod       = "/bbrinquiry.Entry/Revoke"
 )
 
-// maxMessageBytes is more than the largest query, which is the hint of a job of the largest
-// legal size.
-const maxMessageBytes = 2 << 20
+// defaultMessageBytes is bbrlimit.MaxMessageBytes of the default settings.
+const defaultMessageBytes = 3 << 20
 
 // StateFunc returns the state of a job of a shard that this entry owns; known is
 // false if the entry does not own the shard or does not know the job.
@@ -63,6 +63,9 @@
 	// lease in the store.
 	ServedAt    func() time.Time
 	RevokeLease func(ctx context.Context, lease bbrkv.Lease) error
+	// MaxMessageBytes bounds a query, the largest of which is the hint of a job; 0 means
+	// the bound of the default settings.
+	MaxMessageBytes int64
 }
 
 // Run serves the listener until ctx ends.
@@ -71,7 +74,8 @@
 	if err := router.Register(s, rpcDescription{}); err != nil {
 		return err
 	}
-	options := drpcserver.Options{Manager: drpcmanager.Options{Reader: drpcwire.ReaderOptions{MaximumBufferSize: maxMessageBytes}}}
+	reader := drpcwire.ReaderOptions{MaximumBufferSize: int(cmp.Or(s.MaxMessageBytes, defaultMessageBytes))}
+	options := drpcserver.Options{Manager: drpcmanager.Options{Reader: reader}}
 	return drpcserver.NewWithOptions(router, options).Serve(ctx, listener)
 }
 
