--- a/internal/daemon/bbrlimit/body.go
+++ b/internal/daemon/bbrlimit/body.go
@@ -54,7 +54,7 @@
 	return n, err
 }
 
-// Close closes the body.
+// Close closes the source. The charge is kept until the request has been served.
 func (b *Body) Close() error { return b.source.Close() }
 
 // deadline returns the time until which the next bytes are awaited.
--- a/internal/daemon/bbrlimit/conn.go
+++ b/internal/daemon/bbrlimit/conn.go
@@ -41,7 +41,8 @@
 	return c
 }
 
-// Close closes the connection and releases what it holds.
+// Close also makes room for another connection, and releases the charge of a message. It
+// can be called again, and while another goroutine reads.
 func (c *Conn) Close() error {
 	c.close.Do(func() {
 		c.closeErr = c.Conn.Close()
--- a/internal/daemon/bbrlimit/sizes.go
+++ b/internal/daemon/bbrlimit/sizes.go
@@ -8,8 +8,9 @@
 	// maxDescriptors is the largest number of descriptors that is taken into account.
 	maxDescriptors = 1 << 20
 	// memoryShare is the share of limits.memoryMB, as a divisor, that bodies in flight may
-	// take, and that connections of callers may take. The runtime's soft memory limit is
-	// 0.6 of it, and garbage can exceed what is in use several times over.
+	// take, and that connections of callers may take. It is small because the runtime's
+	// soft memory limit is below limits.memoryMB, and garbage can exceed what is in use
+	// several times over.
 	memoryShare = 8
 	// fleetPeerMemoryShare is the divisor for messages of other entries with the fleet's
 	// protocol, in which entries forward no requests.
@@ -29,7 +30,7 @@
 // Kind is the kind of a listener.
 type Kind string
 
-// Kinds of listeners.
+// Callers and Peers are bounded by memory and descriptors, the others by otherConnections.
 const (
 	Callers   Kind = "callers"
 	Readiness Kind = "readiness"
