daemon/bbrlimit, docs: what bbr_client_bytes_in_flight counts

Cause: the help text did not say that messages of other entries are not counted, and the page on the architecture did not name the package that enforces the limits on clients.

--- a/internal/daemon/bbrlimit/limits.go
+++ b/internal/daemon/bbrlimit/limits.go
@@ -26,7 +26,7 @@
 func New(settings bbrsettings.Settings, metrics *bbrmetric.Set) *Limits {
 	sizes := newSizes(&settings, openFiles())
 	l := &Limits{settings: settings, metrics: metrics, sizes: sizes, bodies: newBudget(sizes.bodyBytes), messages: newBudget(sizes.peerBytes)}
-	metrics.Gauge("bbr_client_bytes_in_flight", "Bytes of clients' bodies that the entry holds.", func() float64 { return float64(l.bodies.held.Load()) })
+	metrics.Gauge("bbr_client_bytes_in_flight", "Bytes of clients' bodies that the entry holds, without messages of other entries.", func() float64 { return float64(l.bodies.held.Load()) })
 	return l
 }
 
