job/bbrscheduler: placements rank the job by its organisation's share

The ranks that a placement compares with waiting work had no rank by share, so that work within its share was not counted for a job beyond its share.

trialRanks sets the rank by share.

TestPlaceCountsWorkWithinItsShare failed before (0 work units before the job instead of 8) and passes.

--- a/internal/job/bbrscheduler/placement.go
+++ b/internal/job/bbrscheduler/placement.go
@@ -93,6 +93,7 @@
 	ranks := make([]candidate, len(o.steps))
 	for i, s := range o.steps {
 		ranks[i] = p.rank(s, s.job.objective(o))
+		ranks[i].shareRank = p.rankInShare(ranks[i])
 	}
 	return ranks
 }
--- a/internal/job/bbrscheduler/placement_test.go
+++ b/internal/job/bbrscheduler/placement_test.go
@@ -113,6 +113,29 @@
 	require.Equal(t, 3, got.Steps[0].UnitsBefore)
 }
 
+// TestPlaceCountsWorkWithinItsShare guards against the placement of a job beyond its
+// organisation's share that leaves out later work within its share, which comes first.
+func TestPlaceCountsWorkWithinItsShare(t *testing.T) {
+	for organisation, before := range map[string]int{"a": 8, "": 0} {
+		s := newSharedScene(t, true, true, "i-1", "i-2")
+		s.acceptOf("00000000000000d1", "a", 0, 4)
+		var running []bbrwork.Run
+		for i := range 4 {
+			running = append(running, bbrwork.Run{Unit: bbrwork.Unit{Job: "00000000000000d1", Index: i}, Number: 1})
+		}
+		s.listRunning("i-1", running)
+		s.record()
+		s.advance(1300 * time.Millisecond)
+		s.acceptOf("00000000000000b1", "b", 0, 8)
+		in := s.newTrial(testJob, "proofs", unitStep(1))
+		in.Organisation, in.Accepted = organisation, s.now.Add(-100*time.Millisecond)
+		got, ok := s.sched.Place(in, true, s.now)
+		require.True(t, ok)
+		require.Equal(t, before, got.Steps[0].UnitsBefore, "organisation %q", organisation)
+		require.Equal(t, min(before, 1), got.Steps[0].StepsBefore, "organisation %q", organisation)
+	}
+}
+
 var twinUpstreams = []string{"i-1", "i-2", "i-3"}
 
 // twin is a scene with the actions of a rapid test.
