job/bbrintake: previews refuse jobs beyond the share as submissions do

Preview did not ask for the expected wait and said accepted (6000) where Submit answers 2029 beyondShare.

beyondShare is the part of refuseBeyondShare without a log line and a read; both use it. Preview has RetryAfter, which explain shows.

--- a/internal/job/bbrintake/fairshare.go
+++ b/internal/job/bbrintake/fairshare.go
@@ -71,26 +71,32 @@
 	return wait, ok
 }
 
-// refuseBeyondShare decides whether to refuse a job whose organisation's backlog is too
-// long, and returns when the caller should retry. A job that may be stored already, by an
-// earlier submission, is not refused: a refusal means that it never runs.
-func (i *Intake) refuseBeyondShare(ctx context.Context, job *bbrwork.Job, queue *bbrwork.Queue, now time.Time) (time.Duration, bool) {
+// beyondShare reports whether the backlog of the job's organisation is too long for a new
+// job, and returns the wait and when the caller should retry.
+func (i *Intake) beyondShare(job *bbrwork.Job, queue *bbrwork.Queue, now time.Time) (wait bbrfairshare.Wait, retryAfter time.Duration, beyond bool) {
 	if i.ExpectedWait == nil || job.Organisation == "" || job.LongRunning() || job.Schedule.Count > 0 {
-		return 0, false
+		return wait, 0, false
 	}
 	wait, known := i.ExpectedWait(job.Shard(), job.Organisation, queue.Name, now)
 	if !known {
-		return 0, false
+		return wait, 0, false
 	}
-	path := job.CriticalPath()
-	retryAfter, refused := wait.Refuse(path, queue.Stretch, queue.Objective)
-	if !refused {
+	retryAfter, beyond = wait.Refuse(job.CriticalPath(), queue.Stretch, queue.Objective)
+	return wait, retryAfter, beyond
+}
+
+// refuseBeyondShare decides whether to refuse a job whose organisation's backlog is too
+// long, and returns when the caller should retry. A job that may be stored already, by an
+// earlier submission, is not refused: a refusal means that it never runs.
+func (i *Intake) refuseBeyondShare(ctx context.Context, job *bbrwork.Job, queue *bbrwork.Queue, now time.Time) (time.Duration, bool) {
+	wait, retryAfter, beyond := i.beyondShare(job, queue, now)
+	if !beyond {
 		return 0, false
 	}
 	if _, err := i.readStatus(ctx, job.ID); !errors.Is(err, bbrkv.ErrNotFound) {
 		return 0, false
 	}
 	klog.InfoS("Refusing a job of an organisation whose backlog is too long", "job", job.ID, "organisation", job.Organisation, "queue", queue.Name,
-		"shard", job.Shard(), "wait", wait.Expected, "path", path, "usualPath", wait.Path, "beyond", wait.Beyond, "retryAfter", retryAfter)
+		"shard", job.Shard(), "wait", wait.Expected, "path", job.CriticalPath(), "usualPath", wait.Path, "beyond", wait.Beyond, "retryAfter", retryAfter)
 	return retryAfter, true
 }
--- a/internal/job/bbrintake/preview.go
+++ b/internal/job/bbrintake/preview.go
@@ -28,6 +28,8 @@
 	// Code is the code of the answer, and Detail explains it.
 	Code   bbrcode.Code
 	Detail string
+	// RetryAfter is when a refused caller should retry; 0 for the code's own time.
+	RetryAfter time.Duration
 	// Job is as it would be stored.
 	Job   *bbrwork.Job
 	Queue *bbrwork.Queue
@@ -76,7 +78,7 @@
 	assign(p.Job, p.Queue, id, now)
 	p.Cells = h.Intake.Cells().Count()
 	p.Job.Cell, p.Reason = h.Intake.previewCell(p.Job, now)
-	p.Code, p.Detail = h.previewCode(ctx, p.Job, needsKey, now)
+	p.Code, p.Detail = h.previewCode(ctx, p, needsKey, now)
 	return p, nil
 }
 
@@ -117,15 +119,22 @@
 	return i.PreviewCell(cells, job, homeCell, now)
 }
 
-// previewCode returns the code of the answer to the submission of a job, and its detail.
-func (h *Handler) previewCode(ctx context.Context, job *bbrwork.Job, needsKey bool, now time.Time) (bbrcode.Code, string) {
-	i := h.Intake
+// previewCode returns the code of the answer to the submission of the job, and its detail.
+// It sets RetryAfter.
+func (h *Handler) previewCode(ctx context.Context, p *Preview, needsKey bool, now time.Time) (bbrcode.Code, string) {
+	i, job := h.Intake, p.Job
 	if needsKey && job.Organisation == "" {
 		return bbrcode.KeyMissing, "the queue needs a key of an organisation, and no organisation is given"
 	}
 	if !i.StoreAvailable(now) {
 		return bbrcode.StoreUnavailable, ""
 	}
+	if _, retryAfter, beyond := i.beyondShare(job, p.Queue, now); beyond {
+		if _, err := i.readStatus(ctx, job.ID); errors.Is(err, bbrkv.ErrNotFound) {
+			p.RetryAfter = retryAfter
+			return bbrcode.BeyondShare, ""
+		}
+	}
 	if _, err := i.Acceptor.encode(job); err != nil {
 		return bbrcode.BadJob, err.Error()
 	}
--- a/internal/job/bbrintake/preview_test.go
+++ b/internal/job/bbrintake/preview_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/bluebellridge/bluebellridge/internal/base/bbrcode"
 	"github.com/bluebellridge/bluebellridge/internal/fleet/bbrcell"
+	"github.com/bluebellridge/bluebellridge/internal/job/bbrfairshare"
 	"github.com/bluebellridge/bluebellridge/internal/job/bbrrecord"
 	"github.com/bluebellridge/bluebellridge/internal/job/bbrwork"
 )
@@ -27,6 +28,8 @@
 		change  func(h *Handler)
 		code    bbrcode.Code
 		invalid bool
+		// retryAfter is the header of the answer if it is not the code's own.
+		retryAfter string
 	}{
 		{name: "accepted", in: PreviewRequest{Queue: "proofs", ID: pressJob, Organisation: "press"}, key: pressKey, code: bbrcode.Accepted},
 		{name: "by path", in: PreviewRequest{Queue: proofsHost + proofsPath + pressJob, Organisation: "press"}, key: pressKey, code: bbrcode.Accepted},
@@ -36,6 +39,13 @@
 		{name: "stored by others", in: PreviewRequest{Queue: "proofs", ID: "00000000000000c1", Organisation: "archive"}, key: archiveKey, code: bbrcode.ForeignJob},
 		{name: "store away", in: PreviewRequest{Queue: "public", ID: publicJob}, code: bbrcode.StoreUnavailable,
 			change: func(h *Handler) { h.Intake.StoreAvailable = func(time.Time) bool { return false } }},
+		{name: "beyond its share", in: PreviewRequest{Queue: "proofs", ID: pressJob, Organisation: "press"}, key: pressKey, code: bbrcode.BeyondShare, change: expectWait, retryAfter: "5"},
+		{name: "beyond its share and stored", in: PreviewRequest{Queue: "proofs", ID: "00000000000000c1", Organisation: "press"}, key: pressKey, code: bbrcode.AlreadyStored, change: expectWait},
+		{name: "beyond its share and too large for the store", in: PreviewRequest{Queue: "proofs", ID: pressJob, Organisation: "press"}, key: pressKey, code: bbrcode.BeyondShare, retryAfter: "5",
+			change: func(h *Handler) {
+				expectWait(h)
+				h.Intake.Store.MaxValueBytes = 10
+			}},
 		{name: "too large for the store", in: PreviewRequest{Queue: "public", ID: publicJob}, code: bbrcode.BadJob,
 			change: func(h *Handler) { h.Intake.Store.MaxValueBytes = 10 }},
 		{name: "unknown path", in: PreviewRequest{Queue: proofsHost + "/nothing/" + pressJob}, code: bbrcode.UnknownQueue, invalid: true},
@@ -64,6 +74,11 @@
 			} else {
 				require.NoError(t, err)
 				require.Equal(t, test.code, preview.Code, preview.Detail)
+				if test.retryAfter == "" {
+					require.Zero(t, preview.RetryAfter)
+				} else {
+					require.Equal(t, test.retryAfter+"s", preview.RetryAfter.String())
+				}
 			}
 			path := test.in.Queue
 			switch test.in.Queue {
@@ -74,6 +89,9 @@
 			}
 			answer := call(h, http.MethodPost, strings.TrimPrefix(path, proofsHost), test.key, strings.NewReader(string(test.in.Body)))
 			require.Equal(t, test.code.Info().Status, answer.Code)
+			if test.retryAfter != "" {
+				require.Equal(t, test.retryAfter, answer.Header().Get("Retry-After"))
+			}
 			if answer.Code >= http.StatusMultipleChoices {
 				require.Contains(t, answer.Body.String(), `"`+test.code.String()+`"`)
 			}
@@ -81,6 +99,13 @@
 	}
 }
 
+// expectWait lets the owner expect a wait for which jobs are refused.
+func expectWait(h *Handler) {
+	h.Intake.ExpectedWait = func(bbrwork.Shard, string, string, time.Time) (bbrfairshare.Wait, bool) {
+		return bbrfairshare.Wait{Expected: 4100 * time.Millisecond, Beyond: true}, true
+	}
+}
+
 // TestPreviewOfJob checks the job that the owner is asked about: it must be the one that
 // would be stored.
 func TestPreviewOfJob(t *testing.T) {
--- a/internal/operator/bbradmin/placement.go
+++ b/internal/operator/bbradmin/placement.go
@@ -1,6 +1,7 @@
 package bbradmin
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"math"
@@ -58,8 +59,8 @@
 		detail = info.Text
 	}
 	text += fmt.Sprintf(", %d %s (status %d): %s", preview.Code, info.Name, info.Status, detail)
-	if info.RetryAfter > 0 {
-		text += fmt.Sprintf(" Retry-After: %d", int(math.Ceil(info.RetryAfter.Seconds())))
+	if retryAfter := cmp.Or(preview.RetryAfter, info.RetryAfter); retryAfter > 0 {
+		text += fmt.Sprintf(" Retry-After: %d", int(math.Ceil(retryAfter.Seconds())))
 	}
 	return text
 }
--- a/internal/operator/bbradmin/placement_test.go
+++ b/internal/operator/bbradmin/placement_test.go
@@ -69,6 +69,13 @@
 	require.Equal(t, "7 more are not shown", rows["steps"])
 }
 
+// TestExplainShowsRetryAfter guards against a time for a retry that differs from that of
+// the answer to the submission.
+func TestExplainShowsRetryAfter(t *testing.T) {
+	require.Contains(t, describeAnswer(&bbrintake.Preview{Code: bbrcode.BeyondShare, RetryAfter: 5 * time.Second}), " Retry-After: 5")
+	require.Contains(t, describeAnswer(&bbrintake.Preview{Code: bbrcode.StoreUnavailable}), " Retry-After: 1")
+}
+
 // TestExplainWithoutAnswer checks that the table says why the owner's part is missing and
 // has what the entry itself knows.
 func TestExplainWithoutAnswer(t *testing.T) {
