job/bbrscheduler: work beyond its share neither reserves nor preempts

Reservations and preemptions did not look at the shares: an organisation beyond its share got capacity ahead of the others by wide or urgent work.

planReservations skips such work while shares are in force.

TestWorkBeyondItsShareReservesNothing failed before in its two cases beyond the share (1 reservation, 1 stop) and passes.

--- a/internal/job/bbrscheduler/reservation.go
+++ b/internal/job/bbrscheduler/reservation.go
@@ -94,13 +94,17 @@
 }
 
 // planReservations reserves capacity for wide work that still waits after the starts, and
-// stops work for urgent work.
+// stops work for urgent work. Work beyond its organisation's share gets neither, as it
+// would get capacity ahead of work within its share.
 func (p *planner) planReservations() {
 	betterWaits, forecasts := false, 0
 	for _, c := range p.considered {
 		if forecasts == maxForecasts || len(p.sched.reservations) >= bbrreservation.MaxReservations {
 			return
 		}
+		if p.rankInShare(c) == rankBeyond {
+			continue
+		}
 		need, ok := p.waitingNeed(c.step)
 		if !ok {
 			continue
--- a/internal/job/bbrscheduler/reservationrules_test.go
+++ b/internal/job/bbrscheduler/reservationrules_test.go
@@ -81,6 +81,53 @@
 	}
 }
 
+// runOf lets four jobs of an organisation run on an upstream.
+func (s *scene) runOf(up, organisation, queue string, estimate time.Duration) {
+	for i := range 4 {
+		in := &bbrwork.Job{ID: jobID(1 + i), Queue: queue, Service: "press", Spec: "x", Organisation: organisation, Steps: []bbrwork.Step{smallStep(estimate)}, Accepted: s.now}
+		s.sched.AddJob(in, 0, nil, s.now)
+		r := s.sched.addRun(s.unit(in.ID, 0), 1, s.sched.upstreams[up], s.now)
+		r.phase, r.confirmedAt = phaseRunning, s.now
+	}
+}
+
+// TestWorkBeyondItsShareReservesNothing guards against an organisation beyond its share
+// that gets capacity ahead of the others by a reservation or a preemption.
+func TestWorkBeyondItsShareReservesNothing(t *testing.T) {
+	tests := []struct {
+		name, organisation, queue string
+		shares                    bool
+		running                   time.Duration
+		step                      bbrwork.Step
+		reserved, stops           int
+	}{
+		{name: "wide, without shares", organisation: "a", queue: "proofs", running: 800 * time.Millisecond, step: wideUnit(time.Second), reserved: 1},
+		{name: "wide, within its share", organisation: "b", queue: "proofs", shares: true, running: 800 * time.Millisecond, step: wideUnit(time.Second), reserved: 1},
+		{name: "wide, beyond its share", organisation: "a", queue: "proofs", shares: true, running: 800 * time.Millisecond, step: wideUnit(time.Second)},
+		{name: "urgent, without shares", organisation: "a", queue: "inserts", running: 5 * time.Second, step: smallStep(time.Second), reserved: 1, stops: 1},
+		{name: "urgent, within its share", organisation: "b", queue: "inserts", shares: true, running: 5 * time.Second, step: smallStep(time.Second), reserved: 1, stops: 1},
+		{name: "urgent, beyond its share", organisation: "a", queue: "inserts", shares: true, running: 5 * time.Second, step: smallStep(time.Second)},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			s := newReservingScene(t, "i-1")
+			s.sched.FairShares = test.shares
+			config, err := s.sched.config.WithOrganisations([]*bbrwork.Organisation{{Name: "a", Weight: 1}, {Name: "b", Weight: 3}})
+			require.NoError(t, err)
+			s.sched.SetConfig(config)
+			s.runOf("i-1", "a", test.queue, test.running)
+			s.advance(400 * time.Millisecond)
+			s.keepRunning("i-1")
+			small := smallStep(time.Second)
+			small.Count = 4
+			s.sched.AddJob(&bbrwork.Job{ID: "00000000000000b2", Queue: "inserts", Service: "press", Spec: "x", Organisation: "b", Steps: []bbrwork.Step{small}, Accepted: s.now}, 0, nil, s.now)
+			s.sched.AddJob(&bbrwork.Job{ID: testJob, Queue: "proofs", Service: "press", Spec: "x", Organisation: test.organisation, Steps: []bbrwork.Step{test.step}, Accepted: s.now}, 0, nil, s.now)
+			require.Len(t, s.plan().Stops, test.stops)
+			require.Equal(t, test.reserved, s.sched.ReservationCounts().Active)
+		})
+	}
+}
+
 // TestSuspectDoesNotReserve guards against an upstream that is held for a work unit that
 // waits for a trial, for which upstreams are reserved already.
 func TestSuspectDoesNotReserve(t *testing.T) {
