job/bbrscheduler: reserved capacity is not counted as avoided

countSeparation compared with all free capacity, also what is reserved for other steps, where the work could not have started.

It uses freeFor.

TestReservedCapacityIsNotAvoided failed before (1 instead of 0) and passes.

--- a/internal/job/bbrscheduler/interference.go
+++ b/internal/job/bbrscheduler/interference.go
@@ -138,8 +138,8 @@
 }
 
 // countSeparation counts the start of a work unit whose image is to be kept apart.
-func (p *planner) countSeparation(spec *bbrwork.Step, chosen *upstream) {
-	conflicts := p.sched.conflicts(spec)
+func (p *planner) countSeparation(s *step, chosen *upstream) {
+	conflicts := p.sched.conflicts(s.spec)
 	if len(conflicts) == 0 {
 		return
 	}
@@ -148,7 +148,7 @@
 		return
 	}
 	for _, up := range p.usable {
-		if up.harm(conflicts) > 0 && spec.Allocation().Fits(up.free()) {
+		if up.harm(conflicts) > 0 && s.spec.Allocation().Fits(p.freeFor(s, up)) {
 			p.sched.separationCounts.Avoided++
 			return
 		}
--- a/internal/job/bbrscheduler/interference_test.go
+++ b/internal/job/bbrscheduler/interference_test.go
@@ -275,6 +275,22 @@
 	require.Equal(t, encodeOn, s.plan().Starts[0].Upstream.ID)
 }
 
+// TestReservedCapacityIsNotAvoided guards against a start that is counted as kept apart by
+// choice although the capacity beside the other image was reserved for other work.
+func TestReservedCapacityIsNotAvoided(t *testing.T) {
+	s, encodeOn := newSeparatedScene(t, storedPair(t, "encode", "render", testStart), "i-1", "i-2")
+	s.sched.ReserveCapacity = true
+	other := map[string]string{"i-1": "i-2", "i-2": "i-1"}[encodeOn]
+	s.accept("00000000000000c0", smallStep(5*time.Second))
+	r := s.sched.addRun(s.unit("00000000000000c0", 0), 1, s.sched.upstreams[other], s.now)
+	r.phase, r.confirmedAt = phaseRunning, s.now
+	s.accept("00000000000000c2", bbrwork.Step{Count: 1, Need: bbrwork.Resources{MilliCPU: 4000, MemoryMB: 100}, Estimate: time.Second})
+	s.plan()
+	require.NotNil(t, s.sched.upstreams[encodeOn].hold)
+	require.Equal(t, other, s.startImage("00000000000000c1", "render"))
+	require.Zero(t, s.sched.SeparationCounts().Avoided)
+}
+
 // TestPaceChangesExposure guards against best-effort work that is accused of latencies
 // while it is paused: its neighbours are exposed to it by its pace.
 func TestPaceChangesExposure(t *testing.T) {
--- a/internal/job/bbrscheduler/plan.go
+++ b/internal/job/bbrscheduler/plan.go
@@ -292,7 +292,7 @@
 func (p *planner) planStart(u *unit, run int, up *upstream) {
 	sched := p.sched
 	ticket, _ := sched.ticketFor(u.step, up, p.now)
-	p.countSeparation(u.step.spec, up)
+	p.countSeparation(u.step, up)
 	r := sched.addRun(u, run, up, p.now)
 	r.fromStart = u.checkpoint == ""
 	r.startDeadline, r.earliestAnswer = up.clockNow(p.now)+sched.Timing.StartTimeout, up.earliestClock(p.now)
