job/bbrintake: answers without waits are kept

An answer without waits deleted its owner and time, so that an older answer that arrived later was recorded and used. The local answer was recorded as of a time after it was made.

The empty answer is stored, and the time is taken before the local owner is asked.

The case 'older answer after one without waits' of TestWaitsAreUsedBriefly failed before and passes. The change in bbrserve has no test of its own.

--- a/internal/daemon/bbrserve/hints.go
+++ b/internal/daemon/bbrserve/hints.go
@@ -23,8 +23,9 @@
 		return
 	}
 	hint := bbrowner.NewHint(claim, job, stored)
+	sent := time.Now()
 	if answer := o.acceptHint(hint); answer.Accepted {
-		o.recordWaits(hint, answer, time.Now())
+		o.recordWaits(hint, answer, sent)
 		o.daemon.metrics.Event("hint:here")
 		return
 	}
--- a/internal/job/bbrintake/fairshare.go
+++ b/internal/job/bbrintake/fairshare.go
@@ -37,17 +37,14 @@
 }
 
 // Record records the waits that the owner with the token expects, as of the time at which
-// the entry asked. Organisations that are left out have no wait.
+// the entry asked. Organisations that are left out have no wait. An
+// answer without waits is kept too, so that an older one that arrives later is not used.
 func (c *WaitCache) Record(shard bbrwork.Shard, owner bbrkv.Revision, waits []bbrfairshare.Wait, asked time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if known, ok := c.shards[shard]; ok && (owner < known.owner || owner == known.owner && asked.Before(known.at)) {
 		return
 	}
-	if len(waits) == 0 {
-		delete(c.shards, shard)
-		return
-	}
 	told := toldWaits{owner: owner, at: asked, waits: make(map[waitKey]bbrfairshare.Wait, len(waits))}
 	for _, wait := range waits {
 		told.waits[waitKey{wait.Organisation, wait.Queue}] = wait
--- a/internal/job/bbrintake/fairshare_test.go
+++ b/internal/job/bbrintake/fairshare_test.go
@@ -39,6 +39,10 @@
 		{name: "another queue", queue: "plates"},
 		{name: "answer without waits", arrange: func(c *WaitCache) { c.Record(shard, 7, nil, now) }},
 		{name: "late answer without waits", arrange: func(c *WaitCache) { c.Record(shard, 7, nil, now.Add(-time.Millisecond)) }, known: true},
+		{name: "older answer after one without waits", arrange: func(c *WaitCache) {
+			c.Record(shard, 7, nil, now.Add(2*time.Millisecond))
+			c.Record(shard, 7, []bbrfairshare.Wait{wait}, now.Add(time.Millisecond))
+		}},
 		{name: "late answer of an earlier owner", arrange: func(c *WaitCache) { c.Record(shard, 6, nil, now) }, known: true},
 		{name: "answer of another shard's owner", arrange: func(c *WaitCache) { c.Record(bbrwork.Shard{Service: "press", Cell: 1}, 7, nil, now) }, known: true},
 	}
