job/bbrscheduler: names that shadow nothing

Local variables had the name of the function later, and setWeights made up a job to name an organisation.

The variables are deferred and comesLater; member takes a name. No decision changes.

--- a/internal/job/bbrscheduler/fairshare.go
+++ b/internal/job/bbrscheduler/fairshare.go
@@ -53,18 +53,18 @@
 	beyond bool
 }
 
-// member returns the organisation of the job, or nil if the job belongs to none.
-func (f *fairShares) member(j *job) *shareMember {
-	if j.Organisation == "" {
+// member returns the organisation with the name, or nil if the name is empty.
+func (f *fairShares) member(name string) *shareMember {
+	if name == "" {
 		return nil
 	}
-	m := f.members[j.Organisation]
+	m := f.members[name]
 	if m == nil {
-		m = &shareMember{name: j.Organisation}
+		m = &shareMember{name: name}
 		if f.members == nil {
 			f.members = make(map[string]*shareMember)
 		}
-		f.members[j.Organisation] = m
+		f.members[name] = m
 		f.order = nil
 	}
 	return m
@@ -76,7 +76,7 @@
 	f.weighted = false
 	for name, organisation := range config.Organisations {
 		f.weighted = f.weighted || organisation.Weight > 0
-		f.member(&job{Job: &bbrwork.Job{Organisation: name}})
+		f.member(name)
 	}
 	for name, m := range f.members {
 		m.weight = 0
@@ -92,7 +92,7 @@
 	if !sched.FairShares || s.spec.LongRunning {
 		return nil
 	}
-	return sched.fair.member(s.job)
+	return sched.fair.member(s.job.Organisation)
 }
 
 // countShare records that a run of the step begins or, if end is true, has ended.
--- a/internal/job/bbrscheduler/fairwait.go
+++ b/internal/job/bbrscheduler/fairwait.go
@@ -111,8 +111,8 @@
 			priority = j.policy.Priority
 		}
 		for _, b := range list {
-			later := priority > b.priority || !j.started && objective.After(now.Add(b.allowed/time.Duration(b.jobs)))
-			if !later {
+			comesLater := priority > b.priority || !j.started && objective.After(now.Add(b.allowed/time.Duration(b.jobs)))
+			if !comesLater {
 				b.seconds += work
 			}
 		}
--- a/internal/job/bbrscheduler/plan.go
+++ b/internal/job/bbrscheduler/plan.go
@@ -115,17 +115,17 @@
 // startTier starts work of one tier. Work whose organisation has got a later rank on the
 // way waits for the work of the others.
 func (p *planner) startTier(list []candidate) {
-	var later []candidate
+	var deferred []candidate
 	for rank := list[0].shareRank; len(list) > 0; rank++ {
-		later = later[:0]
+		deferred = deferred[:0]
 		for _, c := range list {
 			if c.shareRank = max(c.shareRank, p.rankInShare(c)); c.shareRank > rank {
-				later = append(later, c)
+				deferred = append(deferred, c)
 				continue
 			}
 			p.startCandidate(c)
 		}
-		list, later = later, list[:0]
+		list, deferred = deferred, list[:0]
 		slices.SortFunc(list, compareCandidates)
 	}
 }
