--- a/internal/daemon/bbrserve/owners.go
+++ b/internal/daemon/bbrserve/owners.go
@@ -45,7 +45,7 @@
 	rooms bbrcell.RoomDirectory
 	// hintSlots contains an element for each hint in flight.
 	hintSlots chan struct{}
-	// waits is what owners told about new jobs.
+	// waits has the waits that owners reported for new jobs.
 	waits bbrintake.WaitCache
 }
 
--- a/internal/job/bbrfairshare/doc.go
+++ b/internal/job/bbrfairshare/doc.go
@@ -3,8 +3,5 @@
 // memory. It keeps the use by which an organisation is measured against its share, and
 // decides whether a new job is refused because its organisation's backlog is too long.
 //
-// It answers the load of a few organisations that send several times their usual load for
-// some seconds, a few job lengths, beside others that send what they usually do.
-//
 // The package makes decisions; it does no I/O.
 package bbrfairshare
--- a/internal/job/bbrfairshare/use.go
+++ b/internal/job/bbrfairshare/use.go
@@ -8,10 +8,9 @@
 )
 
 const (
-	// averageTime is the time constant of the average of what an organisation used. A
-	// job runs for one or two seconds, and is one of few that its organisation has in a
-	// shard: what runs at one moment says little about the organisation's part. After a
-	// few of these times nothing is left of a burst.
+	// averageTime is the time constant of the average of what an organisation used. It is
+	// about the length of a job, so that single jobs are evened out and a burst is
+	// forgotten soon after its end.
 	averageTime = 2 * time.Second
 	// presentPart is the part of the counted use that is what runs now; the rest is the
 	// average. An organisation that used little can so start a whole job at once.
--- a/internal/job/bbrfairshare/wait.go
+++ b/internal/job/bbrfairshare/wait.go
@@ -23,9 +23,9 @@
 	// uselessAfter is the number of objectives after which a job is of no value to its
 	// caller.
 	uselessAfter = 3
-	// caution divides the expected wait: estimates of run times are off, jobs ahead may
+	// waitDivisor divides the expected wait: estimates of run times are off, jobs ahead may
 	// fail to be in time and then come later, and the pool may grow.
-	caution = 2
+	waitDivisor = 2
 	// maxRetryAfter bounds the time after which a refused caller should retry: the
 	// backlog is known for this moment only.
 	maxRetryAfter = 30 * time.Second
@@ -45,7 +45,7 @@
 	if !w.Beyond {
 		allowed *= uselessAfter
 	}
-	if float64(w.Expected)/caution+float64(path) <= allowed {
+	if float64(w.Expected)/waitDivisor+float64(path) <= allowed {
 		return 0, false
 	}
 	seconds := math.Ceil(min(w.Expected, maxRetryAfter).Seconds())
--- a/internal/job/bbrintake/fairshare.go
+++ b/internal/job/bbrintake/fairshare.go
@@ -13,15 +13,15 @@
 	"github.com/bluebellridge/bluebellridge/internal/store/bbrkv"
 )
 
-// waitTTL is how long what an owner told is used. Afterwards a job is accepted again, and
-// the answer to its hint tells anew.
+// waitTTL is how long a wait that an owner reported is used. Afterwards a job is accepted
+// again, and the answer to its hint has the present wait.
 const waitTTL = time.Second
 
 // waitKey identifies the jobs for which a wait is expected.
 type waitKey struct{ organisation, queue string }
 
-// toldWaits is what an owner told about new jobs of its shard.
-type toldWaits struct {
+// reportedWaits are the waits that an owner expects for new jobs of its shard.
+type reportedWaits struct {
 	// owner is the fencing token of the owner.
 	owner bbrkv.Revision
 	// at is when the entry asked.
@@ -29,11 +29,11 @@
 	waits map[waitKey]bbrfairshare.Wait
 }
 
-// WaitCache caches what owners told about new jobs, by shard. The zero value is ready to
-// use.
+// WaitCache caches the waits that owners reported for new jobs, by shard. The zero value is
+// ready to use.
 type WaitCache struct {
 	mu     sync.Mutex
-	shards map[bbrwork.Shard]toldWaits
+	shards map[bbrwork.Shard]reportedWaits
 }
 
 // Record records the waits that the owner with the token expects, as of the time at which
@@ -45,26 +45,26 @@
 	if known, ok := c.shards[shard]; ok && (owner < known.owner || owner == known.owner && asked.Before(known.at)) {
 		return
 	}
-	told := toldWaits{owner: owner, at: asked, waits: make(map[waitKey]bbrfairshare.Wait, len(waits))}
+	reported := reportedWaits{owner: owner, at: asked, waits: make(map[waitKey]bbrfairshare.Wait, len(waits))}
 	for _, wait := range waits {
-		told.waits[waitKey{wait.Organisation, wait.Queue}] = wait
+		reported.waits[waitKey{wait.Organisation, wait.Queue}] = wait
 	}
 	if c.shards == nil {
-		c.shards = make(map[bbrwork.Shard]toldWaits)
+		c.shards = make(map[bbrwork.Shard]reportedWaits)
 	}
-	c.shards[shard] = told
+	c.shards[shard] = reported
 }
 
 // Get returns the wait that the owner with the token expects for a new job; false if it
-// told none in the last second.
+// reported none in the last second.
 func (c *WaitCache) Get(shard bbrwork.Shard, owner bbrkv.Revision, organisation, queue string, now time.Time) (bbrfairshare.Wait, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	told, ok := c.shards[shard]
-	if !ok || told.owner != owner || now.Sub(told.at) > waitTTL {
+	reported, ok := c.shards[shard]
+	if !ok || reported.owner != owner || now.Sub(reported.at) > waitTTL {
 		return bbrfairshare.Wait{}, false
 	}
-	wait, ok := told.waits[waitKey{organisation, queue}]
+	wait, ok := reported.waits[waitKey{organisation, queue}]
 	return wait, ok
 }
 
--- a/internal/job/bbrintake/intake.go
+++ b/internal/job/bbrintake/intake.go
@@ -42,7 +42,7 @@
 	// OwnerToken returns the token of the shard's owner, and false if it has none. If it is
 	// nil, the reports of all shards are trusted.
 	OwnerToken func(shard bbrwork.Shard) (bbrkv.Revision, bool)
-	// ExpectedWait returns what the owner of the shard has lately told about new jobs of
+	// ExpectedWait returns what the owner of the shard lately reported for new jobs of
 	// the organisation in the queue; false if nothing is known. It is nil if organisations
 	// do not share the capacity by weight.
 	ExpectedWait func(shard bbrwork.Shard, organisation, queue string, now time.Time) (bbrfairshare.Wait, bool)
--- a/internal/job/bbrinterference/site.go
+++ b/internal/job/bbrinterference/site.go
@@ -151,7 +151,7 @@
 
 // exposures appends the exposures of the image since the mark. The expected value does
 // not depend on the length of the observation: otherwise long runs, which meet more
-// neighbours, would accuse all of them.
+// neighbours, would be evidence against all of them.
 func (s *Site) exposures(affected ImageID, m *Mark, now time.Time, list []exposure) []exposure {
 	elapsed := now.Sub(m.since).Seconds()
 	if elapsed <= 0 {
--- a/internal/job/bbrreservation/doc.go
+++ b/internal/job/bbrreservation/doc.go
@@ -5,6 +5,5 @@
 // free (EASY backfilling). Urgent work may have work of a lower rank stopped, within
 // bounds.
 //
-// The load that it addresses is a full shard whose gaps are always filled by small work.
 // The package makes decisions; it does no I/O.
 package bbrreservation
--- a/internal/job/bbrreservation/reservation.go
+++ b/internal/job/bbrreservation/reservation.go
@@ -16,11 +16,11 @@
 	// MaxLife bounds how long a reservation lasts, and so how long it keeps any
 	// capacity idle: its lead and its margin.
 	MaxLife = 2*MaxLead + minMargin
-	// Rest is the time before work may reserve again whose reservation ended without a
+	// RetryDelay is the time before work may reserve again whose reservation ended without a
 	// start, so that at least a part of the time is left to other work.
-	Rest = time.Second
+	RetryDelay = time.Second
 	// backfillFactor is the factor by which work may take longer than expected and still
-	// end before the reserved time: run-time estimates have a logarithmic error of 0.9.
+	// end before the reserved time: estimates of run times are often off by this much.
 	backfillFactor = 2.5
 	// maxHeldShare is the part of the usable upstreams, one in maxHeldShare, that may be
 	// held by more than one reservation together.
@@ -111,8 +111,8 @@
 // Causes lists the causes.
 var Causes = [...]Cause{CauseStarted, CauseGone, CauseUpstreamLost, CauseTooLate, CauseOverdue}
 
-// Rests reports whether the work waits for Rest before it may reserve again.
-func (c Cause) Rests() bool { return c == CauseUpstreamLost || c == CauseOverdue }
+// DelaysRetry reports whether the work waits for RetryDelay before it may reserve again.
+func (c Cause) DelaysRetry() bool { return c == CauseUpstreamLost || c == CauseOverdue }
 
 // Expired returns why a reservation ends whose work still waits, or "". latestStart is the
 // time from which the work has no value.
--- a/internal/job/bbrscheduler/reservation_test.go
+++ b/internal/job/bbrscheduler/reservation_test.go
@@ -173,10 +173,10 @@
 	}
 	s.accept("00000000000000b2", unitStep(2))
 	require.Len(t, s.startedJobs(), 2, "the capacity is free for other work")
-	s.advance(bbrreservation.Rest / 2)
+	s.advance(bbrreservation.RetryDelay / 2)
 	s.keepRunning("i-1")
 	s.plan()
-	require.Zero(t, s.sched.ReservationCounts().Active, "the work rests before it reserves again")
+	require.Zero(t, s.sched.ReservationCounts().Active, "the work waits before it reserves again")
 }
 
 // keepRunning lists all runs of an upstream.
@@ -201,7 +201,7 @@
 	s.plan()
 	require.Equal(t, 1, s.endedBy(bbrreservation.CauseUpstreamLost))
 	require.Zero(t, s.sched.ReservationCounts().Active)
-	s.advance(bbrreservation.Rest)
+	s.advance(bbrreservation.RetryDelay)
 	s.keepRunning("i-2")
 	s.plan()
 	require.NotNil(t, s.sched.upstreams["i-2"].hold, "the work reserves elsewhere")
--- a/internal/job/bbrscheduler/reservationend.go
+++ b/internal/job/bbrscheduler/reservationend.go
@@ -72,8 +72,8 @@
 	}
 	s := r.step
 	s.reservation = nil
-	if cause.Rests() {
-		s.reserveAfter = now.Add(bbrreservation.Rest)
+	if cause.DelaysRetry() {
+		s.reserveAfter = now.Add(bbrreservation.RetryDelay)
 	}
 	sched.reservationsEnded[cause]++
 	sched.note(now, "Reservation ended", "job", s.job.ID, "step", s.number, "occurrence", s.occurrence.number, "cause", cause,
