--- a/internal/job/bbrintake/fairshare.go
+++ b/internal/job/bbrintake/fairshare.go
@@ -13,15 +13,15 @@
 	"github.com/bluebellridge/bluebellridge/internal/store/bbrkv"
 )
 
-// waitTTL is how long what an owner told is used. Afterwards a job is accepted again, and
-// the answer to its hint tells anew.
+// waitTTL is how long a wait that an owner reported is used. Afterwards a job is accepted
+// again, and the answer to its hint has the present wait.
 const waitTTL = time.Second
 
 // waitKey identifies the jobs for which a wait is expected.
 type waitKey struct{ organisation, queue string }
 
-// toldWaits is what an owner told about new jobs of its shard.
-type toldWaits struct {
+// reportedWaits are the waits that an owner expects for new jobs of its shard.
+type reportedWaits struct {
 	// owner is the fencing token of the owner.
 	owner bbrkv.Revision
 	// at is when the entry asked.
@@ -29,68 +29,71 @@
 	waits map[waitKey]bbrfairshare.Wait
 }
 
-// WaitCache caches what owners told about new jobs, by shard. The zero value is ready to
-// use.
+// WaitCache caches the waits that owners reported for new jobs, by shard. The zero value is
+// ready to use.
 type WaitCache struct {
 	mu     sync.Mutex
-	shards map[bbrwork.Shard]toldWaits
+	shards map[bbrwork.Shard]reportedWaits
 }
 
 // Record records the waits that the owner with the token expects, as of the time at which
-// the entry asked. Organisations that are left out have no wait.
+// the entry asked. Organisations that are left out have no wait. An
+// answer without waits is kept too, so that an older one that arrives later is not used.
 func (c *WaitCache) Record(shard bbrwork.Shard, owner bbrkv.Revision, waits []bbrfairshare.Wait, asked time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if known, ok := c.shards[shard]; ok && (owner < known.owner || owner == known.owner && asked.Before(known.at)) {
 		return
 	}
-	if len(waits) == 0 {
-		delete(c.shards, shard)
-		return
-	}
-	told := toldWaits{owner: owner, at: asked, waits: make(map[waitKey]bbrfairshare.Wait, len(waits))}
+	reported := reportedWaits{owner: owner, at: asked, waits: make(map[waitKey]bbrfairshare.Wait, len(waits))}
 	for _, wait := range waits {
-		told.waits[waitKey{wait.Organisation, wait.Queue}] = wait
+		reported.waits[waitKey{wait.Organisation, wait.Queue}] = wait
 	}
 	if c.shards == nil {
-		c.shards = make(map[bbrwork.Shard]toldWaits)
+		c.shards = make(map[bbrwork.Shard]reportedWaits)
 	}
-	c.shards[shard] = told
+	c.shards[shard] = reported
 }
 
 // Get returns the wait that the owner with the token expects for a new job; false if it
-// told none in the last second.
+// reported none in the last second.
 func (c *WaitCache) Get(shard bbrwork.Shard, owner bbrkv.Revision, organisation, queue string, now time.Time) (bbrfairshare.Wait, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	told, ok := c.shards[shard]
-	if !ok || told.owner != owner || now.Sub(told.at) > waitTTL {
+	reported, ok := c.shards[shard]
+	if !ok || reported.owner != owner || now.Sub(reported.at) > waitTTL {
 		return bbrfairshare.Wait{}, false
 	}
-	wait, ok := told.waits[waitKey{organisation, queue}]
+	wait, ok := reported.waits[waitKey{organisation, queue}]
 	return wait, ok
 }
 
-// refuseBeyondShare decides whether to refuse a job whose organisation's backlog is too
-// long, and returns when the caller should retry. A job that may be stored already, by an
-// earlier submission, is not refused: a refusal means that it never runs.
-func (i *Intake) refuseBeyondShare(ctx context.Context, job *bbrwork.Job, queue *bbrwork.Queue, now time.Time) (time.Duration, bool) {
+// beyondShare reports whether the backlog of the job's organisation is too long for a new
+// job, and returns the wait and when the caller should retry.
+func (i *Intake) beyondShare(job *bbrwork.Job, queue *bbrwork.Queue, now time.Time) (wait bbrfairshare.Wait, retryAfter time.Duration, beyond bool) {
 	if i.ExpectedWait == nil || job.Organisation == "" || job.LongRunning() || job.Schedule.Count > 0 {
-		return 0, false
+		return wait, 0, false
 	}
 	wait, known := i.ExpectedWait(job.Shard(), job.Organisation, queue.Name, now)
 	if !known {
-		return 0, false
+		return wait, 0, false
 	}
-	path := job.CriticalPath()
-	retryAfter, refused := wait.Refuse(path, queue.Stretch, queue.Objective)
-	if !refused {
+	retryAfter, beyond = wait.Refuse(job.CriticalPath(), queue.Stretch, queue.Objective)
+	return wait, retryAfter, beyond
+}
+
+// refuseBeyondShare decides whether to refuse a job whose organisation's backlog is too
+// long, and returns when the caller should retry. A job that may be stored already, by an
+// earlier submission, is not refused: a refusal means that it never runs.
+func (i *Intake) refuseBeyondShare(ctx context.Context, job *bbrwork.Job, queue *bbrwork.Queue, now time.Time) (time.Duration, bool) {
+	wait, retryAfter, beyond := i.beyondShare(job, queue, now)
+	if !beyond {
 		return 0, false
 	}
 	if _, err := i.readStatus(ctx, job.ID); !errors.Is(err, bbrkv.ErrNotFound) {
 		return 0, false
 	}
 	klog.InfoS("Refusing a job of an organisation whose backlog is too long", "job", job.ID, "organisation", job.Organisation, "queue", queue.Name,
-		"shard", job.Shard(), "wait", wait.Expected, "path", path, "usualPath", wait.Path, "beyond", wait.Beyond, "retryAfter", retryAfter)
+		"shard", job.Shard(), "wait", wait.Expected, "path", job.CriticalPath(), "usualPath", wait.Path, "beyond", wait.Beyond, "retryAfter", retryAfter)
 	return retryAfter, true
 }
--- a/internal/job/bbrintake/intake.go
+++ b/internal/job/bbrintake/intake.go
@@ -42,9 +42,9 @@
 	// OwnerToken returns the token of the shard's owner, and false if it has none. If it is
 	// nil, the reports of all shards are trusted.
 	OwnerToken func(shard bbrwork.Shard) (bbrkv.Revision, bool)
-	// ExpectedWait returns what the owner of the shard has lately told about new jobs of
-	// the organisation in the queue; false if nothing is known. It is nil unless jobs
-	// are refused by share.
+	// ExpectedWait returns what the owner of the shard has lately reported about new jobs of
+	// the organisation in the queue; false if nothing is known. It is nil unless jobs are
+	// refused by share.
 	ExpectedWait func(shard bbrwork.Shard, organisation, queue string, now time.Time) (bbrfairshare.Wait, bool)
 	// StoreAvailable reports whether the store has answered recently.
 	StoreAvailable func(now time.Time) bool
