--- a/internal/job/bbrscheduler/placement_test.go
+++ b/internal/job/bbrscheduler/placement_test.go
@@ -144,9 +144,9 @@
 	running []StartOrder
 }
 
-func newTwin(t *testing.T) *twin {
+func newTwin(t *testing.T, fairShares bool) *twin {
 	s := newScene(t, true, twinUpstreams...)
-	s.sched.ReserveCapacity, s.sched.FairShares = true, true
+	s.sched.ReserveCapacity, s.sched.FairShares = true, fairShares
 	s.sched.SeparateInterfering(nil, s.now)
 	s.sched.SetConfig(placementConfig(t))
 	for _, name := range []string{"guild", "union"} {
@@ -238,8 +238,10 @@
 // service, accounts of caps, reservations, statistics, notes and the horizon.
 func TestPlaceChangesNothing(t *testing.T) {
 	reserved, preempted, capped, advised := 0, 0, 0, 0
-	rapid.Check(t, func(rt *rapid.T) {
-		queried, plain := newTwin(t), newTwin(t)
+	check := func(rt *rapid.T) {
+		// With shares, preemptions are rare.
+		fairShares := rapid.IntRange(0, 3).Draw(rt, "fair shares") == 0
+		queried, plain := newTwin(t, fairShares), newTwin(t, fairShares)
 		both := []*twin{queried, plain}
 		for step := range rapid.IntRange(5, 40).Draw(rt, "events") {
 			pause := time.Duration(rapid.IntRange(1, 300).Draw(rt, "pause")) * time.Millisecond
@@ -276,7 +278,11 @@
 			require.Equal(rt, plain.planAndStart(), queried.planAndStart(), "the next plan")
 			preempted += queried.sched.preempted
 		}
-	})
+	}
+	// A few hundred draws are needed to meet everything that a query must not change.
+	for batch := 0; batch < 10 && min(reserved, preempted, capped, advised) == 0; batch++ {
+		rapid.Check(t, check)
+	}
 	require.Positive(t, reserved, "no draw made a reservation")
 	require.Positive(t, preempted, "no draw preempted")
 	require.Positive(t, capped, "no draw met a cap")
