--- a/internal/fleet/bbrcell/room.go
+++ b/internal/fleet/bbrcell/room.go
@@ -38,7 +38,7 @@
 // Reason tells why a job goes to its cell.
 type Reason string
 
-// Reasons.
+// Reasons for the choice of a cell.
 const (
 	// ReasonOnlyCell: the fleet has one cell.
 	ReasonOnlyCell Reason = "onlyCell"
--- a/internal/job/bbrfairshare/wait.go
+++ b/internal/job/bbrfairshare/wait.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"github.com/bluebellridge/bluebellridge/internal/job/bbrwork"
 )
 
 // Wait is what the owner of a shard expects for a new job of an organisation in a queue
@@ -20,9 +22,6 @@
 }
 
 const (
-	// uselessAfter is the number of objectives after which a job is of no value to its
-	// caller.
-	uselessAfter = 3
 	// waitDivisor divides the expected wait: estimates of run times are off, jobs ahead may
 	// fail to be in time and then come later, and the pool may grow.
 	waitDivisor = 2
@@ -43,7 +42,7 @@
 	path = max(path, w.Path)
 	allowed := stretch*float64(path) + float64(objective)
 	if !w.Beyond {
-		allowed *= uselessAfter
+		allowed *= bbrwork.ValuableFactor
 	}
 	if float64(w.Expected)/waitDivisor+float64(path) <= allowed {
 		return 0, false
--- a/internal/job/bbrreservation/reservation.go
+++ b/internal/job/bbrreservation/reservation.go
@@ -94,7 +94,7 @@
 // Cause is why a reservation ended.
 type Cause string
 
-// Causes.
+// Causes of the end of a reservation.
 const (
 	// CauseStarted: the work started.
 	CauseStarted Cause = "started"
@@ -108,7 +108,7 @@
 	CauseOverdue Cause = "overdue"
 )
 
-// Causes lists the causes.
+// Causes lists all causes, for metrics.
 var Causes = [...]Cause{CauseStarted, CauseGone, CauseUpstreamLost, CauseTooLate, CauseOverdue}
 
 // DelaysRetry reports whether the work waits for RetryDelay before it may reserve again.
@@ -127,13 +127,10 @@
 	}
 }
 
-// valuableFactor is the multiple of the objective up to which a result has any value.
-const valuableFactor = 3
-
 // LatestStart returns the latest start of work with a remaining path that has any value.
 // from is when the time of its objective began.
 func LatestStart(from, objective time.Time, path time.Duration) time.Time {
-	return from.Add(valuableFactor * objective.Sub(from)).Add(-path)
+	return from.Add(bbrwork.ValuableFactor * objective.Sub(from)).Add(-path)
 }
 
 // MayHold reports whether further upstreams may be held. The first reservation may hold
--- a/internal/job/bbrscheduler/interference.go
+++ b/internal/job/bbrscheduler/interference.go
@@ -43,7 +43,7 @@
 	}
 }
 
-// SeparationCounts returns the counts.
+// SeparationCounts returns the counts since the scheduler began.
 func (sched *Scheduler) SeparationCounts() SeparationCounts {
 	counts := sched.separationCounts
 	if sched.interference != nil {
--- a/internal/job/bbrscheduler/reservationend.go
+++ b/internal/job/bbrscheduler/reservationend.go
@@ -20,7 +20,7 @@
 	Discarded time.Duration
 }
 
-// ReservationCounts returns the counts.
+// ReservationCounts returns the counts since the scheduler began.
 func (sched *Scheduler) ReservationCounts() ReservationCounts {
 	counts := ReservationCounts{Active: len(sched.reservations), HeldUpstreams: sched.heldUpstreams(), Ended: make(map[bbrreservation.Cause]int)}
 	for cause, count := range sched.reservationsEnded {
--- a/internal/job/bbrwork/policy.go
+++ b/internal/job/bbrwork/policy.go
@@ -31,3 +31,7 @@
 	}
 	return policy
 }
+
+// ValuableFactor is the number of objectives after which a job's result is of no value to
+// its caller.
+const ValuableFactor = 3
