--- a/internal/job/bbrscheduler/demand.go
+++ b/internal/job/bbrscheduler/demand.go
@@ -5,6 +5,8 @@
 	"math"
 	"slices"
 	"time"
+
+	"github.com/bluebellridge/bluebellridge/internal/job/bbrwork"
 )
 
 // Demand is the capacity that a shard requests from the fleet.
@@ -125,15 +127,20 @@
 }
 
 // remainingWork returns the finite work that is not done, in millicore-seconds.
-// Units that run count half.
 func (o *occurrence) remainingWork() float64 {
+	return o.remaining(func(need bbrwork.Resources) int { return need.MilliCPU })
+}
+
+// remaining returns the finite work that is not done, in seconds of the amount that a work
+// unit needs. Units that run count half.
+func (o *occurrence) remaining(amount func(need bbrwork.Resources) int) float64 {
 	work := 0.0
 	for _, s := range o.steps {
 		if s.spec.LongRunning || s.unitsLeft == 0 {
 			continue
 		}
 		units := float64(s.idleUnits) + float64(s.unitsLeft-s.idleUnits)/2
-		work += units * float64(s.spec.Need.MilliCPU) * s.runTime.Seconds()
+		work += units * float64(amount(s.spec.Need)) * s.runTime.Seconds()
 	}
 	return work
 }
--- a/internal/job/bbrscheduler/room.go
+++ b/internal/job/bbrscheduler/room.go
@@ -39,7 +39,7 @@
 				continue
 			}
 			milliCPU += o.remainingWork()
-			memoryMB += o.remainingMemory()
+			memoryMB += o.remaining(func(need bbrwork.Resources) int { return need.MemoryMB })
 		}
 	}
 	room.Drain = max(drainTime(milliCPU, room.Capacity.MilliCPU), drainTime(memoryMB, room.Capacity.MemoryMB))
@@ -53,17 +53,3 @@
 	}
 	return time.Duration(work / float64(capacity) * float64(time.Second))
 }
-
-// remainingMemory returns the finite work that is not done as remainingWork does, but in
-// megabyte-seconds.
-func (o *occurrence) remainingMemory() float64 {
-	work := 0.0
-	for _, s := range o.steps {
-		if s.spec.LongRunning || s.unitsLeft == 0 {
-			continue
-		}
-		units := float64(s.idleUnits) + float64(s.unitsLeft-s.idleUnits)/2
-		work += units * float64(s.spec.Need.MemoryMB) * s.runTime.Seconds()
-	}
-	return work
-}
