--- a/internal/fleet/bbrclaim/session.go
+++ b/internal/fleet/bbrclaim/session.go
@@ -219,7 +219,7 @@
 		return err
 	}
 	s.setLease(lease, revision, requestedAt)
-	klog.InfoS("Registered", "entry", s.Entry, "zone", s.Zone, "lease", lease, "revision", revision)
+	klog.InfoS("Registered", "entry", s.Entry, "zone", s.Zone, "peers", s.PeerAddress, "milliCPU", s.MilliCPU, "lease", lease, "revision", revision)
 	return nil
 }
 
