job/bbrowner: delays of planning rounds in log and metrics

Nothing told whether an owner in office plans late: Lateness only sums up, and only while the hand-over of late owners is on. Each round adds its delay beyond planInterval to bbr_plan_delay_seconds, and "Planning rounds are late" is logged above 500 ms, at most once a second and owner. Decisions are as before.

--- a/internal/base/bbrmetric/set.go
+++ b/internal/base/bbrmetric/set.go
@@ -31,6 +31,7 @@
 	organisations   *prometheus.GaugeVec
 	callDurations   *prometheus.HistogramVec
 	storeDurations  *prometheus.HistogramVec
+	planDelays      prometheus.Histogram
 	reservationEnds *prometheus.CounterVec
 	preemptions     *prometheus.CounterVec
 	preemptedTime   *prometheus.CounterVec
@@ -83,12 +84,17 @@
 		Help:    "Time of calls to the platform's store by kind and outcome.",
 		Buckets: []float64{.005, .01, .02, .05, .1, .2, .5, 1, 2, 5},
 	}, []string{"call", "outcome"})
+	s.planDelays = prometheus.NewHistogram(prometheus.HistogramOpts{
+		Name:    "bbr_plan_delay_seconds",
+		Help:    "Time from the beginning of a planning round of an owner to that of the next one, beyond the interval of 100 ms.",
+		Buckets: []float64{.005, .01, .02, .05, .1, .2, .5, 1, 2, 5},
+	})
 	s.organisations = prometheus.NewGaugeVec(prometheus.GaugeOpts{
 		Name: "bbr_organisation_millicores",
 		Help: "Processor capacity of an organisation in a shard: what its work uses, the share of its cap, and the whole cap.",
 	}, []string{"shard", "organisation", "amount"})
 	s.shares = s.newGauge("bbr_organisation_share", "Dominant share of an organisation in a shard whose capacity is short: what counts as used, the fair share, and what waits.", "shard", "organisation", "amount")
-	s.Registry.MustRegister(s.suspects, s.organisations, s.oldestWaits, s.callDurations, s.storeDurations)
+	s.Registry.MustRegister(s.suspects, s.organisations, s.oldestWaits, s.callDurations, s.storeDurations, s.planDelays)
 	return s
 }
 
@@ -107,6 +113,9 @@
 	s.storeDurations.WithLabelValues(call, outcome).Observe(duration.Seconds())
 }
 
+// PlanDelay records by how much a planning round of an owner began late.
+func (s *Set) PlanDelay(delay time.Duration) { s.planDelays.Observe(delay.Seconds()) }
+
 func (s *Set) newCounter(name, help string, labels ...string) *prometheus.CounterVec {
 	counter := prometheus.NewCounterVec(prometheus.CounterOpts{Name: name, Help: help}, labels)
 	s.Registry.MustRegister(counter)
--- a/internal/job/bbrowner/owner.go
+++ b/internal/job/bbrowner/owner.go
@@ -85,6 +85,8 @@
 	roomUpdatedAt time.Time
 	// lateness is how late the planning rounds are. It is used by loop only.
 	lateness bbrclaim.Lateness
+	// delays is by how much planning rounds are late. It is used by loop only.
+	delays planDelays
 	// startedAt is when Run began.
 	startedAt time.Time
 	// loadLoggedAt is when the load was last logged.
@@ -172,11 +174,13 @@
 	defer timer.Stop()
 	for {
 		start := time.Now()
+		o.recordRound(start)
 		if o.mustHandOver(start) {
 			o.cancelRun()
 			return
 		}
 		o.planOnce(ctx, start)
+		o.delays.end(time.Now())
 		pause := min(maxPlanPause, minPlanPause+planPauseFactor*time.Since(start))
 		select {
 		case <-ctx.Done():
