job/bbrowner: times of lease renewals in the metrics

A run lapses on an upstream that answers when its owner renews too late, and nothing showed how long renewals take and how far apart they are. bbr_renewal_seconds has the time of each by outcome (with the wait of up to 1 s at the upstream), and bbr_lease_extension_age_seconds the time between the answers to two renewals that extend a lease, across lost ones and mere queries.

--- a/internal/base/bbrmetric/set.go
+++ b/internal/base/bbrmetric/set.go
@@ -32,6 +32,8 @@
 	callDurations   *prometheus.HistogramVec
 	storeDurations  *prometheus.HistogramVec
 	planDelays      prometheus.Histogram
+	renewals        *prometheus.HistogramVec
+	extensionAges   prometheus.Histogram
 	reservationEnds *prometheus.CounterVec
 	preemptions     *prometheus.CounterVec
 	preemptedTime   *prometheus.CounterVec
@@ -89,12 +91,22 @@
 		Help:    "Time from the beginning of a planning round of an owner to that of the next one, beyond the interval of 100 ms.",
 		Buckets: []float64{.005, .01, .02, .05, .1, .2, .5, 1, 2, 5},
 	})
+	s.renewals = prometheus.NewHistogramVec(prometheus.HistogramOpts{
+		Name:    "bbr_renewal_seconds",
+		Help:    "Time of renewals of run leases by outcome, with up to 1 s in which the upstream waits for a run to end.",
+		Buckets: []float64{.005, .01, .02, .05, .1, .2, .5, 1, 1.2, 1.5, 2, 5},
+	}, []string{"outcome"})
+	s.extensionAges = prometheus.NewHistogram(prometheus.HistogramOpts{
+		Name:    "bbr_lease_extension_age_seconds",
+		Help:    "Time between the answers to two renewals that extended the run lease of an upstream with runs.",
+		Buckets: []float64{.01, .02, .05, .1, .2, .5, 1, 1.5, 2, 3, 4, 4.5, 5, 6, 10},
+	})
 	s.organisations = prometheus.NewGaugeVec(prometheus.GaugeOpts{
 		Name: "bbr_organisation_millicores",
 		Help: "Processor capacity of an organisation in a shard: what its work uses, the share of its cap, and the whole cap.",
 	}, []string{"shard", "organisation", "amount"})
 	s.shares = s.newGauge("bbr_organisation_share", "Dominant share of an organisation in a shard whose capacity is short: what counts as used, the fair share, and what waits.", "shard", "organisation", "amount")
-	s.Registry.MustRegister(s.suspects, s.organisations, s.oldestWaits, s.callDurations, s.storeDurations, s.planDelays)
+	s.Registry.MustRegister(s.suspects, s.organisations, s.oldestWaits, s.callDurations, s.storeDurations, s.planDelays, s.renewals, s.extensionAges)
 	return s
 }
 
@@ -116,6 +128,14 @@
 // PlanDelay records by how much a planning round of an owner began late.
 func (s *Set) PlanDelay(delay time.Duration) { s.planDelays.Observe(delay.Seconds()) }
 
+// Renewal records a renewal of a run lease and the time that it took.
+func (s *Set) Renewal(outcome string, duration time.Duration) {
+	s.renewals.WithLabelValues(outcome).Observe(duration.Seconds())
+}
+
+// LeaseExtension records the time since a run lease was extended before.
+func (s *Set) LeaseExtension(age time.Duration) { s.extensionAges.Observe(age.Seconds()) }
+
 func (s *Set) newCounter(name, help string, labels ...string) *prometheus.CounterVec {
 	counter := prometheus.NewCounterVec(prometheus.CounterOpts{Name: name, Help: help}, labels)
 	s.Registry.MustRegister(counter)
--- a/internal/job/bbrowner/leaserenewer.go
+++ b/internal/job/bbrowner/leaserenewer.go
@@ -38,6 +38,8 @@
 	// id is the upstream's ID.
 	id   string
 	wake chan struct{}
+	// extensions is used by loop only.
+	extensions leaseExtensions
 }
 
 func (r *leaseRenewer) loop(ctx context.Context) {
@@ -47,6 +49,7 @@
 			r.remove()
 			return
 		}
+		r.extensions.plan(plan)
 		if plan.Idle {
 			r.awaitWork(ctx)
 			continue
@@ -97,6 +100,7 @@
 		return false
 	}
 	now := time.Now()
+	r.recordRenewal(plan, err, sentAt, now)
 	o.mu.Lock()
 	if err != nil {
 		o.scheduler.ApplyRenewalFailure(plan.Upstream.Incarnation, err, now)
