job/bbrscheduler: a lapsed run tells why its lease expired

"Run ended" how=lapsed looked the same whether the owner renewed too late, the answers of the upstream were lost, or the run lapsed under an earlier owner. The line now has the cause, the ages of the last renewals that extend the lease (answered and sent, without the one whose answer has the end), the answers lost before the listing, whether the run was adopted, and its age. bbr_lapsed_runs_total counts by cause, also runs that were dropped when their lease expired and that the upstream lists as lapsed later. No decision uses the new fields.

--- a/internal/base/bbrmetric/set.go
+++ b/internal/base/bbrmetric/set.go
@@ -20,6 +20,7 @@
 	events          *prometheus.CounterVec
 	controlBytes    *prometheus.CounterVec
 	bodyBytes       *prometheus.CounterVec
+	lapsedRuns      *prometheus.CounterVec
 	slowWaits       *prometheus.CounterVec
 	crashVerdicts   *prometheus.CounterVec
 	cellChoices     *prometheus.CounterVec
@@ -55,6 +56,7 @@
 	s.controlBytes = s.newCounter("bbr_control_bytes_total", "Bytes of control connections.", "channel", "direction")
 	s.bodyBytes = s.newCounter("bbr_body_bytes_total", "Bytes of the bodies of calls to the platform and to upstreams.", "purpose", "direction")
 	s.slowWaits = s.newCounter("bbr_slow_waits_total", "Work units that waited over 3 s for a run, by reason.", "reason")
+	s.lapsedRuns = s.newCounter("bbr_lapsed_runs_total", "Runs whose lease expired on an upstream that lives, by cause.", "cause")
 	s.crashVerdicts = s.newCounter("bbr_crash_verdicts_total", "What crashes of upstreams meant for the work units that ran there.", "verdict")
 	s.cellChoices = s.newCounter("bbr_cell_choices_total", "Jobs for which the entry chose a cell, with jobs.balanceByCapacity, by the reason for the choice.", "reason")
 	s.handovers = s.newCounter("bbr_handovers_total", "Hand-overs that this entry began while running, by cause.", "cause")
@@ -202,6 +204,11 @@
 	s.slowWaits.WithLabelValues(reason).Add(float64(count))
 }
 
+// LapsedRuns adds count runs whose lease expired on an upstream that lives.
+func (s *Set) LapsedRuns(cause string, count int) {
+	s.lapsedRuns.WithLabelValues(cause).Add(float64(count))
+}
+
 // CrashVerdicts adds count verdicts about work units under which upstreams crashed.
 func (s *Set) CrashVerdicts(verdict string, count int) {
 	s.crashVerdicts.WithLabelValues(verdict).Add(float64(count))
--- a/internal/job/bbrowner/load.go
+++ b/internal/job/bbrowner/load.go
@@ -27,6 +27,7 @@
 	o.updateWaitMetrics(load.Waits)
 	o.updateOrganisationMetrics()
 	o.updateCrashMetrics()
+	o.updateLapseMetrics()
 	o.updateReservationMetrics()
 	o.updateSeparationMetrics()
 	klog.InfoS("Load", append([]any{"shard", o.Shard, "token", o.Held.Token, "jobs", load.Jobs, "late", load.Late,
@@ -74,6 +75,16 @@
 	o.Metrics.SetSuspects(o.Shard.String(), counts.Suspects, counts.Isolated)
 }
 
+// updateLapseMetrics updates the counter of runs whose lease expired. The caller holds the
+// lock.
+func (o *Owner) updateLapseMetrics() {
+	lapses, before := o.scheduler.Lapses(), o.lapses
+	o.lapses = lapses
+	for _, cause := range bbrscheduler.LapseCauses {
+		o.Metrics.LapsedRuns(string(cause), lapses[cause]-before[cause])
+	}
+}
+
 // updateReservationMetrics updates the metrics of reservations and preemptions. The caller
 // holds the lock.
 func (o *Owner) updateReservationMetrics() {
--- a/internal/job/bbrowner/load_test.go
+++ b/internal/job/bbrowner/load_test.go
@@ -81,3 +81,18 @@
 	require.Equal(t, map[string]float64{"reservations": 0, "upstreams": 0}, valuesByReason(t, o.Metrics, "bbr_reservations"))
 	require.Equal(t, 1.0, valuesByReason(t, o.Metrics, "bbr_reservations_ended_total")["gone"])
 }
+
+// TestLapseMetrics checks that each run whose lease expired is counted once, by its cause.
+func TestLapseMetrics(t *testing.T) {
+	now := time.Unix(1000, 0)
+	o := newRenewalOwner(now)
+	now = now.Add(10 * time.Second)
+	end := bbrwork.RunEnd{Sequence: 1, Unit: bbrwork.Unit{Job: "a"}, Run: 1, Outcome: bbrwork.OutcomeLeaseExpired}
+	listing := bbrwork.Listing{Clock: 11 * time.Second, StartMillis: 1, Ended: []bbrwork.RunEnd{end}}
+	o.scheduler.ApplyListing(bbrwork.Incarnation{ID: "i-1", StartMillis: 1}, &listing, now, now)
+	for range 2 {
+		now = now.Add(2 * time.Second)
+		o.logLoad(now)
+	}
+	require.Equal(t, map[string]float64{"noRenewal": 1, "lostRenewals": 0, "takeover": 0}, valuesByReason(t, o.Metrics, "bbr_lapsed_runs_total"))
+}
--- a/internal/job/bbrowner/owner.go
+++ b/internal/job/bbrowner/owner.go
@@ -80,6 +80,8 @@
 	crashCounts       bbrscheduler.CrashCounts
 	reservationCounts bbrscheduler.ReservationCounts
 	separationCounts  bbrscheduler.SeparationCounts
+	// lapses is what the metrics have already.
+	lapses map[bbrscheduler.LapseCause]int
 	// room is the room as of the last determination, which began at roomUpdatedAt.
 	room          atomic.Pointer[publishedRoom]
 	roomUpdatedAt time.Time
--- a/internal/job/bbrscheduler/leaseexpiry.go
+++ b/internal/job/bbrscheduler/leaseexpiry.go
@@ -67,12 +67,14 @@
 // upstream may return and list ends from before. They no longer count, since the
 // work units may be running elsewhere.
 func (sched *Scheduler) expireRuns(up *upstream, now time.Time) {
-	sched.note(now, "Run lease of upstream expired", "upstream", up.ID, "runs", len(up.runs), "lostAnswers", up.lostAnswers)
+	sched.note(now, "Run lease of upstream expired", "upstream", up.ID, "runs", len(up.runs), "lostAnswers", up.lostAnswers,
+		"renewalAnswered", ageText(up.extensions.answeredAt, now), "renewalSent", ageText(up.extensions.sentAt, now))
 	if up.lapsedRuns == nil {
-		up.lapsedRuns = make(map[runKey]bool)
+		up.lapsedRuns = make(map[runKey]LapseCause)
 	}
 	for key, r := range up.runs {
-		up.lapsedRuns[key] = true
+		l := newLapse(r, up, up.silence())
+		up.lapsedRuns[key] = l.cause(sched.Timing.RunLease, now)
 		up.lapsedSuspects = append(up.lapsedSuspects, r)
 		sched.dropRun(r, now)
 	}
--- a/internal/job/bbrscheduler/listing.go
+++ b/internal/job/bbrscheduler/listing.go
@@ -15,6 +15,7 @@
 	if up == nil || !up.isTarget(incarnation) {
 		return
 	}
+	before := up.silence()
 	startMillis := cmp.Or(listing.StartMillis, incarnation.StartMillis)
 	switch {
 	case up.StartMillis == 0:
@@ -29,7 +30,8 @@
 	up.recordClock(listing.Clock, now)
 	up.silentSince = time.Time{}
 	up.lapsedSuspects = nil
-	sched.applyEnds(up, listing.Ended, now)
+	sched.applyEnds(up, listing.Ended, before, now)
+	up.extensions.answered(now)
 	sched.applyRunning(up, listing, sent, now)
 	up.partlyListed = listing.MayBeContinued()
 	if up.partlyListed {
@@ -43,19 +45,24 @@
 	sched.markLocated(up.Incarnation, now)
 }
 
-func (sched *Scheduler) applyEnds(up *upstream, ends []bbrwork.RunEnd, now time.Time) {
+// applyEnds applies the ends in a listing. before is the silence before the listing.
+func (sched *Scheduler) applyEnds(up *upstream, ends []bbrwork.RunEnd, before silence, now time.Time) {
 	for _, end := range ends {
 		if end.Sequence <= up.applied {
 			continue
 		}
 		up.applied = end.Sequence
-		if !up.lapsedRuns[runKey{end.Unit, end.Run}] {
-			sched.applyEnd(up, end, now)
+		cause, dropped := up.lapsedRuns[runKey{end.Unit, end.Run}]
+		switch {
+		case !dropped:
+			sched.applyEnd(up, end, before, now)
+		case end.Outcome == bbrwork.OutcomeLeaseExpired:
+			sched.lapses[cause]++
 		}
 	}
 }
 
-func (sched *Scheduler) applyEnd(up *upstream, end bbrwork.RunEnd, now time.Time) {
+func (sched *Scheduler) applyEnd(up *upstream, end bbrwork.RunEnd, before silence, now time.Time) {
 	job := sched.jobs[end.Unit.Job]
 	if job == nil {
 		return
@@ -82,6 +89,8 @@
 		sched.unitDone(u, up, end.Run, now)
 	case bbrwork.OutcomeFailed:
 		sched.unitFailed(u, up, end.Run, now)
+	case bbrwork.OutcomeLeaseExpired:
+		sched.noteLapse(end, r, up, before, now)
 	default:
 		sched.note(now, "Run ended", "job", end.Unit.Job, "unit", end.Unit.String(), "run", end.Run, "upstream", up.ID, "how", end.Outcome)
 	}
--- a/internal/job/bbrscheduler/renewal.go
+++ b/internal/job/bbrscheduler/renewal.go
@@ -28,6 +28,7 @@
 	if up == nil {
 		return RenewalPlan{}, false
 	}
+	up.extensions.inFlightSince = time.Time{}
 	plan := RenewalPlan{
 		Upstream:   up.target(),
 		HasOrphans: len(up.orphans) > 0,
@@ -47,6 +48,7 @@
 	if up.clockKnown() && confirmed && len(up.runs) > 0 && up.lostAnswers == 0 && up.identified() {
 		plan.LeaseUntil = up.clockNow(now) + sched.Timing.RunLease
 		sched.extendLease(up, now)
+		up.extensions.inFlightSince = now
 	}
 	return plan, true
 }
--- a/internal/job/bbrscheduler/scheduler.go
+++ b/internal/job/bbrscheduler/scheduler.go
@@ -111,6 +111,8 @@
 	// been cleared.
 	suspects    map[*unit]bool
 	crashCounts CrashCounts
+	// lapses counts the runs whose lease expired on an upstream that lives, by cause.
+	lapses map[LapseCause]int
 	// lostUnlocated are the ends of incarnations on which an earlier owner may have
 	// started work that is not known.
 	lostUnlocated []unlocatedEnd
@@ -155,6 +157,7 @@
 		toRecord:          make(map[bbrwork.Incarnation]bool),
 		accounts:          make(map[string]*bbrquota.Account),
 		suspects:          make(map[*unit]bool),
+		lapses:            make(map[LapseCause]int),
 		runTimes:          make(map[string]*bbrruntime.Predictor),
 		reservationsEnded: make(map[bbrreservation.Cause]int),
 	}
--- a/internal/job/bbrscheduler/startresult.go
+++ b/internal/job/bbrscheduler/startresult.go
@@ -111,6 +111,7 @@
 		sched.endUpstream(up, "another life answers at its address", now)
 		return
 	}
+	up.extensions.lost()
 	if up.recordSilence(now) {
 		sched.note(now, "Upstream does not answer", "upstream", up.ID, "runs", len(up.runs), "leaseLeft", up.leaseEnd.Sub(now).Round(time.Millisecond), "reason", err.Error())
 	}
--- a/internal/job/bbrscheduler/upstream.go
+++ b/internal/job/bbrscheduler/upstream.go
@@ -51,9 +51,11 @@
 	lostAnswers int
 	silentSince time.Time
 	lostSince   time.Time
-	// lapsedRuns has the runs that were dropped when the lease expired. Their ends
-	// no longer count.
-	lapsedRuns map[runKey]bool
+	// extensions has the renewals that extend the lease.
+	extensions extensions
+	// lapsedRuns has the runs that were dropped when the lease expired, and why it did.
+	// Their ends no longer count.
+	lapsedRuns map[runKey]LapseCause
 	// lapsedSuspects has the runs that were dropped when the lease expired, until the
 	// upstream answers again. It may have crashed under them.
 	lapsedSuspects []*run
@@ -115,6 +117,9 @@
 	return first
 }
 
+// silence returns the answers that were lost since the last one that arrived.
+func (up *upstream) silence() silence { return silence{up.lostAnswers, up.lostSince} }
+
 // free returns the free capacity.
 func (up *upstream) free() bbrwork.Resources { return up.Capacity.Minus(up.used) }
 
