job/bbrowner: a failing test of a lost renewal after a start

A start carries a lease of 1.5 s. The first renewal after it waits for 1 s and is given up after 1.7 s, and the next one is sent 150 ms later: after the lease of the start has expired. In the test the first renewal after the starts is lost on its way, and all three runs end lapsed:

--- /dev/null
+++ b/internal/job/bbrowner/runlease_test.go
@@ -0,0 +1,169 @@
+package bbrowner
+
+import (
+	"context"
+	"net/netip"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/bluebellridge/bluebellridge/internal/fleet/bbrregistry"
+	"github.com/bluebellridge/bluebellridge/internal/job/bbrorder"
+	"github.com/bluebellridge/bluebellridge/internal/job/bbrscheduler"
+	"github.com/bluebellridge/bluebellridge/internal/job/bbrwork"
+)
+
+// leasedUpstream is an upstream on which runs end when their lease expires.
+type leasedUpstream struct {
+	mu       sync.Mutex
+	bootedAt time.Time
+	lease    time.Duration
+	running  []bbrwork.Run
+	ended    []bbrwork.RunEnd
+	// starts and renewals count the orders that were sent, also the lost ones.
+	starts, renewals int
+	// loseStart and loseRenewal report whether the order of that number, from 1, is lost
+	// on its way.
+	loseStart, loseRenewal func(number int) bool
+}
+
+const (
+	// roundTrip is the time that an answered order takes.
+	roundTrip = 20 * time.Millisecond
+	// lostStartTimeout is when a start without an answer is given up.
+	lostStartTimeout = 800 * time.Millisecond
+)
+
+// expire ends the runs if their lease has expired.
+func (u *leasedUpstream) expire(now time.Time) {
+	if now.Sub(u.bootedAt) <= u.lease {
+		return
+	}
+	for _, run := range u.running {
+		u.ended = append(u.ended, bbrwork.RunEnd{Sequence: int64(len(u.ended) + 1), Unit: run.Unit, Run: run.Number, Outcome: bbrwork.OutcomeLeaseExpired})
+	}
+	u.running = nil
+}
+
+// lapsed returns how many runs have ended with their lease.
+func (u *leasedUpstream) lapsed(now time.Time) int {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.expire(now)
+	return len(u.ended)
+}
+
+func (u *leasedUpstream) start(_ context.Context, _ bbrwork.Upstream, start bbrorder.Start) (time.Duration, error) {
+	u.mu.Lock()
+	u.starts++
+	lost := u.loseStart(u.starts)
+	if !lost {
+		u.expire(time.Now())
+		u.lease = max(u.lease, start.Until)
+		u.running = append(u.running, bbrwork.Run{Unit: start.Unit, Number: start.Run, Percent: 100})
+	}
+	u.mu.Unlock()
+	if lost {
+		time.Sleep(lostStartTimeout)
+		return 0, bbrorder.ErrAnswerLost
+	}
+	time.Sleep(roundTrip)
+	return time.Since(u.bootedAt), nil
+}
+
+func (u *leasedUpstream) renew(_ context.Context, _ bbrwork.Upstream, renewal bbrorder.Renewal) (bbrwork.Listing, error) {
+	u.mu.Lock()
+	u.renewals++
+	lost := u.loseRenewal(u.renewals)
+	if !lost {
+		u.expire(time.Now())
+		u.lease = max(u.lease, renewal.Until)
+	}
+	u.mu.Unlock()
+	if lost {
+		time.Sleep(renewal.Wait + answerTimeout(renewal))
+		return bbrwork.Listing{}, bbrorder.ErrAnswerLost
+	}
+	time.Sleep(roundTrip)
+	for waitEnd := time.Now().Add(renewal.Wait); time.Now().Before(waitEnd) && u.lapsed(time.Now()) <= int(renewal.Acknowledged); {
+		time.Sleep(10 * time.Millisecond)
+	}
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.expire(time.Now())
+	return bbrwork.Listing{Clock: time.Since(u.bootedAt), StartMillis: 1000, Running: u.running, Ended: u.ended[renewal.Acknowledged:]}, nil
+}
+
+// answerTimeout returns how much longer than it waits the client lets a renewal take.
+func answerTimeout(bbrorder.Renewal) time.Duration { return 700 * time.Millisecond }
+
+// runUnits runs an owner with one upstream and a job with long-running work units for
+// some time.
+func runUnits(t *testing.T, u *leasedUpstream, units int, length time.Duration) {
+	u.bootedAt = time.Now()
+	o := newLoopOwner(0)
+	o.renewers = make(map[string]*leaseRenewer)
+	o.Client = &bbrorder.Client{Start: u.start, Renew: u.renew}
+	o.Registered = func(_ bbrwork.Shard, known bbrregistry.Version) ([]bbrwork.Upstream, bbrregistry.Version) {
+		return nil, known
+	}
+	o.scheduler = bbrscheduler.New(o.Shard, 7, bbrscheduler.Timing{
+		RunLease: 4500 * time.Millisecond, MaxRunLease: 6 * time.Second, StartTimeout: 1500 * time.Millisecond, Handover: 2200 * time.Millisecond,
+	}, true, time.Now())
+	o.scheduler.SetConfig(bbrwork.NewConfig(1, []*bbrwork.Queue{{Name: "proofs", Service: "press", Attempts: 3, Stretch: 1.6}}, nil, bbrwork.Limits{}))
+	o.scheduler.RegisterUpstream(bbrwork.Upstream{
+		Incarnation: bbrwork.Incarnation{ID: "i-1", StartMillis: 1000}, Service: "press", Address: netip.MustParseAddrPort("10.0.0.1:80"),
+		Capacity: bbrwork.Resources{MilliCPU: 8000, MemoryMB: 8000},
+	}, time.Now())
+	step := bbrwork.Step{Count: units, LongRunning: true, Need: bbrwork.Resources{MilliCPU: 1000, MemoryMB: 100}, Estimate: time.Second}
+	ctx, cancel := context.WithTimeout(t.Context(), length)
+	defer cancel()
+	o.wg.Go(func() { o.loop(ctx) })
+	o.wg.Go(func() { storeAll(ctx, o) })
+	time.Sleep(time.Second)
+	o.mu.Lock()
+	o.scheduler.AddJob(&bbrwork.Job{ID: "00000000000000a1", Queue: "proofs", Service: "press", Cell: 2, Spec: "x", Steps: []bbrwork.Step{step}, Accepted: time.Now()}, 0, nil, time.Now())
+	o.mu.Unlock()
+	o.requestPlan()
+	o.wg.Wait()
+}
+
+// storeAll stores what the owner has to store, until ctx ends.
+func storeAll(ctx context.Context, o *Owner) {
+	for ctx.Err() == nil {
+		select {
+		case <-ctx.Done():
+		case <-o.flushNow:
+			o.mu.Lock()
+			o.scheduler.ApplyStored(o.scheduler.Batch(1000, time.Now()), 1, time.Now())
+			if o.nextStored != nil {
+				close(o.nextStored)
+				o.nextStored = nil
+			}
+			o.mu.Unlock()
+		}
+	}
+}
+
+func loseNone(int) bool { return false }
+
+// TestOneLostRenewalAfterAStartDoesNotLetRunsLapse guards against a first renewal that
+// waits, and is given up, so long that the short lease of the starts expires meanwhile.
+func TestOneLostRenewalAfterAStartDoesNotLetRunsLapse(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		u := &leasedUpstream{loseStart: loseNone}
+		lost := false
+		u.loseRenewal = func(int) bool {
+			first := u.starts > 0 && !lost
+			lost = lost || first
+			return first
+		}
+		runUnits(t, u, 3, 8*time.Second)
+		require.True(t, lost)
+		require.Zero(t, u.lapsed(time.Now()))
+		require.Equal(t, 3, u.starts)
+	})
+}
