job/bbrscheduler: renewals are timed by the confirmed lease

Callers saw long-running work units stop although their upstream lived and their owner was in time. A start grants a lease of 1.5 s. The first renewal after it waited for 1 s, was given up after 1.7 s and repeated 150 ms later, so that one renewal lost on its way let all new runs on the upstream lapse.

The owner now knows, beside leaseEnd, which bounds the lease from above, the deadline that the upstream has certainly granted. A renewal waits for at most a third of what is left of it, and is given up so early that two repetitions arrive within the rest. leaseEnd and what extends it are unchanged, so that work of a lost upstream starts elsewhere as soon as before.

--- a/internal/job/bbrorder/order.go
+++ b/internal/job/bbrorder/order.go
@@ -52,6 +52,9 @@
 	Acknowledged int64
 	// Wait is how long the upstream may delay the answer until a run ends.
 	Wait time.Duration
+	// AnswerTimeout is how much longer than Wait the answer may take; 0 for the client's
+	// default.
+	AnswerTimeout time.Duration
 }
 
 // Client makes the calls to upstreams.
--- a/internal/job/bbrowner/leaserenewer.go
+++ b/internal/job/bbrowner/leaserenewer.go
@@ -13,9 +13,6 @@
 )
 
 const (
-	// renewalWait is how long an upstream may delay the answer to a renewal until a run
-	// ends. It is also the interval of renewals while no run ends.
-	renewalWait = time.Second
 	// idleCheckInterval is how often a renewer checks whether its idle upstream has work.
 	idleCheckInterval = 500 * time.Millisecond
 	// The pause between two renewals is minRenewalPause, so that one answer has several
@@ -24,7 +21,6 @@
 	// work.
 	minRenewalPause         = 8 * time.Millisecond
 	renewalPausePerUpstream = 250 * time.Microsecond
-	renewalRetryDelay       = 150 * time.Millisecond
 	// storeTimeout bounds how long the next renewal waits until the ends in the last
 	// answer are stored. Without the wait, an upstream would answer at once with the
 	// same ends.
@@ -58,7 +54,7 @@
 			r.awaitStored(ctx)
 			bbrpause.For(ctx, r.pauseAfter(plan))
 		} else {
-			bbrpause.For(ctx, renewalRetryDelay)
+			bbrpause.For(ctx, bbrscheduler.RenewalRetryDelay)
 		}
 	}
 }
@@ -90,10 +86,7 @@
 // renew makes one renewal and reports whether the upstream answered.
 func (r *leaseRenewer) renew(ctx context.Context, plan bbrscheduler.RenewalPlan) bool {
 	o := r.owner
-	renewal := bbrorder.Renewal{Until: plan.LeaseUntil, Token: int64(o.Held.Token), Acknowledged: plan.Acknowledged}
-	if plan.HasRuns && plan.LeaseUntil > 0 {
-		renewal.Wait = renewalWait
-	}
+	renewal := bbrorder.Renewal{Until: plan.LeaseUntil, Token: int64(o.Held.Token), Acknowledged: plan.Acknowledged, Wait: plan.Wait, AnswerTimeout: plan.AnswerTimeout}
 	sentAt := time.Now()
 	listing, err := o.Client.Renew(ctx, plan.Upstream, renewal)
 	if ctx.Err() != nil {
@@ -106,6 +99,7 @@
 		o.scheduler.ApplyRenewalFailure(plan.Upstream.Incarnation, err, now)
 	} else {
 		o.scheduler.ApplyListing(plan.Upstream.Incarnation, &listing, sentAt, now)
+		o.scheduler.ConfirmLease(plan.Upstream.Incarnation, plan.LeaseUntil)
 	}
 	dirty := o.scheduler.Dirty()
 	o.mu.Unlock()
@@ -127,7 +121,7 @@
 // pauseAfter returns the pause after a renewal that was answered.
 func (r *leaseRenewer) pauseAfter(plan bbrscheduler.RenewalPlan) time.Duration {
 	if plan.HasOrphans {
-		return renewalRetryDelay
+		return bbrscheduler.RenewalRetryDelay
 	}
 	r.owner.mu.Lock()
 	defer r.owner.mu.Unlock()
--- a/internal/job/bbrowner/runlease_test.go
+++ b/internal/job/bbrowner/runlease_test.go
@@ -98,7 +98,7 @@
 }
 
 // answerTimeout returns how much longer than it waits the client lets a renewal take.
-func answerTimeout(bbrorder.Renewal) time.Duration { return 700 * time.Millisecond }
+func answerTimeout(renewal bbrorder.Renewal) time.Duration { return renewal.AnswerTimeout }
 
 // runUnits runs an owner with one upstream and a job with long-running work units for
 // some time.
@@ -167,3 +167,43 @@
 		require.Equal(t, 3, u.starts)
 	})
 }
+
+// loseAfterStart returns a function that loses count renewals in a row, beginning with the
+// one that is sent after that many others since the first start.
+func loseAfterStart(u *leasedUpstream, after, count int) func(int) bool {
+	beforeStart := -1
+	return func(number int) bool {
+		if u.starts == 0 {
+			return false
+		}
+		if beforeStart < 0 {
+			beforeStart = number - 1
+		}
+		number -= beforeStart
+		return number > after && number <= after+count
+	}
+}
+
+// TestLostRenewalsInARowDoNotLetRunsLapse guards against runs that lapse because a
+// renewal is lost twice, right after the start or later.
+func TestLostRenewalsInARowDoNotLetRunsLapse(t *testing.T) {
+	for after := range 6 {
+		synctest.Test(t, func(t *testing.T) {
+			u := &leasedUpstream{loseStart: loseNone}
+			u.loseRenewal = loseAfterStart(u, after, 2)
+			runUnits(t, u, 3, 12*time.Second)
+			require.Zero(t, u.lapsed(time.Now()), "lost renewals %d and %d after the start", after+1, after+2)
+		})
+	}
+}
+
+// TestRenewalsOfABusyUpstreamArePacedByTheirWait guards against an owner that renews an
+// upstream without lost answers more often than about once a second.
+func TestRenewalsOfABusyUpstreamArePacedByTheirWait(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		u := &leasedUpstream{loseStart: loseNone, loseRenewal: loseNone}
+		runUnits(t, u, 3, 21*time.Second)
+		require.Zero(t, u.lapsed(time.Now()))
+		require.InDelta(t, 20, u.renewals, 3)
+	})
+}
--- a/internal/job/bbrscheduler/plan.go
+++ b/internal/job/bbrscheduler/plan.go
@@ -299,6 +299,9 @@
 	if end := p.now.Add(leaseBound(sched.Timing.StartTimeout) + time.Duration(clockError*float64(p.now.Sub(up.clockAt)))); end.After(up.leaseEnd) {
 		up.leaseEnd = end
 	}
+	if len(up.runs) == 1 {
+		up.confirmLease(r.startDeadline)
+	}
 	up.startsInFlight++
 	p.plan.Starts = append(p.plan.Starts, StartOrder{Upstream: up.Upstream, Start: bbrorder.Start{
 		Unit:       u.name(),
--- a/internal/job/bbrscheduler/renewal.go
+++ b/internal/job/bbrscheduler/renewal.go
@@ -13,6 +13,9 @@
 	// must not be extended.
 	LeaseUntil   time.Duration
 	Acknowledged int64
+	// Wait is how long the upstream may delay the answer until a run ends, and
+	// AnswerTimeout how much longer the answer may take.
+	Wait, AnswerTimeout time.Duration
 	// Idle means that nothing runs and no run end has to be acknowledged.
 	Idle bool
 	// HasRuns means that work runs or may run on the upstream.
@@ -50,6 +53,7 @@
 		sched.extendLease(up, now)
 		up.extensions.inFlightSince = now
 	}
+	plan.setTimes(up.leaseLeft(now))
 	return plan, true
 }
 
--- /dev/null
+++ b/internal/job/bbrscheduler/runlease.go
@@ -0,0 +1,71 @@
+package bbrscheduler
+
+import (
+	"time"
+
+	"github.com/bluebellridge/bluebellridge/internal/job/bbrwork"
+)
+
+// The owner knows two bounds of the lease on an upstream. leaseEnd bounds it from above:
+// what any order may have granted. confirmedLease bounds it from below: what the upstream
+// has certainly granted. Renewals are timed by the latter, so that a lost one is noticed
+// and repeated while the runs still have a lease.
+
+const (
+	// maxRenewalWait is the longest that an upstream may delay the answer to a renewal
+	// until a run ends. It is also the interval of renewals while no run ends.
+	maxRenewalWait = time.Second
+	// renewalWaitShare is the part of the confirmed lease, as its inverse, that the wait
+	// of a renewal may take. Two repetitions fit into the rest, also after a start, which
+	// grants a lease of StartTimeout only.
+	renewalWaitShare = 3
+	// maxAnswerTimeout is how much longer than it waits a renewal may take to be
+	// answered. It is shorter where the lease could expire before the second repetition,
+	// but at least minAnswerTimeout, the time of an answer that is delayed by one
+	// retransmission.
+	maxAnswerTimeout = 700 * time.Millisecond
+	minAnswerTimeout = 250 * time.Millisecond
+	// RenewalRetryDelay is the pause before a renewal that was not answered is repeated.
+	RenewalRetryDelay = 150 * time.Millisecond
+	// renewalTransit is the time that a repeated renewal needs to arrive.
+	renewalTransit = 100 * time.Millisecond
+)
+
+// ConfirmLease records that the incarnation answered a renewal that granted a lease
+// until the time on its clock.
+func (sched *Scheduler) ConfirmLease(incarnation bbrwork.Incarnation, until time.Duration) {
+	if up := sched.upstreams[incarnation.ID]; up != nil && up.Incarnation == incarnation {
+		up.confirmLease(until)
+	}
+}
+
+func (up *upstream) confirmLease(until time.Duration) {
+	up.confirmedLease = max(up.confirmedLease, until)
+}
+
+// leaseLeft returns how long the runs on the upstream certainly have a lease; 0 if that
+// is not known.
+func (up *upstream) leaseLeft(now time.Time) time.Duration {
+	if !up.clockKnown() || len(up.runs) == 0 {
+		return 0
+	}
+	return max(0, up.confirmedLease-up.clockNow(now))
+}
+
+// setTimes sets how long the renewal waits for the end of a run and for its answer.
+// left is the confirmed lease that is left.
+func (plan *RenewalPlan) setTimes(left time.Duration) {
+	if plan.HasRuns && plan.LeaseUntil > 0 {
+		plan.Wait = min(maxRenewalWait, left/renewalWaitShare)
+	}
+	plan.AnswerTimeout = answerTimeout(left - plan.Wait)
+}
+
+// answerTimeout returns the timeout that leaves time for two repetitions in what is left
+// of the lease. Without a lease that could be saved there is no hurry.
+func answerTimeout(left time.Duration) time.Duration {
+	if left <= 0 {
+		return maxAnswerTimeout
+	}
+	return min(maxAnswerTimeout, max(minAnswerTimeout, (left-renewalTransit)/2-RenewalRetryDelay))
+}
--- a/internal/job/bbrscheduler/startresult.go
+++ b/internal/job/bbrscheduler/startresult.go
@@ -38,6 +38,9 @@
 		return
 	}
 	if err == nil {
+		if up.StartMillis == order.Upstream.StartMillis {
+			up.confirmLease(order.Start.Until)
+		}
 		if r.phase == phaseStarting {
 			r.phase = phaseRunning
 		}
