job/bbrscheduler: each slow wait of a long-running unit is logged

"Work unit waits" was logged once per step and owner: a long-running unit that lost its run was not logged if another unit of its step had been, or if over 128 steps waited longer, and the flag was never reset. Now each wait of a long-running unit is logged from 3 s on, before finite work and within the same bound of 20, and the flag is reset when the unit gets a run. Finite work is logged once per step until the named unit gets a run, so that a step may be named again later. The line has the number of units of the step that run.

--- a/internal/job/bbrscheduler/job.go
+++ b/internal/job/bbrscheduler/job.go
@@ -84,7 +84,8 @@
 	index int
 	done  bool
 	// slowCounted means that the wait since freedAt was counted as a slow one, and
-	// slowLogged that the log names the work unit as waiting.
+	// slowLogged that the log names the work unit as waiting. Both concern the present
+	// wait: slowLogged is false while the unit has a run.
 	slowCounted, slowLogged bool
 	// failedRuns has the numbers of the failed runs, each once.
 	failedRuns []int
--- a/internal/job/bbrscheduler/runs.go
+++ b/internal/job/bbrscheduler/runs.go
@@ -14,6 +14,7 @@
 		u.step.idleUnits--
 	}
 	u.runs = append(u.runs, r)
+	u.slowLogged = false
 	u.lastRun = max(u.lastRun, number)
 	u.step.job.started = true
 	up.allocate(r)
--- a/internal/job/bbrscheduler/wait.go
+++ b/internal/job/bbrscheduler/wait.go
@@ -55,11 +55,18 @@
 	return p
 }
 
-// wait determines why the step's idle work units have no run: the first unmet
-// condition of a start. The step must have idle units.
+// wait determines why the step's idle work units have no run, by the one that has waited
+// longest. The step must have idle units.
 func (p *planner) wait(s *step, confirmed bool) wait {
-	w := wait{step: s}
-	w.unit, w.since = s.longestIdle()
+	u, since := s.longestIdle()
+	return p.waitOf(u, since, confirmed)
+}
+
+// waitOf determines why an idle work unit, eligible since a time, has no run: the first
+// unmet condition of a start.
+func (p *planner) waitOf(u *unit, since time.Time, confirmed bool) wait {
+	s := u.step
+	w := wait{step: s, unit: u, since: since}
 	due := s.job.Schedule.Due(s.occurrence.number)
 	paused := s.pausedUntil(w.unit)
 	switch {
--- a/internal/job/bbrscheduler/waitsummary.go
+++ b/internal/job/bbrscheduler/waitsummary.go
@@ -37,16 +37,17 @@
 	// that have waited longest first. As the other steps start, those that cannot
 	// proceed move up and are evaluated in later summaries.
 	maxEvaluated = 128
-	// maxLogged bounds the steps that are logged for a summary. The others follow
-	// later if they still wait.
+	// maxLogged bounds the waits that are logged for a summary. The others follow
+	// later if they last.
 	maxLogged = 20
 )
 
 // summarizeWaits returns the summary and logs the slow waits.
 func (p *planner) summarizeWaits(confirmed bool) WaitSummary {
 	summary := WaitSummary{LongestByReason: make(map[Reason]time.Duration), SlowByReason: make(map[Reason]int)}
-	logged := 0
-	for i, w := range p.waitingSteps() {
+	waiting := p.waitingSteps()
+	logged := p.noteLongRunningWaits(waiting, confirmed)
+	for i, w := range waiting {
 		if i < maxEvaluated {
 			w = p.wait(w.step, confirmed)
 		}
@@ -56,7 +57,7 @@
 			continue
 		}
 		summary.SlowByReason[w.reason] += p.countSlow(w.step)
-		if !w.step.slowLogged() && logged < maxLogged && w.reason != ReasonNotEvaluated {
+		if !w.step.spec.LongRunning && !w.step.slowLogged() && logged < maxLogged && w.reason != ReasonNotEvaluated {
 			logged++
 			p.noteWait(&w, age)
 		}
@@ -109,17 +110,44 @@
 	return count
 }
 
-// slowLogged reports whether the log already names the step as waiting.
+// noteLongRunningWaits logs the slow waits of long-running work units, each once until the
+// unit gets a run: they promise to be at work all the time, whatever the other units of
+// their step do. It returns the number of logged waits, which go before those of finite
+// work.
+func (p *planner) noteLongRunningWaits(waiting []wait, confirmed bool) int {
+	logged := 0
+	for _, w := range waiting {
+		if !w.step.spec.LongRunning || p.now.Sub(w.since) < slowWait {
+			continue
+		}
+		runnableSince := w.step.runnableSince()
+		for _, u := range w.step.units {
+			since := u.eligibleSince(runnableSince)
+			if !u.idle() || u.slowLogged || p.now.Sub(since) < slowWait {
+				continue
+			}
+			if logged >= maxLogged {
+				return logged
+			}
+			logged++
+			waits := p.waitOf(u, since, confirmed)
+			p.noteWait(&waits, p.now.Sub(since))
+		}
+	}
+	return logged
+}
+
+// slowLogged reports whether the log names a work unit of the step that waits still.
 func (s *step) slowLogged() bool {
 	return slices.ContainsFunc(s.units, func(u *unit) bool { return u.slowLogged })
 }
 
-// noteWait logs the slow wait of a step and what its reason is based on.
+// noteWait logs the slow wait of a work unit and what its reason is based on.
 func (p *planner) noteWait(w *wait, age time.Duration) {
 	w.unit.slowLogged = true
 	need := w.step.spec.Allocation()
 	awaits, responsible := w.awaits()
 	p.sched.note(p.now, "Work unit waits", "job", w.step.job.ID, "unit", w.unit.name().String(), "waiting", w.step.idleUnits, "of", len(w.step.units),
-		"waited", age.Round(time.Millisecond), "reason", w.reason, "for", awaits, "duty", responsible,
+		"running", w.step.unitsLeft-w.step.idleUnits, "waited", age.Round(time.Millisecond), "reason", w.reason, "for", awaits, "duty", responsible,
 		"milliCPU", need.MilliCPU, "memoryMB", need.MemoryMB, "accelerators", need.Accelerators, "lasting", w.step.spec.LongRunning, "because", w.String())
 }
--- a/internal/job/bbrscheduler/waitsummary_test.go
+++ b/internal/job/bbrscheduler/waitsummary_test.go
@@ -1,6 +1,7 @@
 package bbrscheduler
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -125,3 +126,102 @@
 	require.Len(t, waits.LongestByReason, 1)
 	require.Contains(t, waits.LongestByReason, ReasonClaimUnconfirmed)
 }
+
+// loggedWaitFields returns the fields of the waits that a summary logs now, by work unit.
+func (s *scene) loggedWaitFields() map[string]map[string]any {
+	s.sched.Notes()
+	s.sched.Load(true, s.now)
+	notes, _ := s.sched.Notes()
+	waits := make(map[string]map[string]any)
+	for _, note := range notes {
+		if note.Text != "Work unit waits" {
+			continue
+		}
+		fields := make(map[string]any)
+		for i := 0; i < len(note.Fields); i += 2 {
+			fields[note.Fields[i].(string)] = note.Fields[i+1]
+		}
+		waits[fields["unit"].(string)] = fields
+	}
+	return waits
+}
+
+// runAndDrop gives a work unit of the first step of testJob a run for a time.
+func (s *scene) runAndDrop(index int, on string, lasting time.Duration) {
+	r := s.sched.addRun(s.sched.jobs[testJob].occurrences[0].steps[0].units[index], 7, s.sched.upstreams[on], s.now)
+	s.advance(lasting)
+	s.sched.dropRun(r, s.now)
+}
+
+// TestEachLongRunningWaitIsLogged guards against a long-running work unit whose wait is
+// never logged, since another unit of its step runs, the step was logged before, or many
+// steps of finite work wait longer.
+func TestEachLongRunningWaitIsLogged(t *testing.T) {
+	s := newScene(t, true, "i-1")
+	step := unitStep(2)
+	step.LongRunning = true
+	s.accept(testJob, step)
+	plan := s.plan()
+	require.Len(t, plan.Starts, 2)
+	s.answerStarts(plan, nil)
+	s.sched.SetReserved(map[string]bool{"i-1": true}, s.now)
+	for number := range maxEvaluated + maxLogged {
+		s.accept(jobID(number), unitStep(1))
+	}
+	units := s.sched.jobs[testJob].occurrences[0].steps[0].units
+	first, second := unitName(0).String(), unitName(1).String()
+	s.advance(slowWait)
+	require.NotContains(t, s.loggedWaitFields(), first, "it runs")
+
+	s.sched.dropRun(units[0].runs[0], s.now)
+	s.advance(slowWait - time.Millisecond)
+	require.NotContains(t, s.loggedWaitFields(), first)
+	s.advance(time.Millisecond)
+	fields := s.loggedWaitFields()[first]
+	require.NotNil(t, fields, "the other unit runs, and %d steps wait longer", maxEvaluated+maxLogged)
+	require.Equal(t, 1, fields["running"])
+	require.Equal(t, 1, fields["waiting"])
+	require.Equal(t, "3s", fmt.Sprint(fields["waited"]))
+	require.Equal(t, ReasonNoUsableUpstream, fields["reason"])
+
+	s.sched.dropRun(units[1].runs[0], s.now)
+	s.advance(slowWait)
+	waits := s.loggedWaitFields()
+	require.Contains(t, waits, second, "the step was logged before")
+	require.Zero(t, waits[second]["running"])
+	require.NotContains(t, waits, first, "this wait is logged already")
+
+	s.runAndDrop(0, "i-1", time.Second)
+	s.advance(slowWait)
+	waits = s.loggedWaitFields()
+	require.Contains(t, waits, first, "it waits again after a run")
+	require.NotContains(t, waits, second)
+}
+
+// TestLongRunningWaitLoggingIsBounded checks that the waits of many long-running units are
+// logged in portions.
+func TestLongRunningWaitLoggingIsBounded(t *testing.T) {
+	s := newScene(t, true)
+	step := unitStep(maxLogged + 5)
+	step.LongRunning = true
+	s.accept(testJob, step)
+	s.advance(slowWait)
+	require.Len(t, s.loggedWaitFields(), maxLogged)
+	require.Len(t, s.loggedWaitFields(), 5)
+	require.Empty(t, s.loggedWaitFields())
+}
+
+// TestFiniteWaitIsLoggedAgainAfterARun guards against a step of finite work whose later
+// waits are never logged.
+func TestFiniteWaitIsLoggedAgainAfterARun(t *testing.T) {
+	s := newScene(t, true, "i-1")
+	s.accept(testJob, unitStep(1))
+	s.advance(slowWait)
+	require.Len(t, s.loggedWaitFields(), 1)
+	s.runAndDrop(0, "i-1", time.Second)
+	s.advance(slowWait - time.Millisecond)
+	require.Empty(t, s.loggedWaitFields())
+	s.advance(time.Millisecond)
+	require.Len(t, s.loggedWaitFields(), 1)
+	require.Empty(t, s.loggedWaitFields())
+}
