job/bbrscheduler: a successor names the upstreams that it waits for

The gauge bbr_unlocated_upstreams has the number by shard, and is removed when the owner stops. Decisions are as before.

--- a/internal/base/bbrmetric/set.go
+++ b/internal/base/bbrmetric/set.go
@@ -27,6 +27,7 @@
 	handovers       *prometheus.CounterVec
 	roomMilliCPU    *prometheus.GaugeVec
 	roomDrain       *prometheus.GaugeVec
+	unlocated       *prometheus.GaugeVec
 	oldestWaits     *prometheus.GaugeVec
 	suspects        *prometheus.GaugeVec
 	organisations   *prometheus.GaugeVec
@@ -68,6 +69,7 @@
 	s.reservations = s.newGauge("bbr_reservations", "Reservations of capacity for wide or urgent work, and the upstreams that they hold, by shard.", "shard", "amount")
 	s.separations = s.newCounter("bbr_separations_total", "Starts of work units whose image interferes with another one: on an upstream without the other one, or beside it.", "result")
 	s.interfering = s.newGauge("bbr_interfering_pairs", "Pairs of images that were found to slow each other down, by shard.", "shard")
+	s.unlocated = s.newGauge("bbr_unlocated_upstreams", "Upstreams on which an earlier owner of the shard may have started work that its successor does not know yet.", "shard")
 	s.clientsClosed = s.newCounter("bbr_client_closes_total", "Connections of clients that are closed because of a limit, by listener and reason.", "listener", "reason")
 	s.connections = s.newGauge("bbr_client_connections", "Open connections of clients by listener.", "listener")
 	s.suspects = prometheus.NewGaugeVec(prometheus.GaugeOpts{
@@ -273,6 +275,14 @@
 // reason.
 func (s *Set) ClearOldestWait(shard, reason string) { s.oldestWaits.DeleteLabelValues(shard, reason) }
 
+// SetUnlocated sets on how many upstreams a shard may have work that is not located.
+func (s *Set) SetUnlocated(shard string, upstreams int) {
+	s.unlocated.WithLabelValues(shard).Set(float64(upstreams))
+}
+
+// ClearUnlocated removes the gauge of a shard's unlocated work.
+func (s *Set) ClearUnlocated(shard string) { s.unlocated.DeleteLabelValues(shard) }
+
 // SetOrganisation sets what an organisation uses in a shard, the shard's share of its
 // cap, and the cap, in thousandths of a core.
 func (s *Set) SetOrganisation(shard, organisation string, used, share, limit int) {
--- a/internal/job/bbrowner/load.go
+++ b/internal/job/bbrowner/load.go
@@ -25,6 +25,7 @@
 	o.loadLoggedAt = now
 	load := o.scheduler.Load(o.Confirmed(now), now)
 	o.updateWaitMetrics(load.Waits)
+	o.Metrics.SetUnlocated(o.Shard.String(), o.scheduler.UnlocatedCount())
 	o.updateOrganisationMetrics()
 	o.updateCrashMetrics()
 	o.updateLapseMetrics()
--- a/internal/job/bbrowner/load_test.go
+++ b/internal/job/bbrowner/load_test.go
@@ -96,3 +96,20 @@
 	}
 	require.Equal(t, map[string]float64{"noRenewal": 1, "lostRenewals": 0, "takeover": 0}, valuesByReason(t, o.Metrics, "bbr_lapsed_runs_total"))
 }
+
+// TestUnlocatedMetric checks that the gauge has what a successor still looks for, and that
+// an owner that has stopped leaves none behind.
+func TestUnlocatedMetric(t *testing.T) {
+	now := time.Unix(1000, 0)
+	o := newLoopOwner(0)
+	o.scheduler = bbrscheduler.New(o.Shard, 7, bbrscheduler.Timing{}, false, now)
+	up := bbrwork.Upstream{Incarnation: bbrwork.Incarnation{ID: "i-1", StartMillis: 1}, Service: "press"}
+	o.scheduler.FinishLoading([]bbrwork.Upstream{up}, 5, now)
+	o.logLoad(now.Add(time.Second))
+	require.Equal(t, map[string]float64{"press/2": 1}, valuesByReason(t, o.Metrics, "bbr_unlocated_upstreams"))
+	o.scheduler.ApplyListing(up.Incarnation, &bbrwork.Listing{Clock: time.Second, StartMillis: 1}, now, now)
+	o.logLoad(now.Add(2 * time.Second))
+	require.Equal(t, map[string]float64{"press/2": 0}, valuesByReason(t, o.Metrics, "bbr_unlocated_upstreams"))
+	o.clearMetrics()
+	require.Empty(t, valuesByReason(t, o.Metrics, "bbr_unlocated_upstreams"))
+}
--- a/internal/job/bbrowner/owner.go
+++ b/internal/job/bbrowner/owner.go
@@ -153,15 +153,22 @@
 	o.wg.Wait()
 	cancelFlush()
 	flushed.Wait()
-	o.updateWaitMetrics(bbrscheduler.WaitSummary{})
-	o.Metrics.ClearOrganisations(o.Shard.String())
-	o.Metrics.ClearSuspects(o.Shard.String())
-	o.Metrics.ClearRoom(o.Shard.String())
-	o.Metrics.ClearReservations(o.Shard.String())
-	o.Metrics.ClearInterferingPairs(o.Shard.String())
+	o.clearMetrics()
 	klog.InfoS("Owner stopped", "shard", o.Shard, "token", o.Held.Token)
 }
 
+// clearMetrics removes the gauges of the shard, which another owner sets from now on.
+func (o *Owner) clearMetrics() {
+	shard := o.Shard.String()
+	o.updateWaitMetrics(bbrscheduler.WaitSummary{})
+	o.Metrics.ClearUnlocated(shard)
+	o.Metrics.ClearOrganisations(shard)
+	o.Metrics.ClearSuspects(shard)
+	o.Metrics.ClearRoom(shard)
+	o.Metrics.ClearReservations(shard)
+	o.Metrics.ClearInterferingPairs(shard)
+}
+
 // jobWatchTimeout is how long a watch for jobs lasts. It bounds the delay of jobs
 // when a watch misses a change.
 const jobWatchTimeout = 300 * time.Millisecond
--- a/internal/job/bbrscheduler/plan.go
+++ b/internal/job/bbrscheduler/plan.go
@@ -70,6 +70,7 @@
 // only the stops of runs that should not continue.
 func (sched *Scheduler) Plan(confirmed bool, now time.Time) Plan {
 	sched.ExpireLeases(now)
+	sched.noteUnlocated(now)
 	sched.accuseUnlocated(now)
 	sched.endTrials(now)
 	sched.endReservations(now)
--- a/internal/job/bbrscheduler/scheduler.go
+++ b/internal/job/bbrscheduler/scheduler.go
@@ -76,7 +76,9 @@
 	// work that is not known: those that it had recorded and that have not answered
 	// yet.
 	unlocated map[bbrwork.Incarnation]bool
-	dirty     map[string]*job
+	// unlocatedNotedAt is when the log last named the unlocated incarnations.
+	unlocatedNotedAt time.Time
+	dirty            map[string]*job
 	// advice has the answers of the advice service, by the name of the step.
 	advice  map[string]*stepAdvice
 	horizon horizon
