job/bbrowner: a failing test of an upstream that gets every other renewal

The renewal that follows a lost one extends no lease, so that of alternating renewals only the lost ones would have extended it. In the test every other renewal is lost on its way, and the three runs lapse twelve times in 19 s:

Should be zero, but was 36

--- a/internal/job/bbrowner/runlease_test.go
+++ b/internal/job/bbrowner/runlease_test.go
@@ -28,6 +28,8 @@
 	// loseStart and loseRenewal report whether the order of that number, from 1, is lost
 	// on its way.
 	loseStart, loseRenewal func(number int) bool
+	// confirmed reports whether the owner's claim is confirmed; nil means that it is.
+	confirmed func(now time.Time) bool
 }
 
 const (
@@ -105,6 +107,9 @@
 func runUnits(t *testing.T, u *leasedUpstream, units int, length time.Duration) {
 	u.bootedAt = time.Now()
 	o := newLoopOwner(0)
+	if u.confirmed != nil {
+		o.Confirmed = u.confirmed
+	}
 	o.renewers = make(map[string]*leaseRenewer)
 	o.Client = &bbrorder.Client{Start: u.start, Renew: u.renew}
 	o.Registered = func(_ bbrwork.Shard, known bbrregistry.Version) ([]bbrwork.Upstream, bbrregistry.Version) {
@@ -207,3 +212,17 @@
 		require.InDelta(t, 20, u.renewals, 3)
 	})
 }
+
+// TestEveryOtherRenewalLostDoesNotLetRunsLapse guards against runs that lapse although every
+// other renewal reaches their upstream, since the one that repeats a lost renewal does not
+// extend the lease.
+func TestEveryOtherRenewalLostDoesNotLetRunsLapse(t *testing.T) {
+	for first := range 2 {
+		synctest.Test(t, func(t *testing.T) {
+			u := &leasedUpstream{loseStart: loseNone}
+			u.loseRenewal = func(number int) bool { return u.starts > 0 && number%2 == first }
+			runUnits(t, u, 3, 20*time.Second)
+			require.Zero(t, u.lapsed(time.Now()))
+		})
+	}
+}
