job/bbrscheduler: a repeated renewal carries the deadline of the lost one

Callers saw long-running work units stop again and again on an upstream that got every other renewal. After a lost renewal the owner only queried, so as not to postpone the time from which work can start elsewhere, and of alternating renewals it was the lost ones that would have extended the lease.

The owner now sends the deadline of the lost renewal again. leaseEnd counted that deadline when it was first sent and does not move, so that work of an upstream that is gone starts elsewhere as soon as before. It is not sent while a start is outstanding or of unknown outcome, as another incarnation would take it for a deadline by its own clock.

--- a/internal/job/bbrscheduler/lapse.go
+++ b/internal/job/bbrscheduler/lapse.go
@@ -39,6 +39,14 @@
 	sentAt, answeredAt time.Time
 }
 
+// planned records that a renewal is sent that extends the lease until a time on the
+// upstream's clock; 0 if it extends nothing.
+func (e *extensions) planned(until time.Duration, now time.Time) {
+	if until > 0 {
+		e.inFlightSince = now
+	}
+}
+
 // answered records that the renewal in flight was answered.
 func (e *extensions) answered(now time.Time) {
 	if !e.inFlightSince.IsZero() {
@@ -98,8 +106,7 @@
 }
 
 // unansweredSince returns when a renewal for the run was sent that was lost, or else since
-// when the upstream gave no answer to other calls; zero if neither happened. While calls
-// are lost, renewals extend nothing.
+// when the upstream gave no answer to other calls; zero if neither happened.
 func (l *lapse) unansweredSince() time.Time {
 	if l.sentAt.After(l.answeredAt) && !l.sentAt.Before(l.knownSince) {
 		return l.sentAt
--- a/internal/job/bbrscheduler/renewal.go
+++ b/internal/job/bbrscheduler/renewal.go
@@ -45,18 +45,31 @@
 	if up.maySendAcknowledgement() {
 		plan.Acknowledged = up.acknowledged
 	}
-	// An upstream that does not answer, or may have restarted, is only queried: every
-	// extension that may reach it would postpone the time from which its work can start
-	// elsewhere.
-	if up.clockKnown() && confirmed && len(up.runs) > 0 && up.lostAnswers == 0 && up.identified() {
-		plan.LeaseUntil = up.clockNow(now) + sched.Timing.RunLease
-		sched.extendLease(up, now)
-		up.extensions.inFlightSince = now
+	if confirmed && len(up.runs) > 0 {
+		plan.LeaseUntil = sched.nextLease(up, now)
+		up.extensions.planned(plan.LeaseUntil, now)
 	}
-	plan.setTimes(up.leaseLeft(now))
+	plan.setTimes(up, now)
 	return plan, true
 }
 
+// nextLease returns the deadline of the next renewal of an upstream with runs; 0 for none.
+//
+// An upstream that may have restarted is only queried. One that does not answer gets no
+// later deadline than before, since each that may reach it would postpone the time from
+// which its work can start elsewhere.
+func (sched *Scheduler) nextLease(up *upstream, now time.Time) time.Duration {
+	switch {
+	case !up.clockKnown() || !up.identified():
+		return 0
+	case up.lostAnswers > 0:
+		return up.repeatableLease(now)
+	}
+	up.sentLease = up.clockNow(now) + sched.Timing.RunLease
+	sched.extendLease(up, now)
+	return up.sentLease
+}
+
 // extendLease records that a renewal sent now keeps the runs on the upstream alive
 // for RunLease.
 func (sched *Scheduler) extendLease(up *upstream, now time.Time) {
--- a/internal/job/bbrscheduler/runlease.go
+++ b/internal/job/bbrscheduler/runlease.go
@@ -52,10 +52,26 @@
 	return max(0, up.confirmedLease-up.clockNow(now))
 }
 
-// setTimes sets how long the renewal waits for the end of a run and for its answer.
-// left is the confirmed lease that is left.
-func (plan *RenewalPlan) setTimes(left time.Duration) {
-	if plan.HasRuns && plan.LeaseUntil > 0 {
+// repeatableLease returns the deadline of the last renewal, which may have been lost on its
+// way; 0 if it has passed or must not be sent again. Another incarnation would take a
+// deadline on the earlier clock as one of its own, so that no start may be on its way to it.
+func (up *upstream) repeatableLease(now time.Time) time.Duration {
+	for _, r := range up.runs {
+		if r.phase == phaseStarting || r.phase == phaseUnknown {
+			return 0
+		}
+	}
+	if up.sentLease <= up.clockNow(now) {
+		return 0
+	}
+	return up.sentLease
+}
+
+// setTimes sets how long the renewal of an upstream waits for the end of a run and for its
+// answer.
+func (plan *RenewalPlan) setTimes(up *upstream, now time.Time) {
+	left := up.leaseLeft(now)
+	if plan.LeaseUntil > 0 && up.lostAnswers == 0 {
 		plan.Wait = min(maxRenewalWait, left/renewalWaitShare)
 	}
 	plan.AnswerTimeout = answerTimeout(left - plan.Wait)
--- a/internal/job/bbrscheduler/upstream.go
+++ b/internal/job/bbrscheduler/upstream.go
@@ -31,6 +31,9 @@
 	// leaseEnd is when, by this process's clock, everything that an order of this
 	// owner keeps running there has certainly ended.
 	leaseEnd time.Time
+	// sentLease is the deadline of the last renewal that extended the lease, by the
+	// upstream's clock.
+	sentLease time.Duration
 	// confirmedLease is until when, by the upstream's clock, its runs certainly have a
 	// lease: by an order that was answered, or by the start that began the first of them.
 	confirmedLease time.Duration
