job/bbrowner: a failing test of queries under an unconfirmed claim

While the store does not confirm its claim, an owner may extend no lease. Its renewals then do not wait at the upstream, and each is followed by the next one after 8 ms. In the test, with answers after 20 ms, the claim is not confirmed for 3 s:

"93" is not less than "40"

--- a/internal/job/bbrowner/runlease_test.go
+++ b/internal/job/bbrowner/runlease_test.go
@@ -226,3 +226,16 @@
 		})
 	}
 }
+
+// TestOwnerWithoutConfirmedClaimPacesItsQueries guards against an owner that queries each
+// upstream with runs without a pause while the store does not confirm its claim.
+func TestOwnerWithoutConfirmedClaimPacesItsQueries(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		u := &leasedUpstream{loseStart: loseNone, loseRenewal: loseNone}
+		begin := time.Now()
+		u.confirmed = func(now time.Time) bool { return now.Sub(begin) < 3*time.Second || now.Sub(begin) > 6*time.Second }
+		runUnits(t, u, 3, 8*time.Second)
+		require.Zero(t, u.lapsed(time.Now()))
+		require.Less(t, u.renewals, 40)
+	})
+}
