job/bbrowner: owners that are late for the leases of their runs hand over

Their runs ended as lapsed on upstreams that lived: no owner renewed the leases, and none was replaced.

Cause: an entry keeps its shards by renewing its session, one small call every 600 ms. Rounds, renewals and listings may be late by seconds meanwhile. The only remedy was part of jobs.balanceByCapacity, off there, and waits for 4 s of lateness and for 1 min after the claim.

Rounds make no calls, so that upstreams, links and the store cannot make them late. An extension that failed since an answer was lost, or the claim was not confirmed, counts for nothing, unless the failure was read over 1.9 s after the call was sent, later than any call may last. One pause counts for 1 s, so that a process that was paused once does not hand over. The guards stay: a spare entry, 10 s without the end of any claim, 15 s for which the entry leaves the shard to others. Instead of the minute after the claim it is 10 s, but a minute if the owner before handed over as well, so that a shard moves once a minute at most if all entries are slow.

Tests: the regression test wires HandOverOverdue instead of HandOver, which is nil by default. TestBalanceByCapacityIsOffByDefault demanded that no Relief exists; there is one now with any settings, so it demands that owners have no HandOver, which is what the setting enables; and TestOwnersHandOverOverdueWithAnySettings checks that the new one is connected.

--- a/internal/daemon/bbrserve/daemon.go
+++ b/internal/daemon/bbrserve/daemon.go
@@ -101,7 +101,8 @@
 		queries: bbrinquiry.NewClient(),
 	}
 	d.owners = newOwners(d)
-	d.claimer = &bbrclaim.Claimer{Session: d.session, Directory: d.directory, Names: d.owners.claimNames, RunOwner: d.owners.runOwner}
+	d.claimer = &bbrclaim.Claimer{Session: d.session, Directory: d.directory, Names: d.owners.claimNames, RunOwner: d.owners.runOwner,
+		Relief: &bbrclaim.Relief{Entry: settings.Entry, Directory: d.directory, Count: d.countLateOwner}}
 	d.handler = &bbrintake.Handler{
 		Intake: &bbrintake.Intake{
 			Acceptor:       d.acceptor,
--- a/internal/daemon/bbrserve/owners.go
+++ b/internal/daemon/bbrserve/owners.go
@@ -132,7 +132,15 @@
 		klog.ErrorS(err, "Claim name is not a valid shard", "claim", held.Name)
 		return
 	}
-	jobs := d.settings.Jobs
+	owner := o.newOwner(held, shard)
+	o.setRunning(shard, owner)
+	owner.Run(ctx)
+	o.clearRunning(shard, owner)
+}
+
+// newOwner returns the owner of a shard, which does not run yet.
+func (o *owners) newOwner(held bbrclaim.HeldClaim, shard bbrwork.Shard) *bbrowner.Owner {
+	d, jobs := o.daemon, o.daemon.settings.Jobs
 	owner := &bbrowner.Owner{
 		Held:             held,
 		Shard:            shard,
@@ -162,12 +170,13 @@
 		ReserveCapacity:     jobs.Reservations,
 		SeparateInterfering: jobs.SeparateInterfering,
 	}
-	if relief := d.claimer.Relief; relief != nil {
-		owner.HandOver = func(ownedSince, now time.Time) bool { return relief.HandOver(held.Name, ownedSince, now) }
+	owner.HandOverOverdue = func(ownedSince, now time.Time) bool {
+		return d.claimer.Relief.HandOverOverdue(held.Name, ownedSince, now)
 	}
-	o.setRunning(shard, owner)
-	owner.Run(ctx)
-	o.clearRunning(shard, owner)
+	if jobs.BalanceByCapacity {
+		owner.HandOver = func(ownedSince, now time.Time) bool { return d.claimer.Relief.HandOver(held.Name, ownedSince, now) }
+	}
+	return owner
 }
 
 // registeredUpstreams returns the registered upstreams of a shard and their
--- a/internal/daemon/bbrserve/rooms.go
+++ b/internal/daemon/bbrserve/rooms.go
@@ -14,7 +14,6 @@
 func (d *daemon) balanceByCapacity() {
 	d.session.BandwidthMbps = int(math.Ceil(d.settings.Limits.BandwidthMbps))
 	d.directory.UseBandwidth = true
-	d.claimer.Relief = &bbrclaim.Relief{Entry: d.settings.Entry, Directory: d.directory, Count: d.countLateOwner}
 	d.queries.Rooms = &bbrinquiry.RoomExchange{Known: d.owners.knownRooms, Learn: d.owners.learnRooms}
 	d.handler.Intake.ChooseCell = d.owners.chooseCell
 	d.handler.Intake.PreviewCell = d.owners.previewCell
@@ -22,7 +21,7 @@
 
 // countLateOwner counts a decision about an owner whose planning rounds are late.
 func (d *daemon) countLateOwner(decision bbrclaim.Decision) {
-	if decision == bbrclaim.HandOverLate {
+	if decision.HandsOver() {
 		d.metrics.Handover(string(decision))
 		return
 	}
--- a/internal/daemon/bbrserve/rooms_test.go
+++ b/internal/daemon/bbrserve/rooms_test.go
@@ -14,6 +14,7 @@
 	"github.com/bluebellridge/bluebellridge/internal/daemon/bbrlimit"
 	"github.com/bluebellridge/bluebellridge/internal/fleet/bbrcell"
 	"github.com/bluebellridge/bluebellridge/internal/fleet/bbrclaim"
+	"github.com/bluebellridge/bluebellridge/internal/job/bbrowner"
 	"github.com/bluebellridge/bluebellridge/internal/job/bbrwork"
 	"github.com/bluebellridge/bluebellridge/internal/store/bbrkv"
 )
@@ -38,16 +39,33 @@
 	d := newTestDaemon(balanceSettings(false))
 	require.Nil(t, d.handler.Intake.ChooseCell)
 	require.Nil(t, d.queries.Rooms)
-	require.Nil(t, d.claimer.Relief)
+	require.Nil(t, testOwner(d).HandOver, "late rounds alone do not end an ownership")
 	require.False(t, d.directory.UseBandwidth)
 	require.Zero(t, d.session.BandwidthMbps)
 }
 
+func testOwner(d *daemon) *bbrowner.Owner {
+	shard := bbrwork.Shard{Service: "press"}
+	return d.owners.newOwner(bbrclaim.HeldClaim{Name: shard.String(), Token: 7}, shard)
+}
+
+// TestOwnersHandOverOverdueWithAnySettings guards against a remedy for owners that are late for their leases that is not connected.
+func TestOwnersHandOverOverdueWithAnySettings(t *testing.T) {
+	for _, balanced := range []bool{false, true} {
+		d := newTestDaemon(balanceSettings(balanced))
+		now := time.Now()
+		d.directory.Snapshot([]bbrkv.Item{{Key: (&bbrclaim.Session{Entry: "e-2"}).Key(), Value: []byte(`{"entry":"e-2","milliCPU":800}`), Revision: 1, Created: 1}}, 1, now)
+		owner := testOwner(d)
+		require.False(t, owner.HandOverOverdue(now.Add(-9*time.Second), now))
+		require.True(t, owner.HandOverOverdue(now.Add(-10*time.Second), now))
+	}
+}
+
 // TestCellsAreChosenByLearnedRoom checks the parts together: rooms from other entries change
 // the choice of the intake, and are passed on.
 func TestCellsAreChosenByLearnedRoom(t *testing.T) {
 	d := newTestDaemon(balanceSettings(true))
-	require.NotNil(t, d.claimer.Relief)
+	require.NotNil(t, testOwner(d).HandOver)
 	require.True(t, d.directory.UseBandwidth)
 	require.Equal(t, 50, d.session.BandwidthMbps)
 	cells := &bbrcell.Cells{Sizes: []int{128, 128}}
--- a/internal/fleet/bbrclaim/directory.go
+++ b/internal/fleet/bbrclaim/directory.go
@@ -48,6 +48,8 @@
 	endedRevision map[string]bbrkv.Revision
 	// endedAt contains, by name, when a claim was last seen to have ended.
 	endedAt map[string]time.Time
+	// endedClaims contains, by name, the last claim that ended.
+	endedClaims map[string]Claim
 	// directives and cells are replaced and never modified, so that readers may
 	// keep them without the lock.
 	directives bbrmachine.Directives
@@ -78,6 +80,7 @@
 			d.claims[name] = claim
 		default:
 			d.recordEnd(name, claim.Revision, now)
+			d.recordEndedClaim(name, claim)
 		}
 	}
 }
@@ -124,6 +127,7 @@
 		if claim, ok := d.claims[name]; ok && claim.Revision < item.Revision {
 			klog.InfoS("Claim ended", "claim", name, "entry", claim.Entry, "token", claim.Revision, "revision", item.Revision)
 			delete(d.claims, name)
+			d.recordEndedClaim(name, claim)
 		}
 		return
 	}
@@ -180,6 +184,14 @@
 	d.endedRevision[name] = max(d.endedRevision[name], revision)
 }
 
+// recordEndedClaim notes the claim that ended last. The caller holds the lock.
+func (d *Directory) recordEndedClaim(name string, claim Claim) {
+	if d.endedClaims == nil {
+		d.endedClaims = make(map[string]Claim)
+	}
+	d.endedClaims[name] = claim
+}
+
 // ClaimEnded reports whether the claim with the token is known to have ended. A
 // claim that is merely not listed yet has not.
 func (d *Directory) ClaimEnded(name string, token bbrkv.Revision) bool {
@@ -355,8 +367,9 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.recordEnd(name, token, now)
-	if d.claims[name].Revision == token {
+	if claim := d.claims[name]; claim.Revision == token {
 		delete(d.claims, name)
+		d.recordEndedClaim(name, claim)
 	}
 }
 
--- a/internal/fleet/bbrclaim/lateness.go
+++ b/internal/fleet/bbrclaim/lateness.go
@@ -13,6 +13,9 @@
 	// maxLateness is the time for which rounds must be late. Shorter times are bursts of
 	// work, which a hand-over would prolong: a takeover takes up to ConfirmationTTL.
 	maxLateness = 4 * time.Second
+	// minHarmfulLateness is the time for which rounds must be late if leases were not renewed
+	// in time besides. It is more than one pause counts for.
+	minHarmfulLateness = 2 * time.Second
 )
 
 // Lateness is a measure of how late the regular rounds of a task are, by the monotonic clock
@@ -38,6 +41,15 @@
 	return l.late >= maxLateness
 }
 
+// RecordHarmful records that a round begins, as Record does, and reports whether the rounds
+// have been late for long enough to be the cause of harm. However long they were late, they
+// no longer are after maxLatePause of rounds in time.
+func (l *Lateness) RecordHarmful(now time.Time, interval time.Duration) bool {
+	l.Record(now, interval)
+	l.late = min(l.late, minHarmfulLateness+maxLatePause)
+	return l.late >= minHarmfulLateness
+}
+
 // Reset begins the measure anew, and returns what it was.
 func (l *Lateness) Reset() time.Duration {
 	late := l.late
--- a/internal/fleet/bbrclaim/relief.go
+++ b/internal/fleet/bbrclaim/relief.go
@@ -21,8 +21,9 @@
 	deferral = 15 * time.Second
 )
 
-// Relief decides which owners of an entry hand over their shards because they are slow. It
-// keeps the entry from claiming such a shard again.
+// Relief decides which owners of an entry hand over their shards because they are slow: by
+// HandOver, if their rounds have been late for long, and by HandOverOverdue, if their work
+// is harmed. It keeps the entry from claiming such a shard again.
 type Relief struct {
 	Entry     string
 	Directory *Directory
@@ -40,22 +41,43 @@
 // Decision is a decision about an owner whose planning rounds are late.
 type Decision string
 
-// Decisions: a hand-over, or the reason for which the shard is kept.
+// Decisions: a hand-over and its cause, or the reason for which the shard is kept.
 const (
 	HandOverLate     Decision = "late"
+	HandOverOverdue  Decision = "overdue"
 	KeptRecent       Decision = "recentOwner"
 	KeptAfterAnother Decision = "afterAnother"
 	KeptNoSpare      Decision = "noSpareEntry"
 )
 
+// HandsOver reports whether the decision is a hand-over.
+func (d Decision) HandsOver() bool { return d == HandOverLate || d == HandOverOverdue }
+
 // HandOver reports whether the slow owner of the name, which it has owned since a time, is
 // to release its claim now.
 func (r *Relief) HandOver(name string, ownedSince, now time.Time) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	decision := decideHandOver(now.Sub(ownedSince), now.Sub(r.Directory.lastEnd(r.lastAt)), r.Directory.hasSpareEntry(r.Entry))
+	return r.carryOut(name, decision, now)
+}
+
+// HandOverOverdue reports whether the owner of the name, which it has owned since a time, is
+// to release its claim now, as its rounds are late and leases of its runs were not renewed in
+// time. As the work may have no run meanwhile, it waits for minOwnedTime only if the owner
+// before has handed the shard over as well: then entries are slow in general, and the shard
+// would move on and on.
+func (r *Relief) HandOverOverdue(name string, ownedSince, now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	decision := decideOverdue(now.Sub(ownedSince), now.Sub(r.Directory.lastEnd(r.lastAt)), r.Directory.handedOver(name), r.Directory.hasSpareEntry(r.Entry))
+	return r.carryOut(name, decision, now)
+}
+
+// carryOut counts the decision, records a hand-over and reports whether it is one.
+func (r *Relief) carryOut(name string, decision Decision, now time.Time) bool {
 	r.Count(decision)
-	if decision != HandOverLate {
+	if !decision.HandsOver() {
 		klog.InfoS("Keeping a shard although its planning rounds are late", "claim", name, "reason", decision)
 		return false
 	}
@@ -94,6 +116,31 @@
 	}
 }
 
+// decideOverdue decides about an owner that is overdue with renewals, by how long it has had
+// the shard, how long ago a claim of any entry ended, and whether the owner before has handed
+// the shard over.
+func decideOverdue(owned, sinceLast time.Duration, handedOver, spareEntry bool) Decision {
+	switch {
+	case owned < handOverPause || handedOver && owned < minOwnedTime:
+		return KeptRecent
+	case sinceLast < handOverPause:
+		return KeptAfterAnother
+	case !spareEntry:
+		return KeptNoSpare
+	default:
+		return HandOverOverdue
+	}
+}
+
+// handedOver reports whether the last claim of the name that ended was removed while its entry
+// kept its lease. The claims of an entry that is lost, or restarts, end with its lease.
+func (d *Directory) handedOver(name string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	ended, ok := d.endedClaims[name]
+	return ok && d.entries[ended.Entry].Lease == ended.Lease
+}
+
 // leaves reports whether the entry leaves the name to others: it has handed it over lately,
 // and another entry can take it. A nil Relief leaves none.
 func (r *Relief) leaves(name string, now time.Time) bool {
--- a/internal/fleet/bbrclaim/relief_test.go
+++ b/internal/fleet/bbrclaim/relief_test.go
@@ -123,19 +123,27 @@
 	claimers []*Claimer
 	// slow has the entries whose owners' rounds are late.
 	slow map[string]bool
+	// overdue means that the leases of a slow owner's runs run out.
+	overdue bool
 
 	mu sync.Mutex
 	// owners has the entries that owned each shard, in order.
 	owners map[string][]string
+	// claimedAt has when they began, and releasedAt when the last owner ended.
+	claimedAt  map[string][]time.Time
+	releasedAt map[string]time.Time
+	// longestGap is the longest time that a shard had no owner.
+	longestGap time.Duration
 }
 
 func newSlowFleet(t *testing.T, entries int, enabled bool) *slowFleet {
-	fleet := &slowFleet{store: &claimStore{revision: 10, items: make(map[string]bbrkv.Item)}, slow: make(map[string]bool), owners: make(map[string][]string)}
+	fleet := &slowFleet{store: &claimStore{revision: 10, items: make(map[string]bbrkv.Item)}, slow: make(map[string]bool), owners: make(map[string][]string),
+		claimedAt: make(map[string][]time.Time), releasedAt: make(map[string]time.Time)}
 	for i := range entries {
 		name := fmt.Sprintf("e%d", i)
 		session := &Session{Store: &bbrkv.Store{Commit: fleet.store.commit}, Entry: name, Incarnation: name}
 		revision := bbrkv.Revision(i + 1)
-		fleet.store.items[session.Key()] = bbrkv.Item{Key: session.Key(), Revision: revision, Created: revision, Value: marshal(t, entryRecord{Entry: name, Incarnation: name, MilliCPU: 400})}
+		fleet.store.items[session.Key()] = bbrkv.Item{Key: session.Key(), Revision: revision, Created: revision, Value: marshal(t, entryRecord{Entry: name, Incarnation: name, Lease: bbrkv.Lease(i + 1), MilliCPU: 400})}
 		session.setLease(bbrkv.Lease(i+1), revision, time.Now().Add(time.Hour))
 		c := &Claimer{Session: session, Directory: &Directory{}, Names: func() []string { return []string{"press/0", "press/1", "press/2", "press/3"} }}
 		if enabled {
@@ -153,10 +161,18 @@
 	since := time.Now()
 	f.mu.Lock()
 	f.owners[held.Name] = append(f.owners[held.Name], c.Session.Entry)
+	f.claimedAt[held.Name] = append(f.claimedAt[held.Name], since)
+	if released, ok := f.releasedAt[held.Name]; ok {
+		f.longestGap = max(f.longestGap, since.Sub(released))
+	}
 	f.mu.Unlock()
-	var lateness Lateness
+	defer f.recordRelease(held.Name)
+	var lateness, overdue Lateness
 	for ctx.Err() == nil {
-		if c.Relief != nil && lateness.Record(time.Now(), roundInterval) {
+		if f.overdue && overdue.RecordHarmful(time.Now(), roundInterval) && c.Relief.HandOverOverdue(held.Name, since, time.Now()) {
+			return
+		}
+		if !f.overdue && c.Relief != nil && lateness.Record(time.Now(), roundInterval) {
 			lateness.Reset()
 			if c.Relief.HandOver(held.Name, since, time.Now()) {
 				return
@@ -172,6 +188,13 @@
 	}
 }
 
+// recordRelease records that the shard has no owner from now on.
+func (f *slowFleet) recordRelease(name string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.releasedAt[name] = time.Now()
+}
+
 // play runs the claimers for some time.
 func (f *slowFleet) play(ctx context.Context, length time.Duration) {
 	for end := time.Now().Add(length); time.Now().Before(end); time.Sleep(claimInterval) {
@@ -201,9 +224,15 @@
 
 // playSlowFleet runs a fleet whose named entries are slow after a while.
 func playSlowFleet(t *testing.T, entries int, enabled bool, length time.Duration, slow ...string) *slowFleet {
+	return playFleet(t, entries, enabled, false, length, slow...)
+}
+
+// playFleet is playSlowFleet, and the slow owners are overdue if it is asked for.
+func playFleet(t *testing.T, entries int, enabled, overdue bool, length time.Duration, slow ...string) *slowFleet {
 	var fleet *slowFleet
 	synctest.Test(t, func(t *testing.T) {
 		fleet = newSlowFleet(t, entries, enabled)
+		fleet.overdue = overdue
 		ctx, cancel := context.WithCancel(t.Context())
 		fleet.play(ctx, 2*time.Minute)
 		require.Len(t, fleet.owners, 4)
@@ -249,7 +278,91 @@
 	}
 }
 
+// TestOverdueOwnerHandsOverSoon guards against a shard that stays for a minute with an entry that is too late for the leases of its runs, and against one that returns to it or moves on.
+func TestOverdueOwnerHandsOverSoon(t *testing.T) {
+	fleet := playFleet(t, 4, true, true, 8*time.Second, "e1")
+	counts := fleet.handOvers()
+	require.Len(t, counts, 1, "the slow entry had one shard")
+	for name, owners := range fleet.owners {
+		require.LessOrEqual(t, len(owners), 2, name)
+		require.False(t, len(owners) == 2 && (owners[0] != "e1" || owners[1] == "e1"), "%s: %v", name, owners)
+	}
+	require.LessOrEqual(t, fleet.longestGap, time.Second)
+}
+
+// TestShardsOfOverdueOwnersDoNotCirculate guards against shards that move from one slow entry to another all the time, or have no owner because all leave them to others.
+func TestShardsOfOverdueOwnersDoNotCirculate(t *testing.T) {
+	for _, slow := range [][]string{{"e0", "e1"}, {"e0", "e1", "e2", "e3"}} {
+		fleet := playFleet(t, len(slow), true, true, 5*time.Minute, slow...)
+		for name, claimed := range fleet.claimedAt {
+			for i := range claimed {
+				moves := 0
+				for _, at := range claimed[max(1, i):] {
+					if at.Sub(claimed[i]) < minOwnedTime {
+						moves++
+					}
+				}
+				require.LessOrEqual(t, moves, 1, "moves of %s within a minute: %v", name, claimed)
+			}
+		}
+		require.NotEmpty(t, fleet.handOvers())
+		require.LessOrEqual(t, fleet.longestGap, time.Second, "%d entries", len(slow))
+	}
+}
+
+// TestOverdueHandOverIsBounded checks the reasons for which the shard is kept.
+func TestOverdueHandOverIsBounded(t *testing.T) {
+	require.Equal(t, KeptRecent, decideOverdue(handOverPause-1, time.Hour, false, true))
+	require.Equal(t, HandOverOverdue, decideOverdue(handOverPause, handOverPause, false, true))
+	require.Equal(t, KeptRecent, decideOverdue(minOwnedTime-1, time.Hour, true, true))
+	require.Equal(t, HandOverOverdue, decideOverdue(minOwnedTime, handOverPause, true, true))
+	require.Equal(t, KeptAfterAnother, decideOverdue(time.Hour, handOverPause-1, false, true))
+	require.Equal(t, KeptNoSpare, decideOverdue(time.Hour, time.Hour, false, false))
+}
+
+// TestLossIsNoHandOver guards against the successor of a lost entry that has to keep its shard for a minute, and against one that follows a hand-over and need not.
+func TestLossIsNoHandOver(t *testing.T) {
+	now := time.Unix(1000, 0)
+	claim := bbrkv.Item{Key: ClaimKey("press/0"), Revision: 5, Created: 5, Lease: 7, Value: marshal(t, claimRecord{Entry: "e0", Incarnation: "x"})}
+	entry := registered(t, "e0", 1, entryRecord{Entry: "e0", Incarnation: "x", Lease: 7})
+	for name, end := range map[string]func(d *Directory){
+		"own end": func(d *Directory) { d.RecordOwnEnd("press/0", 5, now) },
+		"watch":   func(d *Directory) { d.Change(bbrkv.Item{Key: claim.Key, Revision: 6, Deleted: true}, now) },
+		"list":    func(d *Directory) { d.Snapshot([]bbrkv.Item{entry}, 6, now) },
+	} {
+		d := &Directory{}
+		d.Snapshot([]bbrkv.Item{entry, claim}, 5, now)
+		require.False(t, d.handedOver("press/0"), name)
+		end(d)
+		require.True(t, d.handedOver("press/0"), name)
+		d.Change(registered(t, "e0", 7, entryRecord{Entry: "e0", Incarnation: "x", Lease: 8}), now)
+		require.False(t, d.handedOver("press/0"), "%s: the session was lost", name)
+		d.Change(bbrkv.Item{Key: entry.Key, Revision: 8, Deleted: true}, now)
+		require.False(t, d.handedOver("press/0"), "%s: the entry was lost", name)
+	}
+}
+
+// TestHarmfulLatenessNeedsSeveralLateRounds guards against a process that was paused once and is taken for a slow one, and against one that counts as slow long after it was.
+func TestHarmfulLatenessNeedsSeveralLateRounds(t *testing.T) {
+	var lateness Lateness
+	now := time.Unix(1000, 0)
+	lateness.RecordHarmful(now, roundInterval)
+	require.False(t, lateness.RecordHarmful(now.Add(5*time.Second), roundInterval))
+	now = now.Add(5 * time.Second)
+	for range 100 {
+		now = now.Add(700 * time.Millisecond)
+		lateness.RecordHarmful(now, roundInterval)
+	}
+	require.True(t, lateness.RecordHarmful(now, roundInterval))
+	for range 11 {
+		now = now.Add(roundInterval)
+		lateness.RecordHarmful(now, roundInterval)
+	}
+	require.False(t, lateness.RecordHarmful(now, roundInterval))
+}
+
 // TestOnlyEntryKeepsItsShards guards against shards without an owner.
 func TestOnlyEntryKeepsItsShards(t *testing.T) {
 	require.Empty(t, playSlowFleet(t, 1, true, 2*time.Minute, "e0").handOvers())
+	require.Empty(t, playFleet(t, 1, true, true, 2*time.Minute, "e0").handOvers())
 }
--- a/internal/job/bbrowner/lateness.go
+++ b/internal/job/bbrowner/lateness.go
@@ -7,10 +7,15 @@
 )
 
 // mustHandOver records the beginning of a planning round and reports whether the owner has
-// to release its claim, since its rounds have been late and another entry can take the shard
-// over. If that is not so now, it is decided again after the rounds have been late for as
-// long again.
+// to release its claim.
 func (o *Owner) mustHandOver(now time.Time) bool {
+	return o.handsOverOverdue(now) || o.handsOverLate(now)
+}
+
+// handsOverLate reports whether the owner has to release its claim, since its rounds have
+// been late and another entry can take the shard over. If that is not so now, it is decided
+// again after the rounds have been late for as long again.
+func (o *Owner) handsOverLate(now time.Time) bool {
 	// Without the store, the claim cannot be released.
 	if o.HandOver == nil || !o.lateness.Record(now, planInterval) || !o.Confirmed(now) {
 		return false
--- a/internal/job/bbrowner/lateowner_test.go
+++ b/internal/job/bbrowner/lateowner_test.go
@@ -57,7 +57,7 @@
 		Held: bbrclaim.HeldClaim{Name: shard.String(), Token: 7}, Shard: shard, Confirmed: func(time.Time) bool { return true },
 		startedAt: s.start, scheduler: bbrscheduler.New(shard, 7, timing, true, s.start),
 	}
-	s.owner.HandOver = func(ownedSince, now time.Time) bool { return s.relief.HandOver(shard.String(), ownedSince, now) }
+	s.owner.HandOverOverdue = func(ownedSince, now time.Time) bool { return s.relief.HandOverOverdue(shard.String(), ownedSince, now) }
 	sched := s.owner.scheduler
 	sched.SetConfig(bbrwork.NewConfig(1, []*bbrwork.Queue{{Name: "proofs", Service: "press", Attempts: 3, Stretch: 1.6, Objective: time.Second}}, nil, bbrwork.Limits{}))
 	sched.RegisterUpstream(s.upstream(), s.start)
@@ -161,3 +161,73 @@
 		s.owner.scheduler.ApplyRenewalFailure(s.upstream().Incarnation, bbrorder.ErrAnswerLost, now)
 	}
 }
+
+// TestLateOwnerKeepsItsShardWithoutHarmOfItsOwn guards against hand-overs for lateness that harms no work, and for leases that run out because answers are lost or the store is away, which no other entry would change.
+func TestLateOwnerKeepsItsShardWithoutHarmOfItsOwn(t *testing.T) {
+	const late = 700 * time.Millisecond
+	for _, test := range []struct {
+		name string
+		// pause returns the pause before a round.
+		pause func(round int) time.Duration
+		// renews, answered and confirmed are whether the owner sends renewals, the upstream
+		// answers them, and the claim is confirmed.
+		renews, answered, confirmed bool
+	}{
+		{name: "late, but renews in time", pause: func(int) time.Duration { return late }, renews: true, answered: true, confirmed: true},
+		{name: "answers lost", pause: func(int) time.Duration { return planInterval }, renews: true, confirmed: true},
+		{name: "late, and answers lost", pause: func(int) time.Duration { return late }, renews: true, confirmed: true},
+		{name: "late, and claim not confirmed", pause: func(int) time.Duration { return late }, renews: true, answered: true},
+		{name: "no renewals, but rounds in time", pause: func(int) time.Duration { return planInterval }, confirmed: true},
+		{name: "paused once", renews: true, answered: true, confirmed: true, pause: func(round int) time.Duration {
+			if round == 0 {
+				return 5 * time.Second
+			}
+			return planInterval
+		}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			s := newLateScene(t)
+			s.runInTime()
+			s.owner.Confirmed = func(time.Time) bool { return test.confirmed }
+			now := s.at(lateFrom)
+			for round := range 60 {
+				now = now.Add(test.pause(round))
+				require.False(t, s.owner.mustHandOver(now), "round %d", round)
+				if test.renews {
+					s.renewOnce(now, test.answered)
+				}
+			}
+			require.Empty(t, s.decisions)
+			if !test.confirmed {
+				s.owner.Confirmed = func(time.Time) bool { return true }
+				require.False(t, s.owner.mustHandOver(now.Add(late)), "the store is back")
+			}
+		})
+	}
+}
+
+// renewOnce sends a renewal, which is answered, or fails within the call's timeout.
+func (s *lateScene) renewOnce(now time.Time, answered bool) {
+	s.renew(now)
+	if answered {
+		s.list(now, s.running())
+		return
+	}
+	s.owner.scheduler.ApplyRenewalFailure(s.upstream().Incarnation, bbrorder.ErrAnswerLost, now.Add(90*time.Millisecond))
+}
+
+// TestOverdueOwnerAsksAgain guards against an owner that keeps its shard for good because it may not hand over at first, and against one that asks in each round.
+func TestOverdueOwnerAsksAgain(t *testing.T) {
+	s := newLateScene(t)
+	s.runInTime()
+	asked := 0
+	s.owner.HandOverOverdue = func(ownedSince, _ time.Time) bool {
+		require.Equal(t, s.start, ownedSince)
+		asked++
+		return false
+	}
+	for round := range 20 {
+		require.False(t, s.owner.mustHandOver(s.at(lateFrom+time.Duration(round)*500*time.Millisecond)))
+	}
+	require.InDelta(t, 6, asked, 1, "once a second from 3.5 to 9.5 s")
+}
--- a/internal/job/bbrowner/owner.go
+++ b/internal/job/bbrowner/owner.go
@@ -57,6 +57,9 @@
 	// HandOver reports whether the owner is to release its claim now, as its planning
 	// rounds are late. It is nil if owners keep their claims.
 	HandOver func(ownedSince, now time.Time) bool
+	// HandOverOverdue reports whether the owner is to release its claim now, as it is late
+	// and overdue with the renewal of leases. It is nil if it keeps its claim then.
+	HandOverOverdue func(ownedSince, now time.Time) bool
 	// FairShares makes organisations share the capacity by weight while it is short.
 	FairShares bool
 	// ReserveCapacity means that wide work may reserve capacity, and that urgent work may
@@ -89,6 +92,8 @@
 	lateness bbrclaim.Lateness
 	// delays is by how much planning rounds are late. It is used by loop only.
 	delays planDelays
+	// overdue decides about overdue renewals. It is used by loop only.
+	overdue overdueWatch
 	// startedAt is when Run began.
 	startedAt time.Time
 	// loadLoggedAt is when the load was last logged.
--- a/internal/job/bbrscheduler/renewal.go
+++ b/internal/job/bbrscheduler/renewal.go
@@ -50,6 +50,7 @@
 		up.extensions.planned(plan.LeaseUntil, now)
 	}
 	plan.setTimes(up, now)
+	sched.recordRenewal(up, plan.LeaseUntil > 0 && up.lostAnswers == 0, confirmed, now)
 	return plan, true
 }
 
--- a/internal/job/bbrscheduler/scheduler.go
+++ b/internal/job/bbrscheduler/scheduler.go
@@ -63,6 +63,8 @@
 	config    *bbrwork.Config
 	jobs      map[string]*job
 	upstreams map[string]*upstream
+	// overdueAt is when this owner was last overdue with the renewal of a lease.
+	overdueAt time.Time
 	// sorted has the upstreams by ID; nil after one was added or removed.
 	sorted []*upstream
 	// endedWithRuns has the jobs whose end is stored and that still have runs.
--- a/internal/job/bbrscheduler/startresult.go
+++ b/internal/job/bbrscheduler/startresult.go
@@ -74,7 +74,7 @@
 	switch {
 	case errors.Is(err, bbrorder.ErrAnswerLost):
 		r.phase = phaseUnknown
-		up.recordSilence(now)
+		up.recordSilence(r.orderedAt, now)
 		sched.extendToMaxLease(up, now)
 		return
 	case errors.Is(err, bbrorder.ErrOtherIncarnation) && !r.moved:
@@ -87,7 +87,7 @@
 	case errors.Is(err, bbrorder.ErrStaleRun):
 		r.unit.lastRun += staleRunSkip
 	case errors.Is(err, bbrorder.ErrNotSent):
-		up.recordSilence(now)
+		up.recordSilence(r.orderedAt, now)
 	case errors.Is(err, bbrorder.ErrUnhealthy):
 		up.health.recordEnd(unhealthyOutcome, now)
 		up.fullUntil = now.Add(fullPause)
@@ -115,7 +115,7 @@
 		return
 	}
 	up.extensions.lost()
-	if up.recordSilence(now) {
+	if up.recordSilence(up.renewalSentAt, now) {
 		sched.note(now, "Upstream does not answer", "upstream", up.ID, "runs", len(up.runs), "leaseLeft", up.leaseEnd.Sub(now).Round(time.Millisecond), "reason", err.Error())
 	}
 }
