--- a/internal/job/bbrowner/plandelay.go
+++ b/internal/job/bbrowner/plandelay.go
@@ -18,7 +18,7 @@
 // use.
 type planDelays struct {
 	// previous is when the last round began, zero before the first one, and took is how
-	// long it planned.
+	// long it took, with the wait for the owner's lock.
 	previous time.Time
 	took     time.Duration
 	// loggedAt is when late rounds were last logged, and omitted counts the late rounds
