--- a/internal/job/bbrscheduler/lapse.go
+++ b/internal/job/bbrscheduler/lapse.go
@@ -12,8 +12,8 @@
 
 // Values of LapseCause.
 const (
-	// LapseNoRenewal: this owner sent no renewal within the lease, or one that came too
-	// late.
+	// LapseNoRenewal: this owner sent no renewal that extends the lease while the lease
+	// lasted, since it was late or its claim was not confirmed.
 	LapseNoRenewal LapseCause = "noRenewal"
 	// LapseLostRenewals: renewals were sent within the lease and got no answer, or none
 	// that extends the lease, since the upstream did not answer another call.
