job/bbrowner: queries under an unconfirmed claim are paced

While the store is slow or away, entries that own shards spent their processor time, and that of the upstreams, on queries: a renewal that extends no lease does not wait at the upstream, and the next one followed after 8 ms. Nothing can be done with the answers before the claim is confirmed again.

The renewer now pauses for 150 ms after such an answer, as it does where an upstream has orphans.

--- a/internal/job/bbrowner/leaserenewer.go
+++ b/internal/job/bbrowner/leaserenewer.go
@@ -120,7 +120,7 @@
 
 // pauseAfter returns the pause after a renewal that was answered.
 func (r *leaseRenewer) pauseAfter(plan bbrscheduler.RenewalPlan) time.Duration {
-	if plan.HasOrphans {
+	if plan.HasOrphans || plan.Unconfirmed {
 		return bbrscheduler.RenewalRetryDelay
 	}
 	r.owner.mu.Lock()
--- a/internal/job/bbrscheduler/renewal.go
+++ b/internal/job/bbrscheduler/renewal.go
@@ -20,6 +20,9 @@
 	Idle bool
 	// HasRuns means that work runs or may run on the upstream.
 	HasRuns bool
+	// Unconfirmed means that no lease may be extended, as the owner's claim is not
+	// confirmed.
+	Unconfirmed bool
 	// HasOrphans means that the upstream lists runs of unknown jobs.
 	HasOrphans bool
 }
@@ -33,10 +36,11 @@
 	}
 	up.extensions.inFlightSince = time.Time{}
 	plan := RenewalPlan{
-		Upstream:   up.target(),
-		HasOrphans: len(up.orphans) > 0,
-		Idle:       len(up.runs) == 0 && len(up.orphans) == 0 && !sched.unlocated[up.Incarnation] && up.identified() && (!up.registered || up.acknowledged == up.applied && up.reached && up.lostAnswers == 0),
-		HasRuns:    len(up.runs) > 0,
+		Upstream:    up.target(),
+		HasOrphans:  len(up.orphans) > 0,
+		Idle:        len(up.runs) == 0 && len(up.orphans) == 0 && !sched.unlocated[up.Incarnation] && up.identified() && (!up.registered || up.acknowledged == up.applied && up.reached && up.lostAnswers == 0),
+		HasRuns:     len(up.runs) > 0,
+		Unconfirmed: !confirmed,
 	}
 	if plan.Idle {
 		up.idled = true
