fleet/bbrmaintenance: a leader whose rounds are late hands the leadership over

The same fault as with owners of shards: the leadership is kept by the session, which one small call every 600 ms renews, while the rounds that decide about moves, waves and drains come late. Nothing ended such a leadership.

Now the leader's own time in its rounds counts, planning and the pause between rounds. Calls do not, as the store may be slow for all entries. After 4 s with late rounds, and 1 min after its claim at the earliest, the entry's Relief decides as it does about shards. Ends of leaderships do not count as ends of claims there, so that they do not delay the hand-over of a shard.

Evidence: TestLateLeaderReleasesTheLeadership with the decision switched off: "expected: true, actual: false" for a late leader; passes with it. TestLeadershipDoesNotDelayShards.

--- a/internal/daemon/bbrserve/owners.go
+++ b/internal/daemon/bbrserve/owners.go
@@ -312,7 +312,21 @@
 // fleet leader.
 func (o *owners) leadFleet(ctx context.Context, held bbrclaim.HeldClaim) {
 	d := o.daemon
-	controller := &bbrmaintenance.Controller{
+	controller := o.newController(held)
+	sweeper := &bbrsweeper.Sweeper{Store: d.store, Condition: held.Condition(), Retention: d.settings.Jobs.EndedJobRetention}
+	sweeperCtx, cancelSweeper := context.WithCancel(ctx)
+	var wg sync.WaitGroup
+	wg.Go(func() { sweeper.Run(sweeperCtx) })
+	controller.Run(ctx, d.settings.Jobs.MaintenanceDuration)
+	cancelSweeper()
+	wg.Wait()
+	d.claimer.Release(held)
+}
+
+// newController returns the controller of a fleet leader, which does not run yet.
+func (o *owners) newController(held bbrclaim.HeldClaim) *bbrmaintenance.Controller {
+	d := o.daemon
+	return &bbrmaintenance.Controller{
 		Held:  held,
 		Entry: d.settings.Entry,
 		Store: d.store,
@@ -331,13 +345,6 @@
 		Directives:    d.directory.Directives,
 		EntryMilliCPU: d.directory.MilliCPUAtRank,
 		LeaderLease:   d.settings.Jobs.LeadershipLease,
+		HandOver:      func(ledSince, now time.Time) bool { return d.claimer.Relief.HandOver(held.Name, ledSince, now) },
 	}
-	sweeper := &bbrsweeper.Sweeper{Store: d.store, Condition: held.Condition(), Retention: d.settings.Jobs.EndedJobRetention}
-	sweeperCtx, cancelSweeper := context.WithCancel(ctx)
-	var wg sync.WaitGroup
-	wg.Go(func() { sweeper.Run(sweeperCtx) })
-	controller.Run(ctx, d.settings.Jobs.MaintenanceDuration)
-	cancelSweeper()
-	wg.Wait()
-	d.claimer.Release(held)
 }
--- a/internal/daemon/bbrserve/rooms_test.go
+++ b/internal/daemon/bbrserve/rooms_test.go
@@ -57,6 +57,9 @@
 		d.directory.Snapshot([]bbrkv.Item{{Key: (&bbrclaim.Session{Entry: "e-2"}).Key(), Value: []byte(`{"entry":"e-2","milliCPU":800}`), Revision: 1, Created: 1}}, 1, now)
 		owner := testOwner(d)
 		require.False(t, owner.HandOverOverdue(now.Add(-9*time.Second), now))
+		controller := d.owners.newController(bbrclaim.HeldClaim{Name: bbrclaim.LeadershipName, Token: 8})
+		require.False(t, controller.HandOver(now.Add(-59*time.Second), now))
+		require.True(t, controller.HandOver(now.Add(-time.Minute), now))
 		require.True(t, owner.HandOverOverdue(now.Add(-10*time.Second), now))
 	}
 }
--- a/internal/fleet/bbrclaim/lateness.go
+++ b/internal/fleet/bbrclaim/lateness.go
@@ -30,17 +30,23 @@
 // in time. It reports whether the rounds have been late for long enough to hand over.
 func (l *Lateness) Record(now time.Time, interval time.Duration) bool {
 	if previous := l.previous; !previous.IsZero() {
-		pause := now.Sub(previous)
-		if pause > lateFactor*interval {
-			l.late += min(pause, maxLatePause)
-		} else {
-			l.late = max(0, l.late-pause)
-		}
+		l.RecordPause(now.Sub(previous), interval)
 	}
 	l.previous = now
 	return l.late >= maxLateness
 }
 
+// RecordPause does the same for rounds that wait for others as well, by the time that this
+// process itself took since the round before.
+func (l *Lateness) RecordPause(pause, interval time.Duration) bool {
+	if pause > lateFactor*interval {
+		l.late += min(pause, maxLatePause)
+	} else {
+		l.late = max(0, l.late-pause)
+	}
+	return l.late >= maxLateness
+}
+
 // RecordHarmful records that a round begins, as Record does, and reports whether the rounds
 // have been late for long enough to be the cause of harm. However long they were late, they
 // no longer are after maxLatePause of rounds in time.
--- a/internal/fleet/bbrclaim/relief.go
+++ b/internal/fleet/bbrclaim/relief.go
@@ -81,7 +81,9 @@
 		klog.InfoS("Keeping a shard although its planning rounds are late", "claim", name, "reason", decision)
 		return false
 	}
-	r.lastAt = now
+	if name != LeadershipName {
+		r.lastAt = now
+	}
 	if r.until == nil {
 		r.until = make(map[string]time.Time)
 	}
@@ -89,12 +91,14 @@
 	return true
 }
 
-// lastEnd returns when a claim was last seen to have ended, at least the given time.
+// lastEnd returns when a claim of a shard was last seen to have ended, at least the given
+// time. The fleet leadership does not count: an entry that lacks processor time may hand it
+// over as well, and that must not delay the work of its shards.
 func (d *Directory) lastEnd(at time.Time) time.Time {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	for _, ended := range d.endedAt {
-		if ended.After(at) {
+	for name, ended := range d.endedAt {
+		if name != LeadershipName && ended.After(at) {
 			at = ended
 		}
 	}
--- a/internal/fleet/bbrclaim/relief_test.go
+++ b/internal/fleet/bbrclaim/relief_test.go
@@ -85,6 +85,19 @@
 	require.True(t, r.HandOver("press/2", since, now.Add(2*handOverPause)))
 }
 
+// TestLeadershipDoesNotDelayShards guards against a shard that stays with a slow entry since the fleet leadership has just been handed over.
+func TestLeadershipDoesNotDelayShards(t *testing.T) {
+	now, d := time.Unix(1000, 0), &Directory{}
+	d.Snapshot([]bbrkv.Item{registered(t, "e1", 1, entryRecord{Entry: "e1", MilliCPU: 400})}, 1, now)
+	d.RecordOwnClaim(LeadershipName, Claim{Entry: "e0", Revision: 2})
+	r := &Relief{Entry: "e0", Directory: d, Count: func(Decision) {}}
+	require.False(t, r.HandOver(LeadershipName, now.Add(1-minOwnedTime), now))
+	require.True(t, r.HandOver(LeadershipName, now.Add(-minOwnedTime), now))
+	require.True(t, r.leaves(LeadershipName, now.Add(deferral-1)))
+	d.RecordOwnEnd(LeadershipName, 2, now)
+	require.True(t, r.HandOverOverdue("press/0", now.Add(-minOwnedTime), now))
+}
+
 // TestSpareEntry checks which entries count as able to take a shard over.
 func TestSpareEntry(t *testing.T) {
 	tests := []struct {
--- a/internal/fleet/bbrmaintenance/controller.go
+++ b/internal/fleet/bbrmaintenance/controller.go
@@ -56,8 +56,15 @@
 	// LeaderLease is the minimum time between the last order of a fleet leader and the
 	// first order of its successor.
 	LeaderLease time.Duration
+	// HandOver reports whether the leader is to release its claim now, as its rounds are
+	// late. It is nil if leaders keep their claims.
+	HandOver func(ledSince, now time.Time) bool
 
-	planner *Planner
+	// lateness is how late the rounds are by the leader's own fault. It is used by Run only.
+	lateness bbrclaim.Lateness
+	// planTime is how long the last round planned, without its calls.
+	planTime time.Duration
+	planner  *Planner
 	// directives are those last passed to the planner.
 	directives bbrmachine.Directives
 	// wavesReadAt and listedAt are when waves and instances were last requested.
@@ -130,19 +137,38 @@
 	if !controller.loadIntents(ctx) {
 		return
 	}
-	failing := false
+	failing, startedAt := false, time.Now()
 	for ctx.Err() == nil {
 		err := controller.round(ctx, time.Now())
 		if (err != nil) != failing && ctx.Err() == nil {
 			failing = err != nil
 			klog.InfoS("Fleet controller health changed", "token", controller.Held.Token, "failing", failing, "reason", bbrlog.ErrorText(err))
 		}
+		pausedAt := time.Now()
 		bbrpause.For(ctx, roundInterval)
+		if now := time.Now(); controller.mustHandOver(controller.planTime+now.Sub(pausedAt), startedAt, now) {
+			break
+		}
 	}
 	controller.wg.Wait()
 	controller.resign()
 }
 
+// mustHandOver records how long the last round planned and paused, and reports whether the
+// leader has to release its claim, since its rounds have been late. Calls do not count: the
+// store and the platform may be slow for all entries.
+func (controller *Controller) mustHandOver(ownTime time.Duration, ledSince, now time.Time) bool {
+	if controller.HandOver == nil || !controller.lateness.RecordPause(ownTime, roundInterval) || !controller.Confirmed(now) {
+		return false
+	}
+	late := controller.lateness.Reset()
+	if !controller.HandOver(ledSince, now) {
+		return false
+	}
+	klog.InfoS("Handing over the fleet leadership, as its rounds are late", "token", controller.Held.Token, "late", late, "led", now.Sub(ledSince).Round(time.Millisecond))
+	return true
+}
+
 // resign stores the instances that a successor has to wait for, and no others.
 func (controller *Controller) resign() {
 	var err error
@@ -176,6 +202,7 @@
 // two writes are concurrent, so that moves are not delayed twice while the store is slow.
 func (controller *Controller) round(ctx context.Context, now time.Time) error {
 	readErr := controller.read(ctx, now)
+	planStart := time.Now()
 	controller.mu.Lock()
 	if abandoned := controller.planner.abandonStalledMoves(now); len(abandoned) > 0 {
 		klog.InfoS("Moves abandoned", "instances", abandoned, "token", controller.Held.Token)
@@ -186,6 +213,7 @@
 	controller.logPools(controller.planner.Balance(controller.requests(pools, now), findSparePool(pools), controller.Registered, now), now)
 	orders := controller.planner.NextOrders(controller.isDrained, now)
 	controller.mu.Unlock()
+	controller.planTime = time.Since(planStart)
 	var saved, sent error
 	var writing sync.WaitGroup
 	writing.Go(func() { saved = controller.save(ctx) })
--- a/internal/fleet/bbrmaintenance/controller_test.go
+++ b/internal/fleet/bbrmaintenance/controller_test.go
@@ -189,6 +189,46 @@
 	require.Len(t, controller.reports, 1)
 }
 
+// TestLateLeaderReleasesTheLeadership guards against a leader that keeps the leadership by a renewed session while its rounds are late, and against one that releases it since the store is slow, nobody can lead instead or its claim is not confirmed.
+func TestLateLeaderReleasesTheLeadership(t *testing.T) {
+	const late = 500 * time.Millisecond
+	for _, test := range []struct {
+		name                           string
+		planTime, readTime             time.Duration
+		refused, unconfirmed, released bool
+	}{
+		{name: "late", planTime: late, released: true},
+		{name: "in time", planTime: 20 * time.Millisecond},
+		{name: "slow store", readTime: late},
+		{name: "no successor", planTime: late, refused: true},
+		{name: "claim not confirmed", planTime: late, unconfirmed: true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := newTestController(time.Now(), nil, nil)
+				c.Controller.Pools = func() []Pool { time.Sleep(test.planTime); return nil }
+				read := c.Store.Range
+				c.Store.Range = func(ctx context.Context, prefix, after string) (bbrkv.Page, error) {
+					time.Sleep(test.readTime)
+					return read(ctx, prefix, after)
+				}
+				c.Controller.Confirmed = func(time.Time) bool { return !test.unconfirmed }
+				start, asked := time.Now(), 0
+				c.HandOver = func(ledSince, _ time.Time) bool {
+					require.Equal(t, start, ledSince)
+					asked++
+					return !test.refused
+				}
+				ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+				defer cancel()
+				c.Run(ctx, testAway)
+				require.Equal(t, test.released, ctx.Err() == nil)
+				require.Equal(t, test.released || test.refused, asked > 0)
+			})
+		})
+	}
+}
+
 // TestPausedLeaderSendsNoOrders checks that a leader whose claim expired while it recorded
 // its orders, as after a pause of the process, sends none of them.
 func TestPausedLeaderSendsNoOrders(t *testing.T) {
