--- a/internal/job/bbrowner/lateowner_test.go
+++ b/internal/job/bbrowner/lateowner_test.go
@@ -231,3 +231,22 @@
 	}
 	require.InDelta(t, 6, asked, 1, "once a second from 3.5 to 9.5 s")
 }
+
+// TestOwnerThatIsLateByTurnsReleasesItsShard guards against rounds in time between late ones that hide that the owner is too late for its leases.
+func TestOwnerThatIsLateByTurnsReleasesItsShard(t *testing.T) {
+	for _, late := range []time.Duration{400 * time.Millisecond, 800 * time.Millisecond} {
+		for period := 1; period <= 3; period++ {
+			s := newLateScene(t)
+			s.runInTime()
+			now, released := s.at(lateFrom), false
+			for round := 0; !released && now.Before(s.runEnd.Add(maxDetectionTime)); round++ {
+				now = now.Add(planInterval)
+				if round%period == 0 {
+					now = now.Add(late)
+				}
+				released = s.owner.mustHandOver(now)
+			}
+			require.True(t, released, "every round of %d is %v late", period, late)
+		}
+	}
+}
