job/bbrscheduler: long-running work moves on when its starts fail

Callers could see a long-running work unit without a run for any time while an upstream would have accepted it: such work goes where most capacity is free, and capacity stays free on an upstream that starts nothing, or whose answers to starts get lost while it answers renewals.

The scheduler now counts the failed starts of an upstream since the last one that succeeded, and prefers for long-running work the upstreams with the fewest. None is excluded. The placement of finite work is unchanged.

--- a/internal/job/bbrscheduler/plan.go
+++ b/internal/job/bbrscheduler/plan.go
@@ -263,10 +263,16 @@
 // upstreams empty when another pool has a demand burst, so that they can be moved
 // without waiting for work to end.
 //
+// Long-running work goes first to upstreams on which starts have not failed: capacity that
+// stays free because nothing starts there must not attract it again and again.
+//
 // A suspect is spread: it goes where the fewest other suspects and the fewest runs are.
 // Before it is spread or packed, work is kept apart from images that interfere with its own.
 func (p *planner) better(u *unit, up, best *upstream) bool {
 	spec := u.step.spec
+	if spec.LongRunning && up.failedStarts != best.failedStarts {
+		return up.failedStarts < best.failedStarts
+	}
 	if spec.DataRack != "" && up.HasLabel(spec.DataRack) != best.HasLabel(spec.DataRack) {
 		return up.HasLabel(spec.DataRack)
 	}
