job/bbrscheduler: tests of long-running work that waits, one of which fails

They check what can leave a long-running work unit without a run for 6 s while there is capacity. Starts that their upstream does not list, reservations, the order of starts and starts that an upstream may still carry out after it restarted don't. Work with data on a rack does: if over half of the pool is in use and its objective has passed, as it always has after a while, it waits until finite work on that rack has ended:

TestLongRunningWorkDoesNotWaitForTheRackOfItsData: the work unit was not started in time

--- a/internal/job/bbrscheduler/longrunningwait_test.go
+++ b/internal/job/bbrscheduler/longrunningwait_test.go
@@ -59,3 +59,113 @@
 		})
 	}
 }
+
+// awaitStart plans until a start of the work unit is planned, and fails after
+// longRunningWaitLimit. between is called after each plan.
+func (s *scene) awaitStart(unit bbrwork.Unit, between func()) StartOrder {
+	for limit := s.now.Add(longRunningWaitLimit); s.now.Before(limit); {
+		plan := s.plan()
+		for _, order := range plan.Starts {
+			if order.Start.Unit == unit {
+				return order
+			}
+		}
+		s.answerStarts(plan, nil)
+		for _, order := range plan.Stops {
+			s.sched.ApplyStopResult(order, nil, s.now)
+		}
+		between()
+		s.advance(50 * time.Millisecond)
+	}
+	require.Fail(s, "the work unit was not started in time")
+	return StartOrder{}
+}
+
+const fillerJob = "00000000000000f1"
+
+// TestLongRunningWorkDoesNotWaitForTheRackOfItsData guards against a long-running work unit
+// that waits for finite work on the rack of its data while other racks have capacity.
+func TestLongRunningWorkDoesNotWaitForTheRackOfItsData(t *testing.T) {
+	s := newScene(t, true)
+	s.registerCapacity("i-1", 4000, "r-1")
+	s.registerCapacity("i-2", 4000, "r-2")
+	filler := unitStep(6)
+	filler.Estimate = 30 * time.Second
+	s.accept(fillerJob, filler)
+	s.answerStarts(s.plan(), nil)
+	full := s.sched.upstreams["i-1"]
+	if full.free().MilliCPU > 0 {
+		full = s.sched.upstreams["i-2"]
+	}
+	require.Zero(t, full.free().MilliCPU)
+	step := longRunningStep(1)
+	step.DataRack = full.Rack()
+	step.Need.MilliCPU = 2000
+	s.accept(testJob, step)
+	s.awaitStart(unitName(0), func() {})
+}
+
+// TestLongRunningWorkStartsWhatItsListingLacks guards against work units that are believed to
+// run because their start was answered, or its answer lost, while the upstream does not
+// list them.
+func TestLongRunningWorkStartsWhatItsListingLacks(t *testing.T) {
+	for _, result := range []error{nil, bbrorder.ErrAnswerLost} {
+		s := newScene(t, true, "i-1")
+		s.accept(testJob, longRunningStep(1))
+		plan := s.plan()
+		require.Len(t, plan.Starts, 1)
+		s.answerStarts(plan, result)
+		again := s.awaitStart(unitName(0), func() { s.list("i-1") })
+		require.Equal(t, 2, again.Start.Run)
+	}
+}
+
+// TestLongRunningWorkStartsBesideReservations guards against capacity that is reserved for
+// finite work and keeps a long-running work unit waiting.
+func TestLongRunningWorkStartsBesideReservations(t *testing.T) {
+	s := newScene(t, true, "i-1")
+	s.sched.ReserveCapacity = true
+	filler := unitStep(3)
+	filler.Estimate = 30 * time.Second
+	s.accept(fillerJob, filler)
+	s.answerStarts(s.plan(), nil)
+	wide := unitStep(1)
+	wide.Need.MilliCPU, wide.Estimate = 4000, 60*time.Second
+	s.accept("00000000000000f2", wide)
+	s.plan()
+	s.accept(testJob, longRunningStep(1))
+	s.awaitStart(unitName(0), func() {})
+}
+
+// TestLongRunningWorkComesFirst guards against an order of starts in which a long-running
+// work unit is last each time.
+func TestLongRunningWorkComesFirst(t *testing.T) {
+	s := newScene(t, true, "i-1")
+	s.accept("0000000000000001", unitStep(8))
+	s.accept(testJob, longRunningStep(1))
+	order := s.plan().Starts[0]
+	require.Equal(t, unitName(0), order.Start.Unit)
+}
+
+// TestLongRunningWorkOnARestartedUpstreamIsNotLeftUnknown guards against the run of an
+// earlier incarnation whose start may still take effect and that stays unknown.
+func TestLongRunningWorkOnARestartedUpstreamIsNotLeftUnknown(t *testing.T) {
+	s := newScene(t, true, "i-1")
+	s.advance(10 * time.Second)
+	s.list("i-1")
+	s.accept(testJob, longRunningStep(1))
+	plan := s.plan()
+	require.Len(t, plan.Starts, 1)
+	s.answerStarts(plan, bbrorder.ErrAnswerLost)
+	rebooted := s.now
+	s.awaitStart(unitName(0), func() {
+		if renewal, known := s.sched.PlanRenewal("i-1", true, s.now); known {
+			sent := s.now
+			s.advance(time.Millisecond)
+			s.sched.ApplyListing(renewal.Upstream.Incarnation, &bbrwork.Listing{Clock: s.now.Sub(rebooted), StartMillis: 2000}, sent, s.now)
+		}
+		again := s.upstream("i-1")
+		again.StartMillis = 2000
+		s.sched.RegisterUpstream(again, s.now)
+	})
+}
