job/bbrscheduler: long-running work does not wait for the rack of its data

Callers could see a long-running work unit without a run while there was capacity for it: where over half of a pool is in use, work waits for capacity on the rack of its data unless it can be in time elsewhere. Long-running work is never in time any more after a while, and finite work on that rack may take long.

Long-running work still prefers the rack of its data, and no longer waits for it. Finite work is unchanged.

Before: TestLongRunningWorkDoesNotWaitForTheRackOfItsData: the work unit was not started in time (6 s). After: passes.

--- a/internal/job/bbrscheduler/usable.go
+++ b/internal/job/bbrscheduler/usable.go
@@ -84,9 +84,10 @@
 
 // mayRunFarFromData reports whether a step may run away from its data now. It takes
 // several times as long there, so if the pool is busy it waits for the rack of its
-// data, unless its job can meet the objective anyway.
+// data, unless its job can meet the objective anyway. Long-running work does not wait:
+// its callers lose more by a missing run than by a slow one.
 func (p *planner) mayRunFarFromData(s *step) bool {
-	if !p.busy || !p.canEverRunNearData(s) {
+	if s.spec.LongRunning || !p.busy || !p.canEverRunNearData(s) {
 		return true
 	}
 	longer := time.Duration((p.sched.Timing.RemoteDataFactor - 1) * float64(s.runTime))
