job/bbrscheduler: a failing test of work whose only upstream is suspect

An upstream on which two runs in a row failed is suspect until 4 s after the last failure, and is used only if no other upstream may take work. A long-running work unit that fits only there, by its label in the test, waits as long as other work goes on to fail there:

the work unit was not started in time

--- a/internal/job/bbrscheduler/longrunningwait_test.go
+++ b/internal/job/bbrscheduler/longrunningwait_test.go
@@ -105,6 +105,25 @@
 	s.awaitStart(unitName(0), func() {})
 }
 
+// TestLongRunningWorkUsesSuspectUpstreamsWithItsLabel guards against a long-running work unit
+// that waits as long as other work fails on the only upstream with its label.
+func TestLongRunningWorkUsesSuspectUpstreamsWithItsLabel(t *testing.T) {
+	s := newScene(t, true)
+	s.registerCapacity("i-1", 4000, "kind-1", "r-1")
+	s.registerCapacity("i-2", 4000, "kind-2", "r-1")
+	step := longRunningStep(1)
+	step.Label = "kind-1"
+	health := &s.sched.upstreams["i-1"].health
+	health.recordEnd(bbrwork.OutcomeFailed, s.now)
+	health.recordEnd(bbrwork.OutcomeFailed, s.now)
+	s.accept(testJob, step)
+	s.awaitStart(unitName(0), func() {
+		if s.now.Sub(health.lastFailure) >= 2*time.Second {
+			health.recordEnd(bbrwork.OutcomeFailed, s.now)
+		}
+	})
+}
+
 // TestLongRunningWorkStartsWhatItsListingLacks guards against work units that are believed to
 // run because their start was answered, or its answer lost, while the upstream does not
 // list them.
