soak/bbrsoak: slow owners, and a check of long-running work while faults last

The soak paused entries once for seconds only, and looked at waiting work only after all faults had ended.

--- a/Makefile
+++ b/Makefile
@@ -45,10 +45,11 @@
 # Entries as processes under seeded trouble: make soak SEED=1 RUNS=3 MINUTES=1
 SEED ?= 1
 RUNS ?= 1
+SOAK_FLAGS ?=
 MINUTES ?= 0.5
 .PHONY: soak
 soak: build
-	bin/bbrstandin soak --seed $(SEED) --runs $(RUNS) --for $(MINUTES)m
+	bin/bbrstandin soak --seed $(SEED) --runs $(RUNS) --for $(MINUTES)m $(SOAK_FLAGS)
 
 # A seeded load of jobs on this tree's build: make load SEED=1 OUT=before
 JOBS ?= 400
--- a/internal/soak/bbrsoak/callers.go
+++ b/internal/soak/bbrsoak/callers.go
@@ -84,7 +84,7 @@
 
 func (c *caller) run(ctx context.Context) {
 	for ctx.Err() == nil {
-		if c.mayRunLong && (c.longRunning == nil || c.random.IntN(jobsPerLongRunningJob) == 0) {
+		if c.mayRunLong && (c.longRunning == nil || !c.soak.SlowOwners && c.random.IntN(jobsPerLongRunningJob) == 0) {
 			c.replaceLongRunningJob(ctx)
 		}
 		job := c.newSmallJob()
--- a/internal/soak/bbrsoak/entry.go
+++ b/internal/soak/bbrsoak/entry.go
@@ -70,6 +70,10 @@
 	defer log.Close()
 	command := exec.Command(e.program(), "run", e.settingsPath)
 	command.Stdout, command.Stderr = log, log
+	if e.soak.SlowOwners {
+		// An entry with several processors does all of its work in the shortest intervals.
+		command.Env = append(os.Environ(), "GOMAXPROCS=1")
+	}
 	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := command.Start(); err != nil {
 		return err
@@ -141,6 +145,19 @@
 	return e.start()
 }
 
+// restart ends the process with a signal, and starts it again after a delay. It does
+// nothing while another restart is under way.
+func (e *entry) restart(signal syscall.Signal, after time.Duration) {
+	if !e.restarting.CompareAndSwap(false, true) {
+		return
+	}
+	defer e.restarting.Store(false)
+	e.signal(signal)
+	if err := e.startAfterExit(after); err != nil {
+		e.soak.callers.reportFault("entry %s does not restart: %v", e.name, err)
+	}
+}
+
 func (e *entry) kill() {
 	e.signal(syscall.SIGKILL)
 	if _, exited := e.currentProcess(); exited != nil {
--- a/internal/soak/bbrsoak/faults.go
+++ b/internal/soak/bbrsoak/faults.go
@@ -45,6 +45,11 @@
 func (s *Soak) injectFaults(ctx context.Context) {
 	injector := &faultInjector{soak: s, random: s.random(1), configCount: 1}
 	start := time.Now()
+	if s.SlowOwners {
+		injector.injectSlowOwners(ctx, start)
+		s.callers.configCount = injector.configCount
+		return
+	}
 	var running sync.WaitGroup
 	for ctx.Err() == nil && time.Since(start) < s.Duration {
 		e := injector.draw()
@@ -79,16 +84,7 @@
 // restart ends the process of an entry with a signal, and starts it again.
 func (injector *faultInjector) restart(name string, signal syscall.Signal, after time.Duration) *event {
 	e := injector.entry()
-	return &event{name: name + " " + e.name, begin: func() {
-		if !e.restarting.CompareAndSwap(false, true) {
-			return
-		}
-		defer e.restarting.Store(false)
-		e.signal(signal)
-		if err := e.startAfterExit(after); err != nil {
-			injector.soak.callers.reportFault("entry %s does not restart: %v", e.name, err)
-		}
-	}}
+	return &event{name: name + " " + e.name, begin: func() { e.restart(signal, after) }}
 }
 
 func (injector *faultInjector) kill(duration time.Duration) *event {
--- a/internal/soak/bbrsoak/soak.go
+++ b/internal/soak/bbrsoak/soak.go
@@ -37,6 +37,9 @@
 	// CheckDelays makes work that waits too long count as a violation, too. This checks
 	// speed, and is meant for a machine that is not busy.
 	CheckDelays bool
+	// SlowOwners replaces the random faults by owners of shards that stay in office but are
+	// slow, and checks during all of it that long-running work runs again in time.
+	SlowOwners bool
 	// WorkDir is the directory for the entries' settings and logs.
 	WorkDir string
 	Out     io.Writer
@@ -46,6 +49,8 @@
 	// upstreamRelays are the relays in front of the upstreams.
 	upstreamRelays []*bbrrelay.Relay
 	callers        *callers
+	// disturbances knows when faults were active; nil unless SlowOwners is set.
+	disturbances *disturbances
 	// upgraded is set once all starts use the present build.
 	upgraded atomic.Bool
 	wg       sync.WaitGroup
@@ -85,7 +90,7 @@
 	}
 	callersCtx, stopCallers := context.WithCancel(ctx)
 	s.wg.Go(func() { s.callers.run(callersCtx) })
-	s.injectFaults(ctx)
+	s.injectMonitoredFaults(ctx)
 	s.endFaults()
 	s.completeUpgrade()
 	s.checkWaves()
--- a/internal/soak/bbrsoak/stallmonitor.go
+++ b/internal/soak/bbrsoak/stallmonitor.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"strconv"
 	"strings"
 	"time"
@@ -18,12 +19,22 @@
 	// For a long-running one, this time starts longRunningGrace after its last run.
 	maxWait          = 3 * time.Second
 	longRunningGrace = 6 * time.Second
+	// calmBefore is how long there must have been no faults before the wait of
+	// long-running work counts while faults are injected.
+	calmBefore = 4 * time.Second
+	// loggedGap is the time without a run from which a monitor of long-running work logs
+	// that a work unit runs again.
+	loggedGap = 2 * time.Second
 )
 
 // stallMonitor reports work units that could run but do not, while there are no faults.
 type stallMonitor struct {
-	soak      *Soak
-	lastCheck time.Time
+	soak *Soak
+	// disturbances restricts the monitor to long-running work that ran before, and lets
+	// its wait count from calmBefore after the last fault. It is nil for a monitor that
+	// runs without faults.
+	disturbances *disturbances
+	lastCheck    time.Time
 	// waitingSince is the time since which each work unit that could run has waited.
 	waitingSince map[string]time.Time
 }
@@ -49,7 +60,7 @@
 // check compares the waiting work units with what the upstreams run.
 func (m *stallMonitor) check(upstreams []bbrfleet.Upstream, done func(task string) bool, now time.Time) {
 	if now.Sub(m.lastCheck) > maxCheckGap {
-		clear(m.waitingSince)
+		m.startAnew(now)
 	}
 	m.lastCheck = now
 	c := m.soak.callers
@@ -64,6 +75,22 @@
 	}
 }
 
+// startAnew discards the waits observed so far. While faults are injected, each work unit
+// that ran before has its whole grace period again.
+func (m *stallMonitor) startAnew(now time.Time) {
+	if m.disturbances == nil {
+		clear(m.waitingSince)
+	}
+	for task := range m.waitingSince {
+		m.waitingSince[task] = now.Add(longRunningGrace)
+	}
+}
+
+// ignores reports whether a step's work unit that is not running is not monitored.
+func (m *stallMonitor) ignores(s step, ran bool) bool {
+	return m.disturbances != nil && !(s.LongRunning && ran)
+}
+
 // checkJob checks the work units of a job. The caller must hold the callers' mu.
 func (m *stallMonitor) checkJob(job *submittedJob, pool *usage, running map[string]bool, done func(task string) bool, now time.Time) {
 	next, tasks := job.nextStep(done)
@@ -72,9 +99,14 @@
 		busy = busy || running[task]
 	}
 	for _, task := range tasks {
-		switch since, waits := m.waitingSince[task]; {
+		since, waits := m.waitingSince[task]
+		if m.disturbances != nil {
+			since = later(since, m.disturbances.calmSince(now).Add(calmBefore))
+		}
+		switch {
 		case running[task] && next.LongRunning:
-			m.waitingSince[task] = now.Add(longRunningGrace)
+			m.noteRun(task, now)
+		case m.ignores(next, waits):
 		case busy && !next.LongRunning:
 			delete(m.waitingSince, task)
 		case !pool.hasAmpleFreeCapacity(next):
@@ -83,13 +115,22 @@
 			m.waitingSince[task] = now
 		case now.Sub(since) >= maxWait:
 			job.stalled = true
-			m.soak.callers.reportFaultLocked("work unit %s could run, but has waited for %v without faults: it needs %d millicores and %d MB, pool %s has %d and %d, of which %d and %d are in use",
-				task, now.Sub(since).Round(checkInterval), next.MilliCPU, next.MemoryMB, job.pool, pool.capacityMilliCPU, pool.capacityMB, pool.usedMilliCPU, pool.usedMB)
+			m.soak.callers.reportFaultLocked("%s work unit %s could run, but has waited for %v without faults: it needs %d millicores and %d MB, pool %s has %d and %d, of which %d and %d are in use",
+				now.Format(clockFormat), task, now.Sub(since).Round(checkInterval), next.MilliCPU, next.MemoryMB, job.pool, pool.capacityMilliCPU, pool.capacityMB, pool.usedMilliCPU, pool.usedMB)
 			return
 		}
 	}
 }
 
+// noteRun starts the grace period of a long-running work unit that runs.
+func (m *stallMonitor) noteRun(task string, now time.Time) {
+	previous, ran := m.waitingSince[task]
+	if gap := now.Sub(previous.Add(-longRunningGrace)); m.disturbances != nil && ran && gap >= loggedGap {
+		fmt.Fprintf(m.soak.Out, "%s work unit %s runs again, after %v\n", now.Format(clockFormat), task, gap.Round(checkInterval))
+	}
+	m.waitingSince[task] = now.Add(longRunningGrace)
+}
+
 func later(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
--- a/internal/standin/bbrfleet/fleet.go
+++ b/internal/standin/bbrfleet/fleet.go
@@ -164,6 +164,12 @@
 	return item.Value, ok
 }
 
+// List returns the items whose keys have the prefix, sorted by key.
+func (f *Fleet) List(prefix string) []Item {
+	items, _ := f.store.Range(prefix, "", time.Now())
+	return items
+}
+
 // Compact discards the store's history.
 func (f *Fleet) Compact() { f.store.Compact() }
 
