--- a/internal/soak/bbrsoak/callers.go
+++ b/internal/soak/bbrsoak/callers.go
@@ -90,7 +90,7 @@
 		job := c.newSmallJob()
 		if !c.limited && c.random.IntN(jobsPerLargeJob) == 0 {
 			job = c.newLargeJob()
-		} else if !c.limited && c.random.IntN(jobsPerCrashingJob) == 0 {
+		} else if !c.limited && !c.soak.SlowOwners && c.random.IntN(jobsPerCrashingJob) == 0 {
 			job = c.newCrashingJob()
 		}
 		c.submit(ctx, job)
--- a/internal/soak/bbrsoak/slowowner.go
+++ b/internal/soak/bbrsoak/slowowner.go
@@ -101,9 +101,9 @@
 // accompanyingFault returns a fault of upstreams or none, during which the slow owner may
 // be ended.
 func (injector *faultInjector) accompanyingFault(series *stopSeries) *event {
+	none := func() *event { return &event{name: "upstreams without a fault", begin: func() {}} }
 	kinds := []func() *event{
-		func() *event { return &event{name: "upstreams without a fault", begin: func() {}} },
-		injector.silenceUpstream, injector.cutUpstreams, injector.crashUpstreams, injector.delayUpstreamPaths,
+		none, none, injector.silenceUpstream, injector.cutUpstreams, injector.crashUpstreams, injector.delayUpstreamPaths,
 	}
 	upstreams, owner := kinds[injector.random.IntN(len(kinds))](), injector.endOwner(series)
 	delay := randomDuration(injector.random, 0, maxOwnerDelay)
--- a/internal/soak/bbrsoak/soak_test.go
+++ b/internal/soak/bbrsoak/soak_test.go
@@ -21,6 +21,12 @@
 	requireNoFaults(t, &Soak{Seed: 33})
 }
 
+// TestLongRunningWorkRunsWithSlowOwner guards against long-running work that stays without
+// a run while the owner of its shard keeps its session, but is slow.
+func TestLongRunningWorkRunsWithSlowOwner(t *testing.T) {
+	requireNoFaults(t, &Soak{Seed: 20261204, Duration: 16 * time.Second, SlowOwners: true})
+}
+
 // requireNoFaults runs a soak test with the current daemon and requires that it finds no
 // violations.
 func requireNoFaults(t *testing.T, s *Soak) {
--- a/internal/soak/bbrsoak/stallmonitor.go
+++ b/internal/soak/bbrsoak/stallmonitor.go
@@ -37,10 +37,12 @@
 	lastCheck    time.Time
 	// waitingSince is the time since which each work unit that could run has waited.
 	waitingSince map[string]time.Time
+	// lastRun is when each long-running work unit was last seen to run.
+	lastRun map[string]time.Time
 }
 
 func newStallMonitor(s *Soak) *stallMonitor {
-	return &stallMonitor{soak: s, waitingSince: make(map[string]time.Time)}
+	return &stallMonitor{soak: s, waitingSince: make(map[string]time.Time), lastRun: make(map[string]time.Time)}
 }
 
 // run checks periodically until ctx ends.
@@ -75,6 +77,15 @@
 	}
 }
 
+// describeLastRun returns how long ago a long-running work unit ran.
+func (m *stallMonitor) describeLastRun(task string, now time.Time) string {
+	last, ran := m.lastRun[task]
+	if !ran {
+		return ""
+	}
+	return fmt.Sprintf(", %v after its last run", now.Sub(last).Round(checkInterval))
+}
+
 // startAnew discards the waits observed so far. While faults are injected, each work unit
 // that ran before has its whole grace period again.
 func (m *stallMonitor) startAnew(now time.Time) {
@@ -115,8 +126,8 @@
 			m.waitingSince[task] = now
 		case now.Sub(since) >= maxWait:
 			job.stalled = true
-			m.soak.callers.reportFaultLocked("%s work unit %s could run, but has waited for %v without faults: it needs %d millicores and %d MB, pool %s has %d and %d, of which %d and %d are in use",
-				now.Format(clockFormat), task, now.Sub(since).Round(checkInterval), next.MilliCPU, next.MemoryMB, job.pool, pool.capacityMilliCPU, pool.capacityMB, pool.usedMilliCPU, pool.usedMB)
+			m.soak.callers.reportFaultLocked("%s work unit %s could run, but has waited for %v without faults%s: it needs %d millicores and %d MB, pool %s has %d and %d, of which %d and %d are in use",
+				now.Format(clockFormat), task, now.Sub(since).Round(checkInterval), m.describeLastRun(task, now), next.MilliCPU, next.MemoryMB, job.pool, pool.capacityMilliCPU, pool.capacityMB, pool.usedMilliCPU, pool.usedMB)
 			return
 		}
 	}
@@ -124,11 +135,11 @@
 
 // noteRun starts the grace period of a long-running work unit that runs.
 func (m *stallMonitor) noteRun(task string, now time.Time) {
-	previous, ran := m.waitingSince[task]
-	if gap := now.Sub(previous.Add(-longRunningGrace)); m.disturbances != nil && ran && gap >= loggedGap {
+	last, ran := m.lastRun[task]
+	if gap := now.Sub(last); m.disturbances != nil && ran && gap >= loggedGap {
 		fmt.Fprintf(m.soak.Out, "%s work unit %s runs again, after %v\n", now.Format(clockFormat), task, gap.Round(checkInterval))
 	}
-	m.waitingSince[task] = now.Add(longRunningGrace)
+	m.lastRun[task], m.waitingSince[task] = now, now.Add(longRunningGrace)
 }
 
 func later(a, b time.Time) time.Time {
--- a/internal/soak/bbrsoak/stallmonitor_test.go
+++ b/internal/soak/bbrsoak/stallmonitor_test.go
@@ -1,11 +1,13 @@
 package bbrsoak
 
 import (
+	"io"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/bluebellridge/bluebellridge/internal/fleet/bbrclaim"
 	"github.com/bluebellridge/bluebellridge/internal/standin/bbrfleet"
 )
 
@@ -86,3 +88,76 @@
 	}
 	require.Empty(t, s.callers.faults)
 }
+
+// TestMonitorDuringFaultsChecksLongRunningWork guards against a check that finds long-running
+// work without a run only after all faults have ended, and against one that finds it while a
+// fault excuses it.
+func TestMonitorDuringFaultsChecksLongRunningWork(t *testing.T) {
+	const limit = 30 * time.Second
+	longRunning := step{Count: 1, MilliCPU: 100, MemoryMB: 100, LongRunning: true}
+	for _, test := range []struct {
+		name      string
+		step      step
+		neverRan  bool
+		cancelled bool
+		// faultFrom and faultUntil are when a fault is active; both 0 for none.
+		faultFrom, faultUntil time.Duration
+		// gapFrom and gapUntil are when the monitor does not check.
+		gapFrom, gapUntil time.Duration
+		// after is the time at which the fault is reported; 0 for never.
+		after time.Duration
+	}{
+		{name: "calm", step: longRunning, after: longRunningGrace + maxWait},
+		{name: "fault early in the grace period", step: longRunning, faultUntil: 2 * time.Second, after: longRunningGrace + maxWait},
+		{name: "fault late in the grace period", step: longRunning, faultFrom: time.Second, faultUntil: 5 * time.Second, after: 5*time.Second + calmBefore + maxWait},
+		{name: "fault in the last seconds", step: longRunning, faultFrom: 8 * time.Second, faultUntil: 8500 * time.Millisecond, after: 8500*time.Millisecond + calmBefore + maxWait},
+		{name: "fault all the time", step: longRunning, faultUntil: 2 * limit},
+		{name: "never ran", step: longRunning, neverRan: true},
+		{name: "cancelled", step: longRunning, cancelled: true},
+		{name: "finite work", step: step{Count: 1, MilliCPU: 100, MemoryMB: 100}},
+		{name: "late monitor", step: longRunning, gapFrom: 7 * time.Second, gapUntil: 8 * time.Second, after: 8*time.Second + longRunningGrace + maxWait},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			s := &Soak{Out: io.Discard}
+			s.callers = newCallers(s)
+			s.callers.jobs["job"] = &submittedJob{id: "job", pool: "press", steps: []step{test.step}, accepted: true, cancelled: test.cancelled}
+			monitor := newStallMonitor(s)
+			monitor.disturbances = &disturbances{}
+			start := time.UnixMilli(0).Add(time.Hour)
+			ran := []string{"job.0.0.0"}
+			if test.neverRan {
+				ran = nil
+			}
+			notDone := func(string) bool { return false }
+			monitor.check([]bbrfleet.Upstream{{Pool: "press", Tasks: ran}}, notDone, start)
+			reported := time.Duration(0)
+			for elapsed := time.Duration(0); elapsed < limit && reported == 0; elapsed += checkInterval {
+				if elapsed == test.faultFrom && test.faultUntil > 0 {
+					monitor.disturbances.begin()
+				}
+				if elapsed == test.faultUntil && test.faultUntil > 0 {
+					monitor.disturbances.end(start.Add(elapsed))
+				}
+				if elapsed > test.gapFrom && elapsed < test.gapUntil {
+					continue
+				}
+				monitor.check([]bbrfleet.Upstream{{Pool: "press"}}, notDone, start.Add(elapsed))
+				if len(s.callers.faults) > 0 {
+					reported = elapsed
+				}
+			}
+			require.Equal(t, test.after, reported)
+		})
+	}
+}
+
+// TestOwnersAreListed guards against a slow owner that is chosen among entries that own no
+// shard.
+func TestOwnersAreListed(t *testing.T) {
+	s := &Soak{fleet: bbrfleet.New(t.Context(), bbrfleet.Config{}), entries: []*entry{{name: "e1"}, {name: "e2"}, {name: "e3"}}}
+	require.Empty(t, s.owners())
+	s.fleet.Put(bbrclaim.ClaimKey(bbrclaim.LeadershipName), []byte(`{"entry":"e1"}`))
+	s.fleet.Put(bbrclaim.ClaimKey("press/0"), []byte(`{"entry":"e3"}`))
+	s.fleet.Put(bbrclaim.ClaimKey("proofs/0"), []byte(`{"entry":"e3"}`))
+	require.Equal(t, []*entry{s.entries[2]}, s.owners())
+}
