fleet/bbrclaim: a slow successor of a lost owner hands over soon

Cause: an overdue owner kept its shard for its first 10 s and while any claim of the fleet had ended within 10 s, which its own predecessor's always had. Both are longer than what is left of the promised 6 s.

Now only hand-overs count as such, that is claims that ended while their entry kept its lease, and the owner before it must have been lost for a hand-over within the first minute. The bounds stay: one shard of an entry in 10 s, a shard once a minute unless its owner is lost.

Evidence: TestOverdueSuccessorOfALostOwnerHandsOver fails before (its second hand-over is refused as recentOwner), TestShardsOfOverdueOwnersDoNotCirculate passes. TestOverdueHandOverIsBounded and TestOwnersHandOverOverdueWithAnySettings have the new bounds.

--- a/internal/fleet/bbrclaim/relief.go
+++ b/internal/fleet/bbrclaim/relief.go
@@ -12,6 +12,9 @@
 	// it is slow. It bounds the hand-overs of a shard for all entries together, as a new
 	// owner waits too.
 	minOwnedTime = time.Minute
+	// minOverdueOwnedTime is the same for an owner that is overdue with the leases of its runs,
+	// if the owner before was lost. It must load the shard and find its runs first.
+	minOverdueOwnedTime = 3 * time.Second
 	// handOverPause is how long no claim must have ended, as far as the entry knows, before
 	// it hands over. A hand-over shows its effect on the entry's other shards first, and
 	// entries that are all slow do not pass their shards around at the same time.
@@ -66,11 +69,12 @@
 // to release its claim now, as its rounds are late and leases of its runs were not renewed in
 // time. As the work may have no run meanwhile, it waits for minOwnedTime only if the owner
 // before has handed the shard over as well: then entries are slow in general, and the shard
-// would move on and on.
+// would move on and on. The successor of an owner that was lost need not wait, nor does the
+// loss of other owners delay it: it is then that work has no run.
 func (r *Relief) HandOverOverdue(name string, ownedSince, now time.Time) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	decision := decideOverdue(now.Sub(ownedSince), now.Sub(r.Directory.lastEnd(r.lastAt)), r.Directory.handedOver(name), r.Directory.hasSpareEntry(r.Entry))
+	decision := decideOverdue(now.Sub(ownedSince), now.Sub(r.Directory.lastHandOver(r.lastAt)), r.Directory.handedOver(name), r.Directory.hasSpareEntry(r.Entry))
 	return r.carryOut(name, decision, now)
 }
 
@@ -121,11 +125,11 @@
 }
 
 // decideOverdue decides about an owner that is overdue with renewals, by how long it has had
-// the shard, how long ago a claim of any entry ended, and whether the owner before has handed
-// the shard over.
+// the shard, how long ago any entry handed a shard over, and whether the owner before has handed
+// this one over.
 func decideOverdue(owned, sinceLast time.Duration, handedOver, spareEntry bool) Decision {
 	switch {
-	case owned < handOverPause || handedOver && owned < minOwnedTime:
+	case owned < minOverdueOwnedTime || handedOver && owned < minOwnedTime:
 		return KeptRecent
 	case sinceLast < handOverPause:
 		return KeptAfterAnother
@@ -142,7 +146,30 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	ended, ok := d.endedClaims[name]
-	return ok && d.entries[ended.Entry].Lease == ended.Lease
+	return ok && d.keepsLease(ended)
+}
+
+// lastHandOver returns when a shard was last seen to be handed over, at least the given time.
+func (d *Directory) lastHandOver(at time.Time) time.Time {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for name, ended := range d.endedClaims {
+		if name != LeadershipName && d.keepsLease(ended) {
+			at = later(at, d.endedAt[name])
+		}
+	}
+	return at
+}
+
+// keepsLease reports whether the entry of a claim has the lease to which the claim was
+// attached. The caller holds the lock.
+func (d *Directory) keepsLease(claim Claim) bool { return d.entries[claim.Entry].Lease == claim.Lease }
+
+func later(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
 }
 
 // leaves reports whether the entry leaves the name to others: it has handed it over lately,
