job/bbrscheduler: long-running work may use suspect upstreams

Callers could see a long-running work unit without a run while the only upstreams on which it fits were under suspicion: they are used only if no other upstream may take any work at all, also none of this kind, and the suspicion lasts as long as other work goes on to fail there.

Long-running work now starts on a suspect upstream if it fits on no other. What it waits for is explained by the same upstreams, and a work unit that crashed its upstreams looks for its announced start among them. Finite work is unchanged.

Before: TestLongRunningWorkUsesSuspectUpstreamsWithItsLabel: the work unit was not started in time (6 s).

--- a/internal/job/bbrscheduler/plan.go
+++ b/internal/job/bbrscheduler/plan.go
@@ -43,6 +43,9 @@
 	now   time.Time
 	// usable are the upstreams that may take work, sorted by ID.
 	usable []*upstream
+	// suspects are the suspect upstreams beside them, on which only long-running work may
+	// start, if it fits nowhere else.
+	suspects []*upstream
 	// excluded counts the upstreams by the reason for which they may not take work.
 	excluded [exclusionCount]int
 	// nearDataFits reports, by step, whether an upstream on the rack of its data
@@ -191,6 +194,9 @@
 // a cheap check before the single work units are placed.
 func (p *planner) fitsAnywhere(s *step) bool {
 	need := s.spec.Allocation()
+	if s.spec.LongRunning && p.fitsOnSuspect(need) {
+		return true
+	}
 	if p.doesNotFit[need] {
 		return p.fitsOnHeld(s)
 	}
@@ -203,11 +209,25 @@
 	return p.fitsOnHeld(s)
 }
 
+// fitsOnSuspect reports whether the allocation fits on a suspect upstream.
+func (p *planner) fitsOnSuspect(need bbrwork.Resources) bool {
+	return slices.ContainsFunc(p.suspects, func(up *upstream) bool { return need.Fits(up.free()) })
+}
+
 // chooseUpstream returns the best upstream for a work unit, or nil. fits is a
 // further condition; nil for none.
 func (p *planner) chooseUpstream(u *unit, fits func(up *upstream) bool) *upstream {
+	best := p.bestOf(p.usable, u, fits)
+	if best == nil && u.step.spec.LongRunning {
+		return p.bestOf(p.suspects, u, fits)
+	}
+	return best
+}
+
+// bestOf returns the best of the upstreams for a work unit, or nil.
+func (p *planner) bestOf(upstreams []*upstream, u *unit, fits func(up *upstream) bool) *upstream {
 	var best *upstream
-	for _, up := range p.usable {
+	for _, up := range upstreams {
 		if !p.mayRun(u, up) || fits != nil && !fits(up) {
 			continue
 		}
--- a/internal/job/bbrscheduler/trial.go
+++ b/internal/job/bbrscheduler/trial.go
@@ -197,7 +197,7 @@
 // or nil if there is none yet: the store has to have the start first, as for a trial, so
 // that a successor knows where the suspect ran.
 func (p *planner) announcedUpstream(u *unit) *upstream {
-	for _, up := range p.usable {
+	for _, up := range p.upstreamsFor(u.step) {
 		if u.trial.On(up.Incarnation) && p.mayRun(u, up) {
 			return up
 		}
--- a/internal/job/bbrscheduler/usable.go
+++ b/internal/job/bbrscheduler/usable.go
@@ -51,10 +51,9 @@
 }
 
 // findUsable collects the upstreams that may take work. Suspect upstreams are used
-// only if there are no others. isRecorded reports whether the store lists an
+// only if there are no others, or for long-running work that fits on no other. isRecorded reports whether the store lists an
 // incarnation as recorded for a successor.
 func (p *planner) findUsable(isRecorded func(up *upstream) bool) {
-	var suspects []*upstream
 	for _, up := range p.sched.sortedUpstreams() {
 		reason := p.exclusionOf(up)
 		if (reason == notExcluded || reason == excludedSuspect) && !isRecorded(up) {
@@ -65,14 +64,14 @@
 		}
 		switch reason {
 		case excludedSuspect:
-			suspects = append(suspects, up)
+			p.suspects = append(p.suspects, up)
 		case notExcluded:
 			p.usable = append(p.usable, up)
 		}
 		p.excluded[reason]++
 	}
 	if len(p.usable) == 0 {
-		p.usable = suspects
+		p.usable, p.suspects = p.suspects, nil
 	}
 	var capacity, used bbrwork.Resources
 	for _, up := range p.usable {
--- a/internal/job/bbrscheduler/wait.go
+++ b/internal/job/bbrscheduler/wait.go
@@ -161,11 +161,19 @@
 	return at
 }
 
+// upstreamsFor returns the upstreams on which work units of the step may start.
+func (p *planner) upstreamsFor(s *step) []*upstream {
+	if s.spec.LongRunning && len(p.suspects) > 0 {
+		return slices.Concat(p.usable, p.suspects)
+	}
+	return p.usable
+}
+
 // countBlockers checks all usable upstreams for a step.
 func (p *planner) countBlockers(s *step) blockers {
-	need := s.spec.Allocation()
-	count := blockers{total: len(p.sched.upstreams), usable: len(p.usable), tooLarge: true}
-	for _, up := range p.usable {
+	need, upstreams := s.spec.Allocation(), p.upstreamsFor(s)
+	count := blockers{total: len(p.sched.upstreams), usable: len(upstreams), tooLarge: true}
+	for _, up := range upstreams {
 		if !up.HasLabel(s.spec.Label) {
 			count.noLabel++
 			continue
