job/bbrowner: a test of the lost answer of a first start

The renewer of an idle upstream looks for work every 500 ms, and is woken once a start has been answered or given up, after 800 ms at most. The test has the answer to the first start lost, and the first renewal after it as well, for ten lengths of the idle time before.

--- a/internal/job/bbrowner/runlease_test.go
+++ b/internal/job/bbrowner/runlease_test.go
@@ -28,6 +28,10 @@
 	// loseStart and loseRenewal report whether the order of that number, from 1, is lost
 	// on its way.
 	loseStart, loseRenewal func(number int) bool
+	// startAnswersLost means that lost starts are carried out, and only their answers lost.
+	startAnswersLost bool
+	// idleFor is how long the upstream is idle before there is work.
+	idleFor time.Duration
 	// confirmed reports whether the owner's claim is confirmed; nil means that it is.
 	confirmed func(now time.Time) bool
 }
@@ -62,7 +66,7 @@
 	u.mu.Lock()
 	u.starts++
 	lost := u.loseStart(u.starts)
-	if !lost {
+	if !lost || u.startAnswersLost {
 		u.expire(time.Now())
 		u.lease = max(u.lease, start.Until)
 		u.running = append(u.running, bbrwork.Run{Unit: start.Unit, Number: start.Run, Percent: 100})
@@ -128,7 +132,7 @@
 	defer cancel()
 	o.wg.Go(func() { o.loop(ctx) })
 	o.wg.Go(func() { storeAll(ctx, o) })
-	time.Sleep(time.Second)
+	time.Sleep(time.Second + u.idleFor)
 	o.mu.Lock()
 	o.scheduler.AddJob(&bbrwork.Job{ID: "00000000000000a1", Queue: "proofs", Service: "press", Cell: 2, Spec: "x", Steps: []bbrwork.Step{step}, Accepted: time.Now()}, 0, nil, time.Now())
 	o.mu.Unlock()
@@ -239,3 +243,18 @@
 		require.Less(t, u.renewals, 40)
 	})
 }
+
+// TestLostAnswerOfTheFirstStartDoesNotLetItsRunLapse guards against a run on an upstream that
+// was idle whose lease is renewed only once its start is given up, even if a renewal is lost
+// as well.
+func TestLostAnswerOfTheFirstStartDoesNotLetItsRunLapse(t *testing.T) {
+	for idleFor := time.Duration(0); idleFor < idleCheckInterval; idleFor += 50 * time.Millisecond {
+		synctest.Test(t, func(t *testing.T) {
+			u := &leasedUpstream{loseStart: func(number int) bool { return number == 1 }, startAnswersLost: true, idleFor: idleFor}
+			u.loseRenewal = loseAfterStart(u, 0, 1)
+			runUnits(t, u, 1, 5*time.Second)
+			require.Zero(t, u.lapsed(time.Now()), "idle for %v", idleFor)
+			require.Equal(t, 1, u.starts)
+		})
+	}
+}
