job/bbrscheduler: a failing test of answers that are read late

An owner takes the clock in an answer for the upstream's clock at the time at which it reads the answer. If it is slow, or the answer was long on its way, it grants leases that are shorter by the delay, and beyond 1.5 s its starts are refused as late:

--- a/internal/job/bbrscheduler/runlease_test.go
+++ b/internal/job/bbrscheduler/runlease_test.go
@@ -7,6 +7,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/bluebellridge/bluebellridge/internal/job/bbrorder"
+	"github.com/bluebellridge/bluebellridge/internal/job/bbrwork"
 )
 
 // TestRepeatedRenewalDoesNotPostponeRestart guards against a repetition of a lost renewal
@@ -37,3 +38,18 @@
 	late, _ := s.sched.PlanRenewal("i-1", true, s.now)
 	require.Zero(t, late.LeaseUntil, "the deadline has passed")
 }
+
+// TestListingReadLateDoesNotShortenTheLease guards against an owner that reads an answer late,
+// takes its clock for the present one, and grants a lease that is shorter by the delay.
+func TestListingReadLateDoesNotShortenTheLease(t *testing.T) {
+	s := newScene(t, true, "i-1")
+	s.accept(testJob, longRunningStep(1))
+	s.answerStarts(s.plan(), nil)
+	sent := s.now
+	listing := bbrwork.Listing{Clock: s.now.Sub(s.start), StartMillis: 1000, Running: []bbrwork.Run{{Unit: unitName(0), Number: 1, Percent: fullPercent}}}
+	s.advance(1500 * time.Millisecond)
+	s.sched.ApplyListing(s.upstream("i-1").Incarnation, &listing, sent, s.now)
+	renewal, _ := s.sched.PlanRenewal("i-1", true, s.now)
+	granted := renewal.LeaseUntil - s.now.Sub(s.start)
+	require.InDelta(t, testTiming.RunLease.Seconds(), granted.Seconds(), 0.1)
+}
