job/bbrscheduler: a work unit that was seen running does not wait for other upstreams

What callers saw: after a takeover beside one silent upstream, a long-running work unit that the successor had seen running on another upstream, and whose run then ended, had no run until 9.85 s after the claim; 6 s are promised.

Cause: whether earlier work may be unlocated was a property of the whole job, although an upstream that lists a run tells that there is no other one: an owner orders a run of a work unit only once all earlier runs have certainly ended, or can no longer begin.

The condition moves to the work unit; a gang needs all its members. Checked against the ways in which an owner drops a run and starts a higher one: listed ends, refused starts, unanswered starts after their deadline, missing runs, expired leases, ended incarnations and moved runs are all certain when the next run is ordered. What does not hold: an earlier owner that still considers its claim valid can learn that the incarnation has ended and order the next run on an upstream that the successor does not reach. So a listing counts only if it was requested after the handover (2.2 s after the claim). Two listed runs of a work unit, and work that allows duplicates, are not located by a listing. Where the earlier owner stored no horizon, nothing changes. Work units without a run that are located no longer count as unlocated use of a cap.

The property tests have two more actions: an owner that takes over without one upstream while the earlier owner acts and reaches it, and connections of single owners that are cut.

--- a/internal/job/bbrscheduler/job.go
+++ b/internal/job/bbrscheduler/job.go
@@ -94,6 +94,9 @@
 	checkpoint string
 	runs       []*run
 	notBefore  time.Time
+	// located means that no run of the work unit exists, or can still begin, that is not
+	// known, even if earlier work on other upstreams is not located.
+	located bool
 	// freedAt is when the last run of a unit that was not done was dropped, or when
 	// the unit was read from the store as done; zero before.
 	freedAt time.Time
--- a/internal/job/bbrscheduler/listing.go
+++ b/internal/job/bbrscheduler/listing.go
@@ -158,6 +158,9 @@
 		key := runKey{running.Unit, running.Number}
 		listed[key] = true
 		sched.applyRun(up, key, running, now)
+		if r := up.runs[key]; r != nil {
+			sched.locate(r, sent)
+		}
 	}
 	for key := range up.orphans {
 		if !listed[key] {
--- a/internal/job/bbrscheduler/plan.go
+++ b/internal/job/bbrscheduler/plan.go
@@ -170,7 +170,7 @@
 		if u.done || len(u.runs) > 0 || p.now.Before(u.notBefore) {
 			continue
 		}
-		if p.heldBack(u) {
+		if p.heldBack(u) || p.mayHaveUnlocatedRun(u) {
 			continue
 		}
 		if !p.withinCap(s, 1) {
--- a/internal/job/bbrscheduler/property_test.go
+++ b/internal/job/bbrscheduler/property_test.go
@@ -29,7 +29,9 @@
 	// reservations lets owners reserve capacity and preempt, and adds jobs of a queue with
 	// a lower rank.
 	reservations bool
-	jobs         int
+	// longRunning adds long-running steps, whose runs fail.
+	longRunning bool
+	jobs        int
 	// delayedAnswers are listings in transit to their owners.
 	delayedAnswers []delayedAnswer
 }
@@ -77,8 +79,8 @@
 
 // send draws the outcome of an order, delivers it accordingly, and returns the
 // error that the owner sees.
-func (d *driver) send(up *simUpstream, deliver func() error) error {
-	if up == nil || up.disconnected || !up.alive {
+func (d *driver) send(o *simOwner, up *simUpstream, deliver func() error) error {
+	if up == nil || up.disconnected || !up.alive || o.unreached[up.registration.ID] {
 		return bbrorder.ErrAnswerLost
 	}
 	switch d.callOutcome() {
@@ -101,7 +103,7 @@
 	d.jobs++
 	id := fmt.Sprintf("%016x", d.jobs)
 	steps := []bbrwork.Step{d.step()}
-	if rapid.Bool().Draw(d.T, "two steps") {
+	if !steps[0].LongRunning && rapid.Bool().Draw(d.T, "two steps") {
 		second := d.step()
 		second.DependsOn = []int{0}
 		steps = append(steps, second)
@@ -132,6 +134,7 @@
 // step draws a step. Each can run somewhere while all upstreams are up.
 func (d *driver) step() bbrwork.Step {
 	step := unitStep(rapid.IntRange(1, 3).Draw(d.T, "units"))
+	step.LongRunning = d.longRunning && rapid.IntRange(0, 2).Draw(d.T, "long-running") > 0
 	if !d.constraints {
 		return step
 	}
@@ -215,7 +218,10 @@
 		up := d.sim.upstreams[order.Upstream.ID]
 		length := time.Duration(rapid.IntRange(1, 40).Draw(d.T, "length")) * 100 * time.Millisecond
 		outcome := rapid.SampledFrom([]bbrwork.RunOutcome{bbrwork.OutcomeDone, bbrwork.OutcomeDone, bbrwork.OutcomeDone, bbrwork.OutcomeFailed}).Draw(d.T, "how")
-		err := d.send(up, func() error { return up.start(order, length, outcome) })
+		if d.sim.stepSpec(order.Start.Unit).LongRunning {
+			outcome = bbrwork.OutcomeFailed
+		}
+		err := d.send(o, up, func() error { return up.start(order, length, outcome) })
 		clock := time.Duration(0)
 		if up != nil && err == nil {
 			clock = up.clock()
@@ -224,7 +230,7 @@
 	}
 	for _, order := range plan.Stops {
 		up := d.sim.upstreams[order.Upstream.ID]
-		o.sched.ApplyStopResult(order, d.send(up, func() error { return up.stop(order) }), d.sim.now)
+		o.sched.ApplyStopResult(order, d.send(o, up, func() error { return up.stop(order) }), d.sim.now)
 	}
 }
 
@@ -299,7 +305,7 @@
 	}
 	var listing bbrwork.Listing
 	sent := d.sim.now
-	err := d.send(up, func() (err error) {
+	err := d.send(o, up, func() (err error) {
 		listing, err = up.renew(plan.Upstream.Incarnation, bbrorder.Renewal{Until: plan.LeaseUntil, Token: o.token, Acknowledged: plan.Acknowledged})
 		return err
 	})
@@ -316,7 +322,7 @@
 func (d *driver) renewWithDelayedAnswer(*rapid.T) {
 	o, up := d.owner(), d.upstream()
 	plan, known := o.sched.PlanRenewal(up.registration.ID, o.confirmed(), d.sim.now)
-	if !known || up.disconnected || !up.alive {
+	if !known || up.disconnected || !up.alive || o.unreached[up.registration.ID] {
 		return
 	}
 	renewal := bbrorder.Renewal{Until: plan.LeaseUntil, Token: o.token, Acknowledged: plan.Acknowledged}
@@ -350,6 +356,34 @@
 	d.sim.claim()
 }
 
+// takeOverPartly lets an owner take over that does not reach one upstream, and act for a
+// while. The earlier owner may reach that upstream, and act in between.
+func (d *driver) takeOverPartly(*rapid.T) {
+	earlier, up := d.owner(), d.upstream()
+	d.sim.advance(10 * time.Millisecond)
+	o := d.sim.claim()
+	o.unreached[up.registration.ID] = true
+	for range rapid.IntRange(1, 8).Draw(d.T, "rounds") {
+		acting := o
+		if rapid.IntRange(0, 3).Draw(d.T, "earlier") == 0 && !earlier.stopped {
+			acting = earlier
+		}
+		d.register(acting)
+		for _, id := range slices.Sorted(maps.Keys(d.sim.upstreams)) {
+			d.renewBy(acting, d.sim.upstreams[id])
+		}
+		d.planBy(acting)
+		acting.flush()
+		d.sim.advance(time.Duration(rapid.IntRange(1, 10).Draw(d.T, "pause")) * 100 * time.Millisecond)
+	}
+}
+
+// toggleOwnersConnection cuts or restores the connection of one owner with one upstream.
+func (d *driver) toggleOwnersConnection(*rapid.T) {
+	o, id := d.owner(), d.upstream().registration.ID
+	o.unreached[id] = !o.unreached[id]
+}
+
 func (d *driver) kill(*rapid.T) {
 	d.owner().stopped = true
 	d.sim.claim()
@@ -409,6 +443,11 @@
 	for _, earlier := range d.sim.owners[:len(d.sim.owners)-1] {
 		earlier.stopped = true
 	}
+	for id, job := range d.sim.store.jobs {
+		if job.LongRunning() {
+			o.sched.Cancel(id, d.sim.now)
+		}
+	}
 	for round := 0; round < 600+100*len(d.sim.crashing) && len(d.sim.store.final) < len(d.sim.store.jobs); round++ {
 		d.faultFreeRound(o)
 	}
@@ -476,10 +515,16 @@
 	testUnderFailures(t, driver{constraints: true, reservations: true})
 }
 
+// TestLongRunningWorkUnderFailures does the same with long-running work that fails. It
+// ends when it is cancelled.
+func TestLongRunningWorkUnderFailures(t *testing.T) {
+	testUnderFailures(t, driver{longRunning: true})
+}
+
 // testUnderFailures draws the actions with the options of a driver.
 func testUnderFailures(t *testing.T, options driver) {
 	rapid.Check(t, func(t *rapid.T) {
-		d := &driver{T: t, sim: newSimulation("i-1", "i-2", "i-3"), constraints: options.constraints, crashes: options.crashes, reservations: options.reservations}
+		d := &driver{T: t, sim: newSimulation("i-1", "i-2", "i-3"), constraints: options.constraints, crashes: options.crashes, reservations: options.reservations, longRunning: options.longRunning}
 		d.sim.reservations = options.reservations
 		d.sim.claim()
 		// Several names of one action increase its weight.
@@ -497,8 +542,10 @@
 			"flush":    d.flush,
 			"wait":     d.wait,
 			"takeOver": d.takeOver,
+			"takePart": d.takeOverPartly,
 			"kill":     d.kill,
 			"cut":      d.toggleConnection,
+			"cutOne":   d.toggleOwnersConnection,
 			"reboot":   d.reboot,
 			"rebootIt": d.rebootUnnoticed,
 			"resize":   d.resize,
--- a/internal/job/bbrscheduler/rank.go
+++ b/internal/job/bbrscheduler/rank.go
@@ -27,7 +27,7 @@
 func (p *planner) candidates() []candidate {
 	var list []candidate
 	for _, job := range p.sched.jobs {
-		if job.finalState != "" || job.cancelled || p.mayHaveUnlocatedRuns(job) || !p.sched.mayStart(job) {
+		if job.finalState != "" || job.cancelled || p.jobWaitsForLocation(job) || !p.sched.mayStart(job) {
 			continue
 		}
 		for _, o := range job.occurrences {
@@ -47,11 +47,14 @@
 
 func (p *planner) appendSteps(job *job, o *occurrence, list []candidate) []candidate {
 	objective := job.objective(o)
+	partlyLocated := p.mayHaveUnlocatedRuns(job)
 	for _, s := range o.steps {
-		if s.idleUnits <= 0 || s.unitsLeft <= 0 || !s.runnable(p.now) {
+		if s.idleUnits <= 0 || s.unitsLeft <= 0 || !s.runnable(p.now) || p.waitsForLocation(s) {
 			continue
 		}
-		p.consider(s, objective)
+		if !partlyLocated {
+			p.consider(s, objective)
+		}
 		p.awaitShare(s)
 		if p.mayFit(s) {
 			list = append(list, p.rank(s, objective))
--- a/internal/job/bbrscheduler/simulation_test.go
+++ b/internal/job/bbrscheduler/simulation_test.go
@@ -416,7 +416,7 @@
 		}
 	}
 	job := sim.store.jobs[name.Job]
-	if unit.failed >= 3 {
+	if unit.failed >= 3 && !sim.stepSpec(name).LongRunning {
 		sim.violation("BUDGET: %s starts after %d failures", name, unit.failed)
 	}
 	for _, earlier := range job.Steps[name.Step].DependsOn {
@@ -537,6 +537,8 @@
 	stopped       bool
 	// informedAt is when the owner last learned of the registrations.
 	informedAt time.Time
+	// unreached has the upstreams with which this owner alone has no connection.
+	unreached map[string]bool
 }
 
 // claim creates a new owner. The earlier one may act for a while longer.
@@ -547,7 +549,7 @@
 		}
 	}
 	sim.store.token += 10
-	o := &simOwner{sim: sim, token: sim.store.token}
+	o := &simOwner{sim: sim, token: sim.store.token, unreached: make(map[string]bool)}
 	o.sched = New(bbrwork.Shard{Service: "press"}, o.token, testTiming, !sim.store.written, sim.now)
 	o.sched.SetConfig(bbrwork.NewConfig(1, testQueues, nil, bbrwork.Limits{}))
 	if sim.reservations {
--- a/internal/job/bbrscheduler/trial.go
+++ b/internal/job/bbrscheduler/trial.go
@@ -99,7 +99,7 @@
 // mayTry reports whether the work unit may be started as far as its job is concerned.
 func (p *planner) mayTry(u *unit) bool {
 	j := u.step.job
-	if j.finalState != "" || j.cancelled || p.mayHaveUnlocatedRuns(j) || !p.sched.mayStart(j) {
+	if j.finalState != "" || j.cancelled || p.mayHaveUnlocatedRun(u) || !p.sched.mayStart(j) {
 		return false
 	}
 	return u.step.runnable(p.now) && !p.now.Before(u.notBefore) && !u.trialOverdue(p.now)
--- a/internal/job/bbrscheduler/wait.go
+++ b/internal/job/bbrscheduler/wait.go
@@ -58,7 +58,7 @@
 // wait determines why the step's idle work units have no run, by the one that has waited
 // longest. The step must have idle units.
 func (p *planner) wait(s *step, confirmed bool) wait {
-	u, since := s.longestIdle()
+	u, since := p.longestStartable(s)
 	return p.waitOf(u, since, confirmed)
 }
 
@@ -72,7 +72,7 @@
 	switch {
 	case !confirmed:
 		w.reason = ReasonClaimUnconfirmed
-	case p.mayHaveUnlocatedRuns(s.job):
+	case p.waitsForLocation(s) || !s.spec.Gang && p.mayHaveUnlocatedRun(u):
 		w.reason, w.latestEnd, w.unlocated = ReasonEarlierWorkUnlocated, p.sched.earlierLeasesEnd, len(p.sched.unlocated)
 	case p.now.Before(due):
 		w.reason, w.latestEnd = ReasonNotDue, due
@@ -101,9 +101,23 @@
 // longestIdle returns the work unit that has waited longest for a run, and since
 // when.
 func (s *step) longestIdle() (longest *unit, since time.Time) {
+	return s.longestIdleOf(func(*unit) bool { return true })
+}
+
+// longestStartable returns the same among the work units that need not be located first,
+// or among all if there are none.
+func (p *planner) longestStartable(s *step) (longest *unit, since time.Time) {
+	if p.waitsForLocation(s) {
+		return s.longestIdle()
+	}
+	return s.longestIdleOf(func(u *unit) bool { return !p.mayHaveUnlocatedRun(u) })
+}
+
+// longestIdleOf returns the same among the work units that match.
+func (s *step) longestIdleOf(matches func(u *unit) bool) (longest *unit, since time.Time) {
 	runnableSince := s.runnableSince()
 	for _, u := range s.units {
-		if !u.idle() {
+		if !u.idle() || !matches(u) {
 			continue
 		}
 		if eligible := u.eligibleSince(runnableSince); longest == nil || eligible.Before(since) {
