job/bbrscheduler: work of the takeover tests may move to other upstreams

After three failures their upstream counts as unhealthy, and with one work unit per upstream there was no other one: the case with three earlier runs measured that wait, not the takeover. The checks are the same.

--- a/internal/job/bbrscheduler/takeover_test.go
+++ b/internal/job/bbrscheduler/takeover_test.go
@@ -1,6 +1,7 @@
 package bbrscheduler
 
 import (
+	"fmt"
 	"maps"
 	"slices"
 	"testing"
@@ -41,7 +42,7 @@
 	sim.upstreams[silentUpstream].resize(bbrwork.Resources{MilliCPU: 1000, MemoryMB: 8000})
 	s := &takeoverScene{T: t, sim: sim, lastRun: make(map[bbrwork.Unit]time.Time), longestGap: make(map[bbrwork.Unit]time.Duration)}
 	step := unitStep(3)
-	step.LongRunning, step.MaxPerUpstream, step.Need.MilliCPU = true, 1, 1500
+	step.LongRunning, step.Need.MilliCPU = true, 1500
 	job := &bbrwork.Job{ID: testJob, Queue: "proofs", Service: "press", Spec: "x", Steps: []bbrwork.Step{step}, Accepted: sim.now}
 	sim.store.jobs[job.ID], sim.store.jobRevisions[job.ID], sim.store.revision = job, 10, 10
 	s.takeOver()
@@ -164,15 +165,17 @@
 // lapsed before the successor reached their upstreams, and that wait for another one.
 func TestLapsedWorkStartsAgainWhileAnUpstreamIsSilent(t *testing.T) {
 	for _, earlierRuns := range []int{0, 1, 3} {
-		s := newTakeoverScene(t)
-		for range earlierRuns {
-			s.end(unitName(1), bbrwork.OutcomeFailed)
-			s.run(time.Second)
-		}
-		s.advance(testTiming.RunLease + 200*time.Millisecond)
-		s.silentUntil = s.sim.now.Add(silenceLength)
-		s.takeOver()
-		s.run(silenceLength)
-		s.requirePromise()
+		t.Run(fmt.Sprintf("after %d runs", earlierRuns), func(t *testing.T) {
+			s := newTakeoverScene(t)
+			for range earlierRuns {
+				s.end(unitName(1), bbrwork.OutcomeFailed)
+				s.run(time.Second)
+			}
+			s.advance(testTiming.RunLease + 200*time.Millisecond)
+			s.silentUntil = s.sim.now.Add(silenceLength)
+			s.takeOver()
+			s.run(silenceLength)
+			s.requirePromise()
+		})
 	}
 }
