job/bbrscheduler: an answer that is read late does not set the clock back

Callers of a slow owner saw runs lapse early, and starts refused as late: the owner took the clock in an answer for the upstream's clock at the time of reading, so that leases and the deadlines of starts were shorter by the delay. At 1.5 s of delay no start could succeed.

The owner keeps the earlier readings where they tell more: with the error that clocks may have, they bound the present clock from below. The bound of leaseEnd rests on just that, so that it stays an upper bound. A clock that is earlier than it can have been when the renewal was sent is not the known one and replaces it, as before.

Before: TestListingReadLateDoesNotShortenTheLease: Max difference between 4.5 and 3 allowed is 0.1, but difference was 1.5.

--- a/internal/job/bbrscheduler/listing.go
+++ b/internal/job/bbrscheduler/listing.go
@@ -27,6 +27,10 @@
 		up.announced = nil
 	}
 	up.restartSuspected, up.idled = false, false
+	if up.clockKnown() && sent.After(up.clockAt) && listing.Clock < up.earliestClock(sent) {
+		// The clock is not the one that is known, although the start time is.
+		up.clockAt = time.Time{}
+	}
 	up.recordClock(listing.Clock, now)
 	up.silentSince = time.Time{}
 	up.lapsedSuspects = nil
--- a/internal/job/bbrscheduler/upstream.go
+++ b/internal/job/bbrscheduler/upstream.go
@@ -111,8 +111,12 @@
 }
 
 // recordClock records the upstream's clock, with the arrival of the answer as the
-// time of the reading.
+// time of the reading. Of an answer that was long on its way, or read late, the earlier
+// readings tell more: the clock is certainly beyond earliestClock.
 func (up *upstream) recordClock(clock time.Duration, now time.Time) {
+	if up.clockKnown() {
+		clock = max(clock, up.earliestClock(now))
+	}
 	up.clock, up.clockAt = clock, now
 	up.lostAnswers, up.lostSince = 0, time.Time{}
 }
