job/bbrscheduler: tests of long-running suspects and of advice

Two more ways in which a long-running work unit could wait for 6 s beside free capacity: as a suspect that waits for an upstream of its own, and for the advice service while finite work has all requests in flight.

--- a/internal/job/bbrscheduler/longrunningwait_test.go
+++ b/internal/job/bbrscheduler/longrunningwait_test.go
@@ -1,11 +1,13 @@
 package bbrscheduler
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/bluebellridge/bluebellridge/internal/job/bbrcrash"
 	"github.com/bluebellridge/bluebellridge/internal/job/bbrorder"
 	"github.com/bluebellridge/bluebellridge/internal/job/bbrwork"
 )
@@ -188,3 +190,54 @@
 		s.sched.RegisterUpstream(again, s.now)
 	})
 }
+
+// TestLongRunningSuspectDoesNotWaitForAnUpstreamOfItsOwn guards against a long-running work
+// unit that was beside several crashes and waits for an upstream without other work while
+// there is capacity beside it.
+func TestLongRunningSuspectDoesNotWaitForAnUpstreamOfItsOwn(t *testing.T) {
+	s := newScene(t, true, "i-1", "i-2")
+	filler := unitStep(6)
+	filler.Estimate = 60 * time.Second
+	s.accept(fillerJob, filler)
+	s.answerStarts(s.plan(), nil)
+	s.accept(testJob, longRunningStep(1))
+	u := s.sched.jobs[testJob].findUnit(unitName(0))
+	for i := range 3 {
+		s.sched.accuse(u, bbrcrash.Crash{Upstream: fmt.Sprint("i-", 7+i), Run: i + 1, At: s.now, Others: 20}, s.now)
+	}
+	require.Equal(t, bbrcrash.Isolated, u.crashes.Standing())
+	s.awaitStart(unitName(0), func() {})
+}
+
+// TestLongRunningWorkDoesNotWaitForTheAdviceOnFiniteWork guards against a long-running work
+// unit that finds all requests to the advice service taken by finite work, round after
+// round.
+func TestLongRunningWorkDoesNotWaitForTheAdviceOnFiniteWork(t *testing.T) {
+	s := newScene(t, true, "i-1", "i-2")
+	s.sched.SetConfig(bbrwork.NewConfig(2, testQueues, nil, bbrwork.Limits{}))
+	accept := func(id string, step bbrwork.Step) {
+		s.sched.AddJob(&bbrwork.Job{ID: id, Queue: "plates", Service: "press", Spec: "x", Steps: []bbrwork.Step{step}, Accepted: s.now}, 0, nil, s.now)
+	}
+	for i := range 40 {
+		accept(fmt.Sprintf("%016x", i+1), unitStep(1))
+	}
+	var inFlight []AdviceRequest
+	answerFirst := func(plan Plan) {
+		inFlight = append(inFlight, plan.AdviceRequests...)
+		require.LessOrEqual(t, len(inFlight), maxAdviceInFlight)
+		if len(inFlight) > 0 {
+			s.sched.ApplyAdvice(inFlight[0], map[string]string{"i-1": "t", "i-2": "t"}, ticketTTL, nil, s.now, s.now)
+			inFlight = inFlight[1:]
+		}
+	}
+	answerFirst(s.plan())
+	accept(testJob, longRunningStep(1))
+	for limit := s.now.Add(longRunningWaitLimit); s.now.Before(limit); s.advance(time.Second) {
+		plan := s.plan()
+		if len(plan.Starts) > 0 && plan.Starts[0].Start.Unit == unitName(0) {
+			return
+		}
+		answerFirst(plan)
+	}
+	require.Fail(t, "the work unit was not started in time")
+}
