job/bbrscheduler: the last run of long-running work is known to a successor

What callers saw: long-running work units whose runs lapsed shortly before a takeover had no run for over 10 s beside one silent upstream, of 6 s promised, although the successor had read their ends on upstreams that answered.

Cause: from the end of a run alone a successor can't tell that the earlier owner has not ordered a higher one on the silent upstream.

An owner now stores the number of each start of a long-running work unit but the first, in the progress of the job, before it orders it; such a start waits for one transaction, which is made at once as for crash records. So the highest run that can have been ordered is the stored number, or 1, also while a replaced owner still acts, since it can store nothing. If it is listed under the successor's token, running or ended, all lower ones have ended and there is no higher one: the work unit needs no other upstream. A flag in the sequence record says that all owners so far have kept to it. Owners of earlier versions write the record without the flag before their first start; it is set again once all earlier work is located and the numbers of what runs are stored. Finite work is unchanged.

--- a/internal/job/bbrowner/flusher.go
+++ b/internal/job/bbrowner/flusher.go
@@ -131,7 +131,7 @@
 		return false, err
 	}
 	f.applyStored(batch, o.commits.revision)
-	if batch.Recorded != nil || needsHorizon || batch.StoresCrashes() {
+	if batch.Recorded != nil || needsHorizon || batch.StoresCrashes() || batch.StoresOrders() {
 		o.requestPlan()
 	}
 	return !complete, nil
@@ -244,7 +244,7 @@
 	commits := &o.commits
 	commits.number++
 	key := bbrrecord.SequenceKey(o.Shard)
-	record := bbrrecord.Sequence{Token: int64(o.Held.Token), Number: commits.number, Horizon: batch.Horizon}
+	record := bbrrecord.Sequence{Token: int64(o.Held.Token), Number: commits.number, Horizon: batch.Horizon, OrdersStored: batch.OrdersStored}
 	transaction := bbrkv.Transaction{
 		Conditions: []bbrkv.Condition{o.Held.Condition(), {Key: key, Revision: commits.revision}},
 		Puts:       []bbrkv.Put{{Key: key, Value: bbrrecord.Encode(record)}},
--- a/internal/job/bbrowner/owner.go
+++ b/internal/job/bbrowner/owner.go
@@ -387,21 +387,24 @@
 	o.scheduler.SetReserved(reservedIDs, time.Now())
 	o.addJobs(jobs, progress, time.Now())
 	o.restoreCrashes(crashes, time.Now())
-	o.scheduler.FinishLoading(recorded, storedHorizon(sequence), time.Now())
+	inherited := storedSequence(sequence)
+	o.scheduler.InheritOrders(inherited.OrdersStored)
+	o.scheduler.FinishLoading(recorded, inherited.Horizon, time.Now())
 	o.loadedRevision = revision
 	return revision, nil
 }
 
-// storedHorizon returns the horizon that an earlier owner stored. It returns 0, which
-// means that any job may have started, if the record has none or cannot be decoded.
-func storedHorizon(sequence bbrkv.Item) bbrkv.Revision {
+// storedSequence returns the record that an earlier owner stored. It returns an empty one,
+// which means that any job may have started, with any run numbers, if there is none or it
+// cannot be decoded.
+func storedSequence(sequence bbrkv.Item) bbrrecord.Sequence {
 	if len(sequence.Value) == 0 {
-		return 0
+		return bbrrecord.Sequence{}
 	}
 	var record bbrrecord.Sequence
 	if err := json.Unmarshal(sequence.Value, &record); err != nil {
 		klog.ErrorS(err, "Failed to decode the sequence record, assuming that any job may have started", "key", sequence.Key, "revision", sequence.Revision)
-		return 0
+		return bbrrecord.Sequence{}
 	}
-	return record.Horizon
+	return record
 }
--- a/internal/job/bbrrecord/record.go
+++ b/internal/job/bbrrecord/record.go
@@ -51,6 +51,10 @@
 	// Horizon bounds the revisions of the jobs that this owner and earlier ones may
 	// have started; 0 means that they may have started any job.
 	Horizon bbrkv.Revision `json:"horizon,omitempty"`
+	// OrdersStored means that the progress of the jobs has the highest run number that
+	// this owner and earlier ones may have ordered of each long-running work unit. An
+	// owner of an earlier version leaves it out.
+	OrdersStored bool `json:"ordersStored,omitempty"`
 }
 
 // Report is the report that an owner stores about its shard from time to time.
--- a/internal/job/bbrscheduler/gang.go
+++ b/internal/job/bbrscheduler/gang.go
@@ -14,12 +14,10 @@
 	if s.idleUnits < len(s.units) {
 		return
 	}
-	lastRun := 0
 	for _, u := range s.units {
 		if p.now.Before(u.notBefore) || p.heldBack(u) {
 			return
 		}
-		lastRun = max(lastRun, u.lastRun)
 	}
 	if request, ok := p.sched.adviceRequest(s, p.usable, p.now); ok {
 		p.plan.AdviceRequests = append(p.plan.AdviceRequests, request)
@@ -27,17 +25,40 @@
 	if !p.withinCap(s, len(s.units)) {
 		return
 	}
+	number := s.nextGangRun()
+	if !p.mayOrderGang(s, number) {
+		return
+	}
 	for _, group := range p.placementGroups(s) {
 		if placement := p.placeGang(s, group); placement != nil {
 			shareCheckpoint(s)
 			for i, u := range s.units {
-				p.planStart(u, lastRun+1, placement[i])
+				p.planStart(u, number, placement[i])
 			}
 			return
 		}
 	}
 }
 
+// nextGangRun returns the number of the gang's next run.
+func (s *step) nextGangRun() int {
+	lastRun := 0
+	for _, u := range s.units {
+		lastRun = max(lastRun, u.lastRun)
+	}
+	return lastRun + 1
+}
+
+// mayOrderGang reports whether the run of the gang may be ordered, and requests that its
+// number be stored if not.
+func (p *planner) mayOrderGang(s *step, number int) bool {
+	may := true
+	for _, u := range s.units {
+		may = p.sched.mayOrder(u, number) && may
+	}
+	return may
+}
+
 // placementGroups returns the groups of upstreams to try, in order of preference.
 func (p *planner) placementGroups(s *step) [][]*upstream {
 	if !s.spec.SameRack && s.spec.DataRack == "" {
--- a/internal/job/bbrscheduler/job.go
+++ b/internal/job/bbrscheduler/job.go
@@ -34,6 +34,11 @@
 	// that the store may hold one.
 	crashVersion, storedCrashVersion int
 	mayHaveStoredCrashes             bool
+	// orderVersion increases with each run number that is to be stored before a start, and
+	// storedOrderVersion is that of the progress in the store. ordersUnknown means that the
+	// stored numbers are not complete.
+	orderVersion, storedOrderVersion int
+	ordersUnknown                    bool
 	// criticalPath is the longest path of expected work.
 	criticalPath time.Duration
 	// learnedAt is when the scheduler learned of the job, and storedRevision the
@@ -97,6 +102,11 @@
 	// located means that no run of the work unit exists, or can still begin, that is not
 	// known, even if earlier work on other upstreams is not located.
 	located bool
+	// ordered is the highest run number, above 1, with which a start may have been
+	// ordered by an owner that stored it before; 0 for none. It is stored with the
+	// orderVersion of the job in orderVersion.
+	ordered      int
+	orderVersion int
 	// freedAt is when the last run of a unit that was not done was dropped, or when
 	// the unit was read from the store as done; zero before.
 	freedAt time.Time
--- a/internal/job/bbrscheduler/listing.go
+++ b/internal/job/bbrscheduler/listing.go
@@ -83,6 +83,9 @@
 		}
 		sched.dropRun(r, now)
 	}
+	if len(u.runs) == 0 && sched.isLastOrdered(u, end.Run) {
+		u.located = true
+	}
 	u.lastRun = max(u.lastRun, end.Run)
 	if end.Checkpoint != "" {
 		u.checkpoint = end.Checkpoint
--- a/internal/job/bbrscheduler/located.go
+++ b/internal/job/bbrscheduler/located.go
@@ -12,13 +12,13 @@
 // locate records that an upstream listed the run in its answer to a renewal that was sent
 // at the time sent. While the earlier owner may still consider its claim valid, it may
 // learn of the run's end in another way and order another run, so that a listing counts
-// only after that.
+// only after that, unless the run is the last that the owner can have ordered.
 func (sched *Scheduler) locate(r *run, sent time.Time) {
 	u := r.unit
 	switch {
 	case len(u.runs) > 1 || u.step.spec.AllowDuplicates:
 		u.located = false
-	case sent.After(sched.claimedAt.Add(sched.Timing.Handover)):
+	case sent.After(sched.claimedAt.Add(sched.Timing.Handover)), sched.isLastOrdered(u, r.number):
 		u.located = true
 	}
 }
--- a/internal/job/bbrscheduler/plan.go
+++ b/internal/job/bbrscheduler/plan.go
@@ -176,12 +176,16 @@
 		if !p.withinCap(s, 1) {
 			return
 		}
+		mayOrder := p.sched.mayOrder(u, u.lastRun+1)
 		if u.suspected() {
-			if up := p.announcedUpstream(u); up != nil {
+			if up := p.announcedUpstream(u); up != nil && mayOrder {
 				p.planStart(u, u.lastRun+1, up)
 			}
 			continue
 		}
+		if !mayOrder {
+			continue
+		}
 		up := p.chooseUpstream(u, nil)
 		if up == nil {
 			return
--- a/internal/job/bbrscheduler/progress.go
+++ b/internal/job/bbrscheduler/progress.go
@@ -12,6 +12,8 @@
 	// Compact is set instead of Occurrences if these would take too much room. Earlier
 	// versions do not know it.
 	Compact *CompactProgress `json:"compact,omitempty"`
+	// OrdersUnknown means that Ordered is not complete.
+	OrdersUnknown bool `json:"ordersUnknown,omitempty"`
 }
 
 // StepProgress is the progress of one step in one occurrence.
@@ -21,7 +23,10 @@
 	// FailedRuns has, by work unit, the numbers of the failed runs.
 	FailedRuns map[int][]int `json:"failed,omitempty"`
 	// LastRuns has, by work unit, the highest known run number.
-	LastRuns    map[int]int    `json:"last,omitempty"`
+	LastRuns map[int]int `json:"last,omitempty"`
+	// Ordered has, by long-running work unit, the highest run number above 1 with which a
+	// start may have been ordered. Earlier versions do not know it.
+	Ordered     map[int]int    `json:"ordered,omitempty"`
 	Checkpoints map[int]string `json:"checkpoints,omitempty"`
 }
 
@@ -31,7 +36,9 @@
 	// Done has one bit for each work unit.
 	Done []byte `json:"done"`
 	// LastRun is the highest known run number of any work unit.
-	LastRun     int            `json:"last,omitempty"`
+	LastRun int `json:"last,omitempty"`
+	// Ordered is as in StepProgress.
+	Ordered     map[int]int    `json:"ordered,omitempty"`
 	FailedRuns  map[int][]int  `json:"failed,omitempty"`
 	Checkpoints map[int]string `json:"checkpoints,omitempty"`
 }
@@ -56,22 +63,28 @@
 // long. dropped is the number of checkpoints and failures that found no room.
 func (j *job) progress(maxBytes int) (data []byte, dropped int) {
 	if j.fullFormEstimate() <= maxBytes {
-		data = encodeProgress(Progress{Occurrences: j.occurrencesProgress()})
+		data = encodeProgress(Progress{Occurrences: j.occurrencesProgress(), OrdersUnknown: j.ordersUnknown})
 		if len(data) <= maxBytes/fullFormShare {
 			return data, 0
 		}
 	}
 	compact := j.compactProgress()
-	data = encodeProgress(Progress{Compact: compact})
+	progress := Progress{Compact: compact, OrdersUnknown: j.ordersUnknown}
+	data = encodeProgress(progress)
 	if len(data) > maxBytes {
 		// Work repeats without its checkpoints, but is not lost.
 		dropped += len(compact.Checkpoints)
 		compact.Checkpoints = nil
-		data = encodeProgress(Progress{Compact: compact})
+		data = encodeProgress(progress)
+	}
+	if len(data) > maxBytes && len(compact.Ordered) > 0 {
+		// A successor waits until all earlier work is located.
+		compact.Ordered, progress.OrdersUnknown = nil, true
+		data = encodeProgress(progress)
 	}
 	for len(data) > maxBytes && len(compact.FailedRuns) > 0 {
 		dropped += dropHalf(compact.FailedRuns)
-		data = encodeProgress(Progress{Compact: compact})
+		data = encodeProgress(progress)
 	}
 	return data, dropped
 }
@@ -139,7 +152,7 @@
 }
 
 func (s *step) progress() StepProgress {
-	p := StepProgress{FailedRuns: make(map[int][]int), LastRuns: make(map[int]int), Checkpoints: make(map[int]string)}
+	p := StepProgress{FailedRuns: make(map[int][]int), LastRuns: make(map[int]int), Ordered: make(map[int]int), Checkpoints: make(map[int]string)}
 	for i, u := range s.units {
 		if u.done {
 			if p.Done == nil {
@@ -151,6 +164,9 @@
 		if u.lastRun > 0 {
 			p.LastRuns[i] = u.lastRun
 		}
+		if u.ordered > 0 {
+			p.Ordered[i] = u.ordered
+		}
 		if len(u.failedRuns) > 0 {
 			p.FailedRuns[i] = u.failedRuns
 		}
@@ -162,13 +178,16 @@
 }
 
 func (j *job) compactProgress() *CompactProgress {
-	p := &CompactProgress{Done: make([]byte, bitsetSize(j.unitCount())), FailedRuns: make(map[int][]int), Checkpoints: make(map[int]string)}
+	p := &CompactProgress{Done: make([]byte, bitsetSize(j.unitCount())), FailedRuns: make(map[int][]int), Ordered: make(map[int]int), Checkpoints: make(map[int]string)}
 	j.eachUnit(func(n int, u *unit) {
 		p.LastRun = max(p.LastRun, u.lastRun)
 		if u.done {
 			setBit(p.Done, n)
 			return
 		}
+		if u.ordered > 0 {
+			p.Ordered[n] = u.ordered
+		}
 		if len(u.failedRuns) > 0 {
 			p.FailedRuns[n] = u.failedRuns
 		}
@@ -205,6 +224,7 @@
 func hasBit(bitset []byte, i int) bool { return i/8 < len(bitset) && bitset[i/8]&(1<<(i%8)) != 0 }
 
 func (j *job) restore(stored *Progress, now time.Time) {
+	j.ordersUnknown = stored.OrdersUnknown
 	for number, steps := range stored.Occurrences {
 		if number < 0 || number >= len(j.occurrences) || len(steps) != len(j.Steps) {
 			continue
@@ -213,12 +233,14 @@
 			for index, u := range s.units {
 				p := &steps[i]
 				u.restore(hasBit(p.Done, index), p.LastRuns[index], p.FailedRuns[index], p.Checkpoints[index], now)
+				u.restoreOrdered(p.Ordered[index])
 			}
 		}
 	}
 	if p := stored.Compact; p != nil {
 		j.eachUnit(func(n int, u *unit) {
 			u.restore(hasBit(p.Done, n), p.LastRun, p.FailedRuns[n], p.Checkpoints[n], now)
+			u.restoreOrdered(p.Ordered[n])
 		})
 	}
 }
@@ -231,3 +253,7 @@
 		u.step.job.started = true
 	}
 }
+
+func (u *unit) restoreOrdered(number int) {
+	u.ordered, u.lastRun = number, max(u.lastRun, number)
+}
--- a/internal/job/bbrscheduler/reason.go
+++ b/internal/job/bbrscheduler/reason.go
@@ -31,6 +31,9 @@
 	ReasonNoUsableUpstream Reason = "noUsableUpstream"
 	// ReasonComesNext: the work unit fits on an upstream and starts next.
 	ReasonComesNext Reason = "comesNext"
+	// ReasonOrderUnstored: the long-running work unit starts once the number of its next
+	// run is stored.
+	ReasonOrderUnstored Reason = "runNumberUnstored"
 	// ReasonGangPartlyFits: only some members of the gang fit.
 	ReasonGangPartlyFits Reason = "gangFitsInPart"
 	// ReasonFarFromData: the work unit fits only on upstreams far from its data.
@@ -77,7 +80,7 @@
 
 // Reasons lists the reasons that an eligible work unit can have.
 var Reasons = [...]Reason{
-	ReasonClaimUnconfirmed, ReasonEarlierWorkUnlocated, ReasonBeyondHorizon, ReasonAttemptPaused, ReasonGangStillRuns, ReasonCrashSuspect, ReasonOrganisationCap, ReasonNoUsableUpstream, ReasonComesNext, ReasonGangPartlyFits,
+	ReasonClaimUnconfirmed, ReasonEarlierWorkUnlocated, ReasonBeyondHorizon, ReasonAttemptPaused, ReasonGangStillRuns, ReasonCrashSuspect, ReasonOrganisationCap, ReasonNoUsableUpstream, ReasonComesNext, ReasonOrderUnstored, ReasonGangPartlyFits,
 	ReasonFarFromData, ReasonTicketMissing, ReasonAdviceRefused, ReasonStartsInFlight, ReasonReservationHeld, ReasonCapacityReserved, ReasonCapacityUsedByFiniteWork, ReasonCapacityForFew, ReasonMaxPerUpstream, ReasonCapacityFragmented, ReasonCapacityUsedByLongRunningWork,
 	ReasonTooLarge, ReasonLabelMissing, ReasonNotEvaluated,
 }
--- a/internal/job/bbrscheduler/scheduler.go
+++ b/internal/job/bbrscheduler/scheduler.go
@@ -84,6 +84,7 @@
 	// advice has the answers of the advice service, by the name of the step.
 	advice  map[string]*stepAdvice
 	horizon horizon
+	orders  orders
 	// arrivals are the recent job arrivals.
 	arrivals arrivals
 	// adviceInFlight counts the requests to the advice service in flight.
--- a/internal/job/bbrscheduler/store.go
+++ b/internal/job/bbrscheduler/store.go
@@ -29,8 +29,10 @@
 	// Code says why the job has ended; 0 if its final state says it.
 	Code bbrcode.Code
 
-	job                   *job
-	version, crashVersion int
+	job                                 *job
+	version, crashVersion, orderVersion int
+	// storesOrders means that starts wait for run numbers in Progress.
+	storesOrders bool
 }
 
 // Batch is what has to be stored, and which run ends may be acknowledged once all
@@ -44,6 +46,9 @@
 	// stored. It is 0, which gives a successor no bound, while earlier work is not
 	// located and the horizon of earlier owners is unknown.
 	Horizon bbrkv.Revision
+	// OrdersStored means that a successor knows the highest run number that can have been
+	// ordered of each long-running work unit.
+	OrdersStored bool
 	// Interference is to be stored with the rest, but is no reason to store; nil for no
 	// change.
 	Interference *bbrinterference.Record
@@ -57,12 +62,17 @@
 	return slices.ContainsFunc(b.Writes, func(w Write) bool { return w.Crashes != nil })
 }
 
+// StoresOrders reports whether the batch has run numbers, for which starts wait.
+func (b Batch) StoresOrders() bool {
+	return slices.ContainsFunc(b.Writes, func(w Write) bool { return w.storesOrders })
+}
+
 // Complete reports whether the batch has all that has to be stored.
 func (b Batch) Complete() bool { return b.acknowledgeable != nil }
 
 // Head returns the batch with only its first n writes.
 func (b Batch) Head(n int) Batch {
-	return Batch{Writes: b.Writes[:n], Recorded: b.Recorded, Horizon: b.Horizon, Interference: b.Interference}
+	return Batch{Writes: b.Writes[:n], Recorded: b.Recorded, Horizon: b.Horizon, OrdersStored: b.OrdersStored, Interference: b.Interference}
 }
 
 // Batch returns what has to be stored now, with at most limit jobs.
@@ -84,6 +94,7 @@
 	}
 	batch.Recorded = sched.upstreamsToRecord()
 	batch.Interference = sched.interferenceToStore(now)
+	batch.OrdersStored = sched.storesOrders(now)
 	batch.Horizon = sched.horizon.next(sched.EarlierWorkLocated(now))
 	return batch
 }
@@ -91,7 +102,7 @@
 // write returns what has to be stored of a job.
 func (sched *Scheduler) write(j *job, now time.Time) Write {
 	w := Write{Job: j.Job, FinalState: j.finalState, HasProgress: j.mayHaveStoredProgress, HasCancel: j.cancelled,
-		Code: j.endCode, job: j, version: j.version, crashVersion: j.crashVersion}
+		Code: j.endCode, job: j, version: j.version, crashVersion: j.crashVersion, orderVersion: j.orderVersion, storesOrders: !j.ordersStored()}
 	if j.finalState == "" {
 		dropped := 0
 		w.Progress, dropped = j.progress(sched.maxValueBytes())
@@ -115,7 +126,7 @@
 // Urgent reports whether a caller or a start waits for something to be stored.
 func (sched *Scheduler) Urgent() bool {
 	for _, j := range sched.dirty {
-		if j.finalState != "" || !j.crashesStored() {
+		if j.finalState != "" || !j.crashesStored() || !j.ordersStored() {
 			return true
 		}
 	}
@@ -191,6 +202,7 @@
 			delete(sched.dirty, write.job.ID)
 		}
 		write.job.storedCrashVersion = max(write.job.storedCrashVersion, write.crashVersion)
+		write.job.storedOrderVersion = max(write.job.storedOrderVersion, write.orderVersion)
 		if write.FinalState != "" {
 			sched.endedWithRuns[write.job.ID] = write.job
 		}
@@ -278,6 +290,7 @@
 	var earlier Progress
 	if err := json.Unmarshal(progress, &earlier); err != nil {
 		sched.note(now, "Decoding of stored progress failed", "job", in.ID, "reason", err.Error())
+		j.ordersUnknown = true
 		return
 	}
 	j.restore(&earlier, now)
--- a/internal/job/bbrscheduler/wait.go
+++ b/internal/job/bbrscheduler/wait.go
@@ -94,6 +94,9 @@
 		if s.reservation != nil && w.reason != ReasonComesNext {
 			w.reason = ReasonReservationHeld
 		}
+		if w.reason == ReasonComesNext && !w.unit.nextOrderStored() {
+			w.reason = ReasonOrderUnstored
+		}
 	}
 	return w
 }
@@ -307,7 +310,7 @@
 // awaits returns what the work unit waits for, and the party that has to act next.
 func (w *wait) awaits() (Awaited, Responsible) {
 	switch w.reason {
-	case ReasonClaimUnconfirmed, ReasonEarlierWorkUnlocated, ReasonBeyondHorizon, ReasonTicketMissing, ReasonStartsInFlight:
+	case ReasonClaimUnconfirmed, ReasonEarlierWorkUnlocated, ReasonBeyondHorizon, ReasonOrderUnstored, ReasonTicketMissing, ReasonStartsInFlight:
 		return AwaitsAnswer, ResponsibleOwner
 	case ReasonNotDue, ReasonAttemptPaused:
 		return AwaitsTime, ResponsibleOwner
--- a/internal/job/bbrscheduler/wait_test.go
+++ b/internal/job/bbrscheduler/wait_test.go
@@ -75,6 +75,16 @@
 			job: bbrwork.Job{Schedule: bbrwork.Schedule{Count: 1, First: time.Date(2026, 1, 2, 3, 5, 0, 0, time.UTC)}},
 		},
 		{want: ReasonEarlierSteps, confirmed: true, steps: []bbrwork.Step{unitStep(1), second}, awaits: AwaitsEarlierWork, responsible: ResponsibleOwner, text: "earlier steps [0]"},
+		{
+			want: ReasonOrderUnstored, confirmed: true, awaits: AwaitsAnswer, responsible: ResponsibleOwner, text: "next run",
+			steps: []bbrwork.Step{{Count: 1, LongRunning: true}},
+			arrange: func(s *scene) {
+				s.store()
+				s.answerStarts(s.plan(), nil)
+				s.list("i-1", bbrwork.RunEnd{Sequence: 1, Unit: unitName(0), Run: 1, Outcome: bbrwork.OutcomeStopped})
+				s.list("i-2", bbrwork.RunEnd{Sequence: 1, Unit: unitName(0), Run: 1, Outcome: bbrwork.OutcomeStopped})
+			},
+		},
 		{
 			want: ReasonBeyondHorizon, confirmed: true, awaits: AwaitsAnswer, responsible: ResponsibleOwner, text: "higher horizon",
 			arrange: func(s *scene) { s.sched.jobs[testJob].storedRevision = 1000 },
--- a/internal/job/bbrscheduler/waittext.go
+++ b/internal/job/bbrscheduler/waittext.go
@@ -24,6 +24,8 @@
 		return "a higher horizon has to be stored before the job may start"
 	case ReasonAttemptPaused:
 		return "it is tried again at " + w.latestEnd.UTC().Format(time.RFC3339Nano)
+	case ReasonOrderUnstored:
+		return "the number of its next run has to be stored before it may start"
 	case ReasonGangStillRuns:
 		return fmt.Sprintf("%d of %d members of the gang still have runs", len(w.step.units)-w.step.idleUnits, len(w.step.units))
 	case ReasonOrganisationCap:
