--- a/internal/job/bbrscheduler/horizon.go
+++ b/internal/job/bbrscheduler/horizon.go
@@ -80,3 +80,9 @@
 func (sched *Scheduler) beyondHorizon(job *job) bool {
 	return job.storedRevision > sched.horizon.stored
 }
+
+// mayHaveUnlocatedRuns reports whether an earlier owner may have started work units
+// of the job on an upstream that has not answered this owner yet.
+func (p *planner) mayHaveUnlocatedRuns(job *job) bool {
+	return job.storedRevision <= p.sched.horizon.inherited && !p.sched.EarlierWorkLocated(p.now)
+}
--- a/internal/job/bbrscheduler/located.go
+++ b/internal/job/bbrscheduler/located.go
@@ -23,13 +23,8 @@
 	}
 }
 
-// mayHaveUnlocatedRuns reports whether an earlier owner may have started work units
-// of the job on an upstream that has not answered this owner yet.
-func (p *planner) mayHaveUnlocatedRuns(job *job) bool {
-	return job.storedRevision <= p.sched.horizon.inherited && !p.sched.EarlierWorkLocated(p.now)
-}
-
-// mayHaveUnlocatedRun reports the same of a single work unit. Without the horizon of the
+// mayHaveUnlocatedRun reports whether an earlier owner may have started the work unit on an
+// upstream that has not answered this owner yet. Without the horizon of the
 // earlier owner, this one can store none, and starts nothing of the job.
 func (p *planner) mayHaveUnlocatedRun(u *unit) bool {
 	return p.mayHaveUnlocatedRuns(u.step.job) && (!u.located || p.sched.horizon.inherited == unboundedHorizon)
