job/bbrscheduler: only failures read within the timeout of their call excuse an owner

What callers saw: long-running work units without a run, while an owner that was 0.75 to 1.3 s late for all its answers let their leases run out and kept its shard.

Cause: a failure excused the owner if it was read within 1.9 s after the call was sent, a limit made for the longest call of 1.7 s. Since renewals have 0.8 s in total after a start and 0.25 to 0.7 s when repeated, failures that such an owner read too late were under the limit. The excuse holds until the next extension of the lease, which needs an answer.

Now a failure excuses the owner only if it was read within 40 ms after the timeout of its own call: the wait and answer timeout that were planned for that renewal, or the timeout of orders for a start. This works because the answer to a call that was carried out is there before the timeout: whoever reads the failure in time has seen that it was not, whoever reads it later has not.

The margin is under the pauses of a throttled owner in the soak (60 ms and more), and under the 50 ms by which an owner that is 0.75 s late misses a timeout of 0.7 s. How late owners with enough processor time read a failure was not measured. One that reads it later loses an excuse only: it hands over if its rounds have been late for 2 s in total as well.

--- a/internal/job/bbrorder/order.go
+++ b/internal/job/bbrorder/order.go
@@ -57,6 +57,9 @@
 	AnswerTimeout time.Duration
 }
 
+// Timeout is how long the answer to a start, a stop or a pace may take.
+const Timeout = 800 * time.Millisecond
+
 // Client makes the calls to upstreams.
 type Client struct {
 	// Start returns the upstream's clock, also together with an error; 0 if the answer
--- a/internal/job/bbrscheduler/overdue.go
+++ b/internal/job/bbrscheduler/overdue.go
@@ -2,10 +2,11 @@
 
 import "time"
 
-// answerReadTime is how long after a call was sent its failure counts as read in time: the
-// longest call takes 1.7 s. A failure that is read later may be an answer that this owner
-// was too late to read.
-const answerReadTime = 1900 * time.Millisecond
+// answerReadMargin is how long after the timeout of a call its failure counts as read in
+// time. A failure that is read later may be an answer that this owner was too late to read.
+// It is shorter than the pauses of a throttled owner in the soak, 60 ms and more. At 200 ms,
+// owners that were 0.75 s late for every answer were excused.
+const answerReadMargin = 40 * time.Millisecond
 
 // RenewalOverdueAt returns when the owner was last overdue with the renewal of a lease; zero
 // if it never was. It is overdue if work has run on an upstream for two thirds of RunLease
@@ -42,7 +43,6 @@
 	if sched.overdue(up, now) {
 		sched.overdueAt = now
 	}
-	up.renewalSentAt = now
 	switch {
 	case extends:
 		up.extendedAt, up.extensionExcused = now, false
--- a/internal/job/bbrscheduler/runlease.go
+++ b/internal/job/bbrscheduler/runlease.go
@@ -68,13 +68,14 @@
 }
 
 // setTimes sets how long the renewal of an upstream waits for the end of a run and for its
-// answer.
+// answer, and records when the answer is due.
 func (plan *RenewalPlan) setTimes(up *upstream, now time.Time) {
 	left := up.leaseLeft(now)
 	if plan.LeaseUntil > 0 && up.lostAnswers == 0 {
 		plan.Wait = min(maxRenewalWait, left/renewalWaitShare)
 	}
 	plan.AnswerTimeout = answerTimeout(left - plan.Wait)
+	up.renewalDue = now.Add(plan.Wait + plan.AnswerTimeout)
 }
 
 // answerTimeout returns the timeout that leaves time for two repetitions in what is left
--- a/internal/job/bbrscheduler/startresult.go
+++ b/internal/job/bbrscheduler/startresult.go
@@ -76,7 +76,7 @@
 	switch {
 	case errors.Is(err, bbrorder.ErrAnswerLost):
 		r.phase = phaseUnknown
-		up.recordSilence(r.orderedAt, now)
+		up.recordSilence(r.orderedAt.Add(bbrorder.Timeout), now)
 		sched.extendToMaxLease(up, now)
 		return
 	case errors.Is(err, bbrorder.ErrOtherIncarnation) && !r.moved:
@@ -89,7 +89,7 @@
 	case errors.Is(err, bbrorder.ErrStaleRun):
 		r.unit.lastRun += staleRunSkip
 	case errors.Is(err, bbrorder.ErrNotSent):
-		up.recordSilence(r.orderedAt, now)
+		up.recordSilence(r.orderedAt.Add(bbrorder.Timeout), now)
 	case errors.Is(err, bbrorder.ErrUnhealthy):
 		up.health.recordEnd(unhealthyOutcome, now)
 		up.fullUntil = now.Add(fullPause)
@@ -117,7 +117,7 @@
 		return
 	}
 	up.extensions.lost()
-	if up.recordSilence(up.renewalSentAt, now) {
+	if up.recordSilence(up.renewalDue, now) {
 		sched.note(now, "Upstream does not answer", "upstream", up.ID, "runs", len(up.runs), "leaseLeft", up.leaseEnd.Sub(now).Round(time.Millisecond), "reason", err.Error())
 	}
 }
--- a/internal/job/bbrscheduler/upstream.go
+++ b/internal/job/bbrscheduler/upstream.go
@@ -37,11 +37,11 @@
 	// confirmedLease is until when, by the upstream's clock, its runs certainly have a
 	// lease: by an order that was answered, or by the start that began the first of them.
 	confirmedLease time.Duration
-	// renewalSentAt is when the last renewal was sent, and extendedAt when the last that
-	// extended the lease was. extensionExcused means that something else than the owner's
-	// lateness has kept it from extending the lease since.
-	renewalSentAt, extendedAt time.Time
-	extensionExcused          bool
+	// renewalDue is when the last renewal has to be answered, and extendedAt when the last
+	// that extended the lease was sent. extensionExcused means that something else than the
+	// owner's lateness has kept it from extending the lease since.
+	renewalDue, extendedAt time.Time
+	extensionExcused       bool
 	// applied is the sequence number of the last applied run end, and acknowledged
 	// that of the last whose effects are stored.
 	applied, acknowledged int64
@@ -121,11 +121,11 @@
 	up.lostAnswers, up.lostSince = 0, time.Time{}
 }
 
-// recordSilence records that a call that was sent at a time was not answered, and reports
-// whether it is the first since the upstream last answered.
-func (up *upstream) recordSilence(sent, now time.Time) bool {
+// recordSilence records that a call was not answered that had to be by the time due, and
+// reports whether it is the first since the upstream last answered.
+func (up *upstream) recordSilence(due, now time.Time) bool {
 	up.lostAnswers++
-	if now.Sub(sent) <= answerReadTime {
+	if now.Sub(due) <= answerReadMargin {
 		up.extensionExcused = true
 	}
 	if up.lostSince.IsZero() {
