job/bbrscheduler: failing tests of failed starts that count for ever

Long-running work is placed by the starts that failed on an upstream since the last one that succeeded there, before the rack of its data, the avoidance of the upstream on which the work unit just failed, and its spread. With one start refused an hour ago:

TestOldFailedStartDoesNotKeepWorkFromItsData: expected: "i-f", actual: "i-o" TestOldFailedStartDoesNotUndoAvoidance: expected: "i-f", actual: "i-o" TestOldFailedStartDoesNotEndTheSpread: expected: i-f 2, i-o 2, actual: i-o 4

--- /dev/null
+++ b/internal/job/bbrscheduler/failedstarts_test.go
@@ -0,0 +1,94 @@
+package bbrscheduler
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/bluebellridge/bluebellridge/internal/job/bbrorder"
+	"github.com/bluebellridge/bluebellridge/internal/job/bbrwork"
+)
+
+// failOneStart lets one start of long-running work fail on the only upstream, and cancels its job.
+func (s *scene) failOneStart(step bbrwork.Step) {
+	s.accept(jobID(9), step)
+	starts := s.plan().Starts
+	require.Len(s, starts, 1)
+	s.sched.ApplyStartResult(starts[0], 0, bbrorder.ErrNoCapacity, s.now)
+	s.sched.Cancel(jobID(9), s.now)
+	require.Equal(s, "i-f", starts[0].Upstream.ID)
+}
+
+// hourLater lets an hour pass, in which the upstreams answer and are recorded.
+func (s *scene) hourLater(ids ...string) {
+	for range 60 {
+		s.advance(time.Minute)
+		for _, id := range ids {
+			s.list(id)
+		}
+		s.plan()
+		s.record()
+	}
+}
+
+// TestOldFailedStartDoesNotKeepWorkFromItsData guards against long-running work that starts
+// away from its data, several times as slow, since a single start was refused on its rack an hour ago.
+func TestOldFailedStartDoesNotKeepWorkFromItsData(t *testing.T) {
+	s := newScene(t, true)
+	s.registerCapacity("i-f", 16000, "rack-1")
+	step := longRunningStep(1)
+	s.failOneStart(step)
+	s.registerCapacity("i-o", 16000, "rack-2")
+	s.hourLater("i-f", "i-o")
+	step.DataRack = "rack-1"
+	s.accept(testJob, step)
+	starts := s.plan().Starts
+	require.Len(t, starts, 1)
+	require.Equal(t, "i-f", starts[0].Upstream.ID)
+}
+
+// TestOldFailedStartDoesNotUndoAvoidance guards against a long-running work unit that is
+// started again on the upstream on which it has just failed, since a start was refused on the
+// other one an hour ago.
+func TestOldFailedStartDoesNotUndoAvoidance(t *testing.T) {
+	s := newScene(t, true)
+	s.registerCapacity("i-f", 16000)
+	s.failOneStart(longRunningStep(1))
+	s.registerCapacity("i-o", 17000)
+	s.hourLater("i-f", "i-o")
+	s.accept(testJob, longRunningStep(1))
+	starts := s.plan()
+	require.Len(t, starts.Starts, 1)
+	require.Equal(t, "i-o", starts.Starts[0].Upstream.ID)
+	s.answerStarts(starts, nil)
+	s.advance(20 * time.Second)
+	listing := bbrwork.Listing{Clock: s.now.Sub(s.start), StartMillis: 1000, Ended: []bbrwork.RunEnd{{Sequence: 1, Unit: unitName(0), Run: 1, Outcome: bbrwork.OutcomeFailed}}}
+	s.sched.ApplyListing(s.upstream("i-o").Incarnation, &listing, s.now, s.now)
+	s.list("i-f")
+	s.advance(100 * time.Millisecond)
+	again := s.plan().Starts
+	require.Len(t, again, 1)
+	require.Equal(t, "i-f", again[0].Upstream.ID, "the unit has just failed on i-o")
+}
+
+// TestOldFailedStartDoesNotEndTheSpread guards against long-running work that is packed
+// on few upstreams, since one start was refused on each other one long ago.
+func TestOldFailedStartDoesNotEndTheSpread(t *testing.T) {
+	s := newScene(t, true)
+	s.registerCapacity("i-f", 16000)
+	s.failOneStart(longRunningStep(1))
+	s.registerCapacity("i-o", 16000)
+	s.hourLater("i-f", "i-o")
+	s.accept(testJob, longRunningStep(4))
+	count := map[string]int{}
+	for range 5 {
+		plan := s.plan()
+		for _, order := range plan.Starts {
+			count[order.Upstream.ID]++
+		}
+		s.answerStarts(plan, nil)
+		s.advance(100 * time.Millisecond)
+	}
+	require.Equal(t, map[string]int{"i-o": 2, "i-f": 2}, count)
+}
