job/bbrscheduler: failed starts count for 8 s after the last one

What callers saw: a single refused start kept long-running work from the rack of its data, undid the avoidance of the upstream on which a work unit had just failed, and ended the spread of long-running work, also an hour later.

Cause: the count of failed starts on an upstream comes first in the choice for long-running work and was reset by a successful start only. Long-running work itself then stayed away, so that there was none.

A count now lapses 8 s after the last failed start. A success resets the count as before.

--- a/internal/job/bbrscheduler/startresult.go
+++ b/internal/job/bbrscheduler/startresult.go
@@ -40,7 +40,7 @@
 	if err == nil {
 		if up.StartMillis == order.Upstream.StartMillis {
 			up.confirmLease(order.Start.Until)
-			up.failedStarts = 0
+			up.failedStarts = failedStarts{}
 		}
 		if r.phase == phaseStarting {
 			r.phase = phaseRunning
@@ -72,7 +72,7 @@
 
 func (sched *Scheduler) startFailed(r *run, err error, now time.Time) {
 	up := r.up
-	up.failedStarts++
+	up.failedStarts.add(now)
 	switch {
 	case errors.Is(err, bbrorder.ErrAnswerLost):
 		r.phase = phaseUnknown
--- a/internal/job/bbrscheduler/upstream.go
+++ b/internal/job/bbrscheduler/upstream.go
@@ -51,9 +51,9 @@
 	fullUntil time.Time
 	// startsInFlight counts the starts in flight.
 	startsInFlight int
-	// failedStarts counts the starts that failed, or whose answer was lost, since the last
+	// failedStarts has the starts that failed, or whose answer was lost, since the last
 	// one that succeeded.
-	failedStarts int
+	failedStarts failedStarts
 	// longRunning counts the runs of long-running work, which are also in runs.
 	longRunning int
 	// longRunningUsage is the part of used that long-running work takes.
