job/bbrscheduler: a failing test of long-running work beside a suspect upstream

The sound upstream has capacity for ten work units, but takes at most six starts at once:

TestLongRunningWorkWaitsForStartsInFlight: Should be zero, but was 4; map[i-bad:4 i-good:6]

--- a/internal/job/bbrscheduler/failedstarts_test.go
+++ b/internal/job/bbrscheduler/failedstarts_test.go
@@ -92,3 +92,28 @@
 	}
 	require.Equal(t, map[string]int{"i-o": 2, "i-f": 2}, count)
 }
+
+// TestLongRunningWorkWaitsForStartsInFlight guards against long-running work that goes to
+// an upstream on which work has just failed, although the sound one has capacity for all of it
+// and only the number of starts in flight is at its limit.
+func TestLongRunningWorkWaitsForStartsInFlight(t *testing.T) {
+	s := newScene(t, true)
+	s.registerCapacity("i-good", 160000)
+	s.registerCapacity("i-bad", 16000)
+	s.hourLater("i-good", "i-bad")
+	up := s.sched.upstreams["i-bad"]
+	for range suspectStreak {
+		up.health.recordEnd(bbrwork.OutcomeFailed, s.now)
+	}
+	s.accept(testJob, longRunningStep(10))
+	count := map[string]int{}
+	for range 4 {
+		plan := s.plan()
+		for _, order := range plan.Starts {
+			count[order.Upstream.ID]++
+		}
+		s.answerStarts(plan, nil)
+		s.advance(100 * time.Millisecond)
+	}
+	require.Zero(t, count["i-bad"], "%v", count)
+}
