job/bbrscheduler: long-running work waits for starts in flight beside suspect upstreams

What callers saw: long-running work was started on an upstream on which work had just failed, although a sound one had capacity for it.

Cause: suspect upstreams were used as soon as no usable one could take a start at that moment, also if only its maximum of six starts in flight was reached. Those starts are answered soon.

Suspect upstreams are now used for long-running work only if no usable one suits it apart from the number of starts in flight. The reason of a wait is determined from the same upstreams, so that it is startsInFlight in that case.

--- a/internal/job/bbrscheduler/plan.go
+++ b/internal/job/bbrscheduler/plan.go
@@ -219,10 +219,11 @@
 }
 
 // chooseUpstream returns the best upstream for a work unit, or nil. fits is a
-// further condition; nil for none.
+// further condition; nil for none. Long-running work starts on a suspect upstream only if
+// no other suits it: starts in flight are soon answered, so it waits for them.
 func (p *planner) chooseUpstream(u *unit, fits func(up *upstream) bool) *upstream {
 	best := p.bestOf(p.usable, u, fits)
-	if best == nil && u.step.spec.LongRunning {
+	if best == nil && u.step.spec.LongRunning && !p.suitsUsable(u.step, fits) {
 		return p.bestOf(p.suspects, u, fits)
 	}
 	return best
@@ -242,9 +243,22 @@
 	return best
 }
 
+// suitsUsable reports whether a usable upstream suits the step, although it may have its
+// maximum of starts in flight. fits is a further condition; nil for none.
+func (p *planner) suitsUsable(s *step, fits func(up *upstream) bool) bool {
+	return slices.ContainsFunc(p.usable, func(up *upstream) bool {
+		return p.suits(s, up) && (fits == nil || fits(up))
+	})
+}
+
 func (p *planner) mayRun(u *unit, up *upstream) bool {
-	s := u.step
-	if up.startsInFlight >= maxStartsInFlight || !s.spec.Allocation().Fits(p.freeFor(s, up)) || !up.HasLabel(s.spec.Label) {
+	return up.startsInFlight < maxStartsInFlight && p.suits(u.step, up)
+}
+
+// suits reports whether a work unit of the step may run on the upstream, apart from the
+// number of starts in flight.
+func (p *planner) suits(s *step, up *upstream) bool {
+	if !s.spec.Allocation().Fits(p.freeFor(s, up)) || !up.HasLabel(s.spec.Label) {
 		return false
 	}
 	if up.Draining {
--- a/internal/job/bbrscheduler/usable.go
+++ b/internal/job/bbrscheduler/usable.go
@@ -51,8 +51,8 @@
 }
 
 // findUsable collects the upstreams that may take work. Suspect upstreams are used
-// only if there are no others, or for long-running work that fits on no other. isRecorded reports whether the store lists an
-// incarnation as recorded for a successor.
+// only if there are no others, or for long-running work that no other suits. isRecorded
+// reports whether the store lists an incarnation as recorded for a successor.
 func (p *planner) findUsable(isRecorded func(up *upstream) bool) {
 	for _, up := range p.sched.sortedUpstreams() {
 		reason := p.exclusionOf(up)
--- a/internal/job/bbrscheduler/wait.go
+++ b/internal/job/bbrscheduler/wait.go
@@ -186,9 +186,13 @@
 	return p.usable
 }
 
-// countBlockers checks all usable upstreams for a step.
+// countBlockers checks all upstreams on which a work unit of the step may start: suspect
+// ones only if no other suits it.
 func (p *planner) countBlockers(s *step) blockers {
 	need, upstreams := s.spec.Allocation(), p.upstreamsFor(s)
+	if len(upstreams) > len(p.usable) && p.suitsUsable(s, nil) {
+		upstreams = p.usable
+	}
 	count := blockers{total: len(p.sched.upstreams), usable: len(upstreams), tooLarge: true}
 	for _, up := range upstreams {
 		if !up.HasLabel(s.spec.Label) {
