job/bbrscheduler: a failing test of finite work and gangs whose starts fail

While one upstream answers renewals but starts nothing, work is packed there again and again; another one with capacity is not tried in 6 s. Six of nine cases of TestFailedStartsOfFiniteWorkMoveOn fail; those of starts refused for lack of capacity pass, since no starts are sent there for 100 ms:

--- a/internal/job/bbrscheduler/failedstarts_test.go
+++ b/internal/job/bbrscheduler/failedstarts_test.go
@@ -117,3 +117,39 @@
 	}
 	require.Zero(t, count["i-bad"], "%v", count)
 }
+
+// TestFailedStartsOfFiniteWorkMoveOn guards against a job or a gang that is tried again and
+// again on an upstream that answers renewals but starts nothing, while another has room for it.
+func TestFailedStartsOfFiniteWorkMoveOn(t *testing.T) {
+	gang := unitStep(2)
+	gang.Gang = true
+	longRunningGang := gang
+	longRunningGang.LongRunning = true
+	for name, step := range map[string]bbrwork.Step{"finite": unitStep(1), "gang": gang, "long-running gang": longRunningGang} {
+		for _, failure := range []error{bbrorder.ErrAnswerLost, bbrorder.ErrNoCapacity, bbrorder.ErrExpired} {
+			t.Run(name+" "+failure.Error(), func(t *testing.T) {
+				s := newScene(t, true)
+				s.registerCapacity("i-1", 8000)
+				s.registerCapacity("i-2", 16000)
+				s.hourLater("i-1", "i-2")
+				s.accept(testJob, step)
+				tries := 0
+				for limit := s.now.Add(longRunningWaitLimit); s.now.Before(limit); {
+					for _, order := range s.plan().Starts {
+						if order.Upstream.ID == "i-2" {
+							return
+						}
+						tries++
+						s.advance(100 * time.Millisecond)
+						s.sched.ApplyStartResult(order, 0, failure, s.now)
+					}
+					for _, id := range []string{"i-1", "i-2"} {
+						s.list(id)
+					}
+					s.advance(50 * time.Millisecond)
+				}
+				require.Fail(t, "the job never started on the upstream that accepts it", "%d tries", tries)
+			})
+		}
+	}
+}
