job/bbrscheduler: finite work and gangs leave upstreams on which starts fail

What callers saw: a job had nothing running for over 6 s while its starts failed on one upstream that answers renewals, although another one had capacity for it.

Cause: finite work is packed on the fullest upstream, and gangs take upstreams in the order of their IDs, whatever became of the last starts there.

From two failed starts in a row, counted as for long-running work for 8 s after the last one, an upstream comes after the others: for finite work in the choice of an upstream; for gangs within each group of upstreams, and groups without such upstreams are tried before any group with them. No upstream is excluded. A single failed start does not change how work is packed.

TestFailedStartsOfGangsChangeTheRackOnlyWithAnAlternative and TestOneFailedStartDoesNotChangePacking are new.

--- a/internal/job/bbrscheduler/failedstarts.go
+++ b/internal/job/bbrscheduler/failedstarts.go
@@ -1,12 +1,22 @@
 package bbrscheduler
 
-import "time"
+import (
+	"slices"
+	"time"
+
+	"github.com/bluebellridge/bluebellridge/internal/job/bbrwork"
+)
 
 // failedStartPeriod is how long failed starts on an upstream count after the last one.
 // Starts whose answers were lost have kept their work units for up to 3.5 s in soak runs.
 // 8 s outlast two of them, so that a third upstream is tried before the first one again.
 const failedStartPeriod = 8 * time.Second
 
+// minFailingStarts is the number of consecutive failed starts from which finite work and
+// gangs go to other upstreams first. A single failure, as a refusal for lack of capacity,
+// must not change how work is packed.
+const minFailingStarts = 2
+
 // failedStarts counts the consecutive starts that failed on an upstream.
 type failedStarts struct {
 	count int
@@ -25,3 +35,35 @@
 	}
 	return f.count
 }
+
+// startsFail reports whether the last starts on the upstream failed.
+func (p *planner) startsFail(up *upstream) bool {
+	return up.failedStarts.recent(p.now) >= minFailingStarts
+}
+
+// fewerFailedStarts reports whether starts of such work should rather go to upstream a than
+// to b, for the starts that failed there; equal means that there is no difference.
+func (p *planner) fewerFailedStarts(spec *bbrwork.Step, a, b *upstream) (less, equal bool) {
+	if spec.LongRunning {
+		failedOnA, failedOnB := a.failedStarts.recent(p.now), b.failedStarts.recent(p.now)
+		return failedOnA < failedOnB, failedOnA == failedOnB
+	}
+	return !p.startsFail(a), p.startsFail(a) == p.startsFail(b)
+}
+
+// failingLast puts the upstreams of each group on which starts fail last, and tries all
+// groups without them before any group with them.
+func (p *planner) failingLast(groups [][]*upstream) [][]*upstream {
+	if !slices.ContainsFunc(p.usable, p.startsFail) {
+		return groups
+	}
+	ordered := make([][]*upstream, 0, 2*len(groups))
+	for _, group := range groups {
+		ordered = append(ordered, slices.DeleteFunc(slices.Clone(group), p.startsFail))
+	}
+	for i, group := range groups {
+		failing := slices.DeleteFunc(slices.Clone(group), func(up *upstream) bool { return !p.startsFail(up) })
+		ordered = append(ordered, slices.Concat(ordered[i], failing))
+	}
+	return ordered
+}
--- a/internal/job/bbrscheduler/failedstarts_test.go
+++ b/internal/job/bbrscheduler/failedstarts_test.go
@@ -153,3 +153,50 @@
 		}
 	}
 }
+
+// TestFailedStartsOfGangsChangeTheRackOnlyWithAnAlternative guards against a gang that prefers a
+// rack on which starts fail to a sound one, and against one that waits since there is no sound one.
+func TestFailedStartsOfGangsChangeTheRackOnlyWithAnAlternative(t *testing.T) {
+	for _, test := range []struct {
+		failing  []string
+		expected []string
+	}{
+		{nil, []string{"i-1", "i-1"}},
+		{[]string{"i-1"}, []string{"i-3", "i-3"}},
+		{[]string{"i-1", "i-3"}, []string{"i-2", "i-1"}},
+		{[]string{"i-1", "i-2", "i-3"}, []string{"i-1", "i-1"}},
+	} {
+		s := newScene(t, true)
+		s.registerCapacity("i-1", 4000, "r-1")
+		s.registerCapacity("i-2", 2000, "r-1")
+		s.registerCapacity("i-3", 4000, "r-2")
+		for _, id := range test.failing {
+			for range minFailingStarts {
+				s.sched.upstreams[id].failedStarts.add(s.now)
+			}
+		}
+		gang := unitStep(2)
+		gang.Gang, gang.SameRack, gang.Need.MilliCPU = true, true, 2000
+		s.accept(testJob, gang)
+		var ids []string
+		for _, order := range s.plan().Starts {
+			ids = append(ids, order.Upstream.ID)
+		}
+		require.Equal(t, test.expected, ids, "starts fail on %v", test.failing)
+	}
+}
+
+// TestOneFailedStartDoesNotChangePacking guards against finite work that leaves the fullest
+// upstream, and so keeps another one from being released, after a single failed start.
+func TestOneFailedStartDoesNotChangePacking(t *testing.T) {
+	s := newScene(t, true)
+	s.registerCapacity("i-1", 8000)
+	s.registerCapacity("i-2", 16000)
+	s.sched.upstreams["i-1"].failedStarts.add(s.now)
+	s.accept(testJob, unitStep(2))
+	starts := s.plan().Starts
+	require.Len(t, starts, 2)
+	for _, order := range starts {
+		require.Equal(t, "i-1", order.Upstream.ID)
+	}
+}
--- a/internal/job/bbrscheduler/gang.go
+++ b/internal/job/bbrscheduler/gang.go
@@ -29,7 +29,7 @@
 	if !p.mayOrderGang(s, number) {
 		return
 	}
-	for _, group := range p.placementGroups(s) {
+	for _, group := range p.failingLast(p.placementGroups(s)) {
 		if placement := p.placeGang(s, group); placement != nil {
 			shareCheckpoint(s)
 			for i, u := range s.units {
--- a/internal/job/bbrscheduler/plan.go
+++ b/internal/job/bbrscheduler/plan.go
@@ -302,7 +302,8 @@
 // without waiting for work to end.
 //
 // Long-running work goes first to upstreams on which no starts failed of late: capacity that
-// stays free because nothing starts there must not attract it again and again.
+// stays free because nothing starts there must not attract it again and again. Finite work
+// does so where several starts in a row failed.
 //
 // A suspect is spread: it goes where the fewest other suspects and the fewest runs are.
 // Before it is spread or packed, work is kept apart from images that interfere with its own.
@@ -334,16 +335,6 @@
 	return up.free().MilliCPU < best.free().MilliCPU
 }
 
-// fewerFailedStarts reports whether starts of such work should rather go to upstream a than
-// to b, for the starts that failed there; equal means that there is no difference.
-func (p *planner) fewerFailedStarts(spec *bbrwork.Step, a, b *upstream) (less, equal bool) {
-	if !spec.LongRunning {
-		return false, true
-	}
-	failedOnA, failedOnB := a.failedStarts.recent(p.now), b.failedStarts.recent(p.now)
-	return failedOnA < failedOnB, failedOnA == failedOnB
-}
-
 func (p *planner) planStart(u *unit, run int, up *upstream) {
 	sched := p.sched
 	ticket, _ := sched.ticketFor(u.step, up, p.now)
