--- a/internal/job/bbrscheduler/failedstarts.go
+++ b/internal/job/bbrscheduler/failedstarts.go
@@ -7,9 +7,9 @@
 	"github.com/bluebellridge/bluebellridge/internal/job/bbrwork"
 )
 
-// failedStartPeriod is how long failed starts on an upstream count after the last one.
-// Starts whose answers were lost have kept their work units for up to 3.5 s in soak runs.
-// 8 s outlast two of them, so that a third upstream is tried before the first one again.
+// failedStartPeriod is how long failed starts on an upstream count after the last one. A
+// start without an answer keeps its work unit for seconds: the period outlasts two of them,
+// so that a third upstream is tried before the first one again.
 const failedStartPeriod = 8 * time.Second
 
 // minFailingStarts is the number of consecutive failed starts from which finite work and
