--- a/internal/job/bbrscheduler/overdue.go
+++ b/internal/job/bbrscheduler/overdue.go
@@ -4,8 +4,7 @@
 
 // answerReadMargin is how long after the timeout of a call its failure counts as read in
 // time. A failure that is read later may be an answer that this owner was too late to read.
-// It is shorter than the pauses of a throttled owner in the soak, 60 ms and more. At 200 ms,
-// owners that were 0.75 s late for every answer were excused.
+// It is shorter than the pauses of a process that lacks processor time.
 const answerReadMargin = 40 * time.Millisecond
 
 // RenewalOverdueAt returns when the owner was last overdue with the renewal of a lease; zero
