Comments, log keys and docs after a newcomer's read-through

waitingJobs of "Earlier work not located yet" is unlocatedJobs, as located work of these jobs may start; overdueFor is lastOverdueAge; "Keeping a claim although its rounds are late" also stands for the leadership. No decision changes.

--- a/internal/fleet/bbrclaim/lateness.go
+++ b/internal/fleet/bbrclaim/lateness.go
@@ -36,8 +36,8 @@
 	return l.late >= maxLateness
 }
 
-// RecordPause does the same for rounds that wait for others as well, by the time that this
-// process itself took since the round before.
+// RecordPause is Record for rounds that also wait for calls: pause is only the time that
+// this process took itself.
 func (l *Lateness) RecordPause(pause, interval time.Duration) bool {
 	if pause > lateFactor*interval {
 		l.late += min(pause, maxLatePause)
--- a/internal/fleet/bbrclaim/relief.go
+++ b/internal/fleet/bbrclaim/relief.go
@@ -12,12 +12,14 @@
 	// it is slow. It bounds the hand-overs of a shard for all entries together, as a new
 	// owner waits too.
 	minOwnedTime = time.Minute
-	// minOverdueOwnedTime is the same for an owner that is overdue with the leases of its runs,
-	// if the owner before was lost. It must load the shard and find its runs first.
+	// minOverdueOwnedTime is the minimum for an owner that is overdue with lease renewals,
+	// unless the owner before handed the shard over. It covers loading the shard and listing
+	// its runs.
 	minOverdueOwnedTime = 3 * time.Second
-	// handOverPause is how long no claim must have ended, as far as the entry knows, before
-	// it hands over. A hand-over shows its effect on the entry's other shards first, and
-	// entries that are all slow do not pass their shards around at the same time.
+	// handOverPause is the minimum time before a hand-over since a shard's claim ended or, if
+	// leases are overdue, since a shard was handed over, as far as the entry knows. It lets a
+	// hand-over take effect on the entry's other shards, and keeps entries that are all slow
+	// from handing over at the same time.
 	handOverPause = 10 * time.Second
 	// deferral is how long an entry leaves a shard that it handed over to others. It is many
 	// times claimStagger, so that several of them can attempt the claim.
@@ -82,7 +84,7 @@
 func (r *Relief) carryOut(name string, decision Decision, now time.Time) bool {
 	r.Count(decision)
 	if !decision.HandsOver() {
-		klog.InfoS("Keeping a shard although its planning rounds are late", "claim", name, "reason", decision)
+		klog.InfoS("Keeping a claim although its rounds are late", "claim", name, "reason", decision)
 		return false
 	}
 	if name != LeadershipName {
--- a/internal/fleet/bbrclaim/relief_test.go
+++ b/internal/fleet/bbrclaim/relief_test.go
@@ -240,7 +240,7 @@
 	return playFleet(t, entries, enabled, false, length, slow...)
 }
 
-// playFleet is playSlowFleet, and the slow owners are overdue if it is asked for.
+// playFleet is playSlowFleet; with overdue, the slow owners ask by HandOverOverdue.
 func playFleet(t *testing.T, entries int, enabled, overdue bool, length time.Duration, slow ...string) *slowFleet {
 	var fleet *slowFleet
 	synctest.Test(t, func(t *testing.T) {
@@ -341,7 +341,7 @@
 	require.True(t, r.HandOverOverdue("press/1", now, at.Add(handOverPause)))
 }
 
-// TestOverdueHandOverIsBounded checks the reasons for which the shard is kept.
+// TestOverdueHandOverIsBounded guards against overdue owners that hand over too early, right after another hand-over, or without an entry that can take the shard.
 func TestOverdueHandOverIsBounded(t *testing.T) {
 	require.Equal(t, KeptRecent, decideOverdue(minOverdueOwnedTime-1, time.Hour, false, true))
 	require.Equal(t, HandOverOverdue, decideOverdue(minOverdueOwnedTime, handOverPause, false, true))
--- a/internal/job/bbrowner/lateanswers_test.go
+++ b/internal/job/bbrowner/lateanswers_test.go
@@ -85,7 +85,7 @@
 	}
 }
 
-// TestOwnerThatIsLateAfterAStartReleasesItsShard guards against the same after a start, when the first renewal waits for 0.5 s and has 0.3 s to be answered.
+// TestOwnerThatIsLateAfterAStartReleasesItsShard guards against an owner that reads all answers too late after a start, and is excused because the first renewal has a shorter timeout.
 func TestOwnerThatIsLateAfterAStartReleasesItsShard(t *testing.T) {
 	for _, late := range []time.Duration{400 * time.Millisecond, 500 * time.Millisecond, 650 * time.Millisecond, 800 * time.Millisecond, time.Second, 1300 * time.Millisecond} {
 		t.Run(late.String(), func(t *testing.T) {
--- a/internal/job/bbrowner/overdue.go
+++ b/internal/job/bbrowner/overdue.go
@@ -16,10 +16,11 @@
 	overdueRetryDelay = time.Second
 )
 
-// overdueWatch finds out whether an owner is too late for the leases of its runs. The zero
-// value is ready to use.
-type overdueWatch struct {
-	// lateness is how late the planning rounds are.
+// overdueState is what handsOverOverdue remembers between rounds. The zero value is ready
+// to use.
+type overdueState struct {
+	// lateness is how late the planning rounds are. It is separate from Owner.lateness, which
+	// is not capped and is reset by each decision.
 	lateness bbrclaim.Lateness
 	// askedAt is when the owner last asked whether it is to hand over.
 	askedAt time.Time
@@ -44,6 +45,6 @@
 	if !o.HandOverOverdue(o.startedAt, now) {
 		return false
 	}
-	klog.InfoS("Handing over a shard, as its planning rounds are late and leases were not renewed in time", "shard", o.Shard, "token", o.Held.Token, "overdueFor", now.Sub(overdueAt).Round(time.Millisecond), "owned", now.Sub(o.startedAt).Round(time.Millisecond))
+	klog.InfoS("Handing over a shard, as its planning rounds are late and leases were not renewed in time", "shard", o.Shard, "token", o.Held.Token, "lastOverdueAge", now.Sub(overdueAt).Round(time.Millisecond), "owned", now.Sub(o.startedAt).Round(time.Millisecond))
 	return true
 }
--- a/internal/job/bbrowner/owner.go
+++ b/internal/job/bbrowner/owner.go
@@ -92,8 +92,8 @@
 	lateness bbrclaim.Lateness
 	// delays is by how much planning rounds are late. It is used by loop only.
 	delays planDelays
-	// overdue decides about overdue renewals. It is used by loop only.
-	overdue overdueWatch
+	// overdue is the state of handsOverOverdue. It is used by loop only.
+	overdue overdueState
 	// startedAt is when Run began.
 	startedAt time.Time
 	// loadLoggedAt is when the load was last logged.
--- a/internal/job/bbrscheduler/failedstarts.go
+++ b/internal/job/bbrscheduler/failedstarts.go
@@ -41,8 +41,9 @@
 	return up.failedStarts.recent(p.now) >= minFailingStarts
 }
 
-// fewerFailedStarts reports whether starts of such work should rather go to upstream a than
-// to b, for the starts that failed there; equal means that there is no difference.
+// fewerFailedStarts compares two upstreams by failed starts, for work of the step: less
+// means that a is preferred, equal that neither is. Long-running work compares the
+// numbers, finite work only whether starts fail.
 func (p *planner) fewerFailedStarts(spec *bbrwork.Step, a, b *upstream) (less, equal bool) {
 	if spec.LongRunning {
 		failedOnA, failedOnB := a.failedStarts.recent(p.now), b.failedStarts.recent(p.now)
@@ -51,8 +52,8 @@
 	return !p.startsFail(a), p.startsFail(a) == p.startsFail(b)
 }
 
-// failingLast puts the upstreams of each group on which starts fail last, and tries all
-// groups without them before any group with them.
+// failingLast returns the groups without the upstreams on which starts fail, followed by
+// all groups with these upstreams at their ends.
 func (p *planner) failingLast(groups [][]*upstream) [][]*upstream {
 	if !slices.ContainsFunc(p.usable, p.startsFail) {
 		return groups
--- a/internal/job/bbrscheduler/lapse_test.go
+++ b/internal/job/bbrscheduler/lapse_test.go
@@ -11,7 +11,8 @@
 	"github.com/bluebellridge/bluebellridge/internal/job/bbrwork"
 )
 
-// TestLapseCause checks which party's delay an expired lease is attributed to.
+// TestLapseCause guards against a lapse that is attributed to the wrong party: the late owner, the lost answers of the
+// upstream, or the takeover.
 func TestLapseCause(t *testing.T) {
 	now := time.Unix(1000, 0)
 	ago := func(seconds float64) time.Time { return now.Add(-time.Duration(seconds * float64(time.Second))) }
--- a/internal/job/bbrscheduler/listing.go
+++ b/internal/job/bbrscheduler/listing.go
@@ -28,7 +28,7 @@
 	}
 	up.restartSuspected, up.idled = false, false
 	if up.clockKnown() && sent.After(up.clockAt) && listing.Clock < up.earliestClock(sent) {
-		// The clock is not the one that is known, although the start time is.
+		// The reading is earlier than the known clock allows: the clock was reset.
 		up.clockAt = time.Time{}
 	}
 	up.recordClock(listing.Clock, now)
--- a/internal/job/bbrscheduler/located.go
+++ b/internal/job/bbrscheduler/located.go
@@ -23,9 +23,9 @@
 	}
 }
 
-// mayHaveUnlocatedRun reports whether an earlier owner may have started the work unit on an
-// upstream that has not answered this owner yet. Without the horizon of the
-// earlier owner, this one can store none, and starts nothing of the job.
+// mayHaveUnlocatedRun reports whether an earlier owner may have started the work unit on
+// an upstream that has not answered yet. If the earlier horizon is unknown, that holds for
+// all work units, as no horizon can be stored until earlier work is located.
 func (p *planner) mayHaveUnlocatedRun(u *unit) bool {
 	return p.mayHaveUnlocatedRuns(u.step.job) && (!u.located || p.sched.horizon.inherited == unboundedHorizon)
 }
@@ -55,9 +55,9 @@
 	return true
 }
 
-// unlocatedCount returns the number of the step's idle work units that may run without
-// being known.
-func (p *planner) unlocatedCount(s *step) int {
+// unlocatedIdleUnits returns how many of the step's idle work units may have a run that
+// this owner does not know.
+func (p *planner) unlocatedIdleUnits(s *step) int {
 	count := 0
 	for _, u := range s.units {
 		if u.idle() && p.mayHaveUnlocatedRun(u) {
--- a/internal/job/bbrscheduler/overdue.go
+++ b/internal/job/bbrscheduler/overdue.go
@@ -7,11 +7,10 @@
 // It is shorter than the pauses of a process that lacks processor time.
 const answerReadMargin = 40 * time.Millisecond
 
-// RenewalOverdueAt returns when the owner was last overdue with the renewal of a lease; zero
-// if it never was. It is overdue if work has run on an upstream for two thirds of RunLease
-// without an extension of its lease, though the claim was confirmed and no answer was lost,
-// or at most such that were read too late. So neither upstreams nor links that lose answers
-// make an owner overdue, nor does an outage of the store.
+// RenewalOverdueAt returns when the owner was last overdue with a lease renewal; zero for
+// never. It is overdue if work has run on an upstream for two thirds of RunLease without
+// an extension, and nothing else explains that: an unconfirmed claim, an unknown clock or
+// incarnation, or a lost answer whose failure was read in time.
 func (sched *Scheduler) RenewalOverdueAt(now time.Time) time.Time {
 	for _, up := range sched.upstreams {
 		if sched.overdue(up, now) {
@@ -36,8 +35,9 @@
 	return false
 }
 
-// recordRenewal records that a renewal is sent now, which extends the lease or not. Only an
-// answer that was lost leaves open whether the owner is to blame if it does not.
+// recordRenewal records that a renewal is sent. extends means that it has a later deadline
+// than those before. A renewal without one excuses the owner, except after lost answers:
+// recordSilence decides about these.
 func (sched *Scheduler) recordRenewal(up *upstream, extends, confirmed bool, now time.Time) {
 	if sched.overdue(up, now) {
 		sched.overdueAt = now
--- a/internal/job/bbrscheduler/quota.go
+++ b/internal/job/bbrscheduler/quota.go
@@ -83,7 +83,7 @@
 		for _, o := range j.occurrences {
 			for _, s := range o.steps {
 				if s.idleUnits > 0 && s.unitsLeft > 0 && s.runnable(p.now) {
-					use[j.Organisation] = use[j.Organisation].Plus(s.spec.Need.Times(p.unlocatedCount(s)))
+					use[j.Organisation] = use[j.Organisation].Plus(s.spec.Need.Times(p.unlocatedIdleUnits(s)))
 				}
 			}
 		}
--- a/internal/job/bbrscheduler/runlease.go
+++ b/internal/job/bbrscheduler/runlease.go
@@ -15,10 +15,9 @@
 	// maxRenewalWait is the longest that an upstream may delay the answer to a renewal
 	// until a run ends. It is also the interval of renewals while no run ends.
 	maxRenewalWait = time.Second
-	// renewalWaitShare is the part of the confirmed lease, as its inverse, that the wait
-	// of a renewal may take. Two repetitions fit into the rest, also after a start, which
-	// grants a lease of StartTimeout only.
-	renewalWaitShare = 3
+	// renewalWaitDivisor divides the confirmed lease that is left into the longest wait of a
+	// renewal. The rest has time for two repetitions, even after a start.
+	renewalWaitDivisor = 3
 	// maxAnswerTimeout is how much longer than it waits a renewal may take to be
 	// answered. It is shorter where the lease could expire before the second repetition,
 	// but at least minAnswerTimeout, the time of an answer that is delayed by one
@@ -72,7 +71,7 @@
 func (plan *RenewalPlan) setTimes(up *upstream, now time.Time) {
 	left := up.leaseLeft(now)
 	if plan.LeaseUntil > 0 && up.lostAnswers == 0 {
-		plan.Wait = min(maxRenewalWait, left/renewalWaitShare)
+		plan.Wait = min(maxRenewalWait, left/renewalWaitDivisor)
 	}
 	plan.AnswerTimeout = answerTimeout(left - plan.Wait)
 	up.renewalDue = now.Add(plan.Wait + plan.AnswerTimeout)
--- a/internal/job/bbrscheduler/unlocated.go
+++ b/internal/job/bbrscheduler/unlocated.go
@@ -33,7 +33,7 @@
 	}
 	sched.unlocatedNotedAt = now
 	sched.note(now, "Earlier work not located yet", "claimAge", now.Sub(sched.claimedAt).Round(time.Millisecond), "count", len(sched.unlocated),
-		"upstreams", sched.describeUnlocated(), "waitingJobs", sched.jobsWaitingForLocation(now), "atMost", max(0, sched.earlierLeasesEnd.Sub(now)).Round(time.Millisecond))
+		"upstreams", sched.describeUnlocated(), "unlocatedJobs", sched.jobsWithUnlocatedWork(now), "atMost", max(0, sched.earlierLeasesEnd.Sub(now)).Round(time.Millisecond))
 }
 
 // describeUnlocated describes for the log the unlocated incarnations, those with the most
@@ -55,9 +55,9 @@
 	return descriptions
 }
 
-// jobsWaitingForLocation returns the number of jobs of which nothing is started until all
-// earlier work is located.
-func (sched *Scheduler) jobsWaitingForLocation(now time.Time) int {
+// jobsWithUnlocatedWork returns the number of jobs of which an earlier owner may have
+// started work that is not located. Their located work units may start.
+func (sched *Scheduler) jobsWithUnlocatedWork(now time.Time) int {
 	p := &planner{sched: sched, now: now}
 	count := 0
 	for _, job := range sched.jobs {
--- a/internal/job/bbrscheduler/unlocated_test.go
+++ b/internal/job/bbrscheduler/unlocated_test.go
@@ -37,7 +37,7 @@
 			ages = append(ages, fmt.Sprint(note.Fields[1]))
 			require.Equal(t, []any{"claimAge", note.At.Sub(start), "count", 10, "upstreams",
 				[]string{"i-09 lostAnswers=1", "i-00 lostAnswers=0", "i-01 lostAnswers=0", "i-02 lostAnswers=0", "i-03 lostAnswers=0", "i-04 lostAnswers=0", "i-05 lostAnswers=0", "i-06 lostAnswers=0"},
-				"waitingJobs", 1, "atMost", s.sched.earlierLeasesEnd.Sub(note.At).Round(time.Millisecond)}, note.Fields)
+				"unlocatedJobs", 1, "atMost", s.sched.earlierLeasesEnd.Sub(note.At).Round(time.Millisecond)}, note.Fields)
 		}
 	}
 	require.Equal(t, []string{"1s", "3s", "5s"}, ages)
--- a/internal/job/bbrscheduler/upstream.go
+++ b/internal/job/bbrscheduler/upstream.go
@@ -37,11 +37,14 @@
 	// confirmedLease is until when, by the upstream's clock, its runs certainly have a
 	// lease: by an order that was answered, or by the start that began the first of them.
 	confirmedLease time.Duration
-	// renewalDue is when the last renewal has to be answered, and extendedAt when the last
-	// that extended the lease was sent. extensionExcused means that something else than the
-	// owner's lateness has kept it from extending the lease since.
-	renewalDue, extendedAt time.Time
-	extensionExcused       bool
+	// renewalDue is when the answer to the last renewal is due.
+	renewalDue time.Time
+	// extendedAt is when a renewal with a later deadline was last sent. Unlike
+	// extensions.sentAt, it counts neither repeated renewals nor outcomes.
+	extendedAt time.Time
+	// extensionExcused means that a reason other than a late owner (a lost answer, an
+	// unconfirmed claim, an unknown clock) has prevented an extension since extendedAt.
+	extensionExcused bool
 	// applied is the sequence number of the last applied run end, and acknowledged
 	// that of the last whose effects are stored.
 	applied, acknowledged int64
@@ -110,9 +113,8 @@
 	return up.clockNow(now) - time.Duration(clockError*float64(now.Sub(up.clockAt))) - clockMargin
 }
 
-// recordClock records the upstream's clock, with the arrival of the answer as the
-// time of the reading. Of an answer that was long on its way, or read late, the earlier
-// readings tell more: the clock is certainly beyond earliestClock.
+// recordClock records the upstream's clock as read when the answer arrived. If the answer
+// was delayed, the bound from the earlier readings is the better estimate.
 func (up *upstream) recordClock(clock time.Duration, now time.Time) {
 	if up.clockKnown() {
 		clock = max(clock, up.earliestClock(now))
--- a/internal/job/bbrscheduler/waitsummary.go
+++ b/internal/job/bbrscheduler/waitsummary.go
@@ -111,8 +111,8 @@
 }
 
 // noteLongRunningWaits logs the slow waits of long-running work units, each once until the
-// unit gets a run: they promise to be at work all the time, whatever the other units of
-// their step do. It returns the number of logged waits, which go before those of finite
+// unit gets a run: callers are promised that each of them has a run, whatever the other units
+// of their step do. It returns the number of logged waits, which go before those of finite
 // work.
 func (p *planner) noteLongRunningWaits(waiting []wait, confirmed bool) int {
 	logged := 0
--- a/internal/soak/bbrsoak/slowowner.go
+++ b/internal/soak/bbrsoak/slowowner.go
@@ -17,13 +17,13 @@
 	// A phase of a slow owner is long enough for the grace period of long-running work
 	// and for the calm after the fault that accompanies it.
 	minPhase, maxPhase = 14 * time.Second, 20 * time.Second
-	// The accompanying fault begins so long after its phase.
+	// The accompanying fault begins minFaultDelay to maxFaultDelay after its phase has begun.
 	minFaultDelay, maxFaultDelay = time.Second, 3 * time.Second
 	// An upstream that answers nobody does so for minSilence to maxSilence. Several are
 	// cut off for cutDuration, in which the leases of their runs end.
 	minSilence, maxSilence = 8 * time.Second, 12 * time.Second
 	cutDuration            = 6 * time.Second
-	// One in upstreamsPerCut upstreams crashes or is cut off.
+	// One upstream, and one more for each upstreamsPerCut upstreams, crashes or is cut off.
 	upstreamsPerCut = 6
 	// The owner is ended up to maxOwnerDelay after the fault of upstreams began, and starts
 	// again after minDown to maxDown.
@@ -38,16 +38,16 @@
 	clockFormat = "15:04:05.000"
 )
 
-// slowness is how long a slow owner is paused, and how long it continues in between.
-type slowness struct {
+// pausePattern is how long a slow owner is paused, and how long it continues in between.
+type pausePattern struct {
 	name             string
 	minStop, maxStop time.Duration
-	minGo, maxGo     time.Duration
+	minRun, maxRun   time.Duration
 }
 
-// slownesses are the kinds of slow owners. All of them can renew their session, whose
+// pausePatterns are the kinds of slow owners. All of them can renew their session, whose
 // lease of 3 s is renewed every 600 ms.
-var slownesses = []slowness{
+var pausePatterns = []pausePattern{
 	{"paused", 100 * time.Millisecond, 800 * time.Millisecond, 10 * time.Millisecond, 100 * time.Millisecond},
 	{"throttled", 60 * time.Millisecond, 180 * time.Millisecond, 2 * time.Millisecond, 6 * time.Millisecond},
 	{"paused for long", 500 * time.Millisecond, 2200 * time.Millisecond, 50 * time.Millisecond, 600 * time.Millisecond},
@@ -81,7 +81,7 @@
 
 // slowPhase is a phase of a slow owner with a fault that accompanies it.
 type slowPhase struct {
-	series     *stopSeries
+	series     *pauseSeries
 	duration   time.Duration
 	faultDelay time.Duration
 	fault      *event
@@ -90,9 +90,9 @@
 func (injector *faultInjector) drawSlowPhase(limit time.Duration) *slowPhase {
 	random := injector.random
 	p := &slowPhase{duration: min(limit, randomDuration(random, minPhase, maxPhase)), faultDelay: randomDuration(random, minFaultDelay, maxFaultDelay)}
-	p.series = &stopSeries{
+	p.series = &pauseSeries{
 		soak: injector.soak, random: rand.New(rand.NewPCG(random.Uint64(), 0)),
-		slowness: slownesses[random.IntN(len(slownesses))], follows: random.IntN(2) == 0,
+		pausePattern: pausePatterns[random.IntN(len(pausePatterns))], follows: random.IntN(2) == 0,
 	}
 	p.fault = injector.accompanyingFault(p.series)
 	return p
@@ -100,7 +100,7 @@
 
 // accompanyingFault returns a fault of upstreams or none, during which the slow owner may
 // be ended.
-func (injector *faultInjector) accompanyingFault(series *stopSeries) *event {
+func (injector *faultInjector) accompanyingFault(series *pauseSeries) *event {
 	none := func() *event { return &event{name: "upstreams without a fault", begin: func() {}} }
 	kinds := []func() *event{
 		none, none, injector.silenceUpstream, injector.cutUpstreams, injector.crashUpstreams, injector.delayUpstreamPaths,
@@ -126,11 +126,11 @@
 	running.Wait()
 }
 
-// stopSeries pauses an owner of shards again and again. The owner stays in office.
-type stopSeries struct {
+// pauseSeries pauses an owner of shards again and again. The owner stays in office.
+type pauseSeries struct {
 	soak   *Soak
 	random *rand.Rand
-	slowness
+	pausePattern
 	// follows means that the present owner is paused, whoever it is; otherwise it is the
 	// first one all the time.
 	follows bool
@@ -139,26 +139,26 @@
 	owner *entry
 }
 
-func (series *stopSeries) describe() string {
+func (series *pauseSeries) describe() string {
 	if series.follows {
-		return "each owner is " + series.slowness.name
+		return "each owner is " + series.pausePattern.name
 	}
-	return "one owner is " + series.slowness.name
+	return "one owner is " + series.pausePattern.name
 }
 
 // run pauses the owner until ctx ends.
-func (series *stopSeries) run(ctx context.Context) {
+func (series *pauseSeries) run(ctx context.Context) {
 	for ctx.Err() == nil {
 		e := series.current()
 		e.signal(syscall.SIGSTOP)
 		time.Sleep(randomDuration(series.random, series.minStop, series.maxStop))
 		e.signal(syscall.SIGCONT)
-		time.Sleep(randomDuration(series.random, series.minGo, series.maxGo))
+		time.Sleep(randomDuration(series.random, series.minRun, series.maxRun))
 	}
 }
 
 // current returns the owner that is slow.
-func (series *stopSeries) current() *entry {
+func (series *pauseSeries) current() *entry {
 	series.mu.Lock()
 	defer series.mu.Unlock()
 	owners := series.soak.owners()
@@ -195,7 +195,7 @@
 
 // endOwner returns an event that kills or terminates the slow owner, so that another entry
 // takes over, or does nothing.
-func (injector *faultInjector) endOwner(series *stopSeries) *event {
+func (injector *faultInjector) endOwner(series *pauseSeries) *event {
 	down := randomDuration(injector.random, minDown, maxDown)
 	end := func(signal syscall.Signal) func() { return func() { series.current().restart(signal, down) } }
 	return []*event{
