job/bbrscheduler: a renewal after a start gives up its wait before its timeout

What callers would see: after a start the first renewal had 0.3 s to be answered. An answer that takes longer counts as lost, takes the upstream out of use for starts, and excuses work that is started meanwhile from a crash of the upstream, since its starts count as sent too late.

The wait now gives way first: none after a start and 0.54 s for the answer, as before 1 s and 0.7 s in steady state; a repetition has 0.4 s at least. Two repetitions still fit into the lease. TestLostRenewalsInARowDoNotLetRunsLapse, TestOneLostRenewalAfterAStartDoesNotLetRunsLapse and TestRenewalsOfABusyUpstreamArePacedByTheirWait pass unchanged.

--- a/internal/job/bbrscheduler/runlease.go
+++ b/internal/job/bbrscheduler/runlease.go
@@ -15,17 +15,16 @@
 	// maxRenewalWait is the longest that an upstream may delay the answer to a renewal
 	// until a run ends. It is also the interval of renewals while no run ends.
 	maxRenewalWait = time.Second
-	// renewalWaitDivisor divides the confirmed lease that is left into the longest wait of a
-	// renewal. The rest has time for two repetitions, even after a start.
-	renewalWaitDivisor = 3
 	// maxAnswerTimeout is how much longer than it waits a renewal may take to be
 	// answered. It is shorter where the lease could expire before the second repetition,
 	// but at least minAnswerTimeout, the time of an answer that is delayed by one
-	// retransmission.
+	// retransmission at an upstream that is at work.
 	maxAnswerTimeout = 700 * time.Millisecond
-	minAnswerTimeout = 250 * time.Millisecond
+	minAnswerTimeout = 400 * time.Millisecond
 	// RenewalRetryDelay is the pause before a renewal that was not answered is repeated.
 	RenewalRetryDelay = 150 * time.Millisecond
+	// repetitions is how often a lost renewal can be repeated within the confirmed lease.
+	repetitions = 2
 	// renewalTransit is the time that a repeated renewal needs to arrive.
 	renewalTransit = 100 * time.Millisecond
 )
@@ -67,21 +66,24 @@
 }
 
 // setTimes sets how long the renewal of an upstream waits for the end of a run and for its
-// answer, and records when the answer is due.
+// answer, and records when the answer is due. The wait is what the answer and two
+// repetitions leave of the lease: an answer that counts as lost too early takes the upstream
+// out of use, a shorter wait costs one call.
 func (plan *RenewalPlan) setTimes(up *upstream, now time.Time) {
 	left := up.leaseLeft(now)
+	plan.AnswerTimeout = answerTimeout(left)
 	if plan.LeaseUntil > 0 && up.lostAnswers == 0 {
-		plan.Wait = min(maxRenewalWait, left/renewalWaitDivisor)
+		spare := left - repetitions*(plan.AnswerTimeout+RenewalRetryDelay) - renewalTransit
+		plan.Wait = min(maxRenewalWait, max(0, spare))
 	}
-	plan.AnswerTimeout = answerTimeout(left - plan.Wait)
 	up.renewalDue = now.Add(plan.Wait + plan.AnswerTimeout)
 }
 
-// answerTimeout returns the timeout that leaves time for two repetitions in what is left
-// of the lease. Without a lease that could be saved there is no hurry.
+// answerTimeout returns the timeout that leaves time for the repetitions in what is left of
+// the lease. Without a lease that could be saved there is no hurry.
 func answerTimeout(left time.Duration) time.Duration {
 	if left <= 0 {
 		return maxAnswerTimeout
 	}
-	return min(maxAnswerTimeout, max(minAnswerTimeout, (left-renewalTransit)/2-RenewalRetryDelay))
+	return min(maxAnswerTimeout, max(minAnswerTimeout, (left-renewalTransit)/repetitions-RenewalRetryDelay))
 }
