job/bbrscheduler, job/bbrowner: logs and metrics tell why finite work waits beside free capacity

A finite work unit that fits on an empty upstream can wait although much of the pool's capacity is free: beside long-running work that is spread over all upstreams, while the fleet leader reserves upstreams on which it would fit, or because other conditions exclude upstreams. The logs did not tell these apart.

"Load" now has the usable upstreams without long-running work, the excluded ones by reason, the late units of finite work that wait, the reserved upstreams on which the oldest of all finite work would fit, and the memory that the open finite work needs. "Work unit waits" has the excluded upstreams with the free capacity, by reason, and the usable ones that are large enough. bbr_excluded_upstreams and bbr_late_work have the same as gauges, without the memory. No decision changes: the conditions of an upstream keep their order, and Demand its terms.

--- a/internal/base/bbrmetric/set.go
+++ b/internal/base/bbrmetric/set.go
@@ -38,6 +38,8 @@
 	extensionAges   prometheus.Histogram
 	reservationEnds *prometheus.CounterVec
 	preemptions     *prometheus.CounterVec
+	excluded        *prometheus.GaugeVec
+	lateWork        *prometheus.GaugeVec
 	preemptedTime   *prometheus.CounterVec
 	reservations    *prometheus.GaugeVec
 	separations     *prometheus.CounterVec
@@ -70,6 +72,8 @@
 	s.separations = s.newCounter("bbr_separations_total", "Starts of work units whose image interferes with another one: on an upstream without the other one, or beside it.", "result")
 	s.interfering = s.newGauge("bbr_interfering_pairs", "Pairs of images that were found to slow each other down, by shard.", "shard")
 	s.unlocated = s.newGauge("bbr_unlocated_upstreams", "Upstreams on which an earlier owner of the shard may have started work that its successor does not know yet.", "shard")
+	s.excluded = s.newGauge("bbr_excluded_upstreams", "Upstreams of a shard that may not take work, by reason.", "shard", "reason")
+	s.lateWork = s.newGauge("bbr_late_work", "Units of finite work that wait past the objective of their job, and reserved upstreams on which the one that has waited longest of all finite work would fit, by shard.", "shard", "amount")
 	s.clientsClosed = s.newCounter("bbr_client_closes_total", "Connections of clients that are closed because of a limit, by listener and reason.", "listener", "reason")
 	s.connections = s.newGauge("bbr_client_connections", "Open connections of clients by listener.", "listener")
 	s.suspects = prometheus.NewGaugeVec(prometheus.GaugeOpts{
@@ -228,6 +232,32 @@
 	s.suspects.DeletePartialMatch(prometheus.Labels{"shard": shard})
 }
 
+// SetExcluded sets how many of a shard's upstreams may not take work, by reason. Reasons
+// that are not in counts have none.
+func (s *Set) SetExcluded(shard string, counts map[string]int) {
+	s.ClearExcluded(shard)
+	for reason, count := range counts {
+		s.excluded.WithLabelValues(shard, reason).Set(float64(count))
+	}
+}
+
+// ClearExcluded removes the gauges of a shard's excluded upstreams.
+func (s *Set) ClearExcluded(shard string) {
+	s.excluded.DeletePartialMatch(prometheus.Labels{"shard": shard})
+}
+
+// SetLateWork sets how many units of finite work wait past the objective of their job, and
+// on how many reserved upstreams the finite work unit that has waited longest would fit.
+func (s *Set) SetLateWork(shard string, units, reservedFits int) {
+	s.lateWork.WithLabelValues(shard, "units").Set(float64(units))
+	s.lateWork.WithLabelValues(shard, "reservedFits").Set(float64(reservedFits))
+}
+
+// ClearLateWork removes the gauges of a shard's late work.
+func (s *Set) ClearLateWork(shard string) {
+	s.lateWork.DeletePartialMatch(prometheus.Labels{"shard": shard})
+}
+
 // ReservationsEnded adds count reservations that ended for the cause.
 func (s *Set) ReservationsEnded(cause string, count int) {
 	s.reservationEnds.WithLabelValues(cause).Add(float64(count))
--- a/internal/job/bbrowner/load.go
+++ b/internal/job/bbrowner/load.go
@@ -25,6 +25,8 @@
 	o.loadLoggedAt = now
 	load := o.scheduler.Load(o.Confirmed(now), now)
 	o.updateWaitMetrics(load.Waits)
+	o.Metrics.SetExcluded(o.Shard.String(), load.Excluded)
+	o.Metrics.SetLateWork(o.Shard.String(), load.Waits.LateUnits, load.Waits.ReservedFits)
 	o.Metrics.SetUnlocated(o.Shard.String(), o.scheduler.UnlocatedCount())
 	o.updateOrganisationMetrics()
 	o.updateCrashMetrics()
@@ -33,8 +35,9 @@
 	o.updateSeparationMetrics()
 	klog.InfoS("Load", append([]any{"shard", o.Shard, "token", o.Held.Token, "jobs", load.Jobs, "late", load.Late,
 		"upstreams", load.Upstreams, "reached", load.Reached, "reserved", load.Reserved, "suspect", load.Suspect, "silent", load.Silent, "usable", load.Usable,
+		"usableWithoutLasting", load.UsableExclusive, "excluded", load.Excluded, "lateUnits", load.Waits.LateUnits, "reservedFits", load.Waits.ReservedFits,
 		"runs", load.Runs, "unconfirmed", load.Unconfirmed, "waitingUnits", load.Waits.Units,
-		"demandMilliCPU", load.Demand.MilliCPU, "keep", load.Demand.MinUpstreams, "whole", load.Demand.Exclusive, "occupied", load.Demand.Occupied,
+		"demandMilliCPU", load.Demand.MilliCPU, "finiteMemoryMB", load.FiniteMemoryMB, "keep", load.Demand.MinUpstreams, "whole", load.Demand.Exclusive, "occupied", load.Demand.Occupied,
 		"milliCPU", load.Used.MilliCPU, "ofMilliCPU", load.Capacity.MilliCPU, "memoryMB", load.Used.MemoryMB, "ofMemoryMB", load.Capacity.MemoryMB,
 		"lastingMilliCPU", load.LongRunning.MilliCPU, "lastingMemoryMB", load.LongRunning.MemoryMB,
 		"largestFreeMilliCPU", load.LargestFree.MilliCPU, "largestFreeMB", load.LargestFree.MemoryMB}, oldestWaitFields(load.Waits.Oldest, now)...)...)
--- a/internal/job/bbrowner/load_test.go
+++ b/internal/job/bbrowner/load_test.go
@@ -97,6 +97,53 @@
 	require.Equal(t, map[string]float64{"noRenewal": 1, "lostRenewals": 0, "takeover": 0}, valuesByReason(t, o.Metrics, "bbr_lapsed_runs_total"))
 }
 
+// TestUpstreamUseMetrics checks that the gauges of excluded upstreams and of late work have
+// the present values, no reasons that have ended, and nothing once the owner has stopped.
+func TestUpstreamUseMetrics(t *testing.T) {
+	now := time.Unix(1000, 0)
+	o := newLoopOwner(0)
+	o.Shard = bbrwork.Shard{Service: "press"}
+	o.scheduler = bbrscheduler.New(o.Shard, 7, bbrscheduler.Timing{}, true, now)
+	up := bbrwork.Upstream{Incarnation: bbrwork.Incarnation{ID: "i-1", StartMillis: 1}, Service: "press", Capacity: bbrwork.Resources{MilliCPU: 4000}}
+	o.scheduler.RegisterUpstream(up, now)
+	step := bbrwork.Step{Count: 2, Need: bbrwork.Resources{MilliCPU: 1000}, Estimate: time.Second}
+	o.scheduler.AddJob(&bbrwork.Job{ID: "a", Service: "press", Steps: []bbrwork.Step{step}, Accepted: now}, 0, nil, now)
+	o.logLoad(now)
+	require.Equal(t, map[string]float64{"unreached": 1}, valuesOf(t, o.Metrics, "bbr_excluded_upstreams", "reason"))
+	require.Equal(t, map[string]float64{"units": 0, "reservedFits": 0}, valuesOf(t, o.Metrics, "bbr_late_work", "amount"))
+
+	now = now.Add(time.Minute)
+	o.scheduler.ApplyListing(up.Incarnation, &bbrwork.Listing{Clock: time.Second, StartMillis: 1}, now, now)
+	o.scheduler.Plan(true, now)
+	o.scheduler.ApplyStored(o.scheduler.Batch(10, now), 1, now)
+	o.scheduler.SetReserved(map[string]bool{"i-1": true}, now)
+	o.logLoad(now)
+	require.Equal(t, map[string]float64{"reserved": 1}, valuesOf(t, o.Metrics, "bbr_excluded_upstreams", "reason"))
+	require.Equal(t, map[string]float64{"units": 2, "reservedFits": 1}, valuesOf(t, o.Metrics, "bbr_late_work", "amount"))
+
+	o.clearMetrics()
+	require.Empty(t, valuesOf(t, o.Metrics, "bbr_excluded_upstreams", "reason"))
+	require.Empty(t, valuesOf(t, o.Metrics, "bbr_late_work", "amount"))
+}
+
+// valuesOf returns the values of a gauge by one of its labels.
+func valuesOf(t *testing.T, metrics *bbrmetric.Set, name, label string) map[string]float64 {
+	t.Helper()
+	families, err := metrics.Registry.Gather()
+	require.NoError(t, err)
+	values := make(map[string]float64)
+	for _, family := range families {
+		for _, metric := range family.GetMetric() {
+			for _, pair := range metric.GetLabel() {
+				if family.GetName() == name && pair.GetName() == label {
+					values[pair.GetValue()] = metric.GetGauge().GetValue()
+				}
+			}
+		}
+	}
+	return values
+}
+
 // TestUnlocatedMetric checks that the gauge has what a successor still looks for, and that
 // an owner that has stopped leaves none behind.
 func TestUnlocatedMetric(t *testing.T) {
--- a/internal/job/bbrowner/owner.go
+++ b/internal/job/bbrowner/owner.go
@@ -172,6 +172,8 @@
 	o.Metrics.ClearRoom(shard)
 	o.Metrics.ClearReservations(shard)
 	o.Metrics.ClearInterferingPairs(shard)
+	o.Metrics.ClearExcluded(shard)
+	o.Metrics.ClearLateWork(shard)
 }
 
 // jobWatchTimeout is how long a watch for jobs lasts. It bounds the delay of jobs
--- a/internal/job/bbrscheduler/demand.go
+++ b/internal/job/bbrscheduler/demand.go
@@ -89,17 +89,41 @@
 		return
 	}
 	deadline := j.objective(o)
-	if now.Add(o.remainingPath()).Before(deadline) {
-		rate.open += work / max(minSlack, deadline.Sub(now)).Seconds()
-	} else {
-		rate.open += work / overdueSpread.Seconds()
-	}
+	rate.open += work / o.spread(deadline, now).Seconds()
 	allowed := deadline.Sub(j.Accepted)
 	if window := max(minRecentWindow, time.Duration(recentShare*float64(allowed))); now.Sub(j.learnedAt) < window {
 		rate.arriving += o.totalWork() / window.Seconds()
 	}
 }
 
+// spread returns the time over which the open work of the occurrence is to be done.
+func (o *occurrence) spread(deadline, now time.Time) time.Duration {
+	if now.Add(o.remainingPath()).Before(deadline) {
+		return max(minSlack, deadline.Sub(now))
+	}
+	return overdueSpread
+}
+
+// finiteMemoryMB returns the memory that the open finite work that is due needs to meet its
+// objectives.
+func (sched *Scheduler) finiteMemoryMB(now time.Time) int {
+	total := 0.0
+	for _, j := range sched.jobs {
+		if j.finalState != "" || j.cancelled {
+			continue
+		}
+		for _, o := range j.occurrences {
+			if now.Before(j.Schedule.Due(o.number)) {
+				continue
+			}
+			if work := o.remaining(func(need bbrwork.Resources) int { return need.MemoryMB }); work > 0 {
+				total += work / o.spread(j.objective(o), now).Seconds()
+			}
+		}
+	}
+	return int(total)
+}
+
 // sumRates returns the sum of the rates. No organisation counts for more than its cap
 // lets it use.
 func (sched *Scheduler) sumRates(rates map[string]*workRate) (open, arriving float64) {
--- a/internal/job/bbrscheduler/load.go
+++ b/internal/job/bbrscheduler/load.go
@@ -12,7 +12,12 @@
 	Upstreams, Reached, Reserved, Suspect, Silent int
 	Runs, Unconfirmed                             int
 	// Usable counts the upstreams that may take work.
-	Usable         int
+	Usable int
+	// UsableExclusive counts those of them without long-running work.
+	UsableExclusive int
+	// Excluded counts the other upstreams by the reason for which they may not take work.
+	// Suspect ones are in use nonetheless if there are no others.
+	Excluded       map[string]int
 	Waits          WaitSummary
 	Capacity, Used bbrwork.Resources
 	// LongRunning is the part of Used that long-running work takes.
@@ -21,13 +26,17 @@
 	// memory.
 	LargestFree bbrwork.Resources
 	Demand      Demand
+	// FiniteMemoryMB is the memory that the open finite work needs to meet its objectives,
+	// which Demand does not count. It disregards the caps of organisations.
+	FiniteMemoryMB int
 }
 
 // Load returns what the shard has and uses now, and logs the steps whose wait has
 // become a slow one.
 func (sched *Scheduler) Load(confirmed bool, now time.Time) Load {
 	p := sched.survey(now)
-	load := Load{Jobs: len(sched.jobs), Upstreams: len(sched.upstreams), Usable: len(p.usable), Waits: p.summarizeWaits(confirmed), Demand: sched.Demand(now)}
+	load := Load{Jobs: len(sched.jobs), Upstreams: len(sched.upstreams), Usable: len(p.usable), Excluded: p.excludedCounts(),
+		Waits: p.summarizeWaits(confirmed), Demand: sched.Demand(now), FiniteMemoryMB: sched.finiteMemoryMB(now)}
 	for _, up := range sched.upstreams {
 		load.add(up, now)
 	}
@@ -35,6 +44,9 @@
 		if free := up.free(); free.MemoryMB > load.LargestFree.MemoryMB {
 			load.LargestFree = free
 		}
+		if !up.hasLongRunning() {
+			load.UsableExclusive++
+		}
 	}
 	for _, j := range sched.jobs {
 		for _, o := range j.occurrences {
--- a/internal/job/bbrscheduler/usable.go
+++ b/internal/job/bbrscheduler/usable.go
@@ -25,6 +25,22 @@
 	exclusionCount
 )
 
+// exclusionNames has the names of the exclusions for the log.
+var exclusionNames = [exclusionCount]string{
+	excludedUnregistered: "unregistered",
+	excludedDraining:     "draining",
+	excludedReserved:     "reserved",
+	excludedUnreached:    "unreached",
+	excludedOrphans:      "orphans",
+	excludedSilent:       "silent",
+	excludedFull:         "full",
+	excludedUnrecorded:   "unrecorded",
+	excludedSuspect:      "suspect",
+	excludedTrial:        "trial",
+}
+
+func (e exclusion) String() string { return exclusionNames[e] }
+
 // exclusionOf returns why an upstream may not take work, regardless of whether it
 // is recorded for a successor.
 func (p *planner) exclusionOf(up *upstream) exclusion {
@@ -35,6 +51,15 @@
 		return excludedDraining
 	case !up.reservedAt.IsZero():
 		return excludedReserved
+	default:
+		return p.exclusionUnlessReserved(up)
+	}
+}
+
+// exclusionUnlessReserved returns why a registered upstream may not take work even if it
+// neither drains nor is reserved.
+func (p *planner) exclusionUnlessReserved(up *upstream) exclusion {
+	switch {
 	case !up.reached || !up.clockKnown() || !up.identified():
 		return excludedUnreached
 	case len(up.orphans) > 0:
@@ -55,13 +80,7 @@
 // reports whether the store lists an incarnation as recorded for a successor.
 func (p *planner) findUsable(isRecorded func(up *upstream) bool) {
 	for _, up := range p.sched.sortedUpstreams() {
-		reason := p.exclusionOf(up)
-		if (reason == notExcluded || reason == excludedSuspect) && !isRecorded(up) {
-			reason = excludedUnrecorded
-		}
-		if reason == notExcluded && up.trialUnit != nil {
-			reason = excludedTrial
-		}
+		reason := refineExclusion(p.exclusionOf(up), up, isRecorded)
 		switch reason {
 		case excludedSuspect:
 			p.suspects = append(p.suspects, up)
@@ -81,6 +100,18 @@
 	p.busy = 2*used.MilliCPU > capacity.MilliCPU
 }
 
+// refineExclusion returns why an upstream may not take work, given the reason regardless of
+// records and trials.
+func refineExclusion(reason exclusion, up *upstream, isRecorded func(up *upstream) bool) exclusion {
+	if (reason == notExcluded || reason == excludedSuspect) && !isRecorded(up) {
+		return excludedUnrecorded
+	}
+	if reason == notExcluded && up.trialUnit != nil {
+		return excludedTrial
+	}
+	return reason
+}
+
 // mayRunFarFromData reports whether a step may run away from its data now. It takes
 // several times as long there, so if the pool is busy it waits for the rack of its
 // data, unless its job can meet the objective anyway. Long-running work does not wait:
--- a/internal/job/bbrscheduler/wait.go
+++ b/internal/job/bbrscheduler/wait.go
@@ -51,10 +51,14 @@
 // requests nothing.
 func (sched *Scheduler) survey(now time.Time) *planner {
 	p := &planner{sched: sched, now: now, doesNotFit: make(map[bbrwork.Resources]bool), nearDataFits: make(map[*step]bool)}
-	p.findUsable(func(up *upstream) bool { return sched.recorded[up.Incarnation] })
+	p.findUsable(sched.isRecorded)
 	return p
 }
 
+// isRecorded reports whether the store lists the upstream's incarnation as recorded for a
+// successor.
+func (sched *Scheduler) isRecorded(up *upstream) bool { return sched.recorded[up.Incarnation] }
+
 // wait determines why the step's idle work units have no run, by the one that has waited
 // longest. The step must have idle units.
 func (p *planner) wait(s *step, confirmed bool) wait {
--- a/internal/job/bbrscheduler/waitsummary.go
+++ b/internal/job/bbrscheduler/waitsummary.go
@@ -18,6 +18,11 @@
 	// SlowByReason counts, by reason, the work units whose wait has reached
 	// slowWait since the last summary. Each wait counts once.
 	SlowByReason map[Reason]int
+	// LateUnits counts the units of finite work that wait past the objective of their job.
+	LateUnits int
+	// ReservedFits is the number of reserved upstreams on which the finite work unit that
+	// has waited longest would fit if they were not reserved.
+	ReservedFits int
 }
 
 // Wait is the wait of one work unit.
@@ -47,6 +52,7 @@
 	summary := WaitSummary{LongestByReason: make(map[Reason]time.Duration), SlowByReason: make(map[Reason]int)}
 	waiting := p.waitingSteps()
 	logged := p.noteLongRunningWaits(waiting, confirmed)
+	p.addFinite(&summary, waiting)
 	for i, w := range waiting {
 		if i < maxEvaluated {
 			w = p.wait(w.step, confirmed)
@@ -87,6 +93,23 @@
 	return list
 }
 
+// addFinite sets LateUnits and ReservedFits, given the waiting steps, the longest wait first.
+func (p *planner) addFinite(summary *WaitSummary, waiting []wait) {
+	oldestSeen := false
+	for _, w := range waiting {
+		s := w.step
+		if s.spec.LongRunning {
+			continue
+		}
+		if !oldestSeen {
+			oldestSeen, summary.ReservedFits = true, p.reservedFits(s)
+		}
+		if p.now.After(s.job.objective(s.occurrence)) {
+			summary.LateUnits += s.idleUnits
+		}
+	}
+}
+
 func (summary *WaitSummary) add(w *wait, age time.Duration) {
 	summary.Units += w.step.idleUnits
 	summary.LongestByReason[w.reason] = max(summary.LongestByReason[w.reason], age)
@@ -149,5 +172,6 @@
 	awaits, responsible := w.awaits()
 	p.sched.note(p.now, "Work unit waits", "job", w.step.job.ID, "unit", w.unit.name().String(), "waiting", w.step.idleUnits, "of", len(w.step.units),
 		"running", w.step.unitsLeft-w.step.idleUnits, "waited", age.Round(time.Millisecond), "reason", w.reason, "for", awaits, "duty", responsible,
-		"milliCPU", need.MilliCPU, "memoryMB", need.MemoryMB, "accelerators", need.Accelerators, "lasting", w.step.spec.LongRunning, "because", w.String())
+		"milliCPU", need.MilliCPU, "memoryMB", need.MemoryMB, "accelerators", need.Accelerators, "lasting", w.step.spec.LongRunning,
+		"fitsOnExcluded", p.fitsByExclusion(w.step), "fitsWhenEmpty", p.fitsWhenEmptyCount(w.step), "because", w.String())
 }
