fleet/bbrmaintenance: log and count why a round leaves a partition below its target size

"Pool" showed that a partition has fewer instances than its target, but not why it got none: whether no other partition of its cell could give any, their owners list no releasable instance, the listed ones cannot be moved, or a needier partition of the cell got none first, which ends the round for the cell.

"Pool" now has the reason as shortfall, and bbr_capacity_shortfalls_total counts the partitions by reason in each round. Instances by label (ExclusiveByLabel) that a partition lacks have no reason yet. No decision changes. TestShortfall has a case for each reason.

--- a/internal/base/bbrmetric/set.go
+++ b/internal/base/bbrmetric/set.go
@@ -38,6 +38,7 @@
 	extensionAges   prometheus.Histogram
 	reservationEnds *prometheus.CounterVec
 	preemptions     *prometheus.CounterVec
+	shortfalls      *prometheus.CounterVec
 	excluded        *prometheus.GaugeVec
 	lateWork        *prometheus.GaugeVec
 	preemptedTime   *prometheus.CounterVec
@@ -62,6 +63,7 @@
 	s.lapsedRuns = s.newCounter("bbr_lapsed_runs_total", "Runs whose lease expired on an upstream that lives, by cause.", "cause")
 	s.crashVerdicts = s.newCounter("bbr_crash_verdicts_total", "What crashes of upstreams meant for the work units that ran there.", "verdict")
 	s.cellChoices = s.newCounter("bbr_cell_choices_total", "Jobs for which the entry chose a cell, with jobs.balanceByCapacity, by the reason for the choice.", "reason")
+	s.shortfalls = s.newCounter("bbr_capacity_shortfalls_total", "Partitions that a round of the fleet leader left below their target size, by reason.", "reason")
 	s.handovers = s.newCounter("bbr_handovers_total", "Hand-overs that this entry began while running, by cause.", "cause")
 	s.roomMilliCPU = s.newGauge("bbr_room_millicores", "Usable processor capacity of a shard for finite work, with jobs.balanceByCapacity.", "shard")
 	s.roomDrain = s.newGauge("bbr_room_drain_seconds", "Time that a shard's usable capacity needs for its open finite work, with jobs.balanceByCapacity.", "shard")
@@ -162,6 +164,9 @@
 // Handover counts a hand-over by its cause.
 func (s *Set) Handover(cause string) { s.handovers.WithLabelValues(cause).Inc() }
 
+// CapacityShortfall counts a partition that a round left below its target size.
+func (s *Set) CapacityShortfall(reason string) { s.shortfalls.WithLabelValues(reason).Inc() }
+
 // SetRoom sets a shard's usable capacity, in thousandths of a core, and how long that needs
 // for the open work.
 func (s *Set) SetRoom(shard string, milliCPU int, drain time.Duration) {
--- a/internal/fleet/bbrmaintenance/balance.go
+++ b/internal/fleet/bbrmaintenance/balance.go
@@ -99,6 +99,8 @@
 	sparePool        string
 	// tier is the tier that is being served.
 	tier tier
+	// shortfalls has why the partitions that the tier tried to fill got no instance.
+	shortfalls map[Partition]Shortfall
 }
 
 // tier is a priority level of requests. Each tier gets the instances that the earlier
@@ -134,6 +136,7 @@
 // with the lowest fill ratio first.
 func (round *balanceRound) fill() {
 	exhausted := make(map[int]bool)
+	round.shortfalls = make(map[Partition]Shortfall)
 	for {
 		recipient := round.neediestOutside(exhausted)
 		if recipient == nil {
@@ -142,6 +145,7 @@
 		instance, ok := round.acquire(recipient)
 		if !ok {
 			exhausted[recipient.Cell] = true
+			round.shortfalls[recipient.Partition] = shortfallOf(round.allDonors(recipient))
 			continue
 		}
 		round.move(instance, recipient.Pool)
@@ -255,6 +259,8 @@
 	// Up counts the listed instances that are up, and Leaving those with a task, which
 	// moves, maintains or drains them.
 	Up, Leaving int
+	// Shortfall is why the partition is below its target size; ShortfallNone if it is not.
+	Shortfall Shortfall
 }
 
 func (round *balanceRound) partitionStates() []PartitionState {
@@ -273,7 +279,7 @@
 	}
 	states := make([]PartitionState, 0, len(round.requests))
 	for _, request := range round.requests {
-		states = append(states, PartitionState{Partition: request.Partition, Size: round.size[request.Partition], Target: round.target[request.Partition], Up: up[request.Partition], Leaving: leaving[request.Partition]})
+		states = append(states, PartitionState{Partition: request.Partition, Size: round.size[request.Partition], Target: round.target[request.Partition], Up: up[request.Partition], Leaving: leaving[request.Partition], Shortfall: round.shortfall(request)})
 	}
 	return states
 }
--- a/internal/fleet/bbrmaintenance/controller.go
+++ b/internal/fleet/bbrmaintenance/controller.go
@@ -210,7 +210,9 @@
 	controller.planner.SetInDoubt(controller.intents.inDoubt(now))
 	controller.updateDirectives(now)
 	pools := controller.Pools()
-	controller.logPools(controller.planner.Balance(controller.requests(pools, now), findSparePool(pools), controller.Registered, now), now)
+	partitions := controller.planner.Balance(controller.requests(pools, now), findSparePool(pools), controller.Registered, now)
+	controller.countShortfalls(partitions)
+	controller.logPools(partitions, now)
 	orders := controller.planner.NextOrders(controller.isDrained, now)
 	controller.mu.Unlock()
 	controller.planTime = time.Since(planStart)
@@ -247,6 +249,15 @@
 	return errors.CombineErrors(errors.CombineErrors(waves, instances), reports)
 }
 
+// countShortfalls counts the partitions that the round left below their target size.
+func (controller *Controller) countShortfalls(partitions []PartitionState) {
+	for _, partition := range partitions {
+		if partition.Shortfall != ShortfallNone {
+			controller.Metrics.CapacityShortfall(string(partition.Shortfall))
+		}
+	}
+}
+
 // poolLogInterval is the time between two logs of the state of the pools.
 const poolLogInterval = 2 * time.Second
 
@@ -257,7 +268,7 @@
 	controller.poolsLoggedAt = now
 	for _, partition := range partitions {
 		demand := controller.reports[bbrwork.Shard{Service: partition.Pool, Cell: partition.Cell}].demand
-		klog.InfoS("Pool", "pool", partition.Pool, "cell", partition.Cell, "token", controller.Held.Token, "size", partition.Size, "want", partition.Target, "up", partition.Up,
+		klog.InfoS("Pool", "pool", partition.Pool, "cell", partition.Cell, "token", controller.Held.Token, "size", partition.Size, "want", partition.Target, "shortfall", partition.Shortfall, "up", partition.Up,
 			"inWork", partition.Leaving, "askedMilliCPU", demand.MilliCPU, "lastingMilliCPU", demand.LongRunningMilliCPU, "keep", demand.MinUpstreams, "whole", demand.Exclusive, "occupied", demand.Occupied, "labelled", demand.ExclusiveByLabel, "give", len(demand.Releasable), "listAge", now.Sub(controller.listedAt).Round(time.Millisecond), "reportsAge", now.Sub(controller.reportsReadAt).Round(time.Millisecond))
 	}
 }
--- a/internal/fleet/bbrmaintenance/donors.go
+++ b/internal/fleet/bbrmaintenance/donors.go
@@ -19,7 +19,13 @@
 	if instance, ok := round.acquireSpare(recipient.Cell, ""); ok {
 		return instance, true
 	}
-	return round.releaseFirst(append(round.donors(recipient), round.betterFilled(recipient)...), "")
+	return round.releaseFirst(round.allDonors(recipient), "")
+}
+
+// allDonors returns the partitions from which the recipient may get an instance, in the
+// order in which they are asked.
+func (round *balanceRound) allDonors(recipient *CapacityRequest) []*CapacityRequest {
+	return append(round.donors(recipient), round.betterFilled(recipient)...)
 }
 
 // acquireByLabel returns an instance with the label for a partition: a spare one, or one
