fleet/bbrmaintenance: test that a late backlog is worked off in bounded time

Callers of finite work that was late got its last units up to three times as late as the capacity of its pool allowed. The capacity that late work requests is its remaining work divided by 8 s, in each report anew, so that it falls with the backlog: the pool shrinks as fast, and the last units wait for the logarithm of the backlog.

The test plays a backlog in the model, beside a spare pool and beside a pool that grows. The bound is the backlog divided by the pool's capacity, plus 8 s, one unit and one move.

--- /dev/null
+++ b/internal/fleet/bbrmaintenance/latework_test.go
@@ -0,0 +1,86 @@
+package bbrmaintenance
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/bluebellridge/bluebellridge/internal/job/bbrwork"
+)
+
+// overdueSpread is the time in which late work is to be done, as documented for the owner's demand.
+const overdueSpread = 8 * time.Second
+
+// acceptBacklog submits a backlog of jobs of one step each and returns the time that the
+// pool's instances need for its processor work.
+func acceptBacklog(m *model, jobs int, step bbrwork.Step) time.Duration {
+	for range jobs {
+		m.accept(recipientPool, step)
+	}
+	work := float64(jobs*step.Count*step.Need.MilliCPU) * step.Estimate.Seconds()
+	capacity := float64(m.upCount(recipientPool) * capacity16.MilliCPU)
+	return time.Duration(work / capacity * float64(time.Second))
+}
+
+// poolOf returns the pool that a work unit's job was submitted to.
+func (m *model) poolOf(u *modelUnit) string {
+	return u.name.Job[:strings.LastIndex(u.name.Job, "-")]
+}
+
+// unfinished counts the finite work units of a pool that are not done.
+func (m *model) unfinished(pool string) int {
+	count := 0
+	for _, u := range m.unitsInOrder {
+		if !u.step.LongRunning && !u.done && m.poolOf(u) == pool {
+			count++
+		}
+	}
+	return count
+}
+
+// burdenedPool is a pool with a late backlog, beside a spare pool or a pool that takes what it
+// can get for work that is in time.
+type burdenedPool struct {
+	name    string
+	size    int
+	backlog time.Duration
+	rival   bool
+}
+
+var burdenedPools = []burdenedPool{
+	{"60 instances beside spare pool", 60, 8 * time.Second, false},
+	{"120 instances beside spare pool", 120, 8 * time.Second, false},
+	{"60 instances beside growing pool", 60, 4 * time.Second, true},
+	{"120 instances beside growing pool", 120, 4 * time.Second, true},
+}
+
+// runRivalLoad advances the model by a step, and submits work to the donor pool if it is to grow.
+func (b burdenedPool) runRivalLoad(m *model) {
+	const unitsPerStep = 2
+	if b.rival {
+		m.accept(donorPool, finiteStep(unitsPerStep*b.size/30, 4000, 1000, time.Second))
+	}
+	m.step()
+}
+
+// TestLateBacklogIsWorkedOff guards against a pool that shrinks as fast as its late backlog,
+// so that the last work units wait for as long as the logarithm of the backlog.
+func TestLateBacklogIsWorkedOff(t *testing.T) {
+	for _, b := range burdenedPools {
+		t.Run(b.name, func(t *testing.T) {
+			m := newModel(capacity16, map[string]int{recipientPool: b.size, donorPool: 4, offPool: 1})
+			m.waitsCountFrom = m.now.Add(time.Hour)
+			m.run(2 * time.Second)
+			step := finiteStep(20, 4000, 8000, 300*time.Millisecond)
+			jobs := int(b.backlog/step.Estimate) * b.size * capacity16.MilliCPU / (step.Count * step.Need.MilliCPU)
+			bound := acceptBacklog(m, jobs, step) + overdueSpread + step.Estimate + modelMoveTime
+			for end := m.now.Add(bound); m.now.Before(end); {
+				b.runRivalLoad(m)
+			}
+			require.Zero(t, m.unfinished(recipientPool), "work units not done after %v, with %d instances in the pool", bound, m.upCount(recipientPool))
+			require.Empty(t, m.violations)
+		})
+	}
+}
