fleet/bbrmaintenance: test that no instance leaves while late work fits there

Callers waited past the objective of their work while upstreams on which it fitted were reserved, drained and moved away. The releasable upstreams of a report take no account of work that waits.

--- a/internal/fleet/bbrmaintenance/latework_test.go
+++ b/internal/fleet/bbrmaintenance/latework_test.go
@@ -1,6 +1,7 @@
 package bbrmaintenance
 
 import (
+	"fmt"
 	"strings"
 	"testing"
 	"time"
@@ -84,3 +85,58 @@
 		})
 	}
 }
+
+// lateReportAge is how long a unit must have been late before the leader must know of it.
+const lateReportAge = modelReportDelay + 2*modelRoundInterval + 2*modelStep
+
+// waitsLateFor reports whether a work unit of the instance's pool has waited past the time
+// lateFrom for lateReportAge and fits on the instance beside its long-running work.
+func (m *model) waitsLateFor(instance *modelInstance, lateFrom time.Time) bool {
+	free := instance.Capacity
+	for _, run := range instance.running {
+		if step := m.units[run.unit].step; step.LongRunning {
+			free = free.Minus(step.Allocation())
+		}
+	}
+	for _, u := range m.unitsInOrder {
+		waits := m.poolOf(u) == instance.Pool && !u.step.LongRunning && !u.done && !u.readySince.IsZero()
+		if waits && m.now.Sub(later(u.readySince, lateFrom)) >= lateReportAge && u.step.Allocation().Fits(free) {
+			return true
+		}
+	}
+	return false
+}
+
+// TestNoInstanceLeavesWhileLateWorkFits guards against instances that are switched off, or
+// moved to a pool that has over half of what it needs, while late work units that fit wait.
+func TestNoInstanceLeavesWhileLateWorkFits(t *testing.T) {
+	for _, sizes := range []map[string]int{{recipientPool: 60, offPool: 4}, {recipientPool: 60, donorPool: 24, offPool: 1}} {
+		t.Run(fmt.Sprint(sizes), func(t *testing.T) {
+			m := newModel(capacity16, sizes)
+			m.waitsCountFrom = m.now.Add(time.Hour)
+			m.accept(recipientPool, spreadStep(12, 2400, 12000))
+			if sizes[donorPool] > 0 {
+				m.accept(donorPool, spreadStep(sizes[donorPool], 500, 500))
+			}
+			m.run(2 * time.Second)
+			step := finiteStep(20, 4000, 8000, 300*time.Millisecond)
+			acceptBacklog(m, 320, step)
+			lateFrom := m.now.Add(step.Estimate*8/5 + 600*time.Millisecond)
+			reserved, left := make(map[string]bool), 0
+			for end := m.now.Add(20 * time.Second); m.now.Before(end) && m.unfinished(recipientPool) > 0; m.step() {
+				if m.owners[donorPool] != nil {
+					m.accept(donorPool, finiteStep(6, 4000, 1000, time.Second))
+				}
+				for upstream := range m.reserved {
+					instance := m.current(upstream)
+					if !reserved[upstream] && instance != nil && instance.Pool == recipientPool && m.waitsLateFor(instance, lateFrom) {
+						left++
+					}
+					reserved[upstream] = true
+				}
+			}
+			require.Zero(t, left, "instances were reserved for a move while late work units that fit there waited")
+			require.Empty(t, m.violations)
+		})
+	}
+}
