fleet/bbrmaintenance: test that spread finite work receives upstreams

A step of which each upstream takes one unit ran on as few upstreams as its processor time needs. MaxPerUpstream counts in the demand for long-running work only.

Printed on the present code: 32 of 60 units are not done one unit and one move after the objective, with 4 instances in the pool and 24 in the spare pool.

--- a/internal/fleet/bbrmaintenance/latework_test.go
+++ b/internal/fleet/bbrmaintenance/latework_test.go
@@ -140,3 +140,20 @@
 		})
 	}
 }
+
+// TestSpreadFiniteWorkReceivesUpstreams guards against finite work of which each upstream takes
+// one unit, and whose pool is sized by its processor time alone.
+func TestSpreadFiniteWorkReceivesUpstreams(t *testing.T) {
+	m := newModel(capacity16, map[string]int{recipientPool: 24, donorPool: 4, offPool: 4})
+	m.waitsCountFrom = m.now.Add(time.Hour)
+	m.run(settlePeriod)
+	steps := precededByNarrow(finiteStep(60, 1000, 1000, time.Second))
+	steps[0].Estimate, steps[1].MaxPerUpstream = 6*time.Second, 1
+	m.accept(recipientPool, steps...)
+	// The objective, and then one more unit of the step on an instance that had to be moved.
+	path := steps[0].Estimate + steps[1].Estimate
+	bound := path*8/5 + 600*time.Millisecond + steps[1].Estimate + modelMoveTime
+	m.run(bound)
+	require.Zero(t, m.unfinished(recipientPool), "work units not done after %v, with %d instances in the pool", bound, m.upCount(recipientPool))
+	require.Empty(t, m.violations)
+}
