fleet/bbrmaintenance: test that late work receives instances for its memory

Late work that needs much memory and little processor time waited on the few instances that its processor time needs, beside a spare pool. Memory does not count in Demand.MilliCPU.

--- a/internal/fleet/bbrmaintenance/latework_test.go
+++ b/internal/fleet/bbrmaintenance/latework_test.go
@@ -157,3 +157,21 @@
 	require.Zero(t, m.unfinished(recipientPool), "work units not done after %v, with %d instances in the pool", bound, m.upCount(recipientPool))
 	require.Empty(t, m.violations)
 }
+
+// TestLateWorkReceivesInstancesForItsMemory guards against late work that needs much memory
+// and little processor time, and is left with the instances that its processor time needs.
+func TestLateWorkReceivesInstancesForItsMemory(t *testing.T) {
+	m := newModel(capacity16, map[string]int{recipientPool: 6, donorPool: 4, offPool: 60})
+	m.waitsCountFrom = m.now.Add(time.Hour)
+	m.run(time.Second)
+	const jobs = 20
+	step := finiteStep(20, 500, 30000, time.Second)
+	for range jobs {
+		m.accept(recipientPool, step)
+	}
+	// Two units fit on an instance: half of the spare ones are enough.
+	bound := overdueSpread + 2*step.Estimate + 2*modelMoveTime
+	m.run(bound)
+	require.Zero(t, m.unfinished(recipientPool), "work units not done after %v, with %d instances in the pool", bound, m.upCount(recipientPool))
+	require.Empty(t, m.violations)
+}
