fleet/bbrmaintenance: test that places beside long-running work are counted once

Jobs that arrived together waited one after the other for the same capacity beside long-running work, beside a spare pool. Each step counts that capacity for itself, finds enough of it, and requests no exclusive upstreams.

Printed on the present code: 24 of 48 units, which run for 10 s each, have not started 6 s after they were accepted, with 32 instances in the spare pool.

--- a/internal/fleet/bbrmaintenance/latework_test.go
+++ b/internal/fleet/bbrmaintenance/latework_test.go
@@ -175,3 +175,18 @@
 	require.Zero(t, m.unfinished(recipientPool), "work units not done after %v, with %d instances in the pool", bound, m.upCount(recipientPool))
 	require.Empty(t, m.violations)
 }
+
+// TestPlacesBesideLongRunningWorkAreCountedOnce guards against several jobs that count the same
+// capacity beside long-running work, so that no instance is requested for any of them.
+func TestPlacesBesideLongRunningWorkAreCountedOnce(t *testing.T) {
+	m := newModel(capacity16, map[string]int{recipientPool: 8, donorPool: 4, offPool: 40})
+	m.accept(recipientPool, spreadStep(8, 500, 40000))
+	m.run(5 * time.Second)
+	require.Empty(t, m.violations)
+	m.waitsCountFrom = m.now.Add(2 * modelMoveTime)
+	for range 6 {
+		m.accept(recipientPool, finiteStep(8, 200, 24000, 10*time.Second))
+	}
+	m.run(2*modelMoveTime + maxStartWait + modelStep)
+	requireAllStarted(t, m)
+}
