job/bbrscheduler: test of an upstream that stays out of use after a refused start

Callers would see work wait for ever beside an empty upstream that answers. A renewal to it is lost while its only start is in flight, and the start is refused. The refusal has the upstream's clock, so that no answer counts as lost any more, and nothing runs there: the upstream is idle and gets no renewal. A start that was not sent and another one that is refused do the same.

Printed on the present code:

--- FAIL: TestUpstreamThatAnswersOnlyARefusalIsUsedAgain the work unit was not started in time

--- /dev/null
+++ b/internal/job/bbrscheduler/duework_test.go
@@ -0,0 +1,45 @@
+package bbrscheduler
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/bluebellridge/bluebellridge/internal/job/bbrorder"
+	"github.com/bluebellridge/bluebellridge/internal/job/bbrwork"
+)
+
+// dueWaitLimit is how long callers accept that a finite work unit has no run while an
+// upstream has the free capacity for it.
+const dueWaitLimit = 3 * time.Second
+
+// listAll delivers a listing of each upstream in which all of its runs continue.
+func (s *scene) listAll() {
+	for _, up := range s.sched.sortedUpstreams() {
+		var running []bbrwork.Run
+		for key := range up.runs {
+			running = append(running, bbrwork.Run{Unit: key.unit, Number: key.number, Percent: fullPercent})
+		}
+		s.listRunning(up.ID, running)
+	}
+}
+
+// TestUpstreamThatAnswersOnlyARefusalIsUsedAgain guards against an upstream that stays out of
+// use for ever, since the last call that it answered was a refused start and not a renewal.
+func TestUpstreamThatAnswersOnlyARefusalIsUsedAgain(t *testing.T) {
+	s := newScene(t, true, "i-1")
+	s.accept(testJob, unitStep(1))
+	plan := s.plan()
+	require.Len(t, plan.Starts, 1)
+	_, known := s.sched.PlanRenewal("i-1", true, s.now)
+	require.True(t, known)
+	s.sched.ApplyRenewalFailure(s.upstream("i-1").Incarnation, bbrorder.ErrAnswerLost, s.now)
+	s.answerStarts(plan, bbrorder.ErrNoCapacity)
+	s.advance(verifyAfter)
+	s.awaitStartWithin(dueWaitLimit, unitName(0), func() {
+		if renewal, known := s.sched.PlanRenewal("i-1", true, s.now); known && !renewal.Idle {
+			s.listAll()
+		}
+	})
+}
--- a/internal/job/bbrscheduler/longrunningwait_test.go
+++ b/internal/job/bbrscheduler/longrunningwait_test.go
@@ -65,7 +65,12 @@
 // awaitStart plans until a start of the work unit is planned, and fails after
 // longRunningWaitLimit. between is called after each plan.
 func (s *scene) awaitStart(unit bbrwork.Unit, between func()) StartOrder {
-	for limit := s.now.Add(longRunningWaitLimit); s.now.Before(limit); {
+	return s.awaitStartWithin(longRunningWaitLimit, unit, between)
+}
+
+// awaitStartWithin is awaitStart with another limit.
+func (s *scene) awaitStartWithin(wait time.Duration, unit bbrwork.Unit, between func()) StartOrder {
+	for limit := s.now.Add(wait); s.now.Before(limit); {
 		plan := s.plan()
 		for _, order := range plan.Starts {
 			if order.Start.Unit == unit {
