job/bbrscheduler: test of finite work that only a suspect upstream suits

Callers would see a work unit wait as long as other work fails on the only upstream that can ever take it. Finite work starts on suspect upstreams only if there is no other usable one at all, whether the others suit it or not. Long-running work already starts there if no other suits it.

Printed on the present code:

--- FAIL: TestFiniteWorkUsesSuspectUpstreamsThatAloneSuitIt --- FAIL: TestFiniteWorkUsesSuspectUpstreamsThatAloneSuitIt/label the work unit was not started in time --- FAIL: TestFiniteWorkUsesSuspectUpstreamsThatAloneSuitIt/wide the work unit was not started in time

--- a/internal/job/bbrscheduler/duework_test.go
+++ b/internal/job/bbrscheduler/duework_test.go
@@ -43,3 +43,34 @@
 		}
 	})
 }
+
+// keepSuspect lets work fail on the upstream whenever suspectPeriod is half over.
+func (s *scene) keepSuspect(id string) {
+	h := &s.sched.upstreams[id].health
+	for !h.suspect(s.now) || s.now.Sub(h.lastFailure) >= suspectPeriod/2 {
+		h.recordEnd(bbrwork.OutcomeFailed, s.now)
+	}
+}
+
+// TestFiniteWorkUsesSuspectUpstreamsThatAloneSuitIt guards against a work unit that waits as
+// long as other work fails on the only upstream that can ever take it.
+func TestFiniteWorkUsesSuspectUpstreamsThatAloneSuitIt(t *testing.T) {
+	labelled, wide := unitStep(1), unitStep(1)
+	labelled.Label = "kind-1"
+	wide.Need.MilliCPU = 3500
+	for name, step := range map[string]bbrwork.Step{"label": labelled, "wide": wide} {
+		t.Run(name, func(t *testing.T) {
+			s := newScene(t, true)
+			s.registerCapacity("i-2", 4000, "kind-2", "r-1")
+			s.startLongRunning(longRunningJob, 1, bbrwork.Resources{MilliCPU: 1000, MemoryMB: 100})
+			s.registerCapacity("i-1", 4000, "kind-1", "r-1")
+			s.keepSuspect("i-1")
+			s.accept(testJob, step)
+			order := s.awaitStartWithin(dueWaitLimit, unitName(0), func() {
+				s.listAll()
+				s.keepSuspect("i-1")
+			})
+			require.Equal(t, "i-1", order.Upstream.ID)
+		})
+	}
+}
