job/bbrscheduler: test of gangs that need a suspect upstream

Callers would see a gang wait as long as other work fails on one of the upstreams that it needs. Gangs are placed on usable upstreams alone, also long-running ones, whose single work units would start on a suspect upstream.

Printed on the present code:

--- FAIL: TestGangUsesSuspectUpstreamsThatItNeeds --- FAIL: TestGangUsesSuspectUpstreamsThatItNeeds/long-running_false the work unit was not started in time --- FAIL: TestGangUsesSuspectUpstreamsThatItNeeds/long-running_true the work unit was not started in time

--- a/internal/job/bbrscheduler/duework_test.go
+++ b/internal/job/bbrscheduler/duework_test.go
@@ -1,6 +1,7 @@
 package bbrscheduler
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -74,3 +75,21 @@
 		})
 	}
 }
+
+// TestGangUsesSuspectUpstreamsThatItNeeds guards against a gang that waits as long as other
+// work fails on an upstream without which it never fits.
+func TestGangUsesSuspectUpstreamsThatItNeeds(t *testing.T) {
+	for _, longRunning := range []bool{false, true} {
+		t.Run(fmt.Sprint("long-running ", longRunning), func(t *testing.T) {
+			s := newScene(t, true, "i-1", "i-2")
+			s.keepSuspect("i-1")
+			gang := unitStep(2)
+			gang.Gang, gang.MaxPerUpstream, gang.LongRunning = true, 1, longRunning
+			s.accept(testJob, gang)
+			s.awaitStartWithin(dueWaitLimit, unitName(0), func() {
+				s.listAll()
+				s.keepSuspect("i-1")
+			})
+		})
+	}
+}
