job/bbrscheduler: test of suspect upstreams beside a trial

A round plans nothing although a suspect upstream has the free capacity: it decides whether suspect upstreams are used before a trial takes the last one that is not suspect. The next round uses them, so callers wait for one round more.

Printed on the present code:

--- FAIL: TestTrialLeavesSuspectUpstreamsToOtherWork "[]" should have 1 item(s), but has 0

--- a/internal/job/bbrscheduler/duework_test.go
+++ b/internal/job/bbrscheduler/duework_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/bluebellridge/bluebellridge/internal/job/bbrcrash"
 	"github.com/bluebellridge/bluebellridge/internal/job/bbrorder"
 	"github.com/bluebellridge/bluebellridge/internal/job/bbrwork"
 )
@@ -93,3 +94,31 @@
 		})
 	}
 }
+
+// isolate accuses the first work unit of the test's job of crashes beside many others.
+func (s *scene) isolate() *unit {
+	u := s.sched.jobs[testJob].findUnit(unitName(0))
+	for i := range 3 {
+		s.sched.accuse(u, bbrcrash.Crash{Upstream: fmt.Sprint("i-", 7+i), Run: i + 1, At: s.now, Others: 20}, s.now)
+	}
+	require.Equal(s, bbrcrash.Isolated, u.crashes.Standing())
+	s.store()
+	return u
+}
+
+const otherJob = "00000000000000d1"
+
+// TestTrialLeavesSuspectUpstreamsToOtherWork guards against work that finds no upstream in the
+// round in which a trial takes the last one that is not suspect.
+func TestTrialLeavesSuspectUpstreamsToOtherWork(t *testing.T) {
+	s := newScene(t, true, "i-1", "i-2")
+	s.plan()
+	s.keepSuspect("i-2")
+	s.accept(testJob, unitStep(1))
+	s.isolate()
+	s.accept(otherJob, unitStep(1))
+	starts := s.sched.Plan(true, s.now).Starts
+	require.NotNil(t, s.sched.upstreams["i-1"].trialUnit)
+	require.Len(t, starts, 1)
+	require.Equal(t, otherJob, starts[0].Start.Unit.Job)
+}
