job/bbrscheduler: test of a long trial on the only upstream

Callers would see harmless work wait for as long as a suspect runs alone on the only upstream that suits it, which is the whole run time of finite work.

Printed on the present code:

--- FAIL: TestLongTrialDoesNotKeepTheOnlyUpstream the work unit was not started in time

--- a/internal/job/bbrscheduler/duework_test.go
+++ b/internal/job/bbrscheduler/duework_test.go
@@ -122,3 +122,17 @@
 	require.Len(t, starts, 1)
 	require.Equal(t, otherJob, starts[0].Start.Unit.Job)
 }
+
+// TestLongTrialDoesNotKeepTheOnlyUpstream guards against harmless work that waits until a
+// long run alone has ended, though there is free capacity beside it.
+func TestLongTrialDoesNotKeepTheOnlyUpstream(t *testing.T) {
+	s := newScene(t, true, "i-1")
+	suspect := unitStep(1)
+	suspect.Estimate = time.Minute
+	s.accept(testJob, suspect)
+	s.isolate()
+	s.awaitStartWithin(dueWaitLimit, unitName(0), s.listAll)
+	s.sched.ApplyStartResult(StartOrder{Upstream: s.upstream("i-1"), Start: bbrorder.Start{Unit: unitName(0), Run: 1}}, s.now.Sub(s.start), nil, s.now)
+	s.accept(otherJob, unitStep(1))
+	s.awaitStartWithin(dueWaitLimit, bbrwork.Unit{Job: otherJob}, s.listAll)
+}
