job/bbrscheduler: test of a trial that cannot start on the only upstream

Callers would see harmless work wait up to 12 s beside free capacity. The only upstream is reserved for a suspect, which cannot start before a long run has ended there. The reservation ends after 4 s and is made again in the same round.

Printed on the present code:

--- FAIL: TestTrialThatCannotStartDoesNotKeepTheOnlyUpstream the work unit was not started in time

--- a/internal/job/bbrscheduler/duework_test.go
+++ b/internal/job/bbrscheduler/duework_test.go
@@ -136,3 +136,18 @@
 	s.accept(otherJob, unitStep(1))
 	s.awaitStartWithin(dueWaitLimit, bbrwork.Unit{Job: otherJob}, s.listAll)
 }
+
+// TestTrialThatCannotStartDoesNotKeepTheOnlyUpstream guards against harmless work that waits
+// beside free capacity, since a suspect waits for the end of a long run on the only upstream.
+func TestTrialThatCannotStartDoesNotKeepTheOnlyUpstream(t *testing.T) {
+	s := newScene(t, true, "i-1")
+	filler := unitStep(1)
+	filler.Estimate = time.Minute
+	s.accept(fillerJob, filler)
+	s.answerStarts(s.plan(), nil)
+	s.accept(testJob, unitStep(1))
+	s.isolate()
+	s.plan()
+	s.accept(otherJob, unitStep(1))
+	s.awaitStartWithin(dueWaitLimit, bbrwork.Unit{Job: otherJob}, s.listAll)
+}
