job/bbrscheduler: test of small work behind refused wide work

Callers would see small work wait for ever on an upstream that would take it. Wide work with a better rank takes all of the capacity that the owner believes to be free there and is refused, 100 ms pass without starts there, and then the wide work comes first again.

Printed on the present code:

--- FAIL: TestRefusedWideWorkDoesNotKeepSmallWorkWaiting the small work unit was not started in time

--- a/internal/job/bbrscheduler/duework_test.go
+++ b/internal/job/bbrscheduler/duework_test.go
@@ -151,3 +151,25 @@
 	s.accept(otherJob, unitStep(1))
 	s.awaitStartWithin(dueWaitLimit, bbrwork.Unit{Job: otherJob}, s.listAll)
 }
+
+// TestRefusedWideWorkDoesNotKeepSmallWorkWaiting guards against small work that never gets its
+// turn on an upstream that refuses wide work again and again, since it has less than it reports.
+func TestRefusedWideWorkDoesNotKeepSmallWorkWaiting(t *testing.T) {
+	s := newScene(t, true)
+	s.registerCapacity("i-1", 16000)
+	wide := unitStep(4)
+	wide.Need.MilliCPU = 4000
+	s.accept("0000000000000001", wide)
+	s.accept(testJob, unitStep(1))
+	for limit := s.now.Add(dueWaitLimit); s.now.Before(limit); s.advance(50 * time.Millisecond) {
+		plan := s.plan()
+		for _, order := range plan.Starts {
+			if order.Start.Unit == unitName(0) {
+				return
+			}
+		}
+		s.answerStarts(plan, bbrorder.ErrNoCapacity)
+		s.listAll()
+	}
+	require.Fail(t, "the small work unit was not started in time")
+}
