job/bbrscheduler: test of finite work that waits for the rack of its data

Callers would see a work unit of 1 s wait for a run of a minute. A step that can no longer meet its objective away from its data waits for the rack of its data as long as over half of the pool's cores are in use, without a bound.

Printed on the present code:

--- FAIL: TestFiniteWorkDoesNotWaitLongForTheRackOfItsData the work unit was not started in time

--- a/internal/job/bbrscheduler/duework_test.go
+++ b/internal/job/bbrscheduler/duework_test.go
@@ -173,3 +173,24 @@
 	}
 	require.Fail(t, "the small work unit was not started in time")
 }
+
+// TestFiniteWorkDoesNotWaitLongForTheRackOfItsData guards against a short work unit that waits
+// for a long run on the rack of its data, although it would long have ended on another rack.
+func TestFiniteWorkDoesNotWaitLongForTheRackOfItsData(t *testing.T) {
+	s := newScene(t, true)
+	s.registerCapacity("i-1", 4000, "r-1")
+	s.registerCapacity("i-2", 4000, "r-2")
+	filler := unitStep(6)
+	filler.Estimate = time.Minute
+	s.accept(fillerJob, filler)
+	s.answerStarts(s.plan(), nil)
+	full := s.sched.upstreams["i-1"]
+	if full.free().MilliCPU > 0 {
+		full = s.sched.upstreams["i-2"]
+	}
+	require.Zero(t, full.free().MilliCPU)
+	step := unitStep(1)
+	step.DataRack = full.Rack()
+	s.accept(testJob, step)
+	s.awaitStartWithin(dueWaitLimit, unitName(0), s.listAll)
+}
