job/bbrscheduler: test of a ticket for an upstream that does not suit

Callers would see a work unit wait for the lifetime of a ticket beside a free upstream on the rack of its data. The advice service is asked about no further upstreams if the step has a ticket for one with enough free capacity, even if that one does not suit the step: it is far from its data in a busy pool, or keeps its capacity for other work.

Printed on the present code:

--- FAIL: TestTicketForAnUpstreamFarFromTheDataDoesNotKeepOthersUnasked the work unit was not started in time

--- a/internal/job/bbrscheduler/duework_test.go
+++ b/internal/job/bbrscheduler/duework_test.go
@@ -194,3 +194,46 @@
 	s.accept(testJob, step)
 	s.awaitStartWithin(dueWaitLimit, unitName(0), s.listAll)
 }
+
+// TestTicketForAnUpstreamFarFromTheDataDoesNotKeepOthersUnasked guards against a work unit that
+// waits beside a free upstream on the rack of its data until its ticket for a far one expires.
+func TestTicketForAnUpstreamFarFromTheDataDoesNotKeepOthersUnasked(t *testing.T) {
+	s := newScene(t, true)
+	s.sched.SetConfig(bbrwork.NewConfig(2, testQueues, nil, bbrwork.Limits{}))
+	s.registerCapacity("i-1", 4000, "r-1")
+	s.registerCapacity("i-2", 4000, "r-2")
+	filler := unitStep(6)
+	filler.Estimate = time.Minute
+	s.accept(fillerJob, filler)
+	s.answerStarts(s.plan(), nil)
+	full := s.sched.upstreams["i-1"]
+	if full.free().MilliCPU > 0 {
+		full = s.sched.upstreams["i-2"]
+	}
+	step := unitStep(1)
+	step.DataRack, step.Estimate = full.Rack(), time.Minute
+	s.sched.AddJob(&bbrwork.Job{ID: testJob, Queue: "plates", Service: "press", Spec: "x", Steps: []bbrwork.Step{step}, Accepted: s.now}, 0, nil, s.now)
+	advise := func(plan Plan) {
+		for _, request := range plan.AdviceRequests {
+			s.sched.ApplyAdvice(request, map[string]string{"i-1": "t", "i-2": "t"}, time.Minute, nil, s.now, s.now)
+		}
+	}
+	plan := s.plan()
+	require.Empty(t, plan.Starts)
+	advise(plan)
+	for _, r := range full.runs {
+		s.sched.dropRun(r, s.now)
+		r.unit.markDone()
+		break
+	}
+	for limit := s.now.Add(dueWaitLimit); s.now.Before(limit); s.advance(50 * time.Millisecond) {
+		plan := s.plan()
+		if len(plan.Starts) > 0 {
+			require.Equal(t, full.ID, plan.Starts[0].Upstream.ID)
+			return
+		}
+		advise(plan)
+		s.listAll()
+	}
+	require.Fail(t, "the work unit was not started in time")
+}
