job/bbrscheduler: test of a gang with data and no need of one rack

Callers would see a gang wait for a long run, though its members fit on two racks now. A gang that names the rack of its data is placed on one rack like one that asks for it, and on several racks only if no rack can ever have it.

Printed on the present code:

--- FAIL: TestGangLeavesTheRackOfItsDataIfItMay the work unit was not started in time

--- a/internal/job/bbrscheduler/duework_test.go
+++ b/internal/job/bbrscheduler/duework_test.go
@@ -237,3 +237,19 @@
 	}
 	require.Fail(t, "the work unit was not started in time")
 }
+
+// TestGangLeavesTheRackOfItsDataIfItMay guards against a gang that need not run on one rack and
+// waits for a long run on one, though its members fit on two racks now.
+func TestGangLeavesTheRackOfItsDataIfItMay(t *testing.T) {
+	s := newScene(t, true)
+	s.registerCapacity("i-1", 4000, "r-1")
+	s.registerCapacity("i-2", 4000, "r-2")
+	filler := unitStep(2)
+	filler.MaxPerUpstream, filler.Estimate = 1, time.Minute
+	s.accept(fillerJob, filler)
+	s.answerStarts(s.plan(), nil)
+	gang := unitStep(2)
+	gang.Gang, gang.DataRack, gang.Need.MilliCPU = true, "r-1", 2000
+	s.accept(testJob, gang)
+	s.awaitStartWithin(dueWaitLimit, unitName(0), s.listAll)
+}
