job/bbrscheduler: the capacity requested for late work doesn't fall with the backlog

Late work was divided by overdueSpread in each report anew, a horizon that moves along, so that backlog and pool fell by a factor e in 8 s.

The rate for late work is now held until the rest could be done within minSlack at that rate: a backlog is done overdueSpread after there was most of it, and the whole fleet is still not requested at once. The rate belongs to the shard, not to a job: late jobs are served one after the other, and the sum over jobs that are left would fall in the same way.

--- a/internal/job/bbrscheduler/demand.go
+++ b/internal/job/bbrscheduler/demand.go
@@ -39,7 +39,8 @@
 	// minSlack is the least time over which the work of a job is spread, so that a
 	// job that is almost late does not request the whole fleet.
 	minSlack = time.Second
-	// overdueSpread is the time over which the work of late jobs is spread.
+	// overdueSpread is the time over which the work of late jobs is spread, counted from
+	// when there is most of it.
 	overdueSpread = 8 * time.Second
 	// For recentShare of its objective, and for minRecentWindow at least, a job
 	// that has arrived stands for the arrival rate of jobs like it.
@@ -75,11 +76,14 @@
 	return demand
 }
 
-// workRate is the finite work of an organisation as a rate, in millicores.
+// workRate is the finite work of an organisation.
 type workRate struct {
-	// open is the rate at which the open jobs must be worked off, and arriving the rate
-	// at which work like that of the recent jobs arrives.
-	open, arriving float64
+	// inTime is the rate at which the jobs that can meet their objectives must be worked
+	// off, and arriving the rate at which work like that of the recent jobs arrives, in
+	// millicores.
+	inTime, arriving float64
+	// late is the work of the late jobs, in millicore-seconds.
+	late float64
 }
 
 // add adds the work of an occurrence of a job.
@@ -89,7 +93,11 @@
 		return
 	}
 	deadline := j.objective(o)
-	rate.open += work / o.spread(deadline, now).Seconds()
+	if now.Add(o.remainingPath()).Before(deadline) {
+		rate.inTime += work / max(minSlack, deadline.Sub(now)).Seconds()
+	} else {
+		rate.late += work
+	}
 	allowed := deadline.Sub(j.Accepted)
 	if window := max(minRecentWindow, time.Duration(recentShare*float64(allowed))); now.Sub(j.learnedAt) < window {
 		rate.arriving += o.totalWork() / window.Seconds()
@@ -124,18 +132,31 @@
 	return int(total)
 }
 
-// sumRates returns the sum of the rates. No organisation counts for more than its cap
-// lets it use.
+// sumRates returns the rate at which the open jobs must be worked off, and that at which
+// others arrive. No organisation counts for more than its cap lets it use.
 func (sched *Scheduler) sumRates(rates map[string]*workRate) (open, arriving float64) {
+	leastLate, mostLate := 0.0, 0.0
 	for organisation, rate := range rates {
 		limit := math.Inf(1)
 		if account := sched.accounts[organisation]; account != nil && account.Cap.MilliCPU > 0 {
 			limit = float64(account.Cap.MilliCPU)
 		}
-		open += min(limit, rate.open)
 		arriving += min(limit, rate.arriving)
+		inTime := min(limit, rate.inTime)
+		open += inTime
+		leastLate += min(limit-inTime, rate.late/overdueSpread.Seconds())
+		mostLate += min(limit-inTime, rate.late/minSlack.Seconds())
 	}
-	return open, arriving
+	sched.lateRate = nextLateRate(sched.lateRate, leastLate, mostLate)
+	return open + sched.lateRate, arriving
+}
+
+// nextLateRate returns the rate at which late work must be worked off, given the previous
+// one. least is the rate that spreads the work over overdueSpread, and most the one that
+// spreads it over minSlack. A rate that fell with the work would never complete it: the pool
+// would shrink as fast.
+func nextLateRate(previous, least, most float64) float64 {
+	return max(least, min(previous, most))
 }
 
 func (d *Demand) addLongRunning(o *occurrence) {
