job/bbrscheduler: the capacity requested for finite work counts its memory

Callers of work that needs much memory and little processor time waited past their objectives on the few upstreams that its processor time needs, beside spare instances. Demand.MilliCPU counted processor time alone.

Work is now summed in both resources, and the one that needs more upstreams decides: memory counts with the processor capacity that the pool's upstreams have for it. The cap of an organisation reduces both alike: work that its processor cap keeps from running requests no memory (TestMemoryBoundDemandWithinTheCap). Neither the memory of long-running work nor that of expected arrivals is counted.

--- a/internal/job/bbrscheduler/demand.go
+++ b/internal/job/bbrscheduler/demand.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"math"
 	"slices"
 	"time"
 
@@ -12,7 +11,9 @@
 // Demand is the capacity that a shard requests from the fleet.
 type Demand struct {
 	// MilliCPU is the CPU capacity that the open jobs need to meet their
-	// objectives, or that jobs like the recent ones will need if that is more.
+	// objectives, or that jobs like the recent ones will need if that is more. Work
+	// bound by memory counts with the CPU capacity of the upstreams that its memory
+	// needs.
 	MilliCPU int `json:"milliCPU"`
 	// LongRunningMilliCPU is the part of MilliCPU that long-running work takes.
 	LongRunningMilliCPU int `json:"lasting"`
@@ -79,24 +80,27 @@
 // workRate is the finite work of an organisation.
 type workRate struct {
 	// inTime is the rate at which the jobs that can meet their objectives must be worked
-	// off, and arriving the rate at which work like that of the recent jobs arrives, in
+	// off, and late the rate that would work off the others in a second.
+	inTime, late resourceRate
+	// arriving is the rate at which work like that of the recent jobs arrives, in
 	// millicores.
-	inTime, arriving float64
-	// late is the work of the late jobs, in millicore-seconds.
-	late float64
+	arriving float64
 }
 
 // add adds the work of an occurrence of a job.
 func (rate *workRate) add(j *job, o *occurrence, now time.Time) {
-	work := o.remainingWork()
-	if work == 0 || now.Before(j.Schedule.Due(o.number)) {
+	if o.unitsLeft == 0 || now.Before(j.Schedule.Due(o.number)) {
 		return
 	}
+	work := resourceRate{
+		milliCPU: o.remainingWork(),
+		memoryMB: o.remaining(func(need bbrwork.Resources) int { return need.MemoryMB }),
+	}
 	deadline := j.objective(o)
 	if now.Add(o.remainingPath()).Before(deadline) {
-		rate.inTime += work / max(minSlack, deadline.Sub(now)).Seconds()
+		rate.inTime.add(work, 1/max(minSlack, deadline.Sub(now)).Seconds())
 	} else {
-		rate.late += work
+		rate.late.add(work, 1)
 	}
 	allowed := deadline.Sub(j.Accepted)
 	if window := max(minRecentWindow, time.Duration(recentShare*float64(allowed))); now.Sub(j.learnedAt) < window {
@@ -132,23 +136,29 @@
 	return int(total)
 }
 
-// sumRates returns the rate at which the open jobs must be worked off, and that at which
-// others arrive. No organisation counts for more than its cap lets it use.
+// sumRates returns the rate at which the open jobs must be worked off, by processor time or
+// by memory, whichever needs more upstreams, and the rate at which others arrive. No
+// organisation counts for more than its cap lets it use.
 func (sched *Scheduler) sumRates(rates map[string]*workRate) (open, arriving float64) {
-	leastLate, mostLate := 0.0, 0.0
+	var inTime, leastLate, mostLate resourceRate
 	for organisation, rate := range rates {
-		limit := math.Inf(1)
-		if account := sched.accounts[organisation]; account != nil && account.Cap.MilliCPU > 0 {
-			limit = float64(account.Cap.MilliCPU)
+		limit := unlimitedRate
+		if account := sched.accounts[organisation]; account != nil {
+			limit = limitOf(account.Cap)
 		}
-		arriving += min(limit, rate.arriving)
-		inTime := min(limit, rate.inTime)
-		open += inTime
-		leastLate += min(limit-inTime, rate.late/overdueSpread.Seconds())
-		mostLate += min(limit-inTime, rate.late/minSlack.Seconds())
+		arriving += min(limit.milliCPU, rate.arriving)
+		inLimit := rate.inTime.within(limit)
+		inTime.add(inLimit, 1)
+		limit.add(inLimit, -1)
+		leastLate.add(rate.late.times(1/overdueSpread.Seconds()).within(limit), 1)
+		mostLate.add(rate.late.times(1/minSlack.Seconds()).within(limit), 1)
+	}
+	late := resourceRate{
+		milliCPU: nextLateRate(sched.lateRate.milliCPU, leastLate.milliCPU, mostLate.milliCPU),
+		memoryMB: nextLateRate(sched.lateRate.memoryMB, leastLate.memoryMB, mostLate.memoryMB),
 	}
-	sched.lateRate = nextLateRate(sched.lateRate, leastLate, mostLate)
-	return open + sched.lateRate, arriving
+	sched.lateRate = late
+	return max(inTime.milliCPU+late.milliCPU, sched.milliCPUPerMB()*(inTime.memoryMB+late.memoryMB)), arriving
 }
 
 // nextLateRate returns the rate at which late work must be worked off, given the previous
--- a/internal/job/bbrscheduler/quota_test.go
+++ b/internal/job/bbrscheduler/quota_test.go
@@ -95,3 +95,19 @@
 	s.acceptOf("00000000000000a2", "", 0, 200)
 	require.Greater(t, s.sched.Demand(s.now).MilliCPU, 10*limitedMilliCPU)
 }
+
+// TestMemoryBoundDemandWithinTheCap guards against the same for work that needs much memory,
+// of an organisation whose cap is on processor time alone.
+func TestMemoryBoundDemandWithinTheCap(t *testing.T) {
+	s := newScene(t, true, "i-1")
+	s.applyCap(limitedMilliCPU)
+	upstream := s.upstream("i-1").Capacity
+	s.sched.AddJob(&bbrwork.Job{ID: testJob, Queue: "proofs", Service: "press", Spec: "x", Organisation: limitedOrganisation, Accepted: s.now, Steps: []bbrwork.Step{
+		{Count: 200, Need: bbrwork.Resources{MilliCPU: 1000, MemoryMB: upstream.MemoryMB}, Estimate: time.Second},
+	}}, 0, nil, s.now)
+	const unitsWithinCap = limitedMilliCPU / 1000
+	for range 2 {
+		require.Equal(t, unitsWithinCap*upstream.MilliCPU, s.sched.Demand(s.now).MilliCPU, "each unit fills an upstream")
+		s.advance(20 * time.Second)
+	}
+}
--- a/internal/job/bbrscheduler/scheduler.go
+++ b/internal/job/bbrscheduler/scheduler.go
@@ -87,9 +87,8 @@
 	orders  orders
 	// arrivals are the recent job arrivals.
 	arrivals arrivals
-	// lateRate is the last requested rate at which late work must be worked off, in
-	// millicores.
-	lateRate float64
+	// lateRate is the last requested rate at which late work must be worked off.
+	lateRate resourceRate
 	// adviceInFlight counts the requests to the advice service in flight.
 	adviceInFlight int
 	// endedJobs has the jobs that were dropped after their end was stored. An
