job/bbrscheduler: an idle upstream that is silent gets a renewal

Callers saw, or could see, work wait for ever beside an empty upstream that answers. An upstream whose renewal was lost is silent until its next listing, and after 300 ms takes no work. If a refused start was the only thing on it, the refusal's clock ended the lost answers, so that it counted as idle, and an idle upstream gets no renewal: the listing never came.

Idle now requires that the upstream is not silent. The next renewal is answered with a listing, which ends the silence. TestUpstreamThatAnswersOnlyARefusalIsUsedAgain, with no start within 3 s before, passes.

--- a/internal/job/bbrscheduler/renewal.go
+++ b/internal/job/bbrscheduler/renewal.go
@@ -38,7 +38,7 @@
 	plan := RenewalPlan{
 		Upstream:    up.target(),
 		HasOrphans:  len(up.orphans) > 0,
-		Idle:        len(up.runs) == 0 && len(up.orphans) == 0 && !sched.unlocated[up.Incarnation] && up.identified() && (!up.registered || up.acknowledged == up.applied && up.reached && up.lostAnswers == 0),
+		Idle:        len(up.runs) == 0 && len(up.orphans) == 0 && !sched.unlocated[up.Incarnation] && up.identified() && (!up.registered || up.mayBeLeftAlone()),
 		HasRuns:     len(up.runs) > 0,
 		Unconfirmed: !confirmed,
 	}
@@ -58,6 +58,13 @@
 	return plan, true
 }
 
+// mayBeLeftAlone reports whether a registered upstream on which nothing runs needs no
+// renewal: all its ends are read, and its silence, which only a listing ends, does not keep
+// work from it.
+func (up *upstream) mayBeLeftAlone() bool {
+	return up.reached && up.acknowledged == up.applied && up.lostAnswers == 0 && up.silentSince.IsZero()
+}
+
 // nextLease returns the deadline of the next renewal of an upstream with runs; 0 for none.
 //
 // An upstream that may have restarted is only queried. One that does not answer gets no
