job/bbrscheduler: finite work starts on a suspect upstream if no other can ever take it

Callers could see a work unit wait as long as other work failed on the only upstream with its label, its capacity or its ticket, though that one had room. Suspect upstreams took finite work only if there was no other usable upstream at all, whether the others suited it or not.

Such work now goes the way of long-running work, which starts on suspect upstreams that no usable one replaces: a finite unit does so if no usable upstream can take it even once finite work has ended, and after it has waited for 2 s. It waits since its attempts are limited and the suspicion may end, and since TestSuspectUpstreamDoesNotSatisfyDemand says that it does not start at once; callers expect a start within 3 s. The advice service is asked about suspect upstreams too if it permits no other.

--- a/internal/job/bbrscheduler/duework_test.go
+++ b/internal/job/bbrscheduler/duework_test.go
@@ -77,6 +77,30 @@
 	}
 }
 
+// TestAdviceIsAskedAboutSuspectUpstreams guards against work that has no ticket for a suspect
+// upstream, since the advice service permits no other.
+func TestAdviceIsAskedAboutSuspectUpstreams(t *testing.T) {
+	for _, step := range []bbrwork.Step{unitStep(1), longRunningStep(1)} {
+		s := newScene(t, true, "i-1", "i-2")
+		s.sched.SetConfig(bbrwork.NewConfig(2, testQueues, nil, bbrwork.Limits{}))
+		s.plan()
+		s.keepSuspect("i-1")
+		s.sched.AddJob(&bbrwork.Job{ID: testJob, Queue: "plates", Service: "press", Spec: "x", Steps: []bbrwork.Step{step}, Accepted: s.now}, 0, nil, s.now)
+		var starts []StartOrder
+		for limit := s.now.Add(dueWaitLimit); len(starts) == 0 && s.now.Before(limit); s.advance(50 * time.Millisecond) {
+			plan := s.sched.Plan(true, s.now)
+			starts = plan.Starts
+			for _, request := range plan.AdviceRequests {
+				s.sched.ApplyAdvice(request, map[string]string{"i-1": "t"}, ticketTTL, nil, s.now, s.now)
+			}
+			s.listAll()
+			s.keepSuspect("i-1")
+		}
+		require.Len(t, starts, 1)
+		require.Equal(t, "i-1", starts[0].Upstream.ID)
+	}
+}
+
 // TestGangUsesSuspectUpstreamsThatItNeeds guards against a gang that waits as long as other
 // work fails on an upstream without which it never fits.
 func TestGangUsesSuspectUpstreamsThatItNeeds(t *testing.T) {
--- a/internal/job/bbrscheduler/plan.go
+++ b/internal/job/bbrscheduler/plan.go
@@ -43,8 +43,8 @@
 	now   time.Time
 	// usable are the upstreams that may take work, sorted by ID.
 	usable []*upstream
-	// suspects are the suspect upstreams beside them, on which only long-running work may
-	// start, if it fits nowhere else.
+	// suspects are the suspect upstreams beside them, on which only work may start that no
+	// usable upstream suits (maySpill).
 	suspects []*upstream
 	// excluded counts the upstreams by the reason for which they may not take work.
 	excluded [exclusionCount]int
@@ -160,7 +160,7 @@
 }
 
 func (p *planner) startStep(s *step) {
-	if request, ok := p.sched.adviceRequest(s, p.usable, p.now); ok {
+	if request, ok := p.sched.adviceRequest(s, p.upstreamsToAsk(s), p.now); ok {
 		p.plan.AdviceRequests = append(p.plan.AdviceRequests, request)
 	}
 	if !p.fitsAnywhere(s) {
@@ -198,7 +198,7 @@
 // a cheap check before the single work units are placed.
 func (p *planner) fitsAnywhere(s *step) bool {
 	need := s.spec.Allocation()
-	if s.spec.LongRunning && p.fitsOnSuspect(need) {
+	if p.fitsOnSuspect(need) && p.maySpill(s) {
 		return true
 	}
 	if p.doesNotFit[need] {
@@ -219,11 +219,11 @@
 }
 
 // chooseUpstream returns the best upstream for a work unit, or nil. fits is a
-// further condition; nil for none. Long-running work starts on a suspect upstream only if
-// no other suits it: starts in flight are soon answered, so it waits for them.
+// further condition; nil for none. Work starts on a suspect upstream only if no other suits
+// it: starts in flight are soon answered, so it waits for them.
 func (p *planner) chooseUpstream(u *unit, fits func(up *upstream) bool) *upstream {
 	best := p.bestOf(p.usable, u, fits)
-	if best == nil && u.step.spec.LongRunning && !p.suitsUsable(u.step, fits) {
+	if best == nil && p.maySpill(u.step) && !p.suitsUsable(u.step, fits) {
 		return p.bestOf(p.suspects, u, fits)
 	}
 	return best
--- a/internal/job/bbrscheduler/usable.go
+++ b/internal/job/bbrscheduler/usable.go
@@ -1,6 +1,7 @@
 package bbrscheduler
 
 import (
+	"slices"
 	"time"
 
 	"github.com/bluebellridge/bluebellridge/internal/job/bbrwork"
@@ -75,8 +76,12 @@
 	}
 }
 
+// suspectPatience is how long finite work waits that only suspect upstreams can ever take.
+// Its attempts are limited and the suspicion may end, but callers expect a start within 3 s.
+const suspectPatience = 2 * time.Second
+
 // findUsable collects the upstreams that may take work. Suspect upstreams are used
-// only if there are no others, or for long-running work that no other suits. isRecorded
+// only if there are no others, or for work that no other suits. isRecorded
 // reports whether the store lists an incarnation as recorded for a successor.
 func (p *planner) findUsable(isRecorded func(up *upstream) bool) {
 	for _, up := range p.sched.sortedUpstreams() {
@@ -112,6 +117,36 @@
 	return reason
 }
 
+// maySpill reports whether work units of the step may start on a suspect upstream if no
+// usable one suits them now. Finite work also has to wait for other finite work to end.
+func (p *planner) maySpill(s *step) bool {
+	if len(p.suspects) == 0 {
+		return false
+	}
+	return s.spec.LongRunning || !p.canEverRun(s) && p.hasWaited(s, suspectPatience)
+}
+
+// canEverRun reports whether a usable upstream can take a work unit of the step once
+// finite work has ended.
+func (p *planner) canEverRun(s *step) bool {
+	return slices.ContainsFunc(p.usable, func(up *upstream) bool { return p.sched.canEverFit(s, up) })
+}
+
+// upstreamsToAsk returns the upstreams about which the advice service is asked for the step:
+// suspect ones too if it can run on no other.
+func (p *planner) upstreamsToAsk(s *step) []*upstream {
+	if len(p.suspects) == 0 || !s.job.needsAdvice() || p.canEverRun(s) {
+		return p.usable
+	}
+	return slices.Concat(p.usable, p.suspects)
+}
+
+// hasWaited reports whether a work unit of the step has waited for the time at least.
+func (p *planner) hasWaited(s *step, wait time.Duration) bool {
+	u, since := s.longestIdle()
+	return u != nil && p.now.Sub(since) >= wait
+}
+
 // mayRunFarFromData reports whether a step may run away from its data now. It takes
 // several times as long there, so if the pool is busy it waits for the rack of its
 // data, unless its job can meet the objective anyway. Long-running work does not wait:
