job/bbrscheduler: a gang uses suspect upstreams that it never fits without

Callers could see a gang wait as long as other work failed on an upstream that it needs. Gangs, also long-running ones, were placed on usable upstreams alone.

The groups in which a gang is placed now end with those of the usable and the suspect upstreams together, if the usable ones never have the capacity for all members and, for finite gangs, the gang has waited for 2 s. Reservations stay on usable upstreams.

TestGangUsesSuspectUpstreamsThatItNeeds, with no start within 3 s before, passes for both kinds of gangs.

--- a/internal/job/bbrscheduler/gang.go
+++ b/internal/job/bbrscheduler/gang.go
@@ -19,7 +19,7 @@
 			return
 		}
 	}
-	if request, ok := p.sched.adviceRequest(s, p.usable, p.now); ok {
+	if request, ok := p.sched.adviceRequest(s, p.upstreamsToAsk(s), p.now); ok {
 		p.plan.AdviceRequests = append(p.plan.AdviceRequests, request)
 	}
 	if !p.withinCap(s, len(s.units)) {
@@ -59,13 +59,23 @@
 	return may
 }
 
-// placementGroups returns the groups of upstreams to try, in order of preference.
+// placementGroups returns the groups of upstreams to try, in order of preference. They
+// include suspect upstreams if the gang never fits without them.
 func (p *planner) placementGroups(s *step) [][]*upstream {
+	groups := p.groupsOf(s, p.usable)
+	if p.maySpill(s) && !p.canEverRun(s) {
+		groups = append(groups, p.groupsOf(s, slices.Concat(p.usable, p.suspects))...)
+	}
+	return groups
+}
+
+// groupsOf returns the groups in which the gang may be placed on the upstreams.
+func (p *planner) groupsOf(s *step, upstreams []*upstream) [][]*upstream {
 	if !s.spec.SameRack && s.spec.DataRack == "" {
-		return [][]*upstream{p.usable}
+		return [][]*upstream{upstreams}
 	}
 	racks := make(map[string][]*upstream)
-	for _, up := range p.usable {
+	for _, up := range upstreams {
 		racks[up.Rack()] = append(racks[up.Rack()], up)
 	}
 	groups := make([][]*upstream, 0, len(racks)+1)
@@ -84,7 +94,7 @@
 		return cmp.Compare(a[0].Rack(), b[0].Rack())
 	})
 	if !possible {
-		groups = append(groups, p.usable)
+		groups = append(groups, upstreams)
 	}
 	return groups
 }
--- a/internal/job/bbrscheduler/reservation.go
+++ b/internal/job/bbrscheduler/reservation.go
@@ -164,7 +164,7 @@
 func (p *planner) earliestSlot(s *step, need bbrreservation.Need) (earliest bbrreservation.Slot, ok bool) {
 	limit, groups := p.now.Add(bbrreservation.MaxLead), [][]*upstream{p.usable}
 	if s.spec.Gang {
-		groups = p.placementGroups(s)
+		groups = p.groupsOf(s, p.usable)
 	}
 	for _, group := range groups {
 		slot, fits := p.ends().Earliest(need, func(i int) bool { return p.suitsReservation(s, p.usable[i], group) }, limit)
--- a/internal/job/bbrscheduler/usable.go
+++ b/internal/job/bbrscheduler/usable.go
@@ -126,9 +126,12 @@
 	return s.spec.LongRunning || !p.canEverRun(s) && p.hasWaited(s, suspectPatience)
 }
 
-// canEverRun reports whether a usable upstream can take a work unit of the step once
-// finite work has ended.
+// canEverRun reports whether a usable upstream can take a work unit of the step, or the
+// usable ones together a gang, once finite work has ended.
 func (p *planner) canEverRun(s *step) bool {
+	if s.spec.Gang {
+		return p.sched.canEverFitGang(s, p.usable)
+	}
 	return slices.ContainsFunc(p.usable, func(up *upstream) bool { return p.sched.canEverFit(s, up) })
 }
 
