job/bbrscheduler, fleet/bbrmaintenance: spread finite work requests upstreams for its units

MaxPerUpstream counted in the demand for long-running work alone.

The report now has the number of upstreams over which such a step must be spread to be done by its objective, or if it is late within overdueSpread. It falls as nextLateRate does, and counts no units that the cap of the organisation keeps from running. The fleet leader takes it as a least target in the tier of other work, so that it has no priority over that. It is a field of its own ("spread" in reports and logs): MinUpstreams also counts in the tier of long-running work.

--- a/internal/fleet/bbrmaintenance/balance.go
+++ b/internal/fleet/bbrmaintenance/balance.go
@@ -31,6 +31,8 @@
 	// MinInstances is the number of instances over which its long-running work is or must
 	// be spread, regardless of the load.
 	MinInstances int
+	// SpreadInstances is the number of instances over which its finite work must be spread.
+	SpreadInstances int
 	// Releasable lists the upstream IDs of the instances that it can release, those that
 	// are drained soonest first.
 	Releasable []string
--- a/internal/fleet/bbrmaintenance/sizing.go
+++ b/internal/fleet/bbrmaintenance/sizing.go
@@ -70,7 +70,7 @@
 	for _, request := range round.requests {
 		target := round.minSize(request)
 		if round.tier == tierOther {
-			target = max(target, round.instancesFor(request, request.MilliCPU), request.withExclusive(request.Exclusive))
+			target = max(target, round.instancesFor(request, request.MilliCPU), request.SpreadInstances, request.withExclusive(request.Exclusive))
 		}
 		round.target[request.Partition] = target
 	}
--- a/internal/job/bbrscheduler/demand.go
+++ b/internal/job/bbrscheduler/demand.go
@@ -20,6 +20,9 @@
 	// MinUpstreams is the number of upstreams over which long-running work is or
 	// must be spread.
 	MinUpstreams int `json:"keep"`
+	// SpreadUpstreams is the number of upstreams over which finite work must be spread
+	// to be done in time, because an upstream may run only some of its work units.
+	SpreadUpstreams int `json:"spread,omitempty"`
 	// Exclusive is the number of upstreams that are needed at once by wide work
 	// units, which do not fit beside long-running or other work. It includes the
 	// upstreams on which such units run.
@@ -55,6 +58,7 @@
 func (sched *Scheduler) Demand(now time.Time) Demand {
 	var demand Demand
 	rates := make(map[string]*workRate)
+	var spread spreadUpstreams
 	for _, j := range sched.jobs {
 		if j.finalState != "" || j.cancelled {
 			continue
@@ -67,10 +71,13 @@
 		for _, o := range j.occurrences {
 			demand.addLongRunning(o)
 			rate.add(j, o, now)
+			spread.add(o, sched.capOf(j.Organisation), now)
 		}
 	}
 	open, arriving := sched.sumRates(rates)
 	demand.MilliCPU = demand.LongRunningMilliCPU + int(max(open, arriving, sched.arrivals.forecast(now)))
+	sched.lateSpread = nextLateRate(sched.lateSpread, spread.leastLate, spread.mostLate)
+	demand.SpreadUpstreams = max(spread.inTime, sched.lateSpread)
 	wide := sched.wideWork(now)
 	demand.addExclusive(wide)
 	demand.Releasable = sched.releasable(wide, now)
@@ -97,7 +104,7 @@
 		memoryMB: o.remaining(func(need bbrwork.Resources) int { return need.MemoryMB }),
 	}
 	deadline := j.objective(o)
-	if now.Add(o.remainingPath()).Before(deadline) {
+	if o.canMeet(deadline, now) {
 		rate.inTime.add(work, 1/max(minSlack, deadline.Sub(now)).Seconds())
 	} else {
 		rate.late.add(work, 1)
@@ -142,10 +149,7 @@
 func (sched *Scheduler) sumRates(rates map[string]*workRate) (open, arriving float64) {
 	var inTime, leastLate, mostLate resourceRate
 	for organisation, rate := range rates {
-		limit := unlimitedRate
-		if account := sched.accounts[organisation]; account != nil {
-			limit = limitOf(account.Cap)
-		}
+		limit := limitOf(sched.capOf(organisation))
 		arriving += min(limit.milliCPU, rate.arriving)
 		inLimit := rate.inTime.within(limit)
 		inTime.add(inLimit, 1)
@@ -165,7 +169,7 @@
 // one. least is the rate that spreads the work over overdueSpread, and most the one that
 // spreads it over minSlack. A rate that fell with the work would never complete it: the pool
 // would shrink as fast.
-func nextLateRate(previous, least, most float64) float64 {
+func nextLateRate[T cmp.Ordered](previous, least, most T) T {
 	return max(least, min(previous, most))
 }
 
@@ -222,6 +226,11 @@
 	return longest
 }
 
+// canMeet reports whether the occurrence can be completed before the deadline.
+func (o *occurrence) canMeet(deadline, now time.Time) bool {
+	return now.Add(o.remainingPath()).Before(deadline)
+}
+
 // releasable returns the IDs of the upstreams that can be released: empty ones
 // first, then by the time at which they are expected to be empty, since an instance
 // can be moved only once it is. An upstream with overdue work follows the empty
--- a/internal/job/bbrscheduler/quota.go
+++ b/internal/job/bbrscheduler/quota.go
@@ -22,6 +22,14 @@
 	return account
 }
 
+// capOf returns the cap of an organisation; a resource that is not limited is 0.
+func (sched *Scheduler) capOf(organisation string) bbrwork.Resources {
+	if account := sched.accounts[organisation]; account != nil {
+		return account.Cap
+	}
+	return bbrwork.Resources{}
+}
+
 // Accounts returns the accounts of the organisations, by name: those of the configuration
 // and those of jobs.
 func (sched *Scheduler) Accounts() map[string]*bbrquota.Account { return sched.accounts }
--- a/internal/job/bbrscheduler/resourcerate.go
+++ b/internal/job/bbrscheduler/resourcerate.go
@@ -9,11 +9,9 @@
 // resourceRate is the use of resources by finite work.
 type resourceRate struct{ milliCPU, memoryMB float64 }
 
-var unlimitedRate = resourceRate{milliCPU: math.Inf(1), memoryMB: math.Inf(1)}
-
 // limitOf returns the rate that a cap allows. A resource that is 0 in the cap is not limited.
 func limitOf(limit bbrwork.Resources) resourceRate {
-	rate := unlimitedRate
+	rate := resourceRate{milliCPU: math.Inf(1), memoryMB: math.Inf(1)}
 	if limit.MilliCPU > 0 {
 		rate.milliCPU = float64(limit.MilliCPU)
 	}
--- a/internal/job/bbrscheduler/scheduler.go
+++ b/internal/job/bbrscheduler/scheduler.go
@@ -89,6 +89,9 @@
 	arrivals arrivals
 	// lateRate is the last requested rate at which late work must be worked off.
 	lateRate resourceRate
+	// lateSpread is the last requested number of upstreams over which late finite work
+	// must be spread.
+	lateSpread int
 	// adviceInFlight counts the requests to the advice service in flight.
 	adviceInFlight int
 	// endedJobs has the jobs that were dropped after their end was stored. An
--- /dev/null
+++ b/internal/job/bbrscheduler/spread.go
@@ -0,0 +1,50 @@
+package bbrscheduler
+
+import (
+	"time"
+
+	"github.com/bluebellridge/bluebellridge/internal/job/bbrwork"
+)
+
+// spreadUpstreams is the number of upstreams over which the finite steps must be spread of
+// which an upstream may run only some work units. Different steps share upstreams, so that
+// the step that needs most of them decides.
+type spreadUpstreams struct {
+	// inTime is for jobs that can meet their objectives. For the others, leastLate spreads
+	// the work over overdueSpread, and mostLate over minSlack.
+	inTime, leastLate, mostLate int
+}
+
+// add adds the runnable steps of an occurrence of a job whose organisation has the cap.
+func (d *spreadUpstreams) add(o *occurrence, organisationCap bbrwork.Resources, now time.Time) {
+	for _, s := range o.steps {
+		if s.spec.LongRunning || s.spec.MaxPerUpstream == 0 || s.unitsLeft == 0 || !s.runnable(now) {
+			continue
+		}
+		if deadline := s.job.objective(o); o.canMeet(deadline, now) {
+			laterPath := s.remainingPath - s.runTime
+			d.inTime = max(d.inTime, s.spreadOver(deadline.Sub(now)-laterPath, organisationCap))
+			continue
+		}
+		d.leastLate = max(d.leastLate, s.spreadOver(overdueSpread, organisationCap))
+		d.mostLate = max(d.mostLate, s.spreadOver(minSlack, organisationCap))
+	}
+}
+
+// spreadOver returns the number of upstreams on which the remaining work units of the step
+// are done within the time, as far as the organisation's cap lets them run at once.
+func (s *step) spreadOver(available time.Duration, organisationCap bbrwork.Resources) int {
+	rounds := 1
+	if s.runTime > 0 {
+		rounds = max(1, int(available/s.runTime))
+	}
+	atOnce := (s.unitsLeft + rounds - 1) / rounds
+	need := s.spec.Allocation()
+	if organisationCap.MilliCPU > 0 && need.MilliCPU > 0 {
+		atOnce = min(atOnce, organisationCap.MilliCPU/need.MilliCPU)
+	}
+	if organisationCap.MemoryMB > 0 && need.MemoryMB > 0 {
+		atOnce = min(atOnce, organisationCap.MemoryMB/need.MemoryMB)
+	}
+	return (atOnce + s.spec.MaxPerUpstream - 1) / s.spec.MaxPerUpstream
+}
