job/bbrscheduler: places beside long-running work are counted once for all steps

Callers of jobs that arrived together waited one after the other for the same capacity beside long-running work, while instances were spare. Each waiting step counted the places for itself, found enough, and requested no exclusive upstreams, so that Exclusive and Occupied came out too small.

The places are now also assigned, to the widest step first and each once. Finite units that can run one after the other in the time that their job has, or in overdueSpread if it is late, need a place for their part of it only: else a backlog of many small jobs would request the whole fleet. What a step lacked when counted by itself is still the least that it requests.

--- a/internal/job/bbrscheduler/spread.go
+++ b/internal/job/bbrscheduler/spread.go
@@ -22,8 +22,7 @@
 			continue
 		}
 		if deadline := s.job.objective(o); o.canMeet(deadline, now) {
-			laterPath := s.remainingPath - s.runTime
-			d.inTime = max(d.inTime, s.spreadOver(deadline.Sub(now)-laterPath, organisationCap))
+			d.inTime = max(d.inTime, s.spreadOver(s.timeUntil(deadline, now), organisationCap))
 			continue
 		}
 		d.leastLate = max(d.leastLate, s.spreadOver(overdueSpread, organisationCap))
@@ -34,10 +33,7 @@
 // spreadOver returns the number of upstreams on which the remaining work units of the step
 // are done within the time, as far as the organisation's cap lets them run at once.
 func (s *step) spreadOver(available time.Duration, organisationCap bbrwork.Resources) int {
-	rounds := 1
-	if s.runTime > 0 {
-		rounds = max(1, int(available/s.runTime))
-	}
+	rounds := s.roundsWithin(available)
 	atOnce := (s.unitsLeft + rounds - 1) / rounds
 	need := s.spec.Allocation()
 	if organisationCap.MilliCPU > 0 && need.MilliCPU > 0 {
@@ -48,3 +44,18 @@
 	}
 	return (atOnce + s.spec.MaxPerUpstream - 1) / s.spec.MaxPerUpstream
 }
+
+// timeUntil returns the time that the step has if its job is to be completed by the deadline.
+func (s *step) timeUntil(deadline, now time.Time) time.Duration {
+	laterPath := s.remainingPath - s.runTime
+	return deadline.Sub(now) - laterPath
+}
+
+// roundsWithin returns how many of the step's work units can run one after the other in the
+// time, at least 1.
+func (s *step) roundsWithin(available time.Duration) int {
+	if s.runTime <= 0 {
+		return 1
+	}
+	return max(1, int(available/s.runTime))
+}
--- a/internal/job/bbrscheduler/suitable.go
+++ b/internal/job/bbrscheduler/suitable.go
@@ -16,16 +16,14 @@
 }
 
 // countBesideLongRunning returns how many work units of the step, at most limit,
-// run or fit on upstreams with long-running work.
+// run or fit on upstreams with long-running work, whatever other steps need there.
 func (w *wideWork) countBesideLongRunning(need wideStep, limit int) int {
 	count := 0
-	for _, up := range w.sched.upstreams {
+	for _, left := range w.left {
 		if count >= limit {
 			return limit
 		}
-		if up.hasLongRunning() && up.acceptsWork(w.now) {
-			count += w.placesOn(need, up)
-		}
+		count += w.placesOn(need, left.up)
 	}
 	return min(count, limit)
 }
--- a/internal/job/bbrscheduler/widework.go
+++ b/internal/job/bbrscheduler/widework.go
@@ -27,12 +27,16 @@
 	// freeByLabel has the free capacity of each exclusive upstream that is needed,
 	// by the label that it must have.
 	freeByLabel map[string][]bbrwork.Resources
+	// left has the upstreams with long-running work that may take other work, by ID.
+	left []leftCapacity
 }
 
 // wideStep is a step with the number of its work units that need a place.
 type wideStep struct {
 	*step
-	unitCount int
+	// unitCount is not a whole number if the units need their places for a part of the time
+	// only.
+	unitCount float64
 	// runCounts counts the step's runs by upstream.
 	runCounts map[*upstream]int
 }
@@ -65,17 +69,18 @@
 		return w
 	}
 	w.inspectUpstreams()
-	for _, s := range sched.runnableSteps(now) {
+	runnable := sched.runnableSteps(now)
+	slices.SortFunc(runnable, compareWideSteps)
+	for _, s := range runnable {
 		w.addStep(s)
 	}
-	slices.SortFunc(w.steps, compareWideSteps)
 	for _, need := range w.steps {
 		w.placeStep(need)
 	}
 	return w
 }
 
-func compareWideSteps(left, right wideStep) int {
+func compareWideSteps(left, right *step) int {
 	leftNeed, rightNeed := left.spec.Allocation(), right.spec.Allocation()
 	return cmp.Or(cmp.Compare(rightNeed.MemoryMB, leftNeed.MemoryMB), cmp.Compare(rightNeed.MilliCPU, leftNeed.MilliCPU), cmp.Compare(left.job.ID, right.job.ID),
 		cmp.Compare(left.occurrence.number, right.occurrence.number), cmp.Compare(left.number, right.number))
@@ -111,18 +116,21 @@
 	return false
 }
 
-// inspectUpstreams determines emptyCapacity and hasLongRunning.
+// inspectUpstreams determines emptyCapacity, hasLongRunning and left.
 func (w *wideWork) inspectUpstreams() {
 	for _, up := range w.sched.sortedUpstreams() {
 		w.hasLongRunning = w.hasLongRunning || up.hasLongRunning()
 		if up.registered && w.emptyCapacity.Fits(up.Capacity) {
 			w.emptyCapacity = up.Capacity
 		}
+		if up.hasLongRunning() && up.acceptsWork(w.now) {
+			w.left = append(w.left, leftCapacity{up: up, free: up.free(), besideLongRunning: up.besideLongRunning()})
+		}
 	}
 }
 
-// addStep adds the step with its work units that do not fit beside long-running
-// work.
+// addStep adds the step with its work units that do not fit beside long-running work, be it
+// for lack of places or because the steps before need them as well.
 func (w *wideWork) addStep(s *step) {
 	if s.fitCount(w.emptyCapacity) == 0 {
 		return
@@ -135,7 +143,7 @@
 		return
 	}
 	toPlace := s.unitsToPlace() - s.heldUnits()
-	need.unitCount = toPlace - w.countBesideLongRunning(need, toPlace)
+	need.unitCount = max(float64(toPlace-w.countBesideLongRunning(need, toPlace)), w.assignBesideLongRunning(need, need.unitsAtOnce(toPlace, w.now)))
 	if need.unitCount <= 0 {
 		return
 	}
@@ -167,12 +175,18 @@
 
 // allocate takes the resources of at most limit work units of the step from
 // capacity, and returns the number of units.
-func (s *step) allocate(capacity *bbrwork.Resources, limit int) int {
-	count := min(limit, s.fitCount(*capacity))
-	*capacity = capacity.Minus(s.spec.Allocation().Times(count))
+func (s *step) allocate(capacity *bbrwork.Resources, limit float64) float64 {
+	count := min(limit, float64(s.fitCount(*capacity)))
+	*capacity = capacity.Minus(s.allocationOf(count))
 	return count
 }
 
+// allocationOf returns the resources that a number of the step's work units take on average.
+func (s *step) allocationOf(count float64) bbrwork.Resources {
+	allocation := s.spec.Allocation()
+	return bbrwork.Resources{MilliCPU: int(float64(allocation.MilliCPU) * count), MemoryMB: int(float64(allocation.MemoryMB) * count)}
+}
+
 // runnableSteps returns the runnable steps that are not done. Long-running steps
 // are included only if they have idle work units.
 func (sched *Scheduler) runnableSteps(now time.Time) []*step {
