job/bbrscheduler: suspect upstreams are used in the round in which a trial takes the last other one

A round planned nothing although a suspect upstream had the free capacity, so that callers waited for a round more: whether suspect upstreams are used was decided before a trial took the last one that was not suspect. It is decided again after the trials.

TestTrialLeavesSuspectUpstreamsToOtherWork, with no start before, passes. The whole package passes.

--- a/internal/job/bbrscheduler/trial.go
+++ b/internal/job/bbrscheduler/trial.go
@@ -42,6 +42,7 @@
 			p.planStart(u, u.lastRun+1, up)
 		}
 	}
+	p.useSuspectsIfAlone()
 }
 
 // endTrials releases the upstreams whose trial has ended or cannot take place.
--- a/internal/job/bbrscheduler/usable.go
+++ b/internal/job/bbrscheduler/usable.go
@@ -94,9 +94,7 @@
 		}
 		p.excluded[reason]++
 	}
-	if len(p.usable) == 0 {
-		p.usable, p.suspects = p.suspects, nil
-	}
+	p.useSuspectsIfAlone()
 	var capacity, used bbrwork.Resources
 	for _, up := range p.usable {
 		capacity, used = capacity.Plus(up.Capacity), used.Plus(up.used)
@@ -117,6 +115,13 @@
 	return reason
 }
 
+// useSuspectsIfAlone makes the suspect upstreams usable if there are no others.
+func (p *planner) useSuspectsIfAlone() {
+	if len(p.usable) == 0 {
+		p.usable, p.suspects = p.suspects, nil
+	}
+}
+
 // maySpill reports whether work units of the step may start on a suspect upstream if no
 // usable one suits them now. Finite work also has to wait for other finite work to end.
 func (p *planner) maySpill(s *step) bool {
