job/bbrscheduler: the memory of open finite work is summed once

Load summed it by a rule of its own, which spread late work otherwise than Demand does now. It comes from the rates of Demand; the report keeps its format.

--- a/internal/job/bbrowner/load.go
+++ b/internal/job/bbrowner/load.go
@@ -37,7 +37,7 @@
 		"upstreams", load.Upstreams, "reached", load.Reached, "reserved", load.Reserved, "suspect", load.Suspect, "silent", load.Silent, "usable", load.Usable,
 		"usableWithoutLasting", load.UsableExclusive, "excluded", load.Excluded, "lateUnits", load.Waits.LateUnits, "reservedFits", load.Waits.ReservedFits,
 		"runs", load.Runs, "unconfirmed", load.Unconfirmed, "waitingUnits", load.Waits.Units,
-		"demandMilliCPU", load.Demand.MilliCPU, "finiteMemoryMB", load.FiniteMemoryMB, "keep", load.Demand.MinUpstreams, "spread", load.Demand.SpreadUpstreams, "whole", load.Demand.Exclusive, "occupied", load.Demand.Occupied,
+		"demandMilliCPU", load.Demand.MilliCPU, "finiteMemoryMB", load.Demand.FiniteMemoryMB, "keep", load.Demand.MinUpstreams, "spread", load.Demand.SpreadUpstreams, "whole", load.Demand.Exclusive, "occupied", load.Demand.Occupied,
 		"milliCPU", load.Used.MilliCPU, "ofMilliCPU", load.Capacity.MilliCPU, "memoryMB", load.Used.MemoryMB, "ofMemoryMB", load.Capacity.MemoryMB,
 		"lastingMilliCPU", load.LongRunning.MilliCPU, "lastingMemoryMB", load.LongRunning.MemoryMB,
 		"largestFreeMilliCPU", load.LargestFree.MilliCPU, "largestFreeMB", load.LargestFree.MemoryMB}, oldestWaitFields(load.Waits.Oldest, now)...)...)
--- a/internal/job/bbrscheduler/demand.go
+++ b/internal/job/bbrscheduler/demand.go
@@ -15,6 +15,9 @@
 	// bound by memory counts with the CPU capacity of the upstreams that its memory
 	// needs.
 	MilliCPU int `json:"milliCPU"`
+	// FiniteMemoryMB is the memory that the open finite work needs. It is part of MilliCPU
+	// and not reported by itself.
+	FiniteMemoryMB int `json:"-"`
 	// LongRunningMilliCPU is the part of MilliCPU that long-running work takes.
 	LongRunningMilliCPU int `json:"lasting"`
 	// MinUpstreams is the number of upstreams over which long-running work is or
@@ -75,7 +78,8 @@
 		}
 	}
 	open, arriving := sched.sumRates(rates)
-	demand.MilliCPU = demand.LongRunningMilliCPU + int(max(open, arriving, sched.arrivals.forecast(now)))
+	demand.FiniteMemoryMB = int(open.memoryMB)
+	demand.MilliCPU = demand.LongRunningMilliCPU + int(max(open.milliCPU, sched.milliCPUPerMB()*open.memoryMB, arriving, sched.arrivals.forecast(now)))
 	sched.lateSpread = nextLateRate(sched.lateSpread, spread.leastLate, spread.mostLate)
 	demand.SpreadUpstreams = max(spread.inTime, sched.lateSpread)
 	wide := sched.wideWork(now)
@@ -115,38 +119,9 @@
 	}
 }
 
-// spread returns the time over which the open work of the occurrence is to be done.
-func (o *occurrence) spread(deadline, now time.Time) time.Duration {
-	if now.Add(o.remainingPath()).Before(deadline) {
-		return max(minSlack, deadline.Sub(now))
-	}
-	return overdueSpread
-}
-
-// finiteMemoryMB returns the memory that the open finite work that is due needs to meet its
-// objectives.
-func (sched *Scheduler) finiteMemoryMB(now time.Time) int {
-	total := 0.0
-	for _, j := range sched.jobs {
-		if j.finalState != "" || j.cancelled {
-			continue
-		}
-		for _, o := range j.occurrences {
-			if now.Before(j.Schedule.Due(o.number)) {
-				continue
-			}
-			if work := o.remaining(func(need bbrwork.Resources) int { return need.MemoryMB }); work > 0 {
-				total += work / o.spread(j.objective(o), now).Seconds()
-			}
-		}
-	}
-	return int(total)
-}
-
-// sumRates returns the rate at which the open jobs must be worked off, by processor time or
-// by memory, whichever needs more upstreams, and the rate at which others arrive. No
-// organisation counts for more than its cap lets it use.
-func (sched *Scheduler) sumRates(rates map[string]*workRate) (open, arriving float64) {
+// sumRates returns the rate at which the open jobs must be worked off, and the rate at which
+// others arrive, in millicores. No organisation counts for more than its cap lets it use.
+func (sched *Scheduler) sumRates(rates map[string]*workRate) (open resourceRate, arriving float64) {
 	var inTime, leastLate, mostLate resourceRate
 	for organisation, rate := range rates {
 		limit := limitOf(sched.capOf(organisation))
@@ -157,12 +132,13 @@
 		leastLate.add(rate.late.times(1/overdueSpread.Seconds()).within(limit), 1)
 		mostLate.add(rate.late.times(1/minSlack.Seconds()).within(limit), 1)
 	}
-	late := resourceRate{
+	sched.lateRate = resourceRate{
 		milliCPU: nextLateRate(sched.lateRate.milliCPU, leastLate.milliCPU, mostLate.milliCPU),
 		memoryMB: nextLateRate(sched.lateRate.memoryMB, leastLate.memoryMB, mostLate.memoryMB),
 	}
-	sched.lateRate = late
-	return max(inTime.milliCPU+late.milliCPU, sched.milliCPUPerMB()*(inTime.memoryMB+late.memoryMB)), arriving
+	open = inTime
+	open.add(sched.lateRate, 1)
+	return open, arriving
 }
 
 // nextLateRate returns the rate at which late work must be worked off, given the previous
--- a/internal/job/bbrscheduler/load.go
+++ b/internal/job/bbrscheduler/load.go
@@ -26,9 +26,6 @@
 	// memory.
 	LargestFree bbrwork.Resources
 	Demand      Demand
-	// FiniteMemoryMB is the memory that the open finite work needs to meet its objectives,
-	// which Demand does not count. It disregards the caps of organisations.
-	FiniteMemoryMB int
 }
 
 // Load returns what the shard has and uses now, and logs the steps whose wait has
@@ -36,7 +33,7 @@
 func (sched *Scheduler) Load(confirmed bool, now time.Time) Load {
 	p := sched.survey(now)
 	load := Load{Jobs: len(sched.jobs), Upstreams: len(sched.upstreams), Usable: len(p.usable), Excluded: p.excludedCounts(),
-		Waits: p.summarizeWaits(confirmed), Demand: sched.Demand(now), FiniteMemoryMB: sched.finiteMemoryMB(now)}
+		Waits: p.summarizeWaits(confirmed), Demand: sched.Demand(now)}
 	for _, up := range sched.upstreams {
 		load.add(up, now)
 	}
--- a/internal/job/bbrscheduler/unusedfit_test.go
+++ b/internal/job/bbrscheduler/unusedfit_test.go
@@ -128,6 +128,6 @@
 func TestFiniteMemory(t *testing.T) {
 	s := newWaitingScene(t, 1)
 	s.advance(time.Hour)
-	require.Equal(t, int(2*5000/overdueSpread.Seconds()), s.sched.Load(true, s.now).FiniteMemoryMB)
-	require.Zero(t, newWaitingScene(t, 0).sched.finiteMemoryMB(s.now))
+	require.Equal(t, int(2*5000/overdueSpread.Seconds()), s.sched.Load(true, s.now).Demand.FiniteMemoryMB)
+	require.Zero(t, newWaitingScene(t, 0).sched.Demand(s.now).FiniteMemoryMB)
 }
