job/bbrscheduler: an upstream kept for a trial for 2 s takes work that no other one suits

Callers could see harmless work wait beside free capacity: for the whole run time of a suspect that ran alone on the only upstream that suited it, or up to 12 s while that upstream was reserved for a suspect that could not start there, since the reservation was made again each time it ended.

Such an upstream now counts like a suspect one from 2 s after its reservation: work starts there only if no usable upstream suits it. A suspect that crashes its upstream later than that may have company only then; its crashes beside others count as before. An upstream is not reserved for two trials at once.

TestLongTrialDoesNotKeepTheOnlyUpstream and TestTrialThatCannotStartDoesNotKeepTheOnlyUpstream, with no start within 3 s before, pass.

--- a/internal/job/bbrscheduler/plan.go
+++ b/internal/job/bbrscheduler/plan.go
@@ -43,8 +43,8 @@
 	now   time.Time
 	// usable are the upstreams that may take work, sorted by ID.
 	usable []*upstream
-	// suspects are the suspect upstreams beside them, on which only work may start that no
-	// usable upstream suits (maySpill).
+	// suspects are the upstreams beside them on which only work may start that no usable one
+	// suits (maySpill): suspect ones, and those that were kept for a trial for exclusiveTrial.
 	suspects []*upstream
 	// excluded counts the upstreams by the reason for which they may not take work.
 	excluded [exclusionCount]int
--- a/internal/job/bbrscheduler/trial.go
+++ b/internal/job/bbrscheduler/trial.go
@@ -22,6 +22,9 @@
 	// maxTrialReservation is how long an upstream stays reserved until the work unit
 	// starts on it.
 	maxTrialReservation = 4 * time.Second
+	// exclusiveTrial is how long an upstream is kept for a trial from other work that no other
+	// upstream suits: callers expect that it starts within 3 s.
+	exclusiveTrial = 2 * time.Second
 	// maxTrialShare is the part of the usable upstreams, one at least, that may be
 	// reserved for trials at the same time: one in maxTrialShare.
 	maxTrialShare = 3
@@ -157,6 +160,9 @@
 // has ended there.
 func (p *planner) suitsTrial(u *unit, up *upstream) bool {
 	s := u.step
+	if up.trialUnit != nil {
+		return false
+	}
 	if s.spec.DataRack != "" && !up.HasLabel(s.spec.DataRack) && !p.mayRunFarFromData(s) {
 		return false
 	}
--- a/internal/job/bbrscheduler/usable.go
+++ b/internal/job/bbrscheduler/usable.go
@@ -86,10 +86,10 @@
 func (p *planner) findUsable(isRecorded func(up *upstream) bool) {
 	for _, up := range p.sched.sortedUpstreams() {
 		reason := refineExclusion(p.exclusionOf(up), up, isRecorded)
-		switch reason {
-		case excludedSuspect:
+		switch {
+		case reason == excludedSuspect || reason == excludedTrial && p.now.Sub(up.trialSince) >= exclusiveTrial:
 			p.suspects = append(p.suspects, up)
-		case notExcluded:
+		case reason == notExcluded:
 			p.usable = append(p.usable, up)
 		}
 		p.excluded[reason]++
