job/bbrscheduler: smaller work gets a turn before refused work is sent again

Callers could see small work wait for ever on an upstream that would take it: wide work with a better rank takes all that the owner believes to be free there, is refused for lack of capacity, and comes first again when the pause of 100 ms is over.

For another 100 ms only work starts there that needs less than what was refused. Work of the refused size waits 200 ms instead of 100 ms for the same upstream.

--- a/internal/job/bbrscheduler/gang.go
+++ b/internal/job/bbrscheduler/gang.go
@@ -126,7 +126,7 @@
 func (p *planner) placeGang(s *step, group []*upstream) []*upstream {
 	placement := make([]*upstream, 0, len(s.units))
 	for _, up := range group {
-		if !up.HasLabel(s.spec.Label) {
+		if !up.HasLabel(s.spec.Label) || up.refuses(s.spec.Allocation(), p.now) {
 			continue
 		}
 		if _, ok := p.sched.ticketFor(s, up, p.now); !ok {
--- a/internal/job/bbrscheduler/plan.go
+++ b/internal/job/bbrscheduler/plan.go
@@ -261,7 +261,7 @@
 	if !s.spec.Allocation().Fits(p.freeFor(s, up)) || !up.HasLabel(s.spec.Label) {
 		return false
 	}
-	if up.Draining {
+	if up.Draining || up.refuses(s.spec.Allocation(), p.now) {
 		return false
 	}
 	if s.spec.DataRack != "" && !up.HasLabel(s.spec.DataRack) && !p.mayRunFarFromData(s) {
--- a/internal/job/bbrscheduler/startresult.go
+++ b/internal/job/bbrscheduler/startresult.go
@@ -12,6 +12,10 @@
 const (
 	// fullPause is how long no starts are sent to an upstream that lacked capacity.
 	fullPause = 100 * time.Millisecond
+	// refusedPause is how long only work starts there that needs less than what was
+	// refused. It is longer than fullPause, so that smaller work gets a turn before the
+	// same work is refused again.
+	refusedPause = 2 * fullPause
 	// startRetryDelay is the minimum time before a work unit whose start was
 	// refused is started again.
 	startRetryDelay = 30 * time.Millisecond
@@ -85,7 +89,7 @@
 		sched.endUpstream(up, "another life answers at its address", now)
 		return
 	case errors.Is(err, bbrorder.ErrNoCapacity):
-		up.fullUntil = now.Add(fullPause)
+		up.recordRefusal(r.allocation, now)
 	case errors.Is(err, bbrorder.ErrStaleRun):
 		r.unit.lastRun += staleRunSkip
 	case errors.Is(err, bbrorder.ErrNotSent):
@@ -102,6 +106,20 @@
 	sched.dropRun(r, now)
 }
 
+// recordRefusal records that the upstream lacked the capacity for the need.
+func (up *upstream) recordRefusal(need bbrwork.Resources, now time.Time) {
+	if now.Before(up.refusedUntil) {
+		need = need.Min(up.refused)
+	}
+	up.fullUntil, up.refusedUntil, up.refused = now.Add(fullPause), now.Add(refusedPause), need
+}
+
+// refuses reports whether the upstream is expected to refuse the need, as it has just
+// refused no more than that.
+func (up *upstream) refuses(need bbrwork.Resources, now time.Time) bool {
+	return now.Before(up.refusedUntil) && (need == up.refused || !need.Fits(up.refused))
+}
+
 // ApplyRenewalFailure applies a failed lease renewal for the incarnation.
 func (sched *Scheduler) ApplyRenewalFailure(incarnation bbrwork.Incarnation, err error, now time.Time) {
 	up := sched.upstreams[incarnation.ID]
--- a/internal/job/bbrscheduler/upstream.go
+++ b/internal/job/bbrscheduler/upstream.go
@@ -52,6 +52,10 @@
 	// fullUntil is until when no starts are sent, after a refusal for lack of
 	// capacity.
 	fullUntil time.Time
+	// refused is the smallest need that was refused for lack of capacity of late, and
+	// refusedUntil is until when only smaller work starts here.
+	refused      bbrwork.Resources
+	refusedUntil time.Time
 	// startsInFlight counts the starts in flight.
 	startsInFlight int
 	// failedStarts has the starts that failed, or whose answer was lost, since the last
--- a/internal/job/bbrscheduler/wait.go
+++ b/internal/job/bbrscheduler/wait.go
@@ -223,7 +223,7 @@
 func (p *planner) classify(count *blockers, s *step, up *upstream, left bbrwork.Resources) {
 	need := s.spec.Allocation()
 	switch {
-	case !need.Fits(up.free()):
+	case !need.Fits(up.free()) || up.refuses(need, p.now):
 		count.noCapacity++
 		if need.Fits(left) {
 			count.finiteWork++
@@ -267,7 +267,7 @@
 	for _, group := range p.placementGroups(s) {
 		count := 0
 		for _, up := range group {
-			if up.HasLabel(s.spec.Label) && p.sched.hasTicket(s, up, p.now) {
+			if up.HasLabel(s.spec.Label) && p.sched.hasTicket(s, up, p.now) && !up.refuses(s.spec.Allocation(), p.now) {
 				count += s.fitCount(capacity(up))
 			}
 		}
