job/bbrscheduler, fleet/bbrmaintenance: instances that late work needs stay in its pool

The releasable upstreams of a report took no account of work that waits.

A report now names those of its releasable upstreams on which late units that wait are likely to start: where they fit, or if they do not all fit, wherever they will once finite work has ended. Units that wait for something else (the cap of their organisation, a pause, a crash) count for none, so that they keep no pool. The fleet leader gives these instances neither to the spare pool nor to a pool that has over half of what the donor has of its target. It still gives them for long-running work and to a pool that is short by far, which keeps work that is in time from losing a whole fleet to a backlog. They are last in Releasable, whose meaning stays: earlier leaders take them last, and reports of earlier owners name none.

A move that has begun is not cancelled when late work arrives: the instance stays reserved until it is back, or for moveTimeout at most.

--- a/internal/fleet/bbrmaintenance/balance.go
+++ b/internal/fleet/bbrmaintenance/balance.go
@@ -36,6 +36,8 @@
 	// Releasable lists the upstream IDs of the instances that it can release, those that
 	// are drained soonest first.
 	Releasable []string
+	// Needed lists those of Releasable for which late work waits.
+	Needed []string
 }
 
 const (
@@ -245,7 +247,7 @@
 			continue
 		}
 		for round.surplus(request) > 0 {
-			instance, ok := round.release(request, "")
+			instance, ok := round.release(request, "", false)
 			if !ok {
 				break
 			}
--- a/internal/fleet/bbrmaintenance/donors.go
+++ b/internal/fleet/bbrmaintenance/donors.go
@@ -19,7 +19,7 @@
 	if instance, ok := round.acquireSpare(recipient.Cell, ""); ok {
 		return instance, true
 	}
-	return round.releaseFirst(round.allDonors(recipient), "")
+	return round.releaseFirst(round.allDonors(recipient), recipient, "")
 }
 
 // allDonors returns the partitions from which the recipient may get an instance, in the
@@ -34,7 +34,7 @@
 	if instance, ok := round.acquireSpare(recipient.Cell, label); ok {
 		return instance, true
 	}
-	return round.releaseFirst(round.donors(recipient), label)
+	return round.releaseFirst(round.donors(recipient), recipient, label)
 }
 
 // acquireSpare returns an instance of the cell that is in the spare pool. An empty label
@@ -66,19 +66,20 @@
 	return donors
 }
 
-// releaseFirst returns an instance of the first donor that can release one.
-func (round *balanceRound) releaseFirst(donors []*CapacityRequest, label string) (bbrmachine.Instance, bool) {
+// releaseFirst returns an instance of the first donor that can release one to the recipient.
+func (round *balanceRound) releaseFirst(donors []*CapacityRequest, recipient *CapacityRequest, label string) (bbrmachine.Instance, bool) {
 	for _, donor := range donors {
-		if instance, ok := round.release(donor, label); ok {
+		releaseNeeded := round.tier == tierLongRunning || round.isBetterFilled(donor, recipient)
+		if instance, ok := round.release(donor, label, releaseNeeded); ok {
 			return instance, true
 		}
 	}
 	return bbrmachine.Instance{}, false
 }
 
-// minDonorAdvantage is the least ratio between the fill ratios of a donor without a
-// surplus and of the recipient, after the move. It is well above 1 because a move costs
-// both sides time.
+// minDonorAdvantage is the least ratio between the fill ratios of the recipient and a donor
+// that has no surplus, or whose late work needs the instance, after the move. It is well above
+// 1 because a move costs both sides time.
 const minDonorAdvantage = 2
 
 // betterFilled returns the partitions of the cell that have no surplus but a much higher
@@ -90,8 +91,7 @@
 		if round.tier != tierOther || request.Cell != recipient.Cell || round.surplus(request) > 0 || remaining < round.minSize(request) {
 			continue
 		}
-		ratio := float64(remaining) / float64(round.target[request.Partition])
-		if ratio >= minDonorAdvantage*float64(round.size[recipient.Partition]+1)/float64(round.target[recipient.Partition]) {
+		if round.isBetterFilled(request, recipient) {
 			donors = append(donors, request)
 		}
 	}
@@ -101,6 +101,13 @@
 	return donors
 }
 
+// isBetterFilled reports whether the donor has a much higher fill ratio than the recipient
+// even after a move. A surplus does not raise its ratio.
+func (round *balanceRound) isBetterFilled(donor, recipient *CapacityRequest) bool {
+	ratio := min(1, float64(round.size[donor.Partition]-1)/float64(round.target[donor.Partition]))
+	return ratio >= minDonorAdvantage*float64(round.size[recipient.Partition]+1)/float64(round.target[recipient.Partition])
+}
+
 // surplus returns the number of instances that a partition has above its target size;
 // it is negative below the target.
 func (round *balanceRound) surplus(request *CapacityRequest) int {
@@ -108,10 +115,14 @@
 }
 
 // release removes and returns the next instance with the label that the donor can
-// release. An empty label matches any instance.
-func (round *balanceRound) release(donor *CapacityRequest, label string) (bbrmachine.Instance, bool) {
+// release. An empty label matches any instance. Instances that its late work needs are left
+// out unless releaseNeeded is set.
+func (round *balanceRound) release(donor *CapacityRequest, label string, releaseNeeded bool) (bbrmachine.Instance, bool) {
 	movable := round.movable[donor.Partition]
 	for i, upstream := range donor.Releasable {
+		if !releaseNeeded && slices.Contains(donor.Needed, upstream) {
+			continue
+		}
 		at := slices.IndexFunc(movable, func(instance bbrmachine.Instance) bool {
 			return instance.Upstream == upstream && instance.HasLabel(label)
 		})
--- a/internal/fleet/bbrmaintenance/modelowner_test.go
+++ b/internal/fleet/bbrmaintenance/modelowner_test.go
@@ -79,7 +79,7 @@
 	o.store(m.now)
 	if len(o.reports) == 0 || m.now.Sub(o.reports[len(o.reports)-1].at) >= modelRoundInterval {
 		demand := o.scheduler.Demand(m.now)
-		demand.Releasable = demand.Releasable[:min(modelMaxReleasable, len(demand.Releasable))]
+		demand.LimitReleasable(modelMaxReleasable)
 		o.reports = append(o.reports, modelReport{at: m.now, demand: demand, drained: o.scheduler.Drained(m.now)})
 	}
 }
--- a/internal/job/bbrowner/flusher.go
+++ b/internal/job/bbrowner/flusher.go
@@ -152,7 +152,7 @@
 func (f *flusher) currentReport(now time.Time) report {
 	if scheduler := f.owner.scheduler; now.Sub(f.reportedAt) > reportCacheTTL {
 		f.lastReport = report{waiting: scheduler.WaitingByQueue(now), drained: scheduler.Drained(now), demand: scheduler.Demand(now)}
-		f.lastReport.demand.Releasable = f.lastReport.demand.Releasable[:min(maxReleasable, len(f.lastReport.demand.Releasable))]
+		f.lastReport.demand.LimitReleasable(maxReleasable)
 		f.lastReport.beyond = slices.DeleteFunc(scheduler.Shares(maxReportedShares), func(share bbrscheduler.OrganisationShare) bool { return !share.Beyond })
 		f.reportedAt = now
 	}
--- a/internal/job/bbrscheduler/demand.go
+++ b/internal/job/bbrscheduler/demand.go
@@ -38,8 +38,11 @@
 	// needed, keyed by the label that they must have.
 	ExclusiveByLabel map[string]int `json:"labelled,omitempty"`
 	// Releasable lists the upstreams that can be released, the one expected to be
-	// empty soonest first.
+	// empty soonest first, and those in Needed last.
 	Releasable []string `json:"give,omitempty"`
+	// Needed lists the upstreams of Releasable on which late work that waits is
+	// likely to start.
+	Needed []string `json:"needed,omitempty"`
 }
 
 const (
@@ -84,10 +87,18 @@
 	demand.SpreadUpstreams = max(spread.inTime, sched.lateSpread)
 	wide := sched.wideWork(now)
 	demand.addExclusive(wide)
-	demand.Releasable = sched.releasable(wide, now)
+	demand.Releasable, demand.Needed = sched.releasable(wide, now)
 	return demand
 }
 
+// LimitReleasable removes all but the first count releasable upstreams.
+func (d *Demand) LimitReleasable(count int) {
+	if removed := len(d.Releasable) - count; removed > 0 {
+		d.Releasable = d.Releasable[:count]
+		d.Needed = d.Needed[:max(0, len(d.Needed)-removed)]
+	}
+}
+
 // workRate is the finite work of an organisation.
 type workRate struct {
 	// inTime is the rate at which the jobs that can meet their objectives must be worked
@@ -210,26 +221,37 @@
 // releasable returns the IDs of the upstreams that can be released: empty ones
 // first, then by the time at which they are expected to be empty, since an instance
 // can be moved only once it is. An upstream with overdue work follows the empty
-// ones.
-func (sched *Scheduler) releasable(wide *wideWork, now time.Time) []string {
+// ones. Those that late work needs come last, and are also returned as needed.
+func (sched *Scheduler) releasable(wide *wideWork, now time.Time) (ids, needed []string) {
 	var candidates []*upstream
 	for _, up := range sched.sortedUpstreams() {
 		if sched.mayRelease(up, wide, now) {
 			candidates = append(candidates, up)
 		}
 	}
+	neededByLate := sched.neededByLateWork(candidates, now)
+	neededCount := 0
 	emptyAt := make(map[*upstream]time.Time, len(candidates))
 	for _, up := range candidates {
 		emptyAt[up] = up.expectedEmptyAt(now)
+		if neededByLate[up] {
+			neededCount++
+		}
 	}
 	slices.SortStableFunc(candidates, func(a, b *upstream) int {
+		switch {
+		case neededByLate[a] && !neededByLate[b]:
+			return 1
+		case !neededByLate[a] && neededByLate[b]:
+			return -1
+		}
 		return cmp.Or(cmp.Compare(min(1, len(a.runs)), min(1, len(b.runs))), emptyAt[a].Compare(emptyAt[b]))
 	})
-	ids := make([]string, len(candidates))
+	ids = make([]string, len(candidates))
 	for i, up := range candidates {
 		ids[i] = up.ID
 	}
-	return ids
+	return ids, ids[len(ids)-neededCount:]
 }
 
 // mayRelease reports whether the upstream can be released: it answers, runs neither
