job/bbrscheduler: late work waits for the rack of its data no longer than it would save there

Callers could see a work unit of 1 s wait for a run of a minute on the rack of its data, with a quarter of a busy pool free on another rack: a step that could no longer meet its objective away from its data waited for that rack without a bound.

It now runs away from its data once it has waited for as long as the run takes longer there (2 s in the test), so that it never loses more than twice what it could have saved. That does not hold while less than an eighth of the pool's cores is free: a backlog that spreads over all racks would take several times as long.

TestFiniteWorkDoesNotWaitLongForTheRackOfItsData, with no start within 3 s before, passes; TestScarceCapacityKeepsWorkNearItsData fails if the second condition is removed.

--- a/internal/job/bbrscheduler/duework_test.go
+++ b/internal/job/bbrscheduler/duework_test.go
@@ -277,3 +277,26 @@
 	s.accept(testJob, gang)
 	s.awaitStartWithin(dueWaitLimit, unitName(0), s.listAll)
 }
+
+// TestScarceCapacityKeepsWorkNearItsData guards against a backlog that spreads over all racks
+// when it has waited for long enough, and then takes several times as long.
+func TestScarceCapacityKeepsWorkNearItsData(t *testing.T) {
+	s := newScene(t, true)
+	s.registerCapacity("i-1", 4000, "r-1")
+	s.registerCapacity("i-2", 4000, "r-2")
+	filler := unitStep(15)
+	filler.Need.MilliCPU, filler.Estimate = 500, time.Minute
+	s.accept(fillerJob, filler)
+	for range 3 {
+		s.answerStarts(s.plan(), nil)
+	}
+	full := s.sched.upstreams["i-1"]
+	if full.free().MilliCPU > 0 {
+		full = s.sched.upstreams["i-2"]
+	}
+	require.Zero(t, full.free().MilliCPU)
+	step := unitStep(1)
+	step.DataRack, step.Need.MilliCPU = full.Rack(), 500
+	s.accept(testJob, step)
+	require.Empty(t, s.startsWithin(10*time.Second))
+}
--- a/internal/job/bbrscheduler/plan.go
+++ b/internal/job/bbrscheduler/plan.go
@@ -54,11 +54,11 @@
 	// doesNotFit has the allocations that fit on no usable upstream without reserved
 	// capacity. It stays valid for the round, as free capacity only shrinks.
 	doesNotFit map[bbrwork.Resources]bool
-	// busy means that over half of the usable CPU capacity is in use, and free is what
-	// is free of the usable capacity; an upstream whose capacity shrank below what runs
+	// busy means that over half of the usable CPU capacity is in use, scarce that hardly any
+	// is free, and free is what is free of the usable capacity; an upstream whose capacity shrank below what runs
 	// there has nothing free.
-	busy bool
-	free bbrwork.Resources
+	busy, scarce bool
+	free         bbrwork.Resources
 	// trials counts the upstreams that are reserved for trials.
 	trials int
 	reserver
--- a/internal/job/bbrscheduler/usable.go
+++ b/internal/job/bbrscheduler/usable.go
@@ -101,6 +101,7 @@
 		p.free = p.free.Plus(up.free().Max(bbrwork.Resources{}))
 	}
 	p.busy = 2*used.MilliCPU > capacity.MilliCPU
+	p.scarce = scarceShare*p.free.MilliCPU < capacity.MilliCPU
 }
 
 // refineExclusion returns why an upstream may not take work, given the reason regardless of
@@ -115,6 +116,10 @@
 	return reason
 }
 
+// scarceShare is the part of the usable CPU capacity, one in scarceShare, that is free at
+// least unless it is scarce. Work that runs slowly must not take capacity that others wait for.
+const scarceShare = 8
+
 // useSuspectsIfAlone makes the suspect upstreams usable if there are no others.
 func (p *planner) useSuspectsIfAlone() {
 	if len(p.usable) == 0 {
@@ -157,14 +162,15 @@
 
 // mayRunFarFromData reports whether a step may run away from its data now. It takes
 // several times as long there, so if the pool is busy it waits for the rack of its
-// data, unless its job can meet the objective anyway. Long-running work does not wait:
-// its callers lose more by a missing run than by a slow one.
+// data, unless its job can meet the objective anyway. While capacity is not scarce, it waits
+// for no longer than it would save there. Long-running work does not wait: its callers lose
+// more by a missing run than by a slow one.
 func (p *planner) mayRunFarFromData(s *step) bool {
 	if s.spec.LongRunning || !p.busy || !p.canEverRunNearData(s) {
 		return true
 	}
 	longer := time.Duration((p.sched.Timing.RemoteDataFactor - 1) * float64(s.runTime))
-	return p.now.Add(s.remainingPath + longer).Before(s.job.objective(s.occurrence))
+	return p.now.Add(s.remainingPath+longer).Before(s.job.objective(s.occurrence)) || !p.scarce && p.hasWaited(s, longer)
 }
 
 // canEverRunNearData reports whether a usable upstream on the rack of the step's
