job/bbrscheduler: an upstream is vacated for wide work that spread work keeps out

Where the cell has no spare instance, no pool has an upstream without any.

When a step has waited for 2 s and fits beside long-running work nowhere (or, after 3 s, in too few places), the owner now chooses one upstream whose long-running work fits elsewhere, keeps it for the step and the destinations for the work that moves, and then stops that work within its availability budgets. Each move adds a place that no other work takes before the step, so that the step starts after the longest stop. Nothing moves where a spare instance arrives in time, and nothing without a destination. Spread placement itself is unchanged.

--- a/internal/base/bbrmetric/set.go
+++ b/internal/base/bbrmetric/set.go
@@ -44,6 +44,9 @@
 	preemptedTime   *prometheus.CounterVec
 	reservations    *prometheus.GaugeVec
 	separations     *prometheus.CounterVec
+	vacancyEnds     *prometheus.CounterVec
+	vacancyMoves    *prometheus.CounterVec
+	vacated         *prometheus.GaugeVec
 	interfering     *prometheus.GaugeVec
 	shares          *prometheus.GaugeVec
 	clientsClosed   *prometheus.CounterVec
@@ -71,6 +74,9 @@
 	s.preemptions = s.newCounter("bbr_preemptions_total", "Runs that were stopped for more urgent work.")
 	s.preemptedTime = s.newCounter("bbr_preempted_core_seconds_total", "Processor time since their last checkpoints of the runs that were stopped for more urgent work.")
 	s.reservations = s.newGauge("bbr_reservations", "Reservations of capacity for wide or urgent work, and the upstreams that they hold, by shard.", "shard", "amount")
+	s.vacancyEnds = s.newCounter("bbr_vacancies_ended_total", "Upstreams that were vacated of long-running work for wide work, by the cause of the end.", "cause")
+	s.vacancyMoves = s.newCounter("bbr_vacancy_moves_total", "Runs of long-running work that were stopped to vacate an upstream for wide work.")
+	s.vacated = s.newGauge("bbr_vacated_upstreams", "Upstreams that are vacated of long-running work for wide work, by shard.", "shard")
 	s.separations = s.newCounter("bbr_separations_total", "Starts of work units whose image interferes with another one: on an upstream without the other one, or beside it.", "result")
 	s.interfering = s.newGauge("bbr_interfering_pairs", "Pairs of images that were found to slow each other down, by shard.", "shard")
 	s.unlocated = s.newGauge("bbr_unlocated_upstreams", "Upstreams on which an earlier owner of the shard may have started work that its successor does not know yet.", "shard")
@@ -287,6 +293,24 @@
 	s.reservations.DeletePartialMatch(prometheus.Labels{"shard": shard})
 }
 
+// VacanciesEnded adds count vacated upstreams that ceased to be kept, for the cause.
+func (s *Set) VacanciesEnded(cause string, count int) {
+	s.vacancyEnds.WithLabelValues(cause).Add(float64(count))
+}
+
+// VacancyMoves adds count runs that were stopped to vacate an upstream.
+func (s *Set) VacancyMoves(count int) {
+	s.vacancyMoves.WithLabelValues().Add(float64(count))
+}
+
+// SetVacated sets how many upstreams of a shard are vacated.
+func (s *Set) SetVacated(shard string, count int) {
+	s.vacated.WithLabelValues(shard).Set(float64(count))
+}
+
+// ClearVacated removes the gauge of a shard's vacated upstreams.
+func (s *Set) ClearVacated(shard string) { s.vacated.DeleteLabelValues(shard) }
+
 // Separations adds count starts of work units whose image interferes with another one.
 func (s *Set) Separations(result string, count int) {
 	s.separations.WithLabelValues(result).Add(float64(count))
--- a/internal/job/bbrowner/load.go
+++ b/internal/job/bbrowner/load.go
@@ -32,6 +32,7 @@
 	o.updateCrashMetrics()
 	o.updateLapseMetrics()
 	o.updateReservationMetrics()
+	o.updateVacancyMetrics()
 	o.updateSeparationMetrics()
 	klog.InfoS("Load", append([]any{"shard", o.Shard, "token", o.Held.Token, "jobs", load.Jobs, "late", load.Late,
 		"upstreams", load.Upstreams, "reached", load.Reached, "reserved", load.Reserved, "suspect", load.Suspect, "silent", load.Silent, "usable", load.Usable,
@@ -104,6 +105,17 @@
 	o.Metrics.SetReservations(o.Shard.String(), counts.Active, counts.HeldUpstreams)
 }
 
+// updateVacancyMetrics updates the metrics of vacated upstreams. The caller holds the lock.
+func (o *Owner) updateVacancyMetrics() {
+	counts, before := o.scheduler.VacancyCounts(), o.vacancyCounts
+	o.vacancyCounts = counts
+	for _, cause := range bbrscheduler.VacancyEnds {
+		o.Metrics.VacanciesEnded(string(cause), counts.Ended[cause]-before.Ended[cause])
+	}
+	o.Metrics.VacancyMoves(counts.Moved - before.Moved)
+	o.Metrics.SetVacated(o.Shard.String(), counts.Active)
+}
+
 // maxOrganisationMetrics bounds the organisations with metrics, those that use most.
 const maxOrganisationMetrics = 32
 
--- a/internal/job/bbrowner/owner.go
+++ b/internal/job/bbrowner/owner.go
@@ -79,9 +79,11 @@
 	reservedRevision bbrkv.Revision
 	// drained has the reserved upstreams that were drained at the last plan.
 	drained []string
-	// crashCounts, reservationCounts and separationCounts are what the metrics have already.
+	// crashCounts, reservationCounts, vacancyCounts and separationCounts are what the metrics
+	// have already.
 	crashCounts       bbrscheduler.CrashCounts
 	reservationCounts bbrscheduler.ReservationCounts
+	vacancyCounts     bbrscheduler.VacancyCounts
 	separationCounts  bbrscheduler.SeparationCounts
 	// lapses is what the metrics have already.
 	lapses map[bbrscheduler.LapseCause]int
@@ -171,6 +173,7 @@
 	o.Metrics.ClearSuspects(shard)
 	o.Metrics.ClearRoom(shard)
 	o.Metrics.ClearReservations(shard)
+	o.Metrics.ClearVacated(shard)
 	o.Metrics.ClearInterferingPairs(shard)
 	o.Metrics.ClearExcluded(shard)
 	o.Metrics.ClearLateWork(shard)
--- a/internal/job/bbrscheduler/evacuate.go
+++ b/internal/job/bbrscheduler/evacuate.go
@@ -22,7 +22,7 @@
 	case spec.LongRunning && spec.BestEffort:
 		return true
 	case spec.LongRunning:
-		return sched.isIdle(r, now) || r.unit.withinAvailabilityBudget() && sched.earlierStopsFinished(now)
+		return sched.mayLeave(r, now)
 	case spec.Checkpoints:
 		return reservedFor > checkpointedRunGrace
 	default:
@@ -30,6 +30,11 @@
 	}
 }
 
+// mayLeave reports whether a long-running run may be stopped now to start elsewhere.
+func (sched *Scheduler) mayLeave(r *run, now time.Time) bool {
+	return sched.isIdle(r, now) || r.unit.withinAvailabilityBudget() && sched.earlierStopsFinished(now)
+}
+
 // isIdle reports whether a long-running unit has been listed as not working for
 // longer than its recovery time. Shortly after a start, the listing may lag behind.
 func (sched *Scheduler) isIdle(r *run, now time.Time) bool {
--- a/internal/job/bbrscheduler/job.go
+++ b/internal/job/bbrscheduler/job.go
@@ -79,6 +79,8 @@
 	// reserveAfter is when it may be considered again.
 	reservation  *reservation
 	reserveAfter time.Time
+	// vacateAfter is when the step may be considered again for a vacated upstream.
+	vacateAfter time.Time
 	// siblings has the run times of the ended work units; nil if they are not observed.
 	siblings *bbrinterference.Siblings
 }
--- a/internal/job/bbrscheduler/plan.go
+++ b/internal/job/bbrscheduler/plan.go
@@ -62,7 +62,9 @@
 	// trials counts the upstreams that are reserved for trials.
 	trials int
 	reserver
-	plan Plan
+	// ignoreVacancies means that capacity on vacated upstreams counts as free for any work.
+	ignoreVacancies bool
+	plan            Plan
 	// sharing means that organisations share the capacity by weight, and waiting is what
 	// their work units without a run need.
 	sharing bool
@@ -77,6 +79,7 @@
 	sched.accuseUnlocated(now)
 	sched.endTrials(now)
 	sched.endReservations(now)
+	sched.endVacancies(now)
 	sched.updateInterference(now)
 	p := &planner{sched: sched, now: now, doesNotFit: make(map[bbrwork.Resources]bool), nearDataFits: make(map[*step]bool)}
 	p.planStops()
@@ -88,6 +91,7 @@
 		p.beginShares()
 		p.planStarts()
 		p.planReservations()
+		p.planVacancies()
 		p.planPaces()
 		p.planStallStops()
 	}
@@ -222,9 +226,18 @@
 // further condition; nil for none. Work starts on a suspect upstream only if no other suits
 // it: starts in flight are soon answered, so it waits for them.
 func (p *planner) chooseUpstream(u *unit, fits func(up *upstream) bool) *upstream {
+	if up := p.plannedDestination(u); up != nil && (fits == nil || fits(up)) {
+		return up
+	}
 	best := p.bestOf(p.usable, u, fits)
-	if best == nil && p.maySpill(u.step) && !p.suitsUsable(u.step, fits) {
-		return p.bestOf(p.suspects, u, fits)
+	if best != nil || p.suitsUsable(u.step, fits) {
+		return best
+	}
+	if p.maySpill(u.step) {
+		best = p.bestOf(p.suspects, u, fits)
+	}
+	if best == nil && u.step.spec.LongRunning {
+		best = p.chooseVacated(u, fits)
 	}
 	return best
 }
--- a/internal/job/bbrscheduler/reservation.go
+++ b/internal/job/bbrscheduler/reservation.go
@@ -245,15 +245,16 @@
 // freeFor returns the capacity of an upstream that is free for a step: capacity that is
 // reserved for other work is not.
 func (p *planner) freeFor(s *step, up *upstream) bbrwork.Resources {
+	free := p.withoutVacancies(s, up, up.free())
 	h := up.hold
 	if h == nil || h.reservation.step == s || s.spec.LongRunning {
-		return up.free()
+		return free
 	}
 	c := p.rank(s, s.job.objective(s.occurrence))
 	if !h.reservation.HoldsBack(bbrreservation.Rank{Tier: c.tier, Priority: c.priority}, s.runTime, p.now) {
-		return up.free()
+		return free
 	}
-	return up.free().Min(h.spareCapacity(p.sched, p.now))
+	return free.Min(h.spareCapacity(p.sched, p.now))
 }
 
 // spareCapacity returns what is left of the upstream's capacity at the reserved time.
--- a/internal/job/bbrscheduler/scheduler.go
+++ b/internal/job/bbrscheduler/scheduler.go
@@ -136,6 +136,7 @@
 	preempted         int
 	discarded         time.Duration
 	stopBudget        bbrreservation.StopBudget
+	vacancies         vacancies
 	notes             []Note
 	notesDropped      int
 	// interference has the evidence on images that slow each other down; nil if they are
--- a/internal/job/bbrscheduler/stops.go
+++ b/internal/job/bbrscheduler/stops.go
@@ -50,6 +50,8 @@
 		return "upstream drains"
 	case !r.up.reservedAt.IsZero() && r.phase == phaseRunning && sched.shouldEvacuate(r, now):
 		return "upstream is reserved"
+	case sched.shouldMakeRoom(r, now):
+		return "makes room for wide work"
 	default:
 		return ""
 	}
@@ -60,6 +62,7 @@
 		return
 	}
 	if r.stopSentAt.IsZero() {
+		p.sched.countMove(r)
 		p.sched.note(p.now, "Run stopped", "job", r.unit.step.job.ID, "unit", r.unit.name().String(), "run", r.number, "upstream", r.up.ID, "reason", reason)
 	}
 	r.stopSentAt = p.now
--- a/internal/job/bbrscheduler/upstream.go
+++ b/internal/job/bbrscheduler/upstream.go
@@ -86,6 +86,8 @@
 	trialSince time.Time
 	// hold is the reserved capacity; nil for none.
 	hold *hold
+	// vacancy has the step for which the upstream was vacated; nil for none.
+	vacancy *vacancy
 	// orphans has the listed runs of unknown jobs.
 	orphans map[runKey]*orphan
 	// announced is the registration of another incarnation under the same ID, since
