--- a/internal/job/bbrscheduler/plan.go
+++ b/internal/job/bbrscheduler/plan.go
@@ -230,13 +230,14 @@
 		return up
 	}
 	best := p.bestOf(p.usable, u, fits)
-	if best != nil || p.suitsUsable(u.step, fits) {
+	spill, longRunning := p.maySpill(u.step), u.step.spec.LongRunning
+	if best != nil || !spill && !longRunning || p.suitsUsable(u.step, fits) {
 		return best
 	}
-	if p.maySpill(u.step) {
+	if spill {
 		best = p.bestOf(p.suspects, u, fits)
 	}
-	if best == nil && u.step.spec.LongRunning {
+	if best == nil && longRunning {
 		best = p.chooseVacated(u, fits)
 	}
 	return best
