job/bbrscheduler: a ticket for an upstream that does not suit keeps no others from being asked about

Callers could see a work unit wait for the lifetime of a ticket beside a free upstream on the rack of its data. No further upstreams were asked about if the step had a ticket for one with enough free capacity, also if that one was too far from the data or kept its capacity for other work.

The ticket now counts only if its upstream suits the step in all other respects. TestTicketForAnUpstreamFarFromTheDataDoesNotKeepOthersUnasked, with no start within 3 s before, passes.

--- a/internal/job/bbrscheduler/advice.go
+++ b/internal/job/bbrscheduler/advice.go
@@ -98,8 +98,9 @@
 }
 
 // adviceRequest returns a request to the advice service if the step has no valid
-// ticket for an upstream with enough free capacity.
-func (sched *Scheduler) adviceRequest(s *step, usable []*upstream, now time.Time) (AdviceRequest, bool) {
+// ticket for an upstream that suits it.
+func (p *planner) adviceRequest(s *step) (AdviceRequest, bool) {
+	sched := p.sched
 	if !s.job.needsAdvice() || sched.adviceInFlight >= maxAdviceInFlight {
 		return AdviceRequest{}, false
 	}
@@ -109,10 +110,10 @@
 		known = &stepAdvice{tickets: make(map[string]ticket), refused: make(map[bbrwork.Incarnation]bool)}
 		sched.advice[name] = known
 	}
-	if known.inFlight || now.Before(known.retryAt) {
+	if known.inFlight || p.now.Before(known.retryAt) {
 		return AdviceRequest{}, false
 	}
-	incarnations := sched.adviceCandidates(s, known, usable, now)
+	incarnations := p.adviceCandidates(s, known)
 	if len(incarnations) == 0 {
 		return AdviceRequest{}, false
 	}
@@ -123,17 +124,20 @@
 
 // adviceCandidates returns the upstreams that could take a unit of the step and for
 // which the advice service has not decided, those with the most free CPU first. It
-// returns none if an upstream that may run the step can take a unit already, unless
-// the step is a gang.
-func (sched *Scheduler) adviceCandidates(s *step, known *stepAdvice, usable []*upstream, now time.Time) []bbrwork.Incarnation {
+// returns none if an upstream with a ticket suits the step already, unless the step is
+// a gang. One that is far from its data may not suit it now.
+func (p *planner) adviceCandidates(s *step, known *stepAdvice) []bbrwork.Incarnation {
 	var undecided []*upstream
-	for _, up := range usable {
+	for _, up := range p.upstreamsToAsk(s) {
 		if !s.spec.Allocation().Fits(up.free()) || !up.HasLabel(s.spec.Label) || s.atUpstreamLimit(up) {
 			continue
 		}
-		if _, ok := sched.ticketFor(s, up, now); ok && !s.spec.Gang {
-			return nil
-		} else if !ok && !known.refused[up.Incarnation] {
+		switch {
+		case p.sched.hasTicket(s, up, p.now):
+			if !s.spec.Gang && p.suits(s, up) {
+				return nil
+			}
+		case !known.refused[up.Incarnation]:
 			undecided = append(undecided, up)
 		}
 	}
--- a/internal/job/bbrscheduler/gang.go
+++ b/internal/job/bbrscheduler/gang.go
@@ -19,7 +19,7 @@
 			return
 		}
 	}
-	if request, ok := p.sched.adviceRequest(s, p.upstreamsToAsk(s), p.now); ok {
+	if request, ok := p.adviceRequest(s); ok {
 		p.plan.AdviceRequests = append(p.plan.AdviceRequests, request)
 	}
 	if !p.withinCap(s, len(s.units)) {
--- a/internal/job/bbrscheduler/plan.go
+++ b/internal/job/bbrscheduler/plan.go
@@ -164,7 +164,7 @@
 }
 
 func (p *planner) startStep(s *step) {
-	if request, ok := p.sched.adviceRequest(s, p.upstreamsToAsk(s), p.now); ok {
+	if request, ok := p.adviceRequest(s); ok {
 		p.plan.AdviceRequests = append(p.plan.AdviceRequests, request)
 	}
 	if !p.fitsAnywhere(s) {
