fleet/bbrmaintenance: the rate that late work keeps comes after all other requests

Callers of work that is in time would have lost by the rate for late work that no longer falls: in a fleet that is short of instances, a pool with a backlog kept the weight of its largest backlog, and the others got less.

The report now names the part of MilliCPU that only keeps the rate from falling, and the fleet leader serves it in a tier of its own, after all other requests. There late work has the weight that it had before; where the fleet isn't short, its pool keeps what it has. Earlier leaders read MilliCPU as a whole.

--- a/internal/fleet/bbrmaintenance/balance.go
+++ b/internal/fleet/bbrmaintenance/balance.go
@@ -19,6 +19,9 @@
 	Partition
 	// MilliCPU is the processor capacity that it needs now, in thousandths of a core.
 	MilliCPU int
+	// HeldMilliCPU is the part of MilliCPU that keeps the rate of late work from falling
+	// with the work.
+	HeldMilliCPU int
 	// LongRunningMilliCPU is the part of MilliCPU that long-running work uses.
 	LongRunningMilliCPU int
 	// Exclusive is the number of instances it needs for wide work units, which do not
@@ -116,10 +119,13 @@
 	tierLongRunning tier = iota
 	// tierOther is for all other work.
 	tierOther
+	// tierHeld is for the rate that late work keeps. It comes last, so that in a fleet that is
+	// short of instances late work has the same weight whatever was requested for it before.
+	tierHeld
 )
 
 // tiers lists the tiers in the order in which they are served.
-var tiers = [...]tier{tierLongRunning, tierOther}
+var tiers = [...]tier{tierLongRunning, tierOther, tierHeld}
 
 // partitionOf returns the partition that an instance belongs to while it is in the
 // pool, and whether it is known. It is unknown until the instance's rack has a cell. If
--- a/internal/fleet/bbrmaintenance/controller.go
+++ b/internal/fleet/bbrmaintenance/controller.go
@@ -269,7 +269,7 @@
 	for _, partition := range partitions {
 		demand := controller.reports[bbrwork.Shard{Service: partition.Pool, Cell: partition.Cell}].demand
 		klog.InfoS("Pool", "pool", partition.Pool, "cell", partition.Cell, "token", controller.Held.Token, "size", partition.Size, "want", partition.Target, "shortfall", partition.Shortfall, "up", partition.Up,
-			"inWork", partition.Leaving, "askedMilliCPU", demand.MilliCPU, "lastingMilliCPU", demand.LongRunningMilliCPU, "keep", demand.MinUpstreams, "spread", demand.SpreadUpstreams, "whole", demand.Exclusive, "occupied", demand.Occupied, "labelled", demand.ExclusiveByLabel, "give", len(demand.Releasable), "needed", len(demand.Needed), "listAge", now.Sub(controller.listedAt).Round(time.Millisecond), "reportsAge", now.Sub(controller.reportsReadAt).Round(time.Millisecond))
+			"inWork", partition.Leaving, "askedMilliCPU", demand.MilliCPU, "heldMilliCPU", demand.HeldMilliCPU, "lastingMilliCPU", demand.LongRunningMilliCPU, "keep", demand.MinUpstreams, "spread", demand.SpreadUpstreams, "whole", demand.Exclusive, "occupied", demand.Occupied, "labelled", demand.ExclusiveByLabel, "give", len(demand.Releasable), "needed", len(demand.Needed), "listAge", now.Sub(controller.listedAt).Round(time.Millisecond), "reportsAge", now.Sub(controller.reportsReadAt).Round(time.Millisecond))
 	}
 }
 
--- a/internal/fleet/bbrmaintenance/reports.go
+++ b/internal/fleet/bbrmaintenance/reports.go
@@ -99,7 +99,7 @@
 		return CapacityRequest{Partition: partition}, !controller.HasOwner(partition.Pool)
 	}
 	demand := report.demand
-	return CapacityRequest{Partition: partition, MilliCPU: demand.MilliCPU, LongRunningMilliCPU: demand.LongRunningMilliCPU, Exclusive: demand.Exclusive, Occupied: demand.Occupied, ExclusiveByLabel: demand.ExclusiveByLabel, MinInstances: demand.MinUpstreams, SpreadInstances: demand.SpreadUpstreams, Releasable: demand.Releasable, Needed: demand.Needed}, true
+	return CapacityRequest{Partition: partition, MilliCPU: demand.MilliCPU, HeldMilliCPU: demand.HeldMilliCPU, LongRunningMilliCPU: demand.LongRunningMilliCPU, Exclusive: demand.Exclusive, Occupied: demand.Occupied, ExclusiveByLabel: demand.ExclusiveByLabel, MinInstances: demand.MinUpstreams, SpreadInstances: demand.SpreadUpstreams, Releasable: demand.Releasable, Needed: demand.Needed}, true
 }
 
 // isDrained reports whether an instance can be moved or maintained: nothing runs in its
--- a/internal/fleet/bbrmaintenance/sharing_test.go
+++ b/internal/fleet/bbrmaintenance/sharing_test.go
@@ -57,6 +57,24 @@
 	require.GreaterOrEqual(t, recipientSize, 8)
 }
 
+// TestHeldRateTakesNoInstancesFromOtherWork guards against late work that gets more of a fleet
+// that is too small because more was requested for it before.
+func TestHeldRateTakesNoInstancesFromOtherWork(t *testing.T) {
+	for _, sizes := range []map[string]int{{donorPool: 36, recipientPool: 4}, {donorPool: 4, recipientPool: 36}} {
+		run := func(held int) (donorSize, recipientSize int) {
+			return runContention(newTestFleet(sizes), func() []CapacityRequest {
+				late := requestFor(donorPool, 12+held)
+				late.HeldMilliCPU = late.MilliCPU - requestFor(donorPool, 12).MilliCPU
+				return []CapacityRequest{late, requestFor(recipientPool, 40)}
+			})
+		}
+		donorSize, recipientSize := run(0)
+		heldDonorSize, heldRecipientSize := run(100)
+		require.Equal(t, recipientSize, heldRecipientSize)
+		require.Equal(t, donorSize, heldDonorSize)
+	}
+}
+
 // TestWideWorkReceivesInstances checks that instances for wide work units come before those
 // for other work.
 func TestWideWorkReceivesInstances(t *testing.T) {
--- a/internal/fleet/bbrmaintenance/sizing.go
+++ b/internal/fleet/bbrmaintenance/sizing.go
@@ -69,8 +69,12 @@
 func (round *balanceRound) setTargets() {
 	for _, request := range round.requests {
 		target := round.minSize(request)
-		if round.tier == tierOther {
-			target = max(target, round.instancesFor(request, request.MilliCPU), request.SpreadInstances, request.withExclusive(request.Exclusive))
+		if round.tier > tierLongRunning {
+			milliCPU := request.MilliCPU
+			if round.tier < tierHeld {
+				milliCPU -= request.HeldMilliCPU
+			}
+			target = max(target, round.instancesFor(request, milliCPU), request.SpreadInstances, request.withExclusive(request.Exclusive))
 		}
 		round.target[request.Partition] = target
 	}
--- a/internal/job/bbrowner/flusher.go
+++ b/internal/job/bbrowner/flusher.go
@@ -198,8 +198,8 @@
 
 // demandChanged reports whether the change of demand is large enough to be reported.
 func demandChanged(before, now bbrscheduler.Demand) bool {
-	change := now.MilliCPU - before.MilliCPU
-	return change >= minDemandChange || -change >= minDemandChange || now.MinUpstreams != before.MinUpstreams || now.SpreadUpstreams != before.SpreadUpstreams || now.Exclusive != before.Exclusive || now.Occupied != before.Occupied || !maps.Equal(now.ExclusiveByLabel, before.ExclusiveByLabel)
+	change, heldChange := now.MilliCPU-before.MilliCPU, now.HeldMilliCPU-before.HeldMilliCPU
+	return change >= minDemandChange || -change >= minDemandChange || heldChange >= minDemandChange || -heldChange >= minDemandChange || now.MinUpstreams != before.MinUpstreams || now.SpreadUpstreams != before.SpreadUpstreams || now.Exclusive != before.Exclusive || now.Occupied != before.Occupied || !maps.Equal(now.ExclusiveByLabel, before.ExclusiveByLabel)
 }
 
 // fitTransaction truncates the batch to what fits into a transaction, and reports
--- a/internal/job/bbrscheduler/demand.go
+++ b/internal/job/bbrscheduler/demand.go
@@ -15,6 +15,9 @@
 	// bound by memory counts with the CPU capacity of the upstreams that its memory
 	// needs.
 	MilliCPU int `json:"milliCPU"`
+	// HeldMilliCPU is the part of MilliCPU that serves only to keep the rate of late work
+	// from falling with the work.
+	HeldMilliCPU int `json:"held,omitempty"`
 	// FiniteMemoryMB is the memory that the open finite work needs. It is part of MilliCPU
 	// and not reported by itself.
 	FiniteMemoryMB int `json:"-"`
@@ -80,9 +83,11 @@
 			spread.add(o, sched.capOf(j.Organisation), now)
 		}
 	}
-	open, arriving := sched.sumRates(rates)
-	demand.FiniteMemoryMB = int(open.memoryMB)
-	demand.MilliCPU = demand.LongRunningMilliCPU + int(max(open.milliCPU, sched.milliCPUPerMB()*open.memoryMB, arriving, sched.arrivals.forecast(now)))
+	open, held, arriving := sched.sumRates(rates)
+	expected := max(arriving, sched.arrivals.forecast(now))
+	demand.FiniteMemoryMB = int(held.memoryMB)
+	demand.MilliCPU = demand.LongRunningMilliCPU + int(max(sched.milliCPUFor(held), expected))
+	demand.HeldMilliCPU = demand.MilliCPU - demand.LongRunningMilliCPU - int(max(sched.milliCPUFor(open), expected))
 	sched.lateSpread = nextLateRate(sched.lateSpread, spread.leastLate, spread.mostLate)
 	demand.SpreadUpstreams = max(spread.inTime, sched.lateSpread)
 	wide := sched.wideWork(now)
@@ -130,9 +135,10 @@
 	}
 }
 
-// sumRates returns the rate at which the open jobs must be worked off, and the rate at which
-// others arrive, in millicores. No organisation counts for more than its cap lets it use.
-func (sched *Scheduler) sumRates(rates map[string]*workRate) (open resourceRate, arriving float64) {
+// sumRates returns the rate at which the open jobs must be worked off, the same with the rate
+// of late work that is held, and the rate at which others arrive, in millicores. No
+// organisation counts for more than its cap lets it use.
+func (sched *Scheduler) sumRates(rates map[string]*workRate) (open, held resourceRate, arriving float64) {
 	var inTime, leastLate, mostLate resourceRate
 	for organisation, rate := range rates {
 		limit := limitOf(sched.capOf(organisation))
@@ -147,9 +153,10 @@
 		milliCPU: nextLateRate(sched.lateRate.milliCPU, leastLate.milliCPU, mostLate.milliCPU),
 		memoryMB: nextLateRate(sched.lateRate.memoryMB, leastLate.memoryMB, mostLate.memoryMB),
 	}
-	open = inTime
-	open.add(sched.lateRate, 1)
-	return open, arriving
+	open, held = inTime, inTime
+	open.add(leastLate, 1)
+	held.add(sched.lateRate, 1)
+	return open, held, arriving
 }
 
 // nextLateRate returns the rate at which late work must be worked off, given the previous
--- a/internal/job/bbrscheduler/resourcerate.go
+++ b/internal/job/bbrscheduler/resourcerate.go
@@ -43,6 +43,12 @@
 	return rate.times(part)
 }
 
+// milliCPUFor returns the processor capacity of the upstreams that the rate needs, by processor
+// time or by memory, whichever needs more of them.
+func (sched *Scheduler) milliCPUFor(rate resourceRate) float64 {
+	return max(rate.milliCPU, sched.milliCPUPerMB()*rate.memoryMB)
+}
+
 // milliCPUPerMB returns the processor capacity of the registered upstreams for each megabyte
 // of their memory; 0 if they have no memory.
 func (sched *Scheduler) milliCPUPerMB() float64 {
