job/bbrscheduler: a gang that need not run on one rack does not wait for one

Callers could see a gang wait for a long run though its members fit on two racks: a gang that names the rack of its data was placed like one that asks for a single rack, on several only if no rack can ever have it.

Racks, that of the data first, are still tried one by one; then the members are spread unless the step asks for one rack.

--- a/internal/job/bbrscheduler/gang.go
+++ b/internal/job/bbrscheduler/gang.go
@@ -9,7 +9,8 @@
 
 // startGang starts all work units of a gang or none. A step that asks for it starts
 // on one rack if a rack has the free capacity, and is spread over racks only if no
-// rack can ever have it.
+// rack can ever have it. A step that only has its data on a rack is also spread if no rack
+// has the free capacity now.
 func (p *planner) startGang(s *step) {
 	if s.idleUnits < len(s.units) {
 		return
@@ -93,7 +94,7 @@
 		}
 		return cmp.Compare(a[0].Rack(), b[0].Rack())
 	})
-	if !possible {
+	if !possible || !s.spec.SameRack {
 		groups = append(groups, upstreams)
 	}
 	return groups
