--- a/internal/job/bbrscheduler/demand.go
+++ b/internal/job/bbrscheduler/demand.go
@@ -63,7 +63,8 @@
 
 // Demand returns the capacity that the shard needs now: the work of the open jobs
 // spread over the time left to them. As instances take time to become ready, recent
-// arrivals count as a rate that continues.
+// arrivals count as a rate that continues. The rate of late work depends on the one of the
+// last call.
 func (sched *Scheduler) Demand(now time.Time) Demand {
 	var demand Demand
 	rates := make(map[string]*workRate)
