fleet/bbrmaintenance: a move whose order is not answered is abandoned too

Callers could see work wait beside an instance that is up and empty, for as long as the platform did not answer the order to move it: the order was sent again in each round, and its upstream stayed reserved.

The order is sent for 6 s, as long as an instance may take to be drained or to come up. After 2 s more, in which the last call ends and its order arrives, the move is abandoned and the upstream takes work again; the instance is considered for another move after 10 s. Maintenance is still ordered until it is answered.

TestMoveWithoutAnswerDoesNotReserveForEver failed with "12.1s" where at most 12 s are allowed, in a minute without answers, and passes.

--- a/internal/fleet/bbrmaintenance/planner.go
+++ b/internal/fleet/bbrmaintenance/planner.go
@@ -182,7 +182,7 @@
 // nextOrder returns the order of a task, if it is to be sent now.
 func (p *Planner) nextOrder(t *task, isDrained func(instance bbrmachine.Instance) bool, now time.Time) (Order, bool) {
 	instance := p.instances[t.instance]
-	if t.phase == phaseAway || t.drained {
+	if t.phase == phaseAway || t.drained || t.unanswered(now) {
 		return Order{}, false
 	}
 	if t.phase == phaseDraining {
@@ -219,18 +219,32 @@
 // as its own.
 const moveTimeout = 6 * time.Second
 
+// orderSettleTime is how long a move whose order was not answered stays open after the last
+// call. It exceeds the time for which a call may last and its order be in flight.
+const orderSettleTime = 2 * time.Second
+
+// unanswered reports whether the order of a move is not sent any more, as none was answered
+// within moveTimeout.
+func (t *task) unanswered(now time.Time) bool {
+	return t.wave == 0 && t.phase == phaseOrdering && now.Sub(t.since) > moveTimeout
+}
+
 // moveCooldown is how long an instance whose move was abandoned is not considered for
 // another one, since other instances may be drained sooner.
 const moveCooldown = 10 * time.Second
 
 // abandonStalledMoves ends the moves whose instance was not drained or did not come up
-// within moveTimeout, and returns their instances. Maintenance is never abandoned, as
-// waves must be completed.
+// within moveTimeout, or whose order was not answered within it, and returns their
+// instances. Maintenance is never abandoned, as waves must be completed.
 func (p *Planner) abandonStalledMoves(now time.Time) []string {
 	maps.DeleteFunc(p.abandonedAt, func(_ string, at time.Time) bool { return now.Sub(at) > moveCooldown })
 	var abandoned []string
 	for id, t := range p.tasks {
-		if t.wave == 0 && !t.drained && t.phase != phaseOrdering && now.Sub(later(t.since, t.answeredAt)) > moveTimeout {
+		limit := moveTimeout
+		if t.phase == phaseOrdering {
+			limit += orderSettleTime
+		}
+		if t.wave == 0 && !t.drained && now.Sub(later(t.since, t.answeredAt)) > limit {
 			abandoned = append(abandoned, id)
 			p.abandonedAt[id] = now
 			delete(p.tasks, id)
