--- a/internal/job/bbrscheduler/duework_test.go
+++ b/internal/job/bbrscheduler/duework_test.go
@@ -300,3 +300,33 @@
 	s.accept(testJob, step)
 	require.Empty(t, s.startsWithin(10*time.Second))
 }
+
+// TestAttemptsOnSuspectUpstreamArePaused guards against a work unit that uses up its attempts
+// at once on a suspect upstream, since another unit of its step has waited for long enough.
+func TestAttemptsOnSuspectUpstreamArePaused(t *testing.T) {
+	s := newScene(t, true)
+	s.registerCapacity("i-1", 4000, "kind-1", "r-1")
+	s.registerCapacity("i-2", 4000, "kind-2", "r-1")
+	s.keepSuspect("i-1")
+	step := unitStep(2)
+	step.Label, step.Need.MilliCPU = "kind-1", 4000
+	s.accept(testJob, step)
+	failedAt := make(map[bbrwork.Unit]time.Time)
+	sequence := int64(0)
+	for limit := s.now.Add(10 * time.Second); s.now.Before(limit); s.advance(50 * time.Millisecond) {
+		s.keepSuspect("i-1")
+		plan := s.plan()
+		s.answerStarts(plan, nil)
+		s.listAll()
+		for _, order := range plan.Starts {
+			unit := order.Start.Unit
+			if at, failed := failedAt[unit]; failed {
+				require.GreaterOrEqual(t, s.now.Sub(at), suspectPatience, "%s run %d", unit, order.Start.Run)
+			}
+			sequence++
+			s.list("i-1", bbrwork.RunEnd{Sequence: sequence, Unit: unit, Run: order.Start.Run, Outcome: bbrwork.OutcomeFailed})
+			failedAt[unit] = s.now
+		}
+	}
+	require.Len(t, failedAt, 2)
+}
--- a/internal/job/bbrscheduler/vacate_test.go
+++ b/internal/job/bbrscheduler/vacate_test.go
@@ -313,6 +313,47 @@
 	}
 }
 
+// TestDestinationOfMoveIsNotReleasable guards against the release of an upstream to which
+// long-running work moves.
+func TestDestinationOfMoveIsNotReleasable(t *testing.T) {
+	s := newFragmentedScene(t, 6, incidentSpread(5))
+	s.stopTime = testTiming.StopTimeout
+	other := s.upstream("i-other")
+	other.Capacity, other.Labels = bbrwork.Resources{MilliCPU: 16000, MemoryMB: 65536}, []string{"b", "rack-2"}
+	s.ids = append(s.ids, "i-other")
+	s.running["i-other"] = make(map[runKey]time.Time)
+	s.sched.RegisterUpstream(other, s.now)
+	s.list("i-other")
+	wide := incidentStep(1)
+	wide.Label = "a"
+	s.accept(testJob, wide)
+	for len(s.sched.vacancies.list) == 0 {
+		s.play(vacateTick)
+		require.Less(t, s.now.Sub(s.start), 10*time.Second)
+	}
+	releasable := s.sched.Demand(s.now).Releasable
+	for _, id := range s.sched.vacancies.list[0].destinations {
+		require.NotContains(t, releasable, id)
+	}
+}
+
+// TestVacancyEndsOnceLongRunningWorkHasItsPlaces guards against an upstream that stays vacated for
+// ever, so that none can be vacated for other wide work, since the step has one work unit more
+// than there are places.
+func TestVacancyEndsOnceLongRunningWorkHasItsPlaces(t *testing.T) {
+	s := newFragmentedScene(t, 3, incidentSpread(2))
+	wide := incidentStep(2)
+	wide.LongRunning, wide.MaxPerUpstream, wide.Estimate = true, 1, 0
+	s.accept(testJob, wide)
+	for s.startedAt[unitName(0)].IsZero() {
+		s.play(vacateTick)
+		require.Less(t, s.now.Sub(s.start), 12*time.Second)
+	}
+	s.play(2 * vacancyTimeout)
+	require.True(t, s.startedAt[unitName(1)].IsZero(), "there is one place")
+	require.Zero(t, s.sched.VacancyCounts().Active)
+}
+
 // BenchmarkVacate measures a round of planning in which many wide jobs wait and no upstream
 // can be vacated.
 func BenchmarkVacate(b *testing.B) {
