job/bbrscheduler: upstreams to which work moves are not released

An upstream without long-running work can be the destination of work that leaves a vacated one. The fleet could reserve it in between: the vacancy then ends as upstreamLost, after the stop.

--- a/internal/job/bbrscheduler/demand.go
+++ b/internal/job/bbrscheduler/demand.go
@@ -263,12 +263,12 @@
 }
 
 // mayRelease reports whether the upstream can be released: it answers, runs neither
-// long-running work nor work that fits nowhere else, and is reserved neither for a suspect nor
-// for wide work, nor vacated.
+// long-running work nor work that fits nowhere else, is reserved neither for a suspect nor for
+// wide work, and is neither vacated nor the destination of work that leaves a vacated one.
 // While work of an earlier owner is not located, only an empty upstream that cannot have
 // any is released, since it is not known what fits elsewhere.
 func (sched *Scheduler) mayRelease(up *upstream, wide *wideWork, now time.Time) bool {
-	if !up.registered || up.Draining || !up.reservedAt.IsZero() || up.lostAnswers > 0 || up.hasLongRunning() || up.trialUnit != nil || up.hold != nil || up.vacancy != nil {
+	if !up.registered || up.Draining || !up.reservedAt.IsZero() || up.lostAnswers > 0 || up.hasLongRunning() || up.trialUnit != nil || up.hold != nil || up.vacancy != nil || sched.isDestination(up) {
 		return false
 	}
 	if !sched.EarlierWorkLocated(now) {
--- a/internal/job/bbrscheduler/vacate.go
+++ b/internal/job/bbrscheduler/vacate.go
@@ -162,6 +162,18 @@
 	return nil
 }
 
+// isDestination reports whether a work unit is to move to the upstream from a vacated one.
+func (sched *Scheduler) isDestination(up *upstream) bool {
+	for _, v := range sched.vacancies.list {
+		for _, id := range v.destinations {
+			if id == up.ID {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // chooseVacated returns the best of the vacated upstreams for a long-running work unit that
 // has waited for vacateAfter and that no other suits, or nil: its callers lose more by a
 // missing run than those of the step for which the upstream was vacated.
