job/bbrscheduler: a vacancy ends once long-running work has its places there

Long-running runs of the step counted as progress for as long as they lasted, so that the upstream stayed vacated while another work unit of the step waited. A shard with two or three upstreams then vacated none for other work.

--- a/internal/job/bbrscheduler/vacate.go
+++ b/internal/job/bbrscheduler/vacate.go
@@ -12,8 +12,8 @@
 type vacancy struct {
 	step *step
 	up   *upstream
-	// since is when the vacancy began, and progressAt when a run last left the upstream or
-	// one of the step was there, or when another upstream was vacated for the step.
+	// since is when the vacancy began, and progressAt when a run last left the upstream or a
+	// finite one of the step was there, or when another upstream was vacated for the step.
 	since, progressAt time.Time
 	// runs is the number of runs on the upstream as of progressAt.
 	runs int
@@ -27,7 +27,8 @@
 
 // Values of VacancyEnd.
 const (
-	// VacancyStarted: no work unit of the step waits any more.
+	// VacancyStarted: no work unit of the step waits any more, or a long-running step has all
+	// the places there.
 	VacancyStarted VacancyEnd = "started"
 	// VacancyGone: the step's job has ended or was cancelled.
 	VacancyGone VacancyEnd = "gone"
@@ -108,7 +109,8 @@
 // update drops the work units that have moved, or that need not move any more, and records
 // progress.
 func (v *vacancy) update(now time.Time) {
-	if len(v.up.runs) < v.runs || v.step.runsOn(v.up) > 0 {
+	// Finite work that runs there ends and makes room for the next work unit.
+	if len(v.up.runs) < v.runs || v.step.runsOn(v.up) > 0 && !v.step.spec.LongRunning {
 		v.progressAt = now
 	}
 	v.runs = len(v.up.runs)
@@ -128,7 +130,7 @@
 	switch {
 	case s.job.finalState != "" || s.job.cancelled || sched.jobs[s.job.ID] != s.job:
 		return VacancyGone
-	case s.idleUnits == 0 && len(v.destinations) == 0:
+	case len(v.destinations) == 0 && (s.idleUnits == 0 || s.spec.LongRunning && s.runsOn(v.up) >= s.fitCount(v.up.Capacity)):
 		return VacancyStarted
 	case !sched.mayHold(v.up, now):
 		return VacancyUpstreamLost
