job/bbrscheduler: each finite work unit waits before a start on a suspect upstream

The wait of one work unit let all of its step start. With capacity for one at a time, a unit that had just failed there started again at once, while another had waited for 2 s, until the attempts were used up. Units behind one that has to wait are no longer skipped.

--- a/internal/job/bbrscheduler/plan.go
+++ b/internal/job/bbrscheduler/plan.go
@@ -191,6 +191,9 @@
 			continue
 		}
 		up := p.chooseUpstream(u, nil)
+		if up == nil && p.maySpill(s) && !p.maySpillUnit(u) {
+			continue
+		}
 		if up == nil {
 			return
 		}
@@ -234,7 +237,7 @@
 	if best != nil || !spill && !longRunning || p.suitsUsable(u.step, fits) {
 		return best
 	}
-	if spill {
+	if spill && p.maySpillUnit(u) {
 		best = p.bestOf(p.suspects, u, fits)
 	}
 	if best == nil && longRunning {
--- a/internal/job/bbrscheduler/usable.go
+++ b/internal/job/bbrscheduler/usable.go
@@ -136,6 +136,12 @@
 	return s.spec.LongRunning || !p.canEverRun(s) && p.hasWaited(s, suspectPatience)
 }
 
+// maySpillUnit reports whether the work unit may start on a suspect upstream, given that its
+// step may. A finite one waits after each failure, since the failures may be the upstream's.
+func (p *planner) maySpillUnit(u *unit) bool {
+	return u.step.spec.LongRunning || p.now.Sub(u.eligibleSince(u.step.runnableSince())) >= suspectPatience
+}
+
 // canEverRun reports whether a usable upstream can take a work unit of the step, or the
 // usable ones together a gang, once finite work has ended.
 func (p *planner) canEverRun(s *step) bool {
