job/bbrscheduler: late work requests no more than its units use at once

The rate that spreads late work over a second counted a unit of 20 s as 20 units at once. The held rate then stayed at its maximum while the last long runs ended: 80,000 millicores for four units of 1,000 that ran.

--- a/internal/job/bbrscheduler/demand.go
+++ b/internal/job/bbrscheduler/demand.go
@@ -108,8 +108,9 @@
 // workRate is the finite work of an organisation.
 type workRate struct {
 	// inTime is the rate at which the jobs that can meet their objectives must be worked
-	// off, and late the rate that would work off the others in a second.
-	inTime, late resourceRate
+	// off. leastLate works off the others in overdueSpread, and mostLate in minSlack, as far
+	// as their work units can use it.
+	inTime, leastLate, mostLate resourceRate
 	// arriving is the rate at which work like that of the recent jobs arrives, in
 	// millicores.
 	arriving float64
@@ -120,15 +121,16 @@
 	if o.unitsLeft == 0 || now.Before(j.Schedule.Due(o.number)) {
 		return
 	}
-	work := resourceRate{
-		milliCPU: o.remainingWork(),
-		memoryMB: o.remaining(func(need bbrwork.Resources) int { return need.MemoryMB }),
-	}
 	deadline := j.objective(o)
 	if o.canMeet(deadline, now) {
+		work := resourceRate{
+			milliCPU: o.remainingWork(),
+			memoryMB: o.remaining(func(need bbrwork.Resources) int { return need.MemoryMB }),
+		}
 		rate.inTime.add(work, 1/max(minSlack, deadline.Sub(now)).Seconds())
 	} else {
-		rate.late.add(work, 1)
+		rate.leastLate.add(o.rateWithin(overdueSpread), 1)
+		rate.mostLate.add(o.rateWithin(minSlack), 1)
 	}
 	allowed := deadline.Sub(j.Accepted)
 	if window := max(minRecentWindow, time.Duration(recentShare*float64(allowed))); now.Sub(j.learnedAt) < window {
@@ -147,8 +149,8 @@
 		inLimit := rate.inTime.within(limit)
 		inTime.add(inLimit, 1)
 		limit.add(inLimit, -1)
-		leastLate.add(rate.late.times(1/overdueSpread.Seconds()).within(limit), 1)
-		mostLate.add(rate.late.times(1/minSlack.Seconds()).within(limit), 1)
+		leastLate.add(rate.leastLate.within(limit), 1)
+		mostLate.add(rate.mostLate.within(limit), 1)
 	}
 	sched.lateRate = resourceRate{
 		milliCPU: nextLateRate(sched.lateRate.milliCPU, leastLate.milliCPU, mostLate.milliCPU),
@@ -186,19 +188,39 @@
 }
 
 // remaining returns the finite work that is not done, in seconds of the amount that a work
-// unit needs. Units that run count half.
+// unit needs.
 func (o *occurrence) remaining(amount func(need bbrwork.Resources) int) float64 {
 	work := 0.0
 	for _, s := range o.steps {
 		if s.spec.LongRunning || s.unitsLeft == 0 {
 			continue
 		}
-		units := float64(s.idleUnits) + float64(s.unitsLeft-s.idleUnits)/2
-		work += units * float64(amount(s.spec.Need)) * s.runTime.Seconds()
+		work += float64(amount(s.spec.Need)) * s.remainingRunTime().Seconds()
 	}
 	return work
 }
 
+// remainingRunTime returns the time that the work units that are not done need one after the
+// other. Units that run count half.
+func (s *step) remainingRunTime() time.Duration {
+	units := float64(s.idleUnits) + float64(s.unitsLeft-s.idleUnits)/2
+	return time.Duration(units * float64(s.runTime))
+}
+
+// rateWithin returns the rate at which the finite work that is not done is completed within
+// the time, but no more than its work units use if they all run at once.
+func (o *occurrence) rateWithin(available time.Duration) resourceRate {
+	var rate resourceRate
+	for _, s := range o.steps {
+		if s.spec.LongRunning || s.unitsLeft == 0 {
+			continue
+		}
+		units := min(float64(s.unitsLeft), s.remainingRunTime().Seconds()/available.Seconds())
+		rate.add(resourceRate{milliCPU: float64(s.spec.Need.MilliCPU), memoryMB: float64(s.spec.Need.MemoryMB)}, units)
+	}
+	return rate
+}
+
 // totalWork returns all finite work of the occurrence, in millicore-seconds.
 func (o *occurrence) totalWork() float64 {
 	work := 0.0
