job/bbrscheduler: late work that no upstream suits does not hold the rate

The rate of a late backlog is held until less than a second's work is left. Work that fits on no registered upstream is never worked off, so that the request stayed at up to eight times its rate.

--- a/internal/job/bbrscheduler/demand.go
+++ b/internal/job/bbrscheduler/demand.go
@@ -69,6 +69,7 @@
 	var demand Demand
 	rates := make(map[string]*workRate)
 	var spread spreadUpstreams
+	shapes := unitShapes{sched: sched, suited: make(map[unitShape]bool)}
 	for _, j := range sched.jobs {
 		if j.finalState != "" || j.cancelled {
 			continue
@@ -80,7 +81,7 @@
 		}
 		for _, o := range j.occurrences {
 			demand.addLongRunning(o)
-			rate.add(j, o, now)
+			rate.add(j, o, shapes, now)
 			spread.add(o, sched.capOf(j.Organisation), now)
 		}
 	}
@@ -109,7 +110,8 @@
 type workRate struct {
 	// inTime is the rate at which the jobs that can meet their objectives must be worked
 	// off. leastLate works off the others in overdueSpread, and mostLate in minSlack, as far
-	// as their work units can use it.
+	// as their work units can use it; it is leastLate for work that can't be completed on
+	// the registered upstreams, which would hold the rate for ever.
 	inTime, leastLate, mostLate resourceRate
 	// arriving is the rate at which work like that of the recent jobs arrives, in
 	// millicores.
@@ -117,7 +119,7 @@
 }
 
 // add adds the work of an occurrence of a job.
-func (rate *workRate) add(j *job, o *occurrence, now time.Time) {
+func (rate *workRate) add(j *job, o *occurrence, shapes unitShapes, now time.Time) {
 	if o.unitsLeft == 0 || now.Before(j.Schedule.Due(o.number)) {
 		return
 	}
@@ -129,8 +131,13 @@
 		}
 		rate.inTime.add(work, 1/max(minSlack, deadline.Sub(now)).Seconds())
 	} else {
-		rate.leastLate.add(o.rateWithin(overdueSpread), 1)
-		rate.mostLate.add(o.rateWithin(minSlack), 1)
+		least := o.rateWithin(overdueSpread)
+		rate.leastLate.add(least, 1)
+		if shapes.allSuited(o) {
+			rate.mostLate.add(o.rateWithin(minSlack), 1)
+		} else {
+			rate.mostLate.add(least, 1)
+		}
 	}
 	allowed := deadline.Sub(j.Accepted)
 	if window := max(minRecentWindow, time.Duration(recentShare*float64(allowed))); now.Sub(j.learnedAt) < window {
