--- a/internal/fleet/bbrmaintenance/latework_test.go
+++ b/internal/fleet/bbrmaintenance/latework_test.go
@@ -190,3 +190,19 @@
 	m.run(2*modelMoveTime + maxStartWait + modelStep)
 	requireAllStarted(t, m)
 }
+
+// TestSmallPoolDoesNotKeepInstancesFromOthers guards against a pool that gets nothing since a
+// smaller one with a lower fill ratio, whom one instance would fill too much, came first.
+func TestSmallPoolDoesNotKeepInstancesFromOthers(t *testing.T) {
+	const small, large = 4, 45
+	f := newTestFleet(map[string]int{donorPool: small + 12, recipientPool: large})
+	for _, id := range f.ids[:small] {
+		f.instances[id].Pool = thirdPool
+	}
+	donor := requestFor(donorPool, 4)
+	donor.Releasable = f.upstreamsOf(donorPool)
+	donor.Needed = donor.Releasable
+	states := f.statesOf(NewPlanner(testAway), []CapacityRequest{donor, requestFor(recipientPool, 100), requestFor(thirdPool, 9)})
+	require.Equal(t, small, states[thirdPool].Size)
+	require.Greater(t, states[recipientPool].Size, large, "it has less than half of its target after a move")
+}
