fleet/bbrmaintenance: a small pool that gets no instance does not end the round for others

Whether a pool gets an instance of one without a surplus, or one that late work needs, depends on its fill ratio after the move. A pool of 4 of 9 comes before one of 45 of 100, but would be filled to 5 of 9, so that both got none. The round now goes on for pools with a lower ratio after a move.

--- a/internal/fleet/bbrmaintenance/balance.go
+++ b/internal/fleet/bbrmaintenance/balance.go
@@ -145,16 +145,16 @@
 // fill moves instances into the partitions that are below their target size, the one
 // with the lowest fill ratio first.
 func (round *balanceRound) fill() {
-	exhausted := make(map[int]bool)
+	failed := make(map[int]float64)
 	round.shortfalls = make(map[Partition]Shortfall)
 	for {
-		recipient := round.neediestOutside(exhausted)
+		recipient := round.neediest(failed)
 		if recipient == nil {
 			return
 		}
 		instance, ok := round.acquire(recipient)
 		if !ok {
-			exhausted[recipient.Cell] = true
+			failed[recipient.Cell] = round.fillRatioAfterMove(recipient)
 			round.shortfalls[recipient.Partition] = shortfallOf(round.allDonors(recipient))
 			continue
 		}
@@ -212,12 +212,17 @@
 	return float64(missing) > shortageShare*float64(len(round.planner.instances))
 }
 
-// neediestOutside returns the partition below its target with the lowest fill ratio
-// that is in none of the cells, or nil.
-func (round *balanceRound) neediestOutside(cells map[int]bool) *CapacityRequest {
+// neediest returns the partition below its target with the lowest fill ratio, or nil.
+// failed has the lowest fill ratio after a move for which the cell had no instance: those
+// that would not have a lower one get none either. A partition with few instances may have a
+// low ratio now and a high one after a move.
+func (round *balanceRound) neediest(failed map[int]float64) *CapacityRequest {
 	var neediest *CapacityRequest
 	for _, request := range round.requests {
-		if cells[request.Cell] || round.size[request.Partition] >= round.target[request.Partition] {
+		if round.size[request.Partition] >= round.target[request.Partition] {
+			continue
+		}
+		if ratio, known := failed[request.Cell]; known && round.fillRatioAfterMove(request) >= ratio {
 			continue
 		}
 		if neediest == nil || round.fillRatio(request) < round.fillRatio(neediest) {
--- a/internal/fleet/bbrmaintenance/donors.go
+++ b/internal/fleet/bbrmaintenance/donors.go
@@ -12,6 +12,11 @@
 	return float64(round.size[request.Partition]) / float64(round.target[request.Partition])
 }
 
+// fillRatioAfterMove returns the fill ratio of a partition with one more instance.
+func (round *balanceRound) fillRatioAfterMove(request *CapacityRequest) float64 {
+	return float64(round.size[request.Partition]+1) / float64(round.target[request.Partition])
+}
+
 // acquire returns an instance for a partition: a spare one, or one of the partition of
 // its cell with the largest surplus, or else one of a partition that is much closer to
 // its target than the recipient.
@@ -105,7 +110,7 @@
 // even after a move. A surplus does not raise its ratio.
 func (round *balanceRound) isBetterFilled(donor, recipient *CapacityRequest) bool {
 	ratio := min(1, float64(round.size[donor.Partition]-1)/float64(round.target[donor.Partition]))
-	return ratio >= minDonorAdvantage*float64(round.size[recipient.Partition]+1)/float64(round.target[recipient.Partition])
+	return ratio >= minDonorAdvantage*round.fillRatioAfterMove(recipient)
 }
 
 // surplus returns the number of instances that a partition has above its target size;
--- a/internal/fleet/bbrmaintenance/shortfall.go
+++ b/internal/fleet/bbrmaintenance/shortfall.go
@@ -18,8 +18,8 @@
 	// ShortfallNoneMovable: the donors list releasable instances, but none of them can be
 	// moved: up, without a task or directive, and with no order in doubt or abandoned.
 	ShortfallNoneMovable Shortfall = "noneMovable"
-	// ShortfallNotTried: a partition of the cell with a lower fill ratio got no instance,
-	// which ended the round for the cell.
+	// ShortfallNotTried: a partition of the cell with a lower fill ratio after a move got no
+	// instance, so that this one gets none either.
 	ShortfallNotTried Shortfall = "notTried"
 )
 
