--- a/internal/job/bbrscheduler/vacate_test.go
+++ b/internal/job/bbrscheduler/vacate_test.go
@@ -354,6 +354,34 @@
 	require.Zero(t, s.sched.VacancyCounts().Active)
 }
 
+// TestTrialsLeaveVacatedUpstreams guards against the trial of a suspect that takes the vacated
+// upstream or the destination of the work that leaves it.
+func TestTrialsLeaveVacatedUpstreams(t *testing.T) {
+	s := newFragmentedScene(t, 6, incidentSpread(5))
+	s.stopTime = testTiming.StopTimeout
+	s.accept(otherJob, incidentStep(1))
+	for len(s.sched.vacancies.list) == 0 {
+		s.play(vacateTick)
+		require.Less(t, s.now.Sub(s.start), 10*time.Second)
+	}
+	v := s.sched.vacancies.list[0]
+	for len(v.destinations) > 0 {
+		s.play(vacateTick)
+		require.Less(t, s.now.Sub(s.start), 10*time.Second)
+		if s.sched.jobs[testJob] == nil {
+			s.accept(testJob, unitStep(1))
+			s.isolate()
+		}
+		require.Nil(t, v.up.trialUnit)
+		for _, id := range v.destinations {
+			require.Nil(t, s.sched.upstreams[id].trialUnit)
+		}
+	}
+	s.play(testTiming.StopTimeout)
+	require.False(t, s.startedAt[bbrwork.Unit{Job: otherJob}].IsZero())
+	require.Zero(t, s.sched.VacancyCounts().Ended[VacancyUpstreamLost])
+}
+
 // BenchmarkVacate measures a round of planning in which many wide jobs wait and no upstream
 // can be vacated.
 func BenchmarkVacate(b *testing.B) {
