--- a/internal/job/bbrscheduler/reservation.go
+++ b/internal/job/bbrscheduler/reservation.go
@@ -178,7 +178,7 @@
 // suitsReservation reports whether capacity may be reserved for the step on the upstream,
 // which must be one of the group: a rack, or all.
 func (p *planner) suitsReservation(s *step, up *upstream, group []*upstream) bool {
-	if up.hold != nil || !p.sched.canEverFit(s, up) || len(group) < len(p.usable) && up.Rack() != group[0].Rack() {
+	if up.hold != nil || up.vacancy != nil && up.vacancy.step != s || !p.sched.canEverFit(s, up) || len(group) < len(p.usable) && up.Rack() != group[0].Rack() {
 		return false
 	}
 	if s.spec.Gang {
