--- a/internal/job/bbrscheduler/duework_test.go
+++ b/internal/job/bbrscheduler/duework_test.go
@@ -330,3 +330,32 @@
 	}
 	require.Len(t, failedAt, 2)
 }
+
+// TestWaitingWorkLeavesCapacityFarFromItsData guards against a backlog that takes in one round
+// all capacity of the other racks, where it runs slowly.
+func TestWaitingWorkLeavesCapacityFarFromItsData(t *testing.T) {
+	const upstreams, milliCPU = 8, 8000
+	s := newScene(t, true)
+	for i := range upstreams {
+		s.registerCapacity(fmt.Sprint("i-", i), milliCPU, "kind-"+fmt.Sprint(i), fmt.Sprint("r-", min(1, i)))
+	}
+	for i := range upstreams {
+		filler := unitStep(1)
+		filler.Label, filler.Need.MilliCPU, filler.Estimate = "kind-"+fmt.Sprint(i), milliCPU/2, time.Minute
+		if i == 0 {
+			filler.Need.MilliCPU = milliCPU
+		}
+		s.accept(jobID(i), filler)
+		s.answerStarts(s.plan(), nil)
+	}
+	require.Zero(t, s.sched.upstreams["i-0"].free().MilliCPU)
+	far := unitStep(100)
+	far.DataRack = "r-0"
+	s.accept(testJob, far)
+	require.NotEmpty(t, s.startsWithin(10*time.Second))
+	free := 0
+	for _, up := range s.sched.upstreams {
+		free += up.free().MilliCPU
+	}
+	require.GreaterOrEqual(t, free, upstreams*milliCPU/scarceShare-far.Need.MilliCPU)
+}
