job/bbrscheduler: starts far from the data end when capacity becomes scarce

Scarcity was determined before the round. A backlog that had waited for the rack of its data took all free capacity of the other racks in one round, up to the starts in flight of each upstream.

--- a/internal/job/bbrscheduler/plan.go
+++ b/internal/job/bbrscheduler/plan.go
@@ -54,11 +54,14 @@
 	// doesNotFit has the allocations that fit on no usable upstream without reserved
 	// capacity. It stays valid for the round, as free capacity only shrinks.
 	doesNotFit map[bbrwork.Resources]bool
-	// busy means that over half of the usable CPU capacity is in use, scarce that hardly any
-	// is free, and free is what is free of the usable capacity; an upstream whose capacity shrank below what runs
+	// busy means that over half of the usable CPU capacity is in use, and free is what
+	// is free of the usable capacity; an upstream whose capacity shrank below what runs
 	// there has nothing free.
-	busy, scarce bool
-	free         bbrwork.Resources
+	busy bool
+	free bbrwork.Resources
+	// capacityMilliCPU is the usable CPU capacity, and startedMilliCPU what the starts of this
+	// round take of free.
+	capacityMilliCPU, startedMilliCPU int
 	// trials counts the upstreams that are reserved for trials.
 	trials int
 	reserver
@@ -366,6 +369,7 @@
 		up.confirmLease(r.startDeadline)
 	}
 	up.startsInFlight++
+	p.startedMilliCPU += r.allocation.MilliCPU
 	p.plan.Starts = append(p.plan.Starts, StartOrder{Upstream: up.Upstream, Start: bbrorder.Start{
 		Unit:       u.name(),
 		Run:        run,
--- a/internal/job/bbrscheduler/usable.go
+++ b/internal/job/bbrscheduler/usable.go
@@ -101,7 +101,7 @@
 		p.free = p.free.Plus(up.free().Max(bbrwork.Resources{}))
 	}
 	p.busy = 2*used.MilliCPU > capacity.MilliCPU
-	p.scarce = scarceShare*p.free.MilliCPU < capacity.MilliCPU
+	p.capacityMilliCPU = capacity.MilliCPU
 }
 
 // refineExclusion returns why an upstream may not take work, given the reason regardless of
@@ -120,6 +120,11 @@
 // least unless it is scarce. Work that runs slowly must not take capacity that others wait for.
 const scarceShare = 8
 
+// isScarce reports whether hardly any of the usable CPU capacity is free.
+func (p *planner) isScarce() bool {
+	return scarceShare*(p.free.MilliCPU-p.startedMilliCPU) < p.capacityMilliCPU
+}
+
 // useSuspectsIfAlone makes the suspect upstreams usable if there are no others.
 func (p *planner) useSuspectsIfAlone() {
 	if len(p.usable) == 0 {
@@ -176,7 +181,7 @@
 		return true
 	}
 	longer := time.Duration((p.sched.Timing.RemoteDataFactor - 1) * float64(s.runTime))
-	return p.now.Add(s.remainingPath+longer).Before(s.job.objective(s.occurrence)) || !p.scarce && p.hasWaited(s, longer)
+	return p.now.Add(s.remainingPath+longer).Before(s.job.objective(s.occurrence)) || !p.isScarce() && p.hasWaited(s, longer)
 }
 
 // canEverRunNearData reports whether a usable upstream on the rack of the step's
