--- a/internal/job/bbrscheduler/latework_test.go
+++ b/internal/job/bbrscheduler/latework_test.go
@@ -53,3 +53,23 @@
 	alone.advance(time.Minute)
 	require.LessOrEqual(t, held, alone.sched.Demand(alone.now).MilliCPU)
 }
+
+// TestWorkThatCanNeverStartKeepsNoLateSpread guards against the same for the upstreams over
+// which late work must be spread.
+func TestWorkThatCanNeverStartKeepsNoLateSpread(t *testing.T) {
+	stuck, backlog := unitStep(40), unitStep(200)
+	stuck.Label, stuck.MaxPerUpstream, backlog.MaxPerUpstream = "none", 1, 1
+	spreadOf := func(other ...bbrwork.Step) int {
+		s := newScene(t, true, "i-1")
+		s.accept(otherJob, stuck)
+		if len(other) > 0 {
+			s.accept(testJob, other...)
+		}
+		s.advance(time.Minute)
+		s.sched.Demand(s.now)
+		s.sched.Cancel(testJob, s.now)
+		s.advance(time.Minute)
+		return s.sched.Demand(s.now).SpreadUpstreams
+	}
+	require.LessOrEqual(t, spreadOf(backlog), spreadOf())
+}
