--- a/internal/job/bbrscheduler/demand.go
+++ b/internal/job/bbrscheduler/demand.go
@@ -82,7 +82,7 @@
 		for _, o := range j.occurrences {
 			demand.addLongRunning(o)
 			rate.add(j, o, shapes, now)
-			spread.add(o, sched.capOf(j.Organisation), now)
+			spread.add(o, sched.capOf(j.Organisation), shapes, now)
 		}
 	}
 	open, held, arriving := sched.sumRates(rates)
--- a/internal/job/bbrscheduler/spread.go
+++ b/internal/job/bbrscheduler/spread.go
@@ -11,12 +11,12 @@
 // the step that needs most of them decides.
 type spreadUpstreams struct {
 	// inTime is for jobs that can meet their objectives. For the others, leastLate spreads
-	// the work over overdueSpread, and mostLate over minSlack.
+	// the work over overdueSpread, and mostLate over minSlack where an upstream suits it.
 	inTime, leastLate, mostLate int
 }
 
 // add adds the runnable steps of an occurrence of a job whose organisation has the cap.
-func (d *spreadUpstreams) add(o *occurrence, organisationCap bbrwork.Resources, now time.Time) {
+func (d *spreadUpstreams) add(o *occurrence, organisationCap bbrwork.Resources, shapes unitShapes, now time.Time) {
 	for _, s := range o.steps {
 		if s.spec.LongRunning || s.spec.MaxPerUpstream == 0 || s.unitsLeft == 0 || !s.runnable(now) {
 			continue
@@ -26,7 +26,9 @@
 			continue
 		}
 		d.leastLate = max(d.leastLate, s.spreadOver(overdueSpread, organisationCap))
-		d.mostLate = max(d.mostLate, s.spreadOver(minSlack, organisationCap))
+		if shapes.isSuited(s.shape()) {
+			d.mostLate = max(d.mostLate, s.spreadOver(minSlack, organisationCap))
+		}
 	}
 }
 
--- a/internal/job/bbrscheduler/unitshape.go
+++ b/internal/job/bbrscheduler/unitshape.go
@@ -8,6 +8,8 @@
 	need  bbrwork.Resources
 }
 
+func (s *step) shape() unitShape { return unitShape{s.spec.Label, s.spec.Allocation()} }
+
 // unitShapes remembers which shapes a registered upstream suits. Few shapes occur in many steps.
 type unitShapes struct {
 	sched  *Scheduler
@@ -18,7 +20,7 @@
 // registered upstream.
 func (shapes unitShapes) allSuited(o *occurrence) bool {
 	for _, s := range o.steps {
-		if !s.spec.LongRunning && s.unitsLeft > 0 && !shapes.isSuited(unitShape{s.spec.Label, s.spec.Allocation()}) {
+		if !s.spec.LongRunning && s.unitsLeft > 0 && !shapes.isSuited(s.shape()) {
 			return false
 		}
 	}
