--- a/internal/job/bbrscheduler/latework.go
+++ b/internal/job/bbrscheduler/latework.go
@@ -46,10 +46,15 @@
 		if unplaced == 0 {
 			continue
 		}
+		allNeeded := true
 		for _, up := range upstreams {
 			if !needed[up] && sched.canEverFit(s, up) {
 				needed[up] = true
 			}
+			allNeeded = allNeeded && needed[up]
+		}
+		if allNeeded {
+			break
 		}
 	}
 	return needed
