--- a/internal/job/bbrscheduler/vacate_test.go
+++ b/internal/job/bbrscheduler/vacate_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/bluebellridge/bluebellridge/internal/job/bbrorder"
 	"github.com/bluebellridge/bluebellridge/internal/job/bbrwork"
 )
 
@@ -33,6 +34,8 @@
 	stopTime time.Duration
 	// recovering is a long-running work unit that is listed as not working.
 	recovering bbrwork.Unit
+	// refusing is an upstream that answers and starts nothing.
+	refusing string
 }
 
 // newFragmentedScene returns a scene of upstreams of 16,000 millicores and 65,536 MB with
@@ -89,10 +92,17 @@
 			s.stops = append(s.stops, order.Stop.Unit)
 			s.sched.ApplyStopResult(order, nil, s.now)
 		}
+		var accepted, refused Plan
 		for _, order := range plan.Starts {
+			if order.Upstream.ID == s.refusing {
+				refused.Starts = append(refused.Starts, order)
+				continue
+			}
+			accepted.Starts = append(accepted.Starts, order)
 			s.startRun(order)
 		}
-		s.answerStarts(plan, nil)
+		s.answerStarts(accepted, nil)
+		s.answerStarts(refused, bbrorder.ErrNotSent)
 		s.requireWithinBudgets()
 	}
 }
@@ -382,6 +392,37 @@
 	require.Zero(t, s.sched.VacancyCounts().Ended[VacancyUpstreamLost])
 }
 
+// TestMovedWorkLeavesDestinationThatStartsNothing guards against long-running work that was
+// stopped to move and then tries again and again to start on the one destination.
+func TestMovedWorkLeavesDestinationThatStartsNothing(t *testing.T) {
+	s := newFragmentedScene(t, 8, incidentSpread(5))
+	wide := incidentStep(1)
+	wide.Estimate = time.Minute
+	s.accept(testJob, wide)
+	for len(s.sched.vacancies.list) == 0 {
+		s.play(vacateTick)
+		require.Less(t, s.now.Sub(s.start), 10*time.Second)
+	}
+	v := s.sched.vacancies.list[0]
+	for _, id := range v.destinations {
+		s.refusing = id
+	}
+	for len(s.stops) == 0 {
+		s.play(vacateTick)
+		require.Less(t, s.now.Sub(s.start), 10*time.Second)
+	}
+	s.play(vacateAfter)
+	running := make(map[bbrwork.Unit]bool)
+	for _, runs := range s.running {
+		for key := range runs {
+			running[key.unit] = true
+		}
+	}
+	for _, unit := range s.stops {
+		require.True(t, running[unit], "%s was stopped and runs nowhere", unit)
+	}
+}
+
 // BenchmarkVacate measures a round of planning in which many wide jobs wait and no upstream
 // can be vacated.
 func BenchmarkVacate(b *testing.B) {
