job/bbrscheduler: moved work leaves a destination that starts nothing

The destination came before all others, whatever starts had failed there. The unit tried it every 90 ms for as long as the vacancy lasted, which is as long as finite work of the step runs on the vacated upstream.

--- a/internal/job/bbrscheduler/plan.go
+++ b/internal/job/bbrscheduler/plan.go
@@ -230,12 +230,15 @@
 
 // chooseUpstream returns the best upstream for a work unit, or nil. fits is a
 // further condition; nil for none. Work starts on a suspect upstream only if no other suits
-// it: starts in flight are soon answered, so it waits for them.
+// it: starts in flight are soon answered, so it waits for them. Work that leaves a vacated
+// upstream starts on its destination unless more starts have failed there.
 func (p *planner) chooseUpstream(u *unit, fits func(up *upstream) bool) *upstream {
+	best := p.bestOf(p.usable, u, fits)
 	if up := p.plannedDestination(u); up != nil && (fits == nil || fits(up)) {
-		return up
+		if less, _ := p.fewerFailedStarts(u.step.spec, best, up); !less {
+			return up
+		}
 	}
-	best := p.bestOf(p.usable, u, fits)
 	spill, longRunning := p.maySpill(u.step), u.step.spec.LongRunning
 	if best != nil || !spill && !longRunning || p.suitsUsable(u.step, fits) {
 		return best
