job/bbrowner: a report that takes long is computed less often

It was computed every 50 ms, while the owner's rounds wait. It is now reused for 25 times the time that it took, at least 50 and at most 400 ms.

--- a/internal/job/bbrowner/flusher.go
+++ b/internal/job/bbrowner/flusher.go
@@ -60,9 +60,10 @@
 // after the owner's end, so that a successor finds what was done.
 type flusher struct {
 	owner *Owner
-	// lastReport is the report as of reportedAt.
+	// lastReport is the report as of reportedAt, and reportTook how long its computation took.
 	lastReport report
 	reportedAt time.Time
+	reportTook time.Duration
 }
 
 func (f *flusher) run(ctx context.Context) {
@@ -138,8 +139,13 @@
 }
 
 const (
-	// reportCacheTTL is the age up to which a report is reused instead of computed anew.
-	reportCacheTTL = 50 * time.Millisecond
+	// minReportTTL and maxReportTTL bound the age up to which a report is reused instead of
+	// computed anew.
+	minReportTTL = 50 * time.Millisecond
+	maxReportTTL = 400 * time.Millisecond
+	// reportTimeShare is the part of the owner's time, one in reportTimeShare, that reports
+	// may take: with a large backlog, one takes several milliseconds.
+	reportTimeShare = 25
 	// maxReleasable bounds the releasable upstreams in a report; the next report
 	// has others.
 	maxReleasable = 16
@@ -147,14 +153,20 @@
 	maxReportedShares = 8
 )
 
-// currentReport returns the report, at most reportCacheTTL old. The caller holds the
+// reportTTL returns the age up to which a report is reused that took the time to compute.
+func reportTTL(took time.Duration) time.Duration {
+	return min(max(minReportTTL, reportTimeShare*took), maxReportTTL)
+}
+
+// currentReport returns the report, at most maxReportTTL old. The caller holds the
 // owner's lock.
 func (f *flusher) currentReport(now time.Time) report {
-	if scheduler := f.owner.scheduler; now.Sub(f.reportedAt) > reportCacheTTL {
+	if scheduler := f.owner.scheduler; now.Sub(f.reportedAt) > reportTTL(f.reportTook) {
+		begin := time.Now()
 		f.lastReport = report{waiting: scheduler.WaitingByQueue(now), drained: scheduler.Drained(now), demand: scheduler.Demand(now)}
 		f.lastReport.demand.LimitReleasable(maxReleasable)
 		f.lastReport.beyond = slices.DeleteFunc(scheduler.Shares(maxReportedShares), func(share bbrscheduler.OrganisationShare) bool { return !share.Beyond })
-		f.reportedAt = now
+		f.reportedAt, f.reportTook = now, time.Since(begin)
 	}
 	return f.lastReport
 }
--- a/internal/job/bbrowner/flusher_test.go
+++ b/internal/job/bbrowner/flusher_test.go
@@ -112,3 +112,16 @@
 		})
 	}
 }
+
+// TestSlowReportsAreComputedLessOften guards against an owner that computes reports all the
+// time while its backlog is large.
+func TestSlowReportsAreComputedLessOften(t *testing.T) {
+	for _, test := range []struct{ took, ttl time.Duration }{
+		{0, minReportTTL},
+		{time.Millisecond, minReportTTL},
+		{10 * time.Millisecond, 250 * time.Millisecond},
+		{time.Second, maxReportTTL},
+	} {
+		require.Equal(t, test.ttl, reportTTL(test.took), "took %v", test.took)
+	}
+}
