--- a/internal/fleet/bbrmaintenance/balance.go
+++ b/internal/fleet/bbrmaintenance/balance.go
@@ -212,10 +212,10 @@
 	return float64(missing) > shortageShare*float64(len(round.planner.instances))
 }
 
-// neediest returns the partition below its target with the lowest fill ratio, or nil.
-// failed has the lowest fill ratio after a move for which the cell had no instance: those
-// that would not have a lower one get none either. A partition with few instances may have a
-// low ratio now and a high one after a move.
+// neediest returns the partition below its target with the lowest fill ratio, or nil. failed
+// has, by cell, the lowest fill ratio after a move for which no instance was found; partitions
+// that a move would not leave below it are skipped. The ratio after a move decides, as one
+// instance raises the ratio of a small partition by much.
 func (round *balanceRound) neediest(failed map[int]float64) *CapacityRequest {
 	var neediest *CapacityRequest
 	for _, request := range round.requests {
--- a/internal/fleet/bbrmaintenance/donors.go
+++ b/internal/fleet/bbrmaintenance/donors.go
@@ -71,7 +71,9 @@
 	return donors
 }
 
-// releaseFirst returns an instance of the first donor that can release one to the recipient.
+// releaseFirst returns an instance of the first donor that can release one. Instances that a
+// donor's late work needs are released only for long-running work, or to a recipient with a
+// much lower fill ratio.
 func (round *balanceRound) releaseFirst(donors []*CapacityRequest, recipient *CapacityRequest, label string) (bbrmachine.Instance, bool) {
 	for _, donor := range donors {
 		releaseNeeded := round.tier == tierLongRunning || round.isBetterFilled(donor, recipient)
--- a/internal/fleet/bbrmaintenance/latework_test.go
+++ b/internal/fleet/bbrmaintenance/latework_test.go
@@ -41,26 +41,26 @@
 	return count
 }
 
-// burdenedPool is a pool with a late backlog, beside a spare pool or a pool that takes what it
+// lateBacklogCase is a pool with a late backlog, beside a spare pool or a pool that takes what it
 // can get for work that is in time.
-type burdenedPool struct {
-	name    string
-	size    int
-	backlog time.Duration
-	rival   bool
+type lateBacklogCase struct {
+	name       string
+	size       int
+	backlog    time.Duration
+	donorGrows bool
 }
 
-var burdenedPools = []burdenedPool{
+var lateBacklogCases = []lateBacklogCase{
 	{"60 instances beside spare pool", 60, 8 * time.Second, false},
 	{"120 instances beside spare pool", 120, 8 * time.Second, false},
 	{"60 instances beside growing pool", 60, 4 * time.Second, true},
 	{"120 instances beside growing pool", 120, 4 * time.Second, true},
 }
 
-// runRivalLoad advances the model by a step, and submits work to the donor pool if it is to grow.
-func (b burdenedPool) runRivalLoad(m *model) {
+// stepWithDonorLoad advances the model by a step, and submits work to the donor pool if it is to grow.
+func (b lateBacklogCase) stepWithDonorLoad(m *model) {
 	const unitsPerStep = 2
-	if b.rival {
+	if b.donorGrows {
 		m.accept(donorPool, finiteStep(unitsPerStep*b.size/30, 4000, 1000, time.Second))
 	}
 	m.step()
@@ -69,7 +69,7 @@
 // TestLateBacklogIsWorkedOff guards against a pool that shrinks as fast as its late backlog,
 // so that the last work units wait for as long as the logarithm of the backlog.
 func TestLateBacklogIsWorkedOff(t *testing.T) {
-	for _, b := range burdenedPools {
+	for _, b := range lateBacklogCases {
 		t.Run(b.name, func(t *testing.T) {
 			m := newModel(capacity16, map[string]int{recipientPool: b.size, donorPool: 4, offPool: 1})
 			m.waitsCountFrom = m.now.Add(time.Hour)
@@ -78,7 +78,7 @@
 			jobs := int(b.backlog/step.Estimate) * b.size * capacity16.MilliCPU / (step.Count * step.Need.MilliCPU)
 			bound := acceptBacklog(m, jobs, step) + overdueSpread + step.Estimate + modelMoveTime
 			for end := m.now.Add(bound); m.now.Before(end); {
-				b.runRivalLoad(m)
+				b.stepWithDonorLoad(m)
 			}
 			require.Zero(t, m.unfinished(recipientPool), "work units not done after %v, with %d instances in the pool", bound, m.upCount(recipientPool))
 			require.Empty(t, m.violations)
--- a/internal/fleet/bbrmaintenance/sizing.go
+++ b/internal/fleet/bbrmaintenance/sizing.go
@@ -69,9 +69,10 @@
 func (round *balanceRound) setTargets() {
 	for _, request := range round.requests {
 		target := round.minSize(request)
-		if round.tier > tierLongRunning {
+		if round.tier != tierLongRunning {
 			milliCPU := request.MilliCPU
-			if round.tier < tierHeld {
+			if round.tier == tierOther {
+				// The held part is served in tierHeld.
 				milliCPU -= request.HeldMilliCPU
 			}
 			target = max(target, round.instancesFor(request, milliCPU), request.SpreadInstances, request.withExclusive(request.Exclusive))
--- a/internal/job/bbrscheduler/demand.go
+++ b/internal/job/bbrscheduler/demand.go
@@ -18,8 +18,8 @@
 	// HeldMilliCPU is the part of MilliCPU that serves only to keep the rate of late work
 	// from falling with the work.
 	HeldMilliCPU int `json:"held,omitempty"`
-	// FiniteMemoryMB is the memory that the open finite work needs. It is part of MilliCPU
-	// and not reported by itself.
+	// FiniteMemoryMB is the memory that finite work needs at the requested rate, including
+	// the part that HeldMilliCPU keeps. It is only logged; MilliCPU already accounts for it.
 	FiniteMemoryMB int `json:"-"`
 	// LongRunningMilliCPU is the part of MilliCPU that long-running work takes.
 	LongRunningMilliCPU int `json:"lasting"`
@@ -52,8 +52,8 @@
 	// minSlack is the least time over which the work of a job is spread, so that a
 	// job that is almost late does not request the whole fleet.
 	minSlack = time.Second
-	// overdueSpread is the time over which the work of late jobs is spread, counted from
-	// when there is most of it.
+	// overdueSpread is the time over which the work of late jobs is spread. The rate is not
+	// lowered while the backlog shrinks (nextLateRate).
 	overdueSpread = 8 * time.Second
 	// For recentShare of its objective, and for minRecentWindow at least, a job
 	// that has arrived stands for the arrival rate of jobs like it.
@@ -85,7 +85,7 @@
 			spread.add(o, sched.capOf(j.Organisation), shapes, now)
 		}
 	}
-	open, held, arriving := sched.sumRates(rates)
+	open, held, arriving := sched.updateRates(rates)
 	expected := max(arriving, sched.arrivals.forecast(now))
 	demand.FiniteMemoryMB = int(held.memoryMB)
 	demand.MilliCPU = demand.LongRunningMilliCPU + int(max(sched.milliCPUFor(held), expected))
@@ -145,10 +145,11 @@
 	}
 }
 
-// sumRates returns the rate at which the open jobs must be worked off, the same with the rate
-// of late work that is held, and the rate at which others arrive, in millicores. No
-// organisation counts for more than its cap lets it use.
-func (sched *Scheduler) sumRates(rates map[string]*workRate) (open, held resourceRate, arriving float64) {
+// updateRates updates the rate of late work, and returns the rate at which the open jobs must
+// be worked off (open), the same where the rate of late work does not fall with the backlog
+// (held), and the rate at which other jobs arrive, in millicores. No organisation counts for
+// more than its cap allows.
+func (sched *Scheduler) updateRates(rates map[string]*workRate) (open, held resourceRate, arriving float64) {
 	var inTime, leastLate, mostLate resourceRate
 	for organisation, rate := range rates {
 		limit := limitOf(sched.capOf(organisation))
--- a/internal/job/bbrscheduler/duework_test.go
+++ b/internal/job/bbrscheduler/duework_test.go
@@ -321,7 +321,7 @@
 		for _, order := range plan.Starts {
 			unit := order.Start.Unit
 			if at, failed := failedAt[unit]; failed {
-				require.GreaterOrEqual(t, s.now.Sub(at), suspectPatience, "%s run %d", unit, order.Start.Run)
+				require.GreaterOrEqual(t, s.now.Sub(at), suspectUseDelay, "%s run %d", unit, order.Start.Run)
 			}
 			sequence++
 			s.list("i-1", bbrwork.RunEnd{Sequence: sequence, Unit: unit, Run: order.Start.Run, Outcome: bbrwork.OutcomeFailed})
--- a/internal/job/bbrscheduler/gang.go
+++ b/internal/job/bbrscheduler/gang.go
@@ -64,7 +64,7 @@
 // include suspect upstreams if the gang never fits without them.
 func (p *planner) placementGroups(s *step) [][]*upstream {
 	groups := p.groupsOf(s, p.usable)
-	if p.maySpill(s) && !p.canEverRun(s) {
+	if p.mayUseSuspects(s) && !p.canEverRun(s) {
 		groups = append(groups, p.groupsOf(s, slices.Concat(p.usable, p.suspects))...)
 	}
 	return groups
--- a/internal/job/bbrscheduler/latework.go
+++ b/internal/job/bbrscheduler/latework.go
@@ -14,10 +14,10 @@
 	free bbrwork.Resources
 }
 
-// neededByLateWork returns those of the upstreams on which late work units that wait for
-// capacity are likely to start: where they fit now, or if they do not all fit, where they
-// will once finite work has ended.
-func (sched *Scheduler) neededByLateWork(upstreams []*upstream, now time.Time) map[*upstream]bool {
+// neededByLateWork returns the upstreams on which late work units that wait for capacity are
+// likely to start: those where they fit now and, for a step whose units do not all fit, also
+// those of the candidates that can take one once finite work has ended.
+func (sched *Scheduler) neededByLateWork(candidates []*upstream, now time.Time) map[*upstream]bool {
 	needed := make(map[*upstream]bool)
 	steps := slices.DeleteFunc(sched.runnableSteps(now), func(s *step) bool { return sched.waitingLate(s, now) == 0 })
 	if len(steps) == 0 {
@@ -26,28 +26,11 @@
 	slices.SortFunc(steps, compareWideSteps)
 	places := sched.freePlaces(now)
 	for _, s := range steps {
-		unplaced := sched.waitingLate(s, now)
-		runCounts := s.runCountsIfLimited()
-		for i := range places {
-			place := &places[i]
-			if unplaced == 0 {
-				break
-			}
-			if !sched.canEverFit(s, place.up) {
-				continue
-			}
-			count := min(unplaced, s.fitCount(place.free), s.upstreamLimitLeft(runCounts[place.up]))
-			if count > 0 {
-				place.free = place.free.Minus(s.spec.Allocation().Times(count))
-				unplaced -= count
-				needed[place.up] = true
-			}
-		}
-		if unplaced == 0 {
+		if sched.placeLate(s, places, needed, now) == 0 {
 			continue
 		}
 		allNeeded := true
-		for _, up := range upstreams {
+		for _, up := range candidates {
 			if !needed[up] && sched.canEverFit(s, up) {
 				needed[up] = true
 			}
@@ -60,6 +43,29 @@
 	return needed
 }
 
+// placeLate assigns places to the late work units of the step that wait, adds their upstreams
+// to needed, and returns the number of units that get no place.
+func (sched *Scheduler) placeLate(s *step, places []freePlace, needed map[*upstream]bool, now time.Time) int {
+	unplaced := sched.waitingLate(s, now)
+	runCounts := s.runCountsIfLimited()
+	for i := range places {
+		place := &places[i]
+		if unplaced == 0 {
+			break
+		}
+		if !sched.canEverFit(s, place.up) {
+			continue
+		}
+		count := min(unplaced, s.fitCount(place.free), s.upstreamLimitLeft(runCounts[place.up]))
+		if count > 0 {
+			place.free = place.free.Minus(s.spec.Allocation().Times(count))
+			unplaced -= count
+			needed[place.up] = true
+		}
+	}
+	return unplaced
+}
+
 // freePlaces returns the upstreams that accept work, in the order in which finite work is
 // placed on them.
 func (sched *Scheduler) freePlaces(now time.Time) []freePlace {
--- a/internal/job/bbrscheduler/plan.go
+++ b/internal/job/bbrscheduler/plan.go
@@ -43,8 +43,8 @@
 	now   time.Time
 	// usable are the upstreams that may take work, sorted by ID.
 	usable []*upstream
-	// suspects are the upstreams beside them on which only work may start that no usable one
-	// suits (maySpill): suspect ones, and those that were kept for a trial for exclusiveTrial.
+	// suspects are further upstreams, used only for work that no usable one suits (see
+	// mayUseSuspects): suspect ones, and those kept for a trial for exclusiveTrialTime or more.
 	suspects []*upstream
 	// excluded counts the upstreams by the reason for which they may not take work.
 	excluded [exclusionCount]int
@@ -194,7 +194,7 @@
 			continue
 		}
 		up := p.chooseUpstream(u, nil)
-		if up == nil && p.maySpill(s) && !p.maySpillUnit(u) {
+		if up == nil && p.mayUseSuspects(s) && !p.mayUnitUseSuspects(u) {
 			continue
 		}
 		if up == nil {
@@ -208,7 +208,7 @@
 // a cheap check before the single work units are placed.
 func (p *planner) fitsAnywhere(s *step) bool {
 	need := s.spec.Allocation()
-	if p.fitsOnSuspect(need) && p.maySpill(s) {
+	if p.fitsOnSuspect(need) && p.mayUseSuspects(s) {
 		return true
 	}
 	if p.doesNotFit[need] {
@@ -228,28 +228,39 @@
 	return slices.ContainsFunc(p.suspects, func(up *upstream) bool { return need.Fits(up.free()) })
 }
 
-// chooseUpstream returns the best upstream for a work unit, or nil. fits is a
-// further condition; nil for none. Work starts on a suspect upstream only if no other suits
-// it: starts in flight are soon answered, so it waits for them. Work that leaves a vacated
-// upstream starts on its destination unless more starts have failed there.
+// chooseUpstream returns the best upstream for a work unit, or nil. fits is a further
+// condition; nil for none. Work that leaves a vacated upstream starts on its destination
+// unless more starts have failed there. Only work that no usable upstream suits uses others:
+// starts in flight are soon answered, so it waits for them.
 func (p *planner) chooseUpstream(u *unit, fits func(up *upstream) bool) *upstream {
 	best := p.bestOf(p.usable, u, fits)
+	if best == nil {
+		return p.chooseOutsideUsable(u, fits)
+	}
 	if up := p.plannedDestination(u); up != nil && (fits == nil || fits(up)) {
 		if less, _ := p.fewerFailedStarts(u.step.spec, best, up); !less {
 			return up
 		}
 	}
-	spill, longRunning := p.maySpill(u.step), u.step.spec.LongRunning
-	if best != nil || !spill && !longRunning || p.suitsUsable(u.step, fits) {
-		return best
-	}
-	if spill && p.maySpillUnit(u) {
-		best = p.bestOf(p.suspects, u, fits)
+	return best
+}
+
+// chooseOutsideUsable returns the best suspect upstream for a work unit that no usable one
+// suits or, for long-running work, the best vacated one. It returns nil if there is none.
+func (p *planner) chooseOutsideUsable(u *unit, fits func(up *upstream) bool) *upstream {
+	suspectsAllowed, longRunning := p.mayUseSuspects(u.step), u.step.spec.LongRunning
+	if !suspectsAllowed && !longRunning || p.suitsUsable(u.step, fits) {
+		return nil
+	}
+	if suspectsAllowed && p.mayUnitUseSuspects(u) {
+		if up := p.bestOf(p.suspects, u, fits); up != nil {
+			return up
+		}
 	}
-	if best == nil && longRunning {
-		best = p.chooseVacated(u, fits)
+	if longRunning {
+		return p.chooseVacated(u, fits)
 	}
-	return best
+	return nil
 }
 
 // bestOf returns the best of the upstreams for a work unit, or nil.
--- a/internal/job/bbrscheduler/renewal.go
+++ b/internal/job/bbrscheduler/renewal.go
@@ -38,7 +38,7 @@
 	plan := RenewalPlan{
 		Upstream:    up.target(),
 		HasOrphans:  len(up.orphans) > 0,
-		Idle:        len(up.runs) == 0 && len(up.orphans) == 0 && !sched.unlocated[up.Incarnation] && up.identified() && (!up.registered || up.mayBeLeftAlone()),
+		Idle:        len(up.runs) == 0 && len(up.orphans) == 0 && !sched.unlocated[up.Incarnation] && up.identified() && (!up.registered || up.needsNoRenewal()),
 		HasRuns:     len(up.runs) > 0,
 		Unconfirmed: !confirmed,
 	}
@@ -58,10 +58,10 @@
 	return plan, true
 }
 
-// mayBeLeftAlone reports whether a registered upstream on which nothing runs needs no
-// renewal: all its ends are read, and its silence, which only a listing ends, does not keep
-// work from it.
-func (up *upstream) mayBeLeftAlone() bool {
+// needsNoRenewal reports whether a registered upstream without runs can go without renewals:
+// the owner has all ends from it and has lost no answers, and the upstream is not silent. Only
+// a listing ends its silence, and a silent upstream gets no work.
+func (up *upstream) needsNoRenewal() bool {
 	return up.reached && up.acknowledged == up.applied && up.lostAnswers == 0 && up.silentSince.IsZero()
 }
 
--- a/internal/job/bbrscheduler/trial.go
+++ b/internal/job/bbrscheduler/trial.go
@@ -22,9 +22,10 @@
 	// maxTrialReservation is how long an upstream stays reserved until the work unit
 	// starts on it.
 	maxTrialReservation = 4 * time.Second
-	// exclusiveTrial is how long an upstream is kept for a trial from other work that no other
-	// upstream suits: callers expect that it starts within 3 s.
-	exclusiveTrial = 2 * time.Second
+	// exclusiveTrialTime is how long an upstream that is kept for a trial takes no other work.
+	// After that, it takes work that no other upstream suits. It is less than the 3 s within
+	// which callers expect a start.
+	exclusiveTrialTime = 2 * time.Second
 	// maxTrialShare is the part of the usable upstreams, one at least, that may be
 	// reserved for trials at the same time: one in maxTrialShare.
 	maxTrialShare = 3
@@ -45,7 +46,7 @@
 			p.planStart(u, u.lastRun+1, up)
 		}
 	}
-	p.useSuspectsIfAlone()
+	p.useSuspectsIfNoOthers()
 }
 
 // endTrials releases the upstreams whose trial has ended or cannot take place.
--- a/internal/job/bbrscheduler/usable.go
+++ b/internal/job/bbrscheduler/usable.go
@@ -76,9 +76,10 @@
 	}
 }
 
-// suspectPatience is how long finite work waits that only suspect upstreams can ever take.
-// Its attempts are limited and the suspicion may end, but callers expect a start within 3 s.
-const suspectPatience = 2 * time.Second
+// suspectUseDelay is how long finite work that only suspect upstreams can take waits before
+// it starts on one: a failure there uses up one of its attempts, and the suspicion may end
+// meanwhile. It is less than the 3 s within which callers expect a start.
+const suspectUseDelay = 2 * time.Second
 
 // findUsable collects the upstreams that may take work. Suspect upstreams are used
 // only if there are no others, or for work that no other suits. isRecorded
@@ -87,14 +88,14 @@
 	for _, up := range p.sched.sortedUpstreams() {
 		reason := refineExclusion(p.exclusionOf(up), up, isRecorded)
 		switch {
-		case reason == excludedSuspect || reason == excludedTrial && p.now.Sub(up.trialSince) >= exclusiveTrial:
+		case reason == excludedSuspect || reason == excludedTrial && p.now.Sub(up.trialSince) >= exclusiveTrialTime:
 			p.suspects = append(p.suspects, up)
 		case reason == notExcluded:
 			p.usable = append(p.usable, up)
 		}
 		p.excluded[reason]++
 	}
-	p.useSuspectsIfAlone()
+	p.useSuspectsIfNoOthers()
 	var capacity, used bbrwork.Resources
 	for _, up := range p.usable {
 		capacity, used = capacity.Plus(up.Capacity), used.Plus(up.used)
@@ -125,26 +126,28 @@
 	return scarceShare*(p.free.MilliCPU-p.startedMilliCPU) < p.capacityMilliCPU
 }
 
-// useSuspectsIfAlone makes the suspect upstreams usable if there are no others.
-func (p *planner) useSuspectsIfAlone() {
+// useSuspectsIfNoOthers makes the suspect upstreams usable if there are no others.
+func (p *planner) useSuspectsIfNoOthers() {
 	if len(p.usable) == 0 {
 		p.usable, p.suspects = p.suspects, nil
 	}
 }
 
-// maySpill reports whether work units of the step may start on a suspect upstream if no
-// usable one suits them now. Finite work also has to wait for other finite work to end.
-func (p *planner) maySpill(s *step) bool {
+// mayUseSuspects reports whether work units of the step may start on the upstreams in
+// suspects if no usable one suits them now. Finite work may only if no usable upstream can
+// take it even once other finite work has ended, and after suspectUseDelay.
+func (p *planner) mayUseSuspects(s *step) bool {
 	if len(p.suspects) == 0 {
 		return false
 	}
-	return s.spec.LongRunning || !p.canEverRun(s) && p.hasWaited(s, suspectPatience)
+	return s.spec.LongRunning || !p.canEverRun(s) && p.hasWaited(s, suspectUseDelay)
 }
 
-// maySpillUnit reports whether the work unit may start on a suspect upstream, given that its
-// step may. A finite one waits after each failure, since the failures may be the upstream's.
-func (p *planner) maySpillUnit(u *unit) bool {
-	return u.step.spec.LongRunning || p.now.Sub(u.eligibleSince(u.step.runnableSince())) >= suspectPatience
+// mayUnitUseSuspects reports whether the work unit may start on a suspect upstream, given
+// that its step may. A finite unit waits again after each failure, as the upstream may have
+// caused it.
+func (p *planner) mayUnitUseSuspects(u *unit) bool {
+	return u.step.spec.LongRunning || p.now.Sub(u.eligibleSince(u.step.runnableSince())) >= suspectUseDelay
 }
 
 // canEverRun reports whether a usable upstream can take a work unit of the step, or the
--- a/internal/job/bbrscheduler/vacate.go
+++ b/internal/job/bbrscheduler/vacate.go
@@ -12,8 +12,9 @@
 type vacancy struct {
 	step *step
 	up   *upstream
-	// since is when the vacancy began, and progressAt when a run last left the upstream or a
-	// finite one of the step was there, or when another upstream was vacated for the step.
+	// since is when the vacancy began. progressAt is when it last made progress: a run left
+	// the upstream, a finite work unit of the step ran there, or a further upstream was
+	// vacated for the step.
 	since, progressAt time.Time
 	// runs is the number of runs on the upstream as of progressAt.
 	runs int
@@ -22,6 +23,9 @@
 	destinations map[*unit]string
 }
 
+// isMoving reports whether long-running work still has to leave the upstream.
+func (v *vacancy) isMoving() bool { return len(v.destinations) > 0 }
+
 // VacancyEnd is why an upstream ceased to be kept for a step that waited.
 type VacancyEnd string
 
--- a/internal/job/bbrscheduler/vacate_test.go
+++ b/internal/job/bbrscheduler/vacate_test.go
@@ -62,9 +62,9 @@
 
 func spreadJob(i int) string { return fmt.Sprintf("%015xf", i) }
 
-// incidentSpread has the work units of a long-running job of the incident, of which an
+// spreadJobStep has the work units of a long-running job of the incident, of which an
 // upstream runs one.
-func incidentSpread(count int) bbrwork.Step {
+func spreadJobStep(count int) bbrwork.Step {
 	return bbrwork.Step{Count: count, Need: bbrwork.Resources{MilliCPU: 2400, MemoryMB: 12000}, LongRunning: true, MaxPerUpstream: 1, MaxUnavailable: 1}
 }
 
@@ -164,24 +164,24 @@
 	}
 }
 
-const incidentRunTime = 1200 * time.Millisecond
+const wideStepRunTime = 1200 * time.Millisecond
 
-// incidentStep has the work units that were lost in the incident.
-func incidentStep(count int) bbrwork.Step {
-	return bbrwork.Step{Count: count, Need: bbrwork.Resources{MilliCPU: 7000, MemoryMB: 46064}, Estimate: incidentRunTime}
+// wideStepOf has the work units that were lost in the incident.
+func wideStepOf(count int) bbrwork.Step {
+	return bbrwork.Step{Count: count, Need: bbrwork.Resources{MilliCPU: 7000, MemoryMB: 46064}, Estimate: wideStepRunTime}
 }
 
 // TestWideWorkStartsBetweenSpreadWork guards against wide finite work that never starts
 // beside long-running work that is spread over all upstreams.
 func TestWideWorkStartsBetweenSpreadWork(t *testing.T) {
 	const units = 11
-	s := newFragmentedScene(t, 6, incidentSpread(5))
+	s := newFragmentedScene(t, 6, spreadJobStep(5))
 	accepted := s.now
-	s.accept(testJob, incidentStep(units))
+	s.accept(testJob, wideStepOf(units))
 	s.play(vacateWait)
 	require.False(t, s.startedAt[unitName(0)].IsZero(), "a work unit that fits on an empty upstream has waited for %v", s.now.Sub(accepted))
 	// One upstream takes one unit after the other.
-	s.play((units - 1) * (incidentRunTime + 4*vacateTick))
+	s.play((units - 1) * (wideStepRunTime + 4*vacateTick))
 	for index := range units {
 		require.False(t, s.startedAt[unitName(index)].IsZero(), "unit %d", index)
 	}
@@ -191,20 +191,20 @@
 // while the stop of the first is in progress, and against wide work that waits longer for it
 // than the bound.
 func TestVacatingTakesSlowStops(t *testing.T) {
-	several := incidentSpread(10)
+	several := spreadJobStep(10)
 	several.MaxPerUpstream, several.Need = 0, bbrwork.Resources{MilliCPU: 1200, MemoryMB: 6000}
 	for name, test := range map[string]struct {
 		spread bbrwork.Step
 		// stops is how many stops of a step's work units follow each other.
 		stops time.Duration
 	}{
-		"one unit of each job": {incidentSpread(5), 1},
+		"one unit of each job": {spreadJobStep(5), 1},
 		"several of each job":  {several, 2},
 	} {
 		t.Run(name, func(t *testing.T) {
 			s := newFragmentedScene(t, 6, test.spread)
 			s.stopTime = testTiming.StopTimeout
-			s.accept(testJob, incidentStep(1))
+			s.accept(testJob, wideStepOf(1))
 			s.play(vacateWait + (test.stops-1)*(testTiming.StopTimeout+time.Second))
 			require.False(t, s.startedAt[unitName(0)].IsZero())
 		})
@@ -217,10 +217,10 @@
 func TestVacatingRespectsUsedBudget(t *testing.T) {
 	for i := range 4 {
 		t.Run(spreadJob(i), func(t *testing.T) {
-			s := newFragmentedScene(t, 6, incidentSpread(5))
+			s := newFragmentedScene(t, 6, spreadJobStep(5))
 			s.recovering = bbrwork.Unit{Job: spreadJob(i)}
 			s.play(vacateTick)
-			s.accept(testJob, incidentStep(1))
+			s.accept(testJob, wideStepOf(1))
 			s.play(testTiming.RecoveryTime - 10*vacateTick)
 			require.False(t, s.startedAt[unitName(0)].IsZero())
 			for _, unit := range s.stops {
@@ -233,14 +233,14 @@
 // TestWaitingNarrowWorkDoesNotHideWideWork guards against wide work for which no upstream is
 // vacated, since many other steps have waited longer.
 func TestWaitingNarrowWorkDoesNotHideWideWork(t *testing.T) {
-	s := newFragmentedScene(t, 6, incidentSpread(5))
+	s := newFragmentedScene(t, 6, spreadJobStep(5))
 	for i := range 4 * maxVacateConsidered {
 		narrow := unitStep(1)
 		narrow.Label = "none"
 		s.accept(jobID(i), narrow)
 	}
 	s.play(vacateTick)
-	s.accept(testJob, incidentStep(1))
+	s.accept(testJob, wideStepOf(1))
 	s.play(vacateWait)
 	require.False(t, s.startedAt[unitName(0)].IsZero())
 }
@@ -248,8 +248,8 @@
 // TestVacatingWaitsForFleet guards against moving long-running work although the fleet
 // delivers an upstream in time.
 func TestVacatingWaitsForFleet(t *testing.T) {
-	s := newFragmentedScene(t, 6, incidentSpread(5))
-	s.accept(testJob, incidentStep(1))
+	s := newFragmentedScene(t, 6, spreadJobStep(5))
+	s.accept(testJob, wideStepOf(1))
 	s.play(vacateAfter - 2*vacateTick)
 	s.ids = append(s.ids, "i-new")
 	s.running["i-new"] = make(map[runKey]time.Time)
@@ -262,9 +262,9 @@
 // TestOtherWorkLeavesCapacityOfMoves guards against finite work that takes the upstream while
 // long-running work leaves it, or the capacity to which that moves.
 func TestOtherWorkLeavesCapacityOfMoves(t *testing.T) {
-	s := newFragmentedScene(t, 6, incidentSpread(5))
+	s := newFragmentedScene(t, 6, spreadJobStep(5))
 	s.stopTime = testTiming.StopTimeout
-	s.accept(testJob, incidentStep(1))
+	s.accept(testJob, wideStepOf(1))
 	for len(s.stops) == 0 {
 		s.play(vacateTick)
 		require.Less(t, s.now.Sub(s.start), 10*time.Second)
@@ -286,9 +286,9 @@
 // TestVacatedUpstreamIsNotReleasable guards against the release of an upstream that is empty
 // while a gang waits for a second one.
 func TestVacatedUpstreamIsNotReleasable(t *testing.T) {
-	s := newFragmentedScene(t, 6, incidentSpread(4))
+	s := newFragmentedScene(t, 6, spreadJobStep(4))
 	s.stopTime = testTiming.StopTimeout
-	gang := incidentStep(2)
+	gang := wideStepOf(2)
 	gang.Gang = true
 	s.accept(testJob, gang)
 	for s.startedAt[unitName(0)].IsZero() {
@@ -307,9 +307,9 @@
 		VacancyUpstreamLost: func(s *fragmentedScene, up *upstream) { s.sched.SetReserved(map[string]bool{up.ID: true}, s.now) },
 	} {
 		t.Run(string(cause), func(t *testing.T) {
-			s := newFragmentedScene(t, 6, incidentSpread(5))
+			s := newFragmentedScene(t, 6, spreadJobStep(5))
 			s.stopTime = testTiming.StopTimeout
-			s.accept(testJob, incidentStep(1))
+			s.accept(testJob, wideStepOf(1))
 			for len(s.sched.vacancies.list) == 0 {
 				s.play(vacateTick)
 				require.Less(t, s.now.Sub(s.start), 10*time.Second)
@@ -326,7 +326,7 @@
 // TestDestinationOfMoveIsNotReleasable guards against the release of an upstream to which
 // long-running work moves.
 func TestDestinationOfMoveIsNotReleasable(t *testing.T) {
-	s := newFragmentedScene(t, 6, incidentSpread(5))
+	s := newFragmentedScene(t, 6, spreadJobStep(5))
 	s.stopTime = testTiming.StopTimeout
 	other := s.upstream("i-other")
 	other.Capacity, other.Labels = bbrwork.Resources{MilliCPU: 16000, MemoryMB: 65536}, []string{"b", "rack-2"}
@@ -334,7 +334,7 @@
 	s.running["i-other"] = make(map[runKey]time.Time)
 	s.sched.RegisterUpstream(other, s.now)
 	s.list("i-other")
-	wide := incidentStep(1)
+	wide := wideStepOf(1)
 	wide.Label = "a"
 	s.accept(testJob, wide)
 	for len(s.sched.vacancies.list) == 0 {
@@ -351,8 +351,8 @@
 // ever, so that none can be vacated for other wide work, since the step has one work unit more
 // than there are places.
 func TestVacancyEndsOnceLongRunningWorkHasItsPlaces(t *testing.T) {
-	s := newFragmentedScene(t, 3, incidentSpread(2))
-	wide := incidentStep(2)
+	s := newFragmentedScene(t, 3, spreadJobStep(2))
+	wide := wideStepOf(2)
 	wide.LongRunning, wide.MaxPerUpstream, wide.Estimate = true, 1, 0
 	s.accept(testJob, wide)
 	for s.startedAt[unitName(0)].IsZero() {
@@ -367,9 +367,9 @@
 // TestTrialsLeaveVacatedUpstreams guards against the trial of a suspect that takes the vacated
 // upstream or the destination of the work that leaves it.
 func TestTrialsLeaveVacatedUpstreams(t *testing.T) {
-	s := newFragmentedScene(t, 6, incidentSpread(5))
+	s := newFragmentedScene(t, 6, spreadJobStep(5))
 	s.stopTime = testTiming.StopTimeout
-	s.accept(otherJob, incidentStep(1))
+	s.accept(otherJob, wideStepOf(1))
 	for len(s.sched.vacancies.list) == 0 {
 		s.play(vacateTick)
 		require.Less(t, s.now.Sub(s.start), 10*time.Second)
@@ -395,8 +395,8 @@
 // TestMovedWorkLeavesDestinationThatStartsNothing guards against long-running work that was
 // stopped to move and then tries again and again to start on the one destination.
 func TestMovedWorkLeavesDestinationThatStartsNothing(t *testing.T) {
-	s := newFragmentedScene(t, 8, incidentSpread(5))
-	wide := incidentStep(1)
+	s := newFragmentedScene(t, 8, spreadJobStep(5))
+	wide := wideStepOf(1)
 	wide.Estimate = time.Minute
 	s.accept(testJob, wide)
 	for len(s.sched.vacancies.list) == 0 {
@@ -443,7 +443,7 @@
 		}
 	}
 	for i := range 100 {
-		sched.AddJob(&bbrwork.Job{ID: jobID(i), Queue: "proofs", Service: "press", Spec: "x", Steps: []bbrwork.Step{incidentStep(11)}, Accepted: now}, 0, nil, now)
+		sched.AddJob(&bbrwork.Job{ID: jobID(i), Queue: "proofs", Service: "press", Spec: "x", Steps: []bbrwork.Step{wideStepOf(11)}, Accepted: now}, 0, nil, now)
 	}
 	for _, up := range sched.sortedUpstreams() {
 		sched.recorded[up.Incarnation] = true
--- a/internal/job/bbrscheduler/vacateplan.go
+++ b/internal/job/bbrscheduler/vacateplan.go
@@ -23,22 +23,23 @@
 	maxVacateShare = 2
 )
 
-// waitingStep is a step, and since when its work unit that has waited longest does.
+// waitingStep is a step, its work unit that has waited longest, and since when that waits.
 type waitingStep struct {
 	step  *step
 	unit  *unit
 	since time.Time
 }
 
-// planVacancies decides whether to vacate an upstream, one at a time: the long-running work
-// there moves to other upstreams, so that work that waits and fits on an empty upstream
-// need not wait until the fleet delivers one.
+// planVacancies begins to vacate an upstream if a step has waited too long for one: the
+// long-running work there moves to other upstreams. It does nothing while an earlier move is
+// in progress or the limit of vacated upstreams is reached.
 func (p *planner) planVacancies() {
 	sched := p.sched
 	if p.now.Before(sched.vacancies.nextAt) || !sched.EarlierWorkLocated(p.now) {
 		return
 	}
-	if len(sched.vacancies.list) >= max(1, len(p.usable)/maxVacateShare) || slices.ContainsFunc(sched.vacancies.list, func(v *vacancy) bool { return len(v.destinations) > 0 }) {
+	limit := max(1, len(p.usable)/maxVacateShare)
+	if len(sched.vacancies.list) >= limit || slices.ContainsFunc(sched.vacancies.list, (*vacancy).isMoving) {
 		return
 	}
 	if !slices.ContainsFunc(p.usable, (*upstream).hasLongRunning) {
@@ -112,6 +113,14 @@
 	arriving map[*upstream][]*step
 }
 
+func newRelocation() *relocation {
+	return &relocation{
+		emptied:  make(map[*upstream]bool),
+		taken:    make(map[*upstream]bbrwork.Resources),
+		arriving: make(map[*upstream][]*step),
+	}
+}
+
 // placesFor returns how many work units of the step the shard has places for once finite
 // work has ended and the moves have taken place; none are planned if moves is nil.
 func (p *planner) placesFor(s *step, moves *relocation) int {
@@ -156,7 +165,7 @@
 // chooseVacancy returns a vacancy that gives the step more places; nil if there is none.
 // For a gang, it is the first of as many as the gang needs.
 func (p *planner) chooseVacancy(s *step) *vacancy {
-	moves := &relocation{emptied: make(map[*upstream]bool), taken: make(map[*upstream]bbrwork.Resources), arriving: make(map[*upstream][]*step)}
+	moves := newRelocation()
 	first := p.nextVacancy(s, moves)
 	if first == nil || !s.spec.Gang {
 		return first
@@ -179,7 +188,7 @@
 		}
 	}
 	slices.SortStableFunc(candidates, func(a, b *upstream) int {
-		return cmp.Or(cmp.Compare(p.finiteWorkInWay(s, a), p.finiteWorkInWay(s, b)), cmp.Compare(a.longRunning, b.longRunning),
+		return cmp.Or(cmp.Compare(p.finiteDelay(s, a), p.finiteDelay(s, b)), cmp.Compare(a.longRunning, b.longRunning),
 			cmp.Compare(a.longRunningUsage.MilliCPU, b.longRunningUsage.MilliCPU), cmp.Compare(len(a.runs), len(b.runs)))
 	})
 	before := p.placesFor(s, moves)
@@ -191,17 +200,27 @@
 	return nil
 }
 
-// finiteWorkInWay returns 0 if the step fits on the upstream as soon as long-running work has
-// left, 1 if finite work there must end first and is expected to do so before the vacancy
-// would be overdue, and 2 if it would not.
-func (p *planner) finiteWorkInWay(s *step, up *upstream) int {
+// finiteWorkDelay is how finite work keeps a step from an upstream that long-running work has
+// left, in ascending order of delay.
+type finiteWorkDelay int
+
+const (
+	noFiniteWorkDelay finiteWorkDelay = iota
+	// finiteWorkEndsInTime: it is expected to end within vacancyTimeout.
+	finiteWorkEndsInTime
+	finiteWorkEndsTooLate
+)
+
+// finiteDelay returns how finite work on the upstream delays the step after the long-running
+// work has left.
+func (p *planner) finiteDelay(s *step, up *upstream) finiteWorkDelay {
 	switch {
 	case s.spec.Allocation().Fits(up.free().Plus(up.longRunningUsage)):
-		return 0
+		return noFiniteWorkDelay
 	case up.finiteWorkEndsBy(p.now.Add(vacancyTimeout)):
-		return 1
+		return finiteWorkEndsInTime
 	default:
-		return 2
+		return finiteWorkEndsTooLate
 	}
 }
 
@@ -325,7 +344,7 @@
 }
 
 func (moves *relocation) clone() *relocation {
-	copied := &relocation{emptied: make(map[*upstream]bool), taken: make(map[*upstream]bbrwork.Resources), arriving: make(map[*upstream][]*step)}
+	copied := newRelocation()
 	for up := range moves.emptied {
 		copied.emptied[up] = true
 	}
--- a/internal/job/bbrscheduler/wait.go
+++ b/internal/job/bbrscheduler/wait.go
@@ -184,7 +184,7 @@
 
 // upstreamsFor returns the upstreams on which work units of the step may start.
 func (p *planner) upstreamsFor(s *step) []*upstream {
-	if p.maySpill(s) {
+	if p.mayUseSuspects(s) {
 		return slices.Concat(p.usable, p.suspects)
 	}
 	return p.usable
--- a/internal/job/bbrscheduler/widework.go
+++ b/internal/job/bbrscheduler/widework.go
@@ -129,8 +129,8 @@
 	}
 }
 
-// addStep adds the step with its work units that do not fit beside long-running work, be it
-// for lack of places or because the steps before need them as well.
+// addStep adds the step with its work units that get no place beside long-running work,
+// because there are too few places or earlier steps need them.
 func (w *wideWork) addStep(s *step) {
 	if s.fitCount(w.emptyCapacity) == 0 {
 		return
@@ -143,7 +143,10 @@
 		return
 	}
 	toPlace := s.unitsToPlace() - s.heldUnits()
-	need.unitCount = max(float64(toPlace-w.countBesideLongRunning(need, toPlace)), w.assignBesideLongRunning(need, need.unitsAtOnce(toPlace, w.now)))
+	lacking := toPlace - w.countBesideLongRunning(need, toPlace)
+	// Earlier steps may need the same places, so those that this step takes are assigned.
+	unassigned := w.assignBesideLongRunning(need, need.unitsAtOnce(toPlace, w.now))
+	need.unitCount = max(float64(lacking), unassigned)
 	if need.unitCount <= 0 {
 		return
 	}
