--- a/internal/fleet/bbrmaintenance/latework_test.go
+++ b/internal/fleet/bbrmaintenance/latework_test.go
@@ -67,7 +67,7 @@
 }
 
 // TestLateBacklogIsWorkedOff guards against a pool that shrinks as fast as its late backlog,
-// so that the last work units wait for as long as the logarithm of the backlog.
+// so that the last work units wait several times as long as the backlog should take.
 func TestLateBacklogIsWorkedOff(t *testing.T) {
 	for _, b := range lateBacklogCases {
 		t.Run(b.name, func(t *testing.T) {
@@ -192,7 +192,7 @@
 }
 
 // TestSmallPoolDoesNotKeepInstancesFromOthers guards against a pool that gets nothing since a
-// smaller one with a lower fill ratio, whom one instance would fill too much, came first.
+// smaller one with a lower fill ratio, whose ratio one instance would raise too far, came first.
 func TestSmallPoolDoesNotKeepInstancesFromOthers(t *testing.T) {
 	const small, large = 4, 45
 	f := newTestFleet(map[string]int{donorPool: small + 12, recipientPool: large})
--- a/internal/job/bbrscheduler/demand.go
+++ b/internal/job/bbrscheduler/demand.go
@@ -108,11 +108,13 @@
 
 // workRate is the finite work of an organisation.
 type workRate struct {
-	// inTime is the rate at which the jobs that can meet their objectives must be worked
-	// off. leastLate works off the others in overdueSpread, and mostLate in minSlack, as far
-	// as their work units can use it; it is leastLate for work that can't be completed on
-	// the registered upstreams, which would hold the rate for ever.
-	inTime, leastLate, mostLate resourceRate
+	// inTime is the rate that the jobs need that can meet their objectives.
+	inTime resourceRate
+	// leastLate and mostLate bound the rate for late jobs: their work is done within
+	// overdueSpread or within minSlack, as far as its units can run at once. Work that no
+	// registered upstream can take counts with leastLate in both, as it would otherwise keep
+	// the rate high for ever.
+	leastLate, mostLate resourceRate
 	// arriving is the rate at which work like that of the recent jobs arrives, in
 	// millicores.
 	arriving float64
--- a/internal/job/bbrscheduler/latework_test.go
+++ b/internal/job/bbrscheduler/latework_test.go
@@ -54,8 +54,8 @@
 	require.LessOrEqual(t, held, alone.sched.Demand(alone.now).MilliCPU)
 }
 
-// TestWorkThatCanNeverStartKeepsNoLateSpread guards against the same for the upstreams over
-// which late work must be spread.
+// TestWorkThatCanNeverStartKeepsNoLateSpread guards against a requested number of upstreams that
+// stays at the maximum of a late backlog since a part of it can start nowhere.
 func TestWorkThatCanNeverStartKeepsNoLateSpread(t *testing.T) {
 	stuck, backlog := unitStep(40), unitStep(200)
 	stuck.Label, stuck.MaxPerUpstream, backlog.MaxPerUpstream = "none", 1, 1
--- a/internal/job/bbrscheduler/quota_test.go
+++ b/internal/job/bbrscheduler/quota_test.go
@@ -96,8 +96,8 @@
 	require.Greater(t, s.sched.Demand(s.now).MilliCPU, 10*limitedMilliCPU)
 }
 
-// TestMemoryBoundDemandWithinTheCap guards against the same for work that needs much memory,
-// of an organisation whose cap is on processor time alone.
+// TestMemoryBoundDemandWithinTheCap guards against a request for work that the processor cap of
+// its organisation keeps from running, made for the memory that this work needs.
 func TestMemoryBoundDemandWithinTheCap(t *testing.T) {
 	s := newScene(t, true, "i-1")
 	s.applyCap(limitedMilliCPU)
--- a/internal/job/bbrscheduler/vacate_test.go
+++ b/internal/job/bbrscheduler/vacate_test.go
@@ -62,8 +62,8 @@
 
 func spreadJob(i int) string { return fmt.Sprintf("%015xf", i) }
 
-// spreadJobStep has the work units of a long-running job of the incident, of which an
-// upstream runs one.
+// spreadJobStep has long-running work units as in issue 48; an upstream runs at most one of
+// them.
 func spreadJobStep(count int) bbrwork.Step {
 	return bbrwork.Step{Count: count, Need: bbrwork.Resources{MilliCPU: 2400, MemoryMB: 12000}, LongRunning: true, MaxPerUpstream: 1, MaxUnavailable: 1}
 }
@@ -166,7 +166,7 @@
 
 const wideStepRunTime = 1200 * time.Millisecond
 
-// wideStepOf has the work units that were lost in the incident.
+// wideStepOf has the finite work units that were lost in issue 48.
 func wideStepOf(count int) bbrwork.Step {
 	return bbrwork.Step{Count: count, Need: bbrwork.Resources{MilliCPU: 7000, MemoryMB: 46064}, Estimate: wideStepRunTime}
 }
