store/bbrkv: listings that keep their position when a call fails

A list is read page by page, and a failed call discarded all items that had arrived, so that a list that takes longer than the store or the link stays up was never read.

Store.Scan passes items on as they arrive. Listing reads pages until the end and continues behind the last item after an error; ReadAll is built on it and goes on while items arrive.

No client implements Scan yet; Range is used in its place.

--- a/internal/store/bbrkv/metrics.go
+++ b/internal/store/bbrkv/metrics.go
@@ -8,7 +8,7 @@
 // WithMetrics returns a store that reports the error and the duration of each
 // call of store to the count function, except for Grant and Revoke.
 func WithMetrics(store *Store, count func(call string, err error, took time.Duration)) *Store {
-	return &Store{
+	measured := &Store{
 		Get: func(ctx context.Context, key string) (item Item, err error) {
 			defer measure(count, "get", time.Now(), &err)
 			return store.Get(ctx, key)
@@ -32,6 +32,13 @@
 		},
 		Revoke: store.Revoke,
 	}
+	if store.Scan != nil {
+		measured.Scan = func(ctx context.Context, prefix, after string, each func(Item)) (result ScanResult, err error) {
+			defer measure(count, "range", time.Now(), &err)
+			return store.Scan(ctx, prefix, after, each)
+		}
+	}
+	return measured
 }
 
 func measure(count func(call string, err error, elapsed time.Duration), call string, sent time.Time, err *error) {
--- a/internal/store/bbrkv/store.go
+++ b/internal/store/bbrkv/store.go
@@ -95,8 +95,12 @@
 // Store has the calls of the platform's store as function fields. All reads are
 // linearizable.
 type Store struct {
-	Get    func(ctx context.Context, key string) (Item, error)
-	Range  func(ctx context.Context, prefix, after string) (Page, error)
+	Get   func(ctx context.Context, key string) (Item, error)
+	Range func(ctx context.Context, prefix, after string) (Page, error)
+	// Scan reads one page of the items under a prefix, behind the key after, and calls
+	// each for every item as it arrives, in the order of the keys. After an error, the
+	// items before it have been passed on. If it is nil, Range is used.
+	Scan   func(ctx context.Context, prefix, after string, each func(item Item)) (ScanResult, error)
 	Watch  func(ctx context.Context, prefix string, after Revision, wait time.Duration) (Page, error)
 	Commit func(ctx context.Context, transaction Transaction) (Revision, error)
 	Grant  func(ctx context.Context, ttl time.Duration) (Lease, time.Duration, error)
@@ -108,24 +112,20 @@
 }
 
 // ReadAll returns all items under a prefix and a revision. A watch that starts
-// after this revision misses no change of them.
+// after this revision misses no change of them. A call whose response is lost is
+// repeated for the items that have not arrived, as long as some arrive.
 func (s *Store) ReadAll(ctx context.Context, prefix string) ([]Item, Revision, error) {
 	var items []Item
-	var asOf Revision
-	after := ""
+	listing := Listing{Store: s, Prefix: prefix, OnItem: func(item Item) { items = append(items, item) }}
 	for {
-		page, err := s.Range(ctx, prefix, after)
-		if err != nil {
-			return nil, 0, err
-		}
-		if asOf == 0 {
-			asOf = page.AsOf
+		before := len(items)
+		err := listing.Read(ctx)
+		if err == nil {
+			return items, listing.Progress().AsOf, nil
 		}
-		items = append(items, page.Items...)
-		if !page.More || len(page.Items) == 0 {
-			return items, asOf, nil
+		if len(items) == before || !errors.Is(err, ErrAnswerLost) || ctx.Err() != nil {
+			return nil, 0, err
 		}
-		after = page.Items[len(page.Items)-1].Key
 	}
 }
 
