job/bbrintake: a shard holds no more jobs than any entry can take over in time

Callers saw accepted work wait for a shard that its new owner did not load: nothing bounded the backlog of a shard by what the entry that takes it over can read, so that 7,000 jobs (10 MB) were accepted for owners on 10 Mbit/s.

Entries publish their links, owners tell the size of their backlog, and a job beyond what half of the smallest link carries in 10 s is refused at once, with when to come back. Unknown links or sizes bound nothing.

--- a/internal/base/bbrcode/code.go
+++ b/internal/base/bbrcode/code.go
@@ -51,6 +51,7 @@
 	BeyondShare       Code = 2029
 	TooManyBytes      Code = 2030
 	HeaderTooLarge    Code = 2031
+	BacklogFull       Code = 2032
 )
 
 // Codes of jobs.
@@ -163,6 +164,7 @@
 	BeyondShare:      {Name: "beyondShare", Status: 429, RetryAfter: retrySoon, Text: "The organisation's earlier jobs need its fair share for so long that the job would complete too late; nothing was stored. Retry-After says when they will be done."},
 	TooManyBytes:     {Name: "tooManyBytes", Status: 503, RetryAfter: retrySoon, Text: "This entry holds as many bytes of requests as its memory allows."},
 	HeaderTooLarge:   {Name: "headerTooLarge", Status: 431, Text: "The request has too many header fields."},
+	BacklogFull:      {Name: "backlogFull", Status: 429, RetryAfter: retryLater, Text: "As many jobs wait in this part of the pool as any entry could take over in time; nothing was stored."},
 
 	Accepted:      {Name: "accepted", Outcome: OutcomeUnknown, Status: 200, Text: "The job is stored and will run."},
 	AlreadyStored: {Name: "alreadyStored", Outcome: OutcomeUnknown, Status: 200, Text: "The job was already stored."},
--- a/internal/config/bbrsettings/settings.go
+++ b/internal/config/bbrsettings/settings.go
@@ -132,7 +132,8 @@
 	// MemoryMB is the memory that the process may use; 0 means no limit.
 	MemoryMB int `yaml:"memoryMB"`
 	// BandwidthMbps is the link of the process in megabits per second; 0 if it is unknown.
-	// It is used only with jobs.balanceByCapacity.
+	// The smallest link of the entries bounds the backlog of a shard; with
+	// jobs.balanceByCapacity, entries are ranked by it for claims.
 	BandwidthMbps float64 `yaml:"bandwidthMbps"`
 	// Descriptors is how many files and connections the process may have open; 0 means
 	// unknown.
--- a/internal/daemon/bbrserve/daemon.go
+++ b/internal/daemon/bbrserve/daemon.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"net"
 	"net/http"
 	"net/netip"
@@ -100,7 +101,9 @@
 
 		queries: bbrinquiry.NewClient(),
 	}
+	d.session.BandwidthMbps = int(math.Ceil(settings.Limits.BandwidthMbps))
 	d.owners = newOwners(d)
+	d.owners.backlogs.SmallestLink = d.directory.SmallestLink
 	d.claimer = &bbrclaim.Claimer{Session: d.session, Directory: d.directory, Names: d.owners.claimNames, RunOwner: d.owners.runOwner,
 		Relief: &bbrclaim.Relief{Entry: settings.Entry, Directory: d.directory, Count: d.countLateOwner}}
 	d.handler = &bbrintake.Handler{
@@ -113,6 +116,7 @@
 			QueryOwner:     d.owners.queryState,
 			NotifyOwner:    d.owners.notifyOwner,
 			OwnerToken:     d.ownerToken,
+			Backlogs:       &d.owners.backlogs,
 		},
 		Codec: bbrintake.Codec{
 			SubmissionBytes:  bbrwire.SubmissionBytes,
--- a/internal/daemon/bbrserve/hints.go
+++ b/internal/daemon/bbrserve/hints.go
@@ -25,7 +25,7 @@
 	hint := bbrowner.NewHint(claim, job, stored)
 	sent := time.Now()
 	if answer := o.acceptHint(hint); answer.Accepted {
-		o.recordWaits(hint, answer, sent)
+		o.recordAnswer(hint, answer, sent)
 		o.daemon.metrics.Event("hint:here")
 		return
 	}
@@ -49,12 +49,14 @@
 	if owner == nil || !owner.AcceptHint(hint, now) {
 		return bbrinquiry.HintResponse{}
 	}
-	return bbrinquiry.HintResponse{Accepted: true, Waits: owner.ExpectedWaits(now)}
+	backlog, _ := owner.BacklogBytes(now)
+	return bbrinquiry.HintResponse{Accepted: true, Waits: owner.ExpectedWaits(now), BacklogBytes: backlog}
 }
 
-// recordWaits records what the owner that accepted the hint expects for new jobs, as of
+// recordAnswer records what the owner that accepted the hint tells about the shard, as of
 // the time at which the hint was sent.
-func (o *owners) recordWaits(hint bbrowner.Hint, answer bbrinquiry.HintResponse, sent time.Time) {
+func (o *owners) recordAnswer(hint bbrowner.Hint, answer bbrinquiry.HintResponse, sent time.Time) {
+	o.backlogs.Record(hint.Job.Shard(), answer.BacklogBytes, sent)
 	if o.daemon.settings.Jobs.RefuseBeyondShare {
 		o.waits.Record(hint.Job.Shard(), hint.Token, answer.Waits, sent)
 	}
@@ -85,7 +87,7 @@
 	}
 	outcome, sent := "hint:notTaken", time.Now()
 	if answer, answered := d.queries.Hint(context.Background(), address, sender.hint, now); answered && answer.Accepted {
-		sender.owners.recordWaits(sender.hint, answer, sent)
+		sender.owners.recordAnswer(sender.hint, answer, sent)
 		outcome = "hint:taken"
 	}
 	d.metrics.Event(outcome)
--- a/internal/daemon/bbrserve/owners.go
+++ b/internal/daemon/bbrserve/owners.go
@@ -47,6 +47,8 @@
 	hintSlots chan struct{}
 	// waits has the waits that owners reported for new jobs.
 	waits bbrintake.WaitCache
+	// backlogs bounds the backlogs of the shards.
+	backlogs bbrintake.Backlogs
 }
 
 func newOwners(d *daemon) *owners {
--- a/internal/daemon/bbrserve/rooms.go
+++ b/internal/daemon/bbrserve/rooms.go
@@ -1,7 +1,6 @@
 package bbrserve
 
 import (
-	"math"
 	"time"
 
 	"github.com/bluebellridge/bluebellridge/internal/fleet/bbrcell"
@@ -12,7 +11,6 @@
 
 // balanceByCapacity connects the parts that jobs.balanceByCapacity enables.
 func (d *daemon) balanceByCapacity() {
-	d.session.BandwidthMbps = int(math.Ceil(d.settings.Limits.BandwidthMbps))
 	d.directory.UseBandwidth = true
 	d.queries.Rooms = &bbrinquiry.RoomExchange{Known: d.owners.knownRooms, Learn: d.owners.learnRooms}
 	d.handler.Intake.ChooseCell = d.owners.chooseCell
--- a/internal/fleet/bbrclaim/directory.go
+++ b/internal/fleet/bbrclaim/directory.go
@@ -259,6 +259,23 @@
 	return milliCPUs[min(max(1, rank), len(milliCPUs))-1]
 }
 
+// bytesPerMbps converts megabits per second to bytes per second.
+const bytesPerMbps = 1_000_000 / 8
+
+// SmallestLink returns the smallest known link of the registered entries, in bytes a
+// second, and the number of entries. The link is 0 if no entry has published one.
+func (d *Directory) SmallestLink() (bytesPerSecond, entries int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	smallest := 0
+	for _, record := range d.entries {
+		if link := record.BandwidthMbps; link > 0 && (smallest == 0 || link < smallest) {
+			smallest = link
+		}
+	}
+	return smallest * bytesPerMbps, len(d.entries)
+}
+
 func (d *Directory) entryNames() []string {
 	names := make([]string, 0, len(d.entries))
 	for name := range d.entries {
--- a/internal/job/bbrintake/intake.go
+++ b/internal/job/bbrintake/intake.go
@@ -46,6 +46,8 @@
 	// the organisation in the queue; false if nothing is known. It is nil unless jobs are
 	// refused by share.
 	ExpectedWait func(shard bbrwork.Shard, organisation, queue string, now time.Time) (bbrfairshare.Wait, bool)
+	// Backlogs bounds the backlogs of the shards; nil means that they are not bounded.
+	Backlogs *Backlogs
 	// StoreAvailable reports whether the store has answered recently.
 	StoreAvailable func(now time.Time) bool
 }
@@ -62,6 +64,9 @@
 	if retryAfter, refused := i.refuseBeyondShare(ctx, job, queue, now); refused {
 		return bbrcode.BeyondShare, retryAfter
 	}
+	if i.refuseFullBacklog(ctx, job, now) {
+		return bbrcode.BacklogFull, 0
+	}
 	code, stored := i.Acceptor.Accept(job, deadline)
 	if stored == 0 {
 		return code, 0
--- a/internal/job/bbrintake/preview.go
+++ b/internal/job/bbrintake/preview.go
@@ -135,6 +135,11 @@
 			return bbrcode.BeyondShare, ""
 		}
 	}
+	if !i.Backlogs.wouldAdmit(job.Shard(), job.TransferBytes()) {
+		if _, err := i.readStatus(ctx, job.ID); errors.Is(err, bbrkv.ErrNotFound) {
+			return bbrcode.BacklogFull, ""
+		}
+	}
 	if _, err := i.Acceptor.encode(job); err != nil {
 		return bbrcode.BadJob, err.Error()
 	}
--- a/internal/job/bbrowner/flusher.go
+++ b/internal/job/bbrowner/flusher.go
@@ -54,6 +54,8 @@
 	drained []string
 	demand  bbrscheduler.Demand
 	beyond  []bbrscheduler.OrganisationShare
+	// backlogBytes is never 0.
+	backlogBytes int
 }
 
 // flusher stores the changes of the scheduler's state. It continues for a short time
@@ -165,6 +167,7 @@
 		begin := time.Now()
 		f.lastReport = report{waiting: scheduler.WaitingByQueue(now), drained: scheduler.Drained(now), demand: scheduler.Demand(now)}
 		f.lastReport.demand.LimitReleasable(maxReleasable)
+		f.lastReport.backlogBytes = max(1, scheduler.TransferBytes())
 		f.lastReport.beyond = slices.DeleteFunc(scheduler.Shares(maxReportedShares), func(share bbrscheduler.OrganisationShare) bool { return !share.Beyond })
 		f.reportedAt, f.reportTook = now, time.Since(begin)
 	}
@@ -263,7 +266,7 @@
 		Puts:       []bbrkv.Put{{Key: key, Value: bbrrecord.Encode(record)}},
 	}
 	if storeReport {
-		stored := bbrrecord.Report{Waiting: current.waiting, Drained: current.drained, Demand: current.demand, Beyond: current.beyond, At: now}
+		stored := bbrrecord.Report{Waiting: current.waiting, Drained: current.drained, Demand: current.demand, BacklogBytes: current.backlogBytes, Beyond: current.beyond, At: now}
 		transaction.Puts = append(transaction.Puts, bbrkv.Put{Key: bbrrecord.ReportKey(o.Shard), Value: bbrrecord.Encode(stored)})
 	}
 	if batch.Recorded != nil {
--- a/internal/job/bbrowner/owner.go
+++ b/internal/job/bbrowner/owner.go
@@ -97,6 +97,8 @@
 	delays planDelays
 	// overdue is the state of handsOverOverdue. It is used by loop only.
 	overdue overdueState
+	// backlog is the size of the backlog as last determined.
+	backlog backlogSize
 	// startedAt is when Run began.
 	startedAt time.Time
 	// loadLoggedAt is when the load was last logged.
--- a/internal/job/bbrrecord/record.go
+++ b/internal/job/bbrrecord/record.go
@@ -67,6 +67,9 @@
 	Drained []string `json:"cleared,omitempty"`
 	// Demand is the capacity that the shard requests from the fleet.
 	Demand bbrscheduler.Demand `json:"demand"`
+	// BacklogBytes is what a successor of the owner has to read of the shard's jobs. It is 0
+	// if that is unknown, as in reports of earlier builds.
+	BacklogBytes int `json:"backlogBytes,omitempty"`
 	// Beyond has organisations that are beyond their share of the shard. It is
 	// information for operators: a change of it alone causes no report.
 	Beyond []bbrscheduler.OrganisationShare `json:"beyond,omitempty"`
--- a/internal/peer/bbrinquiry/message.go
+++ b/internal/peer/bbrinquiry/message.go
@@ -51,6 +51,9 @@
 	// than their share. It is missing while the capacity suffices, and in answers of
 	// earlier builds.
 	Waits []bbrfairshare.Wait `json:"waits,omitempty"`
+	// BacklogBytes is what a successor of the owner has to read of the shard's jobs, the
+	// hint's among them. It is 0 if that is unknown, as in answers of earlier builds.
+	BacklogBytes int `json:"backlogBytes,omitempty"`
 }
 
 // PingMessage is the request and the response of a ping.
