--- a/internal/fleet/bbrmaintenance/modelowner_test.go
+++ b/internal/fleet/bbrmaintenance/modelowner_test.go
@@ -52,7 +52,8 @@
 			o.scheduler.AddJob(job, o.accepted[job.ID], o.progress[job.ID], m.now)
 		}
 	}
-	o.scheduler.FinishLoading(o.incarnations, o.horizon, m.now)
+	o.scheduler.BeginLoading(o.incarnations, o.horizon, m.now)
+	o.scheduler.FinishLoading(m.now)
 }
 
 // runOwner runs one round of an owner.
--- a/internal/job/bbrowner/load_test.go
+++ b/internal/job/bbrowner/load_test.go
@@ -151,7 +151,8 @@
 	o := newLoopOwner(0)
 	o.scheduler = bbrscheduler.New(o.Shard, 7, bbrscheduler.Timing{}, false, now)
 	up := bbrwork.Upstream{Incarnation: bbrwork.Incarnation{ID: "i-1", StartMillis: 1}, Service: "press"}
-	o.scheduler.FinishLoading([]bbrwork.Upstream{up}, 5, now)
+	o.scheduler.BeginLoading([]bbrwork.Upstream{up}, 5, now)
+	o.scheduler.FinishLoading(now)
 	o.logLoad(now.Add(time.Second))
 	require.Equal(t, map[string]float64{"press/2": 1}, valuesByReason(t, o.Metrics, "bbr_unlocated_upstreams"))
 	o.scheduler.ApplyListing(up.Incarnation, &bbrwork.Listing{Clock: time.Second, StartMillis: 1}, now, now)
--- a/internal/job/bbrowner/owner.go
+++ b/internal/job/bbrowner/owner.go
@@ -395,7 +395,8 @@
 	o.restoreCrashes(crashes, time.Now())
 	inherited := storedSequence(sequence)
 	o.scheduler.InheritOrders(inherited.OrdersStored)
-	o.scheduler.FinishLoading(recorded, inherited.Horizon, time.Now())
+	o.scheduler.BeginLoading(recorded, inherited.Horizon, time.Now())
+	o.scheduler.FinishLoading(time.Now())
 	o.loadedRevision = revision
 	return revision, nil
 }
--- a/internal/job/bbrquota/account.go
+++ b/internal/job/bbrquota/account.go
@@ -25,6 +25,8 @@
 	// Used is what the organisation's runs on the shard's upstreams use, including
 	// those that may run.
 	Used bbrwork.Resources
+	// Unknown means that Used may lack runs. Then nothing starts, and the share stays.
+	Unknown bool
 
 	// blocked is what could have started in the last plan with a larger share, and
 	// reserve what an earlier owner may have started that is not located yet.
@@ -69,7 +71,7 @@
 	a.lastNeed = need
 	busy := a.busy()
 	switch {
-	case !a.Verified || !within(busy.Plus(need), a.Held, a.Cap):
+	case a.Unknown || !a.Verified || !within(busy.Plus(need), a.Held, a.Cap):
 		return false
 	case a.exceeded():
 		return a.Others == bbrwork.Resources{} && busy == bbrwork.Resources{}
@@ -126,7 +128,7 @@
 		goal = need.Max(a.idleShare(shards))
 	}
 	switch {
-	case !bounded(a.Cap) || !a.Verified:
+	case !bounded(a.Cap) || !a.Verified || a.Unknown:
 		return a.Held
 	case a.exceeded():
 		return a.Held.Min(busy).Max(a.oversize(busy))
--- a/internal/job/bbrscheduler/arrivals.go
+++ b/internal/job/bbrscheduler/arrivals.go
@@ -36,7 +36,7 @@
 // recordArrival records a job that has just arrived. Scheduled jobs are left out:
 // they say nothing about the demand to come.
 func (sched *Scheduler) recordArrival(j *job, now time.Time) {
-	if j.Schedule.Count > 0 || !sched.firstOwner && now.Sub(sched.claimedAt) < loadPeriod {
+	if j.Schedule.Count > 0 || !sched.firstOwner && (sched.Loading() || now.Sub(sched.claimedAt) < loadPeriod) {
 		return
 	}
 	if work := j.occurrences[0].totalWork(); work > 0 {
--- a/internal/job/bbrscheduler/crash.go
+++ b/internal/job/bbrscheduler/crash.go
@@ -58,7 +58,7 @@
 	}
 	sched.accuseInheritedTrials(up.Incarnation, now)
 	suspects := up.crashSuspects(now)
-	if len(suspects) == 0 {
+	if len(suspects)+len(up.unknownRuns) == 0 {
 		return
 	}
 	failure := bbrcrash.Failure{At: up.failedAt(now), Rack: up.Rack(), Zone: up.Zone}
@@ -66,7 +66,9 @@
 	sched.keepFailure(failure, now)
 	if outage {
 		sched.crashCounts.Outages++
-		sched.note(now, "Upstream ended in an outage, accusing only runs that had just begun", "upstream", up.ID, "rack", failure.Rack, "zone", failure.Zone, "runs", len(suspects))
+		sched.note(now, "Upstream ended in an outage, accusing only runs that had just begun", "upstream", up.ID, "rack", failure.Rack, "zone", failure.Zone, "runs", len(suspects)+len(up.unknownRuns))
+	} else {
+		sched.recordUnknownCrashes(up, len(suspects), now)
 	}
 	for _, r := range suspects {
 		if r.unit.crashes.HasRun(r.number) {
@@ -117,6 +119,7 @@
 		Upstream: r.up.ID, StartMillis: r.up.StartMillis, Run: r.number, At: now, Age: age,
 		Youngest: !r.adopted, Certain: !r.confirmedAt.IsZero(),
 	}
+	crash.Others = len(r.up.unknownRuns)
 	for _, other := range suspects {
 		if other == r || other.unit.step == r.unit.step && r.unit.step.spec.Gang {
 			continue
@@ -179,7 +182,7 @@
 	for _, other := range sched.upstreams {
 		switch {
 		case other == up:
-		case !other.lostSince.IsZero() && len(other.runs) > 0:
+		case !other.lostSince.IsZero() && other.hasRuns():
 			failures = append(failures, bbrcrash.Failure{At: other.lostSince, Rack: other.Rack(), Zone: other.Zone})
 		case other.registered:
 			if other.Rack() == failure.Rack {
--- a/internal/job/bbrscheduler/crash_test.go
+++ b/internal/job/bbrscheduler/crash_test.go
@@ -356,7 +356,7 @@
 		s.accept(otherJob, unitStep(1))
 		require.True(t, s.sched.RestoreCrashes(testJob, record(crash("i-8")), s.now))
 		require.True(t, s.sched.RestoreCrashes(otherJob, record(crash("i-8")+","+crash("i-9")), s.now))
-		s.sched.FinishLoading([]bbrwork.Upstream{s.upstream("i-1")}, 0, s.now)
+		loadAll(s.sched, []bbrwork.Upstream{s.upstream("i-1")}, 0, s.now)
 		s.register("i-1")
 		s.listRunning("i-1", []bbrwork.Run{{Unit: unitName(0), Number: 2}, {Unit: bbrwork.Unit{Job: otherJob}, Number: 2}})
 		s.plan()
--- a/internal/job/bbrscheduler/crashrecord.go
+++ b/internal/job/bbrscheduler/crashrecord.go
@@ -55,29 +55,43 @@
 	return data
 }
 
-// RestoreCrashes restores the stored crash record of a job, and reports whether the
-// job is known. It is called before FinishLoading.
+// RestoreCrashes restores the stored crash record of a job, and reports whether the job is
+// known. The record of a job that is still to be loaded is kept until then. It is called
+// before BeginLoading.
 func (sched *Scheduler) RestoreCrashes(id string, stored []byte, now time.Time) bool {
-	j := sched.jobs[id]
-	if j == nil {
-		return false
-	}
-	j.mayHaveStoredCrashes = true
 	var record bbrcrash.Record
 	if err := json.Unmarshal(stored, &record); err != nil {
 		sched.note(now, "Decoding of the stored crash record failed", "job", id, "reason", err.Error())
+	}
+	kept := newStoredCrashes(id, record)
+	if j := sched.jobs[id]; j != nil {
+		sched.applyCrashRecord(j, kept, now)
 		return true
 	}
-	for _, suspect := range record.Suspects {
-		u := j.findUnit(bbrwork.Unit{Job: id, Occurrence: suspect.Occurrence, Step: suspect.Step, Index: suspect.Index})
-		if u == nil || u.done || len(suspect.Crashes) == 0 {
+	if sched.loading.phase != loadFinished {
+		sched.keepCrashes(id, kept)
+	}
+	return false
+}
+
+// applyCrashRecord restores the crash record of a job.
+func (sched *Scheduler) applyCrashRecord(j *job, record *storedCrashes, now time.Time) {
+	j.mayHaveStoredCrashes = true
+	for _, s := range record.suspects {
+		u := j.findUnit(s.unit)
+		if u == nil || u.done || len(s.crashes) == 0 {
 			continue
 		}
-		u.crashes, u.trial, u.trialInherited = suspect.Crashes, suspect.Trial, suspect.Trial != nil
+		u.crashes, u.trial, u.trialInherited = s.crashes, s.trial, s.inherited
 		sched.suspects[u] = true
-		sched.note(now, "Suspect inherited", "job", id, "unit", u.name().String(), "crashes", len(u.crashes), "standing", u.crashes.Standing(), "trial", suspect.Trial)
+		sched.note(now, "Suspect inherited", "job", j.ID, "unit", u.name().String(), "crashes", len(u.crashes), "standing", u.crashes.Standing(), "trial", s.trial)
+		for _, crash := range s.assumed {
+			sched.accuse(u, crash, now)
+		}
+	}
+	if record.changed {
+		sched.markCrashesChanged(j)
 	}
-	return true
 }
 
 // accuseInheritedTrials counts the end of an incarnation for the work units that an
@@ -88,6 +102,9 @@
 			sched.accuse(u, u.trial.AssumedCrash(now), now)
 		}
 	}
+	for s := range sched.keptTrials(incarnation) {
+		s.accuse(now)
+	}
 }
 
 // accuseLostTrials does the same after loading for the trials on incarnations that no
@@ -98,6 +115,13 @@
 			sched.accuse(u, u.trial.AssumedCrash(now), now)
 		}
 	}
+	for _, record := range sched.loading.crashes {
+		for _, s := range record.suspects {
+			if s.inherited && sched.upstreams[s.trial.Upstream] == nil {
+				s.accuse(now)
+			}
+		}
+	}
 }
 
 // moveInheritedTrials moves the trials whose runs the listing of the next incarnation names: their
@@ -111,6 +135,11 @@
 			sched.markCrashesChanged(u.step.job)
 		}
 	}
+	for s := range sched.keptTrials(old.Incarnation) {
+		if slices.Contains(listed, runKey{s.unit, s.trial.Run}) {
+			s.move(next.StartMillis)
+		}
+	}
 }
 
 // settleInheritedTrials settles the trials on an incarnation that has answered: its
@@ -121,15 +150,23 @@
 			continue
 		}
 		u.trialInherited = false
-		if len(u.runs) > 0 && u.runs[0].up == up {
-			if u.needsTrial(up) && (up.trialUnit == nil || u.name().String() < up.trialUnit.name().String()) {
-				up.trialUnit = u
-			}
-			continue
+		sched.settleTrial(u, up)
+	}
+	for s := range sched.keptTrials(up.Incarnation) {
+		s.inherited = false
+	}
+}
+
+// settleTrial settles the trial of a work unit on an upstream that has answered.
+func (sched *Scheduler) settleTrial(u *unit, up *upstream) {
+	if len(u.runs) > 0 && u.runs[0].up == up {
+		if u.needsTrial(up) && (up.trialUnit == nil || u.name().String() < up.trialUnit.name().String()) {
+			up.trialUnit = u
 		}
-		u.trial = nil
-		sched.markCrashesChanged(u.step.job)
+		return
 	}
+	u.trial = nil
+	sched.markCrashesChanged(u.step.job)
 }
 
 // dropSuspects removes the suspects of a job that is dropped.
--- a/internal/job/bbrscheduler/demand.go
+++ b/internal/job/bbrscheduler/demand.go
@@ -64,7 +64,7 @@
 // Demand returns the capacity that the shard needs now: the work of the open jobs
 // spread over the time left to them. As instances take time to become ready, recent
 // arrivals count as a rate that continues. The rate of late work depends on the one of the
-// last call.
+// last call. The demand is partial while jobs are loaded.
 func (sched *Scheduler) Demand(now time.Time) Demand {
 	var demand Demand
 	rates := make(map[string]*workRate)
@@ -298,9 +298,9 @@
 // long-running work nor work that fits nowhere else, is reserved neither for a suspect nor for
 // wide work, and is neither vacated nor the destination of work that leaves a vacated one.
 // While work of an earlier owner is not located, only an empty upstream that cannot have
-// any is released, since it is not known what fits elsewhere.
+// any is released, since it is not known what fits elsewhere. None is while jobs are loaded.
 func (sched *Scheduler) mayRelease(up *upstream, wide *wideWork, now time.Time) bool {
-	if !up.registered || up.Draining || !up.reservedAt.IsZero() || up.lostAnswers > 0 || up.hasLongRunning() || up.trialUnit != nil || up.hold != nil || up.vacancy != nil || sched.isDestination(up) {
+	if sched.Loading() || !up.registered || up.Draining || !up.reservedAt.IsZero() || up.lostAnswers > 0 || up.hasLongRunning() || up.trialUnit != nil || up.hold != nil || up.vacancy != nil || sched.isDestination(up) {
 		return false
 	}
 	if !sched.EarlierWorkLocated(now) {
--- a/internal/job/bbrscheduler/horizon.go
+++ b/internal/job/bbrscheduler/horizon.go
@@ -44,13 +44,13 @@
 	}
 }
 
-// next returns the horizon to store. While earlier work is not located it never
-// falls below the horizon of an earlier owner: a further successor needs the higher
-// of the two.
-func (h *horizon) next(earlierWorkLocated bool) bbrkv.Revision {
+// next returns the horizon to store. Until earlier work is located and all jobs that it
+// belongs to are known, it never falls below the horizon of an earlier owner: a further
+// successor needs the higher of the two.
+func (h *horizon) next(earlierWorkKnown bool) bbrkv.Revision {
 	next := max(h.stored, h.newest+horizonLead)
 	switch {
-	case earlierWorkLocated:
+	case earlierWorkKnown:
 		return next
 	case h.inherited == unboundedHorizon:
 		return 0
@@ -82,7 +82,12 @@
 }
 
 // mayHaveUnlocatedRuns reports whether an earlier owner may have started work units
-// of the job on an upstream that has not answered this owner yet.
+// of the job on an upstream that has not answered this owner yet. If the earlier horizon is
+// unknown, that holds for all jobs until the last one is loaded, as no horizon can be stored
+// before.
 func (p *planner) mayHaveUnlocatedRuns(job *job) bool {
+	if p.sched.waitsForAllJobs() {
+		return true
+	}
 	return job.storedRevision <= p.sched.horizon.inherited && !p.sched.EarlierWorkLocated(p.now)
 }
--- a/internal/job/bbrscheduler/horizon_test.go
+++ b/internal/job/bbrscheduler/horizon_test.go
@@ -24,7 +24,7 @@
 func TestJobsBeyondInheritedHorizonStartAtOnce(t *testing.T) {
 	const within, beyond = "00000000000000a1", "00000000000000b2"
 	s := newScene(t, false, "i-1")
-	s.sched.FinishLoading([]bbrwork.Upstream{s.upstream("i-silent")}, 500, s.now)
+	loadAll(s.sched, []bbrwork.Upstream{s.upstream("i-silent")}, 500, s.now)
 	s.advance(testTiming.Handover + 2*time.Second)
 	s.acceptStored(within, 500)
 	s.acceptStored(beyond, 501)
@@ -42,7 +42,7 @@
 // located.
 func TestUnknownHorizonDelaysAllJobs(t *testing.T) {
 	s := newScene(t, false, "i-1")
-	s.sched.FinishLoading([]bbrwork.Upstream{s.upstream("i-silent")}, 0, s.now)
+	loadAll(s.sched, []bbrwork.Upstream{s.upstream("i-silent")}, 0, s.now)
 	s.acceptStored(testJob, 700)
 	require.Empty(t, s.plan().Starts)
 	require.Zero(t, s.sched.Batch(1, s.now).Horizon)
@@ -74,7 +74,7 @@
 // for the jobs that the first owner may have started.
 func TestHorizonNeverFallsBelowInherited(t *testing.T) {
 	s := newScene(t, false, "i-1")
-	s.sched.FinishLoading([]bbrwork.Upstream{s.upstream("i-silent")}, 900, s.now)
+	loadAll(s.sched, []bbrwork.Upstream{s.upstream("i-silent")}, 900, s.now)
 	require.Equal(t, bbrkv.Revision(900), s.sched.Batch(1, s.now).Horizon)
 }
 
@@ -84,7 +84,7 @@
 func TestDemandBurstDuringTakeover(t *testing.T) {
 	const jobs, every = 12, 200 * time.Millisecond
 	s := newScene(t, false, "i-1", "i-2", "i-3")
-	s.sched.FinishLoading([]bbrwork.Upstream{s.upstream("i-silent")}, 100, s.now)
+	loadAll(s.sched, []bbrwork.Upstream{s.upstream("i-silent")}, 100, s.now)
 	s.register("i-silent")
 	inTime := 0
 	for i := range jobs {
@@ -147,7 +147,7 @@
 // it, so that it waits like the others.
 func TestJobThatIsReadLateKeepsTheWait(t *testing.T) {
 	s := newScene(t, false)
-	s.sched.FinishLoading([]bbrwork.Upstream{s.upstream("i-silent")}, 5, s.now)
+	loadAll(s.sched, []bbrwork.Upstream{s.upstream("i-silent")}, 5, s.now)
 	s.register("i-1")
 	s.list("i-1")
 	s.advance(2 * loadPeriod)
--- a/internal/job/bbrscheduler/incarnationend.go
+++ b/internal/job/bbrscheduler/incarnationend.go
@@ -27,7 +27,7 @@
 		if !up.announcedAt.Before(now) || up.orderedSince(now) {
 			continue
 		}
-		silent := len(up.runs) > 0 && up.silentFor(now) > verifyAfter
+		silent := up.hasRuns() && up.silentFor(now) > verifyAfter
 		if silent || sched.unlocated[up.Incarnation] && up.lostAnswers > 0 {
 			incarnations = append(incarnations, up.Incarnation)
 		}
@@ -74,6 +74,7 @@
 	for _, r := range up.runs {
 		sched.dropRun(r, now)
 	}
+	sched.dropUnknownRuns(up)
 	sched.endedIncarnations[up.Incarnation] = true
 	sched.markLocated(up.Incarnation, now)
 	sched.removeUpstream(up, now)
--- a/internal/job/bbrscheduler/lapse_test.go
+++ b/internal/job/bbrscheduler/lapse_test.go
@@ -118,7 +118,7 @@
 func TestLapseOfUnknownRunIsATakeover(t *testing.T) {
 	s := newScene(t, false)
 	s.accept(testJob, unitStep(1))
-	s.sched.FinishLoading([]bbrwork.Upstream{s.upstream("i-1")}, 5, s.now)
+	loadAll(s.sched, []bbrwork.Upstream{s.upstream("i-1")}, 5, s.now)
 	s.register("i-1")
 	s.list("i-1", bbrwork.RunEnd{Sequence: 1, Unit: unitName(0), Run: 1, Outcome: bbrwork.OutcomeLeaseExpired})
 	fields := s.noteFields("Run ended")
--- a/internal/job/bbrscheduler/leaseexpiry.go
+++ b/internal/job/bbrscheduler/leaseexpiry.go
@@ -11,7 +11,7 @@
 // renew the lease.
 func (sched *Scheduler) ExpireLeases(now time.Time) {
 	for _, up := range sched.sortedUpstreams() {
-		if len(up.runs) > 0 && up.lostAnswers > 0 && !up.leaseEnd.IsZero() && now.After(up.leaseEnd) {
+		if up.hasRuns() && up.lostAnswers > 0 && !up.leaseEnd.IsZero() && now.After(up.leaseEnd) {
 			sched.expireRuns(up, now)
 		}
 	}
@@ -57,7 +57,7 @@
 
 func (sched *Scheduler) forgetUnregistered(now time.Time) {
 	for _, up := range sched.upstreams {
-		if !up.registered && up.reached && len(up.runs) == 0 && now.Sub(up.unregisteredAt) > unregisteredRetention {
+		if !up.registered && up.reached && len(up.runs) == 0 && !up.holdsUnknown() && now.Sub(up.unregisteredAt) > unregisteredRetention {
 			sched.removeUpstream(up, now)
 		}
 	}
@@ -81,7 +81,7 @@
 // may still be carried out. The upstream may return and list ends from before. They no longer
 // count, since the work units may be running elsewhere.
 func (sched *Scheduler) expireRuns(up *upstream, now time.Time) {
-	sched.note(now, "Run lease of upstream expired", "upstream", up.ID, "runs", len(up.runs), "lostAnswers", up.lostAnswers,
+	sched.note(now, "Run lease of upstream expired", "upstream", up.ID, "runs", len(up.runs), "unknownRuns", len(up.unknownRuns), "lostAnswers", up.lostAnswers,
 		"renewalAnswered", ageText(up.extensions.answeredAt, now), "renewalSent", ageText(up.extensions.sentAt, now),
 		"born", up.StartMillis, "firstListed", ageText(up.firstListedAt, now), "boundBy", up.boundBy, "bound", ageText(up.leaseEnd, now),
 		"youngest", describeLostRuns(up, now))
@@ -100,6 +100,10 @@
 		up.lapsedSuspects = append(up.lapsedSuspects, r)
 		sched.dropRun(r, now)
 	}
+	for key := range up.unknownRuns {
+		up.lapsedRuns[key] = LapseTakeover
+		sched.dropUnknownRun(up, key)
+	}
 	up.leaseEnd, up.boundBy = time.Time{}, ""
 	if !keptUntil.IsZero() {
 		up.boundLease(keptUntil, LongestLease)
--- a/internal/job/bbrscheduler/listing.go
+++ b/internal/job/bbrscheduler/listing.go
@@ -71,11 +71,11 @@
 }
 
 func (sched *Scheduler) applyEnd(up *upstream, end bbrwork.RunEnd, before silence, now time.Time) {
-	job := sched.jobs[end.Unit.Job]
-	if job == nil {
+	if sched.awaits(end.Unit.Job) {
+		sched.keepEnd(up, end, before)
 		return
 	}
-	u := job.findUnit(end.Unit)
+	u := sched.findUnit(end.Unit)
 	if u == nil {
 		return
 	}
@@ -168,7 +168,7 @@
 	for _, running := range listing.Running {
 		key := runKey{running.Unit, running.Number}
 		listed[key] = true
-		sched.applyRun(up, key, running, now)
+		sched.applyRun(up, key, running, sent, now)
 		if r := up.runs[key]; r != nil {
 			sched.locate(r, sent)
 		}
@@ -181,6 +181,11 @@
 	if listing.MayBeContinued() {
 		return
 	}
+	for key, kept := range up.unknownRuns {
+		if !listed[key] && kept.since.Before(sent) {
+			sched.dropUnknownRun(up, key)
+		}
+	}
 	fenced := sched.refusesEarlierOrders(up, sent)
 	for key, r := range up.runs {
 		if !listed[key] && r.hasEnded(listing.Clock, fenced, sent) {
@@ -205,10 +210,10 @@
 	}
 }
 
-func (sched *Scheduler) applyRun(up *upstream, key runKey, running bbrwork.Run, now time.Time) {
+func (sched *Scheduler) applyRun(up *upstream, key runKey, running bbrwork.Run, sent, now time.Time) {
 	r := up.runs[key]
 	if r == nil {
-		r = sched.adopt(up, key, now)
+		r = sched.adopt(up, running, sent, now)
 		if r == nil {
 			return
 		}
@@ -232,25 +237,40 @@
 
 const fullPercent = 100
 
-// adopt takes over a run that an earlier owner started. A run of an unknown job
-// becomes an orphan, which a later plan stops.
-func (sched *Scheduler) adopt(up *upstream, key runKey, now time.Time) *run {
-	job := sched.jobs[key.unit.Job]
-	if job == nil {
-		sched.addOrphan(up, key, now)
+// adopt takes over a run that an earlier owner started. A run of a job that is still to be
+// loaded is kept until then. A run of an unknown job becomes an orphan, which a later plan
+// stops.
+func (sched *Scheduler) adopt(up *upstream, running bbrwork.Run, sent, now time.Time) *run {
+	key := runKey{running.Unit, running.Number}
+	if sched.awaits(key.unit.Job) {
+		sched.keepRun(up, running, sent, now)
 		return nil
 	}
-	u := job.findUnit(key.unit)
+	u := sched.findUnit(key.unit)
 	if u == nil {
 		sched.addOrphan(up, key, now)
 		return nil
 	}
 	delete(up.orphans, key)
-	r := sched.addRun(u, key.number, up, now)
+	r := sched.addAdopted(u, key.number, up, now)
+	sched.boundByLongestLease(up, now)
+	return r
+}
+
+// addAdopted adds a run that an earlier owner started.
+func (sched *Scheduler) addAdopted(u *unit, number int, up *upstream, now time.Time) *run {
+	r := sched.addRun(u, number, up, now)
 	r.phase, r.confirmedAt, r.adopted = phaseRunning, now, true
 	if u.step.spec.BestEffort {
 		r.pace = unknownPace
 	}
-	sched.boundByLongestLease(up, now)
 	return r
 }
+
+// findUnit returns the work unit of a name, or nil.
+func (sched *Scheduler) findUnit(name bbrwork.Unit) *unit {
+	if job := sched.jobs[name.Job]; job != nil {
+		return job.findUnit(name)
+	}
+	return nil
+}
--- a/internal/job/bbrscheduler/load.go
+++ b/internal/job/bbrscheduler/load.go
@@ -29,7 +29,8 @@
 }
 
 // Load returns what the shard has and uses now, and logs the steps whose wait has
-// become a slow one.
+// become a slow one. The counts of jobs and units, and the demand, are partial while jobs are
+// loaded.
 func (sched *Scheduler) Load(confirmed bool, now time.Time) Load {
 	p := sched.survey(now)
 	load := Load{Jobs: len(sched.jobs), Upstreams: len(sched.upstreams), Usable: len(p.usable), Excluded: p.excludedCounts(),
--- a/internal/job/bbrscheduler/located_test.go
+++ b/internal/job/bbrscheduler/located_test.go
@@ -14,7 +14,7 @@
 func newUnlocatedScene(t *testing.T, step bbrwork.Step) *scene {
 	s := newScene(t, false, "i-1", "i-2")
 	s.accept(testJob, step)
-	s.sched.FinishLoading([]bbrwork.Upstream{s.upstream("i-1"), s.upstream("i-2"), s.upstream("i-silent")}, 500, s.now)
+	loadAll(s.sched, []bbrwork.Upstream{s.upstream("i-1"), s.upstream("i-2"), s.upstream("i-silent")}, 500, s.now)
 	for _, id := range []string{"i-1", "i-2", "i-silent"} {
 		s.register(id)
 	}
--- a/internal/job/bbrscheduler/orders.go
+++ b/internal/job/bbrscheduler/orders.go
@@ -22,7 +22,7 @@
 }
 
 // InheritOrders records whether all earlier owners stored the numbers of starts, as the
-// last of them stored. It is called before FinishLoading.
+// last of them stored. It is called before BeginLoading.
 func (sched *Scheduler) InheritOrders(stored bool) { sched.orders.inherited = stored }
 
 // isLastOrdered reports whether an earlier owner has certainly ordered no higher run of
@@ -76,8 +76,8 @@
 
 // storesOrders reports whether this owner may store that a successor knows the highest run
 // that can have been ordered of each long-running work unit. After earlier owners that did
-// not store the numbers, that is only once their work is located and the numbers of their
-// runs are stored.
+// not store the numbers, that is only once their work is located, all jobs are loaded and
+// the numbers of their runs are stored.
 func (sched *Scheduler) storesOrders(now time.Time) bool {
 	o := &sched.orders
 	switch {
@@ -85,7 +85,7 @@
 		return true
 	case sched.firstOwner || o.inherited:
 		o.complete = true
-	case !sched.EarlierWorkLocated(now):
+	case !sched.EarlierWorkLocated(now) || sched.Loading():
 	case !o.prepared:
 		o.prepared = true
 		sched.announceRunning()
--- a/internal/job/bbrscheduler/orders_test.go
+++ b/internal/job/bbrscheduler/orders_test.go
@@ -72,7 +72,7 @@
 			s := newScene(t, false, "i-1")
 			s.acceptWithProgress(test.step, test.progress)
 			s.sched.InheritOrders(test.stored)
-			s.sched.FinishLoading([]bbrwork.Upstream{s.upstream("i-1"), s.upstream("i-silent")}, 500, s.now)
+			loadAll(s.sched, []bbrwork.Upstream{s.upstream("i-1"), s.upstream("i-silent")}, 500, s.now)
 			s.register("i-1")
 			s.list("i-1", bbrwork.RunEnd{Sequence: 1, Unit: unitName(0), Run: test.run, Outcome: bbrwork.OutcomeLeaseExpired})
 			for range 3 {
@@ -95,7 +95,7 @@
 	s := newScene(t, false)
 	s.acceptWithProgress(longRunningStep(1), "")
 	s.sched.InheritOrders(false)
-	s.sched.FinishLoading([]bbrwork.Upstream{s.upstream("i-1"), s.upstream("i-2")}, 500, s.now)
+	loadAll(s.sched, []bbrwork.Upstream{s.upstream("i-1"), s.upstream("i-2")}, 500, s.now)
 	s.listRunning("i-1", []bbrwork.Run{{Unit: unitName(0), Number: 3}})
 	require.False(t, s.sched.Batch(10, s.now).OrdersStored)
 	s.list("i-2")
--- a/internal/job/bbrscheduler/orphan.go
+++ b/internal/job/bbrscheduler/orphan.go
@@ -6,8 +6,8 @@
 	"github.com/bluebellridge/bluebellridge/internal/job/bbrorder"
 )
 
-// orphan is a listed run of a job that the scheduler does not know: the job has
-// ended, or was accepted a moment ago. The resources that the run takes are not
+// orphan is a listed run of a job that the scheduler does not know and that is not to be
+// loaded: the job has ended, or was accepted a moment ago. The resources that the run takes are not
 // known either, so nothing is started on its upstream.
 type orphan struct {
 	since    time.Time
--- a/internal/job/bbrscheduler/otherincarnation_test.go
+++ b/internal/job/bbrscheduler/otherincarnation_test.go
@@ -303,7 +303,7 @@
 	crashes := bbrcrash.History{{Upstream: "i-7", StartMillis: 1000, Run: 1, Youngest: true, Certain: true}, {Upstream: "i-8", StartMillis: 1000, Run: 2, Youngest: true, Certain: true}}
 	record := bbrcrash.Record{Suspects: []bbrcrash.Suspect{{Crashes: crashes, Trial: &bbrcrash.Trial{Upstream: "i-1", StartMillis: 1000, Run: 3}}}}
 	require.True(t, s.sched.RestoreCrashes(testJob, encodeCrashRecord(record), s.now))
-	s.sched.FinishLoading([]bbrwork.Upstream{s.upstream("i-1")}, 0, s.now)
+	loadAll(s.sched, []bbrwork.Upstream{s.upstream("i-1")}, 0, s.now)
 	renewal, known := s.sched.PlanRenewal("i-1", true, s.now)
 	require.True(t, known)
 	listing := bbrwork.Listing{Clock: time.Second, StartMillis: 2000, Running: []bbrwork.Run{{Unit: unitName(0), Number: 3}}}
--- a/internal/job/bbrscheduler/overdue.go
+++ b/internal/job/bbrscheduler/overdue.go
@@ -45,7 +45,7 @@
 	switch {
 	case extends:
 		up.extendedAt, up.extensionExcused = now, false
-	case len(up.runs) > 0 && (!confirmed || up.lostAnswers == 0):
+	case up.hasRuns() && (!confirmed || up.lostAnswers == 0):
 		up.extensionExcused = true
 	}
 }
--- a/internal/job/bbrscheduler/partlylisted_test.go
+++ b/internal/job/bbrscheduler/partlylisted_test.go
@@ -18,7 +18,7 @@
 func newSuccessorScene(t *testing.T) *scene {
 	s := newScene(t, false)
 	s.accept(testJob, unitStep(manyUnits))
-	s.sched.FinishLoading([]bbrwork.Upstream{s.upstream("i-1")}, 5, s.now)
+	loadAll(s.sched, []bbrwork.Upstream{s.upstream("i-1")}, 5, s.now)
 	s.register("i-1")
 	s.register("i-2")
 	s.list("i-2")
--- a/internal/job/bbrscheduler/preempt_test.go
+++ b/internal/job/bbrscheduler/preempt_test.go
@@ -120,7 +120,7 @@
 	for id, j := range earlier.jobs {
 		s.sched.AddJob(j.Job, 0, stored[id].Progress, s.now)
 	}
-	s.sched.FinishLoading([]bbrwork.Upstream{s.upstream("i-1")}, 0, s.now)
+	loadAll(s.sched, []bbrwork.Upstream{s.upstream("i-1")}, 0, s.now)
 	s.register("i-1")
 	var listed []bbrwork.Run
 	for key := range running {
--- a/internal/job/bbrscheduler/progress_test.go
+++ b/internal/job/bbrscheduler/progress_test.go
@@ -42,7 +42,7 @@
 	for owner := range 3 {
 		s.sched = New(bbrwork.Shard{Service: "press"}, int64(owner), testTiming, false, s.now)
 		s.sched.AddJob(in, 0, progress, s.now)
-		s.sched.FinishLoading(nil, 0, s.now)
+		loadAll(s.sched, nil, 0, s.now)
 		s.sched.markChanged(s.sched.jobs[testJob])
 		progress = s.store()[0].Progress
 		require.Less(t, len(progress), 1000, "work that is not due has no progress")
--- a/internal/job/bbrscheduler/quota.go
+++ b/internal/job/bbrscheduler/quota.go
@@ -13,7 +13,7 @@
 	}
 	account := sched.accounts[j.Organisation]
 	if account == nil {
-		account = &bbrquota.Account{}
+		account = &bbrquota.Account{Unknown: sched.Loading()}
 		if organisation := sched.config.Organisations[j.Organisation]; organisation != nil {
 			account.Cap = organisation.Cap
 		}
@@ -71,8 +71,9 @@
 
 // beginQuota prepares the accounts for a round of planning.
 func (p *planner) beginQuota() {
-	reserves := p.unlocatedUse()
+	reserves, unknown := p.unlocatedUse(), p.sched.usageUnknown(p.now)
 	for name, account := range p.sched.accounts {
+		account.Unknown = unknown
 		account.BeginPlan(reserves[name])
 	}
 }
@@ -106,6 +107,9 @@
 	if account == nil || account.Allows(s.spec.Need.Times(count)) {
 		return true
 	}
+	if account.Unknown {
+		return false
+	}
 	account.Block(s.spec.Need.Times(max(count, s.idleUnits)), p.free)
 	return false
 }
--- a/internal/job/bbrscheduler/quota_test.go
+++ b/internal/job/bbrscheduler/quota_test.go
@@ -74,7 +74,7 @@
 	s := newScene(t, false)
 	s.applyCap(limitedMilliCPU)
 	s.acceptOf("00000000000000a1", limitedOrganisation, 5, 2)
-	s.sched.FinishLoading([]bbrwork.Upstream{s.upstream("i-silent")}, 5, s.now)
+	loadAll(s.sched, []bbrwork.Upstream{s.upstream("i-silent")}, 5, s.now)
 	s.register("i-1")
 	s.list("i-1")
 	s.acceptOf("00000000000000a2", limitedOrganisation, 9, 1)
--- a/internal/job/bbrscheduler/reason.go
+++ b/internal/job/bbrscheduler/reason.go
@@ -27,6 +27,9 @@
 	// ReasonOrganisationCap: the shard has no share left of the cap of the job's
 	// organisation.
 	ReasonOrganisationCap Reason = "organisationCap"
+	// ReasonJobsNotLoaded: the work unit may start once jobs are loaded of which upstreams
+	// list runs, which need an unknown part of the capacity or of the organisation's cap.
+	ReasonJobsNotLoaded Reason = "jobsNotLoaded"
 	// ReasonNoUsableUpstream: no upstream may take work.
 	ReasonNoUsableUpstream Reason = "noUsableUpstream"
 	// ReasonComesNext: the work unit fits on an upstream and starts next.
@@ -80,7 +83,7 @@
 
 // Reasons lists the reasons that an eligible work unit can have.
 var Reasons = [...]Reason{
-	ReasonClaimUnconfirmed, ReasonEarlierWorkUnlocated, ReasonBeyondHorizon, ReasonAttemptPaused, ReasonGangStillRuns, ReasonCrashSuspect, ReasonOrganisationCap, ReasonNoUsableUpstream, ReasonComesNext, ReasonOrderUnstored, ReasonGangPartlyFits,
+	ReasonClaimUnconfirmed, ReasonEarlierWorkUnlocated, ReasonBeyondHorizon, ReasonAttemptPaused, ReasonGangStillRuns, ReasonCrashSuspect, ReasonOrganisationCap, ReasonJobsNotLoaded, ReasonNoUsableUpstream, ReasonComesNext, ReasonOrderUnstored, ReasonGangPartlyFits,
 	ReasonFarFromData, ReasonTicketMissing, ReasonAdviceRefused, ReasonStartsInFlight, ReasonReservationHeld, ReasonCapacityReserved, ReasonCapacityUsedByFiniteWork, ReasonCapacityForFew, ReasonMaxPerUpstream, ReasonCapacityFragmented, ReasonCapacityUsedByLongRunningWork,
 	ReasonTooLarge, ReasonLabelMissing, ReasonNotEvaluated,
 }
--- a/internal/job/bbrscheduler/renewal.go
+++ b/internal/job/bbrscheduler/renewal.go
@@ -41,8 +41,8 @@
 		Upstream:    up.target(),
 		Token:       sched.tokenOf(id),
 		HasOrphans:  len(up.orphans) > 0,
-		Idle:        len(up.runs) == 0 && len(up.orphans) == 0 && !sched.unlocated[up.Incarnation] && (up.isGone() || up.identified() && up.needsNoRenewal() && !sched.awaitsFence(up)),
-		HasRuns:     len(up.runs) > 0,
+		Idle:        !up.hasRuns() && len(up.orphans) == 0 && !sched.unlocated[up.Incarnation] && (up.isGone() || up.identified() && up.needsNoRenewal() && !sched.awaitsFence(up)),
+		HasRuns:     up.hasRuns(),
 		Unconfirmed: !confirmed,
 	}
 	if plan.Idle {
@@ -52,7 +52,7 @@
 	if up.maySendAcknowledgement() {
 		plan.Acknowledged = up.acknowledged
 	}
-	if confirmed && len(up.runs) > 0 {
+	if confirmed && up.hasRuns() {
 		plan.LeaseUntil = sched.nextLease(up, now)
 		up.extensions.planned(plan.LeaseUntil, now)
 	}
@@ -95,8 +95,8 @@
 }
 
 // HasUnacknowledgedEnds reports whether run ends of the upstream are not stored
-// yet.
+// yet, apart from those that wait for their job to be loaded.
 func (sched *Scheduler) HasUnacknowledgedEnds(id string) bool {
 	up := sched.upstreams[id]
-	return up != nil && up.acknowledged < up.applied
+	return up != nil && up.acknowledged < up.acknowledgeable()
 }
--- a/internal/job/bbrscheduler/restart.go
+++ b/internal/job/bbrscheduler/restart.go
@@ -25,7 +25,7 @@
 	if !up.announcedLater {
 		return
 	}
-	if len(up.runs) == 0 && !sched.unlocated[up.Incarnation] {
+	if !up.hasRuns() && !sched.unlocated[up.Incarnation] {
 		sched.endUpstream(up, "restarted", now)
 		return
 	}
@@ -105,6 +105,8 @@
 		if r := old.runs[key]; r != nil {
 			r.moveTo(next)
 		}
+		// It is kept again as a run or end of the next incarnation.
+		sched.dropUnknownRun(old, key)
 	}
 	sched.recordEnd(old, "restarted", now)
 	for _, r := range old.runs {
--- a/internal/job/bbrscheduler/restart_test.go
+++ b/internal/job/bbrscheduler/restart_test.go
@@ -234,7 +234,7 @@
 	for _, registeredFirst := range []bool{false, true} {
 		s := newScene(t, false, "i-2")
 		s.accept(testJob, unitStep(1))
-		s.sched.FinishLoading([]bbrwork.Upstream{s.upstream("i-1")}, 5, s.now)
+		loadAll(s.sched, []bbrwork.Upstream{s.upstream("i-1")}, 5, s.now)
 		again := s.upstream("i-1")
 		again.StartMillis = 2000
 		if registeredFirst {
--- a/internal/job/bbrscheduler/room.go
+++ b/internal/job/bbrscheduler/room.go
@@ -19,9 +19,10 @@
 // then, few of them are known to be usable.
 const roomSettleTime = time.Second
 
-// Room returns what the shard can take. It returns false while that is not known.
+// Room returns what the shard can take. It returns false while that is not known, as while
+// jobs are loaded.
 func (sched *Scheduler) Room(now time.Time) (Room, bool) {
-	if now.Sub(sched.claimedAt) < roomSettleTime {
+	if sched.Loading() || now.Sub(sched.claimedAt) < roomSettleTime {
 		return Room{}, false
 	}
 	var room Room
--- a/internal/job/bbrscheduler/runlease.go
+++ b/internal/job/bbrscheduler/runlease.go
@@ -84,7 +84,7 @@
 // leaseLeft returns how long the runs on the upstream certainly have a lease; 0 if that
 // is not known.
 func (up *upstream) leaseLeft(now time.Time) time.Duration {
-	if !up.clockKnown() || len(up.runs) == 0 {
+	if !up.clockKnown() || !up.hasRuns() {
 		return 0
 	}
 	return max(0, up.confirmedLease-up.clockNow(now))
--- a/internal/job/bbrscheduler/scheduler.go
+++ b/internal/job/bbrscheduler/scheduler.go
@@ -85,6 +85,7 @@
 	advice  map[string]*stepAdvice
 	horizon horizon
 	orders  orders
+	loading loading
 	// arrivals are the recent job arrivals.
 	arrivals arrivals
 	// lateRate is the last requested rate at which late work must be worked off.
@@ -218,10 +219,12 @@
 	return true
 }
 
-// JobCount returns the number of known jobs whose end is not stored.
+// JobCount returns the number of known jobs whose end is not stored. It is partial while jobs
+// are loaded.
 func (sched *Scheduler) JobCount() int { return len(sched.jobs) }
 
-// WaitingByQueue counts, by queue, the jobs of which nothing has started.
+// WaitingByQueue counts, by queue, the jobs of which nothing has started. The counts are
+// partial while jobs are loaded.
 func (sched *Scheduler) WaitingByQueue(now time.Time) map[string]int {
 	waiting := make(map[string]int)
 	for _, job := range sched.jobs {
--- a/internal/job/bbrscheduler/scheduler_test.go
+++ b/internal/job/bbrscheduler/scheduler_test.go
@@ -149,7 +149,7 @@
 
 func TestLateRegistrationDoesNotDelayDrained(t *testing.T) {
 	s := newScene(t, false)
-	s.sched.FinishLoading([]bbrwork.Upstream{s.upstream("i-gone")}, 0, s.now)
+	loadAll(s.sched, []bbrwork.Upstream{s.upstream("i-gone")}, 0, s.now)
 	s.register("i-1")
 	s.list("i-1")
 	s.sched.SetReserved(map[string]bool{"i-1": true}, s.now)
@@ -267,7 +267,7 @@
 // first owner may run there.
 func TestUnlocatedIncarnationStaysRecorded(t *testing.T) {
 	s := newScene(t, false)
-	s.sched.FinishLoading([]bbrwork.Upstream{s.upstream("i-silent")}, 0, s.now)
+	loadAll(s.sched, []bbrwork.Upstream{s.upstream("i-silent")}, 0, s.now)
 	s.register("i-silent")
 	s.register("i-1")
 	s.list("i-1")
@@ -283,7 +283,7 @@
 
 func TestUnregisteredIncarnationOfEarlierOwnerIsQueried(t *testing.T) {
 	s := newScene(t, false)
-	s.sched.FinishLoading([]bbrwork.Upstream{s.upstream("i-old")}, 0, s.now)
+	loadAll(s.sched, []bbrwork.Upstream{s.upstream("i-old")}, 0, s.now)
 	plan, known := s.sched.PlanRenewal("i-old", true, s.now)
 	require.True(t, known)
 	require.False(t, plan.Idle)
@@ -302,7 +302,7 @@
 	for _, id := range recorded {
 		upstreams = append(upstreams, s.upstream(id))
 	}
-	s.sched.FinishLoading(upstreams, 0, s.now)
+	loadAll(s.sched, upstreams, 0, s.now)
 	return s
 }
 
@@ -369,7 +369,7 @@
 	longRunning.LongRunning, longRunning.MaxUnavailable, longRunning.MaxPerUpstream = true, 1, 1
 	s := newScene(t, false)
 	s.sched.AddJob(&bbrwork.Job{ID: testJob, Queue: "proofs", Service: "press", Spec: "x", Steps: []bbrwork.Step{longRunning}, Accepted: s.now}, 0, nil, s.now)
-	s.sched.FinishLoading([]bbrwork.Upstream{s.upstream("i-1"), s.upstream("i-2")}, 0, s.now)
+	loadAll(s.sched, []bbrwork.Upstream{s.upstream("i-1"), s.upstream("i-2")}, 0, s.now)
 	// The earlier owner may already be stopping the unit on i-2.
 	for index, id := range []string{"i-1", "i-2"} {
 		s.register(id)
@@ -432,7 +432,7 @@
 	s := newScene(t, false, "i-1")
 	s.advance(testTiming.Handover + 3*time.Second)
 	s.accept(testJob, unitStep(1))
-	s.sched.FinishLoading([]bbrwork.Upstream{s.upstream("i-silent")}, 0, s.now)
+	loadAll(s.sched, []bbrwork.Upstream{s.upstream("i-silent")}, 0, s.now)
 	require.Empty(t, s.plan().Starts, "the earlier owner may have started the work unit on i-silent")
 	s.list("i-silent")
 	require.Len(t, s.plan().Starts, 1)
--- a/internal/job/bbrscheduler/simulation_test.go
+++ b/internal/job/bbrscheduler/simulation_test.go
@@ -637,7 +637,7 @@
 	}
 	sim.noteUnseenCrashes()
 	o.sched.InheritOrders(sim.store.ordersStored)
-	o.sched.FinishLoading(sim.store.recorded, sim.store.horizon, sim.now)
+	loadAll(o.sched, sim.store.recorded, sim.store.horizon, sim.now)
 	sim.owners = append(sim.owners, o)
 	sim.tracef("owner with token %d takes over", o.token)
 	return o
--- a/internal/job/bbrscheduler/store.go
+++ b/internal/job/bbrscheduler/store.go
@@ -89,13 +89,13 @@
 	if len(ids) <= limit {
 		batch.acknowledgeable = make(map[bbrwork.Incarnation]int64)
 		for _, up := range sched.upstreams {
-			batch.acknowledgeable[up.Incarnation] = up.applied
+			batch.acknowledgeable[up.Incarnation] = up.acknowledgeable()
 		}
 	}
 	batch.Recorded = sched.upstreamsToRecord()
 	batch.Interference = sched.interferenceToStore(now)
 	batch.OrdersStored = sched.storesOrders(now)
-	batch.Horizon = sched.horizon.next(sched.EarlierWorkLocated(now))
+	batch.Horizon = sched.horizon.next(sched.EarlierWorkLocated(now) && !sched.Loading())
 	return batch
 }
 
@@ -141,14 +141,15 @@
 
 // upstreamsToRecord returns the incarnations to be recorded for a successor, or nil
 // if the stored list suffices. Incarnations on which work of an earlier owner has
-// not been located stay recorded.
+// not been located, or that listed runs or ends of jobs that are not loaded yet, stay
+// recorded.
 func (sched *Scheduler) upstreamsToRecord() []bbrwork.Upstream {
 	if !sched.recordMissing() && !sched.recordStale() {
 		return nil
 	}
 	upstreams := []bbrwork.Upstream{}
 	for _, up := range sched.sortedUpstreams() {
-		if up.registered && (sched.toRecord[up.Incarnation] || sched.recorded[up.Incarnation]) || len(up.runs) > 0 || sched.unlocated[up.Incarnation] {
+		if up.registered && (sched.toRecord[up.Incarnation] || sched.recorded[up.Incarnation]) || len(up.runs) > 0 || up.holdsUnknown() || sched.unlocated[up.Incarnation] {
 			upstreams = append(upstreams, up.Upstream)
 		}
 	}
@@ -169,7 +170,7 @@
 // look for it in vain.
 func (sched *Scheduler) recordStale() bool {
 	for incarnation := range sched.recorded {
-		if up := sched.upstreams[incarnation.ID]; up == nil || up.Incarnation != incarnation || !up.registered && len(up.runs) == 0 {
+		if up := sched.upstreams[incarnation.ID]; up == nil || up.Incarnation != incarnation || !up.registered && len(up.runs) == 0 && !up.holdsUnknown() {
 			return true
 		}
 	}
@@ -180,7 +181,7 @@
 // allow run ends to be acknowledged.
 func (sched *Scheduler) CanAcknowledge() bool {
 	for _, up := range sched.upstreams {
-		if up.acknowledged < up.applied {
+		if up.acknowledged < up.acknowledgeable() {
 			return true
 		}
 	}
@@ -240,8 +241,10 @@
 // sweepInterval is the time between two sweeps of endedJobs.
 const sweepInterval = time.Second
 
+// sweepEnded forgets jobs that ended long ago. While jobs are loaded, a list that was read
+// before their end may still name them.
 func (sched *Scheduler) sweepEnded(now time.Time) {
-	if now.Sub(sched.endedSweptAt) < sweepInterval {
+	if sched.Loading() || now.Sub(sched.endedSweptAt) < sweepInterval {
 		return
 	}
 	sched.endedSweptAt = now
@@ -271,6 +274,9 @@
 // AddJob adds a job with the revision at which it was stored and its stored
 // progress, which may be empty. A known job is left unchanged, and a malformed one is
 // ignored: an owner that ended on it would take each of its successors along.
+//
+// What is known of a job that arrives while jobs are loaded is applied: its crash record, and
+// the runs and ends that upstreams listed before.
 func (sched *Scheduler) AddJob(in *bbrwork.Job, storedRevision bbrkv.Revision, progress []byte, now time.Time) {
 	sched.horizon.observe(storedRevision)
 	if _, ended := sched.endedJobs[in.ID]; ended || sched.jobs[in.ID] != nil || in.Shard() != sched.Shard {
@@ -278,19 +284,29 @@
 	}
 	if err := in.Validate(); err != nil {
 		sched.note(now, "Ignoring malformed job", "job", in.ID, "reason", err.Error())
+		sched.RecordMissing(in.ID, now)
 		return
 	}
 	policy := cmp.Or(sched.config.Queues[in.Queue].Policy(), in.Policy)
 	j := newJob(in, policy, storedRevision, func(spec *bbrwork.Step) time.Duration { return sched.runTimeOf(in.Queue, spec) }, now)
 	sched.jobs[in.ID] = j
 	sched.recordArrival(j, now)
+	sched.restoreProgress(j, progress, now)
+	if sched.Loading() || !sched.EarlierWorkLocated(now) {
+		sched.skipRunNumbers(j, now)
+	}
+	sched.applyKept(j, now)
+}
+
+// restoreProgress restores the stored progress of a job, which may be empty.
+func (sched *Scheduler) restoreProgress(j *job, progress []byte, now time.Time) {
 	if len(progress) == 0 {
 		return
 	}
 	j.mayHaveStoredProgress = true
 	var earlier Progress
 	if err := json.Unmarshal(progress, &earlier); err != nil {
-		sched.note(now, "Decoding of stored progress failed", "job", in.ID, "reason", err.Error())
+		sched.note(now, "Decoding of stored progress failed", "job", j.ID, "reason", err.Error())
 		j.ordersUnknown = true
 		return
 	}
@@ -300,8 +316,15 @@
 	}
 }
 
-// Cancel ends a job at its submitter's request.
+// Cancel ends a job at its submitter's request. A job that is still to be loaded ends when it
+// arrives.
 func (sched *Scheduler) Cancel(id string, now time.Time) {
+	if sched.awaits(id) {
+		if sched.loading.cancelled == nil {
+			sched.loading.cancelled = make(map[string]bool)
+		}
+		sched.loading.cancelled[id] = true
+	}
 	job := sched.jobs[id]
 	if job == nil || job.cancelled {
 		return
@@ -314,26 +337,12 @@
 // that an earlier owner started on unreachable upstreams are not known.
 const runNumberGap = 16
 
-// FinishLoading records that all stored jobs have been added, together with the
-// incarnations and the horizon that an earlier owner stored.
-func (sched *Scheduler) FinishLoading(recorded []bbrwork.Upstream, inherited bbrkv.Revision, now time.Time) {
-	if sched.firstOwner {
+// skipRunNumbers skips the run numbers that an earlier owner may have used for work units of
+// the job.
+func (sched *Scheduler) skipRunNumbers(j *job, now time.Time) {
+	if sched.firstOwner || j.storedRevision > sched.horizon.inherited {
 		return
 	}
-	sched.horizon.inherit(inherited)
-	defer sched.accuseLostTrials(now)
-	for _, up := range recorded {
-		sched.RegisterUpstream(up, now)
-		sched.upstreams[up.ID].registered = false
-		sched.unlocated[up.Incarnation] = true
-	}
-	for _, job := range sched.jobs {
-		job.skipRunNumbers(now)
-	}
-}
-
-// skipRunNumbers skips the run numbers that an earlier owner may have used.
-func (j *job) skipRunNumbers(now time.Time) {
 	for _, o := range j.occurrences {
 		if j.Schedule.Due(o.number).After(now.Add(maxClockDifference)) {
 			continue
--- a/internal/job/bbrscheduler/suitable.go
+++ b/internal/job/bbrscheduler/suitable.go
@@ -111,5 +111,10 @@
 // acceptsWork reports whether the upstream may take work, now or once its runs have
 // ended. An upstream that was just registered may, even if it has not answered yet.
 func (up *upstream) acceptsWork(now time.Time) bool {
+	return up.acceptsWorkOnceKnown(now) && len(up.unknownRuns) == 0
+}
+
+// acceptsWorkOnceKnown reports the same apart from runs of jobs that are still to be loaded.
+func (up *upstream) acceptsWorkOnceKnown(now time.Time) bool {
 	return up.registered && !up.Draining && up.reservedAt.IsZero() && up.lostAnswers < maxLostAnswers && len(up.orphans) == 0 && !up.health.suspect(now)
 }
--- a/internal/job/bbrscheduler/unlocated_test.go
+++ b/internal/job/bbrscheduler/unlocated_test.go
@@ -21,7 +21,7 @@
 	for number := range maxNamedUnlocated + 2 {
 		recorded = append(recorded, s.upstream(fmt.Sprintf("i-%02d", number)))
 	}
-	s.sched.FinishLoading(recorded, 5, s.now)
+	loadAll(s.sched, recorded, 5, s.now)
 	start := s.now
 	s.sched.ApplyRenewalFailure(s.upstream("i-09").Incarnation, bbrorder.ErrAnswerLost, s.now)
 
--- a/internal/job/bbrscheduler/unlocatedcrash.go
+++ b/internal/job/bbrscheduler/unlocatedcrash.go
@@ -37,9 +37,10 @@
 }
 
 // accuseUnlocated adds a presumed crash to the work units that an earlier owner may have
-// run on an incarnation that ended, once all its other work is located.
+// run on an incarnation that ended, once all its other work is located and all jobs are
+// loaded.
 func (sched *Scheduler) accuseUnlocated(now time.Time) {
-	if len(sched.lostUnlocated) == 0 || !sched.EarlierWorkLocated(now) {
+	if len(sched.lostUnlocated) == 0 || !sched.EarlierWorkLocated(now) || sched.Loading() {
 		return
 	}
 	lost := sched.lostUnlocated
--- a/internal/job/bbrscheduler/upstream.go
+++ b/internal/job/bbrscheduler/upstream.go
@@ -56,8 +56,8 @@
 	// extensionExcused means that a reason other than a late owner (a lost answer, an
 	// unconfirmed claim, an unknown clock) has prevented an extension since extendedAt.
 	extensionExcused bool
-	// applied is the sequence number of the last applied run end, and acknowledged
-	// that of the last whose effects are stored.
+	// applied is the sequence number of the last run end that was applied or is in
+	// unapplied, and acknowledged that of the last whose effects are stored.
 	applied, acknowledged int64
 	health                health
 	// fullUntil is until when no starts are sent, after a refusal for lack of
@@ -99,8 +99,12 @@
 	hold *hold
 	// vacancy has the step for which the upstream was vacated; nil for none.
 	vacancy *vacancy
-	// orphans has the listed runs of unknown jobs.
+	// orphans has the listed runs of jobs that do not exist as far as this owner knows.
 	orphans map[runKey]*orphan
+	// unknownRuns has the listed runs of jobs that are still to be loaded, and unapplied the
+	// sequence numbers of their ends, in ascending order. Both are empty once all jobs are.
+	unknownRuns map[runKey]*unknownRun
+	unapplied   []int64
 	// announced is the registration of another incarnation under the same ID, since
 	// announcedAt; nil for none. announcedLater means that it is certainly later than
 	// the known one.
@@ -222,7 +226,7 @@
 		up.unregisteredAt = now
 	}
 	up.registered, up.announced = false, nil
-	if len(up.runs) == 0 && up.reached && len(up.lapsedRuns) == 0 {
+	if len(up.runs) == 0 && !up.holdsUnknown() && up.reached && len(up.lapsedRuns) == 0 {
 		sched.removeUpstream(up, now)
 	}
 }
@@ -251,7 +255,7 @@
 	}
 	var ids []string
 	for _, up := range sched.sortedUpstreams() {
-		if !up.reservedAt.IsZero() && len(up.runs) == 0 && up.reached {
+		if !up.reservedAt.IsZero() && !up.hasRuns() && up.reached {
 			ids = append(ids, up.ID)
 		}
 	}
--- a/internal/job/bbrscheduler/usable.go
+++ b/internal/job/bbrscheduler/usable.go
@@ -63,7 +63,7 @@
 	switch {
 	case !up.reached || !up.clockKnown() || !up.identified():
 		return excludedUnreached
-	case len(up.orphans) > 0:
+	case len(up.orphans) > 0 || len(up.unknownRuns) > 0:
 		return excludedOrphans
 	case up.lostAnswers >= maxLostAnswers || up.silentFor(p.now) > verifyAfter:
 		return excludedSilent
--- a/internal/job/bbrscheduler/wait.go
+++ b/internal/job/bbrscheduler/wait.go
@@ -19,6 +19,9 @@
 	latestEnd time.Time
 	// unlocated counts the upstreams that may have work of an earlier owner.
 	unlocated int
+	// notLoaded counts the jobs that are still to be loaded and of which upstreams listed runs
+	// or ends.
+	notLoaded int
 	// blockers is empty if the reason is not one of the upstreams.
 	blockers blockers
 }
@@ -70,12 +73,14 @@
 // unmet condition of a start.
 func (p *planner) waitOf(u *unit, since time.Time, confirmed bool) wait {
 	s := u.step
-	w := wait{step: s, unit: u, since: since}
+	w := wait{step: s, unit: u, since: since, notLoaded: len(p.sched.loading.unknown)}
 	due := s.job.Schedule.Due(s.occurrence.number)
 	paused := s.pausedUntil(w.unit)
 	switch {
 	case !confirmed:
 		w.reason = ReasonClaimUnconfirmed
+	case p.sched.waitsForAllJobs() && p.sched.EarlierWorkLocated(p.now):
+		w.reason = ReasonJobsNotLoaded
 	case p.waitsForLocation(s) || !s.spec.Gang && p.mayHaveUnlocatedRun(u):
 		w.reason, w.latestEnd, w.unlocated = ReasonEarlierWorkUnlocated, p.sched.earlierLeasesEnd, len(p.sched.unlocated)
 	case p.now.Before(due):
@@ -90,6 +95,8 @@
 		w.reason, w.latestEnd = ReasonAttemptPaused, paused
 	case p.waitsAsSuspect(s, w.unit):
 		w.reason = ReasonCrashSuspect
+	case p.capUnknown(s):
+		w.reason = ReasonJobsNotLoaded
 	case p.sched.beyondCap(s):
 		w.reason = ReasonOrganisationCap
 	default:
@@ -101,6 +108,9 @@
 		if w.reason == ReasonComesNext && !w.unit.nextOrderStored() {
 			w.reason = ReasonOrderUnstored
 		}
+		if _, responsible := w.awaits(); responsible == ResponsibleFleetLeader && p.mayFitBesideUnknown(s) {
+			w.reason = ReasonJobsNotLoaded
+		}
 	}
 	return w
 }
@@ -318,7 +328,7 @@
 // awaits returns what the work unit waits for, and the party that has to act next.
 func (w *wait) awaits() (Awaited, Responsible) {
 	switch w.reason {
-	case ReasonClaimUnconfirmed, ReasonEarlierWorkUnlocated, ReasonBeyondHorizon, ReasonOrderUnstored, ReasonTicketMissing, ReasonStartsInFlight:
+	case ReasonClaimUnconfirmed, ReasonEarlierWorkUnlocated, ReasonBeyondHorizon, ReasonOrderUnstored, ReasonJobsNotLoaded, ReasonTicketMissing, ReasonStartsInFlight:
 		return AwaitsAnswer, ResponsibleOwner
 	case ReasonNotDue, ReasonAttemptPaused:
 		return AwaitsTime, ResponsibleOwner
--- a/internal/job/bbrscheduler/wait_test.go
+++ b/internal/job/bbrscheduler/wait_test.go
@@ -68,7 +68,7 @@
 		{want: ReasonClaimUnconfirmed, awaits: AwaitsAnswer, responsible: ResponsibleOwner, text: "has not confirmed"},
 		{
 			want: ReasonEarlierWorkUnlocated, confirmed: true, successor: true, awaits: AwaitsAnswer, responsible: ResponsibleOwner, text: "may be on 1 upstreams",
-			arrange: func(s *scene) { s.sched.FinishLoading([]bbrwork.Upstream{s.upstream("i-silent")}, 0, s.now) },
+			arrange: func(s *scene) { loadAll(s.sched, []bbrwork.Upstream{s.upstream("i-silent")}, 0, s.now) },
 		},
 		{
 			want: ReasonNotDue, confirmed: true, awaits: AwaitsTime, responsible: ResponsibleOwner, text: "it is due at 2026-01-02T03:05:00Z",
@@ -103,6 +103,14 @@
 			want: ReasonGangStillRuns, confirmed: true, steps: []bbrwork.Step{gang(2)}, awaits: AwaitsEarlierWork, responsible: ResponsibleOwner, text: "1 of 2 members",
 			arrange: func(s *scene) { s.sched.addRun(s.unit(testJob, 0), 1, s.sched.upstreams["i-1"], s.now) },
 		},
+		{
+			want: ReasonJobsNotLoaded, confirmed: true, awaits: AwaitsAnswer, responsible: ResponsibleOwner, text: "runs or ends of 1 that it has not loaded yet",
+			arrange: func(s *scene) {
+				s.sched.BeginLoading(nil, 500, s.now)
+				s.listRunning("i-1", []bbrwork.Run{lateRun})
+				s.listRunning("i-2", []bbrwork.Run{{Unit: lateUnit, Number: 2}})
+			},
+		},
 		{
 			want: ReasonNoUsableUpstream, confirmed: true, awaits: AwaitsUpstream, responsible: ResponsibleFleetLeader, text: "0 of 2 upstreams may take work",
 			arrange: func(s *scene) { s.sched.SetReserved(map[string]bool{"i-1": true, "i-2": true}, s.now) },
--- a/internal/job/bbrscheduler/waittext.go
+++ b/internal/job/bbrscheduler/waittext.go
@@ -28,6 +28,8 @@
 		return "the number of its next run has to be stored before it may start"
 	case ReasonGangStillRuns:
 		return fmt.Sprintf("%d of %d members of the gang still have runs", len(w.step.units)-w.step.idleUnits, len(w.step.units))
+	case ReasonJobsNotLoaded:
+		return fmt.Sprintf("this owner is still loading its jobs, and upstreams list runs or ends of %d that it has not loaded yet", w.notLoaded)
 	case ReasonOrganisationCap:
 		return fmt.Sprintf("the shard's share of the cap of organisation %s does not suffice for %s", w.step.job.Organisation, resourcesText(w.step.spec.Need))
 	case ReasonCrashSuspect:
--- a/internal/job/bbrscheduler/widework.go
+++ b/internal/job/bbrscheduler/widework.go
@@ -62,10 +62,10 @@
 const maxUnsuitable = 8
 
 // wideWork returns the exclusive upstreams that the runnable steps need; none while
-// work of an earlier owner is not located.
+// work of an earlier owner is not located or jobs are loaded.
 func (sched *Scheduler) wideWork(now time.Time) *wideWork {
 	w := &wideWork{sched: sched, now: now, freeByLabel: make(map[string][]bbrwork.Resources)}
-	if !sched.EarlierWorkLocated(now) {
+	if !sched.EarlierWorkLocated(now) || sched.Loading() {
 		return w
 	}
 	w.inspectUpstreams()
