job/bbrscheduler: simulate owners that load their jobs while they work

The simulation let each successor know all stored jobs at once, so that it could not show work that is started twice, lost or acknowledged too early while jobs arrive. Owners now may add them one by one, in drawn order and over drawn time, beside the same failures: further takeovers, restarts, silent upstreams, jobs that are accepted or cancelled meanwhile. Two new checks: no step waits for jobs to be loaded while it fits on an upstream without unknown runs, and an organisation stays within its cap. Existing property tests draw as before. decide refreshes what caps have in reserve before it asks for the reasons of waits, as the plan itself does.

--- a/internal/job/bbrscheduler/property_test.go
+++ b/internal/job/bbrscheduler/property_test.go
@@ -49,6 +49,10 @@
 	// so only once an owner has started work on it, and renewals and stops unless it has
 	// been cut off since it booted.
 	lateOnUnknown bool
+	// slowLoads lets owners add their stored jobs one by one while they work.
+	slowLoads bool
+	// caps adds jobs of an organisation with a cap.
+	caps bool
 	// failingRuns lets runs fail during restartAndCut too.
 	failingRuns bool
 }
@@ -162,6 +166,9 @@
 	if d.reservations && rapid.Bool().Draw(d.T, "lower rank") {
 		job.Queue = "inserts"
 	}
+	if d.caps && rapid.Bool().Draw(d.T, "has a cap") {
+		job.Organisation = limitedOrganisation
+	}
 	if d.crashes && rapid.IntRange(0, 2).Draw(d.T, "crashes") == 0 {
 		d.sim.crashing[bbrwork.Unit{Job: id}] = true
 	}
@@ -323,6 +330,7 @@
 	o.sched.ExpireLeases(now)
 	o.sched.endTrials(now)
 	o.sched.endReservations(now)
+	o.sched.survey(now).beginQuota()
 	before := o.sched.waitReasons(confirmed, now)
 	plan := o.sched.Plan(confirmed, now)
 	d.traceNotes(o)
@@ -338,6 +346,7 @@
 		}
 	}
 	d.checkReservations(o, plan.Stops)
+	d.checkLoading(o, confirmed)
 	for step, reason := range o.sched.waitReasons(confirmed, now) {
 		if confirmed && reason == ReasonComesNext {
 			d.sim.violation("REASON: %s comes next but is not in the plan", step)
@@ -377,6 +386,55 @@
 	}
 }
 
+// checkLoading records steps that wait for jobs to be loaded although a work unit fits on an
+// upstream that lists no unknown runs, and work that starts beside such runs.
+func (d *driver) checkLoading(o *simOwner, confirmed bool) {
+	if !confirmed || !o.sched.Loading() {
+		return
+	}
+	p := o.sched.survey(d.sim.now)
+	for _, w := range p.waitingSteps() {
+		w = p.wait(w.step, true)
+		if w.reason != ReasonJobsNotLoaded || w.step.spec.Gang || w.step.job.Organisation != "" {
+			continue
+		}
+		for _, up := range p.usable {
+			if p.suits(w.step, up) && up.startsInFlight < maxStartsInFlight {
+				d.sim.violation("LOADING: %s waits for jobs to be loaded, but fits on %s", w.unit.name(), up.ID)
+			}
+		}
+	}
+	for _, up := range p.usable {
+		for key := range d.sim.upstreams[up.ID].runs {
+			if o.sched.jobs[key.unit.Job] == nil && len(up.unknownRuns) > 0 {
+				d.sim.violation("LOADING: %s may take work beside %s, which is not known", up.ID, key.unit)
+			}
+		}
+	}
+}
+
+// load lets an owner load some of its jobs.
+func (d *driver) load(*rapid.T) { d.loadSome(d.owner()) }
+
+// loadSome lets an owner load some of its jobs: those that it misses, or any others.
+func (d *driver) loadSome(o *simOwner) {
+	if !o.sched.Loading() {
+		return
+	}
+	for range rapid.IntRange(0, 2).Draw(d.T, "loaded") {
+		missing := o.sched.MissingJobs(3)
+		switch {
+		case len(missing) > 0 && rapid.Bool().Draw(d.T, "by key"):
+			o.loadByKey(rapid.SampledFrom(missing).Draw(d.T, "missing"))
+		case len(o.pending) > 0:
+			o.loadListed(rapid.IntRange(0, len(o.pending)-1).Draw(d.T, "listed"))
+		default:
+			o.sched.FinishLoading(d.sim.now)
+			return
+		}
+	}
+}
+
 // register applies the store's list of upstreams to the owner.
 func (d *driver) register(o *simOwner) {
 	o.informedAt = d.sim.now
@@ -467,6 +525,7 @@
 			d.renewBy(acting, d.sim.upstreams[id])
 		}
 		d.planBy(acting)
+		d.loadSome(acting)
 		acting.flush()
 		d.sim.advance(time.Duration(rapid.IntRange(1, 10).Draw(d.T, "pause")) * 100 * time.Millisecond)
 	}
@@ -592,6 +651,7 @@
 		d.renewBy(o, d.sim.upstreams[id])
 	}
 	d.planBy(o)
+	d.loadSome(o)
 	o.flush()
 }
 
@@ -640,6 +700,7 @@
 		}
 	}
 	for round := 0; round < 600+100*len(d.sim.crashing) && len(d.sim.store.final) < len(d.sim.store.jobs); round++ {
+		d.loadSome(o)
 		d.faultFreeRound(o)
 	}
 }
@@ -736,6 +797,40 @@
 	testUnderFailures(t, driver{restartsAndCuts: true, lateOnUnknown: true})
 }
 
+// TestLoadingUnderFailures does the same as TestGuaranteesUnderFailures with owners that add
+// their stored jobs one by one while they work, in any order. They may be replaced before
+// they have all.
+func TestLoadingUnderFailures(t *testing.T) {
+	testUnderFailures(t, driver{restartsAndCuts: true, slowLoads: true})
+}
+
+// TestLoadingLongRunningWorkUnderFailures does the same with long-running work that fails.
+func TestLoadingLongRunningWorkUnderFailures(t *testing.T) {
+	testUnderFailures(t, driver{longRunning: true, restartsAndCuts: true, slowLoads: true})
+}
+
+// TestLoadingConstraintsUnderFailures does the same with gangs, labels, racks, limits for one
+// upstream, schedules, advice, reservations and preemption.
+func TestLoadingConstraintsUnderFailures(t *testing.T) {
+	testUnderFailures(t, driver{constraints: true, reservations: true, slowLoads: true})
+}
+
+// TestLoadingCrashingWorkUnderFailures does the same with work units that crash their
+// upstreams.
+func TestLoadingCrashingWorkUnderFailures(t *testing.T) {
+	testUnderFailures(t, driver{crashes: true, fixedDowntime: true, slowLoads: true})
+}
+
+// TestCapsUnderFailures does the same as TestGuaranteesUnderFailures with jobs of an
+// organisation, which never uses more than its cap.
+func TestCapsUnderFailures(t *testing.T) { testUnderFailures(t, driver{caps: true}) }
+
+// TestLoadingCapsUnderFailures does the same with owners that add their stored jobs one by
+// one.
+func TestLoadingCapsUnderFailures(t *testing.T) {
+	testUnderFailures(t, driver{caps: true, slowLoads: true})
+}
+
 // traceOrders makes a failed property test print what upstreams and owners did.
 var traceOrders = flag.Bool("traceorders", false, "print the orders of a failed property test")
 
@@ -760,6 +855,10 @@
 	d.T, d.sim = t, newSimulation("i-1", "i-2", "i-3")
 	d.sim.reservations = d.reservations
 	d.sim.bootClock = d.drawBootClock
+	if d.slowLoads {
+		d.sim.loadsSlowly = func() bool { return rapid.IntRange(0, 3).Draw(t, "loads slowly") > 0 }
+	}
+	d.sim.capped = d.caps
 	if !d.fixedDowntime {
 		d.sim.downtime = d.drawDowntime
 	}
@@ -814,6 +913,9 @@
 		if d.restartsAndCuts {
 			actions["recut"] = d.restartAndCut
 		}
+		if d.slowLoads {
+			actions["load"], actions["loadMore"] = d.load, d.load
+		}
 		t.Repeat(actions)
 		d.finish()
 	})
--- a/internal/job/bbrscheduler/simulation_test.go
+++ b/internal/job/bbrscheduler/simulation_test.go
@@ -36,6 +36,11 @@
 	bootClock func() time.Duration
 	// trace receives a line for each order, end and incarnation; nil for no trace.
 	trace func(line string)
+	// loadsSlowly reports whether the next owner adds its stored jobs one by one while it
+	// works; nil for never.
+	loadsSlowly func() bool
+	// capped gives the organisation limitedOrganisation a cap.
+	capped bool
 	// downtime returns the time from a crash to the next incarnation; nil for restartDelay.
 	downtime func() time.Duration
 }
@@ -442,6 +447,7 @@
 	case !u.acceptsTicket(order.Start):
 		return bbrorder.ErrTicketRejected
 	}
+	u.sim.checkCap(order.Start.Unit)
 	u.startedOn = u.startedOn || order.Upstream.Incarnation == u.registration.Incarnation
 	u.sim.checkStart(order.Start.Unit, u)
 	u.checkUpstream(order.Start.Unit)
@@ -486,6 +492,25 @@
 	}
 }
 
+// checkCap records a start by which an organisation exceeds its cap. Runs of jobs that have
+// ended do not count: nobody knows any more whose they are.
+func (sim *simulation) checkCap(name bbrwork.Unit) {
+	if !sim.capped || sim.store.jobs[name.Job].Organisation != limitedOrganisation {
+		return
+	}
+	used := sim.stepSpec(name).Need.MilliCPU
+	for _, up := range sim.upstreams {
+		for key := range up.runs {
+			if up.alive && sim.store.final[key.unit.Job] == "" && sim.store.jobs[key.unit.Job].Organisation == limitedOrganisation {
+				used += sim.stepSpec(key.unit).Need.MilliCPU
+			}
+		}
+	}
+	if used > limitedMilliCPU {
+		sim.violation("QUOTA: %s starts, its organisation uses %d millicores", name, used)
+	}
+}
+
 // capacityNotice is the time from the shrinking of an upstream's capacity until owners
 // must respect it.
 const capacityNotice = 4500 * time.Millisecond
@@ -610,6 +635,10 @@
 	informedAt time.Time
 	// unreached has the upstreams with which this owner alone has no connection.
 	unreached map[string]bool
+	// pending has the IDs of the jobs that are still to be loaded, and progress the progress
+	// that was stored at the claim.
+	pending  []string
+	progress map[string][]byte
 }
 
 // claim creates a new owner. The earlier one may act for a while longer.
@@ -625,24 +654,83 @@
 	o := &simOwner{sim: sim, token: sim.store.token, unreached: make(map[string]bool)}
 	o.sched = New(bbrwork.Shard{Service: "press"}, o.token, testTiming, !sim.store.written, sim.now)
 	o.sched.SetConfig(bbrwork.NewConfig(1, testQueues, nil, bbrwork.Limits{}))
+	if sim.capped {
+		o.applyCap()
+	}
 	if sim.reservations {
 		o.sched.ReserveCapacity = true
 		o.sched.SetConfig(bbrwork.NewConfig(1, rankedQueues, nil, bbrwork.Limits{}))
 	}
-	for _, id := range slices.Sorted(maps.Keys(sim.store.jobs)) {
-		o.addJob(id)
+	o.pending = sim.openJobs()
+	o.progress = maps.Clone(sim.store.progress)
+	slow := sim.loadsSlowly != nil && sim.loadsSlowly()
+	if !slow {
+		o.loadPending()
 	}
 	for _, id := range slices.Sorted(maps.Keys(sim.store.crashes)) {
 		o.sched.RestoreCrashes(id, sim.store.crashes[id], sim.now)
 	}
 	sim.noteUnseenCrashes()
 	o.sched.InheritOrders(sim.store.ordersStored)
-	loadAll(o.sched, sim.store.recorded, sim.store.horizon, sim.now)
+	o.sched.BeginLoading(sim.store.recorded, sim.store.horizon, sim.now)
+	if !slow {
+		o.sched.FinishLoading(sim.now)
+	}
 	sim.owners = append(sim.owners, o)
-	sim.tracef("owner with token %d takes over", o.token)
+	sim.tracef("owner with token %d takes over, to load %v", o.token, o.pending)
 	return o
 }
 
+// openJobs returns the IDs of the jobs that the store has, sorted.
+func (sim *simulation) openJobs() []string {
+	var ids []string
+	for _, id := range slices.Sorted(maps.Keys(sim.store.jobs)) {
+		if sim.store.final[id] == "" {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
+// loadPending adds the jobs that are still to be loaded.
+func (o *simOwner) loadPending() {
+	for len(o.pending) > 0 {
+		o.loadListed(0)
+	}
+}
+
+// loadListed adds one of the pending jobs, as the list of the claim has it, even if the job
+// has ended since.
+func (o *simOwner) loadListed(at int) {
+	id := o.pending[at]
+	o.pending = slices.Delete(o.pending, at, at+1)
+	o.sim.tracef("owner with token %d loads %s", o.token, id)
+	o.sched.AddJob(o.sim.store.jobs[id], o.sim.store.jobRevisions[id], o.progress[id], o.sim.now)
+}
+
+// loadByKey reads a job of which upstreams list runs or ends.
+func (o *simOwner) loadByKey(id string) {
+	o.sim.tracef("owner with token %d reads %s", o.token, id)
+	if o.sim.store.final[id] != "" {
+		o.sched.RecordMissing(id, o.sim.now)
+		return
+	}
+	o.sched.AddJob(o.sim.store.jobs[id], o.sim.store.jobRevisions[id], o.progress[id], o.sim.now)
+}
+
+// applyCap gives limitedOrganisation a cap, all of which is the shard's share.
+func (o *simOwner) applyCap() {
+	config, err := bbrwork.NewConfig(1, testQueues, nil, bbrwork.Limits{}).WithOrganisations([]*bbrwork.Organisation{
+		{Name: limitedOrganisation, Cap: bbrwork.Resources{MilliCPU: limitedMilliCPU}},
+	})
+	if err != nil {
+		panic(err)
+	}
+	o.sched.SetConfig(config)
+	account := o.sched.Account(limitedOrganisation)
+	account.Held, account.Verified = account.Cap, true
+}
+
 func (o *simOwner) addJob(id string) {
 	sim := o.sim
 	if sim.store.final[id] == "" {
