store/bbrkv: followers continue a reload that failed

What callers saw: a follower of a large prefix on a small link read it from its beginning whenever a response was cut, and read it again and again if that took longer than the store keeps its history.

A follower keeps what has arrived of a reload and continues behind it after an error. While a reload takes more than a second, it reads the events in between and applies them to what has arrived, and reports them if it was following before: the revision from which it goes on is not older than a page, and changes are not late by the time of the whole reload. If the history is discarded sooner than that, the reload begins again. ReadAll gives up what it has only after three attempts in turn without an item.

--- a/internal/store/bbrkv/follower.go
+++ b/internal/store/bbrkv/follower.go
@@ -17,6 +17,10 @@
 	// defaultBatchDelay is the pause after events, so that one watch returns
 	// several.
 	defaultBatchDelay = 15 * time.Millisecond
+	// catchUpInterval is the time after which events are read while all items are.
+	catchUpInterval = time.Second
+	// catchUpWait is the shortest wait of a watch.
+	catchUpWait = time.Millisecond
 )
 
 // Follower watches the items under a prefix and reports them and their changes.
@@ -49,6 +53,8 @@
 	revision Revision
 	loadedAt time.Time
 	failing  bool
+	// rereading is what has been read of all items; nil if they are not being read.
+	rereading *reread
 }
 
 // StartAfter makes the follower start after a revision as of which the caller
@@ -69,7 +75,7 @@
 }
 
 func (f *Follower) poll(ctx context.Context, now time.Time) error {
-	if f.revision == 0 || f.ReloadInterval > 0 && now.Sub(f.loadedAt) > f.ReloadInterval {
+	if f.rereading != nil || f.revision == 0 || f.ReloadInterval > 0 && now.Sub(f.loadedAt) > f.ReloadInterval {
 		return f.reload(ctx, now)
 	}
 	page, err := f.Store.Watch(ctx, f.Prefix, f.revision, f.WatchTimeout)
@@ -91,14 +97,54 @@
 	return nil
 }
 
+// reload reads all items. After an error, the next call continues behind what has arrived.
 func (f *Follower) reload(ctx context.Context, now time.Time) error {
-	items, asOf, err := f.Store.ReadAll(ctx, f.Prefix)
+	if f.rereading == nil {
+		f.rereading = newReread(f.Store, f.Prefix, f.revision, now)
+	}
+	r := f.rereading
+	for !r.listing.Progress().Done {
+		if err := f.catchUp(ctx, time.Now()); err != nil {
+			return err
+		}
+		if err := r.listing.readPage(ctx); err != nil {
+			return err
+		}
+	}
+	f.rereading = nil
+	asOf := r.listing.Progress().AsOf
+	f.OnSnapshot(r.sorted(), asOf, time.Now())
+	f.notifyAnswer(r.begun)
+	f.revision, f.loadedAt = max(asOf, r.revision), r.begun
+	return nil
+}
+
+// catchUp applies the events since the items are being read, if that has taken a while:
+// changes are not reported late, and the store does not discard the history from which
+// the follower continues.
+func (f *Follower) catchUp(ctx context.Context, now time.Time) error {
+	r := f.rereading
+	r.revision = max(r.revision, f.revision)
+	if r.revision == 0 {
+		r.revision = r.listing.Progress().AsOf
+	}
+	if r.revision == 0 || now.Sub(r.caughtUpAt) < catchUpInterval {
+		return nil
+	}
+	page, err := f.Store.Watch(ctx, f.Prefix, r.revision, catchUpWait)
 	if err != nil {
 		return err
 	}
-	f.OnSnapshot(items, asOf, time.Now())
-	f.notifyAnswer(now)
-	f.revision, f.loadedAt = asOf, now
+	for _, item := range page.Items {
+		r.apply(item)
+		if f.revision > 0 {
+			f.OnChange(item, time.Now())
+		}
+	}
+	r.revision, r.caughtUpAt = max(r.revision, page.AsOf), now
+	if f.revision > 0 {
+		f.revision = r.revision
+	}
 	return nil
 }
 
@@ -114,16 +160,24 @@
 	}
 	if errors.Is(err, ErrCompacted) {
 		klog.InfoS("Store history compacted, rereading all items", "prefix", f.Prefix, "after", f.revision)
-		f.revision = 0
+		f.revision, f.rereading = 0, nil
 		return
 	}
 	if !f.failing {
-		klog.InfoS("Dependency lost", "dependency", "store", "prefix", f.Prefix, "at", f.revision, "reason", err.Error())
+		klog.InfoS("Dependency lost", "dependency", "store", "prefix", f.Prefix, "at", f.revision, "items", f.itemsRead(), "reason", err.Error())
 		f.failing = true
 	}
 	bbrpause.For(ctx, retryInterval)
 }
 
+// itemsRead returns how many items have arrived while all are being read.
+func (f *Follower) itemsRead() int {
+	if f.rereading == nil {
+		return 0
+	}
+	return f.rereading.listing.Progress().Items
+}
+
 func (f *Follower) recovered() {
 	if f.failing {
 		klog.InfoS("Dependency regained", "dependency", "store", "prefix", f.Prefix, "at", f.revision)
--- a/internal/store/bbrkv/listing_test.go
+++ b/internal/store/bbrkv/listing_test.go
@@ -131,35 +131,43 @@
 // TestReadAllEnds checks that all items are read once although responses are cut, as long
 // as each brings an item, and that nothing arrives twice.
 func TestReadAllEnds(t *testing.T) {
-	rapid.Check(t, func(t *rapid.T) {
-		count := rapid.IntRange(1, 60).Draw(t, "items")
-		cuts := rapid.SliceOfN(rapid.IntRange(1, 12), 0, 60).Draw(t, "cuts")
-		s := newScannedStore(count, rapid.IntRange(1, 20).Draw(t, "pageItems"), cuts...)
-		items, asOf, err := s.store().ReadAll(context.Background(), "jobs/")
-		require.Equal(t, count, s.delivered)
-		if err != nil {
-			// Nothing was left to read, and the response that says so was cut.
-			require.ErrorIs(t, err, ErrAnswerLost)
-			return
-		}
-		require.Equal(t, s.items, items)
-		require.LessOrEqual(t, asOf, Revision(count))
+	rapid.Check(t, func(rt *rapid.T) {
+		count := rapid.IntRange(1, 60).Draw(rt, "items")
+		cuts := rapid.SliceOfN(rapid.IntRange(1, 12), 0, 60).Draw(rt, "cuts")
+		s := newScannedStore(count, rapid.IntRange(1, 20).Draw(rt, "pageItems"), cuts...)
+		synctest.Test(t, func(*testing.T) {
+			items, asOf, err := s.store().ReadAll(context.Background(), "jobs/")
+			require.Equal(rt, count, s.delivered)
+			if err != nil {
+				// Nothing was left to read, and the responses that say so were cut.
+				require.ErrorIs(rt, err, ErrAnswerLost)
+				return
+			}
+			require.Equal(rt, s.items, items)
+			require.LessOrEqual(rt, asOf, Revision(count))
+		})
 	})
 }
 
 // TestReadAllGivesUpWithoutProgress guards against a caller that waits without end.
 func TestReadAllGivesUpWithoutProgress(t *testing.T) {
-	s := newScannedStore(25, 10, 3, 0)
-	_, _, err := s.store().ReadAll(t.Context(), "jobs/")
-	require.ErrorIs(t, err, ErrAnswerLost)
-	require.Equal(t, 2, s.calls)
-	refused := 0
-	store := Store{Scan: func(_ context.Context, _, _ string, each func(Item)) (ScanResult, error) {
-		refused++
-		each(Item{Key: fmt.Sprint("jobs/", refused)})
-		return ScanResult{}, errors.Wrap(ErrRefused, "status 429")
-	}}
-	_, _, err = store.ReadAll(t.Context(), "jobs/")
-	require.ErrorIs(t, err, ErrRefused)
-	require.Equal(t, 1, refused, "a store over its rate limit gets no further call")
+	synctest.Test(t, func(t *testing.T) {
+		s := newScannedStore(25, 10, 3, 0, 0, 0)
+		_, _, err := s.store().ReadAll(t.Context(), "jobs/")
+		require.ErrorIs(t, err, ErrAnswerLost)
+		require.Equal(t, 1+maxFruitless, s.calls)
+		s = newScannedStore(25, 10, 0)
+		_, _, err = s.store().ReadAll(t.Context(), "jobs/")
+		require.ErrorIs(t, err, ErrAnswerLost)
+		require.Equal(t, 1, s.calls, "there is nothing to lose")
+		refused := 0
+		store := Store{Scan: func(_ context.Context, _, _ string, each func(Item)) (ScanResult, error) {
+			refused++
+			each(Item{Key: fmt.Sprint("jobs/", refused)})
+			return ScanResult{}, errors.Wrap(ErrRefused, "status 429")
+		}}
+		_, _, err = store.ReadAll(t.Context(), "jobs/")
+		require.ErrorIs(t, err, ErrRefused)
+		require.Equal(t, 1, refused, "a store over its rate limit gets no further call")
+	})
 }
--- a/internal/store/bbrkv/store.go
+++ b/internal/store/bbrkv/store.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/bluebellridge/bluebellridge/internal/base/bbrpause"
 )
 
 // Revision is a position in the history of the store. It increases with each
@@ -111,21 +113,34 @@
 	MaxValueBytes int
 }
 
+// maxFruitless is the number of attempts in turn without an item after which ReadAll gives
+// up what it has.
+const maxFruitless = 3
+
 // ReadAll returns all items under a prefix and a revision. A watch that starts
 // after this revision misses no change of them. A call whose response is lost is
 // repeated for the items that have not arrived, as long as some arrive.
 func (s *Store) ReadAll(ctx context.Context, prefix string) ([]Item, Revision, error) {
 	var items []Item
 	listing := Listing{Store: s, Prefix: prefix, OnItem: func(item Item) { items = append(items, item) }}
+	fruitless := 0
 	for {
 		before := len(items)
 		err := listing.Read(ctx)
 		if err == nil {
 			return items, listing.Progress().AsOf, nil
 		}
-		if len(items) == before || !errors.Is(err, ErrAnswerLost) || ctx.Err() != nil {
+		if len(items) > before {
+			fruitless = 0
+		} else {
+			fruitless++
+		}
+		if len(items) == 0 || fruitless == maxFruitless || !errors.Is(err, ErrAnswerLost) || ctx.Err() != nil {
 			return nil, 0, err
 		}
+		if fruitless > 0 {
+			bbrpause.For(ctx, retryInterval)
+		}
 	}
 }
 
