config/bbrfollow: slow reads of a large configuration leave room on the link

The configuration is read every 0.9 s besides the watch. Since reads are no longer cut by their duration, a configuration that takes 5 s on the entry's link filled the link all the time.

After a read that took more than a third of the time in which a change must be applied, the pause is twice as long as the read. Such reads find a missed change too late whatever the pause; faster ones are as often as before.

Evidence: TestSlowReadsLeaveRoom fails before with 55 s of reading in a minute ("55s" is not less than or equal to "25s").

--- a/internal/config/bbrfollow/follower.go
+++ b/internal/config/bbrfollow/follower.go
@@ -20,6 +20,8 @@
 	// readFraction is the time between two reads, as a fraction of
 	// Follower.MaxApplyDelay. It leaves time for one lost read.
 	readFraction = 0.3
+	// readPause is the pause after a slow read, as a multiple of what the read took.
+	readPause = 2
 	// retryInterval is the pause after a failed read and until the first
 	// configuration is known.
 	retryInterval = 200 * time.Millisecond
@@ -58,11 +60,24 @@
 // loop reads the configuration periodically until ctx ends.
 func (f *Follower) loop(ctx context.Context) {
 	for ctx.Err() == nil {
-		pause := time.Duration(readFraction * float64(f.MaxApplyDelay))
-		if err := f.read(ctx); err != nil || f.Config() == nil {
-			pause = min(pause, retryInterval)
-		}
-		bbrpause.For(ctx, pause)
+		begin := time.Now()
+		err := f.read(ctx)
+		bbrpause.For(ctx, f.pause(err, time.Since(begin)))
+	}
+}
+
+// pause returns the pause after a read that ended with err and took some time.
+func (f *Follower) pause(err error, took time.Duration) time.Duration {
+	pause := time.Duration(readFraction * float64(f.MaxApplyDelay))
+	switch {
+	case err != nil || f.Config() == nil:
+		return min(pause, retryInterval)
+	case took > f.MaxApplyDelay/3:
+		// Reads that take this long find a missed change too late anyway, and must leave
+		// room on the link for other calls.
+		return readPause * took
+	default:
+		return pause
 	}
 }
 
--- a/internal/config/bbrfollow/follower_test.go
+++ b/internal/config/bbrfollow/follower_test.go
@@ -116,3 +116,28 @@
 		})
 	}
 }
+
+// TestSlowReadsLeaveRoom guards against a link that is full of reads of a large
+// configuration.
+func TestSlowReadsLeaveRoom(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &configStore{version: 3, changed: make(chan struct{})}
+		store := s.store()
+		var reading time.Duration
+		store.Get = func(context.Context, string) (bbrkv.Item, error) {
+			time.Sleep(5 * time.Second)
+			reading += 5 * time.Second
+			return s.item(), nil
+		}
+		f := &Follower{Store: store, Key: testKey, MaxApplyDelay: testApply, Decode: func([]byte) (*bbrwork.Config, error) {
+			return bbrwork.NewConfig(3, nil, nil, bbrwork.Limits{}), nil
+		}}
+		ctx, cancel := context.WithCancel(t.Context())
+		var wg sync.WaitGroup
+		wg.Go(func() { f.Run(ctx) })
+		time.Sleep(time.Minute)
+		cancel()
+		wg.Wait()
+		require.LessOrEqual(t, reading, 25*time.Second)
+	})
+}
