--- a/internal/job/bbrscheduler/loading_test.go
+++ b/internal/job/bbrscheduler/loading_test.go
@@ -257,6 +257,7 @@
 			}
 			if late {
 				require.Zero(t, starts)
+				require.False(t, s.sched.usageUnknown(s.now), "it holds up organisations with a cap")
 				s.stored(lateJob, unitStep(1))
 				require.Len(t, s.plan().Starts, 1)
 				return
--- a/internal/job/bbrscheduler/partlylisted_test.go
+++ b/internal/job/bbrscheduler/partlylisted_test.go
@@ -86,3 +86,31 @@
 	state, _ := s.sched.State(testJob)
 	require.Equal(t, bbrwork.Completed, state)
 }
+
+// TestLoadingSuccessorReadsAllEndsBeforeItStarts guards against a successor that acknowledges
+// the first ends of an upstream to see the others, before it knows the job that they are of.
+func TestLoadingSuccessorReadsAllEndsBeforeItStarts(t *testing.T) {
+	s := newScene(t, false)
+	s.sched.BeginLoading([]bbrwork.Upstream{s.upstream("i-1")}, 500, s.now)
+	s.register("i-1")
+	s.register("i-2")
+	s.list("i-2")
+	for range 3 {
+		s.listEnds("i-1")
+		s.plan()
+		require.Zero(t, s.sched.upstreams["i-1"].acknowledged)
+	}
+	require.Equal(t, []string{testJob}, s.sched.MissingJobs(10))
+	s.stored(testJob, unitStep(manyUnits))
+	for range 3 {
+		require.Empty(t, s.plan().Starts)
+		s.store()
+		if s.sched.jobs[testJob] != nil {
+			s.listEnds("i-1")
+		}
+	}
+	require.Empty(t, s.plan().Starts)
+	s.store()
+	state, _ := s.sched.State(testJob)
+	require.Equal(t, bbrwork.Completed, state)
+}
