job/bbrscheduler: find the kept runs of a job without a search of all upstreams

Adopting the runs of a job that arrives visited the kept runs of all upstreams, so that loading cost the product of listed jobs and listed runs. Each unknown job now has the places of its runs.

--- a/internal/job/bbrscheduler/loading.go
+++ b/internal/job/bbrscheduler/loading.go
@@ -43,14 +43,20 @@
 
 // unknownJob is what upstreams listed of a job that has not arrived.
 type unknownJob struct {
-	// runs counts the runs in the unknownRuns of all upstreams.
-	runs int
+	// runs has the runs in the unknownRuns of all upstreams.
+	runs map[unknownPlace]bool
 	// lastRuns has the highest listed run number of each work unit.
 	lastRuns map[bbrwork.Unit]int
 	ends     []unappliedEnd
 	crashes  []unknownCrash
 }
 
+// unknownPlace is where a run of a job that has not arrived is.
+type unknownPlace struct {
+	up  *upstream
+	key runKey
+}
+
 // unappliedEnd is the end of a run, and the silence of the upstream before it was listed.
 type unappliedEnd struct {
 	up     *upstream
@@ -105,7 +111,7 @@
 func (sched *Scheduler) MissingJobs(limit int) []string {
 	unknown := sched.loading.unknown
 	ids := slices.SortedFunc(maps.Keys(unknown), func(a, b string) int {
-		return cmp.Or(cmp.Compare(min(1, unknown[b].runs), min(1, unknown[a].runs)), cmp.Compare(a, b))
+		return cmp.Or(cmp.Compare(min(1, len(unknown[b].runs)), min(1, len(unknown[a].runs))), cmp.Compare(a, b))
 	})
 	return ids[:min(len(ids), limit)]
 }
@@ -160,7 +166,7 @@
 	}
 	unknown := sched.loading.unknown[id]
 	if unknown == nil {
-		unknown = &unknownJob{lastRuns: make(map[bbrwork.Unit]int)}
+		unknown = &unknownJob{runs: make(map[unknownPlace]bool), lastRuns: make(map[bbrwork.Unit]int)}
 		sched.loading.unknown[id] = unknown
 	}
 	return unknown
@@ -177,7 +183,7 @@
 		kept = &unknownRun{since: now}
 		up.unknownRuns[key] = kept
 		unknown := sched.unknownJob(key.unit.Job)
-		unknown.runs++
+		unknown.runs[unknownPlace{up, key}] = true
 		unknown.lastRuns[key.unit] = max(unknown.lastRuns[key.unit], key.number)
 		sched.boundByLongestLease(up, now)
 	}
@@ -190,7 +196,7 @@
 		return
 	}
 	delete(up.unknownRuns, key)
-	sched.unknownJob(key.unit.Job).runs--
+	delete(sched.unknownJob(key.unit.Job).runs, unknownPlace{up, key})
 }
 
 // dropUnknownRuns removes all runs of unknown jobs from an upstream.
@@ -235,13 +241,9 @@
 	if unknown == nil {
 		return
 	}
-	for _, up := range sched.sortedUpstreams() {
-		for key := range up.unknownRuns {
-			if key.unit.Job == id {
-				delete(up.unknownRuns, key)
-				sched.addOrphan(up, key, now)
-			}
-		}
+	for place := range unknown.runs {
+		delete(place.up.unknownRuns, place.key)
+		sched.addOrphan(place.up, place.key, now)
 	}
 	for i := range unknown.ends {
 		unknown.ends[i].applied()
@@ -280,9 +282,7 @@
 		e.applied()
 	}
 	sched.loading.endsApplied += len(unknown.ends)
-	if unknown.runs > 0 {
-		sched.adoptUnknownRuns(j, now)
-	}
+	sched.adoptUnknownRuns(j, unknown, now)
 	for name, number := range unknown.lastRuns {
 		if u := j.findUnit(name); u != nil {
 			u.lastRun = max(u.lastRun, number)
@@ -299,27 +299,24 @@
 
 // adoptUnknownRuns adopts the kept runs of the job, as of the time when they were first
 // listed.
-func (sched *Scheduler) adoptUnknownRuns(j *job, now time.Time) {
+func (sched *Scheduler) adoptUnknownRuns(j *job, unknown *unknownJob, now time.Time) {
 	type adopted struct {
 		*run
 		*unknownRun
 	}
 	var runs []adopted
-	for _, up := range sched.sortedUpstreams() {
-		for key, kept := range up.unknownRuns {
-			if key.unit.Job != j.ID {
-				continue
-			}
-			delete(up.unknownRuns, key)
-			u := j.findUnit(key.unit)
-			if u == nil {
-				sched.addOrphan(up, key, now)
-				continue
-			}
-			r := sched.addAdopted(u, key.number, up, now)
-			r.orderedAt, r.confirmedAt = kept.since, kept.since
-			runs = append(runs, adopted{r, kept})
+	for _, place := range slices.SortedFunc(maps.Keys(unknown.runs), compareUnknownPlaces) {
+		up, key := place.up, place.key
+		kept := up.unknownRuns[key]
+		delete(up.unknownRuns, key)
+		u := j.findUnit(key.unit)
+		if u == nil {
+			sched.addOrphan(up, key, now)
+			continue
 		}
+		r := sched.addAdopted(u, key.number, up, now)
+		r.orderedAt, r.confirmedAt = kept.since, kept.since
+		runs = append(runs, adopted{r, kept})
 	}
 	sched.loading.runsAdopted += len(runs)
 	for _, a := range runs {
@@ -328,6 +325,10 @@
 	}
 }
 
+func compareUnknownPlaces(a, b unknownPlace) int {
+	return cmp.Or(cmp.Compare(a.up.ID, b.up.ID), cmp.Compare(a.key.number, b.key.number), cmp.Compare(a.key.unit.String(), b.key.unit.String()))
+}
+
 // recordUnknownCrashes records the end of an incarnation for its runs of unknown jobs, which
 // earlier owners started. others is the number of known runs that may have caused it.
 func (sched *Scheduler) recordUnknownCrashes(up *upstream, others int, now time.Time) {
@@ -355,7 +356,7 @@
 		return true
 	}
 	for _, unknown := range sched.loading.unknown {
-		if unknown.runs > 0 {
+		if len(unknown.runs) > 0 {
 			return true
 		}
 	}
--- a/internal/job/bbrscheduler/loadtime_test.go
+++ b/internal/job/bbrscheduler/loadtime_test.go
@@ -97,8 +97,8 @@
 	return id
 }
 
-// loadBacklog lets an owner add the jobs one by one, of which an upstream lists one in ten as
-// ended.
+// loadBacklog lets an owner add the jobs one by one, of which upstreams list one in ten as ended
+// and another one as running.
 func loadBacklog(jobs int) *Scheduler {
 	now := time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
 	sched := New(bbrwork.Shard{Service: "press"}, 7, testTiming, false, now)
@@ -108,6 +108,7 @@
 	sched.RegisterUpstream(up, now)
 	listing := &bbrwork.Listing{Clock: time.Second, StartMillis: 1000}
 	for i := range jobs / 10 {
+		listing.Running = append(listing.Running, bbrwork.Run{Unit: bbrwork.Unit{Job: fmt.Sprintf("%016x", 10*i+1)}, Number: 1})
 		listing.Ended = append(listing.Ended, bbrwork.RunEnd{Sequence: int64(i + 1), Unit: bbrwork.Unit{Job: fmt.Sprintf("%016x", 10*i)}, Run: 1, Outcome: bbrwork.OutcomeDone})
 	}
 	sched.ApplyListing(up.Incarnation, listing, now, now)
