job/bbrowner: tell how far a claimed shard is loaded, and which read failed

The line of a failed load named neither the read nor what had arrived, and no metric showed a claim whose shard was not loaded. The line has the stage, its attempt, how long that took, the age of the claim and the items and bytes so far; a shard that is not loaded 2 s after its claim is logged once a second. New are bbr_unloaded_claim_seconds, bbr_oldest_unloaded_claim_seconds, bbr_load_seconds and bbr_load_reads_total. What is read, and in which order, is unchanged.

--- a/internal/base/bbrmetric/set.go
+++ b/internal/base/bbrmetric/set.go
@@ -35,6 +35,9 @@
 	organisations   *prometheus.GaugeVec
 	callDurations   *prometheus.HistogramVec
 	storeDurations  *prometheus.HistogramVec
+	loadDurations   prometheus.Histogram
+	loadReads       *prometheus.CounterVec
+	unloaded        *prometheus.GaugeVec
 	planDelays      prometheus.Histogram
 	renewals        *prometheus.HistogramVec
 	extensionAges   prometheus.Histogram
@@ -84,6 +87,8 @@
 	s.separations = s.newCounter("bbr_separations_total", "Starts of work units whose image interferes with another one: on an upstream without the other one, or beside it.", "result")
 	s.interfering = s.newGauge("bbr_interfering_pairs", "Pairs of images that were found to slow each other down, by shard.", "shard")
 	s.unlocated = s.newGauge("bbr_unlocated_upstreams", "Upstreams on which an earlier owner of the shard may have started work that its successor does not know yet.", "shard")
+	s.loadReads = s.newCounter("bbr_load_reads_total", "Attempts to read a part of what is stored about a shard after its claim, by part and outcome.", "stage", "outcome")
+	s.unloaded = s.newGauge("bbr_unloaded_claim_seconds", "Age of the claim of a shard that this entry has claimed and not loaded yet.", "shard")
 	s.excluded = s.newGauge("bbr_excluded_upstreams", "Upstreams of a shard that may not take work, by reason.", "shard", "reason")
 	s.lateWork = s.newGauge("bbr_late_work", "Units of finite work that wait past the objective of their job, and reserved upstreams on which the one that has waited longest of all finite work would fit, by shard.", "shard", "amount")
 	s.clientsClosed = s.newCounter("bbr_client_closes_total", "Connections of clients that are closed because of a limit, by listener and reason.", "listener", "reason")
@@ -106,6 +111,11 @@
 		Help:    "Time of calls to the platform's store by kind and outcome.",
 		Buckets: []float64{.005, .01, .02, .05, .1, .2, .5, 1, 2, 5},
 	}, []string{"call", "outcome"})
+	s.loadDurations = prometheus.NewHistogram(prometheus.HistogramOpts{
+		Name:    "bbr_load_seconds",
+		Help:    "Time from the claim of a shard until everything that is stored about it has been read.",
+		Buckets: []float64{.01, .02, .05, .1, .2, .5, 1, 2, 5, 10, 20, 50, 100},
+	})
 	s.planDelays = prometheus.NewHistogram(prometheus.HistogramOpts{
 		Name:    "bbr_plan_delay_seconds",
 		Help:    "Time from the beginning of a planning round of an owner to that of the next one, beyond the interval of 100 ms.",
@@ -126,7 +136,7 @@
 		Help: "Processor capacity of an organisation in a shard: what its work uses, the share of its cap, and the whole cap.",
 	}, []string{"shard", "organisation", "amount"})
 	s.shares = s.newGauge("bbr_organisation_share", "Dominant share of an organisation in a shard whose capacity is short: what counts as used, the fair share, and what waits.", "shard", "organisation", "amount")
-	s.Registry.MustRegister(s.suspects, s.organisations, s.oldestWaits, s.callDurations, s.storeDurations, s.planDelays, s.renewals, s.extensionAges)
+	s.Registry.MustRegister(s.suspects, s.organisations, s.oldestWaits, s.callDurations, s.storeDurations, s.loadDurations, s.planDelays, s.renewals, s.extensionAges)
 	return s
 }
 
@@ -145,6 +155,20 @@
 	s.storeDurations.WithLabelValues(call, outcome).Observe(duration.Seconds())
 }
 
+// Loaded records the time that an owner took to load its shard.
+func (s *Set) Loaded(duration time.Duration) { s.loadDurations.Observe(duration.Seconds()) }
+
+// LoadRead counts an attempt to read a part of what is stored about a shard.
+func (s *Set) LoadRead(stage, outcome string) { s.loadReads.WithLabelValues(stage, outcome).Inc() }
+
+// SetUnloaded sets the age of the claim of a shard that is not loaded.
+func (s *Set) SetUnloaded(shard string, age time.Duration) {
+	s.unloaded.WithLabelValues(shard).Set(age.Seconds())
+}
+
+// ClearUnloaded removes the gauge of a shard that is loaded, or has no owner here.
+func (s *Set) ClearUnloaded(shard string) { s.unloaded.DeleteLabelValues(shard) }
+
 // PlanDelay records by how much a planning round of an owner began late.
 func (s *Set) PlanDelay(delay time.Duration) { s.planDelays.Observe(delay.Seconds()) }
 
--- a/internal/daemon/bbrserve/daemon.go
+++ b/internal/daemon/bbrserve/daemon.go
@@ -101,6 +101,9 @@
 		queries: bbrinquiry.NewClient(),
 	}
 	d.owners = newOwners(d)
+	metrics.Gauge("bbr_oldest_unloaded_claim_seconds", "Age of the oldest claim of a shard that this entry has not loaded yet; 0 if there is none.", func() float64 {
+		return d.owners.oldestUnloaded(time.Now()).Seconds()
+	})
 	d.claimer = &bbrclaim.Claimer{Session: d.session, Directory: d.directory, Names: d.owners.claimNames, RunOwner: d.owners.runOwner,
 		Relief: &bbrclaim.Relief{Entry: settings.Entry, Directory: d.directory, Count: d.countLateOwner}}
 	d.handler = &bbrintake.Handler{
--- a/internal/daemon/bbrserve/owners.go
+++ b/internal/daemon/bbrserve/owners.go
@@ -219,6 +219,20 @@
 	return owner.Explain(job, time.Now())
 }
 
+// oldestUnloaded returns the age of the oldest claim of a shard that is not loaded; 0 if
+// there is none.
+func (o *owners) oldestUnloaded(now time.Time) time.Duration {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	oldest := time.Duration(0)
+	for _, owner := range o.running {
+		if age, unloaded := owner.UnloadedFor(now); unloaded {
+			oldest = max(oldest, age)
+		}
+	}
+	return oldest
+}
+
 func (o *owners) runningOwner(shard bbrwork.Shard) *bbrowner.Owner {
 	o.mu.Lock()
 	defer o.mu.Unlock()
--- a/internal/job/bbrowner/interference.go
+++ b/internal/job/bbrowner/interference.go
@@ -3,11 +3,9 @@
 import (
 	"context"
 
-	"github.com/cockroachdb/errors"
 	"k8s.io/klog/v2"
 
 	"github.com/bluebellridge/bluebellridge/internal/job/bbrrecord"
-	"github.com/bluebellridge/bluebellridge/internal/store/bbrkv"
 )
 
 // loadInterference reads the record of interfering images. It returns nil if there is none,
@@ -16,8 +14,8 @@
 	if !o.SeparateInterfering {
 		return nil
 	}
-	item, err := o.Store.Get(ctx, bbrrecord.InterferenceKey(o.Shard))
-	if err != nil && !errors.Is(err, bbrkv.ErrNotFound) {
+	item, err := o.readRecord(ctx, stageInterference, bbrrecord.InterferenceKey(o.Shard), nil)
+	if err != nil {
 		klog.InfoS("Failed to read the record of interfering images, beginning without", "shard", o.Shard, "reason", err.Error())
 	}
 	return item.Value
--- a/internal/job/bbrowner/interference_test.go
+++ b/internal/job/bbrowner/interference_test.go
@@ -62,7 +62,7 @@
 				reads++
 				return test.item, test.err
 			}
-			o := &Owner{Shard: shard, Store: &bbrkv.Store{Get: get}, SeparateInterfering: !test.off}
+			o := &Owner{Shard: shard, Store: &bbrkv.Store{Get: get}, Metrics: bbrmetric.New(), SeparateInterfering: !test.off}
 			require.Equal(t, test.want, o.loadInterference(t.Context()))
 			require.Equal(t, test.off, reads == 0)
 		})
--- a/internal/job/bbrowner/jobs.go
+++ b/internal/job/bbrowner/jobs.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"k8s.io/klog/v2"
 
 	"github.com/bluebellridge/bluebellridge/internal/base/bbrpause"
@@ -65,15 +64,13 @@
 // loadRecorded reads the upstreams on which, as an earlier owner recorded, work of
 // the shard may run.
 func (o *Owner) loadRecorded(ctx context.Context) ([]bbrwork.Upstream, error) {
-	item, err := o.Store.Get(ctx, bbrrecord.IncarnationsKey(o.Shard))
-	if errors.Is(err, bbrkv.ErrNotFound) {
-		return nil, nil
-	}
-	if err != nil {
-		return nil, err
-	}
 	var recorded []bbrwork.Upstream
-	err = json.Unmarshal(item.Value, &recorded)
+	_, err := o.readRecord(ctx, stageRecorded, bbrrecord.IncarnationsKey(o.Shard), func(item bbrkv.Item) error {
+		if len(item.Value) == 0 {
+			return nil
+		}
+		return json.Unmarshal(item.Value, &recorded)
+	})
 	return recorded, err
 }
 
--- /dev/null
+++ b/internal/job/bbrowner/loadstate.go
@@ -0,0 +1,236 @@
+package bbrowner
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"k8s.io/klog/v2"
+
+	"github.com/bluebellridge/bluebellridge/internal/base/bbrpause"
+	"github.com/bluebellridge/bluebellridge/internal/store/bbrkv"
+)
+
+// loadStage is one of the reads by which an owner loads its shard, as named in log lines and
+// metrics.
+type loadStage string
+
+// Stages of a load.
+const (
+	stageSequence     loadStage = "sequence"
+	stageProgress     loadStage = "progress"
+	stageReserved     loadStage = "reserved"
+	stageRecorded     loadStage = "incarnations"
+	stageShares       loadStage = "shares"
+	stageCrashes      loadStage = "crashes"
+	stageInterference loadStage = "interference"
+	stageJobs         loadStage = "jobs"
+)
+
+const (
+	// loadReportAfter is the age of a claim from which a shard that is not loaded is reported,
+	// and loadReportInterval the time between two such reports.
+	loadReportAfter    = 2 * time.Second
+	loadReportInterval = time.Second
+	// loadCheckInterval is the time between two checks whether a shard is loaded.
+	loadCheckInterval = 250 * time.Millisecond
+)
+
+// loadState is what an owner has read of its shard so far. Its methods may be called by
+// several goroutines. The zero value has read nothing.
+type loadState struct {
+	mu sync.Mutex
+	// claimedAt is when the owner began, and advancedAt when the last item arrived; claimedAt
+	// before the first one.
+	claimedAt, advancedAt time.Time
+	// items and bytes count what has arrived, with what was read again after a failure.
+	items, bytes int
+	// attempts counts the attempts of each stage.
+	attempts map[loadStage]int
+	// open has the stages that are being read, with the beginning of their present attempts.
+	open map[loadStage]time.Time
+	// loaded means that everything has been read.
+	loaded bool
+}
+
+// loadAmount is what an owner has read.
+type loadAmount struct{ Items, Bytes int }
+
+// start begins the load.
+func (s *loadState) start(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.claimedAt, s.advancedAt = now, now
+}
+
+// beginRead records that an attempt of a stage begins, and returns its number.
+func (s *loadState) beginRead(stage loadStage, now time.Time) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.attempts == nil {
+		s.attempts, s.open = make(map[loadStage]int), make(map[loadStage]time.Time)
+	}
+	s.attempts[stage]++
+	s.open[stage] = now
+	return s.attempts[stage]
+}
+
+// endRead records that the present attempt of a stage has ended.
+func (s *loadState) endRead(stage loadStage) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.open, stage)
+}
+
+// add records items that have arrived.
+func (s *loadState) add(items []bbrkv.Item, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, item := range items {
+		s.items++
+		s.bytes += len(item.Key) + len(item.Value)
+		s.advancedAt = now
+	}
+}
+
+// finish records that everything has been read.
+func (s *loadState) finish() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.loaded = true
+}
+
+// amount returns what has been read.
+func (s *loadState) amount() loadAmount {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return loadAmount{Items: s.items, Bytes: s.bytes}
+}
+
+// claimAge returns how long the owner has had its claim.
+func (s *loadState) claimAge(now time.Time) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return now.Sub(s.claimedAt)
+}
+
+// unloadedFor returns how long the owner has had its claim without having read everything.
+// It returns false if it has, or has not begun.
+func (s *loadState) unloadedFor(now time.Time) (time.Duration, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.loaded || s.claimedAt.IsZero() {
+		return 0, false
+	}
+	return now.Sub(s.claimedAt), true
+}
+
+// idleFor returns how long nothing has arrived.
+func (s *loadState) idleFor(now time.Time) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return now.Sub(s.advancedAt)
+}
+
+// openStages returns the stages that are being read, and the sum of the attempts of all.
+func (s *loadState) openStages() (stages []loadStage, attempts int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, count := range s.attempts {
+		attempts += count
+	}
+	return slices.Sorted(maps.Keys(s.open)), attempts
+}
+
+// readStage makes one attempt of a stage. It logs a failure, with the context that tells a
+// slow link from a store that refuses calls.
+func (o *Owner) readStage(ctx context.Context, stage loadStage, read func(ctx context.Context) error) error {
+	began := time.Now()
+	attempt := o.loading.beginRead(stage, began)
+	err := read(ctx)
+	o.loading.endRead(stage)
+	o.Metrics.LoadRead(string(stage), bbrkv.Outcome(err))
+	if err != nil && ctx.Err() == nil {
+		now := time.Now()
+		amount := o.loading.amount()
+		klog.InfoS("Failed to load the stored state of the shard, will retry", "shard", o.Shard, "token", o.Held.Token, "stage", stage, "attempt", attempt,
+			"took", now.Sub(began).Round(time.Millisecond), "claimAge", o.loading.claimAge(now).Round(time.Millisecond), "items", amount.Items, "bytes", amount.Bytes, "reason", err.Error())
+	}
+	return err
+}
+
+// readRecord reads one record of a stage, and decodes it unless decode is nil. The item is
+// empty if there is none, and decode is called with it all the same.
+func (o *Owner) readRecord(ctx context.Context, stage loadStage, key string, decode func(bbrkv.Item) error) (bbrkv.Item, error) {
+	var item bbrkv.Item
+	err := o.readStage(ctx, stage, func(ctx context.Context) error {
+		var err error
+		item, err = o.Store.Get(ctx, key)
+		switch {
+		case err == nil:
+			o.loading.add([]bbrkv.Item{item}, time.Now())
+		case !errors.Is(err, bbrkv.ErrNotFound):
+			return err
+		}
+		if decode == nil {
+			return nil
+		}
+		return decode(item)
+	})
+	return item, err
+}
+
+// readRecords reads all records of a stage, and returns the revision as of which it did.
+func (o *Owner) readRecords(ctx context.Context, stage loadStage, prefix string) ([]bbrkv.Item, bbrkv.Revision, error) {
+	var items []bbrkv.Item
+	var asOf bbrkv.Revision
+	err := o.readStage(ctx, stage, func(ctx context.Context) error {
+		var err error
+		items, asOf, err = o.Store.ReadAll(ctx, prefix)
+		o.loading.add(items, time.Now())
+		return err
+	})
+	return items, asOf, err
+}
+
+// UnloadedFor returns how long the owner has had its claim without having loaded the shard.
+// It returns false if it has loaded it.
+func (o *Owner) UnloadedFor(now time.Time) (time.Duration, bool) { return o.loading.unloadedFor(now) }
+
+// loadMonitor reports a shard that is claimed and not loaded.
+type loadMonitor struct {
+	owner *Owner
+	// reportedAt is when it was last logged.
+	reportedAt time.Time
+}
+
+// run checks until the shard is loaded or ctx ends.
+func (m *loadMonitor) run(ctx context.Context) {
+	defer m.owner.Metrics.ClearUnloaded(m.owner.Shard.String())
+	for ctx.Err() == nil && m.check(time.Now()) {
+		bbrpause.For(ctx, loadCheckInterval)
+	}
+}
+
+// check updates the gauge and logs a shard that has not been loaded for long. It reports
+// whether the shard is not loaded.
+func (m *loadMonitor) check(now time.Time) bool {
+	o := m.owner
+	age, unloaded := o.loading.unloadedFor(now)
+	if !unloaded {
+		return false
+	}
+	o.Metrics.SetUnloaded(o.Shard.String(), age)
+	if age < loadReportAfter || now.Sub(m.reportedAt) < loadReportInterval {
+		return true
+	}
+	m.reportedAt = now
+	amount := o.loading.amount()
+	stages, attempts := o.loading.openStages()
+	klog.InfoS("Shard claimed and not loaded", "shard", o.Shard, "token", o.Held.Token, "claimAge", age.Round(time.Millisecond), "items", amount.Items, "bytes", amount.Bytes,
+		"lastItemAge", o.loading.idleFor(now).Round(time.Millisecond), "reading", stages, "attempts", attempts)
+	return true
+}
--- /dev/null
+++ b/internal/job/bbrowner/loadstate_test.go
@@ -0,0 +1,70 @@
+package bbrowner
+
+import (
+	"context"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/bluebellridge/bluebellridge/internal/base/bbrmetric"
+	"github.com/bluebellridge/bluebellridge/internal/job/bbrrecord"
+	"github.com/bluebellridge/bluebellridge/internal/store/bbrkv"
+)
+
+// TestFailedReadsOfALoadAreNamed guards against a shard that is not loaded without a log line
+// or metric that tells which read fails, how much has arrived and how old the claim is.
+func TestFailedReadsOfALoadAreNamed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := captureLog(t)
+		o := newLoopOwner(0)
+		o.Store = &bbrkv.Store{
+			Get: func(context.Context, string) (bbrkv.Item, error) { return bbrkv.Item{}, bbrkv.ErrNotFound },
+			Range: func(_ context.Context, prefix, _ string) (bbrkv.Page, error) {
+				time.Sleep(400 * time.Millisecond)
+				if prefix == bbrrecord.JobPrefixOf(o.Shard) {
+					return bbrkv.Page{}, bbrkv.ErrAnswerLost
+				}
+				return bbrkv.Page{Items: []bbrkv.Item{{Key: "k", Value: []byte("{}")}}}, nil
+			},
+		}
+		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second+10*time.Millisecond)
+		defer cancel()
+		var wg sync.WaitGroup
+		wg.Go(func() { o.Run(ctx) })
+		time.Sleep(4 * time.Second)
+		age, unloaded := o.UnloadedFor(time.Now())
+		require.True(t, unloaded)
+		require.Equal(t, 4*time.Second, age)
+		require.InDelta(t, 4, valuesByReason(t, o.Metrics, "bbr_unloaded_claim_seconds")["press/2"], 0.3)
+		wg.Wait()
+		require.Contains(t, log.String(), `"Failed to load the stored state of the shard, will retry" shard="press/2" token=7 stage="jobs" attempt=1 took="400ms" claimAge=`)
+		require.Contains(t, log.String(), `"Shard claimed and not loaded" shard="press/2" token=7 claimAge="2`)
+		require.Empty(t, valuesByReason(t, o.Metrics, "bbr_unloaded_claim_seconds"), "an owner that has ended leaves no gauge")
+		require.NotZero(t, valuesOfCounter(t, o.Metrics, "bbr_load_reads_total")["lost,jobs"])
+	})
+}
+
+// valuesOfCounter returns the values of a counter, by the values of its labels.
+func valuesOfCounter(t *testing.T, metrics *bbrmetric.Set, name string) map[string]float64 {
+	t.Helper()
+	families, err := metrics.Registry.Gather()
+	require.NoError(t, err)
+	values := make(map[string]float64)
+	for _, family := range families {
+		for _, metric := range family.GetMetric() {
+			if family.GetName() != name {
+				continue
+			}
+			var labels []string
+			for _, label := range metric.GetLabel() {
+				labels = append(labels, label.GetValue())
+			}
+			values[strings.Join(labels, ",")] = metric.GetCounter().GetValue()
+		}
+	}
+	return values
+}
--- a/internal/job/bbrowner/owner.go
+++ b/internal/job/bbrowner/owner.go
@@ -8,7 +8,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"k8s.io/klog/v2"
 
 	"github.com/bluebellridge/bluebellridge/internal/base/bbrmetric"
@@ -99,6 +98,8 @@
 	overdue overdueState
 	// startedAt is when Run began.
 	startedAt time.Time
+	// loading is what has been read of the shard.
+	loading loadState
 	// loadLoggedAt is when the load was last logged.
 	loadLoggedAt time.Time
 	renewers     map[string]*leaseRenewer
@@ -141,11 +142,16 @@
 	o.renewers = make(map[string]*leaseRenewer)
 	start := time.Now()
 	o.startedAt = start
+	o.loading.start(start)
+	monitor := &loadMonitor{owner: o}
+	o.wg.Go(func() { monitor.run(ctx) })
 	loadedAt, ok := o.load(ctx, start)
 	if !ok {
+		o.wg.Wait()
 		return
 	}
-	klog.InfoS("Owner started", "shard", o.Shard, "token", o.Held.Token, "jobs", o.scheduler.JobCount(), "took", time.Since(start).Round(time.Millisecond))
+	amount := o.loading.amount()
+	klog.InfoS("Owner started", "shard", o.Shard, "token", o.Held.Token, "jobs", o.scheduler.JobCount(), "items", amount.Items, "bytes", amount.Bytes, "took", time.Since(start).Round(time.Millisecond))
 	jobs := bbrkv.Follower{Store: o.Store, Prefix: bbrrecord.JobPrefixOf(o.Shard), WatchTimeout: jobWatchTimeout, BatchDelay: jobEventDelay, OnSnapshot: o.jobsSnapshot, OnChange: o.jobChanged}
 	jobs.StartAfter(loadedAt, start)
 	o.wg.Go(func() { jobs.Run(ctx) })
@@ -330,9 +336,10 @@
 	for ctx.Err() == nil {
 		revision, err := o.tryLoad(ctx, start)
 		if err == nil {
+			o.loading.finish()
+			o.Metrics.Loaded(time.Since(start))
 			return revision, true
 		}
-		klog.InfoS("Failed to load the stored state of the shard, will retry", "shard", o.Shard, "reason", err.Error())
 		bbrpause.For(ctx, loadRetryDelay)
 	}
 	return 0, false
@@ -340,20 +347,20 @@
 
 // tryLoad makes one attempt to load.
 func (o *Owner) tryLoad(ctx context.Context, start time.Time) (bbrkv.Revision, error) {
-	sequence, err := o.Store.Get(ctx, bbrrecord.SequenceKey(o.Shard))
-	firstOwner := errors.Is(err, bbrkv.ErrNotFound)
-	if err != nil && !firstOwner {
-		return 0, err
-	}
-	progress, _, err := o.Store.ReadAll(ctx, bbrrecord.ProgressPrefixOf(o.Shard))
+	sequence, err := o.readRecord(ctx, stageSequence, bbrrecord.SequenceKey(o.Shard), nil)
 	if err != nil {
 		return 0, err
 	}
-	reserved, err := o.Store.Get(ctx, bbrclaim.ReservedKey)
-	if err != nil && !errors.Is(err, bbrkv.ErrNotFound) {
+	firstOwner := sequence.Revision == 0
+	progress, _, err := o.readRecords(ctx, stageProgress, bbrrecord.ProgressPrefixOf(o.Shard))
+	if err != nil {
 		return 0, err
 	}
-	reservedIDs, err := bbrclaim.ParseReserved(reserved)
+	var reservedIDs map[string]bool
+	reserved, err := o.readRecord(ctx, stageReserved, bbrclaim.ReservedKey, func(item bbrkv.Item) (err error) {
+		reservedIDs, err = bbrclaim.ParseReserved(item)
+		return err
+	})
 	if err != nil {
 		return 0, err
 	}
@@ -361,16 +368,16 @@
 	if err != nil {
 		return 0, err
 	}
-	shares, err := o.loadShares(ctx)
+	shares, _, err := o.readRecords(ctx, stageShares, bbrrecord.SharesPrefix)
 	if err != nil {
 		return 0, err
 	}
-	crashes, _, err := o.Store.ReadAll(ctx, bbrrecord.CrashesPrefixOf(o.Shard))
+	crashes, _, err := o.readRecords(ctx, stageCrashes, bbrrecord.CrashesPrefixOf(o.Shard))
 	if err != nil {
 		return 0, err
 	}
 	interference := o.loadInterference(ctx)
-	jobs, revision, err := o.Store.ReadAll(ctx, bbrrecord.JobPrefixOf(o.Shard))
+	jobs, revision, err := o.readRecords(ctx, stageJobs, bbrrecord.JobPrefixOf(o.Shard))
 	if err != nil {
 		return 0, err
 	}
