job/bbrowner: tell how long transactions and the horizon take

An owner in office whose transactions get no answer shows only as the wait reason beyondHorizon; nothing told how long the transaction had been under way, how large it was, how often it was sent, or how it ended. A transaction that is not settled for 1 s is logged once a second; new are bbr_unsettled_transaction_seconds, bbr_transaction_seconds by outcome and bbr_horizon_wait_seconds.

--- a/internal/base/bbrmetric/set.go
+++ b/internal/base/bbrmetric/set.go
@@ -38,6 +38,9 @@
 	loadDurations   prometheus.Histogram
 	loadReads       *prometheus.CounterVec
 	unloaded        *prometheus.GaugeVec
+	transactions    *prometheus.HistogramVec
+	unsettled       *prometheus.GaugeVec
+	horizonWaits    prometheus.Histogram
 	planDelays      prometheus.Histogram
 	renewals        *prometheus.HistogramVec
 	extensionAges   prometheus.Histogram
@@ -89,6 +92,7 @@
 	s.unlocated = s.newGauge("bbr_unlocated_upstreams", "Upstreams on which an earlier owner of the shard may have started work that its successor does not know yet.", "shard")
 	s.loadReads = s.newCounter("bbr_load_reads_total", "Attempts to read a part of what is stored about a shard after its claim, by part and outcome.", "stage", "outcome")
 	s.unloaded = s.newGauge("bbr_unloaded_claim_seconds", "Age of the claim of a shard that this entry has claimed and not loaded yet.", "shard")
+	s.unsettled = s.newGauge("bbr_unsettled_transaction_seconds", "Time since the owner of a shard first sent its transaction whose outcome it does not know yet; 0 if there is none.", "shard")
 	s.excluded = s.newGauge("bbr_excluded_upstreams", "Upstreams of a shard that may not take work, by reason.", "shard", "reason")
 	s.lateWork = s.newGauge("bbr_late_work", "Units of finite work that wait past the objective of their job, and reserved upstreams on which the one that has waited longest of all finite work would fit, by shard.", "shard", "amount")
 	s.clientsClosed = s.newCounter("bbr_client_closes_total", "Connections of clients that are closed because of a limit, by listener and reason.", "listener", "reason")
@@ -116,6 +120,16 @@
 		Help:    "Time from the claim of a shard until everything that is stored about it has been read.",
 		Buckets: []float64{.01, .02, .05, .1, .2, .5, 1, 2, 5, 10, 20, 50, 100},
 	})
+	s.transactions = prometheus.NewHistogramVec(prometheus.HistogramOpts{
+		Name:    "bbr_transaction_seconds",
+		Help:    "Time from the first sending of a transaction of a shard's owner until its outcome was known, by outcome.",
+		Buckets: []float64{.005, .01, .02, .05, .1, .2, .5, 1, 2, 5, 10, 20},
+	}, []string{"outcome"})
+	s.horizonWaits = prometheus.NewHistogram(prometheus.HistogramOpts{
+		Name:    "bbr_horizon_wait_seconds",
+		Help:    "Time for which jobs beyond the stored horizon of a shard waited until a higher one was stored.",
+		Buckets: []float64{.005, .01, .02, .05, .1, .2, .5, 1, 2, 5, 10, 20},
+	})
 	s.planDelays = prometheus.NewHistogram(prometheus.HistogramOpts{
 		Name:    "bbr_plan_delay_seconds",
 		Help:    "Time from the beginning of a planning round of an owner to that of the next one, beyond the interval of 100 ms.",
@@ -136,7 +150,7 @@
 		Help: "Processor capacity of an organisation in a shard: what its work uses, the share of its cap, and the whole cap.",
 	}, []string{"shard", "organisation", "amount"})
 	s.shares = s.newGauge("bbr_organisation_share", "Dominant share of an organisation in a shard whose capacity is short: what counts as used, the fair share, and what waits.", "shard", "organisation", "amount")
-	s.Registry.MustRegister(s.suspects, s.organisations, s.oldestWaits, s.callDurations, s.storeDurations, s.loadDurations, s.planDelays, s.renewals, s.extensionAges)
+	s.Registry.MustRegister(s.suspects, s.organisations, s.oldestWaits, s.callDurations, s.storeDurations, s.loadDurations, s.transactions, s.horizonWaits, s.planDelays, s.renewals, s.extensionAges)
 	return s
 }
 
@@ -169,6 +183,23 @@
 // ClearUnloaded removes the gauge of a shard that is loaded, or has no owner here.
 func (s *Set) ClearUnloaded(shard string) { s.unloaded.DeleteLabelValues(shard) }
 
+// Transaction records a transaction of a shard's owner and the time until its outcome was
+// known.
+func (s *Set) Transaction(outcome string, duration time.Duration) {
+	s.transactions.WithLabelValues(outcome).Observe(duration.Seconds())
+}
+
+// HorizonWait records for how long jobs waited for a higher horizon.
+func (s *Set) HorizonWait(duration time.Duration) { s.horizonWaits.Observe(duration.Seconds()) }
+
+// SetUnsettled sets the age of a shard's unsettled transaction.
+func (s *Set) SetUnsettled(shard string, age time.Duration) {
+	s.unsettled.WithLabelValues(shard).Set(age.Seconds())
+}
+
+// ClearUnsettled removes the gauge of a shard that has no owner here.
+func (s *Set) ClearUnsettled(shard string) { s.unsettled.DeleteLabelValues(shard) }
+
 // PlanDelay records by how much a planning round of an owner began late.
 func (s *Set) PlanDelay(delay time.Duration) { s.planDelays.Observe(delay.Seconds()) }
 
--- a/internal/job/bbrowner/flusher.go
+++ b/internal/job/bbrowner/flusher.go
@@ -177,6 +177,7 @@
 	o := f.owner
 	o.mu.Lock()
 	o.scheduler.ApplyStored(batch, revision, time.Now())
+	o.recordHorizon(time.Now())
 	o.wakeRenewers(o.scheduler.Unfenced())
 	if o.nextStored != nil {
 		close(o.nextStored)
@@ -323,14 +324,18 @@
 // attempt was committed.
 func (f *flusher) commitUntilKnown(ctx context.Context, transaction bbrkv.Transaction, number int64) (bbrkv.Revision, error) {
 	answerLost := false
+	settle := f.owner.beginTransaction(&transaction, time.Now())
 	for {
 		revision, err := f.owner.Store.Commit(ctx, transaction)
 		var conflict *bbrkv.Conflict
 		switch {
 		case err == nil:
+			settle(transactionStored, time.Now())
 			return revision, nil
 		case errors.As(err, &conflict):
-			return f.resolveConflict(conflict, number, answerLost)
+			revision, err := f.resolveConflict(conflict, number, answerLost)
+			settle(outcomeOfConflict(err), time.Now())
+			return revision, err
 		case errors.Is(err, bbrkv.ErrAnswerLost):
 			answerLost = true
 		case !answerLost:
@@ -338,11 +343,14 @@
 			if errors.Is(err, bbrkv.ErrInvalid) {
 				klog.ErrorS(err, "The store rejects a transaction as invalid", "shard", f.owner.Shard, "token", f.owner.Held.Token, "puts", len(transaction.Puts), "removals", len(transaction.Removals), "largest", largestValue(transaction))
 			}
+			settle(transactionRefused, time.Now())
 			return 0, err
 		}
 		f.owner.Metrics.Event("flush:unsettled")
+		f.owner.repeatTransaction()
 		bbrpause.For(ctx, flushRetryDelay)
 		if ctx.Err() != nil {
+			settle(transactionAbandoned, time.Now())
 			return 0, ctx.Err()
 		}
 	}
--- a/internal/job/bbrowner/owner.go
+++ b/internal/job/bbrowner/owner.go
@@ -112,6 +112,7 @@
 	// nextStored is closed after the next transaction; nil while nothing waits for it.
 	nextStored chan struct{}
 	commits    commitState
+	settlement settlement
 	// staleCrashKeys has the keys of crash records whose jobs have ended under an
 	// owner that does not know such records. They are removed with later transactions.
 	staleCrashKeys []string
@@ -184,6 +185,7 @@
 	o.Metrics.ClearInterferingPairs(shard)
 	o.Metrics.ClearExcluded(shard)
 	o.Metrics.ClearLateWork(shard)
+	o.Metrics.ClearUnsettled(shard)
 }
 
 // jobWatchTimeout is how long a watch for jobs lasts. It bounds the delay of jobs
@@ -235,6 +237,8 @@
 	o.refresh(now)
 	plan := o.scheduler.Plan(o.Confirmed(now), now)
 	o.startRenewers(ctx)
+	o.recordHorizon(now)
+	o.reportUnsettled(now)
 	o.logLoad(now)
 	o.updateRoom(now)
 	drained := o.scheduler.Drained(now)
