fleet/bbrclaim: an owner that gets nothing of its shard hands it over

An owner that has received no item of the shard that it loads for 6 s, while its claim is confirmed, releases the claim if another entry can take it, and leaves it to others for 15 s. Each item that arrives counts as progress, so that a slow link alone is no reason. New cause of bbr_handovers_total: unloaded.

The new tests fail without the decision: the owner keeps its claim to the end of each case.

--- a/internal/daemon/bbrserve/owners.go
+++ b/internal/daemon/bbrserve/owners.go
@@ -173,6 +173,9 @@
 	owner.HandOverOverdue = func(ownedSince, now time.Time) bool {
 		return d.claimer.Relief.HandOverOverdue(held.Name, ownedSince, now)
 	}
+	owner.HandOverUnloaded = func(idle time.Duration, ownedSince, now time.Time) bool {
+		return d.claimer.Relief.HandOverUnloaded(held.Name, idle, ownedSince, now)
+	}
 	if jobs.BalanceByCapacity {
 		owner.HandOver = func(ownedSince, now time.Time) bool { return d.claimer.Relief.HandOver(held.Name, ownedSince, now) }
 	}
--- a/internal/fleet/bbrclaim/relief.go
+++ b/internal/fleet/bbrclaim/relief.go
@@ -21,14 +21,18 @@
 	// hand-over take effect on the entry's other shards, and keeps entries that are all slow
 	// from handing over at the same time.
 	handOverPause = 10 * time.Second
+	// MaxLoadIdleTime is how long nothing may arrive of a shard that its owner loads before it
+	// hands the shard over. It exceeds the timeouts of several calls to the store.
+	MaxLoadIdleTime = 6 * time.Second
 	// deferral is how long an entry leaves a shard that it handed over to others. It is many
 	// times claimStagger, so that several of them can attempt the claim.
 	deferral = 15 * time.Second
 )
 
 // Relief decides which owners of an entry hand over their shards because they are slow: by
-// HandOver, if their rounds have been late for long, and by HandOverOverdue, if their work
-// is harmed. It keeps the entry from claiming such a shard again.
+// HandOver, if their rounds have been late for long, by HandOverOverdue, if their work is
+// harmed, and by HandOverUnloaded, if they cannot load the shard. It keeps the entry from
+// claiming such a shard again.
 type Relief struct {
 	Entry     string
 	Directory *Directory
@@ -43,20 +47,24 @@
 	until map[string]time.Time
 }
 
-// Decision is a decision about an owner whose planning rounds are late.
+// Decision is a decision about an owner whose planning rounds are late, or that cannot load
+// its shard.
 type Decision string
 
 // Decisions: a hand-over and its cause, or the reason for which the shard is kept.
 const (
 	HandOverLate     Decision = "late"
 	HandOverOverdue  Decision = "overdue"
+	HandOverUnloaded Decision = "unloaded"
 	KeptRecent       Decision = "recentOwner"
 	KeptAfterAnother Decision = "afterAnother"
 	KeptNoSpare      Decision = "noSpareEntry"
 )
 
 // HandsOver reports whether the decision is a hand-over.
-func (d Decision) HandsOver() bool { return d == HandOverLate || d == HandOverOverdue }
+func (d Decision) HandsOver() bool {
+	return d == HandOverLate || d == HandOverOverdue || d == HandOverUnloaded
+}
 
 // HandOver reports whether the slow owner of the name, which it has owned since a time, is
 // to release its claim now.
@@ -64,7 +72,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	decision := decideHandOver(now.Sub(ownedSince), now.Sub(r.Directory.lastEnd(r.lastAt)), r.Directory.hasSpareEntry(r.Entry))
-	return r.carryOut(name, decision, now)
+	return r.carryOut(name, decision, keptLate, now)
 }
 
 // HandOverOverdue reports whether the owner of the name, which it has owned since a time, is
@@ -77,14 +85,35 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	decision := decideOverdue(now.Sub(ownedSince), now.Sub(r.Directory.lastHandOver(r.lastAt)), r.Directory.handedOver(name), r.Directory.hasSpareEntry(r.Entry))
-	return r.carryOut(name, decision, now)
+	return r.carryOut(name, decision, keptLate, now)
+}
+
+// HandOverUnloaded reports whether the owner of the name, which it has owned since a time, is
+// to release its claim now, as the shard is not loaded and nothing of it has arrived for the
+// idle time. If the owner before has handed the shard over as well, it waits for
+// minOwnedTime: then it is likely the store that lets nobody load it.
+func (r *Relief) HandOverUnloaded(name string, idle time.Duration, ownedSince, now time.Time) bool {
+	if idle < MaxLoadIdleTime {
+		return false
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	decision := decideUnloaded(now.Sub(ownedSince), now.Sub(r.Directory.lastHandOver(r.lastAt)), r.Directory.handedOver(name), r.Directory.hasSpareEntry(r.Entry))
+	return r.carryOut(name, decision, keptUnloaded, now)
 }
 
-// carryOut counts the decision, records a hand-over and reports whether it is one.
-func (r *Relief) carryOut(name string, decision Decision, now time.Time) bool {
+// Log lines about a claim that is kept.
+const (
+	keptLate     = "Keeping a claim although its rounds are late"
+	keptUnloaded = "Keeping a claim although its shard does not load"
+)
+
+// carryOut counts the decision, records a hand-over and reports whether it is one. It logs
+// kept if it is not.
+func (r *Relief) carryOut(name string, decision Decision, kept string, now time.Time) bool {
 	r.Count(decision)
 	if !decision.HandsOver() {
-		klog.InfoS("Keeping a claim although its rounds are late", "claim", name, "reason", decision)
+		klog.InfoS(kept, "claim", name, "reason", decision)
 		return false
 	}
 	if name != LeadershipName {
@@ -142,6 +171,21 @@
 	}
 }
 
+// decideUnloaded decides about an owner that gets nothing of its shard, by the same as
+// decideOverdue.
+func decideUnloaded(owned, sinceLast time.Duration, handedOver, spareEntry bool) Decision {
+	switch {
+	case handedOver && owned < minOwnedTime:
+		return KeptRecent
+	case sinceLast < handOverPause:
+		return KeptAfterAnother
+	case !spareEntry:
+		return KeptNoSpare
+	default:
+		return HandOverUnloaded
+	}
+}
+
 // handedOver reports whether the last claim of the name that ended was removed while its entry
 // kept its lease. The claims of an entry that is lost, or restarts, end with its lease.
 func (d *Directory) handedOver(name string) bool {
--- a/internal/fleet/bbrclaim/relief_test.go
+++ b/internal/fleet/bbrclaim/relief_test.go
@@ -138,6 +138,8 @@
 	slow map[string]bool
 	// overdue means that the leases of a slow owner's runs run out.
 	overdue bool
+	// unloaded means that slow owners get nothing of the shards that they load.
+	unloaded bool
 
 	mu sync.Mutex
 	// owners has the entries that owned each shard, in order.
@@ -181,11 +183,15 @@
 	f.mu.Unlock()
 	defer f.recordRelease(held.Name)
 	var lateness, overdue Lateness
+	advancedAt := since
 	for ctx.Err() == nil {
+		if f.unloaded && c.Relief.HandOverUnloaded(held.Name, time.Since(advancedAt), since, time.Now()) {
+			return
+		}
 		if f.overdue && overdue.RecordHarmful(time.Now(), roundInterval) && c.Relief.HandOverOverdue(held.Name, since, time.Now()) {
 			return
 		}
-		if !f.overdue && c.Relief != nil && lateness.Record(time.Now(), roundInterval) {
+		if !f.overdue && !f.unloaded && c.Relief != nil && lateness.Record(time.Now(), roundInterval) {
 			lateness.Reset()
 			if c.Relief.HandOver(held.Name, since, time.Now()) {
 				return
@@ -195,6 +201,8 @@
 		pause := roundInterval
 		if f.slow[c.Session.Entry] {
 			pause = 500 * time.Millisecond
+		} else {
+			advancedAt = time.Now()
 		}
 		f.mu.Unlock()
 		time.Sleep(pause)
@@ -242,10 +250,15 @@
 
 // playFleet is playSlowFleet; with overdue, the slow owners ask by HandOverOverdue.
 func playFleet(t *testing.T, entries int, enabled, overdue bool, length time.Duration, slow ...string) *slowFleet {
+	return playArranged(t, entries, enabled, func(fleet *slowFleet) { fleet.overdue = overdue }, length, slow...)
+}
+
+// playArranged is playSlowFleet for a fleet that arrange has changed.
+func playArranged(t *testing.T, entries int, enabled bool, arrange func(*slowFleet), length time.Duration, slow ...string) *slowFleet {
 	var fleet *slowFleet
 	synctest.Test(t, func(t *testing.T) {
 		fleet = newSlowFleet(t, entries, enabled)
-		fleet.overdue = overdue
+		arrange(fleet)
 		ctx, cancel := context.WithCancel(t.Context())
 		fleet.play(ctx, 2*time.Minute)
 		require.Len(t, fleet.owners, 4)
@@ -397,3 +410,42 @@
 	require.Empty(t, playSlowFleet(t, 1, true, 2*time.Minute, "e0").handOvers())
 	require.Empty(t, playFleet(t, 1, true, true, 2*time.Minute, "e0").handOvers())
 }
+
+// TestOwnerThatLoadsNothingHandsOver guards against a claim that is kept for good by an owner that gets nothing of its shard, and against one that is given up while its shard arrives, if slowly.
+func TestOwnerThatLoadsNothingHandsOver(t *testing.T) {
+	unloaded := func(fleet *slowFleet) { fleet.unloaded = true }
+	fleet := playArranged(t, 4, true, unloaded, MaxLoadIdleTime+2*time.Second, "e1")
+	require.Len(t, fleet.handOvers(), 1, "the entry had one shard")
+	for name, owners := range fleet.owners {
+		require.LessOrEqual(t, len(owners), 2, name)
+		require.False(t, len(owners) == 2 && (owners[0] != "e1" || owners[1] == "e1"), "%s: %v", name, owners)
+	}
+	require.LessOrEqual(t, fleet.longestGap, time.Second)
+	require.Empty(t, playArranged(t, 1, true, unloaded, 2*time.Minute, "e0").handOvers(), "nobody else can take it")
+
+	now, d := time.Unix(1000, 0), &Directory{}
+	d.Snapshot([]bbrkv.Item{registered(t, "e1", 1, entryRecord{Entry: "e1", MilliCPU: 400})}, 1, now)
+	var decisions []Decision
+	r := &Relief{Entry: "e0", Directory: d, Count: func(decision Decision) { decisions = append(decisions, decision) }}
+	require.False(t, r.HandOverUnloaded("press/0", MaxLoadIdleTime-1, now.Add(-time.Hour), now), "slow progress is no reason")
+	require.Empty(t, decisions)
+	require.True(t, r.HandOverUnloaded("press/0", MaxLoadIdleTime, now.Add(-MaxLoadIdleTime), now))
+	require.True(t, r.leaves("press/0", now.Add(deferral-1)), "the entry does not claim it again at once")
+	require.False(t, r.HandOverUnloaded("press/1", MaxLoadIdleTime, now.Add(-time.Hour), now.Add(handOverPause-1)), "one shard at a time")
+	require.Equal(t, []Decision{HandOverUnloaded, KeptAfterAnother}, decisions)
+}
+
+// TestShardsThatNobodyLoadsDoNotCirculate guards against shards that move from entry to entry all the time while the store lets nobody load them.
+func TestShardsThatNobodyLoadsDoNotCirculate(t *testing.T) {
+	require.Equal(t, KeptRecent, decideUnloaded(minOwnedTime-1, time.Hour, true, true))
+	require.Equal(t, HandOverUnloaded, decideUnloaded(minOwnedTime, time.Hour, true, true))
+	require.Equal(t, KeptNoSpare, decideUnloaded(time.Hour, time.Hour, false, false))
+	slow := []string{"e0", "e1", "e2", "e3"}
+	fleet := playArranged(t, len(slow), true, func(fleet *slowFleet) { fleet.unloaded = true }, 3*time.Minute, slow...)
+	require.NotEmpty(t, fleet.handOvers())
+	for name, claimed := range fleet.claimedAt {
+		for i := 2; i < len(claimed); i++ {
+			require.GreaterOrEqual(t, claimed[i].Sub(claimed[i-1]), minOwnedTime, "%s: %v", name, claimed)
+		}
+	}
+}
--- a/internal/job/bbrowner/loadstate.go
+++ b/internal/job/bbrowner/loadstate.go
@@ -11,6 +11,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/bluebellridge/bluebellridge/internal/base/bbrpause"
+	"github.com/bluebellridge/bluebellridge/internal/fleet/bbrclaim"
 	"github.com/bluebellridge/bluebellridge/internal/store/bbrkv"
 )
 
@@ -35,6 +36,8 @@
 	// and loadReportInterval the time between two such reports.
 	loadReportAfter    = 2 * time.Second
 	loadReportInterval = time.Second
+	// unloadedRetryDelay is the pause after a decision to keep a shard that does not load.
+	unloadedRetryDelay = 2 * time.Second
 	// loadCheckInterval is the time between two checks whether a shard is loaded.
 	loadCheckInterval = 250 * time.Millisecond
 )
@@ -200,11 +203,13 @@
 // It returns false if it has loaded it.
 func (o *Owner) UnloadedFor(now time.Time) (time.Duration, bool) { return o.loading.unloadedFor(now) }
 
-// loadMonitor reports a shard that is claimed and not loaded.
+// loadMonitor reports a shard that is claimed and not loaded, and ends its owner if another
+// entry can take the shard over.
 type loadMonitor struct {
 	owner *Owner
-	// reportedAt is when it was last logged.
-	reportedAt time.Time
+	// reportedAt is when it was last logged, and askedAt when the owner last asked whether it
+	// is to hand over.
+	reportedAt, askedAt time.Time
 }
 
 // run checks until the shard is loaded or ctx ends.
@@ -224,6 +229,10 @@
 		return false
 	}
 	o.Metrics.SetUnloaded(o.Shard.String(), age)
+	if m.handsOver(now) {
+		o.cancelRun()
+		return false
+	}
 	if age < loadReportAfter || now.Sub(m.reportedAt) < loadReportInterval {
 		return true
 	}
@@ -234,3 +243,22 @@
 		"lastItemAge", o.loading.idleFor(now).Round(time.Millisecond), "reading", stages, "attempts", attempts)
 	return true
 }
+
+// handsOver reports whether the owner has to release its claim, as nothing of the shard
+// arrives and another entry can take it over. Without the store, the claim cannot be
+// released, and nobody could load the shard.
+func (m *loadMonitor) handsOver(now time.Time) bool {
+	o := m.owner
+	idle := o.loading.idleFor(now)
+	if o.HandOverUnloaded == nil || idle < bbrclaim.MaxLoadIdleTime || !o.Confirmed(now) || now.Sub(m.askedAt) < unloadedRetryDelay {
+		return false
+	}
+	m.askedAt = now
+	if !o.HandOverUnloaded(idle, o.startedAt, now) {
+		return false
+	}
+	amount := o.loading.amount()
+	klog.InfoS("Handing over a shard, as nothing of it arrives", "shard", o.Shard, "token", o.Held.Token, "idle", idle.Round(time.Millisecond),
+		"owned", now.Sub(o.startedAt).Round(time.Millisecond), "items", amount.Items, "bytes", amount.Bytes)
+	return true
+}
--- a/internal/job/bbrowner/loadstate_test.go
+++ b/internal/job/bbrowner/loadstate_test.go
@@ -11,6 +11,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/bluebellridge/bluebellridge/internal/base/bbrmetric"
+	"github.com/bluebellridge/bluebellridge/internal/fleet/bbrclaim"
 	"github.com/bluebellridge/bluebellridge/internal/job/bbrrecord"
 	"github.com/bluebellridge/bluebellridge/internal/store/bbrkv"
 )
@@ -48,6 +49,53 @@
 	})
 }
 
+// TestOwnerThatLoadsNothingReleasesItsClaim guards against an owner that keeps its claim for
+// as long as it lives while its reads fail, and against one that releases it while its shard
+// arrives or the store cannot be told.
+func TestOwnerThatLoadsNothingReleasesItsClaim(t *testing.T) {
+	for _, test := range []struct {
+		name                       string
+		advances, refused, unknown bool
+		released                   bool
+	}{
+		{name: "nothing arrives", released: true},
+		{name: "slow progress", advances: true},
+		{name: "no successor", refused: true},
+		{name: "claim not confirmed", unknown: true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				o := newLoopOwner(0)
+				o.Confirmed = func(time.Time) bool { return !test.unknown }
+				asked := 0
+				o.HandOverUnloaded = func(idle time.Duration, ownedSince, _ time.Time) bool {
+					require.GreaterOrEqual(t, idle, bbrclaim.MaxLoadIdleTime)
+					require.Equal(t, o.startedAt, ownedSince)
+					asked++
+					return !test.refused
+				}
+				o.Store = &bbrkv.Store{
+					Get: func(context.Context, string) (bbrkv.Item, error) {
+						time.Sleep(300 * time.Millisecond)
+						if test.advances {
+							return bbrkv.Item{}, nil
+						}
+						return bbrkv.Item{}, bbrkv.ErrAnswerLost
+					},
+					Range: func(context.Context, string, string) (bbrkv.Page, error) { return bbrkv.Page{}, bbrkv.ErrAnswerLost },
+				}
+				ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+				defer cancel()
+				o.Run(ctx)
+				require.Equal(t, test.released, ctx.Err() == nil)
+				if test.refused {
+					require.InDelta(t, 7, asked, 1, "it asks again after a pause")
+				}
+			})
+		})
+	}
+}
+
 // valuesOfCounter returns the values of a counter, by the values of its labels.
 func valuesOfCounter(t *testing.T, metrics *bbrmetric.Set, name string) map[string]float64 {
 	t.Helper()
--- a/internal/job/bbrowner/owner.go
+++ b/internal/job/bbrowner/owner.go
@@ -59,6 +59,9 @@
 	// HandOverOverdue reports whether the owner is to release its claim now, as it is late
 	// and overdue with the renewal of leases. It is nil if it keeps its claim then.
 	HandOverOverdue func(ownedSince, now time.Time) bool
+	// HandOverUnloaded reports whether the owner is to release its claim now, as nothing of
+	// the shard that it loads has arrived for the idle time. It is nil if it keeps its claim.
+	HandOverUnloaded func(idle time.Duration, ownedSince, now time.Time) bool
 	// FairShares makes organisations share the capacity by weight while it is short.
 	FairShares bool
 	// ReserveCapacity means that wide work may reserve capacity, and that urgent work may
