job/bbrintake: queries share one count of a shard's stored jobs

Callers got storeUnavailable for the number of waiting jobs of a queue while a shard with a large backlog had no report, and each query read the whole list of the shard anew: queries that could not be answered in their time filled the entry's link.

Queries wait for one count per shard, which goes on when a query ends and continues behind the last item when an answer is lost. A count is reused for four times what it took, up to 10 s.

--- /dev/null
+++ b/internal/job/bbrintake/storedcounts.go
@@ -0,0 +1,132 @@
+package bbrintake
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"k8s.io/klog/v2"
+
+	"github.com/bluebellridge/bluebellridge/internal/job/bbrrecord"
+	"github.com/bluebellridge/bluebellridge/internal/job/bbrwork"
+	"github.com/bluebellridge/bluebellridge/internal/store/bbrkv"
+)
+
+const (
+	// storedCountTimeout bounds the time to count the stored jobs of a shard.
+	storedCountTimeout = 30 * time.Second
+	// storedCountReuse is how long a count is reused, as a multiple of the time that it took,
+	// up to maxStoredCountAge: counting takes no more than a part of the link.
+	storedCountReuse  = 4
+	maxStoredCountAge = 10 * time.Second
+)
+
+// storedCounts shares the counts of stored jobs among queries: a count reads all jobs of a
+// shard, which may take longer than a query lasts. The zero value is ready to use.
+type storedCounts struct {
+	mu     sync.Mutex
+	counts map[bbrwork.Shard]*storedCount
+}
+
+// storedCount counts the stored jobs of a shard that have no progress.
+type storedCount struct {
+	store *bbrkv.Store
+	shard bbrwork.Shard
+	began time.Time
+	// done is closed at the end. The fields below are set before and do not change then.
+	done    chan struct{}
+	ended   time.Time
+	waiting map[string]int
+	err     error
+}
+
+// get returns the number of waiting jobs by queue. It waits for the count in progress, if any,
+// until ctx ends.
+func (c *storedCounts) get(ctx context.Context, store *bbrkv.Store, shard bbrwork.Shard, now time.Time) (map[string]int, error) {
+	count := c.current(ctx, store, shard, now)
+	select {
+	case <-count.done:
+		return count.waiting, count.err
+	case <-ctx.Done():
+		return nil, errors.Wrap(ctx.Err(), "counting the stored jobs has not ended")
+	}
+}
+
+// current returns the count that is in progress or recent, or begins one. It goes on when ctx
+// ends, since other queries may wait for it.
+func (c *storedCounts) current(ctx context.Context, store *bbrkv.Store, shard bbrwork.Shard, now time.Time) *storedCount {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if count := c.counts[shard]; count != nil && count.reusable(now) {
+		return count
+	}
+	if c.counts == nil {
+		c.counts = make(map[bbrwork.Shard]*storedCount)
+	}
+	count := &storedCount{store: store, shard: shard, began: now, done: make(chan struct{})}
+	c.counts[shard] = count
+	go count.run(context.WithoutCancel(ctx))
+	return count
+}
+
+// reusable reports whether the count is in progress or recent.
+func (s *storedCount) reusable(now time.Time) bool {
+	select {
+	case <-s.done:
+	default:
+		return true
+	}
+	age := min(storedCountReuse*s.ended.Sub(s.began), maxStoredCountAge)
+	return s.err == nil && now.Sub(s.ended) < age
+}
+
+// run counts.
+func (s *storedCount) run(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, storedCountTimeout)
+	defer cancel()
+	defer close(s.done)
+	s.waiting, s.err = s.count(ctx)
+	s.ended = time.Now()
+}
+
+// count returns the number of jobs without progress by queue.
+func (s *storedCount) count(ctx context.Context) (map[string]int, error) {
+	queues := make(map[string]string)
+	err := s.read(ctx, bbrrecord.JobPrefixOf(s.shard), func(item bbrkv.Item) {
+		var job struct {
+			Queue string `json:"queue"`
+		}
+		if err := json.Unmarshal(item.Value, &job); err != nil {
+			klog.ErrorS(err, "Failed to decode a stored job", "key", item.Key, "revision", item.Revision)
+			return
+		}
+		queues[bbrrecord.JobID(item.Key)] = job.Queue
+	})
+	if err != nil || len(queues) == 0 {
+		return nil, err
+	}
+	err = s.read(ctx, bbrrecord.ProgressPrefixOf(s.shard), func(item bbrkv.Item) { delete(queues, bbrrecord.JobID(item.Key)) })
+	if err != nil {
+		return nil, err
+	}
+	waiting := make(map[string]int)
+	for _, queue := range queues {
+		waiting[queue]++
+	}
+	return waiting, nil
+}
+
+// read reads the items under a prefix. It continues behind the last item when an answer is
+// lost, as long as items arrive.
+func (s *storedCount) read(ctx context.Context, prefix string, each func(bbrkv.Item)) error {
+	listing := bbrkv.Listing{Store: s.store, Prefix: prefix, OnItem: each}
+	for {
+		before := listing.Progress().Items
+		err := listing.Read(ctx)
+		if err == nil || listing.Progress().Items == before || !errors.Is(err, bbrkv.ErrAnswerLost) || ctx.Err() != nil {
+			return err
+		}
+	}
+}
