job/bbrowner: starts do not wait for bulk that is stored

Work waited with beyondHorizon for seconds in shards whose owner was in office, on entries with small links. A transaction had no bound in bytes at all, so that one that takes longer than a call may could never be stored.

A transaction that starts wait for (horizon, recorded upstreams) has at most 8 KiB of writes and no report, and the one after it has the rest, so that bulk is stored too while starts wait all the time. Any transaction has at most 128 KiB of writes, except for a single larger one.

--- a/internal/job/bbrowner/flusher.go
+++ b/internal/job/bbrowner/flusher.go
@@ -31,6 +31,11 @@
 	// record of interfering images is one more in the transactions that have it.
 	fixedEntries = 5
 	maxWrites    = bbrkv.MaxTransactionSize - fixedEntries
+	// maxTransactionBytes bounds the writes of a transaction, except for a single one that is
+	// larger: an entry with a small link must be able to send it within the time of a call.
+	// Starts wait for an urgent transaction, so that it has fewer.
+	maxTransactionBytes       = 128 << 10
+	maxUrgentTransactionBytes = 8 << 10
 )
 
 // commitState is what the owner knows of its own transactions.
@@ -64,6 +69,10 @@
 	lastReport report
 	reportedAt time.Time
 	reportTook time.Duration
+	// shortened means that the last transaction left writes or a report out because starts
+	// waited for it. The next one leaves nothing out, so that bulk is stored as well while
+	// starts wait all the time.
+	shortened bool
 }
 
 func (f *flusher) run(ctx context.Context) {
@@ -120,8 +129,13 @@
 	current := f.currentReport(now)
 	canAcknowledge := o.scheduler.CanAcknowledge()
 	o.mu.Unlock()
-	batch, complete := fitTransaction(batch)
+	urgent := (needsHorizon || batch.Recorded != nil) && !f.shortened
+	batch, complete := fitTransaction(batch, urgent)
 	storeReport := f.mustStoreReport(current, now)
+	if urgent && storeReport {
+		storeReport, complete = false, false
+	}
+	f.shortened = urgent && !complete
 	if len(batch.Writes) == 0 && batch.Recorded == nil && !needsHorizon && !storeReport {
 		if canAcknowledge {
 			f.applyStored(batch, 0)
@@ -217,15 +231,17 @@
 }
 
 // fitTransaction truncates the batch to what fits into a transaction, and reports
-// whether the result has all that there is to store.
-func fitTransaction(batch bbrscheduler.Batch) (bbrscheduler.Batch, bool) {
-	count := fixedEntries
+// whether the result has all that there is to store. Starts wait for an urgent one, whatever
+// writes it has.
+func fitTransaction(batch bbrscheduler.Batch, urgent bool) (bbrscheduler.Batch, bool) {
+	count, bytes := fixedEntries, 0
 	if batch.Interference != nil {
 		count++
 	}
 	for i, write := range batch.Writes {
 		count += entriesPerWrite(write)
-		if count > bbrkv.MaxTransactionSize {
+		bytes += len(write.Progress) + len(write.Crashes)
+		if count > bbrkv.MaxTransactionSize || urgent && bytes > maxUrgentTransactionBytes || i > 0 && bytes > maxTransactionBytes {
 			return batch.Head(i), false
 		}
 	}
--- a/internal/job/bbrowner/flusher_test.go
+++ b/internal/job/bbrowner/flusher_test.go
@@ -101,7 +101,7 @@
 			for range bbrkv.MaxTransactionSize {
 				batch.Writes = append(batch.Writes, test.write)
 			}
-			fitting, complete := fitTransaction(batch)
+			fitting, complete := fitTransaction(batch, false)
 			require.False(t, complete)
 			require.Len(t, fitting.Writes, (bbrkv.MaxTransactionSize-fixedEntries)/test.want)
 			var transaction bbrkv.Transaction
--- a/internal/job/bbrowner/interference_test.go
+++ b/internal/job/bbrowner/interference_test.go
@@ -31,7 +31,7 @@
 	for range bbrkv.MaxTransactionSize {
 		batch.Writes = append(batch.Writes, bbrscheduler.Write{Job: &bbrwork.Job{ID: "00000000000000a1", Service: "press"}})
 	}
-	fitting, complete := fitTransaction(batch)
+	fitting, complete := fitTransaction(batch, false)
 	require.False(t, complete)
 	require.NoError(t, f.commit(t.Context(), fitting, report{}, true, time.Now()))
 	require.Equal(t, bbrkv.MaxTransactionSize, committed.Size())
