job/bbrowner: load a shard in parts that are kept, while its work runs

An owner read eight things one after the other, the list of all jobs last, and began again with the first one after any failure. Until it had all, it planned nothing, renewed no lease and stored nothing, while the claim was renewed by another call. On an entry with a small link, bodies that were given up filled the link and made the next attempt fail too.

The small records are now read at a time, each again by itself. Then the owner plans, renews leases, lists upstreams and stores, while a loader reads the progress, the jobs that upstreams list (by key), and the list of all jobs; lists continue behind the last item after a failure. Earlier owners can store nothing after the claim, so that what was read stays valid, and the watch for new jobs starts at the claim's token. While jobs are loaded, no report, room, expected wait or preview is published, and late rounds do not count for hand-overs.

--- a/internal/job/bbrowner/flusher.go
+++ b/internal/job/bbrowner/flusher.go
@@ -126,12 +126,17 @@
 	o.mu.Lock()
 	batch := o.scheduler.Batch(maxWrites, now)
 	needsHorizon := o.scheduler.NeedsHorizon()
-	current := f.currentReport(now)
+	loading := o.scheduler.Loading()
+	var current report
+	if !loading {
+		current = f.currentReport(now)
+	}
 	canAcknowledge := o.scheduler.CanAcknowledge()
 	o.mu.Unlock()
 	urgent := (needsHorizon || batch.Recorded != nil) && !f.shortened
 	batch, complete := fitTransaction(batch, urgent)
-	storeReport := f.mustStoreReport(current, now)
+	// While jobs are loaded, the counts would be partial. The last owner's report stays.
+	storeReport := !loading && f.mustStoreReport(current, now)
 	if urgent && storeReport {
 		storeReport, complete = false, false
 	}
@@ -293,14 +298,14 @@
 		addWrite(&transaction, write, now)
 	}
 	removable := bbrkv.MaxTransactionSize - len(transaction.Conditions) - len(transaction.Puts) - len(transaction.Removals)
-	stale := o.staleCrashKeys[:min(len(o.staleCrashKeys), max(0, removable))]
+	stale := o.takeStaleCrashKeys(removable)
 	transaction.Removals = append(transaction.Removals, stale...)
 	revision, err := f.commitUntilKnown(ctx, transaction, commits.number)
 	if err != nil {
 		return err
 	}
 	commits.revision = revision
-	o.staleCrashKeys = o.staleCrashKeys[len(stale):]
+	o.dropStaleCrashKeys(len(stale))
 	if storeReport {
 		commits.waiting, commits.drained, commits.demand, commits.reportedAt = current.waiting, current.drained, current.demand, now
 	}
--- a/internal/job/bbrowner/hint.go
+++ b/internal/job/bbrowner/hint.go
@@ -20,12 +20,12 @@
 }
 
 // AcceptHint adds the hint's job and reports whether it did. It ignores a hint for
-// another owner, and one for a job that was stored before the owner had loaded the
-// shard: an earlier owner may have ended that job.
+// another owner, and one for a job that was stored before the claim: an earlier owner may
+// have ended that job.
 func (o *Owner) AcceptHint(hint Hint, now time.Time) bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if o.scheduler == nil || hint.Job == nil || hint.Token != o.Held.Token || hint.Stored <= o.loadedRevision {
+	if o.scheduler == nil || hint.Job == nil || hint.Token != o.Held.Token || hint.Stored <= o.Held.Token {
 		return false
 	}
 	o.scheduler.AddJob(hint.Job, hint.Stored, nil, now)
@@ -34,11 +34,11 @@
 }
 
 // ExpectedWaits returns what is expected for new jobs while the shard's capacity is
-// short. An owner without a confirmed claim tells nothing.
+// short. An owner that has not loaded all jobs, or whose claim is not confirmed, tells nothing.
 func (o *Owner) ExpectedWaits(now time.Time) []bbrfairshare.Wait {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if o.scheduler == nil || !o.Confirmed(now) {
+	if o.isLoading() || !o.Confirmed(now) {
 		return nil
 	}
 	return o.scheduler.ExpectedWaits(now)
--- a/internal/job/bbrowner/hint_test.go
+++ b/internal/job/bbrowner/hint_test.go
@@ -25,21 +25,20 @@
 		accepted bool
 		known    bool
 	}{
-		{name: "stored after the shard was loaded", token: 7, stored: 21, accepted: true, known: true},
-		{name: "stored before the shard was loaded", token: 7, stored: 20},
-		{name: "for an earlier owner", token: 6, stored: 21},
-		{name: "for a later owner", token: 9, stored: 21},
-		{name: "ended since", token: 7, stored: 21, ended: true, accepted: true},
+		{name: "stored after the claim", token: 20, stored: 21, accepted: true, known: true},
+		{name: "stored before the claim", token: 20, stored: 19},
+		{name: "for an earlier owner", token: 18, stored: 21},
+		{name: "for a later owner", token: 22, stored: 21},
+		{name: "ended since", token: 20, stored: 21, ended: true, accepted: true},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			o := &Owner{
-				Held:           bbrclaim.HeldClaim{Name: "press/0", Token: 7},
-				Shard:          bbrwork.Shard{Service: "press"},
-				Confirmed:      func(time.Time) bool { return true },
-				scheduler:      bbrscheduler.New(bbrwork.Shard{Service: "press"}, 7, bbrscheduler.Timing{}, true, now),
-				loadedRevision: 20,
-				wake:           make(chan struct{}, 1),
+				Held:      bbrclaim.HeldClaim{Name: "press/0", Token: 20},
+				Shard:     bbrwork.Shard{Service: "press"},
+				Confirmed: func(time.Time) bool { return true },
+				scheduler: bbrscheduler.New(bbrwork.Shard{Service: "press"}, 20, bbrscheduler.Timing{}, true, now),
+				wake:      make(chan struct{}, 1),
 			}
 			if test.ended {
 				o.scheduler.AddJob(job, 0, nil, now)
--- a/internal/job/bbrowner/jobs_test.go
+++ b/internal/job/bbrowner/jobs_test.go
@@ -28,14 +28,19 @@
 	}
 	o := &Owner{Shard: shard, Store: &bbrkv.Store{Commit: commit}, Metrics: bbrmetric.New(), Confirmed: func(time.Time) bool { return true }}
 	o.scheduler = bbrscheduler.New(shard, 7, bbrscheduler.Timing{}, true, now)
-	o.scheduler.AddJob(&bbrwork.Job{ID: "a1", Service: "press", Steps: []bbrwork.Step{{Count: 1}}, Accepted: now}, 0, nil, now)
 	record := bbrrecord.Encode(bbrcrash.Record{Suspects: []bbrcrash.Suspect{{Crashes: bbrcrash.History{{Upstream: "i-1", Youngest: true}}}}})
 	items := []bbrkv.Item{{Key: bbrrecord.CrashesKey(shard, "a1"), Value: record}}
 	const stale = 2 * bbrkv.MaxTransactionSize
 	for i := range int64(stale) {
 		items = append(items, bbrkv.Item{Key: bbrrecord.CrashesKey(shard, "b"+bbrrecord.Number(i)), Value: record})
 	}
-	o.restoreCrashes(items, now)
+	for _, item := range items {
+		o.scheduler.RestoreCrashes(bbrrecord.JobID(item.Key), item.Value, now)
+	}
+	o.scheduler.BeginLoading(nil, 0, now)
+	o.scheduler.AddJob(&bbrwork.Job{ID: "a1", Service: "press", Steps: []bbrwork.Step{{Count: 1}}, Accepted: now}, 0, nil, now)
+	o.loading.start(now)
+	newLoader(o).finish(now, now)
 	require.Equal(t, 1, o.scheduler.CrashCounts().Suspects)
 	f := &flusher{owner: o}
 	for range 3 {
--- a/internal/job/bbrowner/lateness.go
+++ b/internal/job/bbrowner/lateness.go
@@ -7,8 +7,12 @@
 )
 
 // mustHandOver records the beginning of a planning round and reports whether the owner has
-// to release its claim.
+// to release its claim. While jobs are loaded, rounds may be late for that reason, and
+// another entry would have to begin anew; loadMonitor decides then.
 func (o *Owner) mustHandOver(now time.Time) bool {
+	if _, unloaded := o.UnloadedFor(now); unloaded {
+		return false
+	}
 	return o.handsOverOverdue(now) || o.handsOverLate(now)
 }
 
--- /dev/null
+++ b/internal/job/bbrowner/loader.go
@@ -0,0 +1,217 @@
+package bbrowner
+
+import (
+	"context"
+	"encoding/json"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"k8s.io/klog/v2"
+
+	"github.com/bluebellridge/bluebellridge/internal/base/bbrpause"
+	"github.com/bluebellridge/bluebellridge/internal/job/bbrrecord"
+	"github.com/bluebellridge/bluebellridge/internal/job/bbrwork"
+	"github.com/bluebellridge/bluebellridge/internal/store/bbrkv"
+)
+
+const (
+	// listedJobReaders is the number of jobs that are read by key at a time.
+	listedJobReaders = 4
+	// listedJobsInterval is the time between two checks for jobs to read by key.
+	listedJobsInterval = 20 * time.Millisecond
+)
+
+// loader reads the stored jobs of the shard and their progress while the owner plans. What
+// has been read is kept when a read fails. Jobs of which upstreams list runs or ends are read
+// by key, as their upstreams take no other work before.
+//
+// A job is added together with its progress. Earlier owners can store nothing after the claim,
+// so that what is read does not change but by the owner itself, once it knows the job.
+type loader struct {
+	owner          *Owner
+	progress, jobs *bbrkv.Listing
+
+	mu sync.Mutex
+	// progressByID has the stored progress that has been read.
+	progressByID map[string][]byte
+	// claimed has the jobs that are being read by key.
+	claimed map[string]bool
+}
+
+func newLoader(o *Owner) *loader {
+	l := &loader{owner: o, progressByID: make(map[string][]byte), claimed: make(map[string]bool)}
+	l.progress = o.newListing(bbrrecord.ProgressPrefixOf(o.Shard), l.keepProgress)
+	l.jobs = o.newListing(bbrrecord.JobPrefixOf(o.Shard), func(item bbrkv.Item) { l.addJob(item, l.progressOf(item.Key)) })
+	return l
+}
+
+// run loads until all jobs are known or ctx ends.
+func (l *loader) run(ctx context.Context) {
+	began := time.Now()
+	readCtx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	var wg sync.WaitGroup
+	for range listedJobReaders {
+		reader := &listedJobReader{loader: l}
+		wg.Go(func() { reader.run(readCtx) })
+	}
+	l.readAll(ctx, stageProgress, l.progress)
+	l.readAll(ctx, stageJobs, l.jobs)
+	cancel()
+	wg.Wait()
+	if ctx.Err() == nil {
+		l.finish(began, time.Now())
+	}
+}
+
+// readAll reads a listing, and continues it after failures, at once if anything has arrived.
+func (l *loader) readAll(ctx context.Context, stage loadStage, listing *bbrkv.Listing) {
+	for ctx.Err() == nil {
+		before := listing.Progress().Items
+		err := l.owner.readStage(ctx, stage, listing.Read)
+		if err == nil {
+			return
+		}
+		if listing.Progress().Items == before || !errors.Is(err, bbrkv.ErrAnswerLost) {
+			bbrpause.For(ctx, loadRetryDelay)
+		}
+	}
+}
+
+func (l *loader) keepProgress(item bbrkv.Item) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.progressByID[bbrrecord.JobID(item.Key)] = item.Value
+}
+
+// progressOf returns the progress of the job with the key. All progress has been read.
+func (l *loader) progressOf(key string) []byte {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.progressByID[bbrrecord.JobID(key)]
+}
+
+// addJob adds a stored job to the scheduler. The owner's rounds plan it.
+func (l *loader) addJob(item bbrkv.Item, progress []byte) {
+	o := l.owner
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	var job bbrwork.Job
+	if err := json.Unmarshal(item.Value, &job); err != nil {
+		klog.ErrorS(err, "Failed to decode stored job", "key", item.Key, "revision", item.Revision)
+		o.scheduler.RecordMissing(bbrrecord.JobID(item.Key), time.Now())
+		return
+	}
+	o.scheduler.AddJob(&job, item.Revision, progress, time.Now())
+}
+
+// claimListed returns a job to be read by key; "" if there is none.
+func (l *loader) claimListed() string {
+	l.owner.mu.Lock()
+	missing := l.owner.scheduler.MissingJobs(2 * listedJobReaders)
+	l.owner.mu.Unlock()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, id := range missing {
+		if !l.claimed[id] {
+			l.claimed[id] = true
+			return id
+		}
+	}
+	return ""
+}
+
+// releaseListed records that a job is no longer being read by key.
+func (l *loader) releaseListed(id string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.claimed, id)
+}
+
+// readListed reads a job and its progress by key, and adds it.
+func (l *loader) readListed(ctx context.Context, id string) error {
+	o := l.owner
+	job, err := o.readRecord(ctx, stageListedJobs, bbrrecord.JobKey(o.Shard, id), nil)
+	if err != nil {
+		return err
+	}
+	if job.Revision == 0 {
+		o.mu.Lock()
+		defer o.mu.Unlock()
+		o.scheduler.RecordMissing(id, time.Now())
+		return nil
+	}
+	allKnown := l.progress.Progress().Done
+	progress := l.progressOf(job.Key)
+	if progress == nil && !allKnown {
+		item, err := o.readRecord(ctx, stageListedJobs, bbrrecord.ProgressKey(o.Shard, id), nil)
+		if err != nil {
+			return err
+		}
+		progress = item.Value
+	}
+	l.addJob(job, progress)
+	return nil
+}
+
+// finish lets the scheduler know that all jobs have been added.
+func (l *loader) finish(began, now time.Time) {
+	o := l.owner
+	o.mu.Lock()
+	for _, id := range o.scheduler.FinishLoading(now) {
+		o.staleCrashKeys = append(o.staleCrashKeys, bbrrecord.CrashesKey(o.Shard, id))
+	}
+	jobs, stale := o.scheduler.JobCount(), len(o.staleCrashKeys)
+	o.mu.Unlock()
+	o.loading.finish()
+	o.Metrics.Loaded(o.loading.claimAge(now))
+	amount := o.loading.amount()
+	klog.InfoS("Shard loaded", "shard", o.Shard, "token", o.Held.Token, "jobs", jobs, "items", amount.Items, "bytes", amount.Bytes, "took", now.Sub(began).Round(time.Millisecond))
+	if stale > 0 {
+		klog.InfoS("Crash records of ended jobs will be removed", "shard", o.Shard, "count", stale)
+	}
+	signal(o.flushNow)
+	o.requestPlan()
+}
+
+// listedJobReader reads jobs that upstreams list, one after the other.
+type listedJobReader struct {
+	loader *loader
+}
+
+// run reads until ctx ends.
+func (r *listedJobReader) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		id := r.loader.claimListed()
+		if id == "" {
+			bbrpause.For(ctx, listedJobsInterval)
+			continue
+		}
+		err := r.loader.readListed(ctx, id)
+		r.loader.releaseListed(id)
+		if err != nil {
+			bbrpause.For(ctx, loadRetryDelay)
+		}
+	}
+}
+
+// takeStaleCrashKeys returns at most count keys of crash records to be removed. The caller
+// calls dropStaleCrashKeys once they are.
+func (o *Owner) takeStaleCrashKeys(count int) []string {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return slices.Clone(o.staleCrashKeys[:min(len(o.staleCrashKeys), max(0, count))])
+}
+
+// dropStaleCrashKeys records that the first count crash records are removed.
+func (o *Owner) dropStaleCrashKeys(count int) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.staleCrashKeys = o.staleCrashKeys[count:]
+}
+
+// isLoading reports whether stored jobs may be missing in the scheduler. The caller holds the
+// lock.
+func (o *Owner) isLoading() bool { return o.scheduler == nil || o.scheduler.Loading() }
--- a/internal/job/bbrowner/loadstate.go
+++ b/internal/job/bbrowner/loadstate.go
@@ -29,6 +29,8 @@
 	stageCrashes      loadStage = "crashes"
 	stageInterference loadStage = "interference"
 	stageJobs         loadStage = "jobs"
+	// stageListedJobs has the jobs that upstreams list, which are read by key.
+	stageListedJobs loadStage = "listedJobs"
 )
 
 const (
@@ -42,6 +44,9 @@
 	loadCheckInterval = 250 * time.Millisecond
 )
 
+// failureLogInterval is the least time between two log lines about failures of a stage.
+const failureLogInterval = time.Second
+
 // loadState is what an owner has read of its shard so far. Its methods may be called by
 // several goroutines. The zero value has read nothing.
 type loadState struct {
@@ -49,12 +54,14 @@
 	// claimedAt is when the owner began, and advancedAt when the last item arrived; claimedAt
 	// before the first one.
 	claimedAt, advancedAt time.Time
-	// items and bytes count what has arrived, with what was read again after a failure.
+	// items and bytes count what has arrived.
 	items, bytes int
 	// attempts counts the attempts of each stage.
 	attempts map[loadStage]int
-	// open has the stages that are being read, with the beginning of their present attempts.
-	open map[loadStage]time.Time
+	// open counts the reads of each stage that are under way.
+	open map[loadStage]int
+	// failedAt is when the failure of a stage was last logged.
+	failedAt map[loadStage]time.Time
 	// loaded means that everything has been read.
 	loaded bool
 }
@@ -70,33 +77,44 @@
 }
 
 // beginRead records that an attempt of a stage begins, and returns its number.
-func (s *loadState) beginRead(stage loadStage, now time.Time) int {
+func (s *loadState) beginRead(stage loadStage) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.attempts == nil {
-		s.attempts, s.open = make(map[loadStage]int), make(map[loadStage]time.Time)
+		s.attempts, s.open, s.failedAt = make(map[loadStage]int), make(map[loadStage]int), make(map[loadStage]time.Time)
 	}
 	s.attempts[stage]++
-	s.open[stage] = now
+	s.open[stage]++
 	return s.attempts[stage]
 }
 
-// endRead records that the present attempt of a stage has ended.
+// endRead records that an attempt of a stage has ended.
 func (s *loadState) endRead(stage loadStage) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	delete(s.open, stage)
+	if s.open[stage]--; s.open[stage] == 0 {
+		delete(s.open, stage)
+	}
 }
 
-// add records items that have arrived.
-func (s *loadState) add(items []bbrkv.Item, now time.Time) {
+// mustLogFailure reports whether a failure of the stage is to be logged.
+func (s *loadState) mustLogFailure(stage loadStage, now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for _, item := range items {
-		s.items++
-		s.bytes += len(item.Key) + len(item.Value)
-		s.advancedAt = now
+	if last, logged := s.failedAt[stage]; logged && now.Sub(last) < failureLogInterval {
+		return false
 	}
+	s.failedAt[stage] = now
+	return true
+}
+
+// add records an item that has arrived.
+func (s *loadState) add(item bbrkv.Item, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.items++
+	s.bytes += len(item.Key) + len(item.Value)
+	s.advancedAt = now
 }
 
 // finish records that everything has been read.
@@ -152,12 +170,12 @@
 // slow link from a store that refuses calls.
 func (o *Owner) readStage(ctx context.Context, stage loadStage, read func(ctx context.Context) error) error {
 	began := time.Now()
-	attempt := o.loading.beginRead(stage, began)
+	attempt := o.loading.beginRead(stage)
 	err := read(ctx)
 	o.loading.endRead(stage)
 	o.Metrics.LoadRead(string(stage), bbrkv.Outcome(err))
-	if err != nil && ctx.Err() == nil {
-		now := time.Now()
+	now := time.Now()
+	if err != nil && ctx.Err() == nil && o.loading.mustLogFailure(stage, now) {
 		amount := o.loading.amount()
 		klog.InfoS("Failed to load the stored state of the shard, will retry", "shard", o.Shard, "token", o.Held.Token, "stage", stage, "attempt", attempt,
 			"took", now.Sub(began).Round(time.Millisecond), "claimAge", o.loading.claimAge(now).Round(time.Millisecond), "items", amount.Items, "bytes", amount.Bytes, "reason", err.Error())
@@ -174,7 +192,7 @@
 		item, err = o.Store.Get(ctx, key)
 		switch {
 		case err == nil:
-			o.loading.add([]bbrkv.Item{item}, time.Now())
+			o.loading.add(item, time.Now())
 		case !errors.Is(err, bbrkv.ErrNotFound):
 			return err
 		}
@@ -186,17 +204,12 @@
 	return item, err
 }
 
-// readRecords reads all records of a stage, and returns the revision as of which it did.
-func (o *Owner) readRecords(ctx context.Context, stage loadStage, prefix string) ([]bbrkv.Item, bbrkv.Revision, error) {
-	var items []bbrkv.Item
-	var asOf bbrkv.Revision
-	err := o.readStage(ctx, stage, func(ctx context.Context) error {
-		var err error
-		items, asOf, err = o.Store.ReadAll(ctx, prefix)
-		o.loading.add(items, time.Now())
-		return err
-	})
-	return items, asOf, err
+// newListing returns a listing whose items count as loaded.
+func (o *Owner) newListing(prefix string, onItem func(bbrkv.Item)) *bbrkv.Listing {
+	return &bbrkv.Listing{Store: o.Store, Prefix: prefix, OnItem: func(item bbrkv.Item) {
+		o.loading.add(item, time.Now())
+		onItem(item)
+	}}
 }
 
 // UnloadedFor returns how long the owner has had its claim without having loaded the shard.
--- a/internal/job/bbrowner/loadstate_test.go
+++ b/internal/job/bbrowner/loadstate_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"fmt"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -11,6 +13,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/bluebellridge/bluebellridge/internal/base/bbrmetric"
+	"github.com/bluebellridge/bluebellridge/internal/base/bbrpause"
 	"github.com/bluebellridge/bluebellridge/internal/fleet/bbrclaim"
 	"github.com/bluebellridge/bluebellridge/internal/job/bbrrecord"
 	"github.com/bluebellridge/bluebellridge/internal/store/bbrkv"
@@ -31,6 +34,7 @@
 				}
 				return bbrkv.Page{Items: []bbrkv.Item{{Key: "k", Value: []byte("{}")}}}, nil
 			},
+			Watch: quietWatch,
 		}
 		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second+10*time.Millisecond)
 		defer cancel()
@@ -68,6 +72,7 @@
 				o := newLoopOwner(0)
 				o.Confirmed = func(time.Time) bool { return !test.unknown }
 				asked := 0
+				var pages atomic.Int64
 				o.HandOverUnloaded = func(idle time.Duration, ownedSince, _ time.Time) bool {
 					require.GreaterOrEqual(t, idle, bbrclaim.MaxLoadIdleTime)
 					require.Equal(t, o.startedAt, ownedSince)
@@ -78,11 +83,18 @@
 					Get: func(context.Context, string) (bbrkv.Item, error) {
 						time.Sleep(300 * time.Millisecond)
 						if test.advances {
-							return bbrkv.Item{}, nil
+							return bbrkv.Item{}, bbrkv.ErrNotFound
 						}
 						return bbrkv.Item{}, bbrkv.ErrAnswerLost
 					},
-					Range: func(context.Context, string, string) (bbrkv.Page, error) { return bbrkv.Page{}, bbrkv.ErrAnswerLost },
+					Range: func(ctx context.Context, prefix, _ string) (bbrkv.Page, error) {
+						if !test.advances || ctx.Err() != nil {
+							return bbrkv.Page{}, bbrkv.ErrAnswerLost
+						}
+						time.Sleep(time.Second)
+						return bbrkv.Page{Items: []bbrkv.Item{{Key: fmt.Sprintf("%s%06d", prefix, pages.Add(1))}}, More: true}, nil
+					},
+					Watch: quietWatch,
 				}
 				ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
 				defer cancel()
@@ -96,6 +108,12 @@
 	}
 }
 
+// quietWatch is a watch without events.
+func quietWatch(ctx context.Context, _ string, after bbrkv.Revision, wait time.Duration) (bbrkv.Page, error) {
+	bbrpause.For(ctx, wait)
+	return bbrkv.Page{AsOf: after}, nil
+}
+
 // valuesOfCounter returns the values of a counter, by the values of its labels.
 func valuesOfCounter(t *testing.T, metrics *bbrmetric.Set, name string) map[string]float64 {
 	t.Helper()
--- a/internal/job/bbrowner/owner.go
+++ b/internal/job/bbrowner/owner.go
@@ -72,8 +72,6 @@
 
 	mu        sync.Mutex
 	scheduler *bbrscheduler.Scheduler
-	// loadedRevision is the revision as of which the scheduler has all stored jobs.
-	loadedRevision bbrkv.Revision
 	// registryVersion is the version of the registrations that the scheduler has.
 	registryVersion bbrregistry.Version
 	configVersion   int64
@@ -149,15 +147,19 @@
 	o.loading.start(start)
 	monitor := &loadMonitor{owner: o}
 	o.wg.Go(func() { monitor.run(ctx) })
-	loadedAt, ok := o.load(ctx, start)
+	records, ok := o.readStoredRecords(ctx)
 	if !ok {
 		o.wg.Wait()
 		return
 	}
+	o.begin(records, start, time.Now())
 	amount := o.loading.amount()
-	klog.InfoS("Owner started", "shard", o.Shard, "token", o.Held.Token, "jobs", o.scheduler.JobCount(), "items", amount.Items, "bytes", amount.Bytes, "took", time.Since(start).Round(time.Millisecond))
+	klog.InfoS("Owner started", "shard", o.Shard, "token", o.Held.Token, "items", amount.Items, "bytes", amount.Bytes, "took", time.Since(start).Round(time.Millisecond))
 	jobs := bbrkv.Follower{Store: o.Store, Prefix: bbrrecord.JobPrefixOf(o.Shard), WatchTimeout: jobWatchTimeout, BatchDelay: jobEventDelay, OnSnapshot: o.jobsSnapshot, OnChange: o.jobChanged}
-	jobs.StartAfter(loadedAt, start)
+	// Earlier owners can store nothing after the claim.
+	jobs.StartAfter(o.Held.Token, start)
+	loader := newLoader(o)
+	o.wg.Go(func() { loader.run(ctx) })
 	o.wg.Go(func() { jobs.Run(ctx) })
 	o.wg.Go(func() { o.runCancellations(ctx) })
 	o.wg.Go(func() { o.runVerification(ctx) })
@@ -336,85 +338,6 @@
 	o.cancelRun()
 }
 
-// load reads everything that is stored about the shard, and tries again until it
-// succeeds. It returns the revision after which changes must be followed, and false
-// if ctx ended before.
-func (o *Owner) load(ctx context.Context, start time.Time) (bbrkv.Revision, bool) {
-	for ctx.Err() == nil {
-		revision, err := o.tryLoad(ctx, start)
-		if err == nil {
-			o.loading.finish()
-			o.Metrics.Loaded(time.Since(start))
-			return revision, true
-		}
-		bbrpause.For(ctx, loadRetryDelay)
-	}
-	return 0, false
-}
-
-// tryLoad makes one attempt to load.
-func (o *Owner) tryLoad(ctx context.Context, start time.Time) (bbrkv.Revision, error) {
-	sequence, err := o.readRecord(ctx, stageSequence, bbrrecord.SequenceKey(o.Shard), nil)
-	if err != nil {
-		return 0, err
-	}
-	firstOwner := sequence.Revision == 0
-	progress, _, err := o.readRecords(ctx, stageProgress, bbrrecord.ProgressPrefixOf(o.Shard))
-	if err != nil {
-		return 0, err
-	}
-	var reservedIDs map[string]bool
-	reserved, err := o.readRecord(ctx, stageReserved, bbrclaim.ReservedKey, func(item bbrkv.Item) (err error) {
-		reservedIDs, err = bbrclaim.ParseReserved(item)
-		return err
-	})
-	if err != nil {
-		return 0, err
-	}
-	recorded, err := o.loadRecorded(ctx)
-	if err != nil {
-		return 0, err
-	}
-	shares, _, err := o.readRecords(ctx, stageShares, bbrrecord.SharesPrefix)
-	if err != nil {
-		return 0, err
-	}
-	crashes, _, err := o.readRecords(ctx, stageCrashes, bbrrecord.CrashesPrefixOf(o.Shard))
-	if err != nil {
-		return 0, err
-	}
-	interference := o.loadInterference(ctx)
-	jobs, revision, err := o.readRecords(ctx, stageJobs, bbrrecord.JobPrefixOf(o.Shard))
-	if err != nil {
-		return 0, err
-	}
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	o.commits.revision = sequence.Revision
-	o.scheduler = bbrscheduler.New(o.Shard, int64(o.Held.Token), o.Timing, firstOwner, start)
-	o.scheduler.MaxValueBytes = o.Store.MaxValueBytes
-	o.scheduler.ReserveCapacity = o.ReserveCapacity
-	if o.SeparateInterfering {
-		o.scheduler.SeparateInterfering(interference, time.Now())
-	}
-	o.scheduler.FairShares = o.FairShares
-	if config := o.Config(); config != nil {
-		o.configVersion = config.Version
-		o.scheduler.SetConfig(config)
-	}
-	o.quota = o.newQuotaKeeper(shares, time.Now())
-	o.reservedRevision = reserved.Revision
-	o.scheduler.SetReserved(reservedIDs, time.Now())
-	o.addJobs(jobs, progress, time.Now())
-	o.restoreCrashes(crashes, time.Now())
-	inherited := storedSequence(sequence)
-	o.scheduler.InheritOrders(inherited.OrdersStored)
-	o.scheduler.BeginLoading(recorded, inherited.Horizon, time.Now())
-	o.scheduler.FinishLoading(time.Now())
-	o.loadedRevision = revision
-	return revision, nil
-}
-
 // storedSequence returns the record that an earlier owner stored. It returns an empty one,
 // which means that any job may have started, with any run numbers, if there is none or it
 // cannot be decoded.
--- a/internal/job/bbrowner/state.go
+++ b/internal/job/bbrowner/state.go
@@ -8,7 +8,7 @@
 )
 
 // Explain returns why a job is in its state. It returns false if the job is
-// unknown or nothing is loaded yet.
+// unknown or not loaded yet.
 func (o *Owner) Explain(id string, now time.Time) (bbrscheduler.Explanation, bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -19,11 +19,11 @@
 }
 
 // Place returns where a job that is not stored would start now. It returns false if the
-// shard cannot run it or nothing is loaded yet.
+// shard cannot run it or not all jobs are loaded yet.
 func (o *Owner) Place(job *bbrwork.Job, now time.Time) (bbrscheduler.Placement, bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if o.scheduler == nil {
+	if o.isLoading() {
 		return bbrscheduler.Placement{}, false
 	}
 	return o.scheduler.Place(job, o.Confirmed(now), now)
