job/bbrowner: property of loads under failing reads and takeovers

Draws shards, links, reads that fail, watches that find the history compacted, takeovers while the shard is loaded, and jobs that arrive meanwhile.

--- a/internal/job/bbrowner/slowload_test.go
+++ b/internal/job/bbrowner/slowload_test.go
@@ -68,15 +68,18 @@
 	events   []bbrkv.Item
 	revision bbrkv.Revision
 	calls    int
+	// compacts reports whether a watch finds the history compacted.
+	compacts func() bool
 	// jobsRead counts the jobs that arrived, also those that arrived again.
 	jobsRead int
 }
 
 func newSlowLinkStore(bytesPerSecond int) *slowLinkStore {
 	return &slowLinkStore{
-		link:  &slowLink{bytesPerSecond: bytesPerSecond, turn: make(chan struct{}, 1)},
-		cut:   func(int) int { return -1 },
-		items: make(map[string]bbrkv.Item),
+		link:     &slowLink{bytesPerSecond: bytesPerSecond, turn: make(chan struct{}, 1)},
+		cut:      func(int) int { return -1 },
+		compacts: func() bool { return false },
+		items:    make(map[string]bbrkv.Item),
 	}
 }
 
@@ -183,6 +186,9 @@
 
 func (s *slowLinkStore) watch(ctx context.Context, prefix string, after bbrkv.Revision, wait time.Duration) (bbrkv.Page, error) {
 	s.link.carry(packetBytes / 10)
+	if s.compacted() {
+		return bbrkv.Page{}, bbrkv.ErrCompacted
+	}
 	for end := time.Now().Add(wait); ; {
 		page := s.changes(prefix, after)
 		if len(page.Items) > 0 || !time.Now().Before(end) || ctx.Err() != nil {
@@ -195,6 +201,13 @@
 	}
 }
 
+// compacted reports whether a watch finds the history compacted.
+func (s *slowLinkStore) compacted() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.compacts()
+}
+
 // changes returns the events after a revision.
 func (s *slowLinkStore) changes(prefix string, after bbrkv.Revision) bbrkv.Page {
 	s.mu.Lock()
@@ -233,6 +246,19 @@
 	return s.revision, nil
 }
 
+// count returns the number of items under a prefix.
+func (s *slowLinkStore) count(prefix string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	count := 0
+	for key := range s.items {
+		if strings.HasPrefix(key, prefix) {
+			count++
+		}
+	}
+	return count
+}
+
 // loadUpstreams are the upstreams of a shard, on which each run takes runTime.
 type loadUpstreams struct {
 	link     *slowLink
@@ -257,6 +283,8 @@
 	ended    []bbrwork.RunEnd
 	// acknowledged is the sequence number up to which ends are forgotten.
 	acknowledged int64
+	// token is the highest fencing token of an order.
+	token int64
 }
 
 // loadRun is a run that ends at a time.
@@ -289,7 +317,7 @@
 // expire ends the runs that are over. The caller holds the lock.
 func (u *loadUpstreams) expire(now time.Time) {
 	for _, host := range u.hosts {
-		for _, unit := range slices.SortedFunc(maps.Keys(host.running), func(a, b bbrwork.Unit) int { return strings.Compare(a.Job, b.Job) }) {
+		for _, unit := range slices.SortedFunc(maps.Keys(host.running), func(a, b bbrwork.Unit) int { return strings.Compare(a.String(), b.String()) }) {
 			run := host.running[unit]
 			if run.ends.After(now) {
 				continue
@@ -301,6 +329,15 @@
 	}
 }
 
+// fenced reports whether an order is refused for its token.
+func (u *loadUpstreams) fenced(id string, token int64) bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	host := u.hosts[id]
+	host.token = max(host.token, token)
+	return token < host.token
+}
+
 // run records that a run begins.
 func (u *loadUpstreams) run(id string, unit bbrwork.Unit, number int, now time.Time) {
 	u.mu.Lock()
@@ -320,6 +357,9 @@
 
 func (u *loadUpstreams) start(_ context.Context, up bbrwork.Upstream, start bbrorder.Start) (time.Duration, error) {
 	u.link.carry(300)
+	if u.fenced(up.ID, start.Token) {
+		return 0, bbrorder.ErrFenced
+	}
 	u.run(up.ID, start.Unit, start.Run, time.Now())
 	u.link.carry(150)
 	return time.Since(u.bootedAt), nil
@@ -334,6 +374,9 @@
 
 func (u *loadUpstreams) renew(ctx context.Context, up bbrwork.Upstream, renewal bbrorder.Renewal) (bbrwork.Listing, error) {
 	u.link.carry(200)
+	if u.fenced(up.ID, renewal.Token) {
+		return bbrwork.Listing{}, bbrorder.ErrFenced
+	}
 	for end := time.Now().Add(renewal.Wait); time.Now().Before(end) && !u.hasEnds(up.ID, renewal.Acknowledged, time.Now()) && ctx.Err() == nil; {
 		bbrpause.For(ctx, 20*time.Millisecond)
 	}
@@ -370,12 +413,19 @@
 	store     *slowLinkStore
 	upstreams *loadUpstreams
 	shard     bbrwork.Shard
+	// steps is the number of further steps of a job.
+	steps int
 }
 
 // newLoadScene returns a shard with count jobs. An earlier owner may have started the first
 // half of them, and has started the first running ones.
 func newLoadScene(count, upstreams, running, bytesPerSecond int, runTime time.Duration) *loadScene {
-	s := &loadScene{store: newSlowLinkStore(bytesPerSecond), shard: bbrwork.Shard{Service: "press", Cell: 2}}
+	return newLoadSceneOfSteps(0, count, upstreams, running, bytesPerSecond, runTime)
+}
+
+// newLoadSceneOfSteps is newLoadScene with jobs that have further steps.
+func newLoadSceneOfSteps(steps, count, upstreams, running, bytesPerSecond int, runTime time.Duration) *loadScene {
+	s := &loadScene{steps: steps, store: newSlowLinkStore(bytesPerSecond), shard: bbrwork.Shard{Service: "press", Cell: 2}}
 	s.upstreams = newLoadUpstreams(s.store.link, upstreams, runTime)
 	now := time.Now()
 	for i := range count {
@@ -401,6 +451,10 @@
 func (s *loadScene) accept(number int, now time.Time) (*bbrwork.Job, bbrkv.Revision) {
 	step := bbrwork.Step{Count: 1, Need: bbrwork.Resources{MilliCPU: 1000, MemoryMB: 100}, Estimate: s.upstreams.runTime}
 	job := &bbrwork.Job{ID: s.jobID(number), Queue: "proofs", Service: "press", Cell: 2, Spec: strings.Repeat("s", 100), Steps: []bbrwork.Step{step}, Accepted: now}
+	for i := range s.steps {
+		step.DependsOn = []int{i}
+		job.Steps = append(job.Steps, step)
+	}
 	return job, s.store.put(bbrrecord.JobKey(s.shard, job.ID), bbrrecord.Encode(job))
 }
 
