job/bbrintake: entries wait for a report instead of reading a long list

In a play of owners that lose power (links of 2 Mbit/s), entries read 8.9 MB of lists of jobs between 15 and 35 s after the start of traffic, of which the owners that loaded their shards read 0.6 MB: each entry counted the waiting jobs of the same two shards for its callers. At the same time small transactions at all entries were not settled for 1 to 2 s, and 27 queries got no number in their time.

If the last report of a shard had more than 50 waiting jobs, queries wait for the report of its next owner, for up to 5 s from the first query on, before the list is read.

TestLongListIsNotReadWhileAnOwnerLoadsIt fails without the wait: 20 pages are read where the owner reports after 3 s.

--- a/internal/job/bbrintake/storedcounts.go
+++ b/internal/job/bbrintake/storedcounts.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 	"k8s.io/klog/v2"
 
+	"github.com/bluebellridge/bluebellridge/internal/base/bbrpause"
 	"github.com/bluebellridge/bluebellridge/internal/job/bbrrecord"
 	"github.com/bluebellridge/bluebellridge/internal/job/bbrwork"
 	"github.com/bluebellridge/bluebellridge/internal/store/bbrkv"
@@ -21,6 +22,16 @@
 	// up to maxStoredCountAge: counting takes no more than a part of the link.
 	storedCountReuse  = 4
 	maxStoredCountAge = 10 * time.Second
+	// maxQuickCount is the number of waiting jobs, as last reported, up to which a shard
+	// without a present report is counted at once. With more, all entries would read a long
+	// list while the next owner reads it too, so that they wait for its report for up to
+	// maxReportWait from the first query on.
+	maxQuickCount = 50
+	maxReportWait = 5 * time.Second
+	// reportCheckInterval is the time between two reads of an awaited report.
+	reportCheckInterval = 200 * time.Millisecond
+	// staleQueryGap is the time without queries after which a wait for a report begins anew.
+	staleQueryGap = 10 * time.Second
 )
 
 // storedCounts shares the counts of stored jobs among queries: a count reads all jobs of a
@@ -28,13 +39,20 @@
 type storedCounts struct {
 	mu     sync.Mutex
 	counts map[bbrwork.Shard]*storedCount
+	stale  map[bbrwork.Shard]staleReport
 }
 
+// staleReport is when queries found that the report of a shard is not the present owner's:
+// the first one of a series, and the last one.
+type staleReport struct{ since, last time.Time }
+
 // storedCount counts the stored jobs of a shard that have no progress.
 type storedCount struct {
-	store *bbrkv.Store
-	shard bbrwork.Shard
-	began time.Time
+	intake *Intake
+	shard  bbrwork.Shard
+	began  time.Time
+	// awaitUntil is until when a report of the shard's owner is awaited before.
+	awaitUntil time.Time
 	// done is closed at the end. The fields below are set before and do not change then.
 	done    chan struct{}
 	ended   time.Time
@@ -42,10 +60,10 @@
 	err     error
 }
 
-// get returns the number of waiting jobs by queue. It waits for the count in progress, if any,
-// until ctx ends.
-func (c *storedCounts) get(ctx context.Context, store *bbrkv.Store, shard bbrwork.Shard, now time.Time) (map[string]int, error) {
-	count := c.current(ctx, store, shard, now)
+// get returns the number of waiting jobs by queue, of which an earlier owner reported the given
+// number. It waits for the count in progress, if any, until ctx ends.
+func (c *storedCounts) get(ctx context.Context, intake *Intake, shard bbrwork.Shard, reported int, now time.Time) (map[string]int, error) {
+	count := c.current(ctx, intake, shard, reported, now)
 	select {
 	case <-count.done:
 		return count.waiting, count.err
@@ -56,16 +74,25 @@
 
 // current returns the count that is in progress or recent, or begins one. It goes on when ctx
 // ends, since other queries may wait for it.
-func (c *storedCounts) current(ctx context.Context, store *bbrkv.Store, shard bbrwork.Shard, now time.Time) *storedCount {
+func (c *storedCounts) current(ctx context.Context, intake *Intake, shard bbrwork.Shard, reported int, now time.Time) *storedCount {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.counts == nil {
+		c.counts, c.stale = make(map[bbrwork.Shard]*storedCount), make(map[bbrwork.Shard]staleReport)
+	}
+	stale := c.stale[shard]
+	if now.Sub(stale.last) > staleQueryGap {
+		stale.since = now
+	}
+	stale.last = now
+	c.stale[shard] = stale
 	if count := c.counts[shard]; count != nil && count.reusable(now) {
 		return count
 	}
-	if c.counts == nil {
-		c.counts = make(map[bbrwork.Shard]*storedCount)
+	count := &storedCount{intake: intake, shard: shard, began: now, done: make(chan struct{})}
+	if reported > maxQuickCount {
+		count.awaitUntil = stale.since.Add(maxReportWait)
 	}
-	count := &storedCount{store: store, shard: shard, began: now, done: make(chan struct{})}
 	c.counts[shard] = count
 	go count.run(context.WithoutCancel(ctx))
 	return count
@@ -87,10 +114,28 @@
 	ctx, cancel := context.WithTimeout(ctx, storedCountTimeout)
 	defer cancel()
 	defer close(s.done)
-	s.waiting, s.err = s.count(ctx)
+	if waiting, reported := s.awaitReport(ctx); reported {
+		s.waiting = waiting
+	} else {
+		s.waiting, s.err = s.count(ctx)
+	}
 	s.ended = time.Now()
 }
 
+// awaitReport waits for a report of the shard's present owner, until awaitUntil. It returns
+// false if there is none then.
+func (s *storedCount) awaitReport(ctx context.Context) (map[string]int, bool) {
+	for time.Now().Before(s.awaitUntil) && ctx.Err() == nil {
+		item, err := s.intake.Store.Get(ctx, bbrrecord.ReportKey(s.shard))
+		var record bbrrecord.Report
+		if err == nil && s.intake.reportIsCurrent(s.shard, item) && json.Unmarshal(item.Value, &record) == nil {
+			return record.Waiting, true
+		}
+		bbrpause.For(ctx, reportCheckInterval)
+	}
+	return nil, false
+}
+
 // count returns the number of jobs without progress by queue.
 func (s *storedCount) count(ctx context.Context) (map[string]int, error) {
 	queues := make(map[string]string)
@@ -121,7 +166,7 @@
 // read reads the items under a prefix. It continues behind the last item when an answer is
 // lost, as long as items arrive.
 func (s *storedCount) read(ctx context.Context, prefix string, each func(bbrkv.Item)) error {
-	listing := bbrkv.Listing{Store: s.store, Prefix: prefix, OnItem: each}
+	listing := bbrkv.Listing{Store: s.intake.Store, Prefix: prefix, OnItem: each}
 	for {
 		before := listing.Progress().Items
 		err := listing.Read(ctx)
--- a/internal/job/bbrintake/storedcounts_test.go
+++ b/internal/job/bbrintake/storedcounts_test.go
@@ -112,20 +112,74 @@
 			}
 			return list.readRange(ctx, prefix, after)
 		}}
-		var counts storedCounts
-		shard := bbrwork.Shard{Service: "press"}
-		_, err := counts.get(t.Context(), store, shard, time.Now())
+		intake, shard := &Intake{Store: store}, bbrwork.Shard{Service: "press"}
+		counts := &intake.counts
+		_, err := counts.get(t.Context(), intake, shard, 0, time.Now())
 		require.ErrorIs(t, err, bbrkv.ErrRefused)
 		failing = false
-		waiting, err := counts.get(t.Context(), store, shard, time.Now())
+		waiting, err := counts.get(t.Context(), intake, shard, 0, time.Now())
 		require.NoError(t, err)
 		require.Equal(t, map[string]int{"q": 1}, waiting)
-		_, err = counts.get(t.Context(), store, shard, time.Now())
+		_, err = counts.get(t.Context(), intake, shard, 0, time.Now())
 		require.NoError(t, err)
 		require.Equal(t, 1, list.total, "a recent count is reused")
 		time.Sleep(storedCountReuse * time.Second)
-		_, err = counts.get(t.Context(), store, shard, time.Now())
+		_, err = counts.get(t.Context(), intake, shard, 0, time.Now())
 		require.NoError(t, err)
 		require.Equal(t, 2, list.total, "an old one is not")
 	})
 }
+
+// TestLongListIsNotReadWhileAnOwnerLoadsIt guards against all entries that read the long list of
+// a shard for their callers while its next owner reads it, and against queries that are never
+// answered because the owner does not report.
+func TestLongListIsNotReadWhileAnOwnerLoadsIt(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		// reportsAfter is when the next owner reports; 0 for never.
+		reportsAfter time.Duration
+		pages        int
+		want         int
+	}{
+		{name: "the owner reports", reportsAfter: 3 * time.Second, want: 70},
+		{name: "the owner does not report", pages: 20, want: 20},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				shard := bbrwork.Shard{Service: "press"}
+				list := &longList{pages: 20, pageTime: 50 * time.Millisecond}
+				begin := time.Now()
+				report := func() bbrkv.Item {
+					item := bbrkv.Item{Key: bbrrecord.ReportKey(shard), Revision: 20, Value: bbrrecord.Encode(bbrrecord.Report{Waiting: map[string]int{"q": maxQuickCount + 1}})}
+					if test.reportsAfter > 0 && time.Since(begin) >= test.reportsAfter {
+						item.Revision, item.Value = 40, bbrrecord.Encode(bbrrecord.Report{Waiting: map[string]int{"q": 70}})
+					}
+					return item
+				}
+				intake := &Intake{
+					Cells: func() *bbrcell.Cells { return nil },
+					Store: &bbrkv.Store{
+						Get: func(context.Context, string) (bbrkv.Item, error) { return report(), nil },
+						Range: func(ctx context.Context, prefix, after string) (bbrkv.Page, error) {
+							if strings.HasPrefix(prefix, bbrrecord.ReportPrefix) {
+								return bbrkv.Page{Items: []bbrkv.Item{report()}}, nil
+							}
+							return list.readRange(ctx, prefix, after)
+						},
+					},
+					OwnerToken: func(bbrwork.Shard) (bbrkv.Revision, bool) { return 30, true },
+				}
+				for time.Since(begin) < maxReportWait+2*time.Second {
+					ctx, cancel := context.WithTimeout(t.Context(), 500*time.Millisecond)
+					_, _ = intake.Waiting(ctx, &bbrwork.Queue{Name: "q", Service: "press"})
+					cancel()
+					time.Sleep(100 * time.Millisecond)
+				}
+				waiting, code := intake.Waiting(t.Context(), &bbrwork.Queue{Name: "q", Service: "press"})
+				require.Equal(t, bbrcode.StateReported, code)
+				require.Equal(t, test.want, waiting)
+				require.Equal(t, test.pages, list.total, "pages read")
+			})
+		})
+	}
+}
--- a/internal/job/bbrintake/waiting.go
+++ b/internal/job/bbrintake/waiting.go
@@ -15,7 +15,7 @@
 
 // Waiting returns how many jobs of the queue have not started anything: by the last report
 // of each shard's owner or, if the present owner has not reported yet or there is none, by
-// the stored jobs of the shard, as they were when they were last counted.
+// its next report or the stored jobs of the shard, as they were when they were last counted.
 func (i *Intake) Waiting(ctx context.Context, queue *bbrwork.Queue) (int, bbrcode.Code) {
 	items, _, err := i.Store.ReadAll(ctx, bbrrecord.ReportPrefixOf(queue.Service))
 	if err != nil {
@@ -41,16 +41,21 @@
 // waitingInShard returns how many of the queue's jobs in the shard have not started. The
 // item is the last report of an owner of the shard.
 func (i *Intake) waitingInShard(ctx context.Context, shard bbrwork.Shard, queue string, item bbrkv.Item) (int, error) {
-	if !i.reportIsCurrent(shard, item) {
-		waiting, err := i.counts.get(ctx, i.Store, shard, time.Now())
-		return waiting[queue], err
+	var record bbrrecord.Report
+	if len(item.Value) > 0 {
+		if err := json.Unmarshal(item.Value, &record); err != nil {
+			return 0, err
+		}
 	}
-	if len(item.Value) == 0 {
-		return 0, nil
+	if i.reportIsCurrent(shard, item) {
+		return record.Waiting[queue], nil
 	}
-	var record bbrrecord.Report
-	err := json.Unmarshal(item.Value, &record)
-	return record.Waiting[queue], err
+	reported := 0
+	for _, count := range record.Waiting {
+		reported += count
+	}
+	waiting, err := i.counts.get(ctx, i, shard, reported, time.Now())
+	return waiting[queue], err
 }
 
 // reportIsCurrent reports whether the present owner of the shard has written the report.
