--- a/internal/job/bbrowner/loader.go
+++ b/internal/job/bbrowner/loader.go
@@ -36,12 +36,12 @@
 	mu sync.Mutex
 	// progressByID has the stored progress that has been read.
 	progressByID map[string][]byte
-	// claimed has the jobs that are being read by key.
-	claimed map[string]bool
+	// reading has the jobs that are being read by key.
+	reading map[string]bool
 }
 
 func newLoader(o *Owner) *loader {
-	l := &loader{owner: o, progressByID: make(map[string][]byte), claimed: make(map[string]bool)}
+	l := &loader{owner: o, progressByID: make(map[string][]byte), reading: make(map[string]bool)}
 	l.progress = o.newListing(bbrrecord.ProgressPrefixOf(o.Shard), l.keepProgress)
 	l.jobs = o.newListing(bbrrecord.JobPrefixOf(o.Shard), func(item bbrkv.Item) { l.addJob(item, l.progressOf(item.Key)) })
 	return l
@@ -107,27 +107,28 @@
 	o.scheduler.AddJob(&job, item.Revision, progress, time.Now())
 }
 
-// claimListed returns a job to be read by key; "" if there is none.
-func (l *loader) claimListed() string {
+// beginListed returns a job to be read by key; "" if there is none. The caller calls endListed
+// afterwards.
+func (l *loader) beginListed() string {
 	l.owner.mu.Lock()
 	missing := l.owner.scheduler.MissingJobs(2 * listedJobReaders)
 	l.owner.mu.Unlock()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, id := range missing {
-		if !l.claimed[id] {
-			l.claimed[id] = true
+		if !l.reading[id] {
+			l.reading[id] = true
 			return id
 		}
 	}
 	return ""
 }
 
-// releaseListed records that a job is no longer being read by key.
-func (l *loader) releaseListed(id string) {
+// endListed records that a job is no longer being read by key.
+func (l *loader) endListed(id string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	delete(l.claimed, id)
+	delete(l.reading, id)
 }
 
 // readListed reads a job and its progress by key, and adds it.
@@ -184,13 +185,13 @@
 // run reads until ctx ends.
 func (r *listedJobReader) run(ctx context.Context) {
 	for ctx.Err() == nil {
-		id := r.loader.claimListed()
+		id := r.loader.beginListed()
 		if id == "" {
 			bbrpause.For(ctx, listedJobsInterval)
 			continue
 		}
 		err := r.loader.readListed(ctx, id)
-		r.loader.releaseListed(id)
+		r.loader.endListed(id)
 		if err != nil {
 			bbrpause.For(ctx, loadRetryDelay)
 		}
