--- a/internal/daemon/bbrserve/owners.go
+++ b/internal/daemon/bbrserve/owners.go
@@ -175,6 +175,9 @@
 	owner.HandOverOverdue = func(ownedSince, now time.Time) bool {
 		return d.claimer.Relief.HandOverOverdue(held.Name, ownedSince, now)
 	}
+	owner.HandOverUnloaded = func(idle time.Duration, ownedSince, now time.Time) bool {
+		return d.claimer.Relief.HandOverUnloaded(held.Name, idle, ownedSince, now)
+	}
 	if jobs.BalanceByCapacity {
 		owner.HandOver = func(ownedSince, now time.Time) bool { return d.claimer.Relief.HandOver(held.Name, ownedSince, now) }
 	}
@@ -221,6 +224,20 @@
 	return owner.Explain(job, time.Now())
 }
 
+// oldestUnloaded returns the age of the oldest claim of a shard that is not loaded; 0 if
+// there is none.
+func (o *owners) oldestUnloaded(now time.Time) time.Duration {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	oldest := time.Duration(0)
+	for _, owner := range o.running {
+		if age, unloaded := owner.UnloadedFor(now); unloaded {
+			oldest = max(oldest, age)
+		}
+	}
+	return oldest
+}
+
 func (o *owners) runningOwner(shard bbrwork.Shard) *bbrowner.Owner {
 	o.mu.Lock()
 	defer o.mu.Unlock()
--- a/internal/job/bbrintake/intake.go
+++ b/internal/job/bbrintake/intake.go
@@ -50,6 +50,9 @@
 	Backlogs *Backlogs
 	// StoreAvailable reports whether the store has answered recently.
 	StoreAvailable func(now time.Time) bool
+
+	// counts has the counts of the jobs of shards without a report.
+	counts storedCounts
 }
 
 // Submit stores a job of the queue and notifies its owner. The caller's timeout ends
--- a/internal/job/bbrintake/waiting.go
+++ b/internal/job/bbrintake/waiting.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"time"
 
 	"k8s.io/klog/v2"
 
@@ -14,7 +15,7 @@
 
 // Waiting returns how many jobs of the queue have not started anything: by the last report
 // of each shard's owner or, if the present owner has not reported yet or there is none, by
-// the stored jobs of the shard.
+// its next report or the stored jobs of the shard, as they were when they were last counted.
 func (i *Intake) Waiting(ctx context.Context, queue *bbrwork.Queue) (int, bbrcode.Code) {
 	items, _, err := i.Store.ReadAll(ctx, bbrrecord.ReportPrefixOf(queue.Service))
 	if err != nil {
@@ -40,15 +41,21 @@
 // waitingInShard returns how many of the queue's jobs in the shard have not started. The
 // item is the last report of an owner of the shard.
 func (i *Intake) waitingInShard(ctx context.Context, shard bbrwork.Shard, queue string, item bbrkv.Item) (int, error) {
-	if !i.reportIsCurrent(shard, item) {
-		return i.countStoredWaiting(ctx, shard, queue)
+	var record bbrrecord.Report
+	if len(item.Value) > 0 {
+		if err := json.Unmarshal(item.Value, &record); err != nil {
+			return 0, err
+		}
 	}
-	if len(item.Value) == 0 {
-		return 0, nil
+	if i.reportIsCurrent(shard, item) {
+		return record.Waiting[queue], nil
 	}
-	var record bbrrecord.Report
-	err := json.Unmarshal(item.Value, &record)
-	return record.Waiting[queue], err
+	reported := 0
+	for _, count := range record.Waiting {
+		reported += count
+	}
+	waiting, err := i.counts.get(ctx, i, shard, reported, time.Now())
+	return waiting[queue], err
 }
 
 // reportIsCurrent reports whether the present owner of the shard has written the report.
@@ -59,31 +66,3 @@
 	token, owned := i.OwnerToken(shard)
 	return owned && item.Revision > token
 }
-
-// countStoredWaiting counts the stored jobs of the queue in the shard that have no progress.
-func (i *Intake) countStoredWaiting(ctx context.Context, shard bbrwork.Shard, queue string) (int, error) {
-	jobs, _, err := i.Store.ReadAll(ctx, bbrrecord.JobPrefixOf(shard))
-	if err != nil || len(jobs) == 0 {
-		return 0, err
-	}
-	progress, _, err := i.Store.ReadAll(ctx, bbrrecord.ProgressPrefixOf(shard))
-	if err != nil {
-		return 0, err
-	}
-	started := make(map[string]bool, len(progress))
-	for _, item := range progress {
-		started[bbrrecord.JobID(item.Key)] = true
-	}
-	waiting := 0
-	for _, item := range jobs {
-		var job bbrwork.Job
-		if err := json.Unmarshal(item.Value, &job); err != nil {
-			klog.ErrorS(err, "Failed to decode a stored job", "key", item.Key, "revision", item.Revision)
-			continue
-		}
-		if job.Queue == queue && !started[bbrrecord.JobID(item.Key)] {
-			waiting++
-		}
-	}
-	return waiting, nil
-}
--- a/internal/job/bbrowner/backlog.go
+++ b/internal/job/bbrowner/backlog.go
@@ -17,7 +17,7 @@
 func (o *Owner) BacklogBytes(now time.Time) (int, bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if o.scheduler == nil {
+	if o.scheduler == nil || o.scheduler.Loading() {
 		return 0, false
 	}
 	if o.backlog.at.IsZero() || now.Sub(o.backlog.at) > backlogTTL {
--- a/internal/job/bbrowner/flusher.go
+++ b/internal/job/bbrowner/flusher.go
@@ -31,6 +31,11 @@
 	// record of interfering images is one more in the transactions that have it.
 	fixedEntries = 5
 	maxWrites    = bbrkv.MaxTransactionSize - fixedEntries
+	// maxTransactionBytes bounds the writes of a transaction, except for a single one that is
+	// larger: an entry with a small link must be able to send it within the time of a call.
+	// Starts wait for an urgent transaction, so that it has fewer.
+	maxTransactionBytes       = 128 << 10
+	maxUrgentTransactionBytes = 8 << 10
 )
 
 // commitState is what the owner knows of its own transactions.
@@ -66,6 +71,10 @@
 	lastReport report
 	reportedAt time.Time
 	reportTook time.Duration
+	// shortened means that the last transaction left writes or a report out because starts
+	// waited for it. The next one leaves nothing out, so that bulk is stored as well while
+	// starts wait all the time.
+	shortened bool
 }
 
 func (f *flusher) run(ctx context.Context) {
@@ -119,11 +128,21 @@
 	o.mu.Lock()
 	batch := o.scheduler.Batch(maxWrites, now)
 	needsHorizon := o.scheduler.NeedsHorizon()
-	current := f.currentReport(now)
+	loading := o.scheduler.Loading()
+	var current report
+	if !loading {
+		current = f.currentReport(now)
+	}
 	canAcknowledge := o.scheduler.CanAcknowledge()
 	o.mu.Unlock()
-	batch, complete := fitTransaction(batch)
-	storeReport := f.mustStoreReport(current, now)
+	urgent := (needsHorizon || batch.Recorded != nil) && !f.shortened
+	batch, complete := fitTransaction(batch, urgent)
+	// While jobs are loaded, the counts would be partial. The last owner's report stays.
+	storeReport := !loading && f.mustStoreReport(current, now)
+	if urgent && storeReport {
+		storeReport, complete = false, false
+	}
+	f.shortened = urgent && !complete
 	if len(batch.Writes) == 0 && batch.Recorded == nil && !needsHorizon && !storeReport {
 		if canAcknowledge {
 			f.applyStored(batch, 0)
@@ -180,6 +199,7 @@
 	o := f.owner
 	o.mu.Lock()
 	o.scheduler.ApplyStored(batch, revision, time.Now())
+	o.recordHorizon(time.Now())
 	o.wakeRenewers(o.scheduler.Unfenced())
 	if o.nextStored != nil {
 		close(o.nextStored)
@@ -219,15 +239,17 @@
 }
 
 // fitTransaction truncates the batch to what fits into a transaction, and reports
-// whether the result has all that there is to store.
-func fitTransaction(batch bbrscheduler.Batch) (bbrscheduler.Batch, bool) {
-	count := fixedEntries
+// whether the result has all that there is to store. Starts wait for an urgent one, whatever
+// writes it has.
+func fitTransaction(batch bbrscheduler.Batch, urgent bool) (bbrscheduler.Batch, bool) {
+	count, bytes := fixedEntries, 0
 	if batch.Interference != nil {
 		count++
 	}
 	for i, write := range batch.Writes {
 		count += entriesPerWrite(write)
-		if count > bbrkv.MaxTransactionSize {
+		bytes += len(write.Progress) + len(write.Crashes)
+		if count > bbrkv.MaxTransactionSize || urgent && bytes > maxUrgentTransactionBytes || i > 0 && bytes > maxTransactionBytes {
 			return batch.Head(i), false
 		}
 	}
@@ -279,14 +301,14 @@
 		addWrite(&transaction, write, now)
 	}
 	removable := bbrkv.MaxTransactionSize - len(transaction.Conditions) - len(transaction.Puts) - len(transaction.Removals)
-	stale := o.staleCrashKeys[:min(len(o.staleCrashKeys), max(0, removable))]
+	stale := o.takeStaleCrashKeys(removable)
 	transaction.Removals = append(transaction.Removals, stale...)
 	revision, err := f.commitUntilKnown(ctx, transaction, commits.number)
 	if err != nil {
 		return err
 	}
 	commits.revision = revision
-	o.staleCrashKeys = o.staleCrashKeys[len(stale):]
+	o.dropStaleCrashKeys(len(stale))
 	if storeReport {
 		commits.waiting, commits.drained, commits.demand, commits.reportedAt = current.waiting, current.drained, current.demand, now
 	}
@@ -326,14 +348,18 @@
 // attempt was committed.
 func (f *flusher) commitUntilKnown(ctx context.Context, transaction bbrkv.Transaction, number int64) (bbrkv.Revision, error) {
 	answerLost := false
+	settle := f.owner.beginTransaction(&transaction, time.Now())
 	for {
 		revision, err := f.owner.Store.Commit(ctx, transaction)
 		var conflict *bbrkv.Conflict
 		switch {
 		case err == nil:
+			settle(transactionStored, time.Now())
 			return revision, nil
 		case errors.As(err, &conflict):
-			return f.resolveConflict(conflict, number, answerLost)
+			revision, err := f.resolveConflict(conflict, number, answerLost)
+			settle(outcomeOfConflict(err), time.Now())
+			return revision, err
 		case errors.Is(err, bbrkv.ErrAnswerLost):
 			answerLost = true
 		case !answerLost:
@@ -341,11 +367,14 @@
 			if errors.Is(err, bbrkv.ErrInvalid) {
 				klog.ErrorS(err, "The store rejects a transaction as invalid", "shard", f.owner.Shard, "token", f.owner.Held.Token, "puts", len(transaction.Puts), "removals", len(transaction.Removals), "largest", largestValue(transaction))
 			}
+			settle(transactionRefused, time.Now())
 			return 0, err
 		}
 		f.owner.Metrics.Event("flush:unsettled")
+		f.owner.repeatTransaction()
 		bbrpause.For(ctx, flushRetryDelay)
 		if ctx.Err() != nil {
+			settle(transactionAbandoned, time.Now())
 			return 0, ctx.Err()
 		}
 	}
--- a/internal/job/bbrowner/owner.go
+++ b/internal/job/bbrowner/owner.go
@@ -8,7 +8,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"k8s.io/klog/v2"
 
 	"github.com/bluebellridge/bluebellridge/internal/base/bbrmetric"
@@ -60,6 +59,9 @@
 	// HandOverOverdue reports whether the owner is to release its claim now, as it is late
 	// and overdue with the renewal of leases. It is nil if it keeps its claim then.
 	HandOverOverdue func(ownedSince, now time.Time) bool
+	// HandOverUnloaded reports whether the owner is to release its claim now, as nothing of
+	// the shard that it loads has arrived for the idle time. It is nil if it keeps its claim.
+	HandOverUnloaded func(idle time.Duration, ownedSince, now time.Time) bool
 	// FairShares makes organisations share the capacity by weight while it is short.
 	FairShares bool
 	// ReserveCapacity means that wide work may reserve capacity, and that urgent work may
@@ -70,8 +72,6 @@
 
 	mu        sync.Mutex
 	scheduler *bbrscheduler.Scheduler
-	// loadedRevision is the revision as of which the scheduler has all stored jobs.
-	loadedRevision bbrkv.Revision
 	// registryVersion is the version of the registrations that the scheduler has.
 	registryVersion bbrregistry.Version
 	configVersion   int64
@@ -101,6 +101,8 @@
 	backlog backlogSize
 	// startedAt is when Run began.
 	startedAt time.Time
+	// loading is what has been read of the shard.
+	loading loadState
 	// loadLoggedAt is when the load was last logged.
 	loadLoggedAt time.Time
 	renewers     map[string]*leaseRenewer
@@ -113,6 +115,7 @@
 	// nextStored is closed after the next transaction; nil while nothing waits for it.
 	nextStored chan struct{}
 	commits    commitState
+	settlement settlement
 	// staleCrashKeys has the keys of crash records whose jobs have ended under an
 	// owner that does not know such records. They are removed with later transactions.
 	staleCrashKeys []string
@@ -143,13 +146,22 @@
 	o.renewers = make(map[string]*leaseRenewer)
 	start := time.Now()
 	o.startedAt = start
-	loadedAt, ok := o.load(ctx, start)
+	o.loading.start(start)
+	monitor := &loadMonitor{owner: o}
+	o.wg.Go(func() { monitor.run(ctx) })
+	records, ok := o.readStoredRecords(ctx)
 	if !ok {
+		o.wg.Wait()
 		return
 	}
-	klog.InfoS("Owner started", "shard", o.Shard, "token", o.Held.Token, "jobs", o.scheduler.JobCount(), "took", time.Since(start).Round(time.Millisecond))
+	o.begin(records, start, time.Now())
+	amount := o.loading.amount()
+	klog.InfoS("Owner started", "shard", o.Shard, "token", o.Held.Token, "items", amount.Items, "bytes", amount.Bytes, "took", time.Since(start).Round(time.Millisecond))
 	jobs := bbrkv.Follower{Store: o.Store, Prefix: bbrrecord.JobPrefixOf(o.Shard), WatchTimeout: jobWatchTimeout, BatchDelay: jobEventDelay, OnSnapshot: o.jobsSnapshot, OnChange: o.jobChanged}
-	jobs.StartAfter(loadedAt, start)
+	// Earlier owners can store nothing after the claim.
+	jobs.StartAfter(o.Held.Token, start)
+	loader := newLoader(o)
+	o.wg.Go(func() { loader.run(ctx) })
 	o.wg.Go(func() { jobs.Run(ctx) })
 	o.wg.Go(func() { o.runCancellations(ctx) })
 	o.wg.Go(func() { o.runVerification(ctx) })
@@ -180,6 +192,7 @@
 	o.Metrics.ClearInterferingPairs(shard)
 	o.Metrics.ClearExcluded(shard)
 	o.Metrics.ClearLateWork(shard)
+	o.Metrics.ClearUnsettled(shard)
 }
 
 // jobWatchTimeout is how long a watch for jobs lasts. It bounds the delay of jobs
@@ -231,6 +244,8 @@
 	o.refresh(now)
 	plan := o.scheduler.Plan(o.Confirmed(now), now)
 	o.startRenewers(ctx)
+	o.recordHorizon(now)
+	o.reportUnsettled(now)
 	o.logLoad(now)
 	o.updateRoom(now)
 	drained := o.scheduler.Drained(now)
@@ -325,84 +340,6 @@
 	o.cancelRun()
 }
 
-// load reads everything that is stored about the shard, and tries again until it
-// succeeds. It returns the revision after which changes must be followed, and false
-// if ctx ended before.
-func (o *Owner) load(ctx context.Context, start time.Time) (bbrkv.Revision, bool) {
-	for ctx.Err() == nil {
-		revision, err := o.tryLoad(ctx, start)
-		if err == nil {
-			return revision, true
-		}
-		klog.InfoS("Failed to load the stored state of the shard, will retry", "shard", o.Shard, "reason", err.Error())
-		bbrpause.For(ctx, loadRetryDelay)
-	}
-	return 0, false
-}
-
-// tryLoad makes one attempt to load.
-func (o *Owner) tryLoad(ctx context.Context, start time.Time) (bbrkv.Revision, error) {
-	sequence, err := o.Store.Get(ctx, bbrrecord.SequenceKey(o.Shard))
-	firstOwner := errors.Is(err, bbrkv.ErrNotFound)
-	if err != nil && !firstOwner {
-		return 0, err
-	}
-	progress, _, err := o.Store.ReadAll(ctx, bbrrecord.ProgressPrefixOf(o.Shard))
-	if err != nil {
-		return 0, err
-	}
-	reserved, err := o.Store.Get(ctx, bbrclaim.ReservedKey)
-	if err != nil && !errors.Is(err, bbrkv.ErrNotFound) {
-		return 0, err
-	}
-	reservedIDs, err := bbrclaim.ParseReserved(reserved)
-	if err != nil {
-		return 0, err
-	}
-	recorded, err := o.loadRecorded(ctx)
-	if err != nil {
-		return 0, err
-	}
-	shares, err := o.loadShares(ctx)
-	if err != nil {
-		return 0, err
-	}
-	crashes, _, err := o.Store.ReadAll(ctx, bbrrecord.CrashesPrefixOf(o.Shard))
-	if err != nil {
-		return 0, err
-	}
-	interference := o.loadInterference(ctx)
-	jobs, revision, err := o.Store.ReadAll(ctx, bbrrecord.JobPrefixOf(o.Shard))
-	if err != nil {
-		return 0, err
-	}
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	o.commits.revision = sequence.Revision
-	o.scheduler = bbrscheduler.New(o.Shard, int64(o.Held.Token), o.Timing, firstOwner, start)
-	o.scheduler.MaxValueBytes = o.Store.MaxValueBytes
-	o.scheduler.ReserveCapacity = o.ReserveCapacity
-	if o.SeparateInterfering {
-		o.scheduler.SeparateInterfering(interference, time.Now())
-	}
-	o.scheduler.FairShares = o.FairShares
-	if config := o.Config(); config != nil {
-		o.configVersion = config.Version
-		o.scheduler.SetConfig(config)
-	}
-	o.quota = o.newQuotaKeeper(shares, time.Now())
-	o.reservedRevision = reserved.Revision
-	o.scheduler.SetReserved(reservedIDs, time.Now())
-	o.addJobs(jobs, progress, time.Now())
-	o.restoreCrashes(crashes, time.Now())
-	inherited := storedSequence(sequence)
-	o.scheduler.InheritOrders(inherited.OrdersStored)
-	o.scheduler.BeginLoading(recorded, inherited.Horizon, time.Now())
-	o.scheduler.FinishLoading(time.Now())
-	o.loadedRevision = revision
-	return revision, nil
-}
-
 // storedSequence returns the record that an earlier owner stored. It returns an empty one,
 // which means that any job may have started, with any run numbers, if there is none or it
 // cannot be decoded.
