job/bbrscheduler: let runs of a partly listed upstream end with their lease

Work counted as running for ever, and never started again, if its upstream was recorded by an earlier owner, was listed in part (500 ends or more), was not registered any more and then fell silent. When all leases of earlier owners had ended, the upstream was removed as never reached, together with the runs that its listing had shown: nothing ended these.

Such an upstream now stays until the lease of its runs has ended.

--- a/internal/job/bbrscheduler/leaseexpiry.go
+++ b/internal/job/bbrscheduler/leaseexpiry.go
@@ -36,7 +36,8 @@
 	}
 	sched.note(now, "All leases of earlier owners expired", "unreached", silent, "reading", len(sched.unlocated))
 	for _, up := range sched.sortedUpstreams() {
-		if !up.registered && !up.reached {
+		// Runs that it listed in part end with their lease.
+		if !up.registered && !up.reached && !up.hasRuns() {
 			sched.note(now, "Upstream dropped", "upstream", up.ID, "reason", "unregistered and never reached")
 			sched.accuseInheritedTrials(up.Incarnation, now)
 			sched.removeUpstream(up, now)
--- a/internal/job/bbrscheduler/partlylisted_test.go
+++ b/internal/job/bbrscheduler/partlylisted_test.go
@@ -1,6 +1,7 @@
 package bbrscheduler
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -114,3 +115,41 @@
 	state, _ := s.sched.State(testJob)
 	require.Equal(t, bbrwork.Completed, state)
 }
+
+// TestRunsOfPartlyListedUpstreamLapse guards against work that counts as running for ever:
+// its upstream was listed in part, is not registered, and is given up with the leases of the
+// earlier owner. The job is known at once, or loaded later.
+func TestRunsOfPartlyListedUpstreamLapse(t *testing.T) {
+	for _, known := range []bool{true, false} {
+		t.Run(fmt.Sprintf("known %v", known), func(t *testing.T) {
+			s := newLoadingScene(t, "i-2")
+			gone := s.upstream("i-1")
+			s.sched.BeginLoading([]bbrwork.Upstream{gone}, 500, s.now)
+			s.list("i-2")
+			if known {
+				s.stored(lateJob, unitStep(1))
+			}
+			s.advance(testTiming.Handover + testTiming.MaxRunLease)
+			var ends []bbrwork.RunEnd
+			for n := range 500 {
+				ends = append(ends, bbrwork.RunEnd{Sequence: int64(n + 1), Unit: unitName(n), Run: 1, Outcome: bbrwork.OutcomeDone})
+			}
+			s.listRunning("i-1", []bbrwork.Run{lateRun}, ends...)
+			listed := s.now
+			started := time.Time{}
+			for i := 0; started.IsZero() && i < 60; i++ {
+				s.sched.ApplyRenewalFailure(gone.Incarnation, bbrorder.ErrAnswerLost, s.now)
+				s.list("i-2")
+				if len(s.plan().Starts) > 0 {
+					started = s.now
+				}
+				s.advance(200 * time.Millisecond)
+				if i == 40 {
+					s.stored(lateJob, unitStep(1))
+				}
+			}
+			require.False(t, started.IsZero(), "it never starts")
+			require.Greater(t, started.Sub(listed), testTiming.MaxRunLease)
+		})
+	}
+}
