--- a/internal/store/bbrkv/follower.go
+++ b/internal/store/bbrkv/follower.go
@@ -114,6 +114,9 @@
 	f.rereading = nil
 	asOf := r.listing.Progress().AsOf
 	f.OnSnapshot(r.sorted(), asOf, time.Now())
+	for _, event := range r.unreported {
+		f.OnChange(event, time.Now())
+	}
 	f.notifyAnswer(r.begun)
 	f.revision, f.loadedAt = max(asOf, r.revision), r.begun
 	return nil
@@ -121,7 +124,8 @@
 
 // catchUp applies the events since the items are being read, if that has taken a while:
 // changes are not reported late, and the store does not discard the history from which
-// the follower continues.
+// the follower continues. If there is no state that they change, they are reported after
+// the snapshot.
 func (f *Follower) catchUp(ctx context.Context, now time.Time) error {
 	r := f.rereading
 	r.revision = max(r.revision, f.revision)
@@ -139,6 +143,8 @@
 		r.apply(item)
 		if f.revision > 0 {
 			f.OnChange(item, time.Now())
+		} else {
+			r.unreported = append(r.unreported, item)
 		}
 	}
 	r.revision, r.caughtUpAt = max(r.revision, page.AsOf), now
--- a/internal/store/bbrkv/follower_test.go
+++ b/internal/store/bbrkv/follower_test.go
@@ -139,16 +139,20 @@
 			synctest.Test(t, func(t *testing.T) {
 				slow := &slowStore{scannedStore: *newScannedStore(200, 10, test.cuts...), pageTime: 900 * time.Millisecond, history: test.history}
 				items := make(map[string]Item)
+				reported := make(map[Revision]bool)
 				snapshots := 0
+				var snapshotAsOf Revision
 				f := &Follower{
 					Store: slow.store(), Prefix: "jobs/", WatchTimeout: time.Second,
-					OnSnapshot: func(all []Item, _ Revision, _ time.Time) {
+					OnSnapshot: func(all []Item, asOf Revision, _ time.Time) {
 						snapshots++
+						snapshotAsOf = asOf
 						for _, item := range all {
 							items[item.Key] = item
 						}
 					},
 					OnChange: func(item Item, _ time.Time) {
+						reported[item.Revision] = true
 						items[item.Key] = item
 						if item.Deleted {
 							delete(items, item.Key)
@@ -168,6 +172,9 @@
 					want[item.Key] = item
 				}
 				require.Equal(t, want, items)
+				for _, event := range slow.events {
+					require.True(t, reported[event.Revision] || event.Revision <= snapshotAsOf, "whoever knows more than the snapshot learns of %v", event)
+				}
 			})
 		})
 	}
@@ -189,6 +196,7 @@
 		var wg sync.WaitGroup
 		wg.Go(func() { f.Run(ctx) })
 		time.Sleep(9 * time.Second)
+		synctest.Wait()
 		require.Zero(t, snapshots)
 		require.GreaterOrEqual(t, changes, 10)
 		cancel()
--- a/internal/store/bbrkv/reread.go
+++ b/internal/store/bbrkv/reread.go
@@ -16,6 +16,8 @@
 	revision Revision
 	// caughtUpAt is when changes were applied last.
 	caughtUpAt time.Time
+	// unreported are the events that were applied, but not reported as changes.
+	unreported []Item
 }
 
 // newReread returns an empty collection. The revision is one up to which the caller knows
