--- a/internal/job/bbrowner/loadproperty_test.go
+++ b/internal/job/bbrowner/loadproperty_test.go
@@ -20,9 +20,10 @@
 type loadCase struct {
 	steps, jobs, upstreams, running, bytesPerSecond int
 	runTime                                         time.Duration
-	// seed and cutShare determine which reads fail.
-	seed     uint64
-	cutShare float64
+	// seed and cutShare determine which reads fail, and lostShare which transactions, their
+	// answers, and answers to starts are lost.
+	seed                uint64
+	cutShare, lostShare float64
 	// compactShare is the share of watches that find the history compacted.
 	compactShare float64
 	// takeovers has how long each owner lasts; the last one stays.
@@ -39,7 +40,7 @@
 		upstreams: rapid.IntRange(1, 4).Draw(t, "upstreams"), running: min(jobs/2, rapid.IntRange(0, 20).Draw(t, "running")),
 		bytesPerSecond: rapid.SampledFrom([]int{20000, 60000, mbit2, 10 * mbit2}).Draw(t, "bytesPerSecond"),
 		runTime:        time.Duration(rapid.IntRange(100, 2000).Draw(t, "runTimeMillis")) * time.Millisecond,
-		seed:           rapid.Uint64().Draw(t, "seed"), cutShare: rapid.Float64Range(0, 0.6).Draw(t, "cutShare"),
+		seed:           rapid.Uint64().Draw(t, "seed"), cutShare: rapid.Float64Range(0, 0.6).Draw(t, "cutShare"), lostShare: rapid.SampledFrom([]float64{0, 0.05, 0.2}).Draw(t, "lostShare"),
 		compactShare: rapid.SampledFrom([]float64{0, 0, 0.1, 0.5}).Draw(t, "compactShare"),
 		takeovers:    drawDurations(t, "takeovers", 3), arrivals: drawDurations(t, "arrivals", 10), hints: rapid.Bool().Draw(t, "hints"),
 	}
@@ -64,6 +65,12 @@
 		return []int{0, 300, 3000, 20000}[random.IntN(4)]
 	}
 	s.store.compacts = func() bool { return random.Float64() < c.compactShare }
+	s.store.loses = func() bool { return random.Float64() < c.lostShare }
+	s.upstreams.loses = func() bool {
+		s.store.mu.Lock()
+		defer s.store.mu.Unlock()
+		return s.store.loses()
+	}
 	p := &loadPlay{loadCase: c, scene: s}
 	var wg sync.WaitGroup
 	wg.Go(func() { p.accept(ctx) })
--- a/internal/job/bbrowner/slowload_test.go
+++ b/internal/job/bbrowner/slowload_test.go
@@ -68,6 +68,8 @@
 	events   []bbrkv.Item
 	revision bbrkv.Revision
 	calls    int
+	// loses reports whether a transaction, or the answer to it, is lost.
+	loses func() bool
 	// compacts reports whether a watch finds the history compacted.
 	compacts func() bool
 	// jobsRead counts the jobs that arrived, also those that arrived again.
@@ -78,6 +80,7 @@
 	return &slowLinkStore{
 		link:     &slowLink{bytesPerSecond: bytesPerSecond, turn: make(chan struct{}, 1)},
 		cut:      func(int) int { return -1 },
+		loses:    func() bool { return false },
 		compacts: func() bool { return false },
 		items:    make(map[string]bbrkv.Item),
 	}
@@ -225,6 +228,18 @@
 	s.link.carry(packetBytes/10 + transactionBytes(&transaction)*4/3)
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.loses() {
+		return 0, bbrkv.ErrAnswerLost
+	}
+	revision, err := s.transact(transaction)
+	if s.loses() {
+		return 0, bbrkv.ErrAnswerLost
+	}
+	return revision, err
+}
+
+// transact applies a transaction. The caller holds the lock.
+func (s *slowLinkStore) transact(transaction bbrkv.Transaction) (bbrkv.Revision, error) {
 	for _, condition := range transaction.Conditions {
 		if s.items[condition.Key].Revision != condition.Revision {
 			conflict := &bbrkv.Conflict{Items: make(map[string]bbrkv.Item)}
@@ -264,6 +279,8 @@
 	link     *slowLink
 	runTime  time.Duration
 	bootedAt time.Time
+	// loses reports whether the answer to a start is lost.
+	loses func() bool
 
 	mu sync.Mutex
 	// hosts has the upstreams by ID.
@@ -294,7 +311,7 @@
 }
 
 func newLoadUpstreams(link *slowLink, count int, runTime time.Duration) *loadUpstreams {
-	u := &loadUpstreams{link: link, runTime: runTime, bootedAt: time.Now(), hosts: make(map[string]*loadHost), done: make(map[bbrwork.Unit]int), overlaps: make(map[bbrwork.Unit]int)}
+	u := &loadUpstreams{loses: func() bool { return false }, link: link, runTime: runTime, bootedAt: time.Now(), hosts: make(map[string]*loadHost), done: make(map[bbrwork.Unit]int), overlaps: make(map[bbrwork.Unit]int)}
 	for i := range count {
 		id := fmt.Sprintf("i-%02d", i)
 		u.hosts[id] = &loadHost{running: make(map[bbrwork.Unit]loadRun), upstream: bbrwork.Upstream{
@@ -362,6 +379,9 @@
 	}
 	u.run(up.ID, start.Unit, start.Run, time.Now())
 	u.link.carry(150)
+	if u.loses() {
+		return 0, bbrorder.ErrAnswerLost
+	}
 	return time.Since(u.bootedAt), nil
 }
 
