job/owner: jobs that wait for capacity go to another cell

Callers saw jobs of which nothing ran while their pool had room: a job stays in the cell that accepted it, and instances move within theirs, so that the backlog of a short cell waits beside idle upstreams of the same pool.

An owner now hands a job of which nothing runs, or can still begin to, and that has waited for 0.8 s for capacity to the service's shard in a cell that offers it, in one transaction of its own: conditions are its claim and sequence, the claim of the owner that made the offer, the revision of the job's status, and that there is no cancellation request. Offers are part of the reports, and read only while work waits. Until the outcome is known, nothing of the job starts. A conflict with anything but the claim and the sequence no longer counts as a lost shard. The job's record has its progress, so that run numbers continue.

TestWorkReachesRoomInOtherCells runs the owners of several cells against one store. Without transfers it fails in all four cases ("18 work units wait while 24 fit"). TestTransfersUnderFailures draws cells, takeovers, lost and late answers, outdated lists, cancellations and long-running work.

Counters: bbr_job_transfers_total by outcome. Log lines: "Job goes to another cell", "Transfer of a job to another cell ended".

--- a/internal/base/bbrmetric/set.go
+++ b/internal/base/bbrmetric/set.go
@@ -27,6 +27,7 @@
 	crashVerdicts   *prometheus.CounterVec
 	cellChoices     *prometheus.CounterVec
 	handovers       *prometheus.CounterVec
+	jobTransfers    *prometheus.CounterVec
 	roomMilliCPU    *prometheus.GaugeVec
 	roomDrain       *prometheus.GaugeVec
 	unlocated       *prometheus.GaugeVec
@@ -72,6 +73,7 @@
 	s.cellChoices = s.newCounter("bbr_cell_choices_total", "Jobs for which the entry chose a cell, with jobs.balanceByCapacity, by the reason for the choice.", "reason")
 	s.shortfalls = s.newCounter("bbr_capacity_shortfalls_total", "Partitions that a round of the fleet leader left below their target size, by reason.", "reason")
 	s.handovers = s.newCounter("bbr_handovers_total", "Hand-overs that this entry began while running, by cause.", "cause")
+	s.jobTransfers = s.newCounter("bbr_job_transfers_total", "Jobs that waited for capacity and were considered for another cell of their service, by outcome; noOffer counts each job in each round.", "outcome")
 	s.roomMilliCPU = s.newGauge("bbr_room_millicores", "Usable processor capacity of a shard for finite work, with jobs.balanceByCapacity.", "shard")
 	s.roomDrain = s.newGauge("bbr_room_drain_seconds", "Time that a shard's usable capacity needs for its open finite work, with jobs.balanceByCapacity.", "shard")
 	s.reservationEnds = s.newCounter("bbr_reservations_ended_total", "Reservations of capacity for wide or urgent work that ended, by cause.", "cause")
@@ -174,6 +176,11 @@
 // Handover counts a hand-over by its cause.
 func (s *Set) Handover(cause string) { s.handovers.WithLabelValues(cause).Inc() }
 
+// JobTransfers counts jobs that were considered for another cell by the outcome.
+func (s *Set) JobTransfers(outcome string, count int) {
+	s.jobTransfers.WithLabelValues(outcome).Add(float64(count))
+}
+
 // CapacityShortfall counts a partition that a round left below its target size.
 func (s *Set) CapacityShortfall(reason string) { s.shortfalls.WithLabelValues(reason).Inc() }
 
--- a/internal/daemon/bbrserve/owners.go
+++ b/internal/daemon/bbrserve/owners.go
@@ -169,6 +169,9 @@
 		FairShares:          jobs.FairShares,
 		ReserveCapacity:     jobs.Reservations,
 		SeparateInterfering: jobs.SeparateInterfering,
+
+		Cells:       d.directory.Cells,
+		NotifyOwner: o.notifyOwner,
 	}
 	owner.HandOverOverdue = func(ownedSince, now time.Time) bool {
 		return d.claimer.Relief.HandOverOverdue(held.Name, ownedSince, now)
--- a/internal/fleet/bbrcell/cells.go
+++ b/internal/fleet/bbrcell/cells.go
@@ -103,6 +103,9 @@
 	return all
 }
 
+// Candidates returns the cells that can run the job, as far as labels tell.
+func (c *Cells) Candidates(job *bbrwork.Job) []int { return c.candidates(job) }
+
 // candidates returns the cells that have all labels that the job's steps require, or all
 // cells if none has.
 func (c *Cells) candidates(job *bbrwork.Job) []int {
--- a/internal/job/bbrintake/jobcache.go
+++ b/internal/job/bbrintake/jobcache.go
@@ -12,8 +12,8 @@
 // accepted their job; for other jobs the store is read once.
 const jobCacheSize = 4096
 
-// jobPlace is what never changes about an accepted job: the shard that runs it and the
-// organisation that it belongs to, which may be empty.
+// jobPlace is the shard that runs a job, as last known, and the organisation that the job
+// belongs to, which never changes and may be empty.
 type jobPlace struct {
 	shard        bbrwork.Shard
 	organisation string
@@ -31,7 +31,7 @@
 	cache *lru.Cache[string, jobPlace]
 }
 
-// Add adds a job's place, which never changes.
+// Add adds or replaces a job's place.
 func (c *JobCache) Add(id string, place jobPlace) { c.places().Add(id, place) }
 
 // Get returns the place of a job, and whether it is in the cache.
--- a/internal/job/bbrowner/flusher.go
+++ b/internal/job/bbrowner/flusher.go
@@ -13,6 +13,7 @@
 	"github.com/bluebellridge/bluebellridge/internal/base/bbrpause"
 	"github.com/bluebellridge/bluebellridge/internal/job/bbrrecord"
 	"github.com/bluebellridge/bluebellridge/internal/job/bbrscheduler"
+	"github.com/bluebellridge/bluebellridge/internal/job/bbrtransfer"
 	"github.com/bluebellridge/bluebellridge/internal/store/bbrkv"
 )
 
@@ -39,12 +40,13 @@
 	// last transaction, whether committed or not.
 	revision bbrkv.Revision
 	number   int64
-	// waiting, drained and demand are from the report that was stored last, at
+	// waiting, drained, demand and offer are from the report that was stored last, at
 	// reportedAt.
 	waiting    map[string]int
 	reportedAt time.Time
 	drained    []string
 	demand     bbrscheduler.Demand
+	offer      *bbrtransfer.Offer
 }
 
 // report is what an owner reports besides the progress of jobs, as in
@@ -54,6 +56,7 @@
 	drained []string
 	demand  bbrscheduler.Demand
 	beyond  []bbrscheduler.OrganisationShare
+	offer   *bbrtransfer.Offer
 }
 
 // flusher stores the changes of the scheduler's state. It continues for a short time
@@ -105,9 +108,12 @@
 func (f *flusher) flush(ctx context.Context) error {
 	for {
 		more, err := f.flushBatch(ctx, time.Now())
-		if err != nil || !more {
+		if err != nil {
 			return err
 		}
+		if !more {
+			return f.flushTransfers(ctx)
+		}
 	}
 }
 
@@ -121,7 +127,7 @@
 	canAcknowledge := o.scheduler.CanAcknowledge()
 	o.mu.Unlock()
 	batch, complete := fitTransaction(batch)
-	storeReport := f.mustStoreReport(current, now)
+	storeReport := f.mustStoreReport(&current, now)
 	if len(batch.Writes) == 0 && batch.Recorded == nil && !needsHorizon && !storeReport {
 		if canAcknowledge {
 			f.applyStored(batch, 0)
@@ -166,6 +172,7 @@
 		f.lastReport = report{waiting: scheduler.WaitingByQueue(now), drained: scheduler.Drained(now), demand: scheduler.Demand(now)}
 		f.lastReport.demand.LimitReleasable(maxReleasable)
 		f.lastReport.beyond = slices.DeleteFunc(scheduler.Shares(maxReportedShares), func(share bbrscheduler.OrganisationShare) bool { return !share.Beyond })
+		f.lastReport.offer = f.owner.offer(now)
 		f.reportedAt, f.reportTook = now, time.Since(begin)
 	}
 	return f.lastReport
@@ -186,7 +193,7 @@
 }
 
 // mustStoreReport reports whether the report must be stored even if nothing else is.
-func (f *flusher) mustStoreReport(current report, now time.Time) bool {
+func (f *flusher) mustStoreReport(current *report, now time.Time) bool {
 	stored := &f.owner.commits
 	waiting := current.waiting
 	age := now.Sub(stored.reportedAt)
@@ -196,7 +203,7 @@
 	if demandChanged(stored.demand, current.demand) {
 		return age >= demandReportInterval
 	}
-	return age >= waitingReportInterval-waitingReportInterval/10 && !maps.Equal(waiting, stored.waiting)
+	return age >= waitingReportInterval-waitingReportInterval/10 && (!maps.Equal(waiting, stored.waiting) || offerChanged(stored.offer, current.offer))
 }
 
 const (
@@ -263,7 +270,7 @@
 		Puts:       []bbrkv.Put{{Key: key, Value: bbrrecord.Encode(record)}},
 	}
 	if storeReport {
-		stored := bbrrecord.Report{Waiting: current.waiting, Drained: current.drained, Demand: current.demand, Beyond: current.beyond, At: now}
+		stored := bbrrecord.Report{Waiting: current.waiting, Drained: current.drained, Demand: current.demand, Beyond: current.beyond, Offer: current.offer, At: now}
 		transaction.Puts = append(transaction.Puts, bbrkv.Put{Key: bbrrecord.ReportKey(o.Shard), Value: bbrrecord.Encode(stored)})
 	}
 	if batch.Recorded != nil {
@@ -286,6 +293,7 @@
 	o.staleCrashKeys = o.staleCrashKeys[len(stale):]
 	if storeReport {
 		commits.waiting, commits.drained, commits.demand, commits.reportedAt = current.waiting, current.drained, current.demand, now
+		commits.offer = current.offer
 	}
 	return nil
 }
@@ -358,7 +366,8 @@
 }
 
 // resolveConflict decides what a conflict means: that an earlier attempt whose answer
-// was lost was committed, or that another owner has the shard.
+// was lost was committed, that a condition of a transfer is not met, or that another owner has
+// the shard.
 func (f *flusher) resolveConflict(conflict *bbrkv.Conflict, number int64, answerLost bool) (bbrkv.Revision, error) {
 	o := f.owner
 	item := conflict.Items[bbrrecord.SequenceKey(o.Shard)]
@@ -367,6 +376,9 @@
 	if answerLost && own {
 		return item.Revision, nil
 	}
+	if f.keepsShard(conflict) {
+		return 0, &unmetTransfer{conflict: conflict}
+	}
 	o.stopReplaced("a condition of its transaction does not hold")
 	return 0, errReplaced
 }
--- a/internal/job/bbrowner/owner.go
+++ b/internal/job/bbrowner/owner.go
@@ -13,6 +13,7 @@
 
 	"github.com/bluebellridge/bluebellridge/internal/base/bbrmetric"
 	"github.com/bluebellridge/bluebellridge/internal/base/bbrpause"
+	"github.com/bluebellridge/bluebellridge/internal/fleet/bbrcell"
 	"github.com/bluebellridge/bluebellridge/internal/fleet/bbrclaim"
 	"github.com/bluebellridge/bluebellridge/internal/fleet/bbrregistry"
 	"github.com/bluebellridge/bluebellridge/internal/job/bbrorder"
@@ -67,6 +68,11 @@
 	ReserveCapacity bool
 	// SeparateInterfering means that images that slow each other down are kept apart.
 	SeparateInterfering bool
+	// Cells returns the division of the fleet; nil if jobs stay in their cell.
+	Cells func() *bbrcell.Cells
+	// NotifyOwner notifies the owner of a job's shard, without waiting, that the job was
+	// stored at the revision. It may be nil.
+	NotifyOwner func(job *bbrwork.Job, stored bbrkv.Revision, now time.Time)
 
 	mu        sync.Mutex
 	scheduler *bbrscheduler.Scheduler
@@ -111,6 +117,7 @@
 	// nextStored is closed after the next transaction; nil while nothing waits for it.
 	nextStored chan struct{}
 	commits    commitState
+	transfers  transfers
 	// staleCrashKeys has the keys of crash records whose jobs have ended under an
 	// owner that does not know such records. They are removed with later transactions.
 	staleCrashKeys []string
@@ -152,6 +159,7 @@
 	o.wg.Go(func() { o.runCancellations(ctx) })
 	o.wg.Go(func() { o.runVerification(ctx) })
 	o.wg.Go(func() { o.quota.run(ctx) })
+	o.wg.Go(func() { o.runTransfers(ctx) })
 	flushCtx, cancelFlush := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancelFlush()
 	var flushed sync.WaitGroup
--- a/internal/job/bbrrecord/record.go
+++ b/internal/job/bbrrecord/record.go
@@ -6,6 +6,7 @@
 
 	"github.com/bluebellridge/bluebellridge/internal/base/bbrcode"
 	"github.com/bluebellridge/bluebellridge/internal/job/bbrscheduler"
+	"github.com/bluebellridge/bluebellridge/internal/job/bbrtransfer"
 	"github.com/bluebellridge/bluebellridge/internal/job/bbrwork"
 	"github.com/bluebellridge/bluebellridge/internal/store/bbrkv"
 )
@@ -70,6 +71,9 @@
 	// Beyond has organisations that are beyond their share of the shard. It is
 	// information for operators: a change of it alone causes no report.
 	Beyond []bbrscheduler.OrganisationShare `json:"beyond,omitempty"`
+	// Offer is what the shard can take from other cells of the service; nil if there are
+	// none. An owner of an earlier version leaves it out and gets no jobs of other cells.
+	Offer *bbrtransfer.Offer `json:"offer,omitempty"`
 }
 
 // EncodeJob returns the job's value in the store. It returns an error if the job has a
--- a/internal/job/bbrscheduler/job.go
+++ b/internal/job/bbrscheduler/job.go
@@ -46,7 +46,8 @@
 	learnedAt      time.Time
 	storedRevision bbrkv.Revision
 	// version increases with each change that has to be stored.
-	version int
+	version  int
+	transfer transferState
 }
 
 // occurrence is one scheduled repetition of a job's steps.
--- a/internal/job/bbrscheduler/rank.go
+++ b/internal/job/bbrscheduler/rank.go
@@ -27,7 +27,7 @@
 func (p *planner) candidates() []candidate {
 	var list []candidate
 	for _, job := range p.sched.jobs {
-		if job.finalState != "" || job.cancelled || p.jobWaitsForLocation(job) || !p.sched.mayStart(job) {
+		if job.finalState != "" || job.cancelled || job.transfer.leaving || p.jobWaitsForLocation(job) || !p.sched.mayStart(job) {
 			continue
 		}
 		for _, o := range job.occurrences {
--- a/internal/job/bbrscheduler/scheduler.go
+++ b/internal/job/bbrscheduler/scheduler.go
@@ -98,7 +98,10 @@
 	// outdated list or event may still report them, and callers ask for their
 	// state.
 	endedJobs map[string]endedJob
-	// endedSweptAt is when endedJobs was last swept.
+	// departures has the jobs that went to another cell. An outdated list or event may still
+	// report them.
+	departures map[string]departure
+	// endedSweptAt is when endedJobs and departures were last swept.
 	endedSweptAt time.Time
 	// firstIncarnations has, by ID, the start of the first incarnation that this owner has
 	// known, in milliseconds since 1970.
@@ -171,6 +174,7 @@
 		dirty:             make(map[string]*job),
 		advice:            make(map[string]*stepAdvice),
 		endedJobs:         make(map[string]endedJob),
+		departures:        make(map[string]departure),
 		firstIncarnations: make(map[string]int64),
 		tokens:            make(map[string]raisedToken),
 		endedIncarnations: make(map[bbrwork.Incarnation]bool),
--- a/internal/job/bbrscheduler/store.go
+++ b/internal/job/bbrscheduler/store.go
@@ -250,6 +250,11 @@
 			delete(sched.endedJobs, id)
 		}
 	}
+	for id, left := range sched.departures {
+		if now.Sub(left.at) > endedRetention {
+			delete(sched.departures, id)
+		}
+	}
 }
 
 // endedRetention exceeds the time for which a list or event may be in transit.
@@ -269,11 +274,13 @@
 }
 
 // AddJob adds a job with the revision at which it was stored and its stored
-// progress, which may be empty. A known job is left unchanged, and a malformed one is
-// ignored: an owner that ended on it would take each of its successors along.
+// progress, which may be empty. A known job is left unchanged, and one that went to another
+// cell comes back with a higher revision only. A malformed one is ignored: an owner that ended
+// on it would take each of its successors along.
 func (sched *Scheduler) AddJob(in *bbrwork.Job, storedRevision bbrkv.Revision, progress []byte, now time.Time) {
 	sched.horizon.observe(storedRevision)
-	if _, ended := sched.endedJobs[in.ID]; ended || sched.jobs[in.ID] != nil || in.Shard() != sched.Shard {
+	sched.noteReturn(in, storedRevision)
+	if _, ended := sched.endedJobs[in.ID]; ended || sched.jobs[in.ID] != nil || in.Shard() != sched.Shard || sched.hasDeparted(in.ID, storedRevision) {
 		return
 	}
 	if err := in.Validate(); err != nil {
@@ -283,7 +290,14 @@
 	policy := cmp.Or(sched.config.Queues[in.Queue].Policy(), in.Policy)
 	j := newJob(in, policy, storedRevision, func(spec *bbrwork.Step) time.Duration { return sched.runTimeOf(in.Queue, spec) }, now)
 	sched.jobs[in.ID] = j
-	sched.recordArrival(j, now)
+	if in.Transfer == nil {
+		sched.recordArrival(j, now)
+	} else {
+		j.started, j.mayHaveStoredProgress = in.Transfer.Started, true
+		if len(progress) == 0 {
+			progress = in.Transfer.Progress
+		}
+	}
 	if len(progress) == 0 {
 		return
 	}
--- a/internal/job/bbrwork/job.go
+++ b/internal/job/bbrwork/job.go
@@ -34,7 +34,8 @@
 // LatestDue is the latest due time, the latest time that can be encoded as text.
 var LatestDue = time.Date(9999, time.December, 31, 23, 59, 59, 0, time.UTC)
 
-// Job is an accepted job. It is immutable.
+// Job is an accepted job. It is immutable; a job that goes to another cell gets another
+// record there.
 type Job struct {
 	// ID consists of 16 hexadecimal digits and is chosen by the submitter.
 	ID    string `json:"id"`
@@ -56,6 +57,21 @@
 	// Policy is the queue's at acceptance. The policy in a newer configuration takes
 	// precedence. It is nil in records that entries of older versions stored.
 	Policy *Policy `json:"terms,omitempty"`
+	// Transfer is what came with the job from another cell; nil if it is in the cell that
+	// accepted it.
+	Transfer *Transfer `json:"transfer,omitempty"`
+}
+
+// Transfer is what an owner stores with a job that goes to another cell.
+type Transfer struct {
+	// Count is how often the job went to another cell.
+	Count int `json:"count"`
+	// Started means that a run of the job was started.
+	Started bool `json:"started,omitempty"`
+	// Progress is the progress of the job when it came to the cell; empty for none. The
+	// run numbers in it are not used again by any cell. The progress that is stored by
+	// itself takes precedence.
+	Progress []byte `json:"progress,omitempty"`
 }
 
 // Validate returns an error if the job cannot be run as it is: its record was damaged,
