--- a/internal/job/bbrowner/transfer_test.go
+++ b/internal/job/bbrowner/transfer_test.go
@@ -83,6 +83,10 @@
 				m.act(len(sizes))
 				m.run(time.Duration(m.random.IntN(20)) * cellsStep)
 			}
+			if m.faults > 0 {
+				// Until then, upstreams are cut off, and work of earlier owners is not located.
+				m.waitsCountFrom = time.Now().Add(20 * time.Second)
+			}
 			m.faults, m.failing = 0, false
 			m.settle()
 			violations = m.violations
@@ -113,6 +117,11 @@
 		}
 	case 4:
 		if m.faults > 0 {
+			for _, up := range m.ups {
+				if up.cell == cell && m.random.IntN(3) == 0 {
+					up.cutUntil = time.Now().Add(time.Duration(m.random.IntN(8)) * time.Second)
+				}
+			}
 			m.takeOver(cell)
 		}
 	case 5:
