job/intake: a job that changes its cell between two reads keeps its state

A caller could be told that a running job is pending: the entry read the status, and looked for the progress in the cell that the job had left meanwhile. Without progress, the status is now read again, which also finds a job that has ended meanwhile. TestStateOfJobThatChangesItsCell failed ("pending" for "running", moved before call 2).

TestCancellationOfJobThatChangesItsCell passes before and after: the condition on the status' revision makes the entry try again.

--- a/internal/job/bbrintake/intake.go
+++ b/internal/job/bbrintake/intake.go
@@ -121,7 +121,7 @@
 			return state, bbrcode.StateReported
 		}
 	}
-	return i.activeState(ctx, status.Shard(), id)
+	return i.activeState(ctx, status, id)
 }
 
 // locate returns where a job of the service runs and whom it belongs to, as far as that
@@ -152,18 +152,33 @@
 	return status, json.Unmarshal(item.Value, &status)
 }
 
-// activeState returns the state of a job that has not ended, as it is stored: a job
-// without progress is pending.
-func (i *Intake) activeState(ctx context.Context, shard bbrwork.Shard, id string) (bbrwork.State, bbrcode.Code) {
-	_, err := i.Store.Get(ctx, bbrrecord.ProgressKey(shard, id))
-	switch {
-	case errors.Is(err, bbrkv.ErrNotFound):
-		return bbrwork.Pending, bbrcode.StateReported
-	case err != nil:
-		return "", bbrcode.StoreUnavailable
-	default:
-		return bbrwork.Running, bbrcode.StateReported
+// activeStateReads bounds the reads of a job's status and progress while the job changes its
+// cell or ends between them.
+const activeStateReads = 3
+
+// activeState returns the state of a job that had not ended, as it is stored: a job without
+// progress is pending, unless its status has changed since it was read.
+func (i *Intake) activeState(ctx context.Context, status bbrrecord.Status, id string) (bbrwork.State, bbrcode.Code) {
+	for range activeStateReads {
+		_, err := i.Store.Get(ctx, bbrrecord.ProgressKey(status.Shard(), id))
+		if err == nil {
+			return bbrwork.Running, bbrcode.StateReported
+		}
+		if !errors.Is(err, bbrkv.ErrNotFound) {
+			return "", bbrcode.StoreUnavailable
+		}
+		read, err := i.readStatus(ctx, id)
+		switch {
+		case err != nil:
+			return "", bbrcode.StoreUnavailable
+		case read.State != "":
+			return read.State, bbrcode.StateReported
+		case read.Shard() == status.Shard():
+			return bbrwork.Pending, bbrcode.StateReported
+		}
+		status = read
 	}
+	return "", bbrcode.StoreUnavailable
 }
 
 // Cancel stores a cancellation request for a job at the request of a caller of the
