job/scheduler, job/owner: a job from another cell does not count as an arrival

Jobs that waited in another cell say nothing about the rate at which jobs arrive, so that they raise the demand of their new shard as open work only. The outcome notMovable has the same name in the code.

--- a/internal/job/bbrowner/transfer.go
+++ b/internal/job/bbrowner/transfer.go
@@ -52,9 +52,9 @@
 	TransferRefused TransferOutcome = "storeRefused"
 	// TransferTooLarge: the job's record would exceed the store's largest value.
 	TransferTooLarge TransferOutcome = "tooLarge"
-	// TransferStarted: work of the job had started, or the job may not move for another
-	// reason, when the transfer was to begin.
-	TransferStarted TransferOutcome = "notMovable"
+	// TransferNotMovable: work of the job had started, or it may not move for another reason,
+	// when the transfer was to begin.
+	TransferNotMovable TransferOutcome = "notMovable"
 )
 
 // pendingTransfer is a transfer whose transaction has not been sent yet.
@@ -133,10 +133,13 @@
 // transferCandidates returns the jobs that may go to other cells. It returns none while earlier
 // transfers are not stored or the claim is not confirmed.
 func (o *Owner) transferCandidates(now time.Time) []bbrtransfer.Job {
-	if o.Cells == nil || o.Cells().Count() == 1 {
+	if o.Cells == nil {
 		return nil
 	}
 	cells := o.Cells()
+	if cells.Count() == 1 {
+		return nil
+	}
 	cellsFor := func(job *bbrwork.Job) []int { return otherCells(cells, job, o.Shard.Cell) }
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -184,7 +187,7 @@
 	for _, c := range chosen {
 		out, begun := o.scheduler.BeginTransfer(c.Job.ID, c.Cell, now)
 		if !begun {
-			o.countTransfers(TransferStarted, 1)
+			o.countTransfers(TransferNotMovable, 1)
 			continue
 		}
 		klog.InfoS("Job goes to another cell", "shard", o.Shard, "token", o.Held.Token, "job", out.Job.ID, "to", c.Cell, "ownerThere", c.Token,
--- a/internal/job/bbrscheduler/demand.go
+++ b/internal/job/bbrscheduler/demand.go
@@ -142,7 +142,7 @@
 		}
 	}
 	allowed := deadline.Sub(j.Accepted)
-	if window := max(minRecentWindow, time.Duration(recentShare*float64(allowed))); now.Sub(j.learnedAt) < window {
+	if window := max(minRecentWindow, time.Duration(recentShare*float64(allowed))); j.Transfer == nil && now.Sub(j.learnedAt) < window {
 		rate.arriving += o.totalWork() / window.Seconds()
 	}
 }
--- a/internal/job/bbrscheduler/transfer.go
+++ b/internal/job/bbrscheduler/transfer.go
@@ -100,7 +100,7 @@
 // begin to run, and nothing of this owner's state refers to its work units.
 func (p *planner) mayTransfer(j *job) bool {
 	pause := time.Duration(min(j.transferCount(), maxTransferPauses)) * transferPause
-	if j.finalState != "" || j.cancelled || j.transfer.leaving || p.now.Before(j.transfer.notBefore) || p.now.Sub(j.learnedAt) < pause && j.Transfer != nil {
+	if j.finalState != "" || j.cancelled || j.transfer.leaving || p.now.Before(j.transfer.notBefore) || p.now.Sub(j.learnedAt) < pause {
 		return false
 	}
 	return !j.hasRuns() && !p.mayHaveUnlocatedRuns(j) && !p.sched.hasSuspects(j) && !p.sched.hasDestination(j)
