job/scheduler: long-running work goes to a cell where some of it fits

Long-running work of which nothing runs stayed in its cell for as long as no other one had capacity for all of its work units, though some of them could run there. After 3 s it goes where one fits. TestLongRunningWorkGoesWhereSomeOfItFits: 8 units still wait without it, 2 with it.

--- a/internal/job/bbrowner/transfer_test.go
+++ b/internal/job/bbrowner/transfer_test.go
@@ -65,6 +65,26 @@
 	}
 }
 
+// TestLongRunningWorkGoesWhereSomeOfItFits guards against long-running work of which nothing
+// runs since no cell has capacity for all of it.
+func TestLongRunningWorkGoesWhereSomeOfItFits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := newCellsModel(1, 1, 3)
+		m.run(2 * time.Second)
+		service := cellsFinite(2, 0)
+		service.LongRunning = true
+		m.accept(0, service)
+		m.run(time.Second)
+		service.Count = 8
+		waiting := m.accept(0, service)
+		m.run(2 * time.Second)
+		require.Equal(t, 8, m.waitingUnits(waiting), "capacity for all of it may come")
+		m.run(3 * time.Second)
+		require.Equal(t, 2, m.waitingUnits(waiting))
+		require.Empty(t, m.violations)
+	})
+}
+
 // TestTransfersUnderFailures checks that a job is in exactly one shard, runs at most once at a
 // time and is neither lost nor resurrected, while owners are replaced, answers of the store are
 // lost and jobs are cancelled, and that what fits in the pool starts in time afterwards.
--- a/internal/job/bbrscheduler/transfer.go
+++ b/internal/job/bbrscheduler/transfer.go
@@ -17,6 +17,10 @@
 	// transferDelay is how long work waits for capacity before its job may go to another
 	// cell: work that ends meanwhile gives it capacity here, at no cost.
 	transferDelay = 800 * time.Millisecond
+	// splitDelay is how long long-running work of which nothing runs waits for capacity for all
+	// of its work units before it goes where only some fit: the fleet delivers instances
+	// meanwhile if it has them.
+	splitDelay = 3 * time.Second
 	// transferPause is the time, for each earlier transfer of the job and at most
 	// maxTransferPauses times, for which a job stays in a cell. It bounds how often a job
 	// moves while several cells are short of capacity by turns.
@@ -150,17 +154,17 @@
 			if !w.reason.wantsCapacity() || !p.mayLeaveData(s, w.since) {
 				return nil
 			}
-			needs = append(needs, s.transferNeed())
+			needs = append(needs, s.transferNeed(p.now.Sub(w.since)))
 		}
 	}
 	return needs
 }
 
-// transferNeed returns what the idle work units of the step need. Long-running work units and
-// the members of a gang stay together.
-func (s *step) transferNeed() bbrtransfer.Need {
+// transferNeed returns what the idle work units of the step need that has waited for the time.
+// The members of a gang stay together, and so do long-running work units for splitDelay.
+func (s *step) transferNeed(waited time.Duration) bbrtransfer.Need {
 	return bbrtransfer.Need{Allocation: s.spec.Allocation(), Units: s.idleUnits, Label: s.spec.Label, MaxPerUpstream: s.spec.MaxPerUpstream,
-		Whole: s.spec.Gang || s.spec.LongRunning, OneUpstream: s.spec.Gang && s.spec.SameRack}
+		Whole: s.spec.Gang || s.spec.LongRunning && waited < splitDelay, OneUpstream: s.spec.Gang && s.spec.SameRack}
 }
 
 // mayLeaveData reports whether the step has waited at least as long as it takes longer in
@@ -206,7 +210,8 @@
 		for _, s := range o.steps {
 			if s.idleUnits > 0 && s.unitsLeft > 0 && s.runnable(now) {
 				_, since := s.longestIdle()
-				out.Needs, out.Waited = append(out.Needs, s.transferNeed()), max(out.Waited, now.Sub(since))
+				waited := now.Sub(since)
+				out.Needs, out.Waited = append(out.Needs, s.transferNeed(waited)), max(out.Waited, waited)
 			}
 		}
 	}
@@ -274,7 +279,7 @@
 		return nil
 	}
 	for _, w := range waiting {
-		need := w.step.transferNeed()
+		need := w.step.transferNeed(now.Sub(w.since))
 		need.Label = ""
 		bbrtransfer.Place([]bbrtransfer.Need{need}, upstreams)
 	}
