standin/bbrrelay: links of a limited rate

A relay passes its bytes through a link that other relays may share, so that a large response takes its time and short calls of the same machine queue behind it.

--- a/internal/standin/bbrrelay/relay.go
+++ b/internal/standin/bbrrelay/relay.go
@@ -13,6 +13,8 @@
 // Relay forwards connections to the address Target.
 type Relay struct {
 	Target netip.AddrPort
+	// Link is the link that all bytes pass; nil for none.
+	Link *Link
 
 	mu          sync.Mutex
 	pairs       map[*pair]bool
@@ -86,7 +88,7 @@
 // reads and drops all bytes and does not pass the close on. Bytes that arrive while
 // drop is set blackhole the pair.
 func (r *Relay) forward(p *pair, to, from net.Conn, drop *atomic.Bool) {
-	buffer := make([]byte, 32<<10)
+	buffer := make([]byte, r.bufferSize())
 	for {
 		n, err := from.Read(buffer)
 		select {
@@ -101,7 +103,7 @@
 			continue
 		}
 		if n > 0 {
-			time.Sleep(time.Duration(r.delay.Load()))
+			r.pass(n, from == p.target)
 			_, _ = to.Write(buffer[:n])
 		}
 		if err != nil {
@@ -111,6 +113,22 @@
 	}
 }
 
+// bufferSize returns how many bytes a connection forwards at once.
+func (r *Relay) bufferSize() int {
+	if r.Link != nil {
+		return maxChunk
+	}
+	return 32 << 10
+}
+
+// pass waits until bytes have passed the delay and the link.
+func (r *Relay) pass(byteCount int, fromTarget bool) {
+	time.Sleep(time.Duration(r.delay.Load()))
+	if r.Link != nil {
+		time.Sleep(r.Link.accept(byteCount, fromTarget, time.Now()))
+	}
+}
+
 // Blackhole stops the forwarding on all open connections without closing them, and
 // returns their number. New connections work.
 func (r *Relay) Blackhole() int {
