standin/bbrfleet: pages of lists and slow large lists

Lists end after 500 items or 1 MB, as the platform's do; before, each list was complete in one response, and no test of ours read a second page over the wire. Call faults may delay and throttle large lists while short calls are answered at once, which the delay of all calls cannot show: it raises the limit of time of each call, too.

--- a/internal/standin/bbrfleet/callfaults.go
+++ b/internal/standin/bbrfleet/callfaults.go
@@ -19,6 +19,19 @@
 	// AnswerLossRate is the share of calls, 0 to 1, that take effect and whose
 	// connection is closed without a response.
 	AnswerLossRate float64
+	// ListDelay is how long the store takes to begin the response to a large list, and
+	// ListBytesPerSecond how fast it sends the body; 0 for no limit. Other calls are
+	// served at once.
+	ListDelay          time.Duration
+	ListBytesPerSecond int
+}
+
+// largeListItems is the number of items from which a page of a list is large.
+const largeListItems = 50
+
+// slowsList reports whether the response to a list with so many items is slow.
+func (c CallFaults) slowsList(itemCount int) bool {
+	return itemCount >= largeListItems && (c.ListDelay > 0 || c.ListBytesPerSecond > 0)
 }
 
 // faultInjector injects the present faults into calls.
--- a/internal/standin/bbrfleet/storehttp.go
+++ b/internal/standin/bbrfleet/storehttp.go
@@ -46,7 +46,12 @@
 
 func (f *Fleet) serveRange(w http.ResponseWriter, r *http.Request) {
 	items, asOf := f.store.Range(r.URL.Query().Get("prefix"), r.URL.Query().Get("after"), time.Now())
-	writeJSON(w, http.StatusOK, page{Items: items, AsOf: asOf})
+	items, more := firstPage(items)
+	if present, _ := f.faults.current(); present.slowsList(len(items)) {
+		time.Sleep(present.ListDelay)
+		w = &slowWriter{ResponseWriter: w, bytesPerSecond: present.ListBytesPerSecond}
+	}
+	writeJSON(w, http.StatusOK, page{Items: items, More: more, AsOf: asOf})
 }
 
 func (f *Fleet) serveWatch(w http.ResponseWriter, r *http.Request) {
--- a/internal/standin/bbrfleet/worker.go
+++ b/internal/standin/bbrfleet/worker.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"net/http"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -248,7 +249,7 @@
 	if call.Run <= w.highestRun[call.Task] {
 		return http.StatusConflict, "old"
 	}
-	duration, err := time.ParseDuration(call.Spec)
+	duration, err := time.ParseDuration(strings.TrimSpace(call.Spec))
 	if err != nil {
 		duration = defaultDuration
 	}
