soak/bbrsoak: takeovers of shards with a backlog over slow links

No soak had a shard with more than a few dozen jobs taken over, and none had a link on which reading them takes longer than a call's limit of time. A claim that is held for over 10 s without its shard being loaded is a fault, and so is an accepted job of which nothing runs 13 s after the last fault, and what the fleet needs to carry the backlog.

Each soak now prints how many owners started, with how many jobs, and how many attempts to load failed.

--- a/internal/soak/bbrsoak/callers.go
+++ b/internal/soak/bbrsoak/callers.go
@@ -31,6 +31,8 @@
 	mu     sync.Mutex
 	jobs   map[string]*submittedJob
 	faults []string
+	// acceptedCount is the number of accepted jobs.
+	acceptedCount int
 	// configCount and waveCount are the numbers of configurations and waves that were
 	// stored.
 	configCount, waveCount int
@@ -62,7 +64,7 @@
 	var wg sync.WaitGroup
 	for i := range callerCount {
 		each := &caller{callers: c, random: c.soak.random(uint64(100 + i))}
-		each.key, each.limited = mainKey, i >= callerCount-limitedCallers
+		each.key, each.limited = mainKey, !c.soak.Backlog && i >= callerCount-limitedCallers
 		if each.limited {
 			each.key = limitedKey
 		}
@@ -93,12 +95,14 @@
 			c.replaceLongRunningJob(ctx)
 		}
 		job := c.newSmallJob()
-		if !c.limited && c.random.IntN(jobsPerLargeJob) == 0 {
+		if !c.limited && !c.soak.Backlog && c.random.IntN(jobsPerLargeJob) == 0 {
 			job = c.newLargeJob()
 		} else if !c.limited && !c.soak.keepsLongRunningJobs() && c.random.IntN(jobsPerCrashingJob) == 0 {
 			job = c.newCrashingJob()
 		} else if !c.limited && c.soak.Restarts && c.random.IntN(jobsPerLongJob) == 0 {
 			job = c.newLongJob()
+		} else if c.soak.Backlog {
+			job = c.newBacklogJob()
 		}
 		c.submit(ctx, job)
 		if len(c.jobs) > 0 {
@@ -119,7 +123,10 @@
 
 // drawPause returns the time until the next job.
 func (c *caller) drawPause() time.Duration {
-	if c.soak.Restarts {
+	if c.soak.Backlog && c.lacksBacklog() {
+		return randomDuration(c.random, minJobPause, maxBacklogPause)
+	}
+	if c.soak.Restarts || c.soak.Backlog {
 		return randomDuration(c.random, minRarePause, maxRarePause)
 	}
 	return randomDuration(c.random, minJobPause, maxJobPause)
@@ -150,7 +157,8 @@
 		status, _ := c.call(ctx, http.MethodPost, c.entry(), job, body)
 		if status/100 == 2 {
 			c.mu.Lock()
-			job.accepted = true
+			job.accepted, job.acceptedAt = true, time.Now()
+			c.acceptedCount++
 			c.mu.Unlock()
 			c.jobs = append(c.jobs, job)
 			return
@@ -212,7 +220,7 @@
 }
 
 func (c *callers) send(ctx context.Context, method string, at *entry, path, key string, body []byte) (int, []byte) {
-	request, err := http.NewRequestWithContext(ctx, method, "http://"+at.callerAddress.String()+path, bytes.NewReader(body))
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+at.submitAddress.String()+path, bytes.NewReader(body))
 	if err != nil {
 		return 0, nil
 	}
--- a/internal/soak/bbrsoak/checks.go
+++ b/internal/soak/bbrsoak/checks.go
@@ -29,6 +29,9 @@
 	facts := s.fleet.Facts()
 	fmt.Fprintf(s.Out, "jobs %d, accepted %d, work units %d, starts %d, done %d, ended by planned work %d\n",
 		len(c.jobs), len(s.acceptedJobs()), facts.Units, facts.Starts, facts.Done, len(facts.TakenAway))
+	var shardLoads loads
+	shardLoads.readLogs(s)
+	fmt.Fprintln(s.Out, &shardLoads)
 	return append(facts.Faults, c.faults...)
 }
 
--- a/internal/soak/bbrsoak/entry.go
+++ b/internal/soak/bbrsoak/entry.go
@@ -17,10 +17,12 @@
 
 // entry is the process of one entry, with the relay in front of its store.
 type entry struct {
-	soak             *Soak
-	name             string
-	settingsPath     string
-	callerAddress    netip.AddrPort
+	soak          *Soak
+	name          string
+	settingsPath  string
+	callerAddress netip.AddrPort
+	// submitAddress is where callers connect to: callerAddress, or a relay before it.
+	submitAddress    netip.AddrPort
 	readinessAddress netip.AddrPort
 	storeRelay       *bbrrelay.Relay
 
@@ -37,7 +39,7 @@
 
 func newEntry(s *Soak, name string, store netip.AddrPort) (*entry, error) {
 	e := &entry{soak: s, name: name, settingsPath: filepath.Join(s.WorkDir, name+".yaml")}
-	relay, relayAddress, err := newRelay(store)
+	relay, relayAddress, err := newRelay(store, s.newLink())
 	if err != nil {
 		return nil, err
 	}
@@ -48,7 +50,12 @@
 			return nil, err
 		}
 	}
-	e.callerAddress, e.readinessAddress = addresses[0], addresses[1]
+	e.callerAddress, e.readinessAddress, e.submitAddress = addresses[0], addresses[1], addresses[0]
+	if relay.Link != nil {
+		if _, e.submitAddress, err = newRelay(e.callerAddress, relay.Link); err != nil {
+			return nil, err
+		}
+	}
 	text := fmt.Sprintf("entry: %s\nzone: a\nlisten: {callers: %q, readiness: %q, metrics: %q, peers: %q}\nplatform: {protocol: fleet, address: %q, machines: %q}\nshutdown: {balancerLag: 300ms, grace: 2s}\n",
 		name, addresses[0], addresses[1], addresses[2], addresses[3], relayAddress, relayAddress)
 	if s.optionalParts() {
@@ -70,7 +77,7 @@
 	defer log.Close()
 	command := exec.Command(e.program(), "run", e.settingsPath)
 	command.Stdout, command.Stderr = log, log
-	if e.soak.SlowOwners {
+	if e.soak.SlowOwners || e.soak.Backlog {
 		// An entry with several processors does all of its work in the shortest intervals.
 		command.Env = append(os.Environ(), "GOMAXPROCS=1")
 	}
--- a/internal/soak/bbrsoak/faults.go
+++ b/internal/soak/bbrsoak/faults.go
@@ -50,6 +50,11 @@
 		s.callers.configCount = injector.configCount
 		return
 	}
+	if s.Backlog {
+		injector.injectTakeovers(ctx, start)
+		s.callers.configCount = injector.configCount
+		return
+	}
 	var running sync.WaitGroup
 	for ctx.Err() == nil && time.Now().Before(injector.end) {
 		e := injector.next()
--- a/internal/soak/bbrsoak/job.go
+++ b/internal/soak/bbrsoak/job.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"strings"
 	"time"
 
 	"github.com/bluebellridge/bluebellridge/internal/standin/bbrfleet"
@@ -42,6 +43,10 @@
 	// crashing is set if the job's work unit crashes each upstream on which it starts.
 	crashing bool
 	accepted bool
+	// acceptedAt is when the caller received the acceptance.
+	acceptedAt time.Time
+	// storedBytes is the least size of the job's spec; 0 for any.
+	storedBytes int
 	// outcomeUnknown is set if an attempt to submit the job had no definite answer, so
 	// that the job may be stored.
 	outcomeUnknown bool
@@ -136,6 +141,7 @@
 	if j.crashing {
 		spec = bbrfleet.CrashSpec
 	}
+	spec += strings.Repeat(" ", max(0, j.storedBytes-len(spec)))
 	body, err := json.Marshal(struct {
 		Spec  string `json:"spec"`
 		Steps []step `json:"steps"`
@@ -155,11 +161,37 @@
 	return needs
 }
 
+// cpuTime returns how long the job occupies one core.
+func (j *submittedJob) cpuTime() time.Duration {
+	var total time.Duration
+	for _, s := range j.steps {
+		total += time.Duration(s.Count*s.MilliCPU) * j.duration / milliCPUPerCore
+	}
+	return total
+}
+
+// anyUnit reports whether the condition holds for a work unit of the job.
+func (j *submittedJob) anyUnit(condition func(task string) bool) bool {
+	for number, s := range j.steps {
+		for index := range s.Count {
+			if condition(j.unitName(number, index)) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// unitName returns the name of a work unit.
+func (j *submittedJob) unitName(step, index int) string {
+	return fmt.Sprintf("%s.0.%d.%d", j.id, step, index)
+}
+
 // nextStep returns the first step that is not done and its work units that are not done.
 func (j *submittedJob) nextStep(done func(task string) bool) (next step, tasks []string) {
 	for number, s := range j.steps {
 		for index := range s.Count {
-			if task := fmt.Sprintf("%s.0.%d.%d", j.id, number, index); !done(task) {
+			if task := j.unitName(number, index); !done(task) {
 				tasks = append(tasks, task)
 			}
 		}
--- a/internal/soak/bbrsoak/soak.go
+++ b/internal/soak/bbrsoak/soak.go
@@ -43,6 +43,11 @@
 	// Restarts replaces the random faults by upstreams that restart under their IDs and are
 	// cut off soon after, while long work runs.
 	Restarts bool
+	// Backlog replaces the random faults by owners of shards with many waiting jobs that end,
+	// lose power and pause, while the links of the entries are slow. It checks that no shard
+	// stays claimed without being loaded, and that accepted jobs start in time after the
+	// faults.
+	Backlog bool
 	// WorkDir is the directory for the entries' settings and logs.
 	WorkDir string
 	Out     io.Writer
@@ -61,7 +66,7 @@
 
 // keepsLongRunningJobs reports whether callers keep their long-running jobs, and submit
 // none that crashes its upstreams.
-func (s *Soak) keepsLongRunningJobs() bool { return s.SlowOwners || s.Restarts }
+func (s *Soak) keepsLongRunningJobs() bool { return s.SlowOwners || s.Restarts || s.Backlog }
 
 // pools are the pools with queues; sparePool has the instances that are switched off.
 var pools = []string{"press", "proofs"}
@@ -95,28 +100,49 @@
 	if !s.eventually(readyTimeout, func() bool { return s.ready() == len(s.entries) }) {
 		return []string{"not all entries became ready in time"}, nil
 	}
+	if s.Backlog {
+		s.reduceAllCapacity(missingPercent)
+	}
 	callersCtx, stopCallers := context.WithCancel(ctx)
 	s.wg.Go(func() { s.callers.run(callersCtx) })
+	monitorCtx, stopMonitor := context.WithCancel(ctx)
+	defer stopMonitor()
+	var monitoring sync.WaitGroup
+	if s.Backlog {
+		loads := newLoadMonitor(s)
+		monitoring.Go(func() { loads.run(monitorCtx) })
+	}
 	s.injectMonitoredFaults(ctx)
 	s.endFaults()
 	s.completeUpgrade()
 	s.checkWaves()
-	monitorCtx, stopMonitor := context.WithCancel(ctx)
-	monitor := newStallMonitor(s)
+	starts := newStartMonitor(s, time.Now())
+	if s.Backlog {
+		monitoring.Go(func() { starts.run(monitorCtx) })
+	}
 	time.Sleep(monitorDelay)
-	var monitoring sync.WaitGroup
-	if s.CheckDelays {
-		monitoring.Go(func() { monitor.run(monitorCtx) })
+	if s.CheckDelays && !s.Backlog {
+		stalls := newStallMonitor(s)
+		monitoring.Go(func() { stalls.run(monitorCtx) })
 	}
-	time.Sleep(faultFreeDuration)
+	time.Sleep(s.faultFreeTime())
 	stopCallers()
 	s.wg.Wait()
 	s.awaitJobs()
 	stopMonitor()
 	monitoring.Wait()
+	starts.finish()
 	return s.violations(), nil
 }
 
+// faultFreeTime returns how long callers submit jobs before they wait for the ends.
+func (s *Soak) faultFreeTime() time.Duration {
+	if s.Backlog {
+		return 0 // The jobs that wait have a limit of their own.
+	}
+	return faultFreeDuration
+}
+
 // build creates the fleet, the relays and the entries' settings.
 func (s *Soak) build(ctx context.Context) error {
 	if err := resetPortBlock(); err != nil {
@@ -128,7 +154,7 @@
 		if err != nil {
 			return err
 		}
-		relay, address, err := newRelay(upstream)
+		relay, address, err := newRelay(upstream, nil)
 		if err != nil {
 			return err
 		}
@@ -154,13 +180,24 @@
 	return nil
 }
 
-// newRelay starts a relay in front of an address and returns where it listens.
-func newRelay(to netip.AddrPort) (*bbrrelay.Relay, netip.AddrPort, error) {
+// newLink returns the link of an entry; nil if it has no limit.
+func (s *Soak) newLink() *bbrrelay.Link {
+	if !s.Backlog {
+		return nil
+	}
+	link := &bbrrelay.Link{}
+	link.SetRate(linkBytesPerSecond)
+	return link
+}
+
+// newRelay starts a relay in front of an address, over a link unless that is nil, and
+// returns where it listens.
+func newRelay(to netip.AddrPort, link *bbrrelay.Link) (*bbrrelay.Relay, netip.AddrPort, error) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, netip.AddrPort{}, err
 	}
-	r := &bbrrelay.Relay{Target: to}
+	r := &bbrrelay.Relay{Target: to, Link: link}
 	go r.Run(listener)
 	return r, netip.MustParseAddrPort(listener.Addr().String()), nil
 }
--- a/internal/standin/bbrprogram/soak.go
+++ b/internal/standin/bbrprogram/soak.go
@@ -21,6 +21,7 @@
 	Workers    int           `help:"How many upstreams." default:"30"`
 	SlowOwners bool          `help:"Pause the owners of shards in series instead of the other trouble, and check long-running work all the time."`
 	Restarts   bool          `help:"Restart upstreams under their IDs and cut them off soon after instead of the other trouble, while long work runs."`
+	Backlog    bool          `help:"End and pause owners of shards with a backlog over slow links instead of the other trouble, and check that they are loaded and their jobs start."`
 	Dir        string        `help:"Directory of settings and logs; they are kept where a promise was broken." default:"${tempDir}"`
 }
 
@@ -56,7 +57,7 @@
 		return nil, err
 	}
 	fmt.Fprintln(o.out, "settings and logs in", dir)
-	s := &bbrsoak.Soak{Seed: seed, Duration: c.For, CheckDelays: true, DaemonPath: c.Daemon, OlderDaemonPath: c.Older, EntryCount: c.Entries, UpstreamCount: c.Workers, SlowOwners: c.SlowOwners, Restarts: c.Restarts, WorkDir: dir, Out: o.out}
+	s := &bbrsoak.Soak{Seed: seed, Duration: c.For, CheckDelays: true, DaemonPath: c.Daemon, OlderDaemonPath: c.Older, EntryCount: c.Entries, UpstreamCount: c.Workers, SlowOwners: c.SlowOwners, Restarts: c.Restarts, Backlog: c.Backlog, WorkDir: dir, Out: o.out}
 	faults, err := s.Run(context.Background())
 	if err == nil && len(faults) == 0 {
 		err = os.RemoveAll(dir)
