--- a/internal/soak/bbrsoak/checks.go
+++ b/internal/soak/bbrsoak/checks.go
@@ -6,14 +6,15 @@
 	"maps"
 	"net/http"
 	"slices"
+	"time"
 )
 
 // awaitJobs waits until the jobs have ended, without faults.
 func (s *Soak) awaitJobs() {
 	ctx := context.Background()
-	unsettled := s.acceptedJobs()
+	unsettled, deadline := s.acceptedJobs(), time.Now().Add(settleTimeout)
 	s.eventually(settleTimeout, func() bool {
-		unsettled = slices.DeleteFunc(unsettled, func(job *submittedJob) bool { return s.isSettled(ctx, job) })
+		unsettled = slices.DeleteFunc(unsettled, func(job *submittedJob) bool { return time.Now().Before(deadline) && s.isSettled(ctx, job) })
 		return len(unsettled) == 0
 	})
 	for _, job := range unsettled {
