job/bbrsweeper: records that are too many for one list are swept

The list of a sixteenth of all statuses takes longer than a call may, each time; nothing is removed, the records grow, and the next list takes longer still.

The first narrower list that fails as well ends it: then the store is away, and not the list too long.

--- a/internal/job/bbrsweeper/sweeper.go
+++ b/internal/job/bbrsweeper/sweeper.go
@@ -8,6 +8,7 @@
 	"slices"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"k8s.io/klog/v2"
 
 	"github.com/bluebellridge/bluebellridge/internal/base/bbrlog"
@@ -24,6 +25,8 @@
 	// retentionMargin is added to the retention period: the clocks of entries differ, and
 	// a submission that is repeated late must still find the record.
 	retentionMargin = time.Minute
+	// maxPrefixLength bounds how far a list is narrowed whose answer is lost.
+	maxPrefixLength = 3
 )
 
 // Sweeper removes expired records while its entry is the fleet leader.
@@ -51,16 +54,39 @@
 
 // Sweep removes, for the jobs whose IDs have the prefix, the statuses that have
 // expired at now, and the cancellation requests for jobs that have ended. It returns
-// the number of records that it removed.
+// the number of records that it removed. If the list of the statuses is lost, which may be
+// due to its size, the IDs are swept by one more digit each.
 func (s *Sweeper) Sweep(ctx context.Context, idPrefix string, now time.Time) (int, error) {
 	statuses, _, err := s.Store.ReadAll(ctx, bbrrecord.StatusKey(idPrefix))
-	if err != nil {
+	if errors.Is(err, bbrkv.ErrAnswerLost) && len(idPrefix) < maxPrefixLength {
+		return s.sweepNarrower(ctx, idPrefix, now)
+	}
+	if err != nil || len(statuses) == 0 {
 		return 0, err
 	}
 	cancellations, _, err := s.Store.ReadAll(ctx, bbrrecord.CancelPrefix)
 	if err != nil {
 		return 0, err
 	}
+	return s.remove(ctx, statuses, cancellations, now)
+}
+
+// sweepNarrower sweeps the IDs with the prefix by one more digit each, until that fails.
+func (s *Sweeper) sweepNarrower(ctx context.Context, idPrefix string, now time.Time) (int, error) {
+	removed := 0
+	for _, digit := range idDigits {
+		count, err := s.Sweep(ctx, idPrefix+string(digit), now)
+		removed += count
+		if err != nil {
+			return removed, err
+		}
+	}
+	return removed, nil
+}
+
+// remove removes what has expired of the records that were read, and returns the number of
+// records that it removed.
+func (s *Sweeper) remove(ctx context.Context, statuses, cancellations []bbrkv.Item, now time.Time) (int, error) {
 	endTimes := s.endTimes(statuses)
 	expired := append(s.expiredStatuses(endTimes, now), obsoleteCancellations(endTimes, cancellations)...)
 	removed := 0
--- a/internal/job/bbrsweeper/sweeper_test.go
+++ b/internal/job/bbrsweeper/sweeper_test.go
@@ -3,6 +3,9 @@
 import (
 	"context"
 	"fmt"
+	"maps"
+	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -53,3 +56,62 @@
 	}
 	require.Equal(t, bbrrecord.CancelKey(press, "new"), removed[40], "the cancellation request for a job that has ended must be removed")
 }
+
+// sizedStore is a store of records that loses the answer to each list of more than
+// maxItems items, as a call's limit of time does on a slow link.
+type sizedStore struct {
+	maxItems int
+	// away means that the answers to all lists are lost.
+	away  bool
+	items map[string]bbrkv.Item
+	// reads is the number of lists.
+	reads int
+}
+
+func (s *sizedStore) readRange(_ context.Context, prefix, _ string) (bbrkv.Page, error) {
+	s.reads++
+	var page bbrkv.Page
+	for _, key := range slices.Sorted(maps.Keys(s.items)) {
+		if strings.HasPrefix(key, prefix) {
+			page.Items = append(page.Items, s.items[key])
+		}
+	}
+	if s.away || len(page.Items) > s.maxItems {
+		return bbrkv.Page{}, bbrkv.ErrAnswerLost
+	}
+	return page, nil
+}
+
+func (s *sizedStore) commit(_ context.Context, transaction bbrkv.Transaction) (bbrkv.Revision, error) {
+	for _, key := range transaction.Removals {
+		delete(s.items, key)
+	}
+	return 1, nil
+}
+
+// TestSweepRemovesRecordsThatAreTooManyForOneRead guards against expired records that are
+// kept for ever, since the list of them takes longer than a call may.
+func TestSweepRemovesRecordsThatAreTooManyForOneRead(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	store := &sizedStore{maxItems: 10, items: make(map[string]bbrkv.Item)}
+	for i := range 2000 {
+		key := bbrrecord.StatusKey(fmt.Sprintf("7%015x", uint64(i)*0x9e3779b97f4a7c15>>4))
+		store.items[key] = bbrkv.Item{Key: key, Value: bbrrecord.Encode(bbrrecord.Status{State: bbrwork.Completed, At: now.Add(-time.Hour)})}
+	}
+	sweeper := &Sweeper{Retention: time.Minute, Store: &bbrkv.Store{Range: store.readRange, Commit: store.commit}}
+	count := len(store.items)
+	removed, err := sweeper.Sweep(t.Context(), "7", now)
+	require.NoError(t, err)
+	require.Equal(t, count, removed)
+	require.Empty(t, store.items)
+}
+
+// TestSweepGivesUpOnStoreThatIsAway guards against a sweep that calls a store that does
+// not answer once for each narrower list.
+func TestSweepGivesUpOnStoreThatIsAway(t *testing.T) {
+	store := &sizedStore{away: true}
+	sweeper := &Sweeper{Store: &bbrkv.Store{Range: store.readRange, Commit: store.commit}}
+	_, err := sweeper.Sweep(t.Context(), "7", time.Unix(1_000_000, 0))
+	require.ErrorIs(t, err, bbrkv.ErrAnswerLost)
+	require.LessOrEqual(t, store.reads, maxPrefixLength)
+}
