peer/bbrinquiry: the hint of a large job keeps no other queries from its owner

A hint holds the whole job. On a link of 2 Mbit/s one of 37 kB and more takes longer than the 150 ms of a query, each time: it never arrives, takes the link, counts as an entry that does not answer, and for a second no query is sent there: states are then read from the store. A job of over 16 KiB is not sent any more; its owner learns of it from its watch, as it did before.

--- a/internal/peer/bbrinquiry/client.go
+++ b/internal/peer/bbrinquiry/client.go
@@ -33,6 +33,11 @@
 	maxIdlePerEntry = 4
 	// maxIdle bounds the idle connections to all entries.
 	maxIdle = 64
+	// maxHintBytes bounds the job of a hint: a larger one would not arrive within
+	// queryTimeout over a link of 2 Mbit/s that carries other calls, too.
+	maxHintBytes = 16 << 10
+	// hintStepBytes is about the size of a step in a hint.
+	hintStepBytes = 256
 )
 
 // Client sends queries to other entries.
@@ -73,9 +78,14 @@
 }
 
 // Hint notifies the entry of a job that has just been stored, and returns the answer of
-// the owner there; false if it does not answer in time.
+// the owner there; false if it does not answer in time. A large job is not sent, since a
+// hint that fails would keep other queries from the entry. The owner learns of it from the
+// store.
 func (c *Client) Hint(ctx context.Context, entry netip.AddrPort, hint bbrowner.Hint, now time.Time) (HintResponse, bool) {
 	var out HintResponse
+	if len(hint.Job.Spec)+len(hint.Job.Steps)*hintStepBytes > maxHintBytes {
+		return HintResponse{}, false
+	}
 	sent := time.Now()
 	in := &HintRequest{Hint: hint, Rooms: c.Rooms.known(hint.Job.Service, sent)}
 	if !c.query(ctx, entry, hintMethod, in, &out, now) {
