job/bbrintake: queries share the read of a shard without a report

While a shard is claimed and not loaded, its owner reports nothing, and each GET of a queue at each entry reads all of the shard's stored jobs, from the beginning and until the caller's deadline. These reads fill the links, that of the owner which loads the shard among them.

Queries of an entry now share one read of a shard, which goes on when the first caller leaves and serves later queries for a second.

--- a/internal/job/bbrintake/intake.go
+++ b/internal/job/bbrintake/intake.go
@@ -48,6 +48,8 @@
 	ExpectedWait func(shard bbrwork.Shard, organisation, queue string, now time.Time) (bbrfairshare.Wait, bool)
 	// StoreAvailable reports whether the store has answered recently.
 	StoreAvailable func(now time.Time) bool
+
+	stored storedCounter
 }
 
 // Submit stores a job of the queue and notifies its owner. The caller's timeout ends
--- a/internal/job/bbrintake/waiting.go
+++ b/internal/job/bbrintake/waiting.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"time"
 
 	"k8s.io/klog/v2"
 
@@ -41,7 +42,8 @@
 // item is the last report of an owner of the shard.
 func (i *Intake) waitingInShard(ctx context.Context, shard bbrwork.Shard, queue string, item bbrkv.Item) (int, error) {
 	if !i.reportIsCurrent(shard, item) {
-		return i.countStoredWaiting(ctx, shard, queue)
+		waiting, err := i.stored.count(ctx, i.Store, shard, time.Now())
+		return waiting[queue], err
 	}
 	if len(item.Value) == 0 {
 		return 0, nil
@@ -59,31 +61,3 @@
 	token, owned := i.OwnerToken(shard)
 	return owned && item.Revision > token
 }
-
-// countStoredWaiting counts the stored jobs of the queue in the shard that have no progress.
-func (i *Intake) countStoredWaiting(ctx context.Context, shard bbrwork.Shard, queue string) (int, error) {
-	jobs, _, err := i.Store.ReadAll(ctx, bbrrecord.JobPrefixOf(shard))
-	if err != nil || len(jobs) == 0 {
-		return 0, err
-	}
-	progress, _, err := i.Store.ReadAll(ctx, bbrrecord.ProgressPrefixOf(shard))
-	if err != nil {
-		return 0, err
-	}
-	started := make(map[string]bool, len(progress))
-	for _, item := range progress {
-		started[bbrrecord.JobID(item.Key)] = true
-	}
-	waiting := 0
-	for _, item := range jobs {
-		var job bbrwork.Job
-		if err := json.Unmarshal(item.Value, &job); err != nil {
-			klog.ErrorS(err, "Failed to decode a stored job", "key", item.Key, "revision", item.Revision)
-			continue
-		}
-		if job.Queue == queue && !started[bbrrecord.JobID(item.Key)] {
-			waiting++
-		}
-	}
-	return waiting, nil
-}
