--- a/internal/soak/bbrsoak/entry.go
+++ b/internal/soak/bbrsoak/entry.go
@@ -12,6 +12,7 @@
 	"syscall"
 	"time"
 
+	"github.com/bluebellridge/bluebellridge/internal/standin/bbrfleet"
 	"github.com/bluebellridge/bluebellridge/internal/standin/bbrrelay"
 )
 
@@ -37,33 +38,59 @@
 	exited chan struct{}
 }
 
-func newEntry(s *Soak, name string, store netip.AddrPort) (*entry, error) {
+func newEntry(s *Soak, name string, upstreams []netip.AddrPort) (*entry, error) {
 	e := &entry{soak: s, name: name, settingsPath: filepath.Join(s.WorkDir, name+".yaml")}
-	relay, relayAddress, err := newRelay(store, s.newLink())
+	link := s.newLink()
+	addresses, err := relayUpstreams(upstreams, link)
+	if err != nil {
+		return nil, err
+	}
+	store, err := startServer(s.fleet.HandlerFor(addresses))
+	if err != nil {
+		return nil, err
+	}
+	relay, relayAddress, err := newRelay(store, link)
 	if err != nil {
 		return nil, err
 	}
 	e.storeRelay = relay
-	var addresses [4]netip.AddrPort
-	for i := range addresses {
-		if addresses[i], err = freeAddress(); err != nil {
+	var ports [4]netip.AddrPort
+	for i := range ports {
+		if ports[i], err = freeAddress(); err != nil {
 			return nil, err
 		}
 	}
-	e.callerAddress, e.readinessAddress, e.submitAddress = addresses[0], addresses[1], addresses[0]
-	if relay.Link != nil {
-		if _, e.submitAddress, err = newRelay(e.callerAddress, relay.Link); err != nil {
+	e.callerAddress, e.readinessAddress, e.submitAddress = ports[0], ports[1], ports[0]
+	if link != nil {
+		if _, e.submitAddress, err = newRelay(e.callerAddress, link); err != nil {
 			return nil, err
 		}
 	}
 	text := fmt.Sprintf("entry: %s\nzone: a\nlisten: {callers: %q, readiness: %q, metrics: %q, peers: %q}\nplatform: {protocol: fleet, address: %q, machines: %q}\nshutdown: {balancerLag: 300ms, grace: 2s}\n",
-		name, addresses[0], addresses[1], addresses[2], addresses[3], relayAddress, relayAddress)
+		name, ports[0], ports[1], ports[2], ports[3], relayAddress, relayAddress)
 	if s.optionalParts() {
 		text += "jobs: {fairShares: true, separateInterfering: true, reservations: true, balanceByCapacity: true}\n"
 	}
 	return e, os.WriteFile(e.settingsPath, []byte(text), 0o644)
 }
 
+// relayUpstreams starts relays from an entry to the upstreams over its link, and returns
+// their addresses; none if the entry has no link.
+func relayUpstreams(upstreams []netip.AddrPort, link *bbrrelay.Link) (bbrfleet.Addresses, error) {
+	if link == nil {
+		return nil, nil
+	}
+	addresses := make(bbrfleet.Addresses)
+	for _, registered := range upstreams {
+		_, address, err := newRelay(registered, link)
+		if err != nil {
+			return nil, err
+		}
+		addresses[registered] = address
+	}
+	return addresses, nil
+}
+
 // optionalParts reports whether the entries run the parts that are off by default: with
 // every odd seed, unless an earlier build, which does not know their settings, takes part.
 func (s *Soak) optionalParts() bool { return s.Seed%2 == 1 && s.OlderDaemonPath == "" }
--- a/internal/soak/bbrsoak/soak.go
+++ b/internal/soak/bbrsoak/soak.go
@@ -164,13 +164,9 @@
 	}
 	setup.UnlimitedCrashes = s.OlderDaemonPath != ""
 	s.fleet = bbrfleet.New(ctx, setup)
-	store, err := startServer(s.fleet.Handler())
-	if err != nil {
-		return err
-	}
 	s.fleet.Put("op/config", encodeConfig(1))
 	for i := range s.EntryCount {
-		e, err := newEntry(s, fmt.Sprintf("e%d", i+1), store)
+		e, err := newEntry(s, fmt.Sprintf("e%d", i+1), setup.RegisteredAddresses)
 		if err != nil {
 			return err
 		}
--- a/internal/standin/bbrfleet/registrar.go
+++ b/internal/standin/bbrfleet/registrar.go
@@ -19,6 +19,9 @@
 	missingPercent int
 }
 
+// registrationPrefix is the prefix of the keys of registrations.
+const registrationPrefix = "servers/"
+
 // registrationInterval is the interval at which the registrations are updated.
 const registrationInterval = 100 * time.Millisecond
 
@@ -55,10 +58,10 @@
 		}
 		var change Transaction
 		if previous.id != "" && previous.id != current.id {
-			change.Removals = []string{"servers/" + previous.id}
+			change.Removals = []string{registrationPrefix + previous.id}
 		}
 		if current.id != "" {
-			change.Puts = []Put{{Key: "servers/" + current.id, Value: value}}
+			change.Puts = []Put{{Key: registrationPrefix + current.id, Value: value}}
 		}
 		r.registered[w.name] = current
 		r.fleet.store.Commit(change, now)
--- a/internal/standin/bbrfleet/storehttp.go
+++ b/internal/standin/bbrfleet/storehttp.go
@@ -41,7 +41,7 @@
 		writeJSON(w, http.StatusNotFound, page{AsOf: asOf})
 		return
 	}
-	writeJSON(w, http.StatusOK, item)
+	writeJSON(w, http.StatusOK, replaceAddresses(r, []Item{item})[0])
 }
 
 func (f *Fleet) serveRange(w http.ResponseWriter, r *http.Request) {
@@ -51,7 +51,7 @@
 		time.Sleep(present.ListDelay)
 		w = &slowWriter{ResponseWriter: w, bytesPerSecond: present.ListBytesPerSecond}
 	}
-	writeJSON(w, http.StatusOK, page{Items: items, More: more, AsOf: asOf})
+	writeJSON(w, http.StatusOK, page{Items: replaceAddresses(r, items), More: more, AsOf: asOf})
 }
 
 func (f *Fleet) serveWatch(w http.ResponseWriter, r *http.Request) {
@@ -63,7 +63,7 @@
 		w.WriteHeader(http.StatusGone)
 		return
 	}
-	writeJSON(w, http.StatusOK, page{Events: events, AsOf: asOf})
+	writeJSON(w, http.StatusOK, page{Events: replaceAddresses(r, events), AsOf: asOf})
 }
 
 func (f *Fleet) serveCommit(w http.ResponseWriter, r *http.Request) {
@@ -73,7 +73,7 @@
 		return
 	}
 	for _, put := range transaction.Puts {
-		if strings.HasPrefix(put.Key, "op/") || strings.HasPrefix(put.Key, "servers/") {
+		if strings.HasPrefix(put.Key, "op/") || strings.HasPrefix(put.Key, registrationPrefix) {
 			w.WriteHeader(http.StatusForbidden)
 			return
 		}
