--- a/internal/peer/bbrinquiry/client.go
+++ b/internal/peer/bbrinquiry/client.go
@@ -33,8 +33,8 @@
 	maxIdlePerEntry = 4
 	// maxIdle bounds the idle connections to all entries.
 	maxIdle = 64
-	// maxHintBytes bounds the job of a hint: a larger one would not arrive within
-	// queryTimeout over a link of 2 Mbit/s that carries other calls, too.
+	// maxHintBytes bounds the job of a hint: a larger one may take a slow link for longer
+	// than queryTimeout.
 	maxHintBytes = 16 << 10
 	// hintStepBytes is about the size of a step in a hint.
 	hintStepBytes = 256
