--- a/internal/job/bbrintake/storedcounts.go
+++ b/internal/job/bbrintake/storedcounts.go
@@ -18,8 +18,11 @@
 const (
 	// storedCountTimeout bounds the time to count the stored jobs of a shard.
 	storedCountTimeout = 30 * time.Second
-	// storedCountReuse is how long a count is reused, as a multiple of the time that it took,
-	// up to maxStoredCountAge: counting takes no more than a part of the link.
+	// quickCountAge is how long a count is reused that took no longer than that: callers are
+	// promised counts that are at most 2 s old.
+	quickCountAge = time.Second
+	// storedCountReuse is how long a count that took longer is reused, as a multiple of the
+	// time that it took, up to maxStoredCountAge: counting takes no more than a part of the link.
 	storedCountReuse  = 4
 	maxStoredCountAge = 10 * time.Second
 	// maxQuickCount is the number of waiting jobs, as last reported, up to which a shard
@@ -105,7 +108,11 @@
 	default:
 		return true
 	}
-	age := min(storedCountReuse*s.ended.Sub(s.began), maxStoredCountAge)
+	took := s.ended.Sub(s.began)
+	age := min(storedCountReuse*took, maxStoredCountAge)
+	if took <= quickCountAge {
+		age = quickCountAge
+	}
 	return s.err == nil && now.Sub(s.ended) < age
 }
 
