job/bbrowner: events that are reported again start no ended job

A property found work units that ran twice: after the history was compacted and the reread list was cut, the watch goes on from a lower bound of the list's revision, which may be from before the claim. Its events report jobs that earlier owners have ended, and the removal of a job is ignored, so that the job was added and ran again.

Events up to the revision that was followed are ignored; it begins with the claim's token.

--- a/internal/job/bbrowner/jobs.go
+++ b/internal/job/bbrowner/jobs.go
@@ -34,14 +34,24 @@
 }
 
 // jobChanged adds a job that was stored. The removal of a job changes nothing: the
-// owner itself removes jobs, when they end.
+// owner itself removes jobs, when they end. An event that is reported again is ignored, as the
+// job may have ended since: after the history was compacted, the watch goes on from a revision
+// that may be lower than the ones that were followed before.
 func (o *Owner) jobChanged(item bbrkv.Item, now time.Time) {
+	if item.Revision <= o.followedRevision {
+		return
+	}
+	o.eventRevision = max(o.eventRevision, item.Revision)
 	if item.Deleted {
 		return
 	}
 	o.jobsSnapshot([]bbrkv.Item{item}, item.Revision, now)
 }
 
+// jobsFollowed records that all events of an answer have been applied. They may be of one
+// revision.
+func (o *Owner) jobsFollowed(time.Time) { o.followedRevision = o.eventRevision }
+
 const (
 	// cancellationInterval is the time between two reads of the cancellation requests.
 	cancellationInterval = 500 * time.Millisecond
--- a/internal/job/bbrowner/jobs_test.go
+++ b/internal/job/bbrowner/jobs_test.go
@@ -50,3 +50,35 @@
 	require.NotContains(t, removed, bbrrecord.CrashesKey(shard, "a1"))
 	require.Empty(t, o.staleCrashKeys)
 }
+
+// TestEventReportedAgainStartsNoEndedJob guards against a job that runs again after its end:
+// once the history is compacted, the watch may go on from a revision before the claim, or
+// before events that were applied, and report jobs that have ended long since.
+func TestEventReportedAgainStartsNoEndedJob(t *testing.T) {
+	now := time.Unix(1000, 0)
+	o := newLoopOwner(0)
+	o.followedRevision, o.eventRevision = 20, 20
+	event := func(id string, revision bbrkv.Revision) bbrkv.Item {
+		job := bbrwork.Job{ID: id, Service: "press", Cell: 2, Steps: []bbrwork.Step{{Count: 1}}, Accepted: now}
+		return bbrkv.Item{Key: bbrrecord.JobKey(o.Shard, id), Value: bbrrecord.Encode(&job), Revision: revision, Created: revision}
+	}
+	o.jobChanged(event("a1", 10), now)
+	require.Zero(t, o.scheduler.JobCount(), "an earlier owner may have ended it")
+	for _, id := range []string{"b1", "b2"} {
+		o.jobChanged(event(id, 30), now)
+	}
+	o.jobsFollowed(now)
+	require.Equal(t, 2, o.scheduler.JobCount(), "stored by one transaction")
+	for _, id := range []string{"b1", "b2"} {
+		o.scheduler.Cancel(id, now)
+	}
+	for range 3 {
+		now = now.Add(2 * time.Minute)
+		o.scheduler.ApplyStored(o.scheduler.Batch(10, now), 31, now)
+	}
+	require.Zero(t, o.scheduler.JobCount())
+	o.jobChanged(event("b1", 30), now)
+	require.Zero(t, o.scheduler.JobCount(), "it has ended")
+	o.jobChanged(event("c1", 32), now)
+	require.Equal(t, 1, o.scheduler.JobCount())
+}
--- a/internal/job/bbrowner/owner.go
+++ b/internal/job/bbrowner/owner.go
@@ -72,6 +72,9 @@
 
 	mu        sync.Mutex
 	scheduler *bbrscheduler.Scheduler
+	// followedRevision is the revision up to which all events of jobs have been applied, and
+	// eventRevision that of the last one. They are used by the follower of jobs only.
+	followedRevision, eventRevision bbrkv.Revision
 	// registryVersion is the version of the registrations that the scheduler has.
 	registryVersion bbrregistry.Version
 	configVersion   int64
@@ -155,9 +158,10 @@
 	o.begin(records, start, time.Now())
 	amount := o.loading.amount()
 	klog.InfoS("Owner started", "shard", o.Shard, "token", o.Held.Token, "items", amount.Items, "bytes", amount.Bytes, "took", time.Since(start).Round(time.Millisecond))
-	jobs := bbrkv.Follower{Store: o.Store, Prefix: bbrrecord.JobPrefixOf(o.Shard), WatchTimeout: jobWatchTimeout, BatchDelay: jobEventDelay, OnSnapshot: o.jobsSnapshot, OnChange: o.jobChanged}
+	jobs := bbrkv.Follower{Store: o.Store, Prefix: bbrrecord.JobPrefixOf(o.Shard), WatchTimeout: jobWatchTimeout, BatchDelay: jobEventDelay, OnSnapshot: o.jobsSnapshot, OnChange: o.jobChanged, OnAnswer: o.jobsFollowed}
 	// Earlier owners can store nothing after the claim.
 	jobs.StartAfter(o.Held.Token, start)
+	o.followedRevision, o.eventRevision = o.Held.Token, o.Held.Token
 	loader := newLoader(o)
 	o.wg.Go(func() { loader.run(ctx) })
 	o.wg.Go(func() { jobs.Run(ctx) })
