soak/bbrsoak: a shard counts as loaded when all its jobs are

Owners now start before their jobs are loaded, and say so in another line. It now waits for "Shard loaded", which is stricter than before: all jobs are known then.

--- a/internal/soak/bbrsoak/backlog_test.go
+++ b/internal/soak/bbrsoak/backlog_test.go
@@ -33,7 +33,7 @@
 	}{
 		{name: "never loaded", claims: func(time.Duration) []bbrfleet.Item { return []bbrfleet.Item{claim("press/0", 7)} }, faults: 1},
 		{name: "loaded", claims: func(time.Duration) []bbrfleet.Item { return []bbrfleet.Item{claim("press/0", 7)} },
-			log: "I1206 owner.go:1] \"Owner started\" shard=\"press/0\" token=7 jobs=12 took=\"74ms\"\n"},
+			log: "I1206 owner.go:1] \"Shard loaded\" shard=\"press/0\" token=7 jobs=12 items=30 bytes=900 took=\"74ms\"\n"},
 		{name: "an earlier claim was loaded", claims: func(time.Duration) []bbrfleet.Item { return []bbrfleet.Item{claim("press/0", 8)} },
 			log: "I1206 owner.go:1] \"Owner started\" shard=\"press/0\" token=7 jobs=12 took=\"74ms\"\n", faults: 1},
 		{name: "claimed anew in time", claims: func(after time.Duration) []bbrfleet.Item {
--- a/internal/soak/bbrsoak/loadmonitor.go
+++ b/internal/soak/bbrsoak/loadmonitor.go
@@ -107,7 +107,9 @@
 	read map[string]int64
 }
 
-var startedPattern = regexp.MustCompile(`"Owner started" shard="([^"]*)" token=(\d+) .*?jobs=(\d+) .*?took="([^"]*)"`)
+// startedPattern matches the line with which an owner has all jobs of its shard. Earlier
+// builds started only then.
+var startedPattern = regexp.MustCompile(`"(?:Shard loaded|Owner started)" shard="([^"]*)" token=(\d+) .*?jobs=(\d+) .*?took="([^"]*)"`)
 
 const failedText = `"Failed to load the stored state of the shard`
 
