job/bbrowner: jobs that upstreams list are read before loading ends

A work unit was done twice after a takeover. The list of jobs lacks a job that is accepted after its part of the list was read, while an earlier owner that still believes in its claim may start it within its horizon. When the list ended before the job was read by key, FinishLoading dropped its listed end, which was acknowledged, and the job started again when the watch delivered it.

The loader now ends only when no listed job is left to be read by key. An upstream lists a job after the job was stored, so that a read by key that does not find it shows that it has ended.

--- a/internal/job/bbrowner/loader.go
+++ b/internal/job/bbrowner/loader.go
@@ -59,11 +59,11 @@
 	}
 	l.readAll(ctx, stageProgress, l.progress)
 	l.readAll(ctx, stageJobs, l.jobs)
+	for ctx.Err() == nil && !l.finish(began, time.Now()) {
+		bbrpause.For(ctx, listedJobsInterval)
+	}
 	cancel()
 	wg.Wait()
-	if ctx.Err() == nil {
-		l.finish(began, time.Now())
-	}
 }
 
 // readAll reads a listing, and continues it after failures, at once if anything has arrived.
@@ -157,10 +157,16 @@
 	return nil
 }
 
-// finish lets the scheduler know that all jobs have been added.
-func (l *loader) finish(began, now time.Time) {
+// finish lets the scheduler know that all jobs have been added. It returns false if jobs are
+// still to be read by key: the list lacks those that were accepted after their part of it was
+// read, and an earlier owner may have started them.
+func (l *loader) finish(began, now time.Time) bool {
 	o := l.owner
 	o.mu.Lock()
+	if len(o.scheduler.MissingJobs(1)) > 0 {
+		o.mu.Unlock()
+		return false
+	}
 	for _, id := range o.scheduler.FinishLoading(now) {
 		o.staleCrashKeys = append(o.staleCrashKeys, bbrrecord.CrashesKey(o.Shard, id))
 	}
@@ -175,6 +181,7 @@
 	}
 	signal(o.flushNow)
 	o.requestPlan()
+	return true
 }
 
 // listedJobReader reads jobs that upstreams list, one after the other.
--- a/internal/job/bbrscheduler/loading.go
+++ b/internal/job/bbrscheduler/loading.go
@@ -131,7 +131,7 @@
 
 // FinishLoading records that all stored jobs have been added. It returns the IDs of the crash
 // records whose job does not exist, sorted. Jobs that MissingJobs still returns are taken not to
-// exist: a job that was accepted after the list was read is found only by its key.
+// exist: they are to be read by key before, as the list may lack jobs that were accepted meanwhile.
 func (sched *Scheduler) FinishLoading(now time.Time) []string {
 	l := &sched.loading
 	missing := len(l.missing) + len(l.unknown)
