job/bbrintake: the bound of a backlog holds while a successor loads it

A shard that was full before a takeover accepted jobs without bound while its successor loaded it: the owner, which does not know the size yet, answered each hint with 0, as owners of earlier builds do, and the entry discarded what it knew and what it had accepted.

Answers of a loading owner now say so and leave both as they are. An entry accepts its part of what was left when it last heard, as documented.

TestBacklogIsBoundedWhileItIsLoaded failed before: 300000 bytes accepted where 20000 were left for the entry.

--- a/internal/daemon/bbrserve/hints.go
+++ b/internal/daemon/bbrserve/hints.go
@@ -49,14 +49,14 @@
 	if owner == nil || !owner.AcceptHint(hint, now) {
 		return bbrinquiry.HintResponse{}
 	}
-	backlog, _ := owner.BacklogBytes(now)
-	return bbrinquiry.HintResponse{Accepted: true, Waits: owner.ExpectedWaits(now), BacklogBytes: backlog}
+	backlog, loaded := owner.BacklogBytes(now)
+	return bbrinquiry.HintResponse{Accepted: true, Waits: owner.ExpectedWaits(now), BacklogBytes: backlog, Loading: !loaded}
 }
 
 // recordAnswer records what the owner that accepted the hint tells about the shard, as of
 // the time at which the hint was sent.
 func (o *owners) recordAnswer(hint bbrowner.Hint, answer bbrinquiry.HintResponse, sent time.Time) {
-	o.backlogs.Record(hint.Job.Shard(), answer.BacklogBytes, sent)
+	o.backlogs.Record(hint.Job.Shard(), answer.BacklogBytes, answer.Loading, sent)
 	if o.daemon.settings.Jobs.RefuseBeyondShare {
 		o.waits.Record(hint.Job.Shard(), hint.Token, answer.Waits, sent)
 	}
--- a/internal/job/bbrintake/backlog.go
+++ b/internal/job/bbrintake/backlog.go
@@ -58,12 +58,13 @@
 }
 
 // Record records the size of a shard's backlog that its owner told when asked at the time.
-// A size of 0 means that the owner does not tell it.
-func (b *Backlogs) Record(shard bbrwork.Shard, bytes int, asked time.Time) {
+// A size of 0 means that the owner does not tell it. If that is because it loads the shard,
+// what was known before remains.
+func (b *Backlogs) Record(shard bbrwork.Shard, bytes int, loading bool, asked time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	known := b.known(shard)
-	if asked.Before(known.at) {
+	if loading || asked.Before(known.at) {
 		return
 	}
 	b.shards[shard] = knownBacklog{bytes: bytes, at: asked, report: known.report}
--- a/internal/job/bbrintake/backlog_test.go
+++ b/internal/job/bbrintake/backlog_test.go
@@ -46,7 +46,7 @@
 				stored += size
 			}
 			if answered {
-				b.Record(pressShard, max(1, stored), now)
+				b.Record(pressShard, max(1, stored), false, now)
 			}
 			if rapid.Bool().Draw(t, "report") {
 				reported, revision = max(1, stored), revision+1
@@ -71,10 +71,30 @@
 		require.True(t, unknownLink.admit(pressShard, 5000))
 		require.True(t, earlierBuild.admit(pressShard, 3000))
 		now = now.Add(time.Millisecond)
-		earlierBuild.Record(pressShard, 0, now)
+		earlierBuild.Record(pressShard, 0, false, now)
 	}
 }
 
+// TestBacklogIsBoundedWhileItIsLoaded guards against a shard that grows without bound while a
+// successor loads it: the answers of a loading owner, which does not know the size, were taken
+// for those of an earlier build, and discarded what the entry had accepted.
+func TestBacklogIsBoundedWhileItIsLoaded(t *testing.T) {
+	const limit = 100_000
+	now := time.Unix(1000, 0)
+	b := &Backlogs{SmallestLink: linkOf(limit, 2)}
+	b.Record(pressShard, 60_000, false, now)
+	accepted := 0
+	for range 100 {
+		now = now.Add(time.Millisecond)
+		if b.admit(pressShard, 3000) {
+			accepted += 3000
+		}
+		b.Record(pressShard, 0, true, now)
+	}
+	require.Positive(t, accepted)
+	require.LessOrEqual(t, accepted, (limit-60_000)/2)
+}
+
 // TestRefusalOfAJobBeyondTheBacklog guards against a job that is stored although its shard is
 // full, against a refusal on outdated information, and against the refusal of a job that an
 // earlier submission stored: a refusal means that the job never runs.
@@ -106,7 +126,7 @@
 				require.NoError(t, err)
 			}
 			h.Intake.Backlogs = &Backlogs{SmallestLink: linkOf(limit, 4)}
-			h.Intake.Backlogs.Record(pressShard, test.known, time.Now())
+			h.Intake.Backlogs.Record(pressShard, test.known, false, time.Now())
 			answer := call(h, http.MethodPost, path, pressKey, strings.NewReader("{}"))
 			require.Equal(t, test.status, answer.Code)
 			if test.status == http.StatusTooManyRequests {
--- a/internal/peer/bbrinquiry/message.go
+++ b/internal/peer/bbrinquiry/message.go
@@ -54,6 +54,8 @@
 	// BacklogBytes is what a successor of the owner has to read of the shard's jobs, the
 	// hint's among them. It is 0 if that is unknown, as in answers of earlier builds.
 	BacklogBytes int `json:"backlogBytes,omitempty"`
+	// Loading means that the owner does not know BacklogBytes yet, as it loads the shard.
+	Loading bool `json:"loading,omitempty"`
 }
 
 // PingMessage is the request and the response of a ping.
