job/bbrintake: queries wait for the shards of a queue together

After the loss of an entry with several shards, a query of a queue's waiting jobs waited for the next report, or the count, of one shard after the other, up to 5 s each, and ended at its deadline without an answer.

The counts of all shards without a report begin first, and are then awaited.

TestShardsAreCountedTogether failed before: three shards of 1 s took 3 s. The calls of storedCounts.get in TestFailedCountIsNotReused are written as current and get now, with the same checks.

--- a/internal/job/bbrintake/sharedcount_test.go
+++ b/internal/job/bbrintake/sharedcount_test.go
@@ -81,6 +81,22 @@
 	})
 }
 
+// TestShardsAreCountedTogether guards against queries that end without an answer after the loss
+// of several owners, as they wait for one shard after the other.
+func TestShardsAreCountedTogether(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		shard := &slowShard{}
+		shard.add(2)
+		intake := shard.intake()
+		intake.Cells = func() *bbrcell.Cells { return &bbrcell.Cells{Sizes: []int{1, 1, 1}} }
+		began := time.Now()
+		waiting, code := intake.Waiting(t.Context(), &bbrwork.Queue{Name: "q", Service: "press"})
+		require.Equal(t, bbrcode.StateReported, code)
+		require.Equal(t, 6, waiting)
+		require.Equal(t, time.Second, time.Since(began), "as long as one shard takes")
+	})
+}
+
 // TestSharedReadIsRecent guards against a count of jobs that is older than a query accepts,
 // or that ends with the deadline of another query.
 func TestSharedReadIsRecent(t *testing.T) {
--- a/internal/job/bbrintake/storedcounts.go
+++ b/internal/job/bbrintake/storedcounts.go
@@ -63,20 +63,9 @@
 	err     error
 }
 
-// get returns the number of waiting jobs by queue, of which an earlier owner reported the given
-// number. It waits for the count in progress, if any, until ctx ends.
-func (c *storedCounts) get(ctx context.Context, intake *Intake, shard bbrwork.Shard, reported int, now time.Time) (map[string]int, error) {
-	count := c.current(ctx, intake, shard, reported, now)
-	select {
-	case <-count.done:
-		return count.waiting, count.err
-	case <-ctx.Done():
-		return nil, errors.Wrap(ctx.Err(), "counting the stored jobs has not ended")
-	}
-}
-
 // current returns the count that is in progress or recent, or begins one. It goes on when ctx
-// ends, since other queries may wait for it.
+// ends, since other queries may wait for it. reported is the number of waiting jobs that an
+// earlier owner reported.
 func (c *storedCounts) current(ctx context.Context, intake *Intake, shard bbrwork.Shard, reported int, now time.Time) *storedCount {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -101,6 +90,16 @@
 	return count
 }
 
+// get returns the number of waiting jobs by queue. It waits for the count until ctx ends.
+func (s *storedCount) get(ctx context.Context) (map[string]int, error) {
+	select {
+	case <-s.done:
+		return s.waiting, s.err
+	case <-ctx.Done():
+		return nil, errors.Wrap(ctx.Err(), "counting the stored jobs has not ended")
+	}
+}
+
 // reusable reports whether the count is in progress or recent.
 func (s *storedCount) reusable(now time.Time) bool {
 	select {
--- a/internal/job/bbrintake/storedcounts_test.go
+++ b/internal/job/bbrintake/storedcounts_test.go
@@ -114,17 +114,17 @@
 		}}
 		intake, shard := &Intake{Store: store}, bbrwork.Shard{Service: "press"}
 		counts := &intake.counts
-		_, err := counts.get(t.Context(), intake, shard, 0, time.Now())
+		_, err := counts.current(t.Context(), intake, shard, 0, time.Now()).get(t.Context())
 		require.ErrorIs(t, err, bbrkv.ErrRefused)
 		failing = false
-		waiting, err := counts.get(t.Context(), intake, shard, 0, time.Now())
+		waiting, err := counts.current(t.Context(), intake, shard, 0, time.Now()).get(t.Context())
 		require.NoError(t, err)
 		require.Equal(t, map[string]int{"q": 1}, waiting)
-		_, err = counts.get(t.Context(), intake, shard, 0, time.Now())
+		_, err = counts.current(t.Context(), intake, shard, 0, time.Now()).get(t.Context())
 		require.NoError(t, err)
 		require.Equal(t, 1, list.total, "a recent count is reused")
 		time.Sleep(storedCountReuse * time.Second)
-		_, err = counts.get(t.Context(), intake, shard, 0, time.Now())
+		_, err = counts.current(t.Context(), intake, shard, 0, time.Now()).get(t.Context())
 		require.NoError(t, err)
 		require.Equal(t, 2, list.total, "an old one is not")
 	})
--- a/internal/job/bbrintake/waiting.go
+++ b/internal/job/bbrintake/waiting.go
@@ -26,36 +26,51 @@
 		reports[item.Key] = item
 	}
 	waiting := 0
+	var counts []*storedCount
 	for cell := range i.Cells().Count() {
 		shard := bbrwork.Shard{Service: queue.Service, Cell: cell}
-		count, err := i.waitingInShard(ctx, shard, queue.Name, reports[bbrrecord.ReportKey(shard)])
+		reported, count, err := i.waitingInShard(ctx, shard, queue.Name, reports[bbrrecord.ReportKey(shard)])
 		if err != nil {
-			klog.InfoS("Failed to count the waiting jobs of a shard", "shard", shard, "reason", err.Error())
-			return 0, bbrcode.StoreUnavailable
+			return 0, countFailed(shard, err)
 		}
-		waiting += count
+		waiting += reported
+		if count != nil {
+			counts = append(counts, count)
+		}
+	}
+	for _, count := range counts {
+		stored, err := count.get(ctx)
+		if err != nil {
+			return 0, countFailed(count.shard, err)
+		}
+		waiting += stored[queue.Name]
 	}
 	return waiting, bbrcode.StateReported
 }
 
-// waitingInShard returns how many of the queue's jobs in the shard have not started. The
-// item is the last report of an owner of the shard.
-func (i *Intake) waitingInShard(ctx context.Context, shard bbrwork.Shard, queue string, item bbrkv.Item) (int, error) {
+// countFailed logs that the waiting jobs of the shard are not known, and returns the answer.
+func countFailed(shard bbrwork.Shard, err error) bbrcode.Code {
+	klog.InfoS("Failed to count the waiting jobs of a shard", "shard", shard, "reason", err.Error())
+	return bbrcode.StoreUnavailable
+}
+
+// waitingInShard returns how many of the queue's jobs in the shard have not started, or the
+// count of its stored jobs that tells it. The item is the last report of an owner of the shard.
+func (i *Intake) waitingInShard(ctx context.Context, shard bbrwork.Shard, queue string, item bbrkv.Item) (int, *storedCount, error) {
 	var record bbrrecord.Report
 	if len(item.Value) > 0 {
 		if err := json.Unmarshal(item.Value, &record); err != nil {
-			return 0, err
+			return 0, nil, err
 		}
 	}
 	if i.reportIsCurrent(shard, item) {
-		return record.Waiting[queue], nil
+		return record.Waiting[queue], nil, nil
 	}
 	reported := 0
 	for _, count := range record.Waiting {
 		reported += count
 	}
-	waiting, err := i.counts.get(ctx, i, shard, reported, time.Now())
-	return waiting[queue], err
+	return 0, i.counts.current(ctx, i, shard, reported, time.Now()), nil
 }
 
 // reportIsCurrent reports whether the present owner of the shard has written the report.
