job/bbrowner: transfers are given up while the store refuses earlier transactions

A job that was about to go to another cell started nowhere while the store refused calls, even when capacity was freed in its own cell: a pending transfer was given up only if its own transaction was refused, not one that is sent before it.

Any error of a flush now ends the transfers that were not sent.

TestTransferIsGivenUpWhileTheStoreRefuses failed before: the transfer was still pending.

--- a/internal/job/bbrowner/flusher.go
+++ b/internal/job/bbrowner/flusher.go
@@ -115,11 +115,13 @@
 	}
 }
 
-// flush stores all changes, in one transaction or several.
+// flush stores all changes, in one transaction or several, and the pending transfers. After an
+// error, it gives those up that were not sent: their jobs may start here.
 func (f *flusher) flush(ctx context.Context) error {
 	for {
 		more, err := f.flushBatch(ctx, time.Now())
 		if err != nil {
+			f.withdrawPending(time.Now())
 			return err
 		}
 		if !more {
--- a/internal/job/bbrowner/transferflush_test.go
+++ b/internal/job/bbrowner/transferflush_test.go
@@ -112,6 +112,25 @@
 	})
 }
 
+// TestTransferIsGivenUpWhileTheStoreRefuses guards against a job that starts nowhere while the
+// store refuses the transactions before that of its transfer.
+func TestTransferIsGivenUpWhileTheStoreRefuses(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m, j := beginTestTransfer(t)
+		o := m.owners[0]
+		for id := range m.jobs {
+			if id != j.job.ID {
+				o.scheduler.Cancel(id, time.Now())
+			}
+		}
+		require.True(t, o.scheduler.Urgent(), "a transaction precedes that of the transfer")
+		m.failing = true
+		require.Error(t, (&flusher{owner: o}).flush(context.Background()))
+		require.Empty(t, o.transfers.pending)
+		require.Equal(t, map[string]float64{string(TransferRefused): 1}, valuesByReason(t, o.Metrics, "bbr_job_transfers_total"))
+	})
+}
+
 // TestDepartedJobComesBackWithHigherRevision guards against an outdated list that brings back a
 // job which went to another cell, and against a job that is lost when it returns.
 func TestDepartedJobComesBackWithHigherRevision(t *testing.T) {
