--- a/scripts/hunt-small.sh
+++ b/scripts/hunt-small.sh
@@ -34,7 +34,7 @@
 		echo "== $name is left out: $(cat "$work/misfit")"
 		continue
 	fi
-	echo "== $name seed ${SEED:-1}: $(grep -c 'Owner started' "$log" || true) owners started, with up to $(sed -n 's/.*"Owner started".* jobs=\([0-9]*\) .*/\1/p' "$log" | sort -n | tail -1) jobs; $(grep -c 'Failed to load the stored state' "$log" || true) failed attempts to load"
+	echo "== $name seed ${SEED:-1}: $(grep -c 'Owner started' "$log" || true) owners started, with up to $(sed -n 's/.*"Shard loaded".* jobs=\([0-9]*\) .*/\1/p' "$log" | sort -n | tail -1) jobs; $(grep -c 'Failed to load the stored state' "$log" || true) failed attempts to load"
 	if grep -A 2 '^rules broken: ' "$log"; then
 		broken=1
 	fi
