job/bbrowner: starts that are planned together do not fill the link

All planned starts were sent at once: 300 with specs of 2 KB take 2.4 s on 2 Mbit/s, so that each of them, and each renewal among them, is late, and upstreams count as silent.

An entry now has 32 starts in flight.

--- a/internal/daemon/bbrserve/owners.go
+++ b/internal/daemon/bbrserve/owners.go
@@ -43,6 +43,8 @@
 	running map[bbrwork.Shard]*bbrowner.Owner
 	// rooms has the rooms of shards at this and other entries.
 	rooms bbrcell.RoomDirectory
+	// startSlots bounds the starts in flight.
+	startSlots *bbrowner.StartSlots
 	// hintSlots contains an element for each hint in flight.
 	hintSlots chan struct{}
 	// waits has the waits that owners reported for new jobs.
@@ -61,6 +63,8 @@
 		services:  make(map[string]bool),
 		running:   make(map[bbrwork.Shard]*bbrowner.Owner),
 		hintSlots: make(chan struct{}, maxHintsInFlight),
+
+		startSlots: bbrowner.NewStartSlots(maxStartsInFlight),
 	}
 }
 
@@ -120,6 +124,9 @@
 	maxRunLease = 4500 * time.Millisecond
 	// startTimeout bounds how long an order to start a run may be in flight.
 	startTimeout = 1500 * time.Millisecond
+	// maxStartsInFlight bounds the starts in flight of an entry. With specs of 2 KB, that many
+	// take a quarter of a second on a link of 2 Mbit/s.
+	maxStartsInFlight = 32
 )
 
 func (o *owners) runOwner(ctx context.Context, held bbrclaim.HeldClaim) {
@@ -166,6 +173,7 @@
 		Reserved:   d.reservations.Reserved,
 		ConfigKey:  bbrwire.ConfigKey,
 		ShardCount: o.shardCount,
+		StartSlots: o.startSlots,
 
 		PublishRoom:         jobs.BalanceByCapacity,
 		FairShares:          jobs.FairShares,
--- a/internal/job/bbrorder/order.go
+++ b/internal/job/bbrorder/order.go
@@ -76,6 +76,7 @@
 	ErrAnswerLost       = errors.New("the upstream's answer was lost")
 	ErrNotSent          = errors.New("the upstream was not reached")
 	ErrUnconfirmed      = errors.New("the order was not sent, as the owner's claim is not confirmed any more")
+	ErrTooManyStarts    = errors.New("the order was not sent, as too many starts are in flight")
 	ErrFenced           = errors.New("the upstream has seen a higher fencing token")
 	ErrStaleRun         = errors.New("the run is not newer than one that ended on the upstream")
 	ErrExpired          = errors.New("the order's deadline has passed")
--- a/internal/job/bbrowner/owner.go
+++ b/internal/job/bbrowner/owner.go
@@ -63,6 +63,8 @@
 	// HandOverUnloaded reports whether the owner is to release its claim now, as nothing of
 	// the shard that it loads has arrived for the idle time. It is nil if it keeps its claim.
 	HandOverUnloaded func(idle time.Duration, ownedSince, now time.Time) bool
+	// StartSlots bounds the starts in flight of the entry's owners; nil for no bound.
+	StartSlots *StartSlots
 	// FairShares makes organisations share the capacity by weight while it is short.
 	FairShares bool
 	// ReserveCapacity means that wide work may reserve capacity, and that urgent work may
--- a/internal/job/bbrowner/tasks.go
+++ b/internal/job/bbrowner/tasks.go
@@ -18,7 +18,7 @@
 
 func (t *startTask) run(ctx context.Context) {
 	o := t.owner
-	clock, err := t.send(ctx, time.Now())
+	clock, err := t.send(ctx)
 	o.Metrics.Event("start:" + outcomeName(err))
 	o.mu.Lock()
 	o.scheduler.ApplyStartResult(t.order, clock, err, time.Now())
@@ -36,11 +36,15 @@
 	}
 }
 
-// send sends the start if the owner's claim is confirmed at now. The process may have been paused
-// since it planned the start, and an upstream that has restarted meanwhile would not refuse it for
-// its fencing token.
-func (t *startTask) send(ctx context.Context, now time.Time) (time.Duration, error) {
-	if !t.owner.Confirmed(now) {
+// send sends the start once it has a slot, if the owner's claim is confirmed then. The process may
+// have been paused since it planned the start, and an upstream that has restarted meanwhile would
+// not refuse it for its fencing token.
+func (t *startTask) send(ctx context.Context) (time.Duration, error) {
+	if !t.owner.StartSlots.acquire(ctx) {
+		return 0, bbrorder.ErrTooManyStarts
+	}
+	defer t.owner.StartSlots.release()
+	if !t.owner.Confirmed(time.Now()) {
 		return 0, bbrorder.ErrUnconfirmed
 	}
 	return t.owner.Client.Start(ctx, t.order.Upstream, t.order.Start)
@@ -122,6 +126,8 @@
 		return "notSent"
 	case errors.Is(err, bbrorder.ErrUnconfirmed):
 		return "unconfirmed"
+	case errors.Is(err, bbrorder.ErrTooManyStarts):
+		return "tooMany"
 	case errors.Is(err, bbrorder.ErrInvalid):
 		return "invalid"
 	default:
--- a/internal/job/bbrscheduler/startresult.go
+++ b/internal/job/bbrscheduler/startresult.go
@@ -80,7 +80,7 @@
 
 func (sched *Scheduler) startFailed(r *run, err error, now time.Time) {
 	up := r.up
-	if !errors.Is(err, bbrorder.ErrUnconfirmed) {
+	if !errors.IsAny(err, bbrorder.ErrUnconfirmed, bbrorder.ErrTooManyStarts) {
 		up.failedStarts.add(now)
 	}
 	switch {
