job/bbrscheduler: an end as done counts if its work has not started again

Ends of given-up runs did not count, since the work may run elsewhere. Now an end as done counts while the work unit, or its whole gang, has no other run.

TestWorkThatIsDoneOnSilentUpstreamIsNotRepeated failed before in both cases (two starts). TestReturningUpstreamTakesWorkAgain demanded that a done end does not count; it now uses a failed end, which must neither count nor keep the work.

--- a/internal/job/bbrscheduler/leaseexpiry.go
+++ b/internal/job/bbrscheduler/leaseexpiry.go
@@ -79,8 +79,8 @@
 }
 
 // expireRuns drops the runs on an upstream whose lease ended without renewal, but starts that
-// may still be carried out. The upstream may return and list ends from before. They no longer
-// count, since the work units may be running elsewhere.
+// may still be carried out. The upstream may return and list ends from before. They no
+// longer count if the work units run elsewhere by then, or did not end as done.
 func (sched *Scheduler) expireRuns(up *upstream, now time.Time) {
 	sched.note(now, "Run lease of upstream expired", "upstream", up.ID, "runs", len(up.runs), "unknownRuns", len(up.unknownRuns), "lostAnswers", up.lostAnswers,
 		"renewalAnswered", ageText(up.extensions.answeredAt, now), "renewalSent", ageText(up.extensions.sentAt, now),
--- a/internal/job/bbrscheduler/listing.go
+++ b/internal/job/bbrscheduler/listing.go
@@ -62,7 +62,7 @@
 		up.applied = end.Sequence
 		cause, dropped := up.lapsedRuns[runKey{end.Unit, end.Run}]
 		switch {
-		case !dropped:
+		case !dropped, sched.endsIdleWork(end):
 			sched.applyEnd(up, end, before, now)
 		case end.Outcome == bbrwork.OutcomeLeaseExpired:
 			sched.lapses[cause]++
@@ -70,6 +70,19 @@
 	}
 }
 
+// endsIdleWork reports whether a run has ended as done whose work unit has no other run, nor
+// have the other members of its gang.
+func (sched *Scheduler) endsIdleWork(end bbrwork.RunEnd) bool {
+	u := sched.findUnit(end.Unit)
+	if u == nil || end.Outcome != bbrwork.OutcomeDone {
+		return false
+	}
+	if u.step.spec.Gang {
+		return !slices.ContainsFunc(u.step.units, func(member *unit) bool { return len(member.runs) > 0 })
+	}
+	return len(u.runs) == 0
+}
+
 func (sched *Scheduler) applyEnd(up *upstream, end bbrwork.RunEnd, before silence, now time.Time) {
 	if sched.awaits(end.Unit.Job) {
 		sched.keepEnd(up, end, before)
