--- a/internal/job/bbrintake/storedcounts.go
+++ b/internal/job/bbrintake/storedcounts.go
@@ -26,8 +26,8 @@
 	storedCountReuse  = 4
 	maxStoredCountAge = 10 * time.Second
 	// maxQuickCount is the number of waiting jobs, as last reported, up to which a shard
-	// without a present report is counted at once. With more, all entries would read a long
-	// list while the next owner reads it too, so that they wait for its report for up to
+	// without a present report is counted. With more, all entries would read a long list
+	// while the next owner reads it too, so that they wait for its report instead, for up to
 	// maxReportWait from the first query on.
 	maxQuickCount = 50
 	maxReportWait = 5 * time.Second
@@ -37,6 +37,9 @@
 	staleQueryGap = 10 * time.Second
 )
 
+// errNotReported means that the owner of a shard with a large backlog has not reported in time.
+var errNotReported = errors.New("the owner of a shard with a large backlog has not reported yet")
+
 // storedCounts shares the counts of stored jobs among queries: a count reads all jobs of a
 // shard, which may take longer than a query lasts. The zero value is ready to use.
 type storedCounts struct {
@@ -120,9 +123,13 @@
 	ctx, cancel := context.WithTimeout(ctx, storedCountTimeout)
 	defer cancel()
 	defer close(s.done)
-	if waiting, reported := s.awaitReport(ctx); reported {
+	waiting, reported := s.awaitReport(ctx)
+	switch {
+	case reported:
 		s.waiting = waiting
-	} else {
+	case !s.awaitUntil.IsZero():
+		s.err = errNotReported
+	default:
 		s.waiting, s.err = s.count(ctx)
 	}
 	s.ended = time.Now()
