--- a/internal/job/bbrintake/backlog.go
+++ b/internal/job/bbrintake/backlog.go
@@ -118,7 +118,7 @@
 // full. Before it does, it reads the report of the shard's owner. A job that may be stored already,
 // by an earlier submission, is not refused: a refusal means that it never runs.
 func (i *Intake) refuseFullBacklog(ctx context.Context, job *bbrwork.Job, now time.Time) bool {
-	shard, size := job.Shard(), job.TransferBytes()
+	shard, size := job.Shard(), job.ListedBytes()
 	if i.Backlogs == nil || i.Backlogs.admit(shard, size) {
 		return false
 	}
--- a/internal/job/bbrintake/preview.go
+++ b/internal/job/bbrintake/preview.go
@@ -135,7 +135,7 @@
 			return bbrcode.BeyondShare, ""
 		}
 	}
-	if !i.Backlogs.wouldAdmit(job.Shard(), job.TransferBytes()) {
+	if !i.Backlogs.wouldAdmit(job.Shard(), job.ListedBytes()) {
 		if _, err := i.readStatus(ctx, job.ID); errors.Is(err, bbrkv.ErrNotFound) {
 			return bbrcode.BacklogFull, ""
 		}
--- a/internal/job/bbrowner/backlog.go
+++ b/internal/job/bbrowner/backlog.go
@@ -21,7 +21,7 @@
 		return 0, false
 	}
 	if o.backlog.at.IsZero() || now.Sub(o.backlog.at) > backlogTTL {
-		o.backlog = backlogSize{bytes: o.scheduler.TransferBytes(), at: now}
+		o.backlog = backlogSize{bytes: o.scheduler.ListedBytes(), at: now}
 	}
 	return o.backlog.bytes, true
 }
--- a/internal/job/bbrowner/flusher.go
+++ b/internal/job/bbrowner/flusher.go
@@ -194,7 +194,7 @@
 		begin := time.Now()
 		f.lastReport = report{waiting: scheduler.WaitingByQueue(now), drained: scheduler.Drained(now), demand: scheduler.Demand(now)}
 		f.lastReport.demand.LimitReleasable(maxReleasable)
-		f.lastReport.backlogBytes = max(1, scheduler.TransferBytes())
+		f.lastReport.backlogBytes = max(1, scheduler.ListedBytes())
 		f.lastReport.beyond = slices.DeleteFunc(scheduler.Shares(maxReportedShares), func(share bbrscheduler.OrganisationShare) bool { return !share.Beyond })
 		f.lastReport.offer = f.owner.offer(now)
 		f.reportedAt, f.reportTook = now, time.Since(begin)
--- a/internal/job/bbrwork/transfer.go
+++ b/internal/job/bbrwork/listedbytes.go
@@ -9,8 +9,8 @@
 	itemOverhead = 110
 )
 
-// TransferBytes estimates the bytes that the job's record takes in a list of the store,
+// ListedBytes estimates the bytes that the job's record takes in a list of the store,
 // where values are base64-encoded.
-func (j *Job) TransferBytes() int {
+func (j *Job) ListedBytes() int {
 	return (recordOverhead+len(j.Spec)+stepBytes*len(j.Steps))*4/3 + itemOverhead
 }
