job/bbrscheduler: runs and ends listed after loading wait for their job

Callers saw work done a second time after a takeover.

An owner may start jobs for a moment after its successor's claim, within the stored horizon. If the successor's watch had not delivered such a job when its upstream was first reached, after the load, the end of its run was ignored and acknowledged, and the work started again once the job arrived. The run became an orphan and could be stopped. The window is the delay of the watch, which is long while it reads the whole list after a compaction.

Jobs are now awaited after loading too, while earlier work is not located and as long as something of them is kept. The readers by key go on until then. Meanwhile the inherited horizon stays stored, and upstreams with such runs or ends do not count as drained and are not released. A job that the store does not have is found by the read, and its runs are stopped as before. Jobs found missing during the load are remembered until earlier work is known, so that they are not read again.

The models of TestTransfersUnderFailures and of bbrmaintenance read such jobs by key now, as owners do: without that, runs of ended jobs stayed in them.

--- a/internal/fleet/bbrmaintenance/modelowner_test.go
+++ b/internal/fleet/bbrmaintenance/modelowner_test.go
@@ -1,6 +1,7 @@
 package bbrmaintenance
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -56,8 +57,17 @@
 	o.scheduler.FinishLoading(m.now)
 }
 
+// readMissing reads the jobs of which upstreams list runs or ends. All stored jobs are known, so
+// that the missing ones have ended.
+func (m *model) readMissing(o *modelOwner) {
+	for _, id := range o.scheduler.MissingJobs(math.MaxInt) {
+		o.scheduler.RecordMissing(id, m.now)
+	}
+}
+
 // runOwner runs one round of an owner.
 func (m *model) runOwner(o *modelOwner) {
+	m.readMissing(o)
 	o.scheduler.SetReserved(m.reserved, m.now)
 	m.register(o)
 	plan := o.scheduler.Plan(true, m.now)
--- a/internal/job/bbrowner/latejob_test.go
+++ b/internal/job/bbrowner/latejob_test.go
@@ -60,14 +60,18 @@
 
 // TestLateJobOfAnEarlierOwnerIsDoneOnce guards against work that is done twice, because an
 // earlier owner started a job that was accepted after the list of jobs was read: what upstreams
-// list of it was dropped when the list ended.
+// list of it before or after the list ended was dropped.
 func TestLateJobOfAnEarlierOwnerIsDoneOnce(t *testing.T) {
 	for _, test := range []struct {
 		name    string
 		runTime time.Duration
+		// afterLoad means that the job's upstream answers only once the owner has loaded.
+		afterLoad bool
 	}{
 		{name: "ended", runTime: 100 * time.Millisecond},
 		{name: "running", runTime: 4 * time.Second},
+		{name: "ended, listed after the load", runTime: 100 * time.Millisecond, afterLoad: true},
+		{name: "running, listed after the load", runTime: 4 * time.Second, afterLoad: true},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -89,6 +93,11 @@
 				o.Client.Renew = func(ctx context.Context, up bbrwork.Upstream, renewal bbrorder.Renewal) (bbrwork.Listing, error) {
 					if up.ID == "i-01" {
 						<-accepted
+						if test.afterLoad {
+							if _, loaded := awaitLoaded(o, time.Second); !loaded {
+								return bbrwork.Listing{}, bbrorder.ErrAnswerLost
+							}
+						}
 					}
 					return s.upstreams.renew(ctx, up, renewal)
 				}
--- a/internal/job/bbrowner/loader.go
+++ b/internal/job/bbrowner/loader.go
@@ -47,9 +47,10 @@
 	return l
 }
 
-// run loads until all jobs are known or ctx ends.
+// run loads until all jobs are known or ctx ends. Jobs that upstreams list are read by key until
+// no further work of earlier owners can be listed: the watch may deliver jobs late that were
+// accepted after the claim, and an earlier owner may have started them.
 func (l *loader) run(ctx context.Context) {
-	began := time.Now()
 	readCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	var wg sync.WaitGroup
@@ -57,13 +58,30 @@
 		reader := &listedJobReader{loader: l}
 		wg.Go(func() { reader.run(readCtx) })
 	}
+	l.load(ctx)
+	for ctx.Err() == nil && !l.knowsEarlierWork(time.Now()) {
+		bbrpause.For(ctx, listedJobsInterval)
+	}
+	cancel()
+	wg.Wait()
+}
+
+// load reads all jobs, and returns once they are known or ctx ends.
+func (l *loader) load(ctx context.Context) {
+	began := time.Now()
 	l.readAll(ctx, stageProgress, l.progress)
 	l.readAll(ctx, stageJobs, l.jobs)
 	for ctx.Err() == nil && !l.finish(began, time.Now()) {
 		bbrpause.For(ctx, listedJobsInterval)
 	}
-	cancel()
-	wg.Wait()
+}
+
+// knowsEarlierWork reports whether no job needs to be read by key any more. Work that counts as
+// located by time only may still be listed until the next plan.
+func (l *loader) knowsEarlierWork(now time.Time) bool {
+	l.owner.mu.Lock()
+	defer l.owner.mu.Unlock()
+	return l.owner.scheduler.UnlocatedCount() == 0 && l.owner.scheduler.EarlierWorkKnown(now)
 }
 
 // readAll reads a listing, and continues it after failures, at once if anything has arrived.
@@ -86,6 +104,14 @@
 	l.progressByID[bbrrecord.JobID(item.Key)] = item.Value
 }
 
+// dropProgress drops the progress of all jobs. It is called once all jobs from before the claim
+// have been added: later ones have none.
+func (l *loader) dropProgress() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.progressByID = nil
+}
+
 // progressOf returns the progress of the job with the key. All progress has been read.
 func (l *loader) progressOf(key string) []byte {
 	l.mu.Lock()
@@ -172,6 +198,7 @@
 	}
 	jobs, stale := o.scheduler.JobCount(), len(o.staleCrashKeys)
 	o.mu.Unlock()
+	l.dropProgress()
 	o.loading.finish()
 	o.Metrics.Loaded(o.loading.claimAge(now))
 	amount := o.loading.amount()
--- a/internal/job/bbrowner/transfermodel_test.go
+++ b/internal/job/bbrowner/transfermodel_test.go
@@ -47,6 +47,8 @@
 	failing bool
 	cells   *bbrcell.Cells
 	owners  []*Owner
+	// loaders has the loaders of the owners.
+	loaders map[*Owner]*loader
 	ups     []*cellsUpstream
 	// version is that of the registrations.
 	version   bbrregistry.Version
@@ -104,7 +106,7 @@
 
 // newCellsModel returns a model with a number of upstreams in each cell.
 func newCellsModel(seed uint64, sizes ...int) *cellsModel {
-	m := &cellsModel{random: rand.New(rand.NewPCG(seed, 1)), revision: 1, items: make(map[string]bbrkv.Item), cells: &bbrcell.Cells{CellByRack: make(map[string]int)},
+	m := &cellsModel{loaders: make(map[*Owner]*loader), random: rand.New(rand.NewPCG(seed, 1)), revision: 1, items: make(map[string]bbrkv.Item), cells: &bbrcell.Cells{CellByRack: make(map[string]int)},
 		jobs: make(map[string]*cellsJob), cancelled: make(map[string]bool), version: bbrregistry.Version{ServiceChanges: 1}}
 	for cell, size := range sizes {
 		m.cells.Sizes = append(m.cells.Sizes, max(1, size))
@@ -231,7 +233,9 @@
 	o.loading.start(time.Now())
 	records, _ := o.readStoredRecords(context.Background())
 	o.begin(records, time.Now(), time.Now())
-	newLoader(o).run(context.Background())
+	l := newLoader(o)
+	l.load(context.Background())
+	m.loaders[o] = l
 	m.owners[cell] = o
 }
 
@@ -358,8 +362,21 @@
 	}
 }
 
+// readListed reads the jobs of which upstreams list runs or ends, as listedJobReader does.
+func (m *cellsModel) readListed(o *Owner) {
+	l := m.loaders[o]
+	for id := l.beginListed(); id != ""; id = l.beginListed() {
+		err := l.readListed(context.Background(), id)
+		l.endListed(id)
+		if err != nil {
+			return
+		}
+	}
+}
+
 // runOwner runs one round of an owner.
 func (m *cellsModel) runOwner(o *Owner, now time.Time) {
+	m.readListed(o)
 	m.serve(o, now)
 	if now.UnixMilli()%transferInterval.Milliseconds() < cellsStep.Milliseconds() {
 		o.transferRound(context.Background(), now)
--- a/internal/job/bbrscheduler/demand.go
+++ b/internal/job/bbrscheduler/demand.go
@@ -298,9 +298,10 @@
 // long-running work nor work that fits nowhere else, is reserved neither for a suspect nor for
 // wide work, and is neither vacated nor the destination of work that leaves a vacated one.
 // While work of an earlier owner is not located, only an empty upstream that cannot have
-// any is released, since it is not known what fits elsewhere. None is while jobs are loaded.
+// any is released, since it is not known what fits elsewhere. None is while jobs are loaded or
+// while runs or ends of unknown jobs are there.
 func (sched *Scheduler) mayRelease(up *upstream, wide *wideWork, now time.Time) bool {
-	if sched.Loading() || !up.registered || up.Draining || !up.reservedAt.IsZero() || up.lostAnswers > 0 || up.hasLongRunning() || up.trialUnit != nil || up.hold != nil || up.vacancy != nil || sched.isDestination(up) {
+	if sched.Loading() || up.holdsUnknown() || !up.registered || up.Draining || !up.reservedAt.IsZero() || up.lostAnswers > 0 || up.hasLongRunning() || up.trialUnit != nil || up.hold != nil || up.vacancy != nil || sched.isDestination(up) {
 		return false
 	}
 	if !sched.EarlierWorkLocated(now) {
--- a/internal/job/bbrscheduler/listing.go
+++ b/internal/job/bbrscheduler/listing.go
@@ -71,7 +71,7 @@
 }
 
 func (sched *Scheduler) applyEnd(up *upstream, end bbrwork.RunEnd, before silence, now time.Time) {
-	if sched.awaits(end.Unit.Job) {
+	if sched.awaits(end.Unit.Job, now) {
 		sched.keepEnd(up, end, before)
 		return
 	}
@@ -237,12 +237,12 @@
 
 const fullPercent = 100
 
-// adopt takes over a run that an earlier owner started. A run of a job that is still to be
-// loaded is kept until then. A run of an unknown job becomes an orphan, which a later plan
+// adopt takes over a run that an earlier owner started. A run of a job that is awaited is kept
+// until it arrives. A run of an unknown job becomes an orphan, which a later plan
 // stops.
 func (sched *Scheduler) adopt(up *upstream, running bbrwork.Run, sent, now time.Time) *run {
 	key := runKey{running.Unit, running.Number}
-	if sched.awaits(key.unit.Job) {
+	if sched.awaits(key.unit.Job, now) {
 		sched.keepRun(up, running, sent, now)
 		return nil
 	}
--- a/internal/job/bbrscheduler/loading.go
+++ b/internal/job/bbrscheduler/loading.go
@@ -14,7 +14,8 @@
 // An owner plans while its stored jobs still arrive one by one. What upstreams list of a job
 // that has not arrived is kept until it does: a run stays on its upstream and its lease is
 // renewed, and an end is not acknowledged. So a job is known with all its located runs and
-// ends before anything of it starts.
+// ends before anything of it starts. The same holds after loading, for jobs that were accepted
+// after the claim and that an earlier owner may have started before it learned of it.
 
 // loadPhase is how far the loading of the stored jobs is.
 type loadPhase uint8
@@ -31,9 +32,10 @@
 	begunAt time.Time
 	// unknown has the jobs of which upstreams listed runs or ends.
 	unknown map[string]*unknownJob
-	// missing has the jobs that the store does not have.
+	// missing has the jobs that the store does not have. It is empty once earlier work is known.
 	missing map[string]bool
-	// cancelled has the jobs whose cancellation was requested.
+	// cancelled has the awaited jobs whose cancellation was requested. It is empty once earlier
+	// work is known.
 	cancelled map[string]bool
 	// crashes has the stored crash records.
 	crashes map[string]*storedCrashes
@@ -106,6 +108,13 @@
 // what they need are partial: WaitingByQueue, Demand, Room, Load, JobCount and State.
 func (sched *Scheduler) Loading() bool { return sched.loading.phase == loadBegun }
 
+// EarlierWorkKnown reports whether all jobs are loaded, earlier work is located, and all jobs
+// that it belongs to are known. Until then, the jobs that MissingJobs returns are to be read by
+// key, also after FinishLoading.
+func (sched *Scheduler) EarlierWorkKnown(now time.Time) bool {
+	return sched.EarlierWorkLocated(now) && !sched.Loading() && len(sched.loading.unknown) == 0
+}
+
 // MissingJobs returns the IDs of at most limit jobs that have not been added and of which
 // upstreams listed runs or ends, those with runs first: their upstreams take no work.
 func (sched *Scheduler) MissingJobs(limit int) []string {
@@ -119,14 +128,18 @@
 // RecordMissing records that the store does not have a job that MissingJobs returned before
 // it was read. The job has ended: its runs are to be stopped, and its ends do not count.
 func (sched *Scheduler) RecordMissing(id string, now time.Time) {
-	if !sched.awaits(id) {
+	if !sched.awaits(id, now) {
 		return
 	}
+	sched.markMissing(id)
+	sched.forgetUnknown(id, now)
+}
+
+func (sched *Scheduler) markMissing(id string) {
 	if sched.loading.missing == nil {
 		sched.loading.missing = make(map[string]bool)
 	}
 	sched.loading.missing[id] = true
-	sched.forgetUnknown(id, now)
 }
 
 // FinishLoading records that all stored jobs have been added. It returns the IDs of the crash
@@ -136,6 +149,7 @@
 	l := &sched.loading
 	missing := len(l.missing) + len(l.unknown)
 	for _, id := range slices.Sorted(maps.Keys(l.unknown)) {
+		sched.markMissing(id)
 		sched.forgetUnknown(id, now)
 	}
 	for _, account := range sched.accounts {
@@ -146,17 +160,21 @@
 		sched.note(now, "All stored jobs loaded", "after", now.Sub(l.begunAt).Round(time.Millisecond), "jobs", len(sched.jobs), "ended", len(sched.endedJobs),
 			"missing", missing, "runsAdopted", l.runsAdopted, "endsApplied", l.endsApplied, "endsDropped", l.endsDropped, "staleCrashRecords", len(stale))
 	}
-	sched.loading = loading{phase: loadFinished, begunAt: l.begunAt}
+	sched.loading = loading{phase: loadFinished, begunAt: l.begunAt, missing: l.missing, cancelled: l.cancelled}
 	return stale
 }
 
-// awaits reports whether the job may be stored and has not been added.
-func (sched *Scheduler) awaits(id string) bool {
-	if !sched.Loading() || sched.jobs[id] != nil || sched.loading.missing[id] {
+// awaits reports whether the job may be stored and has not been added. After loading, that
+// holds while an earlier owner's work may still be listed first: the job may have been accepted
+// after the claim, and its event not have arrived.
+func (sched *Scheduler) awaits(id string, now time.Time) bool {
+	if sched.loading.phase == loadNotBegun || sched.jobs[id] != nil || sched.loading.missing[id] {
+		return false
+	}
+	if _, ended := sched.endedJobs[id]; ended {
 		return false
 	}
-	_, ended := sched.endedJobs[id]
-	return !ended
+	return sched.Loading() || !sched.EarlierWorkLocated(now) || sched.loading.unknown[id] != nil
 }
 
 // unknownJob returns what is known of a job that has not arrived.
@@ -349,10 +367,7 @@
 // usageUnknown reports whether runs of organisations may exist that are not counted: runs of
 // jobs that have not arrived are listed, or may be where earlier work is not located.
 func (sched *Scheduler) usageUnknown(now time.Time) bool {
-	if !sched.Loading() {
-		return false
-	}
-	if !sched.EarlierWorkLocated(now) {
+	if sched.Loading() && !sched.EarlierWorkLocated(now) {
 		return true
 	}
 	for _, unknown := range sched.loading.unknown {
--- a/internal/job/bbrscheduler/loading_test.go
+++ b/internal/job/bbrscheduler/loading_test.go
@@ -502,3 +502,96 @@
 	require.Equal(t, []string{"00000000000000b1", "00000000000000b3", "00000000000000b2"}, s.sched.MissingJobs(10))
 	require.Equal(t, []string{"00000000000000b1"}, s.sched.MissingJobs(1))
 }
+
+// newLoadedScene returns a scene of a successor that has loaded all jobs that it has learned of,
+// and that has not reached the upstreams. An earlier owner recorded them.
+func newLoadedScene(t *testing.T, upstreams ...string) *scene {
+	s := newLoadingScene(t, upstreams...)
+	require.Empty(t, s.sched.FinishLoading(s.now))
+	return s
+}
+
+// TestEndOfJobThatArrivesAfterLoadingCounts guards against work that is done again, because an
+// upstream listed its end first after all jobs were loaded, and before its job arrived.
+func TestEndOfJobThatArrivesAfterLoadingCounts(t *testing.T) {
+	s := newLoadedScene(t, "i-1")
+	s.list("i-1", lateEnd(1, bbrwork.OutcomeDone))
+	require.True(t, s.sched.EarlierWorkLocated(s.now))
+	require.False(t, s.sched.EarlierWorkKnown(s.now))
+	require.False(t, s.sched.Loading())
+	require.Equal(t, []string{lateJob}, s.sched.MissingJobs(10))
+	s.sched.Plan(true, s.now)
+	batch := s.sched.Batch(1000, s.now)
+	require.EqualValues(t, 500, batch.Horizon, "a further successor must look for the job")
+	s.sched.ApplyStored(batch, 200, s.now)
+	require.Zero(t, s.sched.upstreams["i-1"].acknowledged)
+	require.False(t, s.renewal("i-1").Idle)
+	s.sched.SetReserved(map[string]bool{"i-1": true}, s.now)
+	require.Empty(t, s.sched.Drained(s.now))
+
+	s.stored(lateJob, unitStep(1))
+	require.True(t, s.sched.EarlierWorkKnown(s.now))
+	require.Equal(t, bbrwork.Completed, s.sched.jobs[lateJob].finalState)
+	require.Empty(t, s.plan().Starts)
+	s.store()
+	require.EqualValues(t, 1, s.sched.upstreams["i-1"].acknowledged)
+	require.Equal(t, []string{"i-1"}, s.sched.Drained(s.now))
+}
+
+// TestRunOfJobThatArrivesAfterLoadingGoesOn guards against a run that is stopped, or whose work
+// unit starts again, because an upstream listed it first after all jobs were loaded, and
+// before its job arrived.
+func TestRunOfJobThatArrivesAfterLoadingGoesOn(t *testing.T) {
+	s := newLoadedScene(t, "i-1", "i-2")
+	s.list("i-2")
+	for range 20 {
+		s.listRunning("i-1", []bbrwork.Run{lateRun})
+		require.NotZero(t, s.renewal("i-1").LeaseUntil)
+		require.Empty(t, s.plan().Stops)
+		require.True(t, s.sched.usageUnknown(s.now))
+		require.NotContains(t, s.sched.Demand(s.now).Releasable, "i-1")
+		s.advance(200 * time.Millisecond)
+	}
+	// The end of a run that is kept is kept as well.
+	s.listRunning("i-1", nil, lateEnd(1, bbrwork.OutcomeDone))
+	s.stored(lateJob, unitStep(1))
+	require.Equal(t, bbrwork.Completed, s.sched.jobs[lateJob].finalState)
+	require.False(t, s.sched.usageUnknown(s.now))
+}
+
+// TestRunOfMissingJobIsStoppedAfterLoading guards against runs of ended jobs that go on: those
+// of jobs that were found to be missing, before or after all jobs were loaded, and those that
+// are listed once no earlier work remains to be located.
+func TestRunOfMissingJobIsStoppedAfterLoading(t *testing.T) {
+	for name, settle := range map[string]func(s *scene){
+		"read during loading": func(s *scene) {
+			s.listRunning("i-1", []bbrwork.Run{lateRun})
+			s.sched.RecordMissing(lateJob, s.now)
+			s.sched.FinishLoading(s.now)
+		},
+		"read after loading": func(s *scene) {
+			s.sched.FinishLoading(s.now)
+			s.listRunning("i-1", []bbrwork.Run{lateRun})
+			s.sched.RecordMissing(lateJob, s.now)
+		},
+		"listed once all is located": func(s *scene) {
+			s.sched.FinishLoading(s.now)
+			s.list("i-1")
+			s.list("i-2")
+		},
+		"listed once no earlier lease lasts": func(s *scene) {
+			s.sched.FinishLoading(s.now)
+			s.list("i-1")
+			s.advance(s.sched.earlierLeasesEnd.Sub(s.now) + time.Millisecond)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newLoadingScene(t, "i-1", "i-2")
+			settle(s)
+			s.listRunning("i-1", []bbrwork.Run{lateRun})
+			require.Empty(t, s.sched.MissingJobs(10))
+			s.advance(2 * orphanGrace)
+			require.Len(t, s.plan().Stops, 1)
+		})
+	}
+}
--- a/internal/job/bbrscheduler/orders.go
+++ b/internal/job/bbrscheduler/orders.go
@@ -85,7 +85,7 @@
 		return true
 	case sched.firstOwner || o.inherited:
 		o.complete = true
-	case !sched.EarlierWorkLocated(now) || sched.Loading():
+	case !sched.EarlierWorkKnown(now):
 	case !o.prepared:
 		o.prepared = true
 		sched.announceRunning()
--- a/internal/job/bbrscheduler/property_test.go
+++ b/internal/job/bbrscheduler/property_test.go
@@ -51,6 +51,9 @@
 	lateOnUnknown bool
 	// slowLoads lets owners add their stored jobs one by one while they work.
 	slowLoads bool
+	// lateJobs lets jobs be accepted while an owner takes over, and owners learn late of those
+	// that were accepted after their claim.
+	lateJobs bool
 	// caps adds jobs of an organisation with a cap.
 	caps bool
 	// failingRuns lets runs fail during restartAndCut too.
@@ -176,7 +179,11 @@
 	d.sim.store.revision += bbrkv.Revision(rapid.SampledFrom([]int{1, horizonLead}).Draw(d.T, "changes"))
 	d.sim.store.jobRevisions[id] = d.sim.store.revision
 	d.sim.store.jobs[id] = job
-	for _, o := range d.sim.owners {
+	for at, o := range d.sim.owners {
+		if d.lateJobs && at > 0 && rapid.Bool().Draw(d.T, "learns late") {
+			o.late = append(o.late, id)
+			continue
+		}
 		o.addJob(id)
 	}
 }
@@ -416,9 +423,11 @@
 // load lets an owner load some of its jobs.
 func (d *driver) load(*rapid.T) { d.loadSome(d.owner()) }
 
-// loadSome lets an owner load some of its jobs: those that it misses, or any others.
+// loadSome lets an owner load some of its jobs: those that it misses, or any others. After
+// loading, it reads jobs that upstreams list, and learns of late ones.
 func (d *driver) loadSome(o *simOwner) {
 	if !o.sched.Loading() {
+		d.learnSome(o)
 		return
 	}
 	for range rapid.IntRange(0, 2).Draw(d.T, "loaded") {
@@ -429,12 +438,36 @@
 		case len(o.pending) > 0:
 			o.loadListed(rapid.IntRange(0, len(o.pending)-1).Draw(d.T, "listed"))
 		default:
+			o.loadAllByKey()
 			o.sched.FinishLoading(d.sim.now)
 			return
 		}
 	}
 }
 
+// learnSome lets an owner that has loaded its jobs read those that it misses, and learn of
+// those that were accepted after its claim.
+func (d *driver) learnSome(o *simOwner) {
+	if !d.lateJobs {
+		o.loadAllByKey()
+		return
+	}
+	if len(o.late)+len(o.sched.MissingJobs(1)) == 0 {
+		return
+	}
+	missing := o.sched.MissingJobs(3)
+	switch rapid.IntRange(0, 5).Draw(d.T, "learned") {
+	case 0:
+		if len(o.late) > 0 {
+			o.learnLate(rapid.IntRange(0, len(o.late)-1).Draw(d.T, "late"))
+		}
+	case 1, 2:
+		if len(missing) > 0 {
+			o.loadByKey(rapid.SampledFrom(missing).Draw(d.T, "missing"))
+		}
+	}
+}
+
 // register applies the store's list of upstreams to the owner.
 func (d *driver) register(o *simOwner) {
 	o.informedAt = d.sim.now
@@ -520,6 +553,12 @@
 		if rapid.IntRange(0, 3).Draw(d.T, "earlier") == 0 && !earlier.stopped {
 			acting = earlier
 		}
+		if d.lateJobs && rapid.Bool().Draw(d.T, "accepts") {
+			d.acceptJob(d.T)
+		}
+		if d.lateJobs && rapid.IntRange(0, 3).Draw(d.T, "reaches") == 0 {
+			delete(o.unreached, up.registration.ID)
+		}
 		d.register(acting)
 		for _, id := range slices.Sorted(maps.Keys(d.sim.upstreams)) {
 			d.renewBy(acting, d.sim.upstreams[id])
@@ -835,6 +874,13 @@
 	testUnderFailures(t, driver{caps: true, slowLoads: true})
 }
 
+// TestLateJobsUnderFailures guards against a successor that ignores runs and ends of jobs that
+// were accepted after its claim, of which it has not learned, and which the earlier owner has
+// started.
+func TestLateJobsUnderFailures(t *testing.T) {
+	testUnderFailures(t, driver{slowLoads: true, lateJobs: true})
+}
+
 // traceOrders makes a failed property test print what upstreams and owners did.
 var traceOrders = flag.Bool("traceorders", false, "print the orders of a failed property test")
 
--- a/internal/job/bbrscheduler/simulation_test.go
+++ b/internal/job/bbrscheduler/simulation_test.go
@@ -639,6 +639,9 @@
 	// that was stored at the claim.
 	pending  []string
 	progress map[string][]byte
+	// late has the IDs of the jobs that were accepted after the claim and of which the owner
+	// has not learned.
+	late []string
 }
 
 // claim creates a new owner. The earlier one may act for a while longer.
@@ -718,6 +721,21 @@
 	o.sched.AddJob(o.sim.store.jobs[id], o.sim.store.jobRevisions[id], o.progress[id], o.sim.now)
 }
 
+// loadAllByKey reads the jobs of which upstreams list runs or ends.
+func (o *simOwner) loadAllByKey() {
+	for _, id := range o.sched.MissingJobs(1000) {
+		o.loadByKey(id)
+	}
+}
+
+// learnLate adds one of the jobs that were accepted after the claim.
+func (o *simOwner) learnLate(at int) {
+	id := o.late[at]
+	o.late = slices.Delete(o.late, at, at+1)
+	o.sim.tracef("owner with token %d learns of %s", o.token, id)
+	o.addJob(id)
+}
+
 // applyCap gives limitedOrganisation a cap, all of which is the shard's share.
 func (o *simOwner) applyCap() {
 	config, err := bbrwork.NewConfig(1, testQueues, nil, bbrwork.Limits{}).WithOrganisations([]*bbrwork.Organisation{
@@ -745,6 +763,9 @@
 // flush stores what the scheduler has to store, if the claim is still valid.
 func (o *simOwner) flush() {
 	sim := o.sim
+	if sim.loadsSlowly == nil {
+		o.loadAllByKey()
+	}
 	batch := o.sched.Batch(1000, sim.now)
 	if o.token != sim.store.token {
 		return
--- a/internal/job/bbrscheduler/store.go
+++ b/internal/job/bbrscheduler/store.go
@@ -95,7 +95,7 @@
 	batch.Recorded = sched.upstreamsToRecord()
 	batch.Interference = sched.interferenceToStore(now)
 	batch.OrdersStored = sched.storesOrders(now)
-	batch.Horizon = sched.horizon.next(sched.EarlierWorkLocated(now) && !sched.Loading())
+	batch.Horizon = sched.horizon.next(sched.EarlierWorkKnown(now))
 	return batch
 }
 
@@ -241,7 +241,7 @@
 // sweepInterval is the time between two sweeps of endedJobs.
 const sweepInterval = time.Second
 
-// sweepEnded forgets jobs that ended long ago. While jobs are loaded, a list that was read
+// sweepEnded forgets jobs that ended long ago, and jobs that need not be awaited any more. While jobs are loaded, a list that was read
 // before their end may still name them.
 func (sched *Scheduler) sweepEnded(now time.Time) {
 	if sched.Loading() || now.Sub(sched.endedSweptAt) < sweepInterval {
@@ -258,6 +258,9 @@
 			delete(sched.departures, id)
 		}
 	}
+	if sched.EarlierWorkKnown(now) {
+		sched.loading.missing, sched.loading.cancelled = nil, nil
+	}
 }
 
 // endedRetention exceeds the time for which a list or event may be in transit.
@@ -306,7 +309,7 @@
 		}
 	}
 	sched.restoreProgress(j, progress, now)
-	if sched.Loading() || !sched.EarlierWorkLocated(now) {
+	if !sched.EarlierWorkKnown(now) {
 		sched.skipRunNumbers(j, now)
 	}
 	sched.applyKept(j, now)
@@ -330,10 +333,10 @@
 	}
 }
 
-// Cancel ends a job at its submitter's request. A job that is still to be loaded ends when it
+// Cancel ends a job at its submitter's request. A job that is awaited ends when it
 // arrives.
 func (sched *Scheduler) Cancel(id string, now time.Time) {
-	if sched.awaits(id) {
+	if sched.awaits(id, now) {
 		if sched.loading.cancelled == nil {
 			sched.loading.cancelled = make(map[string]bool)
 		}
--- a/internal/job/bbrscheduler/unlocatedcrash.go
+++ b/internal/job/bbrscheduler/unlocatedcrash.go
@@ -40,7 +40,7 @@
 // run on an incarnation that ended, once all its other work is located and all jobs are
 // loaded.
 func (sched *Scheduler) accuseUnlocated(now time.Time) {
-	if len(sched.lostUnlocated) == 0 || !sched.EarlierWorkLocated(now) || sched.Loading() {
+	if len(sched.lostUnlocated) == 0 || !sched.EarlierWorkKnown(now) {
 		return
 	}
 	lost := sched.lostUnlocated
--- a/internal/job/bbrscheduler/upstream.go
+++ b/internal/job/bbrscheduler/upstream.go
@@ -255,7 +255,7 @@
 	}
 	var ids []string
 	for _, up := range sched.sortedUpstreams() {
-		if !up.reservedAt.IsZero() && !up.hasRuns() && up.reached {
+		if !up.reservedAt.IsZero() && len(up.runs) == 0 && !up.holdsUnknown() && up.reached {
 			ids = append(ids, up.ID)
 		}
 	}
--- a/internal/job/bbrscheduler/vacateplan.go
+++ b/internal/job/bbrscheduler/vacateplan.go
@@ -35,7 +35,7 @@
 // in progress or the limit of vacated upstreams is reached.
 func (p *planner) planVacancies() {
 	sched := p.sched
-	if p.now.Before(sched.vacancies.nextAt) || !sched.EarlierWorkLocated(p.now) || sched.Loading() {
+	if p.now.Before(sched.vacancies.nextAt) || !sched.EarlierWorkKnown(p.now) {
 		return
 	}
 	limit := max(1, len(p.usable)/maxVacateShare)
--- a/internal/job/bbrscheduler/widework.go
+++ b/internal/job/bbrscheduler/widework.go
@@ -65,7 +65,7 @@
 // work of an earlier owner is not located or jobs are loaded.
 func (sched *Scheduler) wideWork(now time.Time) *wideWork {
 	w := &wideWork{sched: sched, now: now, freeByLabel: make(map[string][]bbrwork.Resources)}
-	if !sched.EarlierWorkLocated(now) || sched.Loading() {
+	if !sched.EarlierWorkKnown(now) {
 		return w
 	}
 	w.inspectUpstreams()
