--- a/scripts/hunt-small.sh
+++ b/scripts/hunt-small.sh
@@ -30,6 +30,10 @@
 	{ printf '%s\n' "$twin"; grep -v '^small = ' "$day"; } >"$work/$name.toml"
 	log="$out/$name-${SEED:-1}.log"
 	"$bench" run "$site" "$work/$name.toml" --small --vary --seed "${SEED:-1}" --log all --jobs "${JOBS:-2}" --why "hunt of small twins" >"$log" 2>&1 || true
+	if grep '^fleetbench: .*: no ' "$log" >"$work/misfit"; then
+		echo "== $name is left out: $(cat "$work/misfit")"
+		continue
+	fi
 	echo "== $name seed ${SEED:-1}: $(grep -c 'Owner started' "$log" || true) owners started, with up to $(sed -n 's/.*"Owner started".* jobs=\([0-9]*\) .*/\1/p' "$log" | sort -n | tail -1) jobs; $(grep -c 'Failed to load the stored state' "$log" || true) failed attempts to load"
 	if grep -A 2 '^rules broken: ' "$log"; then
 		broken=1
