job/bbrscheduler: a job has begun once an upstream tells so, not once a start is planned

Cause: job.started was set when a start was planned and never taken back. The number of waiting jobs, the state of a job, transfers and the ranking read it. Without an owner, a job with any stored progress counted as begun, though progress is stored for starts that were only ordered as well.

Now begun means that an upstream accepted a start or listed a run, and mayHaveBegun that something has run or may run; begun.go names the facts. Progress says whether the job has begun; the count of stored jobs and the state without an owner read that.

--- a/internal/job/bbrintake/intake.go
+++ b/internal/job/bbrintake/intake.go
@@ -6,11 +6,13 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"k8s.io/klog/v2"
 
 	"github.com/bluebellridge/bluebellridge/internal/base/bbrcode"
 	"github.com/bluebellridge/bluebellridge/internal/fleet/bbrcell"
 	"github.com/bluebellridge/bluebellridge/internal/job/bbrfairshare"
 	"github.com/bluebellridge/bluebellridge/internal/job/bbrrecord"
+	"github.com/bluebellridge/bluebellridge/internal/job/bbrscheduler"
 	"github.com/bluebellridge/bluebellridge/internal/job/bbrwork"
 	"github.com/bluebellridge/bluebellridge/internal/store/bbrkv"
 )
@@ -164,13 +166,24 @@
 // cell or ends between them.
 const activeStateReads = 3
 
+// storedState returns the state of a job that has not ended, by its progress. Progress that
+// cannot be decoded counts as that of a job that has begun.
+func storedState(progress bbrkv.Item) bbrwork.State {
+	state, err := bbrscheduler.StoredState(progress.Value)
+	if err != nil {
+		klog.ErrorS(err, "Failed to decode the progress of a job", "key", progress.Key, "revision", progress.Revision)
+		return bbrwork.Running
+	}
+	return state
+}
+
 // activeState returns the state of a job that had not ended, as it is stored: a job without
 // progress is pending, unless its status has changed since it was read.
 func (i *Intake) activeState(ctx context.Context, status bbrrecord.Status, id string) (bbrwork.State, bbrcode.Code) {
 	for range activeStateReads {
-		_, err := i.Store.Get(ctx, bbrrecord.ProgressKey(status.Shard(), id))
+		progress, err := i.Store.Get(ctx, bbrrecord.ProgressKey(status.Shard(), id))
 		if err == nil {
-			return bbrwork.Running, bbrcode.StateReported
+			return storedState(progress), bbrcode.StateReported
 		}
 		if !errors.Is(err, bbrkv.ErrNotFound) {
 			return "", bbrcode.StoreUnavailable
--- a/internal/job/bbrintake/storedcounts.go
+++ b/internal/job/bbrintake/storedcounts.go
@@ -52,7 +52,7 @@
 // the first one of a series, and the last one.
 type staleReport struct{ since, last time.Time }
 
-// storedCount counts the stored jobs of a shard that have no progress.
+// storedCount counts the stored jobs of a shard of which nothing has begun by their progress.
 type storedCount struct {
 	intake *Intake
 	shard  bbrwork.Shard
@@ -149,7 +149,8 @@
 	return nil, false
 }
 
-// count returns the number of jobs without progress by queue.
+// count returns the number of jobs of which nothing has begun, by queue. Progress may be stored
+// before: with the number of a start that was ordered, or with a crash.
 func (s *storedCount) count(ctx context.Context) (map[string]int, error) {
 	queues := make(map[string]string)
 	err := s.read(ctx, bbrrecord.JobPrefixOf(s.shard), func(item bbrkv.Item) {
@@ -165,7 +166,11 @@
 	if err != nil || len(queues) == 0 {
 		return nil, err
 	}
-	err = s.read(ctx, bbrrecord.ProgressPrefixOf(s.shard), func(item bbrkv.Item) { delete(queues, bbrrecord.JobID(item.Key)) })
+	err = s.read(ctx, bbrrecord.ProgressPrefixOf(s.shard), func(item bbrkv.Item) {
+		if storedState(item) != bbrwork.Pending {
+			delete(queues, bbrrecord.JobID(item.Key))
+		}
+	})
 	if err != nil {
 		return nil, err
 	}
--- a/internal/job/bbrintake/waiting_test.go
+++ b/internal/job/bbrintake/waiting_test.go
@@ -25,6 +25,12 @@
 		{Key: bbrrecord.JobKey(shard, "b"), Value: bbrrecord.Encode(&bbrwork.Job{Queue: "q"})},
 		{Key: bbrrecord.JobKey(shard, "c"), Value: bbrrecord.Encode(&bbrwork.Job{Queue: "other"})},
 		{Key: bbrrecord.ProgressKey(shard, "b")},
+		{Key: bbrrecord.JobKey(shard, "d"), Value: bbrrecord.Encode(&bbrwork.Job{Queue: "ordered"})},
+		{Key: bbrrecord.ProgressKey(shard, "d"), Value: []byte(`{"occurrences":{"0":[{"last":{"0":2},"ordered":{"0":2}}]}}`)},
+		{Key: bbrrecord.JobKey(shard, "e"), Value: bbrrecord.Encode(&bbrwork.Job{Queue: "ordered"})},
+		{Key: bbrrecord.ProgressKey(shard, "e"), Value: []byte(`{"begun":true,"occurrences":{}}`)},
+		{Key: bbrrecord.JobKey(shard, "f"), Value: bbrrecord.Encode(&bbrwork.Job{Queue: "ordered"})},
+		{Key: bbrrecord.ProgressKey(shard, "f"), Value: []byte(`{"occurrences":{"0":[{"done":"AQ=="}]}}`)},
 	}
 	tests := []struct {
 		name  string
@@ -54,6 +60,12 @@
 			waiting, code := intake.Waiting(t.Context(), &bbrwork.Queue{Name: "q", Service: "press"})
 			require.Equal(t, bbrcode.StateReported, code)
 			require.Equal(t, test.want, waiting)
+			if !test.owned {
+				// Of the jobs with progress, one was only ordered to start.
+				waiting, code = intake.Waiting(t.Context(), &bbrwork.Queue{Name: "ordered", Service: "press"})
+				require.Equal(t, bbrcode.StateReported, code)
+				require.Equal(t, 1, waiting)
+			}
 		})
 	}
 }
--- a/internal/job/bbrscheduler/fairwait.go
+++ b/internal/job/bbrscheduler/fairwait.go
@@ -111,7 +111,7 @@
 			priority = j.policy.Priority
 		}
 		for _, b := range list {
-			comesLater := priority > b.priority || !j.started && objective.After(now.Add(b.allowed/time.Duration(b.jobs)))
+			comesLater := priority > b.priority || !j.mayHaveBegun() && objective.After(now.Add(b.allowed/time.Duration(b.jobs)))
 			if !comesLater {
 				b.seconds += work
 			}
--- a/internal/job/bbrscheduler/job.go
+++ b/internal/job/bbrscheduler/job.go
@@ -16,11 +16,16 @@
 	// policy is the last known policy of the job's queue; nil if none is known.
 	policy      *bbrwork.Policy
 	occurrences []*occurrence
-	// started means that a run of the job was started.
-	started   bool
+	// begun means that a work unit of the job has certainly started: an upstream accepted its
+	// start, or listed its run or the end of it. See begun.go.
+	begun bool
+	// storedUnbegun means that the store may hold progress that says that nothing has begun.
+	storedUnbegun bool
+	// runCount is the number of runs of all work units, starts in flight included.
+	runCount  int
 	cancelled bool
-	// begunInShare means that this owner started the first run of the job when its
-	// organisation was within its share.
+	// begunInShare means that this owner ordered the first run of the job when its
+	// organisation was within its share. It is false while mayHaveBegun is.
 	begunInShare bool
 	// finalState is the state in which the job has ended; it is reported to callers
 	// only once it is stored.
--- a/internal/job/bbrscheduler/listing.go
+++ b/internal/job/bbrscheduler/listing.go
@@ -114,6 +114,7 @@
 	case bbrwork.OutcomeFailed:
 		sched.unitFailed(u, up, end.Run, now)
 	case bbrwork.OutcomeLeaseExpired:
+		sched.unitListed(u)
 		sched.noteLapse(end, r, up, before, now)
 	default:
 		sched.note(now, "Run ended", "job", end.Unit.Job, "unit", end.Unit.String(), "run", end.Run, "upstream", up.ID, "how", end.Outcome)
@@ -134,7 +135,7 @@
 	if !changed || job.finalState != "" {
 		return
 	}
-	job.started = true
+	sched.markBegun(job)
 	sched.markChanged(job)
 	if job.completed() {
 		sched.endJob(job, bbrwork.Completed, "last work unit "+u.name().String()+" ended as done on "+up.ID, now)
@@ -143,7 +144,7 @@
 
 func (sched *Scheduler) unitFailed(u *unit, up *upstream, number int, now time.Time) {
 	job := u.step.job
-	job.started = true
+	sched.markBegun(job)
 	if u.done || slices.Contains(u.failedRuns, number) || job.finalState != "" {
 		return
 	}
@@ -242,6 +243,7 @@
 		r.unit.checkpoint = running.Checkpoint
 	}
 	r.applyProgress(running, now)
+	sched.confirmBegun(r)
 	sched.observeLatency(r, now)
 	if r.proven(now) {
 		sched.clearHistory(r.unit, now)
--- a/internal/job/bbrscheduler/loading.go
+++ b/internal/job/bbrscheduler/loading.go
@@ -304,7 +304,7 @@
 	for name, number := range unknown.lastRuns {
 		if u := j.findUnit(name); u != nil {
 			u.lastRun = max(u.lastRun, number)
-			j.started = true
+			sched.unitListed(u)
 		}
 	}
 	for _, c := range unknown.crashes {
--- a/internal/job/bbrscheduler/progress.go
+++ b/internal/job/bbrscheduler/progress.go
@@ -8,6 +8,9 @@
 // Progress is the stored progress of a job. Occurrences of which nothing has begun are
 // left out.
 type Progress struct {
+	// Begun means that a work unit of the job has certainly started. Earlier versions leave it
+	// out.
+	Begun       bool                   `json:"begun,omitempty"`
 	Occurrences map[int][]StepProgress `json:"occurrences"`
 	// Compact is set instead of Occurrences if these would take too much room. Earlier
 	// versions do not know it.
@@ -63,13 +66,13 @@
 // long. dropped is the number of checkpoints and failures that found no room.
 func (j *job) progress(maxBytes int) (data []byte, dropped int) {
 	if j.fullFormEstimate() <= maxBytes {
-		data = encodeProgress(Progress{Occurrences: j.occurrencesProgress(), OrdersUnknown: j.ordersUnknown})
+		data = encodeProgress(Progress{Begun: j.begun, Occurrences: j.occurrencesProgress(), OrdersUnknown: j.ordersUnknown})
 		if len(data) <= maxBytes/fullFormShare {
 			return data, 0
 		}
 	}
 	compact := j.compactProgress()
-	progress := Progress{Compact: compact, OrdersUnknown: j.ordersUnknown}
+	progress := Progress{Begun: j.begun, Compact: compact, OrdersUnknown: j.ordersUnknown}
 	data = encodeProgress(progress)
 	if len(data) > maxBytes {
 		// Work repeats without its checkpoints, but is not lost.
@@ -225,6 +228,7 @@
 
 func (j *job) restore(stored *Progress, now time.Time) {
 	j.ordersUnknown = stored.OrdersUnknown
+	j.begun = j.begun || stored.HasBegun()
 	for number, steps := range stored.Occurrences {
 		if number < 0 || number >= len(j.occurrences) || len(steps) != len(j.Steps) {
 			continue
@@ -250,7 +254,6 @@
 	if done {
 		u.markDone()
 		u.freedAt = now
-		u.step.job.started = true
 	}
 }
 
--- a/internal/job/bbrscheduler/rank.go
+++ b/internal/job/bbrscheduler/rank.go
@@ -18,8 +18,8 @@
 	member    *shareMember
 	shareRank shareRank
 	priority  int
-	// unstarted is 1 if nothing of the job has run, and 0 otherwise: jobs that have
-	// started are finished first.
+	// unstarted is 0 if something of the job has run or may run, and 1 otherwise: jobs that
+	// have started are finished first.
 	unstarted int
 	objective time.Time
 }
@@ -79,7 +79,7 @@
 
 func (p *planner) rank(s *step, objective time.Time) candidate {
 	c := candidate{step: s, tier: 1, member: p.memberOf(s), objective: objective}
-	if !s.job.started {
+	if !s.job.mayHaveBegun() {
 		c.unstarted = 1
 	}
 	if s.job.policy != nil {
--- a/internal/job/bbrscheduler/reservation.go
+++ b/internal/job/bbrscheduler/reservation.go
@@ -43,7 +43,7 @@
 	// first.
 	considered []candidate
 	// largest is the largest usable capacity, and lowestPriority the highest priority
-	// number of the jobs that have started.
+	// number of the jobs of which something has run or may run.
 	largest        bbrwork.Resources
 	lowestPriority int
 	forecast       *bbrreservation.Forecast
@@ -58,7 +58,7 @@
 		p.largest = p.largest.Max(up.Capacity)
 	}
 	for _, j := range p.sched.jobs {
-		if j.started && j.policy != nil {
+		if j.mayHaveBegun() && j.policy != nil {
 			p.lowestPriority = max(p.lowestPriority, j.policy.Priority)
 		}
 	}
--- a/internal/job/bbrscheduler/runs.go
+++ b/internal/job/bbrscheduler/runs.go
@@ -16,7 +16,7 @@
 	u.runs = append(u.runs, r)
 	u.slowLogged = false
 	u.lastRun = max(u.lastRun, number)
-	u.step.job.started = true
+	u.step.job.runCount++
 	up.allocate(r)
 	sched.observeStart(r, now)
 	if account := sched.account(u.step.job); account != nil {
@@ -54,6 +54,7 @@
 		return
 	}
 	u.runs = slices.Delete(u.runs, at, at+1)
+	u.step.job.runDropped()
 	if len(u.runs) == 0 && !u.done {
 		u.step.idleUnits++
 	}
--- a/internal/job/bbrscheduler/scheduler.go
+++ b/internal/job/bbrscheduler/scheduler.go
@@ -227,12 +227,12 @@
 // are loaded.
 func (sched *Scheduler) JobCount() int { return len(sched.jobs) }
 
-// WaitingByQueue counts, by queue, the jobs of which nothing has started. The counts are
-// partial while jobs are loaded.
+// WaitingByQueue counts, by queue, the jobs of which nothing has certainly started. A job whose
+// starts have no answer yet is counted. The counts are partial while jobs are loaded.
 func (sched *Scheduler) WaitingByQueue(now time.Time) map[string]int {
 	waiting := make(map[string]int)
 	for _, job := range sched.jobs {
-		if job.finalState == "" && !job.started {
+		if job.finalState == "" && !job.begun {
 			waiting[job.Queue]++
 		}
 	}
--- a/internal/job/bbrscheduler/startresult.go
+++ b/internal/job/bbrscheduler/startresult.go
@@ -41,6 +41,9 @@
 		}
 	}
 	if r == nil {
+		if u := sched.findUnit(order.Start.Unit); u != nil && err == nil {
+			sched.unitListed(u)
+		}
 		return
 	}
 	if err == nil {
@@ -55,6 +58,7 @@
 		if r.confirmedAt.IsZero() {
 			r.confirmedAt = now
 		}
+		sched.confirmBegun(r)
 		return
 	}
 	sched.note(now, "Start failed", "job", order.Start.Unit.Job, "unit", order.Start.Unit.String(), "run", order.Start.Run,
--- a/internal/job/bbrscheduler/state.go
+++ b/internal/job/bbrscheduler/state.go
@@ -25,7 +25,7 @@
 		return "", false
 	case sched.endedWithRuns[id] != nil:
 		return job.finalState, true
-	case job.started:
+	case job.begun:
 		return bbrwork.Running, true
 	default:
 		return bbrwork.Pending, true
--- a/internal/job/bbrscheduler/store.go
+++ b/internal/job/bbrscheduler/store.go
@@ -118,6 +118,7 @@
 		w.RemoveCrashes = w.Crashes == nil && j.mayHaveStoredCrashes
 		j.mayHaveStoredCrashes = j.mayHaveStoredCrashes || w.Crashes != nil
 	}
+	j.storedUnbegun = !j.begun
 	// A transaction whose answer is lost may have stored the progress too.
 	j.mayHaveStoredProgress = j.mayHaveStoredProgress || j.finalState == ""
 	return w
@@ -303,7 +304,7 @@
 	if in.Transfer == nil {
 		sched.recordArrival(j, now)
 	} else {
-		j.started, j.mayHaveStoredProgress = in.Transfer.Started, true
+		j.begun, j.mayHaveStoredProgress = in.Transfer.Started, true
 		if len(progress) == 0 {
 			progress = in.Transfer.Progress
 		}
@@ -328,6 +329,7 @@
 		return
 	}
 	j.restore(&earlier, now)
+	j.storedUnbegun = !j.begun
 	if j.completed() && !j.LongRunning() {
 		sched.endJob(j, bbrwork.Completed, "all work units are stored as done", now)
 	}
--- a/internal/job/bbrscheduler/transfer.go
+++ b/internal/job/bbrscheduler/transfer.go
@@ -198,14 +198,14 @@
 		return OutgoingTransfer{}, false
 	}
 	out := OutgoingTransfer{Job: j.Job, StoredRevision: j.storedRevision, HasProgress: j.mayHaveStoredProgress, HasCrashes: j.mayHaveStoredCrashes}
-	transfer := &bbrwork.Transfer{Count: j.transferCount() + 1, Started: j.started}
+	transfer := &bbrwork.Transfer{Count: j.transferCount() + 1, Started: j.begun}
 	if slices.ContainsFunc(j.occurrences, (*occurrence).begun) {
 		dropped := 0
 		if transfer.Progress, dropped = j.progress(sched.maxValueBytes() / transferProgressShare); dropped > 0 {
 			j.transfer.notBefore = now.Add(endedRetention)
 			return OutgoingTransfer{}, false
 		}
-		out.StoresProgress = j.started || j.mayHaveStoredProgress
+		out.StoresProgress = j.begun || j.mayHaveStoredProgress
 	}
 	for _, o := range j.occurrences {
 		for _, s := range o.steps {
--- a/internal/job/bbrscheduler/wideload_test.go
+++ b/internal/job/bbrscheduler/wideload_test.go
@@ -59,7 +59,7 @@
 // observe records the starts of wide jobs and how long capacity is held.
 func (l *wideLoad) observe() {
 	for id, accepted := range l.wide {
-		if _, seen := l.wideStart[id]; !seen && l.sched.jobs[id] != nil && l.sched.jobs[id].started {
+		if _, seen := l.wideStart[id]; !seen && l.sched.jobs[id] != nil && l.sched.jobs[id].mayHaveBegun() {
 			l.wideStart[id] = l.now.Sub(accepted)
 			if end := l.now.Add(wideRunTime); end.Sub(accepted) <= 1600*time.Millisecond+600*time.Millisecond && end.Before(l.start.Add(overloadLength)) {
 				l.wideInTime++
