job/bbrintake: waiting jobs are counted at the service that accepted them

Cause: jobs stay with the service that their queue had when they were accepted, but the count read the reports of the present service only.

Now owners store a record for each queue with open jobs that is routed elsewhere, under the prefix that all entries follow already, and remove it with the last of these jobs. Queries read the reports of the services that the records name, and of those that the queue had in the last minute. Such services are claimed, too, although no queue may be routed to them.

Queries of queues that were not rerouted read as much as before.

--- a/internal/config/bbrfollow/follower.go
+++ b/internal/config/bbrfollow/follower.go
@@ -37,6 +37,8 @@
 	Decode func(value []byte) (*bbrwork.Config, error)
 	// MaxApplyDelay is the time within which a change must be applied.
 	MaxApplyDelay time.Duration
+	// OnApply is called with each configuration before it is in force; it may be nil.
+	OnApply func(config *bbrwork.Config, now time.Time)
 
 	config atomic.Pointer[bbrwork.Config]
 	mu     sync.Mutex
@@ -94,7 +96,7 @@
 		klog.InfoS("Dependency regained", "dependency", "store", "use", "configuration", "revision", item.Revision)
 		f.failing = false
 	}
-	f.apply(item)
+	f.apply(item, time.Now())
 	return nil
 }
 
@@ -118,14 +120,14 @@
 
 // change applies an item of the watch. Other items are ignored: the watch also
 // returns keys of which the configuration's key is a prefix.
-func (f *Follower) change(item bbrkv.Item, _ time.Time) {
+func (f *Follower) change(item bbrkv.Item, now time.Time) {
 	if item.Key == f.Key && !item.Deleted {
-		f.apply(item)
+		f.apply(item, now)
 	}
 }
 
 // apply decodes a configuration and replaces the present one if it is newer.
-func (f *Follower) apply(item bbrkv.Item) {
+func (f *Follower) apply(item bbrkv.Item, now time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if item.Revision <= f.revision {
@@ -141,6 +143,9 @@
 		return
 	}
 	config.StoreRevision = int64(item.Revision)
+	if f.OnApply != nil {
+		f.OnApply(config, now)
+	}
 	f.config.Store(config)
 	klog.InfoS("Configuration applied", "version", config.Version, "revision", item.Revision,
 		"queues", len(config.Queues), "services", len(config.Services))
--- a/internal/daemon/bbrserve/daemon.go
+++ b/internal/daemon/bbrserve/daemon.go
@@ -120,6 +120,8 @@
 			NotifyOwner:    d.owners.notifyOwner,
 			OwnerToken:     d.ownerToken,
 			Backlogs:       &d.owners.backlogs,
+
+			ReroutedServices: d.directory.ReroutedServices,
 		},
 		Codec: bbrintake.Codec{
 			SubmissionBytes:  bbrwire.SubmissionBytes,
@@ -134,6 +136,7 @@
 		MaxBodyBytes: settings.Limits.BodyBytes,
 		RequireKeys:  settings.Jobs.RequireKeys,
 	}
+	d.config.OnApply = d.handler.Intake.FormerServices.Apply
 	if settings.Jobs.BalanceByCapacity {
 		d.balanceByCapacity()
 	}
--- a/internal/daemon/bbrserve/owners.go
+++ b/internal/daemon/bbrserve/owners.go
@@ -34,9 +34,9 @@
 	advise bbrowner.AdviseFunc
 
 	mu sync.Mutex
-	// services contains every service that may have jobs under any configuration
-	// that has been in force since the process started: jobs from an earlier
-	// configuration may be left.
+	// services contains every service that may have jobs: those of any configuration
+	// that has been in force since the process started, and those that have open jobs
+	// of rerouted queues as their owners have stored it.
 	services map[string]bool
 	// running contains the owners that run at this entry, by shard; the value is
 	// nil after the owner has ended.
@@ -78,6 +78,9 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.addServices(config)
+	for _, service := range o.daemon.directory.FormerServices() {
+		o.services[service] = true
+	}
 	cells := o.daemon.directory.Cells().Count()
 	names := []string{bbrclaim.LeadershipName}
 	for service := range o.services {
@@ -180,8 +183,9 @@
 		ReserveCapacity:     jobs.Reservations,
 		SeparateInterfering: jobs.SeparateInterfering,
 
-		Cells:       d.directory.Cells,
-		NotifyOwner: o.notifyOwner,
+		Cells:          d.directory.Cells,
+		ReroutedQueues: d.directory.ReroutedQueues,
+		NotifyOwner:    o.notifyOwner,
 	}
 	owner.HandOverOverdue = func(ownedSince, now time.Time) bool {
 		return d.claimer.Relief.HandOverOverdue(held.Name, ownedSince, now)
--- a/internal/fleet/bbrclaim/directory.go
+++ b/internal/fleet/bbrclaim/directory.go
@@ -54,6 +54,8 @@
 	// keep them without the lock.
 	directives bbrmachine.Directives
 	cells      *bbrcell.Cells
+	// rerouted has the records of rerouted queues, by key.
+	rerouted map[string]queueInShard
 	// revisions contains the last applied revision of each key. Older events are
 	// ignored.
 	revisions map[string]bbrkv.Revision
@@ -69,6 +71,7 @@
 	d.entries = make(map[string]entryRecord)
 	d.claims = make(map[string]Claim)
 	d.revisions = make(map[string]bbrkv.Revision)
+	d.rerouted = nil
 	for _, item := range items {
 		d.apply(item, now)
 	}
@@ -109,6 +112,9 @@
 	if name, ok := strings.CutPrefix(item.Key, claimPrefix); ok {
 		d.applyClaim(name, item, now)
 	}
+	if key, ok := strings.CutPrefix(item.Key, queuePrefix); ok {
+		d.applyQueue(key, item)
+	}
 }
 
 func (d *Directory) applyEntry(name string, item bbrkv.Item) {
--- a/internal/fleet/bbrclaim/keys.go
+++ b/internal/fleet/bbrclaim/keys.go
@@ -2,11 +2,12 @@
 
 // Key prefixes in the store.
 const (
-	// FleetPrefix is the prefix of all registrations and claims, of the directives
-	// and of the division into cells.
+	// FleetPrefix is the prefix of all registrations and claims, of the directives, of the
+	// division into cells and of the records of rerouted queues.
 	FleetPrefix = "bbr/fleet/"
 	entryPrefix = FleetPrefix + "entries/"
 	claimPrefix = FleetPrefix + "claims/"
+	queuePrefix = FleetPrefix + "queues/"
 )
 
 // ReservedKey is the key of the list of upstreams that the fleet leader is about
--- a/internal/job/bbrintake/intake.go
+++ b/internal/job/bbrintake/intake.go
@@ -50,6 +50,11 @@
 	ExpectedWait func(shard bbrwork.Shard, organisation, queue string, now time.Time) (bbrfairshare.Wait, bool)
 	// Backlogs bounds the backlogs of the shards; nil means that they are not bounded.
 	Backlogs *Backlogs
+	// FormerServices has the services that queues had before.
+	FormerServices FormerServices
+	// ReroutedServices returns the services that have open jobs of a queue although it is routed
+	// to another one, as their owners have stored it. It may be nil.
+	ReroutedServices func(queue string) []string
 	// StoreAvailable reports whether the store has answered recently.
 	StoreAvailable func(now time.Time) bool
 
--- a/internal/job/bbrintake/waiting.go
+++ b/internal/job/bbrintake/waiting.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -16,26 +17,30 @@
 // Waiting returns how many jobs of the queue have not started anything: by the last report
 // of each shard's owner or, if the present owner has not reported yet or there is none, by
 // its next report or the stored jobs of the shard, as they were when they were last counted.
+// Jobs stay with the service that the queue had when they were accepted, so that the services
+// that it had before count as well.
 func (i *Intake) Waiting(ctx context.Context, queue *bbrwork.Queue) (int, bbrcode.Code) {
-	items, _, err := i.Store.ReadAll(ctx, bbrrecord.ReportPrefixOf(queue.Service))
-	if err != nil {
-		return 0, bbrcode.StoreUnavailable
-	}
-	reports := make(map[string]bbrkv.Item, len(items))
-	for _, item := range items {
-		reports[item.Key] = item
-	}
 	waiting := 0
 	var counts []*storedCount
-	for cell := range i.Cells().Count() {
-		shard := bbrwork.Shard{Service: queue.Service, Cell: cell}
-		reported, count, err := i.waitingInShard(ctx, shard, queue.Name, reports[bbrrecord.ReportKey(shard)])
+	for _, service := range i.servicesOf(queue, time.Now()) {
+		items, _, err := i.Store.ReadAll(ctx, bbrrecord.ReportPrefixOf(service))
 		if err != nil {
-			return 0, countFailed(shard, err)
+			return 0, bbrcode.StoreUnavailable
+		}
+		reports := make(map[string]bbrkv.Item, len(items))
+		for _, item := range items {
+			reports[item.Key] = item
 		}
-		waiting += reported
-		if count != nil {
-			counts = append(counts, count)
+		for cell := range i.Cells().Count() {
+			shard := bbrwork.Shard{Service: service, Cell: cell}
+			reported, count, err := i.waitingInShard(ctx, shard, queue.Name, reports[bbrrecord.ReportKey(shard)])
+			if err != nil {
+				return 0, countFailed(shard, err)
+			}
+			waiting += reported
+			if count != nil {
+				counts = append(counts, count)
+			}
 		}
 	}
 	for _, count := range counts {
@@ -48,6 +53,16 @@
 	return waiting, bbrcode.StateReported
 }
 
+// servicesOf returns the services that may have waiting jobs of the queue, sorted.
+func (i *Intake) servicesOf(queue *bbrwork.Queue, now time.Time) []string {
+	services := append(i.FormerServices.Of(queue.Name, now), queue.Service)
+	if i.ReroutedServices != nil {
+		services = append(services, i.ReroutedServices(queue.Name)...)
+	}
+	slices.Sort(services)
+	return slices.Compact(services)
+}
+
 // countFailed logs that the waiting jobs of the shard are not known, and returns the answer.
 func countFailed(shard bbrwork.Shard, err error) bbrcode.Code {
 	klog.InfoS("Failed to count the waiting jobs of a shard", "shard", shard, "reason", err.Error())
--- a/internal/job/bbrowner/flusher.go
+++ b/internal/job/bbrowner/flusher.go
@@ -52,6 +52,8 @@
 	drained    []string
 	demand     bbrscheduler.Demand
 	offer      *bbrtransfer.Offer
+	// rerouted has the queues for which this owner has stored a record of rerouted queues.
+	rerouted map[string]bool
 }
 
 // report is what an owner reports besides the progress of jobs, as in
@@ -64,6 +66,7 @@
 	offer   *bbrtransfer.Offer
 	// backlogBytes is never 0.
 	backlogBytes int
+	reroutes     rerouteChanges
 }
 
 // flusher stores the changes of the scheduler's state. It continues for a short time
@@ -145,6 +148,9 @@
 	o.mu.Unlock()
 	urgent := (needsHorizon || batch.Recorded != nil) && !f.shortened
 	batch, complete := fitTransaction(batch, urgent)
+	if room := leaveRoom(batch, current.reroutes.count()); len(room.Writes) < len(batch.Writes) {
+		batch, complete = room, false
+	}
 	// While jobs are loaded, the counts would be partial. The last owner's report stays.
 	storeReport := !loading && f.mustStoreReport(&current, now)
 	if urgent && storeReport {
@@ -197,6 +203,7 @@
 		f.lastReport.backlogBytes = max(1, scheduler.ListedBytes())
 		f.lastReport.beyond = slices.DeleteFunc(scheduler.Shares(maxReportedShares), func(share bbrscheduler.OrganisationShare) bool { return !share.Beyond })
 		f.lastReport.offer = f.owner.offer(now)
+		f.lastReport.reroutes = f.owner.rerouteChanges(scheduler.OpenQueues())
 		f.reportedAt, f.reportTook = now, time.Since(begin)
 	}
 	return f.lastReport
@@ -225,6 +232,9 @@
 	if stored.number == 0 || !slices.Equal(current.drained, stored.drained) || age > maxReportAge {
 		return true
 	}
+	if current.reroutes.count() > 0 {
+		return age >= demandReportInterval
+	}
 	if demandChanged(stored.demand, current.demand) {
 		return age >= demandReportInterval
 	}
@@ -251,10 +261,7 @@
 // whether the result has all that there is to store. Starts wait for an urgent one, whatever
 // writes it has.
 func fitTransaction(batch bbrscheduler.Batch, urgent bool) (bbrscheduler.Batch, bool) {
-	count, bytes := fixedEntries, 0
-	if batch.Interference != nil {
-		count++
-	}
+	count, bytes := entriesBesideWrites(batch), 0
 	for i, write := range batch.Writes {
 		count += entriesPerWrite(write)
 		bytes += len(write.Progress) + len(write.Crashes)
@@ -265,6 +272,25 @@
 	return batch, batch.Complete()
 }
 
+// entriesBesideWrites returns the number of a transaction's entries besides those of jobs.
+func entriesBesideWrites(batch bbrscheduler.Batch) int {
+	if batch.Interference != nil {
+		return fixedEntries + 1
+	}
+	return fixedEntries
+}
+
+// leaveRoom truncates the batch so that its transaction has room for further entries.
+func leaveRoom(batch bbrscheduler.Batch, further int) bbrscheduler.Batch {
+	count := entriesBesideWrites(batch) + further
+	for i, write := range batch.Writes {
+		if count += entriesPerWrite(write); count > bbrkv.MaxTransactionSize {
+			return batch.Head(i)
+		}
+	}
+	return batch
+}
+
 // entriesPerWrite returns the number of a transaction's entries for a write. For a job
 // that has ended, they are its status and the removal of its other records.
 func entriesPerWrite(write bbrscheduler.Write) int {
@@ -299,6 +325,7 @@
 	if storeReport {
 		stored := bbrrecord.Report{Waiting: current.waiting, Drained: current.drained, Demand: current.demand, BacklogBytes: current.backlogBytes, Beyond: current.beyond, Offer: current.offer, At: now}
 		transaction.Puts = append(transaction.Puts, bbrkv.Put{Key: bbrrecord.ReportKey(o.Shard), Value: bbrrecord.Encode(stored)})
+		current.reroutes.addTo(&transaction, o)
 	}
 	if batch.Recorded != nil {
 		transaction.Puts = append(transaction.Puts, bbrkv.Put{Key: bbrrecord.IncarnationsKey(o.Shard), Value: bbrrecord.Encode(batch.Recorded)})
@@ -321,6 +348,8 @@
 	if storeReport {
 		commits.waiting, commits.drained, commits.demand, commits.reportedAt = current.waiting, current.drained, current.demand, now
 		commits.offer = current.offer
+		current.reroutes.stored(commits)
+		f.lastReport.reroutes = rerouteChanges{}
 	}
 	return nil
 }
--- a/internal/job/bbrowner/owner.go
+++ b/internal/job/bbrowner/owner.go
@@ -74,6 +74,9 @@
 	SeparateInterfering bool
 	// Cells returns the division of the fleet; nil if jobs stay in their cell.
 	Cells func() *bbrcell.Cells
+	// ReroutedQueues returns the queues for which a record says that the shard has open jobs of them
+	// though they are routed to another service; it is nil if no such records are stored.
+	ReroutedQueues func(shard bbrwork.Shard) []string
 	// NotifyOwner notifies the owner of a job's shard, without waiting, that the job was
 	// stored at the revision. It may be nil.
 	NotifyOwner func(job *bbrwork.Job, stored bbrkv.Revision, now time.Time)
--- a/internal/job/bbrscheduler/scheduler.go
+++ b/internal/job/bbrscheduler/scheduler.go
@@ -239,6 +239,18 @@
 	return waiting
 }
 
+// OpenQueues returns the queues of the jobs that have not ended. It is partial while jobs are
+// loaded.
+func (sched *Scheduler) OpenQueues() map[string]bool {
+	queues := make(map[string]bool)
+	for _, job := range sched.jobs {
+		if job.finalState == "" {
+			queues[job.Queue] = true
+		}
+	}
+	return queues
+}
+
 // sortedUpstreams returns the upstreams sorted by ID, so that decisions are
 // reproducible. The list must not be modified.
 func (sched *Scheduler) sortedUpstreams() []*upstream {
