job/bbrscheduler: occurrences are held while they are due, not from the beginning

Cause: an owner built all work units of all occurrences when it learned of a job, and each round walked them.

Now a job holds the occurrences that are due, or the next one; the others are numbers (occurrences.go), the done ones ranges of numbers. Occurrences that a stored record or an upstream names are held when they are named. Progress of more than 256 done occurrences is stored in its compact form.

--- a/internal/daemon/bbrserve/daemon.go
+++ b/internal/daemon/bbrserve/daemon.go
@@ -103,6 +103,10 @@
 	}
 	d.session.BandwidthMbps = int(math.Ceil(settings.Limits.BandwidthMbps))
 	d.owners = newOwners(d)
+	d.owners.heldMemory.MaxBytes = bbrintake.MaxHeldBytes(settings.Limits.MemoryMB)
+	metrics.Gauge("bbr_held_bytes", "Estimated memory for the work units of the jobs that the owners at this entry hold, in bytes.", func() float64 {
+		return float64(d.owners.heldMemory.Used())
+	})
 	d.owners.backlogs.SmallestLink = d.directory.SmallestLink
 	metrics.Gauge("bbr_oldest_unloaded_claim_seconds", "Age of the oldest claim of a shard that this entry has not loaded yet; 0 if there is none.", func() float64 {
 		return d.owners.oldestUnloaded(time.Now()).Seconds()
--- a/internal/daemon/bbrserve/owners.go
+++ b/internal/daemon/bbrserve/owners.go
@@ -49,6 +49,8 @@
 	hintSlots chan struct{}
 	// waits has the waits that owners reported for new jobs.
 	waits bbrintake.WaitCache
+	// heldMemory bounds what the owners at this entry hold of their jobs.
+	heldMemory bbrscheduler.HeldMemory
 	// backlogs bounds the backlogs of the shards.
 	backlogs bbrintake.Backlogs
 }
@@ -185,6 +187,7 @@
 
 		Cells:          d.directory.Cells,
 		ReroutedQueues: d.directory.ReroutedQueues,
+		HeldMemory:     &o.heldMemory,
 		NotifyOwner:    o.notifyOwner,
 	}
 	owner.HandOverOverdue = func(ownedSince, now time.Time) bool {
--- a/internal/job/bbrowner/load.go
+++ b/internal/job/bbrowner/load.go
@@ -35,7 +35,7 @@
 	o.updateReservationMetrics()
 	o.updateVacancyMetrics()
 	o.updateSeparationMetrics()
-	klog.InfoS("Load", append([]any{"shard", o.Shard, "token", o.Held.Token, "jobs", load.Jobs, "late", load.Late,
+	klog.InfoS("Load", append([]any{"shard", o.Shard, "token", o.Held.Token, "jobs", load.Jobs, "deferred", load.Deferred, "heldBytes", load.HeldBytes, "late", load.Late,
 		"upstreams", load.Upstreams, "reached", load.Reached, "reserved", load.Reserved, "suspect", load.Suspect, "silent", load.Silent, "usable", load.Usable,
 		"usableWithoutLasting", load.UsableExclusive, "excluded", load.Excluded, "lateUnits", load.Waits.LateUnits, "reservedFits", load.Waits.ReservedFits,
 		"runs", load.Runs, "unconfirmed", load.Unconfirmed, "waitingUnits", load.Waits.Units,
--- a/internal/job/bbrowner/owner.go
+++ b/internal/job/bbrowner/owner.go
@@ -65,6 +65,8 @@
 	HandOverUnloaded func(idle time.Duration, ownedSince, now time.Time) bool
 	// StartSlots bounds the starts in flight of the entry's owners; nil for no bound.
 	StartSlots *StartSlots
+	// HeldMemory bounds what the entry's owners hold of their jobs; nil for no bound.
+	HeldMemory *bbrscheduler.HeldMemory
 	// FairShares makes organisations share the capacity by weight while it is short.
 	FairShares bool
 	// ReserveCapacity means that wide work may reserve capacity, and that urgent work may
@@ -193,6 +195,9 @@
 	cancelFlush()
 	flushed.Wait()
 	o.clearMetrics()
+	o.mu.Lock()
+	o.scheduler.Discard()
+	o.mu.Unlock()
 	klog.InfoS("Owner stopped", "shard", o.Shard, "token", o.Held.Token)
 }
 
--- a/internal/job/bbrowner/storedrecords.go
+++ b/internal/job/bbrowner/storedrecords.go
@@ -87,6 +87,7 @@
 	o.commits.revision = records.sequence.Revision
 	o.scheduler = bbrscheduler.New(o.Shard, int64(o.Held.Token), o.Timing, records.sequence.Revision == 0, start)
 	o.scheduler.MaxValueBytes = o.Store.MaxValueBytes
+	o.scheduler.ShareHeldMemory(o.HeldMemory)
 	o.scheduler.ReserveCapacity = o.ReserveCapacity
 	if o.SeparateInterfering {
 		o.scheduler.SeparateInterfering(records.interference, now)
--- a/internal/job/bbrscheduler/advice.go
+++ b/internal/job/bbrscheduler/advice.go
@@ -177,12 +177,3 @@
 	}
 	sched.note(now, "Advice received", "step", request.Step, "asked", len(request.Incarnations), "good", len(tickets), "took", now.Sub(sent).Round(time.Millisecond))
 }
-
-// dropAdvice removes the tickets of a job.
-func (sched *Scheduler) dropAdvice(in *bbrwork.Job) {
-	for occurrence := range in.Occurrences() {
-		for number := range in.Steps {
-			delete(sched.advice, bbrwork.Unit{Job: in.ID, Occurrence: occurrence, Step: number}.StepName())
-		}
-	}
-}
--- a/internal/job/bbrscheduler/arrivals.go
+++ b/internal/job/bbrscheduler/arrivals.go
@@ -39,7 +39,7 @@
 	if j.Schedule.Count > 0 || !sched.firstOwner && (sched.Loading() || now.Sub(sched.claimedAt) < loadPeriod) {
 		return
 	}
-	if work := j.occurrences[0].totalWork(); work > 0 {
+	if work := j.workPerOccurrence(); work > 0 {
 		sched.arrivals.add(now, work)
 	}
 }
--- a/internal/job/bbrscheduler/demand.go
+++ b/internal/job/bbrscheduler/demand.go
@@ -242,6 +242,17 @@
 	return work
 }
 
+// workPerOccurrence returns the finite work of one occurrence, in millicore-seconds.
+func (j *job) workPerOccurrence() float64 {
+	work := 0.0
+	for i := range j.Steps {
+		if spec := &j.Steps[i]; !spec.LongRunning {
+			work += float64(spec.Count*spec.Need.MilliCPU) * j.runTimes.of(j.Queue, spec).Seconds()
+		}
+	}
+	return work
+}
+
 // remainingPath returns the longest path of estimated finite work that is not done.
 func (o *occurrence) remainingPath() time.Duration {
 	longest := time.Duration(0)
--- a/internal/job/bbrscheduler/explain.go
+++ b/internal/job/bbrscheduler/explain.go
@@ -14,9 +14,13 @@
 	// Accepted is the accepting entry's time of day.
 	Accepted time.Time `json:"accepted"`
 	// Objective is the time by which the last occurrence should be completed.
-	Objective time.Time         `json:"objective"`
-	Upstreams UpstreamCounts    `json:"upstreams"`
-	Steps     []StepExplanation `json:"steps"`
+	Objective time.Time      `json:"objective"`
+	Upstreams UpstreamCounts `json:"upstreams"`
+	// Occurrences is how often the steps run, and DoneOccurrences how often they have.
+	Occurrences     int `json:"occurrences"`
+	DoneOccurrences int `json:"doneOccurrences,omitempty"`
+	// Steps has the steps of the occurrences that are due, or of the next one.
+	Steps []StepExplanation `json:"steps"`
 }
 
 // UpstreamCounts counts the owner's upstreams and those that may take work. Each of
@@ -98,8 +102,9 @@
 	p := sched.survey(now)
 	e := Explanation{Queue: job.Queue, Accepted: job.Accepted, Upstreams: p.upstreamCounts()}
 	e.State, _ = sched.State(id)
+	e.Objective = job.objectiveOf(job.numbers.total - 1)
+	e.Occurrences, e.DoneOccurrences = job.numbers.total, job.numbers.done.count
 	for _, o := range job.occurrences {
-		e.Objective = job.objective(o)
 		for _, s := range o.steps {
 			e.Steps = append(e.Steps, p.explainStep(s, confirmed))
 		}
--- a/internal/job/bbrscheduler/fairwait.go
+++ b/internal/job/bbrscheduler/fairwait.go
@@ -91,7 +91,7 @@
 		}
 		b.jobs++
 		b.path += j.criticalPath
-		b.allowed += j.objective(j.occurrences[0]).Sub(j.Accepted)
+		b.allowed += j.objectiveOf(0).Sub(j.Accepted)
 	}
 	return backlogs
 }
--- a/internal/job/bbrscheduler/interference.go
+++ b/internal/job/bbrscheduler/interference.go
@@ -107,7 +107,7 @@
 	if len(s.units) > 1 && s.siblings == nil {
 		s.siblings = &bbrinterference.Siblings{}
 	}
-	sched.interference.ObserveRunTime(o.site, o.image, &o.mark, s.siblings, sched.runTimeOf(s.job.Queue, s.spec), now)
+	sched.interference.ObserveRunTime(o.site, o.image, &o.mark, s.siblings, sched.runTimes.of(s.job.Queue, s.spec), now)
 }
 
 // conflicts returns the images that are to be kept apart from the step's.
--- a/internal/job/bbrscheduler/job.go
+++ b/internal/job/bbrscheduler/job.go
@@ -14,8 +14,13 @@
 type job struct {
 	*bbrwork.Job
 	// policy is the last known policy of the job's queue; nil if none is known.
-	policy      *bbrwork.Policy
+	policy *bbrwork.Policy
+	// occurrences are those that are held, by ascending number, and numbers the others. held
+	// accounts for the memory that the former take. See occurrences.go.
 	occurrences []*occurrence
+	numbers     numbers
+	held        *heldBytes
+	runTimes    runTimes
 	// begun means that a work unit of the job has certainly started: an upstream accepted its
 	// start, or listed its run or the end of it. See begun.go.
 	begun bool
@@ -193,23 +198,21 @@
 // String returns the phase's name for logs.
 func (p phase) String() string { return phaseNames[p] }
 
-// newJob returns a job. predict returns the expected run time of a step's work units.
-func newJob(in *bbrwork.Job, policy *bbrwork.Policy, storedRevision bbrkv.Revision, predict func(spec *bbrwork.Step) time.Duration, now time.Time) *job {
-	j := &job{Job: in, policy: policy, learnedAt: now, storedRevision: storedRevision}
-	for number := range in.Occurrences() {
-		j.occurrences = append(j.occurrences, newOccurrence(j, number, predict))
-	}
-	j.updatePaths()
-	return j
+// newJob returns a job of which nothing is held yet.
+func newJob(in *bbrwork.Job, policy *bbrwork.Policy, storedRevision bbrkv.Revision, predicted runTimes, held *heldBytes, now time.Time) *job {
+	return &job{Job: in, policy: policy, learnedAt: now, storedRevision: storedRevision, runTimes: predicted, held: held,
+		numbers: numbers{total: in.Occurrences()}, criticalPath: predicted.criticalPath(in)}
 }
 
-func newOccurrence(j *job, number int, predict func(spec *bbrwork.Step) time.Duration) *occurrence {
+func newOccurrence(j *job, number int) *occurrence {
 	o := &occurrence{number: number}
+	usedRun := j.usedRun(number)
 	for i := range j.Steps {
 		spec := &j.Steps[i]
-		s := &step{job: j, spec: spec, occurrence: o, number: i, unitsLeft: spec.Count, idleUnits: spec.Count, runTime: predict(spec)}
-		for index := range spec.Count {
-			s.units = append(s.units, &unit{step: s, index: index})
+		s := &step{job: j, spec: spec, occurrence: o, number: i, unitsLeft: spec.Count, idleUnits: spec.Count, runTime: j.runTimes.of(j.Queue, spec)}
+		s.units = make([]*unit, spec.Count)
+		for index := range s.units {
+			s.units[index] = &unit{step: s, index: index, lastRun: usedRun}
 		}
 		o.unitsLeft += spec.Count
 		o.steps = append(o.steps, s)
@@ -217,9 +220,11 @@
 	return o
 }
 
-// updatePaths sets the remaining paths of all steps and the critical path.
+// updatePaths sets the remaining paths of all held steps and the critical path.
 func (j *job) updatePaths() {
-	j.criticalPath = 0
+	if len(j.occurrences) > 0 {
+		j.criticalPath = 0
+	}
 	for _, o := range j.occurrences {
 		o.updatePaths()
 		for _, s := range o.steps {
@@ -246,13 +251,14 @@
 	return bbrwork.Unit{Job: u.step.job.ID, Occurrence: u.step.occurrence.number, Step: u.step.number, Index: u.index}
 }
 
-// findUnit returns the work unit of a name, or nil.
+// findUnit returns the work unit of a name, whose occurrence it holds if it is not; nil if there is
+// none, or if its occurrence is done and released.
 func (j *job) findUnit(name bbrwork.Unit) *unit {
-	if min(name.Occurrence, name.Step, name.Index) < 0 || name.Occurrence >= len(j.occurrences) {
+	if min(name.Step, name.Index) < 0 || name.Step >= len(j.Steps) || name.Index >= j.Steps[name.Step].Count {
 		return nil
 	}
-	o := j.occurrences[name.Occurrence]
-	if name.Step >= len(o.steps) || name.Index >= len(o.steps[name.Step].units) {
+	o := j.occurrence(name.Occurrence)
+	if o == nil {
 		return nil
 	}
 	return o.steps[name.Step].units[name.Index]
@@ -281,9 +287,12 @@
 }
 
 // objective returns the time by which the occurrence should be completed.
-func (j *job) objective(o *occurrence) time.Time {
+func (j *job) objective(o *occurrence) time.Time { return j.objectiveOf(o.number) }
+
+// objectiveOf does the same for the occurrence of a number.
+func (j *job) objectiveOf(number int) time.Time {
 	from := j.Accepted
-	if due := j.Schedule.Due(o.number); due.After(from) {
+	if due := j.Schedule.Due(number); due.After(from) {
 		from = due
 	}
 	if j.policy == nil {
@@ -300,7 +309,9 @@
 	}
 	u.done = true
 	u.step.unitsLeft--
-	u.step.occurrence.unitsLeft--
+	if u.step.occurrence.unitsLeft--; u.step.occurrence.unitsLeft == 0 {
+		u.step.job.numbers.releasable = true
+	}
 	if len(u.runs) == 0 {
 		u.step.idleUnits--
 	}
@@ -309,6 +320,9 @@
 
 // completed reports whether every finite work unit of the job is done.
 func (j *job) completed() bool {
+	if j.numbers.done.count+len(j.occurrences) < j.numbers.total {
+		return false
+	}
 	for _, o := range j.occurrences {
 		if o.unitsLeft > 0 {
 			return false
--- a/internal/job/bbrscheduler/load.go
+++ b/internal/job/bbrscheduler/load.go
@@ -8,7 +8,10 @@
 
 // Load is a summary of what a shard has and uses, for the log.
 type Load struct {
-	Jobs, Late                                    int
+	Jobs, Late int
+	// Deferred counts the jobs of which something is due that finds no memory, and HeldBytes is
+	// the memory for what is held.
+	Deferred, HeldBytes                           int
 	Upstreams, Reached, Reserved, Suspect, Silent int
 	Runs, Unconfirmed                             int
 	// Usable counts the upstreams that may take work.
@@ -33,7 +36,7 @@
 // loaded.
 func (sched *Scheduler) Load(confirmed bool, now time.Time) Load {
 	p := sched.survey(now)
-	load := Load{Jobs: len(sched.jobs), Upstreams: len(sched.upstreams), Usable: len(p.usable), Excluded: p.excludedCounts(),
+	load := Load{Jobs: len(sched.jobs), Deferred: sched.deferredJobs, HeldBytes: sched.held.used, Upstreams: len(sched.upstreams), Usable: len(p.usable), Excluded: p.excludedCounts(),
 		Waits: p.summarizeWaits(confirmed), Demand: sched.Demand(now)}
 	for _, up := range sched.upstreams {
 		load.add(up, now)
--- a/internal/job/bbrscheduler/placement.go
+++ b/internal/job/bbrscheduler/placement.go
@@ -120,8 +120,10 @@
 	if configured := sched.config.Queues[in.Queue].Policy(); configured != nil {
 		policy = configured
 	}
-	predict := func(spec *bbrwork.Step) time.Duration { return sched.runTimeOf(in.Queue, spec) }
-	return newJob(in, policy, sched.horizon.newest+1, predict, now)
+	j := newJob(in, policy, sched.horizon.newest+1, sched.runTimes, &heldBytes{}, now)
+	j.hold(0)
+	j.holdDue(now)
+	return j
 }
 
 // trialCopy returns a copy of the scheduler on which starts of a new job of the
--- a/internal/job/bbrscheduler/plan.go
+++ b/internal/job/bbrscheduler/plan.go
@@ -78,6 +78,7 @@
 // only the stops of runs that should not continue.
 func (sched *Scheduler) Plan(confirmed bool, now time.Time) Plan {
 	sched.ExpireLeases(now)
+	sched.updateHeld(now)
 	sched.noteUnlocated(now)
 	sched.accuseUnlocated(now)
 	sched.endTrials(now)
--- a/internal/job/bbrscheduler/progress.go
+++ b/internal/job/bbrscheduler/progress.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"slices"
 	"time"
 )
 
@@ -65,7 +66,7 @@
 // progress returns the progress to store of a job that has not ended, at most maxBytes
 // long. dropped is the number of checkpoints and failures that found no room.
 func (j *job) progress(maxBytes int) (data []byte, dropped int) {
-	if j.fullFormEstimate() <= maxBytes {
+	if j.numbers.done.count <= maxListedOccurrences && j.fullFormEstimate() <= maxBytes {
 		data = encodeProgress(Progress{Begun: j.begun, Occurrences: j.occurrencesProgress(), OrdersUnknown: j.ordersUnknown})
 		if len(data) <= maxBytes/fullFormShare {
 			return data, 0
@@ -115,10 +116,19 @@
 // bytesPerStep is the least that a step takes in StepProgress.
 const bytesPerStep = 16
 
+// maxListedOccurrences bounds the occurrences that are done and listed one by one: the progress is
+// stored at each of their ends.
+const maxListedOccurrences = 256
+
+// hasProgress reports whether there is anything to store of the job.
+func (j *job) hasProgress() bool {
+	return j.numbers.done.count > 0 || j.numbers.lastRun > 0 || slices.ContainsFunc(j.occurrences, (*occurrence).begun)
+}
+
 // fullFormEstimate returns a lower bound of the size of the job's progress in
 // StepProgress, so that much of it need not be encoded in vain.
 func (j *job) fullFormEstimate() int {
-	size := 0
+	size := bytesPerStep * len(j.Steps) * j.numbers.done.count
 	for _, o := range j.occurrences {
 		if o.begun() {
 			size += bytesPerStep * len(o.steps)
@@ -129,6 +139,11 @@
 
 func (j *job) occurrencesProgress() map[int][]StepProgress {
 	occurrences := make(map[int][]StepProgress)
+	for _, r := range j.numbers.done.ranges {
+		for number := r.from; number < r.to; number++ {
+			occurrences[number] = j.doneProgress()
+		}
+	}
 	for _, o := range j.occurrences {
 		if !o.begun() {
 			continue
@@ -142,6 +157,17 @@
 	return occurrences
 }
 
+// doneProgress returns the progress of an occurrence that is done.
+func (j *job) doneProgress() []StepProgress {
+	steps := make([]StepProgress, len(j.Steps))
+	for i := range steps {
+		count := j.Steps[i].Count
+		steps[i].Done = make([]byte, bitsetSize(count))
+		setBits(steps[i].Done, 0, count)
+	}
+	return steps
+}
+
 // begun reports whether there is anything to store of the occurrence.
 func (o *occurrence) begun() bool {
 	for _, s := range o.steps {
@@ -182,6 +208,11 @@
 
 func (j *job) compactProgress() *CompactProgress {
 	p := &CompactProgress{Done: make([]byte, bitsetSize(j.unitCount())), FailedRuns: make(map[int][]int), Ordered: make(map[int]int), Checkpoints: make(map[int]string)}
+	p.LastRun = max(j.numbers.lastRun, j.numbers.releasedRun)
+	width := j.unitsPerOccurrence()
+	for _, r := range j.numbers.done.ranges {
+		setBits(p.Done, r.from*width, r.to*width)
+	}
 	j.eachUnit(func(n int, u *unit) {
 		p.LastRun = max(p.LastRun, u.lastRun)
 		if u.done {
@@ -201,10 +232,12 @@
 	return p
 }
 
-// eachUnit visits the work units in the order of occurrences and steps.
+// eachUnit visits the work units of the held occurrences, with their numbers over all
+// occurrences and steps.
 func (j *job) eachUnit(visit func(n int, u *unit)) {
-	n := 0
+	width := j.unitsPerOccurrence()
 	for _, o := range j.occurrences {
+		n := o.number * width
 		for _, s := range o.steps {
 			for _, u := range s.units {
 				visit(n, u)
@@ -215,38 +248,109 @@
 }
 
 func (j *job) unitCount() int {
-	count := 0
-	for i := range j.Steps {
-		count += j.Steps[i].Count
+	return j.unitsPerOccurrence() * j.numbers.total
+}
+
+func bitsetSize(bits int) int     { return (bits + 7) / 8 }
+func setBit(bitset []byte, i int) { bitset[i/8] |= 1 << (i % 8) }
+
+// setBits sets the bits from from up to, but not including, to.
+func setBits(bitset []byte, from, to int) {
+	for i := from; i < to; i++ {
+		setBit(bitset, i)
 	}
-	return count * len(j.occurrences)
 }
 
-func bitsetSize(bits int) int          { return (bits + 7) / 8 }
-func setBit(bitset []byte, i int)      { bitset[i/8] |= 1 << (i % 8) }
 func hasBit(bitset []byte, i int) bool { return i/8 < len(bitset) && bitset[i/8]&(1<<(i%8)) != 0 }
 
 func (j *job) restore(stored *Progress, now time.Time) {
 	j.ordersUnknown = stored.OrdersUnknown
 	j.begun = j.begun || stored.HasBegun()
-	for number, steps := range stored.Occurrences {
-		if number < 0 || number >= len(j.occurrences) || len(steps) != len(j.Steps) {
-			continue
+	for _, number := range sortedKeys(stored.Occurrences) {
+		if steps := stored.Occurrences[number]; number >= 0 && number < j.numbers.total && len(steps) == len(j.Steps) {
+			j.restoreOccurrence(number, steps, now)
 		}
-		for i, s := range j.occurrences[number].steps {
-			for index, u := range s.units {
-				p := &steps[i]
-				u.restore(hasBit(p.Done, index), p.LastRuns[index], p.FailedRuns[index], p.Checkpoints[index], now)
-				u.restoreOrdered(p.Ordered[index])
-			}
+	}
+	if stored.Compact != nil {
+		j.restoreCompact(stored.Compact, now)
+	}
+}
+
+// restoreOccurrence restores an occurrence that had begun. It is held unless it is done.
+func (j *job) restoreOccurrence(number int, steps []StepProgress, now time.Time) {
+	done := true
+	for i := range steps {
+		done = done && !j.Steps[i].LongRunning && hasBits(steps[i].Done, 0, j.Steps[i].Count)
+	}
+	if done {
+		j.numbers.done.add(number)
+		return
+	}
+	o := j.occurrence(number)
+	if o == nil {
+		return
+	}
+	for i, s := range o.steps {
+		p := &steps[i]
+		for index, u := range s.units {
+			u.restore(hasBit(p.Done, index), p.LastRuns[index], p.FailedRuns[index], p.Checkpoints[index], now)
+			u.restoreOrdered(p.Ordered[index])
+		}
+	}
+}
+
+// restoreCompact restores the occurrences of which something is known but the last run. Those
+// that are done are not held.
+func (j *job) restoreCompact(p *CompactProgress, now time.Time) {
+	j.numbers.lastRun = p.LastRun
+	width, longRunning := j.unitsPerOccurrence(), j.LongRunning()
+	begun := make(map[int]bool)
+	for number := range j.numbers.total {
+		from, to := number*width, (number+1)*width
+		switch {
+		case !longRunning && hasBits(p.Done, from, to):
+			j.numbers.done.add(number)
+		case hasAnyBitIn(p.Done, from, to):
+			begun[number] = true
+		}
+	}
+	addOccurrences(begun, p.FailedRuns, width)
+	addOccurrences(begun, p.Ordered, width)
+	addOccurrences(begun, p.Checkpoints, width)
+	for _, number := range sortedKeys(begun) {
+		j.occurrence(number)
+	}
+	j.eachUnit(func(n int, u *unit) {
+		u.restore(hasBit(p.Done, n), p.LastRun, p.FailedRuns[n], p.Checkpoints[n], now)
+		u.restoreOrdered(p.Ordered[n])
+	})
+}
+
+// addOccurrences adds the occurrences to which the numbers of the work units belong.
+func addOccurrences[V any](occurrences map[int]bool, units map[int]V, width int) {
+	for n := range units {
+		occurrences[n/max(1, width)] = true
+	}
+}
+
+// hasBits reports whether all bits from from up to, but not including, to are set.
+func hasBits(bitset []byte, from, to int) bool {
+	for i := from; i < to; i++ {
+		if !hasBit(bitset, i) {
+			return false
 		}
 	}
-	if p := stored.Compact; p != nil {
-		j.eachUnit(func(n int, u *unit) {
-			u.restore(hasBit(p.Done, n), p.LastRun, p.FailedRuns[n], p.Checkpoints[n], now)
-			u.restoreOrdered(p.Ordered[n])
-		})
+	return true
+}
+
+// hasAnyBitIn reports whether any of these bits is set.
+func hasAnyBitIn(bitset []byte, from, to int) bool {
+	for i := from; i < to; i++ {
+		if hasBit(bitset, i) {
+			return true
+		}
 	}
+	return false
 }
 
 func (u *unit) restore(done bool, lastRun int, failedRuns []int, checkpoint string, now time.Time) {
--- a/internal/job/bbrscheduler/runtime.go
+++ b/internal/job/bbrscheduler/runtime.go
@@ -1,18 +1,31 @@
 package bbrscheduler
 
 import (
+	"slices"
 	"time"
 
 	"github.com/bluebellridge/bluebellridge/internal/job/bbrruntime"
 	"github.com/bluebellridge/bluebellridge/internal/job/bbrwork"
 )
 
-// runTimeOf returns how long a work unit of a queue's job is expected to run.
-func (sched *Scheduler) runTimeOf(queue string, spec *bbrwork.Step) time.Duration {
+// runTimes predicts the run times of work units, by queue.
+type runTimes map[string]*bbrruntime.Predictor
+
+// of returns how long a work unit of a queue's job is expected to run.
+func (r runTimes) of(queue string, spec *bbrwork.Step) time.Duration {
 	if spec.LongRunning {
 		return spec.Estimate
 	}
-	return sched.runTimes[queue].Predict(spec.Estimate)
+	return r[queue].Predict(spec.Estimate)
+}
+
+// criticalPath returns the longest path of expected work through the steps of a job.
+func (r runTimes) criticalPath(in *bbrwork.Job) time.Duration {
+	predicted := bbrwork.Job{Steps: slices.Clone(in.Steps)}
+	for i := range predicted.Steps {
+		predicted.Steps[i].Estimate = r.of(in.Queue, &in.Steps[i])
+	}
+	return predicted.CriticalPath()
 }
 
 // learnRunTime learns from a run that has ended as done. The middle one of a step tells how
--- a/internal/job/bbrscheduler/scheduler.go
+++ b/internal/job/bbrscheduler/scheduler.go
@@ -10,7 +10,6 @@
 	"github.com/bluebellridge/bluebellridge/internal/job/bbrinterference"
 	"github.com/bluebellridge/bluebellridge/internal/job/bbrquota"
 	"github.com/bluebellridge/bluebellridge/internal/job/bbrreservation"
-	"github.com/bluebellridge/bluebellridge/internal/job/bbrruntime"
 	"github.com/bluebellridge/bluebellridge/internal/job/bbrwork"
 )
 
@@ -60,9 +59,13 @@
 	// is set before jobs are added.
 	FairShares bool
 
-	config    *bbrwork.Config
-	jobs      map[string]*job
-	upstreams map[string]*upstream
+	config *bbrwork.Config
+	jobs   map[string]*job
+	// held accounts for the memory of the jobs' occurrences, and deferredJobs counts the jobs of
+	// which something is due that does not fit.
+	held         heldBytes
+	deferredJobs int
+	upstreams    map[string]*upstream
 	// overdueAt is when this owner was last overdue with the renewal of a lease.
 	overdueAt time.Time
 	// sorted has the upstreams by ID; nil after one was added or removed.
@@ -127,7 +130,7 @@
 	// (placement.go).
 	trial bool
 	// runTimes predicts the run times of work units, by queue.
-	runTimes map[string]*bbrruntime.Predictor
+	runTimes runTimes
 	// suspects has the work units under which an upstream crashed and that have not
 	// been cleared.
 	suspects    map[*unit]bool
@@ -185,7 +188,7 @@
 		suspects:          make(map[*unit]bool),
 		lapses:            make(map[LapseCause]int),
 		leaseCounts:       LeaseCounts{Expired: make(map[LeaseSource]int)},
-		runTimes:          make(map[string]*bbrruntime.Predictor),
+		runTimes:          make(runTimes),
 		reservationsEnded: make(map[bbrreservation.Cause]int),
 	}
 }
--- a/internal/job/bbrscheduler/store.go
+++ b/internal/job/bbrscheduler/store.go
@@ -230,9 +230,7 @@
 	sched.sweepEnded(now)
 	for id, job := range sched.endedWithRuns {
 		if !job.hasRuns() {
-			sched.dropAdvice(job.Job)
-			sched.dropSuspects(job)
-			delete(sched.jobs, id)
+			sched.dropJob(job)
 			delete(sched.endedWithRuns, id)
 			sched.endedJobs[id] = endedJob{at: now, state: job.finalState}
 		}
@@ -268,16 +266,7 @@
 const endedRetention = time.Minute
 
 func (j *job) hasRuns() bool {
-	for _, o := range j.occurrences {
-		for _, s := range o.steps {
-			for _, u := range s.units {
-				if len(u.runs) > 0 {
-					return true
-				}
-			}
-		}
-	}
-	return false
+	return j.runCount > 0
 }
 
 // AddJob adds a job with the revision at which it was stored and its stored
@@ -299,7 +288,7 @@
 		return
 	}
 	policy := cmp.Or(sched.config.Queues[in.Queue].Policy(), in.Policy)
-	j := newJob(in, policy, storedRevision, func(spec *bbrwork.Step) time.Duration { return sched.runTimeOf(in.Queue, spec) }, now)
+	j := newJob(in, policy, storedRevision, sched.runTimes, &sched.held, now)
 	sched.jobs[in.ID] = j
 	if in.Transfer == nil {
 		sched.recordArrival(j, now)
@@ -313,6 +302,7 @@
 	if !sched.EarlierWorkKnown(now) {
 		sched.skipRunNumbers(j, now)
 	}
+	j.holdDue(now)
 	sched.applyKept(j, now)
 }
 
@@ -362,16 +352,7 @@
 	if sched.firstOwner || j.storedRevision > sched.horizon.inherited {
 		return
 	}
-	for _, o := range j.occurrences {
-		if j.Schedule.Due(o.number).After(now.Add(maxClockDifference)) {
-			continue
-		}
-		for _, s := range o.steps {
-			for _, u := range s.units {
-				u.lastRun += runNumberGap
-			}
-		}
-	}
+	j.skipRunNumbers(now.Add(maxClockDifference))
 }
 
 // maxClockDifference is how far the clock of an earlier owner may have been ahead.
--- a/internal/job/bbrscheduler/transfer.go
+++ b/internal/job/bbrscheduler/transfer.go
@@ -1,7 +1,6 @@
 package bbrscheduler
 
 import (
-	"slices"
 	"time"
 
 	"github.com/bluebellridge/bluebellridge/internal/job/bbrtransfer"
@@ -199,7 +198,7 @@
 	}
 	out := OutgoingTransfer{Job: j.Job, StoredRevision: j.storedRevision, HasProgress: j.mayHaveStoredProgress, HasCrashes: j.mayHaveStoredCrashes}
 	transfer := &bbrwork.Transfer{Count: j.transferCount() + 1, Started: j.begun}
-	if slices.ContainsFunc(j.occurrences, (*occurrence).begun) {
+	if j.hasProgress() {
 		dropped := 0
 		if transfer.Progress, dropped = j.progress(sched.maxValueBytes() / transferProgressShare); dropped > 0 {
 			j.transfer.notBefore = now.Add(endedRetention)
@@ -239,8 +238,7 @@
 		j.transfer.notBefore = now.Add(transferRetryDelay)
 		return
 	}
-	sched.dropAdvice(j.Job)
-	delete(sched.jobs, j.ID)
+	sched.dropJob(j)
 	delete(sched.dirty, j.ID)
 	sched.departures[j.ID] = departure{at: now, stored: revision}
 	if returned := j.transfer; returned.returned != nil {
--- a/internal/job/bbrscheduler/wait.go
+++ b/internal/job/bbrscheduler/wait.go
@@ -53,6 +53,7 @@
 // survey returns a planner that knows the usable upstreams. Unlike Plan, it
 // requests nothing.
 func (sched *Scheduler) survey(now time.Time) *planner {
+	sched.updateHeld(now)
 	p := &planner{sched: sched, now: now, doesNotFit: make(map[bbrwork.Resources]bool), nearDataFits: make(map[*step]bool)}
 	p.findUsable(sched.isRecorded)
 	return p
