job/bbrintake: jobs are accepted by the memory that owners need for them

Now owners report what their jobs need whatever is due, the fleet leader stores the sum where all entries follow it, and entries refuse what the smallest entry could not hold if it owned all shards: 2033 (429, retry after 5 s), or 2034 (422) for a job that never fits. Jobs that are stored already are not refused. An owner that finds more stored than it may hold defers what does not fit, logs it and tells it in explanations. Due occurrences beyond one of each job are bounded by work units, too, as each costs time in every round.

--- a/internal/base/bbrcode/code.go
+++ b/internal/base/bbrcode/code.go
@@ -52,6 +52,8 @@
 	TooManyBytes      Code = 2030
 	HeaderTooLarge    Code = 2031
 	BacklogFull       Code = 2032
+	MemoryFull        Code = 2033
+	JobTooLarge       Code = 2034
 )
 
 // Codes of jobs.
@@ -165,6 +167,8 @@
 	TooManyBytes:     {Name: "tooManyBytes", Status: 503, RetryAfter: retrySoon, Text: "This entry holds as many bytes of requests as its memory allows."},
 	HeaderTooLarge:   {Name: "headerTooLarge", Status: 431, Text: "The request has too many header fields."},
 	BacklogFull:      {Name: "backlogFull", Status: 429, RetryAfter: retryLater, Text: "As many jobs wait in this part of the pool as any entry could take over in time; nothing was stored."},
+	MemoryFull:       {Name: "memoryFull", Status: 429, RetryAfter: retryLater, Text: "The jobs that have not ended need as much memory as any entry has for them; nothing was stored."},
+	JobTooLarge:      {Name: "jobTooLarge", Status: 422, Text: "The work units that the job may have at the same time need more memory than an entry has for jobs; nothing was stored."},
 
 	Accepted:      {Name: "accepted", Outcome: OutcomeUnknown, Status: 200, Text: "The job is stored and will run."},
 	AlreadyStored: {Name: "alreadyStored", Outcome: OutcomeUnknown, Status: 200, Text: "The job was already stored."},
--- a/internal/daemon/bbrserve/daemon.go
+++ b/internal/daemon/bbrserve/daemon.go
@@ -101,6 +101,7 @@
 
 		queries: bbrinquiry.NewClient(),
 	}
+	d.session.MemoryMB = settings.Limits.MemoryMB
 	d.session.BandwidthMbps = int(math.Ceil(settings.Limits.BandwidthMbps))
 	d.owners = newOwners(d)
 	d.owners.heldMemory.MaxBytes = bbrintake.MaxHeldBytes(settings.Limits.MemoryMB)
@@ -126,6 +127,7 @@
 			Backlogs:       &d.owners.backlogs,
 
 			ReroutedServices: d.directory.ReroutedServices,
+			Memory:           &bbrintake.MemoryBound{Smallest: d.directory.SmallestMemory, Counted: d.directory.HeldBytes},
 		},
 		Codec: bbrintake.Codec{
 			SubmissionBytes:  bbrwire.SubmissionBytes,
--- a/internal/fleet/bbrclaim/directory.go
+++ b/internal/fleet/bbrclaim/directory.go
@@ -54,6 +54,8 @@
 	// keep them without the lock.
 	directives bbrmachine.Directives
 	cells      *bbrcell.Cells
+	// held is the memory that the jobs need as last stored.
+	held HeldBytes
 	// rerouted has the records of rerouted queues, by key.
 	rerouted map[string]queueInShard
 	// revisions contains the last applied revision of each key. Older events are
@@ -106,6 +108,9 @@
 	if item.Key == CellsKey {
 		d.applyCells(item)
 	}
+	if item.Key == HeldBytesKey {
+		d.applyHeldBytes(item, now)
+	}
 	if name, ok := strings.CutPrefix(item.Key, entryPrefix); ok {
 		d.applyEntry(name, item)
 	}
--- a/internal/fleet/bbrclaim/keys.go
+++ b/internal/fleet/bbrclaim/keys.go
@@ -23,6 +23,9 @@
 // CellsKey is the key of the division of the fleet into cells.
 const CellsKey = FleetPrefix + "cells"
 
+// HeldBytesKey is the key of the memory that the jobs of all shards need.
+const HeldBytesKey = FleetPrefix + "heldBytes"
+
 // LeadershipName is the name under which the fleet leadership is claimed. No
 // shard has this name.
 const LeadershipName = "~duty"
--- a/internal/fleet/bbrclaim/session.go
+++ b/internal/fleet/bbrclaim/session.go
@@ -42,6 +42,9 @@
 	// BandwidthMbps is the entry's link, in megabits per second; 0 if it is unknown or the
 	// entry has an earlier build.
 	BandwidthMbps int `json:"bandwidthMbps,omitempty"`
+	// MemoryMB is the memory that the entry may use, in megabytes; 0 if it is unknown or the entry
+	// has an earlier build.
+	MemoryMB int `json:"memoryMB,omitempty"`
 	// PeerAddress is where the entry answers queries of other entries; invalid if
 	// it answers none.
 	PeerAddress netip.AddrPort `json:"peers"`
@@ -56,6 +59,8 @@
 	MilliCPU int
 	// BandwidthMbps is the link of the process, in megabits per second; 0 if it is unknown.
 	BandwidthMbps int
+	// MemoryMB is the memory that the process may use, in megabytes; 0 if it is unknown.
+	MemoryMB int
 	// PeerAddress is where the entry answers queries of other entries; invalid if
 	// it answers none.
 	PeerAddress netip.AddrPort
@@ -207,7 +212,7 @@
 	if err != nil {
 		return err
 	}
-	record, err := json.Marshal(entryRecord{Entry: s.Entry, Zone: s.Zone, Incarnation: s.Incarnation, Lease: lease, MilliCPU: s.MilliCPU, BandwidthMbps: s.BandwidthMbps, PeerAddress: s.PeerAddress})
+	record, err := json.Marshal(entryRecord{Entry: s.Entry, Zone: s.Zone, Incarnation: s.Incarnation, Lease: lease, MilliCPU: s.MilliCPU, BandwidthMbps: s.BandwidthMbps, MemoryMB: s.MemoryMB, PeerAddress: s.PeerAddress})
 	if err != nil {
 		return err
 	}
--- a/internal/fleet/bbrmaintenance/controller.go
+++ b/internal/fleet/bbrmaintenance/controller.go
@@ -91,6 +91,7 @@
 	reservedKnown    bool
 	reservedRevision bbrkv.Revision
 	reservedSince    map[string]bbrkv.Revision
+	held             heldBytes
 	// inheritedReserved are the reservations of earlier leaders. They stay as long as orders
 	// of these leaders may arrive.
 	inheritedReserved []string
@@ -208,7 +209,7 @@
 const maxOrderTransit = 300 * time.Millisecond
 
 // round makes one pass: it reads what is new, plans, and sends and stores the result. Its
-// two writes are concurrent, so that moves are not delayed twice while the store is slow.
+// writes are concurrent, so that moves are not delayed twice while the store is slow.
 func (controller *Controller) round(ctx context.Context, now time.Time) error {
 	readErr := controller.read(ctx, now)
 	planStart := time.Now()
@@ -225,12 +226,13 @@
 	orders := controller.planner.NextOrders(controller.isDrained, now)
 	controller.mu.Unlock()
 	controller.planTime = time.Since(planStart)
-	var saved, sent error
+	var saved, sent, held error
 	var writing sync.WaitGroup
+	writing.Go(func() { held = controller.storeHeldBytes(ctx, now) })
 	writing.Go(func() { saved = controller.save(ctx) })
 	writing.Go(func() { sent = controller.recordAndSend(ctx, orders) })
 	writing.Wait()
-	return errors.CombineErrors(errors.CombineErrors(sent, saved), readErr)
+	return errors.CombineErrors(errors.CombineErrors(sent, saved), errors.CombineErrors(readErr, held))
 }
 
 // recordAndSend sends the orders once the store has their intents. It does not depend on
--- a/internal/fleet/bbrmaintenance/reports.go
+++ b/internal/fleet/bbrmaintenance/reports.go
@@ -26,20 +26,25 @@
 	clear(controller.drained)
 	previous := controller.reports
 	controller.reports = make(map[bbrwork.Shard]ownerReport, len(items))
+	held, oldest := int64(0), now
 	for _, item := range items {
 		shard, record, err := parseReport(item)
 		if err != nil {
 			controller.logUnreadable(item, err)
 			continue
 		}
+		held += int64(record.HeldBytes)
 		controller.addDrained(record.Drained, item.Revision)
 		report := ownerReport{demand: record.Demand, receivedAt: now, revision: item.Revision}
 		if earlier, known := previous[shard]; known && earlier.revision == item.Revision {
 			report.receivedAt = earlier.receivedAt
 		}
 		controller.reports[shard] = report
+		if now.Sub(report.receivedAt) < reportTTL && report.receivedAt.Before(oldest) {
+			oldest = report.receivedAt
+		}
 	}
-	controller.reportsReadAt = now
+	controller.reportsReadAt, controller.held.total, controller.held.oldest = now, held, oldest
 	return nil
 }
 
--- a/internal/job/bbrintake/intake.go
+++ b/internal/job/bbrintake/intake.go
@@ -50,6 +50,8 @@
 	ExpectedWait func(shard bbrwork.Shard, organisation, queue string, now time.Time) (bbrfairshare.Wait, bool)
 	// Backlogs bounds the backlogs of the shards; nil means that they are not bounded.
 	Backlogs *Backlogs
+	// Memory bounds the memory that owners need for the jobs; nil means that it is not bounded.
+	Memory *MemoryBound
 	// FormerServices has the services that queues had before.
 	FormerServices FormerServices
 	// ReroutedServices returns the services that have open jobs of a queue although it is routed
@@ -77,6 +79,9 @@
 	if i.refuseFullBacklog(ctx, job, now) {
 		return bbrcode.BacklogFull, 0
 	}
+	if code := i.refuseBeyondMemory(ctx, job, now); code != 0 {
+		return code, 0
+	}
 	code, stored := i.Acceptor.Accept(job, deadline)
 	if stored == 0 {
 		return code, 0
--- a/internal/job/bbrowner/flusher.go
+++ b/internal/job/bbrowner/flusher.go
@@ -65,8 +65,8 @@
 	beyond  []bbrscheduler.OrganisationShare
 	offer   *bbrtransfer.Offer
 	// backlogBytes is never 0.
-	backlogBytes int
-	reroutes     rerouteChanges
+	backlogBytes, heldBytes int
+	reroutes                rerouteChanges
 }
 
 // flusher stores the changes of the scheduler's state. It continues for a short time
@@ -201,6 +201,7 @@
 		f.lastReport = report{waiting: scheduler.WaitingByQueue(now), drained: scheduler.Drained(now), demand: scheduler.Demand(now)}
 		f.lastReport.demand.LimitReleasable(maxReleasable)
 		f.lastReport.backlogBytes = max(1, scheduler.ListedBytes())
+		f.lastReport.heldBytes = scheduler.HeldBytes()
 		f.lastReport.beyond = slices.DeleteFunc(scheduler.Shares(maxReportedShares), func(share bbrscheduler.OrganisationShare) bool { return !share.Beyond })
 		f.lastReport.offer = f.owner.offer(now)
 		f.lastReport.reroutes = f.owner.rerouteChanges(scheduler.OpenQueues())
@@ -323,7 +324,7 @@
 		Puts:       []bbrkv.Put{{Key: key, Value: bbrrecord.Encode(record)}},
 	}
 	if storeReport {
-		stored := bbrrecord.Report{Waiting: current.waiting, Drained: current.drained, Demand: current.demand, BacklogBytes: current.backlogBytes, Beyond: current.beyond, Offer: current.offer, At: now}
+		stored := bbrrecord.Report{Waiting: current.waiting, Drained: current.drained, Demand: current.demand, BacklogBytes: current.backlogBytes, HeldBytes: current.heldBytes, Beyond: current.beyond, Offer: current.offer, At: now}
 		transaction.Puts = append(transaction.Puts, bbrkv.Put{Key: bbrrecord.ReportKey(o.Shard), Value: bbrrecord.Encode(stored)})
 		current.reroutes.addTo(&transaction, o)
 	}
--- a/internal/job/bbrrecord/record.go
+++ b/internal/job/bbrrecord/record.go
@@ -71,6 +71,9 @@
 	// BacklogBytes is what a successor of the owner has to read of the shard's jobs. It is 0
 	// if that is unknown, as in reports of earlier builds.
 	BacklogBytes int `json:"backlogBytes,omitempty"`
+	// HeldBytes estimates the memory that an owner needs for the shard's jobs whatever is due. It is
+	// 0 if that is unknown, as in reports of earlier builds.
+	HeldBytes int `json:"heldBytes,omitempty"`
 	// Beyond has organisations that are beyond their share of the shard. It is
 	// information for operators: a change of it alone causes no report.
 	Beyond []bbrscheduler.OrganisationShare `json:"beyond,omitempty"`
--- a/internal/job/bbrscheduler/explain.go
+++ b/internal/job/bbrscheduler/explain.go
@@ -19,6 +19,8 @@
 	// Occurrences is how often the steps run, and DoneOccurrences how often they have.
 	Occurrences     int `json:"occurrences"`
 	DoneOccurrences int `json:"doneOccurrences,omitempty"`
+	// Deferred means that something is due that finds no memory at the owner.
+	Deferred bool `json:"deferred,omitempty"`
 	// Steps has the steps of the occurrences that are due, or of the next one.
 	Steps []StepExplanation `json:"steps"`
 }
@@ -104,6 +106,7 @@
 	e.State, _ = sched.State(id)
 	e.Objective = job.objectiveOf(job.numbers.total - 1)
 	e.Occurrences, e.DoneOccurrences = job.numbers.total, job.numbers.done.count
+	e.Deferred = job.numbers.deferred
 	for _, o := range job.occurrences {
 		for _, s := range o.steps {
 			e.Steps = append(e.Steps, p.explainStep(s, confirmed))
--- a/internal/job/bbrscheduler/job.go
+++ b/internal/job/bbrscheduler/job.go
@@ -308,6 +308,7 @@
 		return false
 	}
 	u.done = true
+	u.step.job.numbers.doneUnits++
 	u.step.unitsLeft--
 	if u.step.occurrence.unitsLeft--; u.step.occurrence.unitsLeft == 0 {
 		u.step.job.numbers.releasable = true
--- a/internal/job/bbrscheduler/occurrences.go
+++ b/internal/job/bbrscheduler/occurrences.go
@@ -12,16 +12,19 @@
 
 // A job has an occurrence for each time at which its steps run, and may have very many. Only those
 // that are due, or the next one, and that are not done are held as objects; the others are numbers.
-// What is due is held within two bounds: that of the job's work units, so that one job does not
-// take what others need, and that of the entry's memory. What does not fit follows when
-// something of it is done. Occurrences are held in the order in which they are due.
+// Beyond one occurrence of each job, due ones are held within bounds of work units, of the job and of
+// the shard, so that the time of a planning round is bounded. All are held within the memory of the
+// entry. What does not fit follows when something of it is done or starts. Occurrences are held in the
+// order in which they are due.
 
 const (
 	// holdAhead is how long before it is due an occurrence is held.
 	holdAhead = time.Second
-	// maxHeldUnits is the number of work units up to which further occurrences of a job are held
-	// that are due. Occurrences with long-running work never end, so that all due ones are held.
-	maxHeldUnits = 2048
+	// maxIdleUnits is the number of work units without a run up to which further occurrences of a
+	// job are held that are due, and maxFurtherUnits the number of work units of all further
+	// occurrences of the shard. Occurrences with long-running work never end, so that all due ones
+	// are held.
+	maxIdleUnits, maxFurtherUnits = 1024, 8192
 	// wideShare is the part of the bound, one in wideShare, beyond which an occurrence is wide.
 	// Wide ones leave one in reservedShare of the bound to others. A shard that holds nothing may
 	// use one in beyondShare of the bound more.
@@ -45,6 +48,8 @@
 	// used is in bytes. entry is nil if the memory of the entry is not bounded.
 	used  int
 	entry *HeldMemory
+	// furtherUnits counts the work units of all occurrences but one of each job.
+	furtherUnits int
 }
 
 // add adds to what is used.
@@ -84,8 +89,9 @@
 	lastRun, releasedRun int
 	// skipped has the times up to which what is due has skipped run numbers.
 	skipped []time.Time
-	// heldUnits counts the work units of the held occurrences.
-	heldUnits int
+	// heldUnits counts the work units of the held occurrences, and doneUnits those of them that are
+	// done. furtherUnits is the job's part in that of the shard.
+	heldUnits, doneUnits, furtherUnits int
 	// releasable means that a held occurrence is done.
 	releasable bool
 	// deferred means that the log names the job as one that finds no memory.
@@ -97,8 +103,7 @@
 	o := newOccurrence(j, number)
 	at, _ := slices.BinarySearchFunc(j.occurrences, number, compareNumber)
 	j.occurrences = slices.Insert(j.occurrences, at, o)
-	j.numbers.heldUnits += o.unitsLeft
-	j.held.add(j.OccurrenceBytes())
+	j.countHeld(1)
 	o.updatePaths()
 	for _, s := range o.steps {
 		j.criticalPath = max(j.criticalPath, s.remainingPath)
@@ -106,6 +111,19 @@
 	return o
 }
 
+// countHeld accounts for a change of the number of held occurrences, which has been made.
+func (j *job) countHeld(change int) {
+	units := j.unitsPerOccurrence()
+	j.numbers.heldUnits += change * units
+	j.held.add(change * j.OccurrenceBytes())
+	further := max(0, j.numbers.heldUnits-units)
+	j.held.furtherUnits += further - j.numbers.furtherUnits
+	j.numbers.furtherUnits = further
+}
+
+// idleUnits returns the number of held work units that are not done and have no run.
+func (j *job) idleUnits() int { return j.numbers.heldUnits - j.numbers.doneUnits - j.runCount }
+
 func compareNumber(o *occurrence, number int) int { return cmp.Compare(o.number, number) }
 
 // heldOccurrence returns the occurrence of a number if it is held, or nil.
@@ -153,7 +171,7 @@
 	if j.Schedule.Due(next).After(now.Add(holdAhead)) {
 		return false
 	}
-	return j.LongRunning() || j.numbers.heldUnits+j.unitsPerOccurrence() <= maxHeldUnits
+	return j.LongRunning() || j.idleUnits() < maxIdleUnits && j.held.furtherUnits < maxFurtherUnits
 }
 
 // holdDue holds what is due of the job and fits. It returns false if something does not fit.
@@ -182,8 +200,8 @@
 			return false
 		}
 		j.numbers.done.add(o.number)
-		j.numbers.heldUnits -= j.unitsPerOccurrence()
-		j.held.add(-j.OccurrenceBytes())
+		j.countHeld(-1)
+		j.numbers.doneUnits -= j.unitsPerOccurrence()
 		j.numbers.releasedRun = max(j.numbers.releasedRun, o.lastRun())
 		dropAdvice(o)
 		return true
@@ -192,8 +210,8 @@
 
 // dropOccurrences accounts for the end of the job.
 func (j *job) dropOccurrences() {
-	j.held.add(-len(j.occurrences) * j.OccurrenceBytes())
-	j.occurrences, j.numbers.heldUnits = nil, 0
+	j.countHeld(-len(j.occurrences))
+	j.occurrences = nil
 }
 
 // unitsPerOccurrence returns the number of work units of one occurrence.
--- a/internal/job/bbrwork/heldbytes.go
+++ b/internal/job/bbrwork/heldbytes.go
@@ -1,14 +1,15 @@
 package bbrwork
 
-// Memory that an owner needs, in bytes. It includes what the records of runs take and what the
-// allocator rounds up.
+// Memory that an owner needs, in bytes. It includes what the allocator rounds up, and what a planning
+// round needs for each step. Runs are not included: there are no more than the upstreams have room
+// for.
 const (
 	// heldJobBytes is that of a job without its specification and steps, and heldSpecBytes that of
 	// the description of a step.
-	heldJobBytes, heldSpecBytes = 1600, 300
+	heldJobBytes, heldSpecBytes = 900, 180
 	// heldOccurrenceBytes, heldStepBytes and heldUnitBytes are that of an occurrence, of a step
 	// in it, and of a work unit.
-	heldOccurrenceBytes, heldStepBytes, heldUnitBytes = 120, 260, 330
+	heldOccurrenceBytes, heldStepBytes, heldUnitBytes = 100, 700, 260
 )
 
 // OccurrenceBytes estimates the memory that an owner needs for an occurrence of the job while it
--- a/internal/soak/bbrabuse/system_test.go
+++ b/internal/soak/bbrabuse/system_test.go
@@ -124,10 +124,15 @@
 	s := &system{platform: freeAddress(t), callers: freeAddress(t), readiness: freeAddress(t), metrics: freeAddress(t), peers: freeAddress(t)}
 	start(t, "bbrstandin", "fleet", "--listen", s.platform.String(), "--workers", fmt.Sprintf("%s,%s", freeAddress(t), freeAddress(t)), "--pools", "press")
 	eventually(t, "the platform answers", func() bool { return status(http.MethodGet, s.platform, "/machines", "") == http.StatusOK })
+	s.startFleetEntry(t)
+	return s
+}
+
+// startFleetEntry starts an entry on the stand-in fleet.
+func (s *system) startFleetEntry(t *testing.T) {
 	s.startEntry(t, fmt.Sprintf("listen: {callers: %q, readiness: %q, metrics: %q, peers: %q}\nplatform: {protocol: fleet, address: %q, machines: %q}\n",
 		s.callers, s.readiness, s.metrics, s.peers, s.platform, s.platform))
 	eventually(t, "the entry listens", func() bool { return status(http.MethodGet, s.readiness, "/ready", "") != 0 })
-	return s
 }
 
 // startOwn starts an entry of the project's own protocol without a configuration. Its
