job/bbrscheduler, bbrintake: rounds visit the jobs that repeat only; uneven callers

A round visits the jobs of which something is not held, instead of all. Entries take at most three others to accept as much as they do: callers are spread unevenly, and owners defer what is accepted beyond the bound.

--- a/internal/job/bbrintake/memory.go
+++ b/internal/job/bbrintake/memory.go
@@ -24,6 +24,9 @@
 	// maxUncounted is how long a job counts beside the stored sum if the sum is not stored anew: it
 	// has not changed much then.
 	maxUncounted = 4 * time.Second
+	// maxAssumedEntries bounds the entries that are taken to accept as much as this one: callers are
+	// spread unevenly over many entries. Owners defer what is accepted beyond the bound.
+	maxAssumedEntries = 4
 )
 
 // MaxHeldBytes returns what an entry with the memory, in megabytes, has for the jobs that its owners
@@ -32,8 +35,8 @@
 
 // MemoryBound bounds the jobs of all shards by what the smallest entry can hold, since one entry may
 // come to own all shards. What is done or cancelled does not count. The fleet leader adds up the
-// owners' reports; until it has counted a job, the entry that accepted it does, and takes the other
-// entries to accept as much.
+// owners' reports; until it has counted a job, the entry that accepted it does, and takes some of the
+// other entries to accept as much.
 type MemoryBound struct {
 	// Smallest returns the smallest known memory of the entries, in megabytes, and their number.
 	// The memory is 0 if none is known; then there is no bound.
@@ -72,12 +75,12 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.forgetCounted(counted.At, now)
-	others := m.sum * int64(max(1, entries))
+	withOthers := m.sum * int64(min(max(1, entries), maxAssumedEntries))
 	switch {
 	case limit == 0:
 	case bytes > limit:
 		return memoryTooSmall
-	case counted.Bytes+others+bytes > limit:
+	case counted.Bytes+withOthers+bytes > limit:
 		return memoryFull
 	}
 	m.uncounted = append(m.uncounted, uncountedJob{at: now, bytes: bytes})
--- a/internal/job/bbrscheduler/occurrences.go
+++ b/internal/job/bbrscheduler/occurrences.go
@@ -280,9 +280,11 @@
 		return
 	}
 	var wanting []*job
-	for _, j := range sched.jobs {
+	for id, j := range sched.unheld {
 		j.release(sched.dropAdviceOf)
-		if j.mayHoldNext(now) {
+		if j.numbers.total == 1 && len(j.occurrences) > 0 {
+			delete(sched.unheld, id)
+		} else if j.mayHoldNext(now) {
 			wanting = append(wanting, j)
 		}
 	}
@@ -304,8 +306,9 @@
 // before jobs are added.
 func (sched *Scheduler) ShareHeldMemory(entry *HeldMemory) { sched.held.entry = entry }
 
-// Discard records that the scheduler is not used any more.
+// Discard gives back the memory of the entry. The scheduler must not plan any more.
 func (sched *Scheduler) Discard() {
+	clear(sched.unheld)
 	for _, j := range sched.jobs {
 		j.dropOccurrences()
 	}
@@ -338,6 +341,7 @@
 	sched.dropSuspects(j)
 	j.dropOccurrences()
 	delete(sched.jobs, j.ID)
+	delete(sched.unheld, j.ID)
 }
 
 // sortedKeys returns the keys in ascending order.
--- a/internal/job/bbrscheduler/scheduler.go
+++ b/internal/job/bbrscheduler/scheduler.go
@@ -65,6 +65,8 @@
 	// which something is due that does not fit.
 	held         heldBytes
 	deferredJobs int
+	// unheld has the jobs that repeat, and others of which nothing is held.
+	unheld map[string]*job
 	upstreams    map[string]*upstream
 	// overdueAt is when this owner was last overdue with the renewal of a lease.
 	overdueAt time.Time
@@ -169,6 +171,7 @@
 		Timing:            timing,
 		config:            bbrwork.NewConfig(0, nil, nil, bbrwork.Limits{}),
 		jobs:              make(map[string]*job),
+		unheld:            make(map[string]*job),
 		upstreams:         make(map[string]*upstream),
 		endedWithRuns:     make(map[string]*job),
 		claimedAt:         now,
--- a/internal/job/bbrscheduler/store.go
+++ b/internal/job/bbrscheduler/store.go
@@ -302,7 +302,9 @@
 	if !sched.EarlierWorkKnown(now) {
 		sched.skipRunNumbers(j, now)
 	}
-	j.holdDue(now)
+	if j.holdDue(now); j.numbers.total > 1 || len(j.occurrences) == 0 {
+		sched.unheld[j.ID] = j
+	}
 	sched.applyKept(j, now)
 }
 
