--- a/internal/soak/bbrsoak/entry.go
+++ b/internal/soak/bbrsoak/entry.go
@@ -68,6 +68,7 @@
 	}
 	text := fmt.Sprintf("entry: %s\nzone: a\nlisten: {callers: %q, readiness: %q, metrics: %q, peers: %q}\nplatform: {protocol: fleet, address: %q, machines: %q}\nshutdown: {balancerLag: 300ms, grace: 2s}\n",
 		name, ports[0], ports[1], ports[2], ports[3], relayAddress, relayAddress)
+	text += fmt.Sprintf("limits: {memoryMB: %d}\n", memoryMB)
 	if s.optionalParts() {
 		text += "jobs: {fairShares: true, separateInterfering: true, reservations: true, balanceByCapacity: true}\n"
 	}
--- a/internal/soak/bbrsoak/soak.go
+++ b/internal/soak/bbrsoak/soak.go
@@ -105,9 +105,18 @@
 	}
 	callersCtx, stopCallers := context.WithCancel(ctx)
 	s.wg.Go(func() { s.callers.run(callersCtx) })
+	if s.OlderDaemonPath == "" {
+		// Earlier builds hold all that is to come.
+		schedules := &scheduleCaller{soak: s}
+		s.wg.Go(func() { schedules.run(callersCtx) })
+	}
 	monitorCtx, stopMonitor := context.WithCancel(ctx)
 	defer stopMonitor()
 	var monitoring sync.WaitGroup
+	for _, e := range s.entries {
+		memory := &memoryMonitor{entry: e}
+		monitoring.Go(func() { memory.run(monitorCtx) })
+	}
 	if s.Backlog {
 		loads := newLoadMonitor(s)
 		monitoring.Go(func() { loads.run(monitorCtx) })
