job/bbrscheduler: crashes of reserved upstreams that still run work are counted

Cause: the end of a reserved upstream accused nobody, although the fleet leader orders it only once the upstream is reported as drained.

Now only a reserved upstream that was reported as drained counts as ended by an order. TestOrderedEndsAccuseNobody, which took every reserved upstream for one, has one that was reported as drained and lists a late run.

--- a/internal/job/bbrscheduler/crash.go
+++ b/internal/job/bbrscheduler/crash.go
@@ -53,7 +53,7 @@
 // is part of an outage only those that had just begun: crashing units may be several, and
 // after a takeover they start together.
 func (sched *Scheduler) recordCrash(up *upstream, now time.Time) {
-	if !up.reservedAt.IsZero() || up.Draining {
+	if up.mayEndByOrder() {
 		return
 	}
 	sched.accuseInheritedTrials(up.Incarnation, now)
@@ -80,6 +80,12 @@
 	}
 }
 
+// mayEndByOrder reports whether the end of the upstream may have been ordered, or was announced. The
+// fleet leader orders the end of a reserved upstream only once it is reported as drained.
+func (up *upstream) mayEndByOrder() bool {
+	return !up.reservedAt.IsZero() && up.drained || up.Draining
+}
+
 // failedAt returns since when the upstream has given no answer at all, or now if its
 // last one was not lost. A single answer that was lost before does not count: the
 // upstream may have crashed much later.
--- a/internal/job/bbrscheduler/crash_test.go
+++ b/internal/job/bbrscheduler/crash_test.go
@@ -219,17 +219,51 @@
 }
 
 func TestOrderedEndsAccuseNobody(t *testing.T) {
-	for _, ordered := range []func(up *upstream){
-		func(up *upstream) { up.reservedAt = up.clockAt },
-		func(up *upstream) { up.Draining = true },
-	} {
+	t.Run("announced", func(t *testing.T) {
 		s := newScene(t, true, "i-1")
 		s.accept(testJob, unitStep(2))
 		s.answerStarts(s.plan(), nil)
-		ordered(s.sched.upstreams["i-1"])
+		s.sched.upstreams["i-1"].Draining = true
+		s.sched.EndIncarnation(s.upstream("i-1").Incarnation, "leaves", s.now)
+		require.Empty(t, s.sched.suspects)
+	})
+	t.Run("drained, with a run that began late", func(t *testing.T) {
+		s := newScene(t, true, "i-1")
+		s.accept(testJob, unitStep(2))
+		s.sched.SetReserved(map[string]bool{"i-1": true}, s.now)
+		require.Equal(t, []string{"i-1"}, s.sched.Drained(s.now))
+		s.listRunning("i-1", []bbrwork.Run{{Unit: unitName(0), Number: 1}})
 		s.sched.EndIncarnation(s.upstream("i-1").Incarnation, "moved", s.now)
 		require.Empty(t, s.sched.suspects)
+	})
+}
+
+// TestCrashesOfReservedUpstreamsAreCounted guards against a work unit that crashes one upstream after the
+// other without end, since each was reserved for a move, but was not reported as drained.
+func TestCrashesOfReservedUpstreamsAreCounted(t *testing.T) {
+	s := newScene(t, true, "i-1", "i-2", "i-3", "i-4", "i-5", "i-6")
+	s.accept(testJob, unitStep(1))
+	crashes := 0
+	for range 20 {
+		s.advance(time.Second)
+		for _, id := range s.sched.UpstreamIDs() {
+			s.list(id)
+		}
+		plan := s.plan()
+		s.store()
+		if len(plan.Starts) == 0 {
+			continue
+		}
+		s.answerStarts(plan, nil)
+		id := plan.Starts[0].Upstream.ID
+		s.sched.SetReserved(map[string]bool{id: true}, s.now)
+		require.Empty(t, s.sched.Drained(s.now))
+		s.sched.EndIncarnation(s.upstream(id).Incarnation, "the platform lists it no more", s.now)
+		crashes++
 	}
+	require.LessOrEqual(t, crashes, 3)
+	state, _ := s.sched.State(testJob)
+	require.Equal(t, bbrwork.Failed, state)
 }
 
 func TestOutageAccusesOnlyWorkThatHadJustBegun(t *testing.T) {
--- a/internal/job/bbrscheduler/scheduler.go
+++ b/internal/job/bbrscheduler/scheduler.go
@@ -66,8 +66,8 @@
 	held         heldBytes
 	deferredJobs int
 	// unheld has the jobs that repeat, and others of which nothing is held.
-	unheld map[string]*job
-	upstreams    map[string]*upstream
+	unheld    map[string]*job
+	upstreams map[string]*upstream
 	// overdueAt is when this owner was last overdue with the renewal of a lease.
 	overdueAt time.Time
 	// sorted has the upstreams by ID; nil after one was added or removed.
--- a/internal/job/bbrscheduler/upstream.go
+++ b/internal/job/bbrscheduler/upstream.go
@@ -17,6 +17,9 @@
 	// reservedAt is when the instance was reserved for maintenance or a move, zero
 	// if it is not. Nothing new is started on a reserved upstream.
 	reservedAt time.Time
+	// drained means that Drained has named the upstream since it was reserved: orders of the fleet
+	// leader may end it from then on, and not before.
+	drained bool
 	// reached means that the upstream has answered under this owner's fencing
 	// token, and that all its ends were read.
 	reached bool
@@ -238,7 +241,7 @@
 	for id, up := range sched.upstreams {
 		switch {
 		case !ids[id]:
-			up.reservedAt = time.Time{}
+			up.reservedAt, up.drained = time.Time{}, false
 		case up.reservedAt.IsZero():
 			up.reservedAt = now
 			sched.note(now, "Upstream reserved", "upstream", id, "runs", len(up.runs))
@@ -256,6 +259,7 @@
 	var ids []string
 	for _, up := range sched.sortedUpstreams() {
 		if !up.reservedAt.IsZero() && len(up.runs) == 0 && !up.holdsUnknown() && up.reached {
+			up.drained = true
 			ids = append(ids, up.ID)
 		}
 	}
