--- a/internal/soak/bbrabuse/heavywork_test.go
+++ b/internal/soak/bbrabuse/heavywork_test.go
@@ -1,8 +1,11 @@
 package bbrabuse
 
 import (
+	"bufio"
 	"fmt"
 	"net/http"
+	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -37,8 +40,10 @@
 			accepted := s.submitHeavy(t, body)
 			s.check(t, fmt.Sprintf("%s, %d accepted", name, accepted), 0)
 			s.runOrdinaryJob(t)
+			held := s.heldBytes(t)
 			s.restartEntry(t)
 			s.runOrdinaryJob(t)
+			eventually(t, "the successor holds what its predecessor held", func() bool { return s.heldBytes(t) > held*9/10 })
 			s.check(t, name+", after a restart", 0)
 		})
 	}
@@ -68,3 +73,19 @@
 	s.startFleetEntry(t)
 	s.requireReady(t)
 }
+
+// heldBytes returns the metric of the memory for what the entry's owners hold.
+func (s *system) heldBytes(t *testing.T) float64 {
+	response, err := http.Get("http://" + s.metrics.String() + "/metrics")
+	require.NoError(t, err)
+	defer response.Body.Close()
+	for lines := bufio.NewScanner(response.Body); lines.Scan(); {
+		if value, found := strings.CutPrefix(lines.Text(), "bbr_held_bytes "); found {
+			held, err := strconv.ParseFloat(value, 64)
+			require.NoError(t, err)
+			return held
+		}
+	}
+	require.Fail(t, "no such metric")
+	return 0
+}
