job/bbrintake: large jobs leave a part of the memory to small ones

Few large jobs that can never run, each within the bound, kept all others out until they were cancelled. Jobs of more than a sixteenth of the bound leave a quarter of it, those of more than 1/256 an eighth, but at most half of what is left beside them.

--- a/internal/job/bbrintake/memory.go
+++ b/internal/job/bbrintake/memory.go
@@ -27,6 +27,11 @@
 	// maxAssumedEntries bounds the entries that are taken to accept as much as this one: callers are
 	// spread unevenly over many entries. Owners defer what is accepted beyond the bound.
 	maxAssumedEntries = 4
+	// Jobs that need more than one in wideShare of the bound leave one in wideReserve of it to
+	// others, and those that need more than one in mediumShare leave one in mediumReserve, so that
+	// few large jobs that never end do not keep small ones out.
+	wideShare, wideReserve     = 16, 4
+	mediumShare, mediumReserve = 256, 8
 )
 
 // MaxHeldBytes returns what an entry with the memory, in megabytes, has for the jobs that its owners
@@ -80,7 +85,7 @@
 	case limit == 0:
 	case bytes > limit:
 		return memoryTooSmall
-	case counted.Bytes+withOthers+bytes > limit:
+	case counted.Bytes+withOthers+bytes > limit-reserveFrom(bytes, limit):
 		return memoryFull
 	}
 	m.uncounted = append(m.uncounted, uncountedJob{at: now, bytes: bytes})
@@ -88,6 +93,20 @@
 	return memorySuffices
 }
 
+// reserveFrom returns the part of the bound that a job of the size leaves to others. It is at most half
+// of what is left beside the job, so that each job that fits alone is accepted where there is little
+// else.
+func reserveFrom(bytes, limit int64) int64 {
+	reserve := int64(0)
+	switch {
+	case bytes > limit/wideShare:
+		reserve = limit / wideReserve
+	case bytes > limit/mediumShare:
+		reserve = limit / mediumReserve
+	}
+	return min(reserve, (limit-bytes)/2)
+}
+
 // forgetCounted removes the jobs that the sum as of the time has. The caller holds the lock.
 func (m *MemoryBound) forgetCounted(asOf, now time.Time) {
 	forgotten := 0
--- a/internal/job/bbrintake/memory_test.go
+++ b/internal/job/bbrintake/memory_test.go
@@ -61,9 +61,11 @@
 // TestRefusalsForMemory guards against refusals of jobs that are stored already, and against a bound where
 // no memory is known.
 func TestRefusalsForMemory(t *testing.T) {
-	const memoryMB = 1
+	const memoryMB = 8
 	job := &bbrwork.Job{ID: "00000000000000a1", Steps: []bbrwork.Step{{Count: 100}}}
-	huge := &bbrwork.Job{ID: "00000000000000a2", Steps: []bbrwork.Step{{Count: 10_000}}}
+	small := &bbrwork.Job{ID: "00000000000000a3", Steps: []bbrwork.Step{{Count: 1}}}
+	largest := &bbrwork.Job{ID: "00000000000000a4", Steps: []bbrwork.Step{{Count: 14_000}}}
+	huge := &bbrwork.Job{ID: "00000000000000a2", Steps: []bbrwork.Step{{Count: 20_000}}}
 	for _, test := range []struct {
 		name     string
 		job      *bbrwork.Job
@@ -74,6 +76,9 @@
 	}{
 		{name: "room", job: job, memoryMB: memoryMB},
 		{name: "full", job: job, memoryMB: memoryMB, counted: MaxHeldBytes(memoryMB) - 1000, want: bbrcode.MemoryFull},
+		{name: "room that a large job leaves to small ones", job: job, memoryMB: memoryMB, counted: MaxHeldBytes(memoryMB) * 9 / 10, want: bbrcode.MemoryFull},
+		{name: "the same for a small job", job: small, memoryMB: memoryMB, counted: MaxHeldBytes(memoryMB) * 9 / 10},
+		{name: "the largest job alone", job: largest, memoryMB: memoryMB},
 		{name: "full, handed in again", job: job, memoryMB: memoryMB, counted: MaxHeldBytes(memoryMB), stored: true},
 		{name: "too large", job: huge, memoryMB: memoryMB, want: bbrcode.JobTooLarge},
 		{name: "too large, handed in again", job: huge, memoryMB: memoryMB, stored: true},
