--- a/internal/daemon/bbrserve/owners.go
+++ b/internal/daemon/bbrserve/owners.go
@@ -80,7 +80,7 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.addServices(config)
-	for _, service := range o.daemon.directory.FormerServices() {
+	for _, service := range o.daemon.directory.ServicesOfReroutedQueues() {
 		o.services[service] = true
 	}
 	cells := o.daemon.directory.Cells().Count()
--- a/internal/fleet/bbrclaim/directory.go
+++ b/internal/fleet/bbrclaim/directory.go
@@ -276,15 +276,21 @@
 // SmallestLink returns the smallest known link of the registered entries, in bytes a
 // second, and the number of entries. The link is 0 if no entry has published one.
 func (d *Directory) SmallestLink() (bytesPerSecond, entries int) {
+	mbps, entries := d.smallest(func(record entryRecord) int { return record.BandwidthMbps })
+	return mbps * bytesPerMbps, entries
+}
+
+// smallest returns the smallest positive value of the registered entries, 0 if there is none, and the
+// number of entries.
+func (d *Directory) smallest(value func(record entryRecord) int) (smallest, entries int) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	smallest := 0
 	for _, record := range d.entries {
-		if link := record.BandwidthMbps; link > 0 && (smallest == 0 || link < smallest) {
-			smallest = link
+		if v := value(record); v > 0 && (smallest == 0 || v < smallest) {
+			smallest = v
 		}
 	}
-	return smallest * bytesPerMbps, len(d.entries)
+	return smallest, len(d.entries)
 }
 
 func (d *Directory) entryNames() []string {
--- a/internal/fleet/bbrclaim/heldbytes.go
+++ b/internal/fleet/bbrclaim/heldbytes.go
@@ -51,13 +51,5 @@
 // SmallestMemory returns the smallest known memory of the registered entries, in megabytes, and the
 // number of entries. The memory is 0 if no entry has published one.
 func (d *Directory) SmallestMemory() (memoryMB, entries int) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	smallest := 0
-	for _, record := range d.entries {
-		if memory := record.MemoryMB; memory > 0 && (smallest == 0 || memory < smallest) {
-			smallest = memory
-		}
-	}
-	return smallest, len(d.entries)
+	return d.smallest(func(record entryRecord) int { return record.MemoryMB })
 }
--- a/internal/fleet/bbrclaim/queues.go
+++ b/internal/fleet/bbrclaim/queues.go
@@ -78,8 +78,8 @@
 	return d.reroutedServices(func(r queueInShard) bool { return r.queue == queue })
 }
 
-// FormerServices returns the services whose shards have open jobs of any rerouted queue, sorted.
-func (d *Directory) FormerServices() []string {
+// ServicesOfReroutedQueues returns the services whose shards have open jobs of any rerouted queue, sorted.
+func (d *Directory) ServicesOfReroutedQueues() []string {
 	return d.reroutedServices(func(queueInShard) bool { return true })
 }
 
--- a/internal/job/bbrowner/reroutes_test.go
+++ b/internal/job/bbrowner/reroutes_test.go
@@ -77,7 +77,7 @@
 	require.Len(t, directory.ReroutedQueues(shard), queues-1, "all jobs of one queue are cancelled")
 	require.Equal(t, []string{"press"}, directory.ReroutedServices("q1"))
 	require.Empty(t, directory.ReroutedServices("q0"))
-	require.Equal(t, []string{"press"}, directory.FormerServices())
+	require.Equal(t, []string{"press"}, directory.ServicesOfReroutedQueues())
 
 	config = bbrwork.NewConfig(3, nil, nil, bbrwork.Limits{})
 	flush(f)
--- a/internal/soak/bbrsoak/loadmonitor.go
+++ b/internal/soak/bbrsoak/loadmonitor.go
@@ -43,18 +43,11 @@
 
 // run checks periodically until ctx ends.
 func (m *loadMonitor) run(ctx context.Context) {
-	ticker := time.NewTicker(checkInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			claims := m.soak.fleet.List(bbrclaim.ClaimKey(""))
-			m.loads.readLogs(m.soak)
-			m.check(claims, m.loads.started, time.Now())
-		}
-	}
+	checkRegularly(ctx, checkInterval, func() {
+		claims := m.soak.fleet.List(bbrclaim.ClaimKey(""))
+		m.loads.readLogs(m.soak)
+		m.check(claims, m.loads.started, time.Now())
+	})
 }
 
 // check compares the claims in the store with the loads that ended. Time in which the
--- a/internal/soak/bbrsoak/memory.go
+++ b/internal/soak/bbrsoak/memory.go
@@ -26,23 +26,16 @@
 type memoryMonitor struct{ entry *entry }
 
 // run checks periodically until ctx ends.
-func (m *memoryMonitor) run(ctx context.Context) {
-	ticker := time.NewTicker(memoryInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
-		process, _ := m.entry.currentProcess()
-		if process == nil {
-			continue
-		}
-		if used := residentMB(process.Pid); used > memoryMB {
-			m.entry.soak.callers.reportFault("entry %s uses %d MB of memory, more than %d MB", m.entry.name, used, memoryMB)
-			m.entry.restart(syscall.SIGKILL, memoryRestart)
-		}
+func (m *memoryMonitor) run(ctx context.Context) { checkRegularly(ctx, memoryInterval, m.check) }
+
+func (m *memoryMonitor) check() {
+	process, _ := m.entry.currentProcess()
+	if process == nil {
+		return
+	}
+	if used := residentMB(process.Pid); used > memoryMB {
+		m.entry.soak.callers.reportFault("entry %s uses %d MB of memory, more than %d MB", m.entry.name, used, memoryMB)
+		m.entry.restart(syscall.SIGKILL, memoryRestart)
 	}
 }
 
--- a/internal/soak/bbrsoak/stallmonitor.go
+++ b/internal/soak/bbrsoak/stallmonitor.go
@@ -47,16 +47,7 @@
 
 // run checks periodically until ctx ends.
 func (m *stallMonitor) run(ctx context.Context) {
-	ticker := time.NewTicker(checkInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			m.check(m.soak.fleet.Upstreams(), m.soak.fleet.IsDone, time.Now())
-		}
-	}
+	checkRegularly(ctx, checkInterval, func() { m.check(m.soak.fleet.Upstreams(), m.soak.fleet.IsDone, time.Now()) })
 }
 
 // check compares the waiting work units with what the upstreams run.
--- a/internal/soak/bbrsoak/startmonitor.go
+++ b/internal/soak/bbrsoak/startmonitor.go
@@ -53,16 +53,7 @@
 
 // run checks periodically until ctx ends.
 func (m *startMonitor) run(ctx context.Context) {
-	ticker := time.NewTicker(checkInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			m.check(m.soak.fleet.Upstreams(), m.soak.fleet.IsDone, time.Now())
-		}
-	}
+	checkRegularly(ctx, checkInterval, func() { m.check(m.soak.fleet.Upstreams(), m.soak.fleet.IsDone, time.Now()) })
 }
 
 // finish reports how many jobs did not start in time, if not all were reported.
