--- a/internal/job/bbrscheduler/occurrences_test.go
+++ b/internal/job/bbrscheduler/occurrences_test.go
@@ -159,11 +159,15 @@
 	d.store()
 }
 
-// requireBounded checks the account, and that each job beyond the bound holds one occurrence at most.
+// requireBounded checks the account, that no more is held than the bound and one occurrence, and that
+// what was done before the plan is not held.
 func (d *heldDriver) requireBounded() {
 	used, least := 0, 0
 	for _, j := range d.sched.jobs {
 		used += len(j.occurrences) * j.OccurrenceBytes()
+		for _, o := range j.occurrences {
+			require.True(d.t, o.unitsLeft > 0 || j.numbers.total == 1 || j.finalState != "", "%s holds its done occurrence %d", j.ID, o.number)
+		}
 		least = max(least, j.OccurrenceBytes())
 	}
 	require.Equal(d.t, d.memory.Used(), int64(used))
