--- a/review/standin-3/nasty.go
+++ b/review/standin-3/nasty.go
@@ -38,7 +38,11 @@
 		time.Sleep(time.Duration(100+rand.Intn(1200)) * time.Millisecond)
 		e := w.owner()
 		m := f.minions[rand.Intn(len(f.minions))]
-		switch rand.Intn(9) {
+		kind := rand.Intn(9)
+		if strings.Contains(mode, "cuts") && rand.Intn(2) == 0 {
+			kind = 5
+		}
+		switch kind {
 		case 0:
 			e.kill(time.Duration(200+rand.Intn(1500)) * time.Millisecond)
 		case 1, 2:
