--- a/review/11/run.sh
+++ b/review/11/run.sh
@@ -2,4 +2,4 @@
 # Exits with 1 if the rule was broken, 0 if it held, and 2 if the case could not run.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/bluebellridged ] && [ -x target/review-standin-3 ] || exit 2
-exec target/review-standin-3 -mode late -seconds 60 -bin target/bluebellridged -record review/11/record.txt
+exec target/review-standin-3 -mode replaced -seconds 45 -after 30ms -bin target/bluebellridged -record review/11/record.txt
--- a/review/standin-3/crash.go
+++ b/review/standin-3/crash.go
@@ -70,8 +70,8 @@
 
 // runBudget keeps a service at work with units of 0.6 s and of 4.6 to 5.2 s. With trouble, one
 // hopeless job comes.
-func runBudget(w *world, trouble bool, length time.Duration) {
-	routes := w.deployment(map[string]int{"alpha": 6, "beta": 3, "spare": 1}, amount{32000, 131072, 0}, true)
+func runBudget(w *world, trouble bool, length time.Duration, advice, instant bool) {
+	routes := w.deployment(map[string]int{"alpha": 6, "beta": 3, "spare": 1}, amount{32000, 131072, 0}, advice)
 	w.f.adviceGood = func(string, string) bool { return true }
 	r := routes["q-alpha"]
 	end := time.Now().Add(length)
@@ -85,6 +85,7 @@
 		if trouble && time.Now().After(bad) && sent < 1 {
 			bad, sent = time.Now().Add(1500*time.Millisecond), sent+1
 			j := hopeless(r)
+			j.instant = instant
 			w.record("disturbance: the hopeless job %s comes", j.id)
 			w.send(j, r, end)
 		}
--- a/review/standin-3/late.go
+++ b/review/standin-3/late.go
@@ -1,7 +1,9 @@
 package main
 
 import (
+	"encoding/json"
 	"math/rand"
+	"strings"
 	"time"
 )
 
@@ -113,3 +115,98 @@
 	}
 	return false
 }
+
+// ownerOf returns the entry that has the claim of a service's shard, or nil.
+func (w *world) ownerOf(service string) *entry {
+	w.s.mu.Lock()
+	defer w.s.mu.Unlock()
+	for k, it := range w.s.items {
+		var in struct {
+			Entry string `json:"entry"`
+		}
+		if !strings.HasPrefix(k, "bbr/fleet/") || !strings.HasSuffix(k, "/"+service+"/0") || json.Unmarshal(it.Value, &in) != nil {
+			continue
+		}
+		for _, e := range w.entries {
+			if e.name == in.Entry {
+				return e
+			}
+		}
+	}
+	return nil
+}
+
+// runReplaced keeps a service at work. With trouble, an order to start gets no answer and is carried out
+// some seconds later; its sender is killed at once. The successor starts the work unit elsewhere. The
+// minion crashes, is back under its ID, and takes the order of the replaced owner.
+func runReplaced(w *world, trouble bool, length, after time.Duration) {
+	f := w.f
+	routes := w.deployment(map[string]int{"alpha": 6, "beta": 3, "spare": 3}, amount{32000, 131072, 0}, false)
+	r := routes["q-alpha"]
+	end := time.Now().Add(length)
+	traffic := make(chan struct{})
+	go func() {
+		defer close(traffic)
+		for time.Now().Before(end) {
+			work := 400 + rand.Intn(800)
+			w.send(newJob(r, stepSpec{Count: 6, CPU: 2300, Mem: 4000, EstimateMs: float64(work), WorkMs: work}), r, end.Add(5*time.Second))
+			time.Sleep(400 * time.Millisecond)
+		}
+	}()
+	time.Sleep(4 * time.Second)
+	for trouble && time.Now().Before(end.Add(-20*time.Second)) {
+		j := newJob(r, stepSpec{Count: 1, CPU: 1000, Mem: 1000, Lasts: true, EstimateMs: 600})
+		held := f.holdBack(j)
+		w.send(j, r, end)
+		var late lateOrder
+		select {
+		case late = <-held:
+		case <-time.After(4 * time.Second):
+			w.record("no order to start %s came", j.id)
+			continue
+		}
+		w.disturb("an order gets no answer", 0)
+		owner := w.ownerOf("alpha")
+		if owner == nil {
+			w.record("the shard has no owner")
+			continue
+		}
+		owner.kill(3500 * time.Millisecond)
+		for time.Since(late.received) < 10*time.Second && !f.settled(j) {
+			time.Sleep(20 * time.Millisecond)
+		}
+		// The order is carried out 2 s after it was sent at the earliest.
+		time.Sleep(max(300*time.Millisecond, time.Until(late.received.Add(1700*time.Millisecond))))
+		f.mu.Lock()
+		if !w.f.runs(j) || late.m.id != late.target || late.m.state != "up" {
+			w.record("%s has left, or %s doesn't run", late.m.machine, j.id)
+			f.mu.Unlock()
+			continue
+		}
+		w.disturb("crash of "+late.m.machine, 500*time.Millisecond)
+		late.m.lose("down")
+		f.mu.Unlock()
+		time.Sleep(500 * time.Millisecond)
+		f.mu.Lock()
+		late.m.boot(false)
+		f.mu.Unlock()
+		time.Sleep(after)
+		status, body := late.m.carryOut("/run-start", late.target, late.in, true)
+		w.record("%s is back and carries out the order %v after it was sent: %d %v", late.m.machine, time.Since(late.received).Round(time.Millisecond), status, body["reason"])
+		time.Sleep(3 * time.Second)
+		w.cancel(j, r)
+		time.Sleep(2 * time.Second)
+	}
+	<-traffic
+	w.clients.Wait()
+}
+
+// runs reports whether something of the job runs. mu is held.
+func (f *fleet) runs(j *jobSpec) bool {
+	for _, u := range f.units {
+		if u.job == j && len(u.running) > 0 {
+			return true
+		}
+	}
+	return false
+}
--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -634,13 +634,17 @@
 	w.record("scenario %s, seed %d, trouble %v", *mode, *seed, trouble)
 	switch *mode {
 	case "budget":
-		runBudget(w, trouble, length)
+		runBudget(w, trouble, length, true, false)
+	case "instant":
+		runBudget(w, trouble, length, false, true)
 	case "late":
 		runLate(w, trouble, length, *after)
 	case "giveup":
 		runGiveUp(w, trouble, length)
 	case "fuzz":
 		runFuzz(w, *mode, length)
+	case "replaced":
+		runReplaced(w, trouble, length, *after)
 	case "gang":
 		runGang(w, trouble, length)
 	default:
