job/bbrscheduler: call upstreams that may return at short intervals

Cause, first part: the successor's token reaches the next incarnation late. Its renewals are repeated every 150 ms; where the platform does not list the upstream for a moment, the owner drops it (Unverified after 300 ms of silence, or UnregisterUpstream without runs) and calls it only once it is registered again.

The token of a call to an ended incarnation is raised, so that starts of the same owner are refused as well.

--- a/internal/job/bbrowner/leaserenewer.go
+++ b/internal/job/bbrowner/leaserenewer.go
@@ -55,7 +55,7 @@
 			r.awaitStored(ctx)
 			bbrpause.For(ctx, r.pauseAfter(plan))
 		} else {
-			bbrpause.For(ctx, bbrscheduler.RenewalRetryDelay)
+			bbrpause.For(ctx, plan.RetryDelay)
 		}
 	}
 }
--- a/internal/job/bbrscheduler/incarnationend.go
+++ b/internal/job/bbrscheduler/incarnationend.go
@@ -59,6 +59,13 @@
 	sched.dropUpstream(up, now)
 }
 
+// endReplacedUpstream drops an incarnation at whose address another upstream answers, so that its
+// return need not be awaited there.
+func (sched *Scheduler) endReplacedUpstream(up *upstream, now time.Time) {
+	sched.endUpstream(up, "another life answers at its address", now)
+	delete(sched.returns, up.ID)
+}
+
 // recordEnd records that an incarnation has ended, and what may have caused it.
 func (sched *Scheduler) recordEnd(up *upstream, reason string, now time.Time) {
 	sched.note(now, "Upstream incarnation ended", "upstream", up.ID, "born", up.StartMillis, "reason", reason, "runs", len(up.runs),
@@ -71,6 +78,7 @@
 
 // dropUpstream drops an incarnation that has ended, with the runs that it has left.
 func (sched *Scheduler) dropUpstream(up *upstream, now time.Time) {
+	sched.recordStartsInFlight(up)
 	for _, r := range up.runs {
 		sched.dropRun(r, now)
 	}
--- a/internal/job/bbrscheduler/leaseexpiry.go
+++ b/internal/job/bbrscheduler/leaseexpiry.go
@@ -16,6 +16,7 @@
 		}
 	}
 	sched.forgetUnregistered(now)
+	sched.forgetReturns(now)
 	if len(sched.unlocated) > 0 && now.After(sched.earlierLeasesEnd) {
 		sched.giveUpUnlocated(now)
 	}
--- a/internal/job/bbrscheduler/listing.go
+++ b/internal/job/bbrscheduler/listing.go
@@ -12,7 +12,12 @@
 // at the time sent.
 func (sched *Scheduler) ApplyListing(incarnation bbrwork.Incarnation, listing *bbrwork.Listing, sent, now time.Time) {
 	up := sched.upstreams[incarnation.ID]
-	if up == nil || !up.isTarget(incarnation) {
+	if up == nil {
+		up = sched.recordReturn(incarnation, listing, now)
+	} else if !up.isTarget(incarnation) {
+		return
+	}
+	if up == nil {
 		return
 	}
 	before := up.silence()
--- a/internal/job/bbrscheduler/renewal.go
+++ b/internal/job/bbrscheduler/renewal.go
@@ -18,6 +18,8 @@
 	// Wait is how long the upstream may delay the answer until a run ends, and
 	// AnswerTimeout how much longer the answer may take.
 	Wait, AnswerTimeout time.Duration
+	// RetryDelay is the pause after the renewal if it is not answered.
+	RetryDelay time.Duration
 	// Idle means that nothing runs and no run end has to be acknowledged.
 	Idle bool
 	// HasRuns means that work runs or may run on the upstream.
@@ -34,7 +36,7 @@
 func (sched *Scheduler) PlanRenewal(id string, confirmed bool, now time.Time) (RenewalPlan, bool) {
 	up := sched.upstreams[id]
 	if up == nil {
-		return RenewalPlan{}, false
+		return sched.planReturn(id, now)
 	}
 	up.extensions.inFlightSince = time.Time{}
 	plan := RenewalPlan{
@@ -44,6 +46,7 @@
 		Idle:        !up.hasRuns() && len(up.orphans) == 0 && !sched.unlocated[up.Incarnation] && (up.isGone() || up.identified() && up.needsNoRenewal() && !sched.awaitsFence(up)),
 		HasRuns:     up.hasRuns(),
 		Unconfirmed: !confirmed,
+		RetryDelay:  sched.retryDelay(id, now),
 	}
 	if plan.Idle {
 		up.idled = true
--- a/internal/job/bbrscheduler/scheduler.go
+++ b/internal/job/bbrscheduler/scheduler.go
@@ -116,6 +116,10 @@
 	// the revision of the last transaction of this owner; 0 before the first.
 	tokens      map[string]raisedToken
 	ownRevision int64
+	// returns has, by ID, the upstreams that have ended and may return, and lostStarts when the
+	// last start that got no answer was ordered.
+	returns    map[string]awaitedReturn
+	lostStarts map[string]time.Time
 	// endedIncarnations has the incarnations that have certainly ended, though the
 	// store may still list them.
 	endedIncarnations map[bbrwork.Incarnation]bool
@@ -184,6 +188,8 @@
 		departures:        make(map[string]departure),
 		firstIncarnations: make(map[string]int64),
 		tokens:            make(map[string]raisedToken),
+		returns:           make(map[string]awaitedReturn),
+		lostStarts:        make(map[string]time.Time),
 		endedIncarnations: make(map[bbrwork.Incarnation]bool),
 		recorded:          make(map[bbrwork.Incarnation]bool),
 		toRecord:          make(map[bbrwork.Incarnation]bool),
@@ -276,6 +282,8 @@
 	up.earlierOrders = !sched.firstOwner || up.follows
 	sched.upstreams[incarnation.ID] = up
 	sched.sorted = nil
+	delete(sched.returns, incarnation.ID)
+	sched.assignRaisedToken(incarnation)
 }
 
 // removeUpstream removes an upstream. Another incarnation that it announced takes its
@@ -285,5 +293,7 @@
 	sched.sorted = nil
 	if up.announced != nil {
 		sched.RegisterUpstream(*up.announced, now)
+		return
 	}
+	sched.awaitReturn(up.Upstream, now)
 }
--- a/internal/job/bbrscheduler/startresult.go
+++ b/internal/job/bbrscheduler/startresult.go
@@ -90,13 +90,14 @@
 	switch {
 	case errors.Is(err, bbrorder.ErrAnswerLost):
 		r.phase = phaseUnknown
+		sched.recordLostStart(up.ID, r.orderedAt)
 		up.recordSilence(r.orderedAt.Add(bbrorder.Timeout), now)
 		sched.boundByLongestLease(up, now)
 		return
 	case errors.Is(err, bbrorder.ErrOtherIncarnation) && !r.moved:
 		// The start was not carried out, so that the upstream did not end under it.
 		sched.dropRun(r, now)
-		sched.endUpstream(up, "another life answers at its address", now)
+		sched.endReplacedUpstream(up, now)
 		return
 	case errors.Is(err, bbrorder.ErrNoCapacity):
 		up.recordRefusal(r.allocation, now)
@@ -133,6 +134,9 @@
 // ApplyRenewalFailure applies a failed lease renewal for the incarnation.
 func (sched *Scheduler) ApplyRenewalFailure(incarnation bbrwork.Incarnation, err error, now time.Time) {
 	up := sched.upstreams[incarnation.ID]
+	if up == nil && errors.Is(err, bbrorder.ErrOtherIncarnation) {
+		delete(sched.returns, incarnation.ID)
+	}
 	if up == nil || !up.isTarget(incarnation) {
 		return
 	}
@@ -141,7 +145,7 @@
 			up.announced = nil
 			sched.endedIncarnations[incarnation] = true
 		}
-		sched.endUpstream(up, "another life answers at its address", now)
+		sched.endReplacedUpstream(up, now)
 		return
 	}
 	up.extensions.lost()
--- a/internal/job/bbrscheduler/stops.go
+++ b/internal/job/bbrscheduler/stops.go
@@ -76,7 +76,7 @@
 		return
 	}
 	if errors.Is(err, bbrorder.ErrOtherIncarnation) {
-		sched.endUpstream(up, "another life answers at its address", now)
+		sched.endReplacedUpstream(up, now)
 		return
 	}
 	r := up.runs[runKey{order.Stop.Unit, order.Stop.Run}]
--- a/internal/job/bbrscheduler/upstream.go
+++ b/internal/job/bbrscheduler/upstream.go
@@ -266,11 +266,14 @@
 	return ids
 }
 
-// UpstreamIDs returns the IDs of all known upstreams.
+// UpstreamIDs returns the IDs of all known upstreams, and of those that have ended and may return.
 func (sched *Scheduler) UpstreamIDs() []string {
-	ids := make([]string, 0, len(sched.upstreams))
+	ids := make([]string, 0, len(sched.upstreams)+len(sched.returns))
 	for id := range sched.upstreams {
 		ids = append(ids, id)
 	}
+	for id := range sched.returns {
+		ids = append(ids, id)
+	}
 	return ids
 }
