job/bbrscheduler: a late start is awaited on its own upstream

Cause: nothing in a start tells the next incarnation that it is not meant, and the owner took it for settled too early: once the earlier incarnation was past its deadline, had answered a stop, or was gone, or, as successor, once it had listed that incarnation. The unit then started elsewhere.

The successor knows such starts of long-running work: its starts are ordered once their number and upstream are stored, also the first ones (orders.go), and the upstream is taken out of the record when the start is answered. Capacity is held meanwhile.

--- a/internal/job/bbrscheduler/duework_test.go
+++ b/internal/job/bbrscheduler/duework_test.go
@@ -95,6 +95,7 @@
 			}
 			s.listAll()
 			s.keepSuspect("i-1")
+			s.store()
 		}
 		require.Len(t, starts, 1)
 		require.Equal(t, "i-1", starts[0].Upstream.ID)
--- a/internal/job/bbrscheduler/gang.go
+++ b/internal/job/bbrscheduler/gang.go
@@ -16,7 +16,7 @@
 		return
 	}
 	for _, u := range s.units {
-		if p.now.Before(u.notBefore) || p.heldBack(u) {
+		if p.now.Before(u.notBefore) || p.heldBack(u) || p.awaitsReturn(u) {
 			return
 		}
 	}
@@ -55,7 +55,7 @@
 func (p *planner) mayOrderGang(s *step, number int) bool {
 	may := true
 	for _, u := range s.units {
-		may = p.sched.mayOrder(u, number) && may
+		may = p.sched.mayOrder(u, number, nil) && may
 	}
 	return may
 }
--- a/internal/job/bbrscheduler/interference_test.go
+++ b/internal/job/bbrscheduler/interference_test.go
@@ -70,6 +70,11 @@
 	}
 	l.now = l.start
 	l.accept(servingJob, bbrwork.Step{Count: 5, Need: bbrwork.Resources{MilliCPU: 1000, MemoryMB: 100}, LongRunning: true, LatencyTarget: 2 * webTail, Image: "web"})
+	// The upstreams and the starts of the serving work are stored before other work arrives.
+	for range 2 {
+		require.Empty(l, l.sched.Plan(true, l.now).Starts)
+		l.store()
+	}
 	return l
 }
 
@@ -83,6 +88,9 @@
 		for number, id := range l.upstreams {
 			l.run(id, (tick+number)%50 == 0)
 		}
+		if tick == 0 {
+			continue // Nothing starts in the first tick, which has the first arrivals.
+		}
 		plan := l.sched.Plan(true, l.now)
 		l.sched.ApplyStored(l.sched.Batch(1000, l.now), 1, l.now)
 		l.answerStarts(plan, nil)
--- a/internal/job/bbrscheduler/job.go
+++ b/internal/job/bbrscheduler/job.go
@@ -115,11 +115,9 @@
 	// located means that no run of the work unit exists, or can still begin, that is not
 	// known, even if earlier work on other upstreams is not located.
 	located bool
-	// ordered is the highest run number, above 1, with which a start may have been
-	// ordered by an owner that stored it before; 0 for none. It is stored with the
-	// orderVersion of the job in orderVersion.
-	ordered      int
-	orderVersion int
+	// order is what is stored of its starts, and what is known of those without an answer; nil for
+	// nothing. Finite work, whose starts are not stored, mostly has none.
+	order *startOrder
 	// freedAt is when the last run of a unit that was not done was dropped, or when
 	// the unit was read from the store as done; zero before.
 	freedAt time.Time
@@ -153,6 +151,9 @@
 	// startDeadline is the deadline of the start by the upstream's clock, and
 	// earliestAnswer the earliest clock that the upstream can have in its answer.
 	startDeadline, earliestAnswer time.Duration
+	// answered means that an upstream has accepted the start or listed the run, and refused
+	// that the start was refused or not sent.
+	answered, refused bool
 	// moved means that the start was meant for an earlier incarnation of the upstream,
 	// whose clock startDeadline refers to.
 	moved bool
--- a/internal/job/bbrscheduler/listing.go
+++ b/internal/job/bbrscheduler/listing.go
@@ -98,7 +98,9 @@
 		return
 	}
 	r := up.runs[runKey{end.Unit, end.Run}]
+	sched.settleLateStart(u, up.ID, end.Run)
 	if r != nil {
+		r.answered = true
 		if end.Outcome == bbrwork.OutcomeDone {
 			sched.observeEnd(r, now)
 			sched.learnRunTime(r, now)
@@ -237,6 +239,8 @@
 			return
 		}
 	}
+	r.answered = true
+	sched.settleLateStart(r.unit, up.ID, r.number)
 	if r.phase == phaseUnknown || r.phase == phaseStarting {
 		r.phase = phaseRunning
 		r.confirmedAt = now
@@ -280,7 +284,7 @@
 // addAdopted adds a run that an earlier owner started.
 func (sched *Scheduler) addAdopted(u *unit, number int, up *upstream, now time.Time) *run {
 	r := sched.addRun(u, number, up, now)
-	r.phase, r.confirmedAt, r.adopted = phaseRunning, now, true
+	r.phase, r.confirmedAt, r.adopted, r.answered = phaseRunning, now, true, true
 	if u.step.spec.BestEffort {
 		r.pace = unknownPace
 	}
--- a/internal/job/bbrscheduler/plan.go
+++ b/internal/job/bbrscheduler/plan.go
@@ -77,6 +77,7 @@
 // Plan decides what to send now. While the owner's claim is not confirmed, it plans
 // only the stops of runs that should not continue.
 func (sched *Scheduler) Plan(confirmed bool, now time.Time) Plan {
+	sched.releaseHeldForOrders()
 	sched.ExpireLeases(now)
 	sched.updateHeld(now)
 	sched.noteUnlocated(now)
@@ -178,33 +179,51 @@
 		if u.done || len(u.runs) > 0 || p.now.Before(u.notBefore) {
 			continue
 		}
-		if p.heldBack(u) || p.mayHaveUnlocatedRun(u) {
+		if p.heldBack(u) || p.mayHaveUnlocatedRun(u) || p.awaitsReturn(u) {
 			continue
 		}
 		if !p.withinCap(s, 1) {
 			return
 		}
-		mayOrder := p.sched.mayOrder(u, u.lastRun+1)
 		if u.suspected() {
-			if up := p.announcedUpstream(u); up != nil && mayOrder {
+			if up := p.announcedUpstream(u); up != nil && p.sched.mayOrder(u, u.lastRun+1, up) {
 				p.planStart(u, u.lastRun+1, up)
 			}
 			continue
 		}
-		if !mayOrder {
-			continue
-		}
-		up := p.chooseUpstream(u, nil)
+		up := p.startUpstream(u)
 		if up == nil && p.mayUseSuspects(s) && !p.mayUnitUseSuspects(u) {
 			continue
 		}
 		if up == nil {
 			return
 		}
+		if !p.sched.mayOrder(u, u.lastRun+1, up) {
+			p.sched.holdForOrder(u, up)
+			continue
+		}
 		p.planStart(u, u.lastRun+1, up)
 	}
 }
 
+// startUpstream returns the upstream on which the work unit starts next, or nil: that of an earlier
+// start which may still be carried out, the announced one, or else the best.
+func (p *planner) startUpstream(u *unit) *upstream {
+	if up := p.preferredUpstream(u); up != nil {
+		return up
+	}
+	return p.chooseUpstream(u, nil)
+}
+
+// preferredUpstream returns the upstream of an earlier start which may still be carried out, or the
+// announced one; nil if there is none or if the work unit may not start there now.
+func (p *planner) preferredUpstream(u *unit) *upstream {
+	if up := p.lateStartUpstream(u); up != nil {
+		return up
+	}
+	return p.announcedTarget(u)
+}
+
 // fitsAnywhere reports whether a unit of the step fits on a usable upstream. It is
 // a cheap check before the single work units are placed.
 func (p *planner) fitsAnywhere(s *step) bool {
@@ -302,7 +321,7 @@
 	if s.spec.DataRack != "" && !up.HasLabel(s.spec.DataRack) && !p.mayRunFarFromData(s) {
 		return false
 	}
-	if s.atUpstreamLimit(up) {
+	if s.spec.MaxPerUpstream > 0 && s.runsOn(up)+p.sched.heldOn(s, up) >= s.spec.MaxPerUpstream {
 		return false
 	}
 	_, ok := p.sched.ticketFor(s, up, p.now)
--- a/internal/job/bbrscheduler/progress.go
+++ b/internal/job/bbrscheduler/progress.go
@@ -28,9 +28,12 @@
 	FailedRuns map[int][]int `json:"failed,omitempty"`
 	// LastRuns has, by work unit, the highest known run number.
 	LastRuns map[int]int `json:"last,omitempty"`
-	// Ordered has, by long-running work unit, the highest run number above 1 with which a
-	// start may have been ordered. Earlier versions do not know it.
-	Ordered     map[int]int    `json:"ordered,omitempty"`
+	// Ordered has, by long-running work unit, the highest run number with which a start may have
+	// been ordered. Earlier versions do not know it.
+	Ordered map[int]int `json:"ordered,omitempty"`
+	// Targets has, by long-running work unit, the upstream to which the start of the run in Ordered
+	// may have been sent, until the start is answered. Earlier versions do not know it.
+	Targets     map[int]string `json:"targets,omitempty"`
 	Checkpoints map[int]string `json:"checkpoints,omitempty"`
 }
 
@@ -41,8 +44,9 @@
 	Done []byte `json:"done"`
 	// LastRun is the highest known run number of any work unit.
 	LastRun int `json:"last,omitempty"`
-	// Ordered is as in StepProgress.
+	// Ordered and Targets are as in StepProgress.
 	Ordered     map[int]int    `json:"ordered,omitempty"`
+	Targets     map[int]string `json:"targets,omitempty"`
 	FailedRuns  map[int][]int  `json:"failed,omitempty"`
 	Checkpoints map[int]string `json:"checkpoints,omitempty"`
 }
@@ -81,6 +85,11 @@
 		compact.Checkpoints = nil
 		data = encodeProgress(progress)
 	}
+	if len(data) > maxBytes && len(compact.Targets) > 0 {
+		// A successor does not know which upstreams may carry out a late start.
+		compact.Targets = nil
+		data = encodeProgress(progress)
+	}
 	if len(data) > maxBytes && len(compact.Ordered) > 0 {
 		// A successor waits until all earlier work is located.
 		compact.Ordered, progress.OrdersUnknown = nil, true
@@ -172,7 +181,7 @@
 func (o *occurrence) begun() bool {
 	for _, s := range o.steps {
 		for _, u := range s.units {
-			if u.done || u.lastRun > 0 {
+			if u.done || u.lastRun > 0 || u.stored().ordered > 0 {
 				return true
 			}
 		}
@@ -181,7 +190,7 @@
 }
 
 func (s *step) progress() StepProgress {
-	p := StepProgress{FailedRuns: make(map[int][]int), LastRuns: make(map[int]int), Ordered: make(map[int]int), Checkpoints: make(map[int]string)}
+	p := StepProgress{FailedRuns: make(map[int][]int), LastRuns: make(map[int]int), Ordered: make(map[int]int), Targets: make(map[int]string), Checkpoints: make(map[int]string)}
 	for i, u := range s.units {
 		if u.done {
 			if p.Done == nil {
@@ -193,8 +202,11 @@
 		if u.lastRun > 0 {
 			p.LastRuns[i] = u.lastRun
 		}
-		if u.ordered > 0 {
-			p.Ordered[i] = u.ordered
+		if order := u.stored(); order.ordered > 0 {
+			p.Ordered[i] = order.ordered
+			if order.target != "" {
+				p.Targets[i] = order.target
+			}
 		}
 		if len(u.failedRuns) > 0 {
 			p.FailedRuns[i] = u.failedRuns
@@ -207,7 +219,7 @@
 }
 
 func (j *job) compactProgress() *CompactProgress {
-	p := &CompactProgress{Done: make([]byte, bitsetSize(j.unitCount())), FailedRuns: make(map[int][]int), Ordered: make(map[int]int), Checkpoints: make(map[int]string)}
+	p := &CompactProgress{Done: make([]byte, bitsetSize(j.unitCount())), FailedRuns: make(map[int][]int), Ordered: make(map[int]int), Targets: make(map[int]string), Checkpoints: make(map[int]string)}
 	p.LastRun = max(j.numbers.lastRun, j.numbers.releasedRun)
 	width := j.unitsPerOccurrence()
 	for _, r := range j.numbers.done.ranges {
@@ -219,8 +231,11 @@
 			setBit(p.Done, n)
 			return
 		}
-		if u.ordered > 0 {
-			p.Ordered[n] = u.ordered
+		if order := u.stored(); order.ordered > 0 {
+			p.Ordered[n] = order.ordered
+			if order.target != "" {
+				p.Targets[n] = order.target
+			}
 		}
 		if len(u.failedRuns) > 0 {
 			p.FailedRuns[n] = u.failedRuns
@@ -294,7 +309,7 @@
 		p := &steps[i]
 		for index, u := range s.units {
 			u.restore(hasBit(p.Done, index), p.LastRuns[index], p.FailedRuns[index], p.Checkpoints[index], now)
-			u.restoreOrdered(p.Ordered[index])
+			u.restoreOrdered(p.Ordered[index], p.Targets[index])
 		}
 	}
 }
@@ -322,7 +337,7 @@
 	}
 	j.eachUnit(func(n int, u *unit) {
 		u.restore(hasBit(p.Done, n), p.LastRun, p.FailedRuns[n], p.Checkpoints[n], now)
-		u.restoreOrdered(p.Ordered[n])
+		u.restoreOrdered(p.Ordered[n], p.Targets[n])
 	})
 }
 
@@ -361,6 +376,11 @@
 	}
 }
 
-func (u *unit) restoreOrdered(number int) {
-	u.ordered, u.lastRun = number, max(u.lastRun, number)
+func (u *unit) restoreOrdered(number int, target string) {
+	if number == 0 {
+		return
+	}
+	order := u.changeOrder()
+	order.ordered, order.target = number, target
+	u.lastRun = max(u.lastRun, number)
 }
--- a/internal/job/bbrscheduler/reason.go
+++ b/internal/job/bbrscheduler/reason.go
@@ -21,6 +21,9 @@
 	ReasonGangStillRuns Reason = "gangStillRuns"
 	// ReasonAttemptPaused: the next attempt follows after a pause.
 	ReasonAttemptPaused Reason = "attemptPaused"
+	// ReasonLateStart: a start without an answer may still be carried out by its upstream,
+	// which is away or has no room.
+	ReasonLateStart Reason = "lateStart"
 	// ReasonCrashSuspect: upstreams crashed under the work unit; it waits until that is
 	// stored, or for an upstream where it can be tried alone.
 	ReasonCrashSuspect Reason = "crashSuspect"
@@ -34,8 +37,8 @@
 	ReasonNoUsableUpstream Reason = "noUsableUpstream"
 	// ReasonComesNext: the work unit fits on an upstream and starts next.
 	ReasonComesNext Reason = "comesNext"
-	// ReasonOrderUnstored: the long-running work unit starts once the number of its next
-	// run is stored.
+	// ReasonOrderUnstored: the long-running work unit starts once the number and the upstream
+	// of its next run are stored.
 	ReasonOrderUnstored Reason = "runNumberUnstored"
 	// ReasonGangPartlyFits: only some members of the gang fit.
 	ReasonGangPartlyFits Reason = "gangFitsInPart"
@@ -83,7 +86,7 @@
 
 // Reasons lists the reasons that an eligible work unit can have.
 var Reasons = [...]Reason{
-	ReasonClaimUnconfirmed, ReasonEarlierWorkUnlocated, ReasonBeyondHorizon, ReasonAttemptPaused, ReasonGangStillRuns, ReasonCrashSuspect, ReasonOrganisationCap, ReasonJobsNotLoaded, ReasonNoUsableUpstream, ReasonComesNext, ReasonOrderUnstored, ReasonGangPartlyFits,
+	ReasonClaimUnconfirmed, ReasonEarlierWorkUnlocated, ReasonBeyondHorizon, ReasonAttemptPaused, ReasonGangStillRuns, ReasonLateStart, ReasonCrashSuspect, ReasonOrganisationCap, ReasonJobsNotLoaded, ReasonNoUsableUpstream, ReasonComesNext, ReasonOrderUnstored, ReasonGangPartlyFits,
 	ReasonFarFromData, ReasonTicketMissing, ReasonAdviceRefused, ReasonStartsInFlight, ReasonReservationHeld, ReasonCapacityReserved, ReasonCapacityUsedByFiniteWork, ReasonCapacityForFew, ReasonMaxPerUpstream, ReasonCapacityFragmented, ReasonCapacityUsedByLongRunningWork,
 	ReasonTooLarge, ReasonLabelMissing, ReasonNotEvaluated,
 }
--- a/internal/job/bbrscheduler/returns.go
+++ b/internal/job/bbrscheduler/returns.go
@@ -143,4 +143,3 @@
 		}
 	}
 }
-
--- a/internal/job/bbrscheduler/scheduler.go
+++ b/internal/job/bbrscheduler/scheduler.go
@@ -90,7 +90,9 @@
 	advice  map[string]*stepAdvice
 	horizon horizon
 	orders  orders
-	loading loading
+	// heldForOrders has the starts that the last plan left waiting for the store.
+	heldForOrders []heldForOrder
+	loading       loading
 	// arrivals are the recent job arrivals.
 	arrivals arrivals
 	// lateRate is the last requested rate at which late work must be worked off.
--- a/internal/job/bbrscheduler/startresult.go
+++ b/internal/job/bbrscheduler/startresult.go
@@ -41,12 +41,12 @@
 		}
 	}
 	if r == nil {
-		if u := sched.findUnit(order.Start.Unit); u != nil && err == nil {
-			sched.unitListed(u)
-		}
+		sched.applyOutdatedStartResult(order, err)
 		return
 	}
 	if err == nil {
+		r.answered = true
+		sched.settleLateStart(r.unit, up.ID, r.number)
 		if up.StartMillis == order.Upstream.StartMillis {
 			up.confirmLease(order.Start.Until)
 			up.failedStarts = failedStarts{}
@@ -69,6 +69,18 @@
 	sched.startFailed(r, err, now)
 }
 
+// applyOutdatedStartResult applies the answer to a start whose run was dropped meanwhile.
+func (sched *Scheduler) applyOutdatedStartResult(order StartOrder, err error) {
+	u := sched.findUnit(order.Start.Unit)
+	if u == nil || errors.Is(err, bbrorder.ErrAnswerLost) {
+		return
+	}
+	sched.settleLateStart(u, order.Upstream.ID, order.Start.Run)
+	if err == nil {
+		sched.unitListed(u)
+	}
+}
+
 // applyStartClock applies the upstream's clock in the answer to the start of a run. An
 // upstream that may have restarted tells its clock only with its next listing: that of the next
 // incarnation may be before or after the known one.
@@ -87,6 +99,10 @@
 	if !errors.IsAny(err, bbrorder.ErrUnconfirmed, bbrorder.ErrTooManyStarts) {
 		up.failedStarts.add(now)
 	}
+	if !errors.Is(err, bbrorder.ErrAnswerLost) {
+		r.refused = true
+		sched.settleLateStart(r.unit, up.ID, r.number)
+	}
 	switch {
 	case errors.Is(err, bbrorder.ErrAnswerLost):
 		r.phase = phaseUnknown
--- a/internal/job/bbrscheduler/transfer.go
+++ b/internal/job/bbrscheduler/transfer.go
@@ -107,7 +107,7 @@
 	if j.finalState != "" || j.cancelled || j.transfer.leaving || p.now.Before(j.transfer.notBefore) || p.now.Sub(j.learnedAt) < pause {
 		return false
 	}
-	return !j.hasRuns() && !p.mayHaveUnlocatedRuns(j) && !p.sched.hasSuspects(j) && !p.sched.hasDestination(j)
+	return !j.hasRuns() && !j.hasLateStarts(p.now) && !p.mayHaveUnlocatedRuns(j) && !p.sched.hasSuspects(j) && !p.sched.hasDestination(j)
 }
 
 // transferCount returns how often the job went to another cell.
@@ -198,6 +198,8 @@
 	}
 	out := OutgoingTransfer{Job: j.Job, StoredRevision: j.storedRevision, HasProgress: j.mayHaveStoredProgress, HasCrashes: j.mayHaveStoredCrashes}
 	transfer := &bbrwork.Transfer{Count: j.transferCount() + 1, Started: j.begun}
+	// The upstreams of this cell say nothing to the other one: no start is on its way.
+	j.eachUnit(func(_ int, u *unit) { u.clearTarget() })
 	if j.hasProgress() {
 		dropped := 0
 		if transfer.Progress, dropped = j.progress(sched.maxValueBytes() / transferProgressShare); dropped > 0 {
--- a/internal/job/bbrscheduler/wait.go
+++ b/internal/job/bbrscheduler/wait.go
@@ -94,6 +94,10 @@
 		w.reason = ReasonGangStillRuns
 	case p.now.Before(paused):
 		w.reason, w.latestEnd = ReasonAttemptPaused, paused
+	case p.sched.holdsForOrder(w.unit):
+		w.reason = ReasonOrderUnstored
+	case p.waitsForLateStart(w.unit):
+		w.reason = ReasonLateStart
 	case p.waitsAsSuspect(s, w.unit):
 		w.reason = ReasonCrashSuspect
 	case p.capUnknown(s):
@@ -106,7 +110,7 @@
 		if s.reservation != nil && w.reason != ReasonComesNext {
 			w.reason = ReasonReservationHeld
 		}
-		if w.reason == ReasonComesNext && !w.unit.nextOrderStored() {
+		if w.reason == ReasonComesNext && !p.nextOrderStored(w.unit) {
 			w.reason = ReasonOrderUnstored
 		}
 		if _, responsible := w.awaits(); responsible == ResponsibleFleetLeader && p.mayFitBesideUnknown(s) {
@@ -329,7 +333,7 @@
 // awaits returns what the work unit waits for, and the party that has to act next.
 func (w *wait) awaits() (Awaited, Responsible) {
 	switch w.reason {
-	case ReasonClaimUnconfirmed, ReasonEarlierWorkUnlocated, ReasonBeyondHorizon, ReasonOrderUnstored, ReasonJobsNotLoaded, ReasonTicketMissing, ReasonStartsInFlight:
+	case ReasonClaimUnconfirmed, ReasonEarlierWorkUnlocated, ReasonBeyondHorizon, ReasonLateStart, ReasonOrderUnstored, ReasonJobsNotLoaded, ReasonTicketMissing, ReasonStartsInFlight:
 		return AwaitsAnswer, ResponsibleOwner
 	case ReasonNotDue, ReasonAttemptPaused:
 		return AwaitsTime, ResponsibleOwner
--- a/internal/job/bbrscheduler/wait_test.go
+++ b/internal/job/bbrscheduler/wait_test.go
@@ -85,6 +85,19 @@
 				s.list("i-2", bbrwork.RunEnd{Sequence: 1, Unit: unitName(0), Run: 1, Outcome: bbrwork.OutcomeStopped})
 			},
 		},
+		{
+			want: ReasonOrderUnstored, confirmed: true, awaits: AwaitsAnswer, responsible: ResponsibleOwner, text: "next run",
+			steps:   []bbrwork.Step{{Count: 1, LongRunning: true}},
+			arrange: func(s *scene) { require.Empty(s, s.sched.Plan(true, s.now).Starts) },
+		},
+		{
+			want: ReasonLateStart, confirmed: true, awaits: AwaitsAnswer, responsible: ResponsibleOwner, text: "may still be carried out by upstream i-",
+			arrange: func(s *scene) {
+				plan := s.plan()
+				s.answerStarts(plan, bbrorder.ErrAnswerLost)
+				s.sched.EndIncarnation(plan.Starts[0].Upstream.Incarnation, "the platform lists it no more", s.now)
+			},
+		},
 		{
 			want: ReasonBeyondHorizon, confirmed: true, awaits: AwaitsAnswer, responsible: ResponsibleOwner, text: "higher horizon",
 			arrange: func(s *scene) { s.sched.jobs[testJob].storedRevision = 1000 },
--- a/internal/job/bbrscheduler/waittext.go
+++ b/internal/job/bbrscheduler/waittext.go
@@ -24,8 +24,10 @@
 		return "a higher horizon has to be stored before the job may start"
 	case ReasonAttemptPaused:
 		return "it is tried again at " + w.latestEnd.UTC().Format(time.RFC3339Nano)
+	case ReasonLateStart:
+		return fmt.Sprintf("a start without an answer may still be carried out by upstream %s, which is away or has no room", w.lateUpstream())
 	case ReasonOrderUnstored:
-		return "the number of its next run has to be stored before it may start"
+		return "the number and the upstream of its next run have to be stored before it may start"
 	case ReasonGangStillRuns:
 		return fmt.Sprintf("%d of %d members of the gang still have runs", len(w.step.units)-w.step.idleUnits, len(w.step.units))
 	case ReasonJobsNotLoaded:
@@ -42,6 +44,17 @@
 	}
 }
 
+// lateUpstream returns the ID of the upstream that may still carry out a start of the work unit, or
+// of a member of its gang.
+func (w *wait) lateUpstream() string {
+	for _, u := range w.step.units {
+		if late := u.stored().late; late != nil && (u == w.unit || w.step.spec.Gang) {
+			return late.upstream
+		}
+	}
+	return ""
+}
+
 func (c *blockers) describe(s *step, reason Reason) string {
 	texts := []string{fmt.Sprintf("%d of %d upstreams may take work", c.usable, c.total)}
 	for _, counted := range []struct {
