job/bbrintake: a cancelled ID without a job is stored before the answer 410

Cause: tryCancel answered from a read of the status. A transaction that accepts the job may still come: done late by the store, waiting for a slow store or its retry, or as a copy of the request at another entry. Its condition, that there is no status, still held.

Change: a cancellation that finds no job stores a status that says so, on the condition that there is none, before it answers 410 (cancel.go). All submissions on their way then conflict; a later one of the same organisation gets 503 (2035) and never runs. The record names the organisations that cancelled the ID; another organisation's submission takes its place, and its state is 410 for all. It is kept and swept like the status of an ended job. A write without an answer ends in 504, as others do. Earlier builds take the record for a cancelled job.

--- a/internal/base/bbrcode/code.go
+++ b/internal/base/bbrcode/code.go
@@ -54,6 +54,8 @@
 	BacklogFull       Code = 2032
 	MemoryFull        Code = 2033
 	JobTooLarge       Code = 2034
+	CancelledBefore   Code = 2035
+	TooManyUnknown    Code = 2036
 )
 
 // Codes of jobs.
@@ -169,6 +171,8 @@
 	BacklogFull:      {Name: "backlogFull", Status: 429, RetryAfter: retryLater, Text: "As many jobs wait in this part of the pool as any entry could take over in time; nothing was stored."},
 	MemoryFull:       {Name: "memoryFull", Status: 429, RetryAfter: retryLater, Text: "The jobs that have not ended need as much memory as any entry has for them; nothing was stored."},
 	JobTooLarge:      {Name: "jobTooLarge", Status: 422, Text: "The work units that the job may have at the same time need more memory than an entry has for jobs; nothing was stored."},
+	CancelledBefore:  {Name: "cancelledBefore", Status: 503, Text: "This ID was cancelled before a job with it was stored; the job was not accepted and never runs. Submit it under another ID."},
+	TooManyUnknown:   {Name: "tooManyUnknown", Status: 503, RetryAfter: retrySoon, Text: "Too many IDs without a job are cancelled; this one was not. A submission that is on its way may still be accepted."},
 
 	Accepted:      {Name: "accepted", Outcome: OutcomeUnknown, Status: 200, Text: "The job is stored and will run."},
 	AlreadyStored: {Name: "alreadyStored", Outcome: OutcomeUnknown, Status: 200, Text: "The job was already stored."},
--- a/internal/job/bbrintake/acceptor.go
+++ b/internal/job/bbrintake/acceptor.go
@@ -17,7 +17,7 @@
 
 const (
 	// jobEntries is the number of a transaction's entries for a job: a condition and
-	// two puts.
+	// two puts. A cancelled ID has one put less.
 	jobEntries = 3
 	maxBatch   = bbrkv.MaxTransactionSize / jobEntries
 	// batchDelay is how long a job waits for others to be stored in the same
@@ -29,11 +29,16 @@
 	maxTransactionsInFlight = 4
 )
 
-// submission is a job that waits to be stored.
+// submission is a job that waits to be stored or, without one, the record that an ID is cancelled.
 type submission struct {
-	job *bbrwork.Job
-	// record is the job's value in the store.
+	id, organisation string
+	// job is nil for a cancelled ID, and record the job's value in the store.
+	job    *bbrwork.Job
 	record []byte
+	// status is the status to be stored, and replaces the revision of the record of a cancelled ID
+	// that it replaces; 0 for none.
+	status   bbrrecord.Status
+	replaces bbrkv.Revision
 	// deadline is the end of the caller's timeout.
 	deadline time.Time
 	// result receives the code of the answer.
@@ -42,7 +47,7 @@
 	stored bbrkv.Revision
 }
 
-// Acceptor stores accepted jobs, several in a transaction.
+// Acceptor stores accepted jobs and cancelled IDs, several in a transaction.
 type Acceptor struct {
 	Store *bbrkv.Store
 
@@ -67,14 +72,26 @@
 		klog.InfoS("Refusing a job that cannot be encoded", "job", job.ID, "reason", err.Error())
 		return bbrcode.BadJob, 0
 	}
-	s := &submission{job: job, record: record, deadline: deadline, result: make(chan bbrcode.Code, 1)}
+	s := &submission{id: job.ID, organisation: job.Organisation, job: job, record: record, status: bbrrecord.StatusOf(job), deadline: deadline}
+	return a.store(s), s.stored
+}
+
+// cancelUnknown stores the record that the ID is cancelled, which replaces the one with the
+// revision; 0 for none. It returns UnknownJob if that is stored, and AlreadyStored if there is a job
+// instead.
+func (a *Acceptor) cancelUnknown(id, organisation string, record bbrrecord.Status, replaces bbrkv.Revision, deadline time.Time) bbrcode.Code {
+	return a.store(&submission{id: id, organisation: organisation, status: record, replaces: replaces, deadline: deadline})
+}
+
+// store waits until the submission has an answer, and returns its code.
+func (a *Acceptor) store(s *submission) bbrcode.Code {
+	s.result = make(chan bbrcode.Code, 1)
 	select {
 	case a.waiting <- s:
 	default:
-		return bbrcode.QueueFull, 0
+		return bbrcode.QueueFull
 	}
-	code := <-s.result
-	return code, s.stored
+	return <-s.result
 }
 
 var errRecordTooLarge = errors.New("the job's record exceeds the store's largest value")
@@ -161,11 +178,11 @@
 func splitDuplicates(batch []*submission) (first, duplicates []*submission) {
 	seen := make(map[string]bool, len(batch))
 	for _, s := range batch {
-		if seen[s.job.ID] {
+		if seen[s.id] {
 			duplicates = append(duplicates, s)
 			continue
 		}
-		seen[s.job.ID] = true
+		seen[s.id] = true
 		first = append(first, s)
 	}
 	return first, duplicates
@@ -184,10 +201,10 @@
 	case err == nil:
 		w.answer(func(s *submission) bbrcode.Code {
 			s.stored = revision
-			return bbrcode.Accepted
+			return s.storedCode()
 		})
 	case errors.As(err, &conflict):
-		w.answer(func(s *submission) bbrcode.Code { return conflictCode(conflict, s) })
+		w.answer(func(s *submission) bbrcode.Code { return s.conflictCode(conflict, now) })
 	case errors.Is(err, bbrkv.ErrAnswerLost):
 		if !w.answerLost {
 			w.answerLost, w.unknownDeadline = true, time.Now().Add(unknownTimeout)
@@ -243,12 +260,24 @@
 	w.batch = remaining
 }
 
-// conflictCode returns AlreadyStored for a job whose status is among the conflicting
-// items, ForeignJob if that is the job of another organisation, and 0 for the other jobs
-// of the batch.
-func conflictCode(conflict *bbrkv.Conflict, s *submission) bbrcode.Code {
-	item, stored := conflict.Items[bbrrecord.StatusKey(s.job.ID)]
+// storedCode returns the code of a submission that is stored.
+func (s *submission) storedCode() bbrcode.Code {
+	if s.job == nil {
+		return bbrcode.UnknownJob
+	}
+	return bbrcode.Accepted
+}
+
+// conflictCode returns the code of a submission whose ID has a record among the conflicting items,
+// and 0 for one that is to be tried again: without a record, or in place of the record that others
+// cancelled the ID.
+func (s *submission) conflictCode(conflict *bbrkv.Conflict, now time.Time) bbrcode.Code {
+	item, stored := conflict.Items[bbrrecord.StatusKey(s.id)]
 	if !stored {
+		s.replaces = 0
+		return 0
+	}
+	if s.replaces != 0 && item.Revision == s.replaces {
 		return 0
 	}
 	var status bbrrecord.Status
@@ -256,24 +285,43 @@
 		klog.ErrorS(err, "Failed to decode the status of a stored job", "key", item.Key, "revision", item.Revision)
 		return bbrcode.AlreadyStored
 	}
-	return storedCode(status, s.job)
+	code := codeOfStored(status, s.organisation)
+	switch {
+	case code == bbrcode.CancelledBefore && s.job == nil:
+		return bbrcode.UnknownJob
+	case code != 0:
+		return code
+	case s.job == nil:
+		s.status = status.AlsoCancelledBy(s.organisation, now.Round(0))
+	}
+	s.replaces = item.Revision
+	return 0
 }
 
-// storedCode returns the code for a job whose ID is stored already.
-func storedCode(status bbrrecord.Status, job *bbrwork.Job) bbrcode.Code {
-	if belongsToOther(status.Organisation, job.Organisation) {
+// codeOfStored returns the code of a job of the organisation whose ID has the status, and 0 if it
+// may be stored in place of that.
+func codeOfStored(status bbrrecord.Status, organisation string) bbrcode.Code {
+	switch {
+	case status.IsJob() && belongsToOther(status.Organisation, organisation):
 		return bbrcode.ForeignJob
+	case status.IsJob():
+		return bbrcode.AlreadyStored
+	case status.IsCancelledBy(organisation):
+		return bbrcode.CancelledBefore
+	default:
+		return 0
 	}
-	return bbrcode.AlreadyStored
 }
 
 func (w *writer) transaction() bbrkv.Transaction {
 	var transaction bbrkv.Transaction
 	for _, s := range w.batch {
-		transaction.Conditions = append(transaction.Conditions, bbrkv.Condition{Key: bbrrecord.StatusKey(s.job.ID)})
-		transaction.Puts = append(transaction.Puts,
-			bbrkv.Put{Key: bbrrecord.StatusKey(s.job.ID), Value: bbrrecord.Encode(bbrrecord.StatusOf(s.job))},
-			bbrkv.Put{Key: bbrrecord.JobKey(s.job.Shard(), s.job.ID), Value: s.record})
+		key := bbrrecord.StatusKey(s.id)
+		transaction.Conditions = append(transaction.Conditions, bbrkv.Condition{Key: key, Revision: s.replaces})
+		transaction.Puts = append(transaction.Puts, bbrkv.Put{Key: key, Value: bbrrecord.Encode(s.status)})
+		if s.job != nil {
+			transaction.Puts = append(transaction.Puts, bbrkv.Put{Key: bbrrecord.JobKey(s.job.Shard(), s.id), Value: s.record})
+		}
 	}
 	return transaction
 }
--- a/internal/job/bbrintake/backlog.go
+++ b/internal/job/bbrintake/backlog.go
@@ -6,7 +6,6 @@
 	"sync"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"k8s.io/klog/v2"
 
 	"github.com/bluebellridge/bluebellridge/internal/job/bbrrecord"
@@ -127,7 +126,7 @@
 	} else if i.Backlogs.admit(shard, size) {
 		return false
 	}
-	if _, err := i.readStatus(ctx, job.ID); !errors.Is(err, bbrkv.ErrNotFound) {
+	if i.mayBeStored(ctx, job) {
 		return false
 	}
 	klog.InfoS("Refusing a job, as no more can be read in time by an entry that takes its shard over", "job", job.ID, "organisation", job.Organisation, "queue", job.Queue,
--- a/internal/job/bbrintake/fairshare.go
+++ b/internal/job/bbrintake/fairshare.go
@@ -5,7 +5,6 @@
 	"sync"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"k8s.io/klog/v2"
 
 	"github.com/bluebellridge/bluebellridge/internal/job/bbrfairshare"
@@ -90,7 +89,7 @@
 	if !beyond {
 		return 0, false
 	}
-	if _, err := i.readStatus(ctx, job.ID); !errors.Is(err, bbrkv.ErrNotFound) {
+	if i.mayBeStored(ctx, job) {
 		return 0, false
 	}
 	klog.InfoS("Refusing a job of an organisation whose backlog is too long", "job", job.ID, "organisation", job.Organisation, "queue", queue.Name,
--- a/internal/job/bbrintake/handler.go
+++ b/internal/job/bbrintake/handler.go
@@ -235,7 +235,7 @@
 	if !h.Codec.ValidID(r.id) {
 		return reply{code: bbrcode.UnknownJob}
 	}
-	return reply{code: h.Intake.Cancel(r.Context(), r.id, r.organisation)}
+	return reply{code: h.Intake.Cancel(r.Context(), Cancellation{ID: r.id, Queue: r.queue, Organisation: r.organisation, Deadline: r.deadline}, r.now)}
 }
 
 // refusal is the body of the answer to a request that is refused or fails.
--- a/internal/job/bbrintake/intake.go
+++ b/internal/job/bbrintake/intake.go
@@ -59,6 +59,9 @@
 	ReroutedServices func(queue string) []string
 	// StoreAvailable reports whether the store has answered recently.
 	StoreAvailable func(now time.Time) bool
+	// UnknownCancels bounds the cancellations of IDs without a job; the zero value allows
+	// cancelRate of each organisation.
+	UnknownCancels CancelBudget
 
 	// counts has the counts of the jobs of shards without a report.
 	counts storedCounts
@@ -127,6 +130,8 @@
 		return "", bbrcode.UnknownJob
 	case err != nil:
 		return "", bbrcode.StoreUnavailable
+	case !status.IsJob():
+		return "", bbrcode.UnknownJob
 	}
 	stored := jobPlace{shard: status.Shard(), organisation: status.Organisation}
 	if belongsToOther(status.Organisation, organisation) {
@@ -172,6 +177,16 @@
 	return status, json.Unmarshal(item.Value, &status)
 }
 
+// mayBeStored reports whether the job may be stored already, or its ID be cancelled, so that the
+// answer that it was not accepted must come from the store.
+func (i *Intake) mayBeStored(ctx context.Context, job *bbrwork.Job) bool {
+	status, err := i.readStatus(ctx, job.ID)
+	if err != nil {
+		return !errors.Is(err, bbrkv.ErrNotFound)
+	}
+	return status.IsJob() || status.IsCancelledBy(job.Organisation)
+}
+
 // activeStateReads bounds the reads of a job's status and progress while the job changes its
 // cell or ends between them.
 const activeStateReads = 3
@@ -211,52 +226,3 @@
 	}
 	return "", bbrcode.StoreUnavailable
 }
-
-// Cancel stores a cancellation request for a job at the request of a caller of the
-// organisation.
-func (i *Intake) Cancel(ctx context.Context, id, organisation string) bbrcode.Code {
-	for range cancelAttempts {
-		code, err := i.tryCancel(ctx, id, organisation)
-		if err == nil {
-			return code
-		}
-		if errors.Is(err, bbrkv.ErrRefused) {
-			return bbrcode.StoreUnavailable
-		}
-		if ctx.Err() != nil {
-			break
-		}
-	}
-	return bbrcode.StoreWriteUnknown
-}
-
-// cancelAttempts bounds the attempts to store a cancellation request when the answers
-// of the store are lost.
-const cancelAttempts = 3
-
-// tryCancel makes one attempt to store a cancellation request. A job that has ended
-// needs none.
-func (i *Intake) tryCancel(ctx context.Context, id, organisation string) (bbrcode.Code, error) {
-	item, err := i.Store.Get(ctx, bbrrecord.StatusKey(id))
-	if errors.Is(err, bbrkv.ErrNotFound) {
-		return bbrcode.UnknownJob, nil
-	}
-	if err != nil {
-		return 0, err
-	}
-	var status bbrrecord.Status
-	if err := json.Unmarshal(item.Value, &status); err != nil {
-		return 0, err
-	}
-	if belongsToOther(status.Organisation, organisation) {
-		return bbrcode.ForeignJob, nil
-	}
-	if status.State != "" {
-		return bbrcode.CancelStored, nil
-	}
-	_, err = i.Store.Commit(ctx, bbrkv.Transaction{
-		Conditions: []bbrkv.Condition{{Key: item.Key, Revision: item.Revision}},
-		Puts:       []bbrkv.Put{{Key: bbrrecord.CancelKey(status.Shard(), id), Value: []byte("{}")}},
-	})
-	return bbrcode.CancelStored, err
-}
--- a/internal/job/bbrintake/memory.go
+++ b/internal/job/bbrintake/memory.go
@@ -5,13 +5,11 @@
 	"sync"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"k8s.io/klog/v2"
 
 	"github.com/bluebellridge/bluebellridge/internal/base/bbrcode"
 	"github.com/bluebellridge/bluebellridge/internal/fleet/bbrclaim"
 	"github.com/bluebellridge/bluebellridge/internal/job/bbrwork"
-	"github.com/bluebellridge/bluebellridge/internal/store/bbrkv"
 )
 
 const (
@@ -132,7 +130,7 @@
 	if decision == memorySuffices {
 		return 0
 	}
-	if _, err := i.readStatus(ctx, job.ID); !errors.Is(err, bbrkv.ErrNotFound) {
+	if i.mayBeStored(ctx, job) {
 		return 0
 	}
 	code := bbrcode.MemoryFull
--- a/internal/job/bbrintake/preview.go
+++ b/internal/job/bbrintake/preview.go
@@ -136,7 +136,7 @@
 		}
 	}
 	if !i.Backlogs.wouldAdmit(job.Shard(), job.ListedBytes()) {
-		if _, err := i.readStatus(ctx, job.ID); errors.Is(err, bbrkv.ErrNotFound) {
+		if !i.mayBeStored(ctx, job) {
 			return bbrcode.BacklogFull, ""
 		}
 	}
@@ -153,6 +153,6 @@
 	case err != nil:
 		return bbrcode.StoreUnavailable, err.Error()
 	default:
-		return storedCode(status, job), ""
+		return cmp.Or(codeOfStored(status, job.Organisation), bbrcode.Accepted), ""
 	}
 }
--- a/internal/job/bbrintake/transfer_test.go
+++ b/internal/job/bbrintake/transfer_test.go
@@ -77,7 +77,7 @@
 	for moveBefore := range 4 {
 		store := &movingStore{moveBefore: moveBefore}
 		intake := &Intake{Store: &bbrkv.Store{Get: store.get, Commit: store.commit}}
-		require.Equal(t, bbrcode.CancelStored, intake.Cancel(t.Context(), firstID, ""))
+		require.Equal(t, bbrcode.CancelStored, intake.Cancel(t.Context(), Cancellation{ID: firstID}, time.Now()))
 		shard := bbrwork.Shard{Service: "press", Cell: 1}
 		if moveBefore > 2 {
 			shard.Cell = 0 // The request comes first, so that the job does not move.
--- a/internal/job/bbrrecord/record.go
+++ b/internal/job/bbrrecord/record.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"slices"
 	"time"
 
 	"github.com/bluebellridge/bluebellridge/internal/base/bbrcode"
@@ -27,6 +28,30 @@
 	At time.Time `json:"at"`
 	// Code says why the job ended; 0 if State says it.
 	Code bbrcode.Code `json:"code,omitempty"`
+	// CancelledBy has the organisations that cancelled the ID although no job was stored under it;
+	// "" stands for callers of public queues. If there are any, there is no job: the record keeps a
+	// submission that is still on its way from being stored. Earlier versions take it for a cancelled
+	// job of Organisation, which is the first of them.
+	CancelledBy []string `json:"cancelledBy,omitempty"`
+}
+
+// CancelledUnknown returns the record for an ID without a job that an organisation has cancelled.
+func CancelledUnknown(queue, service, organisation string, now time.Time) Status {
+	return Status{State: bbrwork.Cancelled, Queue: queue, Service: service, Organisation: organisation, At: now, CancelledBy: []string{organisation}}
+}
+
+// IsJob reports whether the record is that of a job.
+func (s Status) IsJob() bool { return len(s.CancelledBy) == 0 }
+
+// IsCancelledBy reports whether the organisation has cancelled the ID although there was no job.
+func (s Status) IsCancelledBy(organisation string) bool {
+	return slices.Contains(s.CancelledBy, organisation)
+}
+
+// AlsoCancelledBy returns the record after another organisation has cancelled the ID as well.
+func (s Status) AlsoCancelledBy(organisation string, now time.Time) Status {
+	s.CancelledBy, s.At = append(slices.Clone(s.CancelledBy), organisation), now
+	return s
 }
 
 // StatusOf returns the status of a job that has not ended.
--- a/internal/operator/bbradmin/why.go
+++ b/internal/operator/bbradmin/why.go
@@ -41,6 +41,10 @@
 	if status == nil {
 		return bbrapi.Result{}, bbrcode.Errorf(bbrcode.UnknownName, id, "no such job is stored: it was never accepted, or it ended long ago")
 	}
+	if !status.IsJob() {
+		t.add("state", fmt.Sprintf("no job; the ID was cancelled at %s before one was stored", status.At.UTC().Format(time.RFC3339Nano)))
+		return t.result(), nil
+	}
 	if status.State != "" {
 		t.add("state", fmt.Sprintf("%s, stored at %s", status.State, status.At.UTC().Format(time.RFC3339Nano)))
 		t.add("queue", status.Queue)
