job/bbrscheduler: the incarnation of an announced start stays recorded

Cause: a successor takes an announced start of a suspect on an incarnation that is not recorded for ended with it. But an owner stops recording an incarnation that is not listed and whose lease has expired, while it may only be cut off. So a unit is accused of the end of an upstream that lives, and that counts towards giving it up.

Change: an incarnation stays recorded while an announced start names it. The successor looks for it, and accuses only once it has ended.

TestSuccessorDoesNotAccuseStartWhoseLeaseExpired fails before.

--- a/internal/job/bbrscheduler/crash_test.go
+++ b/internal/job/bbrscheduler/crash_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/bluebellridge/bluebellridge/internal/job/bbrcrash"
 	"github.com/bluebellridge/bluebellridge/internal/job/bbrorder"
 	"github.com/bluebellridge/bluebellridge/internal/job/bbrwork"
 )
@@ -400,3 +401,22 @@
 		require.Equal(t, otherJob, s.sched.upstreams["i-1"].trialUnit.step.job.ID, "it is tried alone")
 	}
 }
+
+// TestSuccessorDoesNotAccuseStartWhoseLeaseExpired guards against harmless work that is given up,
+// because a successor takes the silent upstream of a suspect, whose lease has expired, for ended.
+func TestSuccessorDoesNotAccuseStartWhoseLeaseExpired(t *testing.T) {
+	s := newSameIDScene(t, "i-1")
+	s.accept(testJob)
+	u := s.o.sched.jobs[testJob].findUnit(unitName(0))
+	s.o.sched.accuse(u, bbrcrash.Crash{Upstream: "i-7", Run: 1, At: s.sim.now, Youngest: true, Certain: true}, s.sim.now)
+	require.Equal(t, "i-1", s.awaitStart())
+	s.cut("i-1")
+	s.register()
+	s.work(2 * testTiming.MaxRunLease)
+	require.Empty(t, s.o.sched.upstreams["i-1"].runs)
+	s.takeOver()
+	s.sim.upstreams["i-1"].connect(true)
+	s.register()
+	s.work(time.Second)
+	require.Len(t, s.o.sched.jobs[testJob].findUnit(unitName(0)).crashes, 1)
+}
--- a/internal/job/bbrscheduler/store.go
+++ b/internal/job/bbrscheduler/store.go
@@ -150,7 +150,7 @@
 	}
 	upstreams := []bbrwork.Upstream{}
 	for _, up := range sched.sortedUpstreams() {
-		if up.registered && (sched.toRecord[up.Incarnation] || sched.recorded[up.Incarnation]) || len(up.runs) > 0 || up.holdsUnknown() || sched.unlocated[up.Incarnation] {
+		if up.registered && (sched.toRecord[up.Incarnation] || sched.recorded[up.Incarnation]) || len(up.runs) > 0 || up.holdsUnknown() || sched.unlocated[up.Incarnation] || sched.hasTrialOn(up.Incarnation) {
 			upstreams = append(upstreams, up.Upstream)
 		}
 	}
@@ -171,7 +171,8 @@
 // look for it in vain.
 func (sched *Scheduler) recordStale() bool {
 	for incarnation := range sched.recorded {
-		if up := sched.upstreams[incarnation.ID]; up == nil || up.Incarnation != incarnation || !up.registered && len(up.runs) == 0 && !up.holdsUnknown() {
+		up := sched.upstreams[incarnation.ID]
+		if up == nil || up.Incarnation != incarnation || !up.registered && len(up.runs) == 0 && !up.holdsUnknown() && !sched.hasTrialOn(incarnation) {
 			return true
 		}
 	}
--- a/internal/job/bbrscheduler/trial.go
+++ b/internal/job/bbrscheduler/trial.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/bluebellridge/bluebellridge/internal/job/bbrcrash"
+	"github.com/bluebellridge/bluebellridge/internal/job/bbrwork"
 )
 
 const (
@@ -144,6 +145,17 @@
 	return now.Sub(u.eligibleSince(u.step.runnableSince())) >= patience
 }
 
+// hasTrialOn reports whether the stored start of a suspect names the incarnation. A successor that
+// does not find it recorded takes it for ended under the suspect.
+func (sched *Scheduler) hasTrialOn(incarnation bbrwork.Incarnation) bool {
+	for u := range sched.suspects {
+		if u.trial.On(incarnation) {
+			return true
+		}
+	}
+	return false
+}
+
 // trialUpstream returns the upstream that is reserved for the work unit, or nil.
 func (sched *Scheduler) trialUpstream(u *unit) *upstream {
 	if u.trial == nil {
