job/bbrscheduler: the advice service is asked about the upstream of a trial

Cause: it may only start alone, on an upstream that is reserved for it, and that was left out of those about which the advice service is asked; also, none was asked about while another one had a ticket. So its trial never got a ticket.

Change: upstreams that are reserved for units of the step are asked about first. TestTrialGetsATicket fails before.

--- a/internal/job/bbrscheduler/advice.go
+++ b/internal/job/bbrscheduler/advice.go
@@ -125,8 +125,12 @@
 // adviceCandidates returns the upstreams that could take a unit of the step and for
 // which the advice service has not decided, those with the most free CPU first. It
 // returns none if an upstream with a ticket suits the step already, unless the step is
-// a gang. One that is far from its data may not suit it now.
+// a gang. One that is far from its data may not suit it now. Upstreams that are reserved for
+// suspects of the step go before all others.
 func (p *planner) adviceCandidates(s *step, known *stepAdvice) []bbrwork.Incarnation {
+	if reserved := p.trialsWithoutTicket(s, known); len(reserved) > 0 {
+		return reserved
+	}
 	var undecided []*upstream
 	for _, up := range p.upstreamsToAsk(s) {
 		if !s.spec.Allocation().Fits(up.free()) || !up.HasLabel(s.spec.Label) || s.atUpstreamLimit(up) {
@@ -149,6 +153,19 @@
 	return incarnations
 }
 
+// trialsWithoutTicket returns the upstreams that are reserved for work units of the step, which
+// start on no other one, and for which the step has no valid ticket.
+func (p *planner) trialsWithoutTicket(s *step, known *stepAdvice) []bbrwork.Incarnation {
+	var incarnations []bbrwork.Incarnation
+	for _, u := range s.units {
+		up := p.sched.trialUpstream(u)
+		if up != nil && u.idle() && !known.refused[up.Incarnation] && !p.sched.hasTicket(s, up, p.now) && len(incarnations) < upstreamsPerRequest {
+			incarnations = append(incarnations, up.Incarnation)
+		}
+	}
+	return incarnations
+}
+
 // ApplyAdvice applies the advice service's answer to a request that was sent at the
 // time sent. The tickets are keyed by upstream ID, and valid for ttl from then on; 0
 // stands for the request's TicketTTL.
--- a/internal/job/bbrscheduler/advice_test.go
+++ b/internal/job/bbrscheduler/advice_test.go
@@ -64,3 +64,32 @@
 	require.Zero(t, s.startWithAdvice(5*time.Second, func(string) bool { return false }))
 	require.NotZero(t, s.sched.Demand(s.now).Exclusive)
 }
+
+// TestTrialGetsATicket guards against a suspect that is never tried alone, and so is never given up,
+// since the advice service is not asked about the upstream that is reserved for it.
+func TestTrialGetsATicket(t *testing.T) {
+	s := newScene(t, true, "i-1", "i-2", "i-3")
+	s.sched.SetConfig(bbrwork.NewConfig(2, testQueues, nil, bbrwork.Limits{}))
+	s.plan()
+	s.sched.AddJob(&bbrwork.Job{ID: testJob, Queue: "plates", Service: "press", Spec: "x", Steps: []bbrwork.Step{unitStep(1)}, Accepted: s.now}, 0, nil, s.now)
+	u := s.isolate()
+	for limit := s.now.Add(maxTrialReservation); s.now.Before(limit); s.advance(50 * time.Millisecond) {
+		plan := s.sched.Plan(true, s.now)
+		if len(plan.Starts) > 0 {
+			require.Equal(t, u, s.sched.upstreams[plan.Starts[0].Upstream.ID].trialUnit, "it starts on the upstream that is reserved for it")
+			return
+		}
+		for _, request := range plan.AdviceRequests {
+			tickets := make(map[string]string)
+			for _, id := range request.Upstreams() {
+				tickets[id] = "t"
+			}
+			s.sched.ApplyAdvice(request, tickets, ticketTTL, nil, s.now, s.now)
+		}
+		for _, id := range []string{"i-1", "i-2", "i-3"} {
+			s.list(id)
+		}
+		s.store()
+	}
+	require.Fail(t, "the suspect was not tried")
+}
