job/bbrsweeper: records are removed as they were read

Done late by the store, after another attempt had removed the status and the ID was used again, it would remove the status of the new job, which callers are then told does not exist.

Change: each removal depends on the revision that was read; a transaction removes 15 records instead of 31. TestLateSweepKeepsLaterRecord fails before; TestSweepRemovesOnlyExpiredRecords demands the new conditions.

--- a/internal/job/bbrsweeper/sweeper.go
+++ b/internal/job/bbrsweeper/sweeper.go
@@ -2,9 +2,9 @@
 package bbrsweeper
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
-	"maps"
 	"slices"
 	"time"
 
@@ -88,19 +88,41 @@
 // records that it removed.
 func (s *Sweeper) remove(ctx context.Context, statuses, cancellations []bbrkv.Item, now time.Time) (int, error) {
 	endTimes := s.endTimes(statuses)
-	expired := append(s.expiredStatuses(endTimes, now), obsoleteCancellations(endTimes, cancellations)...)
+	expired := append(s.expiredStatuses(endTimes, statuses, now), obsoleteCancellations(endTimes, cancellations)...)
 	removed := 0
-	for len(expired) > 0 {
-		batch := expired[:min(len(expired), bbrkv.MaxTransactionSize-1)]
-		expired = expired[len(batch):]
-		if _, err := s.Store.Commit(ctx, bbrkv.Transaction{Conditions: []bbrkv.Condition{s.Condition}, Removals: batch}); err != nil {
+	for batch := range slices.Chunk(expired, maxRemovals) {
+		_, err := s.Store.Commit(ctx, s.removal(batch))
+		var conflict *bbrkv.Conflict
+		switch {
+		case errors.As(err, &conflict):
+			klog.V(1).InfoS("Records of ended jobs have changed, sweeping them later", "records", len(batch))
+		case err != nil:
 			return removed, err
+		default:
+			removed += len(batch)
 		}
-		removed += len(batch)
 	}
 	return removed, nil
 }
 
+// entriesPerRemoval is the number of a transaction's entries for a record that it removes.
+const entriesPerRemoval = 2
+
+// maxRemovals bounds the records that are removed in a transaction, beside the condition of the
+// claim.
+const maxRemovals = (bbrkv.MaxTransactionSize - 1) / entriesPerRemoval
+
+// removal returns the transaction that removes the records as they were read: if it is done late, it
+// must not remove the records of a later job with the same ID.
+func (s *Sweeper) removal(batch []bbrkv.Item) bbrkv.Transaction {
+	transaction := bbrkv.Transaction{Conditions: []bbrkv.Condition{s.Condition}}
+	for _, item := range batch {
+		transaction.Conditions = append(transaction.Conditions, bbrkv.Condition{Key: item.Key, Revision: item.Revision})
+		transaction.Removals = append(transaction.Removals, item.Key)
+	}
+	return transaction
+}
+
 // endTimes returns the times at which jobs ended, by job ID.
 func (s *Sweeper) endTimes(statuses []bbrkv.Item) map[string]time.Time {
 	endTimes := make(map[string]time.Time)
@@ -117,26 +139,21 @@
 	return endTimes
 }
 
-// obsoleteCancellations returns the keys of the cancellation requests for jobs that
-// have ended. They came too late for the owner to remove them with the job.
-func obsoleteCancellations(endTimes map[string]time.Time, cancellations []bbrkv.Item) []string {
-	var keys []string
-	for _, item := range cancellations {
-		if _, ended := endTimes[bbrrecord.JobID(item.Key)]; ended {
-			keys = append(keys, item.Key)
-		}
-	}
-	return keys
+// obsoleteCancellations returns the cancellation requests for jobs that have ended. They came too
+// late for the owner to remove them with the job.
+func obsoleteCancellations(endTimes map[string]time.Time, cancellations []bbrkv.Item) []bbrkv.Item {
+	return slices.DeleteFunc(slices.Clone(cancellations), func(item bbrkv.Item) bool {
+		_, ended := endTimes[bbrrecord.JobID(item.Key)]
+		return !ended
+	})
 }
 
-// expiredStatuses returns the keys of the statuses whose retention period has passed,
-// sorted by job ID.
-func (s *Sweeper) expiredStatuses(endTimes map[string]time.Time, now time.Time) []string {
-	var keys []string
-	for _, id := range slices.Sorted(maps.Keys(endTimes)) {
-		if now.Sub(endTimes[id]) > s.Retention+retentionMargin {
-			keys = append(keys, bbrrecord.StatusKey(id))
-		}
-	}
-	return keys
+// expiredStatuses returns the statuses whose retention period has passed, in the order of their keys.
+func (s *Sweeper) expiredStatuses(endTimes map[string]time.Time, statuses []bbrkv.Item, now time.Time) []bbrkv.Item {
+	expired := slices.DeleteFunc(slices.Clone(statuses), func(item bbrkv.Item) bool {
+		endedAt, ended := endTimes[bbrrecord.JobID(item.Key)]
+		return !ended || now.Sub(endedAt) <= s.Retention+retentionMargin
+	})
+	slices.SortFunc(expired, func(a, b bbrkv.Item) int { return cmp.Compare(a.Key, b.Key) })
+	return expired
 }
--- a/internal/job/bbrsweeper/sweeper_test.go
+++ b/internal/job/bbrsweeper/sweeper_test.go
@@ -19,12 +19,12 @@
 // TestSweepRemovesOnlyExpiredRecords checks that a sweep keeps the records of jobs that
 // have not ended or are within the retention period and its margin, is not stopped by
 // a record that cannot be decoded, and removes the rest in transactions of the
-// permitted size, each on the condition of the claim.
+// permitted size, each on the conditions of the claim and of the records as they were read.
 func TestSweepRemovesOnlyExpiredRecords(t *testing.T) {
 	now := time.Unix(1_000_000, 0)
 	ended := func(id string, age time.Duration) bbrkv.Item {
 		record := bbrrecord.Status{State: bbrwork.Completed, At: now.Add(-age)}
-		return bbrkv.Item{Key: bbrrecord.StatusKey(id), Value: bbrrecord.Encode(record)}
+		return bbrkv.Item{Key: bbrrecord.StatusKey(id), Value: bbrrecord.Encode(record), Revision: 5}
 	}
 	items := []bbrkv.Item{ended("new", time.Minute), ended("kept", 2*time.Minute+retentionMargin), {Key: bbrrecord.StatusKey("odd"), Value: []byte("{")},
 		{Key: bbrrecord.StatusKey("active"), Value: bbrrecord.Encode(bbrrecord.Status{At: now.Add(-time.Hour)})}}
@@ -37,13 +37,17 @@
 	sweeper := &Sweeper{Retention: 2 * time.Minute, Condition: claim, Store: &bbrkv.Store{
 		Range: func(_ context.Context, prefix, _ string) (bbrkv.Page, error) {
 			if prefix == bbrrecord.CancelPrefix {
-				return bbrkv.Page{Items: []bbrkv.Item{{Key: bbrrecord.CancelKey(press, "new")}, {Key: bbrrecord.CancelKey(press, "active")}}}, nil
+				return bbrkv.Page{Items: []bbrkv.Item{{Key: bbrrecord.CancelKey(press, "new"), Revision: 6}, {Key: bbrrecord.CancelKey(press, "active")}}}, nil
 			}
 			return bbrkv.Page{Items: items}, nil
 		},
 		Commit: func(_ context.Context, transaction bbrkv.Transaction) (bbrkv.Revision, error) {
 			require.LessOrEqual(t, transaction.Size(), bbrkv.MaxTransactionSize)
-			require.Equal(t, []bbrkv.Condition{claim}, transaction.Conditions)
+			conditions := []bbrkv.Condition{claim}
+			for _, key := range transaction.Removals {
+				conditions = append(conditions, bbrkv.Condition{Key: key, Revision: map[bool]bbrkv.Revision{true: 5, false: 6}[strings.HasPrefix(key, bbrrecord.StatusPrefix)]})
+			}
+			require.Equal(t, conditions, transaction.Conditions)
 			removed = append(removed, transaction.Removals...)
 			return 1, nil
 		},
@@ -57,6 +61,26 @@
 	require.Equal(t, bbrrecord.CancelKey(press, "new"), removed[40], "the cancellation request for a job that has ended must be removed")
 }
 
+// TestLateSweepKeepsLaterRecord guards against a removal that is done late, and removes the record of a
+// later job with the same ID. The other records are swept.
+func TestLateSweepKeepsLaterRecord(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	store := &sizedStore{maxItems: 100, items: make(map[string]bbrkv.Item)}
+	for i := range 40 {
+		key := bbrrecord.StatusKey(fmt.Sprintf("7%015x", i))
+		store.items[key] = bbrkv.Item{Key: key, Value: bbrrecord.Encode(bbrrecord.Status{State: bbrwork.Completed, At: now.Add(-time.Hour)}), Revision: 5}
+	}
+	later := bbrrecord.StatusKey(fmt.Sprintf("7%015x", 3))
+	sweeper := &Sweeper{Retention: time.Minute, Store: &bbrkv.Store{Range: store.readRange, Commit: func(ctx context.Context, transaction bbrkv.Transaction) (bbrkv.Revision, error) {
+		store.items[later] = bbrkv.Item{Key: later, Value: bbrrecord.Encode(bbrrecord.Status{At: now}), Revision: 9}
+		return store.commit(ctx, transaction)
+	}}}
+	removed, err := sweeper.Sweep(t.Context(), "7", now)
+	require.NoError(t, err)
+	require.Contains(t, store.items, later)
+	require.Equal(t, 40-maxRemovals, removed)
+}
+
 // sizedStore is a store of records that loses the answer to each list of more than
 // maxItems items, as a call's limit of time does on a slow link.
 type sizedStore struct {
@@ -83,6 +107,11 @@
 }
 
 func (s *sizedStore) commit(_ context.Context, transaction bbrkv.Transaction) (bbrkv.Revision, error) {
+	for _, condition := range transaction.Conditions {
+		if condition.Key != "" && s.items[condition.Key].Revision != condition.Revision {
+			return 0, &bbrkv.Conflict{}
+		}
+	}
 	for _, key := range transaction.Removals {
 		delete(s.items, key)
 	}
