--- a/internal/job/bbrscheduler/latestart.go
+++ b/internal/job/bbrscheduler/latestart.go
@@ -78,10 +78,12 @@
 }
 
 // awaitLateStart records that the run was dropped and that its start may still be carried out.
-func (u *unit) awaitLateStart(r *run, until, now time.Time) {
-	if r.answered || r.refused || u.step.spec.AllowDuplicates {
+func (sched *Scheduler) awaitLateStart(r *run, now time.Time) {
+	u, until := r.unit, sched.startArrivesBefore(r.orderedAt)
+	if r.answered || r.refused || u.step.spec.AllowDuplicates || u.step.job.finalState != "" {
 		return
 	}
+	sched.noteLateStart("Start without an answer may still be carried out", u, r.up.ID, r.number, until, now)
 	late := &lateStart{upstream: r.up.ID, run: r.number, count: 1, since: now, until: until}
 	if earlier := u.stored().late; earlier != nil {
 		late.count = earlier.count + 1
@@ -91,18 +93,23 @@
 
 // inheritLateStart records that an earlier owner may have sent the start that it stored last, and
 // got no answer.
-func (u *unit) inheritLateStart(sched *Scheduler) {
+func (sched *Scheduler) inheritLateStart(u *unit, now time.Time) {
 	order := u.stored()
 	if order.target == "" || sched.firstOwner {
 		return
 	}
-	sent := sched.claimedAt.Add(sched.Timing.Handover)
-	u.setLate(&lateStart{upstream: order.target, run: order.ordered, count: 1, since: sched.claimedAt, until: sched.startArrivesBefore(sent)})
+	until := sched.startArrivesBefore(sched.claimedAt.Add(sched.Timing.Handover))
+	u.setLate(&lateStart{upstream: order.target, run: order.ordered, count: 1, since: sched.claimedAt, until: until})
+	sched.noteLateStart("Start of an earlier owner may still be carried out", u, order.target, order.ordered, until, now)
 }
 
 // inheritLateStarts does so for all held work units of a job.
-func (sched *Scheduler) inheritLateStarts(j *job) {
-	j.eachUnit(func(_ int, u *unit) { u.inheritLateStart(sched) })
+func (sched *Scheduler) inheritLateStarts(j *job, now time.Time) {
+	j.eachUnit(func(_ int, u *unit) { sched.inheritLateStart(u, now) })
+}
+
+func (sched *Scheduler) noteLateStart(text string, u *unit, upstream string, number int, until, now time.Time) {
+	sched.note(now, text, "job", u.step.job.ID, "unit", u.name().String(), "run", number, "upstream", upstream, "for", until.Sub(now).Round(time.Millisecond))
 }
 
 // settleLateStart records that an upstream has answered, listed or refused the start of the run.
--- a/internal/job/bbrscheduler/runs.go
+++ b/internal/job/bbrscheduler/runs.go
@@ -54,7 +54,7 @@
 		return
 	}
 	u.runs = slices.Delete(u.runs, at, at+1)
-	u.awaitLateStart(r, sched.startArrivesBefore(r.orderedAt), now)
+	sched.awaitLateStart(r, now)
 	u.step.job.runDropped()
 	if len(u.runs) == 0 && !u.done {
 		u.step.idleUnits++
--- a/internal/job/bbrscheduler/store.go
+++ b/internal/job/bbrscheduler/store.go
@@ -322,7 +322,7 @@
 		return
 	}
 	j.restore(&earlier, now)
-	sched.inheritLateStarts(j)
+	sched.inheritLateStarts(j, now)
 	j.storedUnbegun = !j.begun
 	if j.completed() && !j.LongRunning() {
 		sched.endJob(j, bbrwork.Completed, "all work units are stored as done", now)
