soak/bbrsoak, standin/bbrfleet: writes that are done late, and callers that give up

In all soaks half of the callers that don't know whether a job was accepted cancel it, at any entries, until they are told, and a copy of the submission arrives afterwards. Checked: no job starts, and none is accepted, of which a caller was told 410 when it cancelled.

--- a/internal/soak/bbrsoak/callers.go
+++ b/internal/soak/bbrsoak/callers.go
@@ -168,13 +168,40 @@
 		}
 		time.Sleep(randomDuration(c.random, 10*time.Millisecond, 300*time.Millisecond))
 	}
+	if job.outcomeUnknown && ctx.Err() == nil && c.random.IntN(2) == 0 {
+		c.giveUp(ctx, job, body)
+	}
+}
+
+// giveUp cancels a job of which the caller does not know whether it was accepted, at any entries,
+// until it is told. Then a copy of the submission arrives.
+func (c *caller) giveUp(ctx context.Context, job *submittedJob, body []byte) {
+	for ctx.Err() == nil {
+		c.cancel(ctx, job)
+		if job.unknown || job.cancelStored {
+			break
+		}
+		time.Sleep(randomDuration(c.random, 10*time.Millisecond, 300*time.Millisecond))
+	}
+	time.Sleep(randomDuration(c.random, 0, time.Second))
+	status, _ := c.call(ctx, http.MethodPost, c.entry(), job, body)
+	if job.unknown && status/100 == 2 {
+		c.reportFault("job %s is accepted after its caller was told that it does not exist", job.id)
+	}
 }
 
 func (c *caller) cancel(ctx context.Context, job *submittedJob) {
 	c.mu.Lock()
 	job.cancelled = true
 	c.mu.Unlock()
-	c.call(ctx, http.MethodDelete, c.entry(), job, nil)
+	status, _ := c.call(ctx, http.MethodDelete, c.entry(), job, nil)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	job.unknown = job.unknown || status == http.StatusGone
+	job.cancelStored = job.cancelStored || status == http.StatusOK
+	if job.unknown && job.accepted {
+		c.reportFaultLocked("job %s was accepted, but its cancellation says that there is none", job.id)
+	}
 }
 
 // checkState queries the state of an accepted job, and checks the answer against the
--- a/internal/soak/bbrsoak/checks.go
+++ b/internal/soak/bbrsoak/checks.go
@@ -64,7 +64,8 @@
 	return job.state != ""
 }
 
-// checkRefusedJobs checks that no job runs that was refused at each attempt.
+// checkRefusedJobs checks that no job runs that was refused at each attempt, or of which its caller was
+// told that it does not exist.
 func (s *Soak) checkRefusedJobs() {
 	for id := range s.fleet.StartedJobs() {
 		job := s.callers.jobs[id]
@@ -72,6 +73,8 @@
 			s.callers.reportFault("job %s was started, but was never submitted", id)
 		} else if !job.accepted && !job.outcomeUnknown {
 			s.callers.reportFault("job %s was started, but each attempt to submit it was refused", id)
+		} else if job.unknown {
+			s.callers.reportFault("job %s was started, but its caller was told that there is none when it cancelled it", id)
 		}
 	}
 }
--- a/internal/soak/bbrsoak/faults.go
+++ b/internal/soak/bbrsoak/faults.go
@@ -105,6 +105,10 @@
 
 func (injector *faultInjector) draw() *event {
 	duration := injector.drawDuration()
+	if injector.soak.LateCommits {
+		kinds := []eventKind{injector.lateCommits, injector.lateCommits, injector.storeFault, injector.storePathFault, injector.kill}
+		return newEvent(kinds[injector.random.IntN(len(kinds))], duration)
+	}
 	kinds := []eventKind{injector.kill, injector.terminate, injector.freeze, injector.sendHangup, injector.storeFault, injector.storeFault, injector.compactStore, injector.storePathFault, injector.upstreamPathFault, injector.upstreamPathFault, injector.crashUpstream, injector.restartUpstream, injector.reduceCapacity, injector.changeConfig, injector.startWave}
 	return newEvent(kinds[injector.random.IntN(len(kinds))], duration)
 }
@@ -160,6 +164,12 @@
 	return &event{name: fault.name, begin: func() { injector.soak.fleet.SetCallFaults(fault.CallFaults) }, end: func() { injector.soak.fleet.SetCallFaults(bbrfleet.CallFaults{}) }}
 }
 
+// lateCommits lets the store do a part of the transactions seconds later, without an answer.
+func (injector *faultInjector) lateCommits(time.Duration) *event {
+	faults := bbrfleet.CallFaults{LateCommitRate: injector.random.Float64() / 2, Delay: randomDuration(injector.random, 0, 200*time.Millisecond)}
+	return &event{name: "store does transactions late", begin: func() { injector.soak.fleet.SetCallFaults(faults) }, end: func() { injector.soak.fleet.SetCallFaults(bbrfleet.CallFaults{}) }}
+}
+
 func (injector *faultInjector) compactStore(time.Duration) *event {
 	return &event{name: "store compacts its history", begin: injector.soak.fleet.Compact}
 }
--- a/internal/soak/bbrsoak/job.go
+++ b/internal/soak/bbrsoak/job.go
@@ -50,6 +50,10 @@
 	// outcomeUnknown is set if an attempt to submit the job had no definite answer, so
 	// that the job may be stored.
 	outcomeUnknown bool
+	// unknown is set if the caller was told, when it cancelled the job, that there is none.
+	unknown bool
+	// cancelStored is set if it was told that the cancellation is stored.
+	cancelStored bool
 	// cancelled is set if the caller requested cancellation.
 	cancelled bool
 	state     string
--- a/internal/soak/bbrsoak/soak.go
+++ b/internal/soak/bbrsoak/soak.go
@@ -48,6 +48,9 @@
 	// stays claimed without being loaded, and that accepted jobs start in time after the
 	// faults.
 	Backlog bool
+	// LateCommits replaces the random faults by a store that loses answers and does transactions
+	// seconds later, and by entries that are killed.
+	LateCommits bool
 	// WorkDir is the directory for the entries' settings and logs.
 	WorkDir string
 	Out     io.Writer
--- a/internal/soak/bbrsoak/soak_test.go
+++ b/internal/soak/bbrsoak/soak_test.go
@@ -33,6 +33,12 @@
 	requireNoFaults(t, &Soak{Seed: 20261204, Duration: 18 * time.Second, Restarts: true})
 }
 
+// TestCancelledJobsDoNotRunLate guards against a job that runs although its caller, which had given up,
+// was told that there is none, since the store does the write that accepts it seconds later.
+func TestCancelledJobsDoNotRunLate(t *testing.T) {
+	requireNoFaults(t, &Soak{Seed: 20261208, Duration: 10 * time.Second, LateCommits: true})
+}
+
 // requireNoFaults runs a soak test with the current daemon and requires that it finds no
 // violations.
 func requireNoFaults(t *testing.T, s *Soak) {
--- a/internal/standin/bbrfleet/callfaults.go
+++ b/internal/standin/bbrfleet/callfaults.go
@@ -2,6 +2,8 @@
 
 import (
 	"bytes"
+	"context"
+	"io"
 	"math/rand/v2"
 	"net/http"
 	"sync"
@@ -19,6 +21,10 @@
 	// AnswerLossRate is the share of calls, 0 to 1, that take effect and whose
 	// connection is closed without a response.
 	AnswerLossRate float64
+	// LateCommitRate is the share of transactions, 0 to 1, whose connection is closed without a
+	// response and that are done minCommitDelay to maxCommitDelay later if their conditions
+	// hold then.
+	LateCommitRate float64
 	// ListDelay is how long the store takes to begin the response to a large list, and
 	// ListBytesPerSecond how fast it sends the body; 0 for no limit. Other calls are
 	// served at once.
@@ -26,6 +32,8 @@
 	ListBytesPerSecond int
 }
 
+const minCommitDelay, maxCommitDelay = time.Second, 6 * time.Second
+
 // largeListItems is the number of items from which a page of a list is large.
 const largeListItems = 50
 
@@ -82,6 +90,11 @@
 			return
 		}
 		time.Sleep(present.Delay)
+		if r.URL.Path == commitPath && rand.Float64() < present.LateCommitRate {
+			serveLate(next, r, minCommitDelay+rand.N(maxCommitDelay-minCommitDelay))
+			closeConnection(out)
+			return
+		}
 		if rand.Float64() < present.AnswerLossRate {
 			next.ServeHTTP(&discardWriter{header: make(http.Header)}, r)
 			closeConnection(out)
@@ -91,6 +104,17 @@
 	})
 }
 
+// serveLate serves a call after a delay, whether or not its caller still waits.
+func serveLate(next http.Handler, r *http.Request, delay time.Duration) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	late := r.WithContext(context.WithoutCancel(r.Context()))
+	late.Body = io.NopCloser(bytes.NewReader(body))
+	time.AfterFunc(delay, func() { next.ServeHTTP(&discardWriter{header: make(http.Header)}, late) })
+}
+
 // closeConnection closes the connection without a response.
 func closeConnection(out http.ResponseWriter) {
 	hijacker, ok := out.(http.Hijacker)
--- a/internal/standin/bbrfleet/storehttp.go
+++ b/internal/standin/bbrfleet/storehttp.go
@@ -10,11 +10,14 @@
 	"github.com/gorilla/mux"
 )
 
+// commitPath is the path of transactions.
+const commitPath = "/kv-txn"
+
 func (f *Fleet) routeStore(router *mux.Router) {
 	router.HandleFunc("/kv-key", f.serveGet).Methods(http.MethodGet)
 	router.HandleFunc("/kv-range", f.serveRange).Methods(http.MethodGet)
 	router.HandleFunc("/kv-watch", f.serveWatch).Methods(http.MethodGet)
-	router.HandleFunc("/kv-txn", f.serveCommit).Methods(http.MethodPost)
+	router.HandleFunc(commitPath, f.serveCommit).Methods(http.MethodPost)
 	router.HandleFunc("/kv-lease", f.serveGrant).Methods(http.MethodPost)
 	router.HandleFunc("/kv-keep/{id}", f.serveRenew).Methods(http.MethodPost)
 	router.HandleFunc("/kv-lease-end/{id}", f.serveRevoke).Methods(http.MethodDelete)
